Build, checks, common library and the headers between the parts

Cause: an empty repository; the parts are written side by side and need fixed borders first. Ruled out: a schema of its own for each part; one closed list of kinds and one message file keep the parts testable apart.

--- /dev/null
+++ b/lib/common/clk.h
@@ -0,0 +1,36 @@
+/**
+ * @file clk.h
+ * Clocks. Leases and deadlines count on a clock that runs on through a suspend and is never set;
+ * wall time is used only in answers and log records.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+#define CLK_US_PER_MS INT64_C (1000)
+#define CLK_US_PER_S INT64_C (1000000)
+#define CLK_MS_PER_S INT64_C (1000)
+
+/** A source of time that tests replace; @p ctx belongs to the caller. */
+typedef struct
+{
+  int64_t (*now_us) (void *ctx); /**< monotonic time in microseconds */
+  void *ctx;
+} ClkClock;
+
+/** Monotonic microseconds since an arbitrary start, counting time spent suspended. */
+int64_t clk_now_us (void);
+
+/** Wall time in milliseconds since 1970-01-01 UTC. */
+int64_t clk_wall_ms (void);
+
+/** Returns the system clock as a #ClkClock. */
+ClkClock clk_system (void);
+
+/** Reads @p clock. */
+int64_t clk_read_us (const ClkClock *clock);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/common/toml.h
@@ -0,0 +1,54 @@
+/**
+ * @file toml.h
+ * TOML files as a plain tree of nodes with line numbers.
+ *
+ * The parser is toml++ behind one extern "C" file; the rest of the project sees only this tree.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+typedef enum
+{
+  TOML_TABLE,
+  TOML_ARRAY,
+  TOML_STRING,
+  TOML_INTEGER,
+  TOML_FLOAT,
+  TOML_BOOLEAN,
+  TOML_OTHER, /**< dates and times, which no key of ours takes */
+} TomlType;
+
+typedef struct TomlNode TomlNode;
+
+/** One node; a parent owns its children. */
+struct TomlNode
+{
+  TomlType type;
+  char *key;           /**< key in the parent table; NULL in arrays and at the root */
+  uint32_t line;       /**< 1-based */
+  GPtrArray *children; /**< TomlNode of tables (file order) and arrays; NULL for scalars */
+  char *text;          /**< of TOML_STRING */
+  int64_t integer;     /**< of TOML_INTEGER and TOML_BOOLEAN */
+  double real;         /**< of TOML_FLOAT */
+};
+
+/**
+ * Parses @p size bytes; @p source names them in messages. Returns the root table, to be freed with
+ * toml_free(), or NULL with #ERR_BAD_CONFIG "source:line: what is wrong".
+ */
+TomlNode *toml_parse (const char *text, size_t size, const char *source, GError **error);
+
+/** Frees @p node and all below it. NULL is allowed. */
+void toml_free (TomlNode *node);
+
+/** Returns the child of table @p table named @p key, or NULL. Owned by the table. */
+const TomlNode *toml_get (const TomlNode *table, const char *key);
+
+/** Returns the English name of a type, "string" for example; static storage. */
+const char *toml_type_name (TomlType type);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/state/fold.h
@@ -0,0 +1,174 @@
+/**
+ * @file fold.h
+ * The state of the system as one deterministic fold over the platform's log.
+ *
+ * Every process applies the same records in offset order and holds the same state at the same
+ * offset. A record takes effect here and nowhere else: an append that was answered has no effect
+ * until it is folded. The fold does no I/O and reads no clock; the time it knows is the log's own
+ * time stamp of the newest record. One thread at a time may use a fold.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "common/ids.h"
+#include "state/record.pb-c.h"
+
+G_BEGIN_DECLS
+
+typedef struct Fold Fold;
+
+/** What applying one record did. */
+typedef enum
+{
+  FOLD_APPLIED,
+  FOLD_DUPLICATE, /**< its id was folded before */
+  FOLD_FENCED,    /**< its id was fenced before it came */
+  FOLD_REFUSED,   /**< understood, but its precondition does not hold (stale base, old epoch...) */
+  FOLD_MALFORMED, /**< not a record, or over a bound */
+  FOLD_UNKNOWN,   /**< a body of a newer build: ignored */
+} FoldResult;
+
+typedef struct
+{
+  int64_t key_window_ms;    /**< how long idempotency keys are held, by log time */
+  int64_t answer_bytes_max; /**< largest answer body held with an outcome */
+  int64_t id_window_ms;     /**< how long record ids and fences are held; beyond any retry */
+  uint32_t shards;
+  uint32_t history_max; /**< configuration versions listed by fold_history() */
+} FoldOptions;
+
+/** One accepted configuration; the fold owns texts. Version 0 is "none yet". */
+typedef struct
+{
+  uint64_t version;
+  uint64_t base_version;
+  int64_t wall_ms;
+  char *author;
+  char *note;
+  GBytes *text; /**< NULL in older history rows */
+} FoldConfig;
+
+typedef struct
+{
+  uint64_t epoch; /**< 0: never claimed */
+  char *entry;
+  uint64_t incarnation;
+  int64_t claimed_ms; /**< log time */
+} FoldClaim;
+
+typedef struct
+{
+  char *entry;
+  uint64_t incarnation;
+  char *data_centre;
+  char *wire_address;
+  int64_t known_ms; /**< log time of its record */
+  gboolean leaving;
+} FoldEntry;
+
+/** One task as the log knows it: only ends are logged, never starts. */
+typedef struct
+{
+  Record__TaskEnd end;
+  uint32_t attempts; /**< highest attempt that an outcome named */
+  uint32_t failures;
+  char *checkpoint; /**< NULL for none */
+  int64_t progress_ms;
+} FoldTask;
+
+typedef struct
+{
+  uint64_t job;
+  char *name;
+  char *submitter;
+  uint32_t shard;
+  int64_t submitted_ms;
+  int64_t deadline_ms;
+  gboolean cancelled;
+  uint32_t n_tasks;
+  uint32_t n_final; /**< tasks done, cancelled or given up */
+  FoldTask *tasks;  /**< n_tasks rows */
+  GBytes *definition;
+} FoldJob;
+
+/** The newest attempt of a once request. */
+typedef struct
+{
+  char *tenant;
+  char *key;
+  char *service;
+  uint64_t request_digest;
+  IdsId request;
+  uint32_t attempt;
+  char *agent;
+  uint64_t agent_incarnation;
+  int64_t intent_ms;    /**< log time */
+  gboolean has_outcome; /**< fenced or ended */
+  gboolean fenced;      /**< truly not run: the next attempt may be recorded */
+  char *kind;           /**< of the outcome; "" for an answer */
+  uint32_t status;
+  char *content_type;
+  GBytes *body; /**< NULL when the answer isn't held */
+  uint64_t length;
+  uint64_t body_digest;
+  gboolean body_held;
+} FoldIntent;
+
+/** Called by fold_apply() after a record took effect; must not change the fold. */
+typedef void (*FoldObserver) (void *ctx, const Record__Record *record, int64_t offset);
+
+/** Makes an empty fold that expects offset 0. Free with fold_free(). */
+Fold *fold_new (const FoldOptions *options);
+void fold_free (Fold *fold);
+
+/** At most one observer; NULL removes it. */
+void fold_observe (Fold *fold, FoldObserver observer, void *ctx);
+
+/**
+ * Applies the record at @p offset, which must be fold_next_offset() or above (the log may skip
+ * offsets, never go back). @p time_ms is the log's time stamp.
+ */
+FoldResult
+fold_apply (Fold *fold, int64_t offset, int64_t time_ms, const uint8_t *data, size_t size);
+
+/** Offset after the newest record folded. */
+int64_t fold_next_offset (const Fold *fold);
+
+/** Log time of the newest record folded; 0 for none. */
+int64_t fold_time_ms (const Fold *fold);
+
+/** What became of a record id; FALSE while neither it nor a fence for it was folded. */
+gboolean fold_settled (const Fold *fold, IdsId id, FoldResult *result);
+
+/** Newest accepted configuration; never NULL, version 0 with empty text before the first. */
+const FoldConfig *fold_config (const Fold *fold);
+
+/** Accepted configurations, newest first (FoldConfig); owned by the fold. */
+const GPtrArray *fold_history (const Fold *fold);
+
+/** Claim of @p shard; never NULL for shard < FoldOptions.shards. */
+const FoldClaim *fold_claim (const Fold *fold, uint32_t shard);
+
+/** Known entries that have not left (FoldEntry); owned by the fold. */
+const GPtrArray *fold_entries (const Fold *fold);
+
+/** All jobs that are held (FoldJob), in order of submission; owned by the fold. */
+const GPtrArray *fold_jobs (const Fold *fold);
+const FoldJob *fold_job (const Fold *fold, uint64_t job);
+
+/** Newest attempt under this tenant's key, or NULL. Keys of two tenants never meet. */
+const FoldIntent *fold_intent (const Fold *fold, const char *tenant, const char *key);
+
+/** Requests dated before this (log time) are outside the key window. */
+int64_t fold_key_window_start_ms (const Fold *fold);
+
+/** The whole state as bytes; unref with g_bytes_unref(). Equal states give equal bytes. */
+GBytes *fold_snapshot (const Fold *fold);
+
+/** The state of a snapshot; NULL with #ERR_PROTOCOL. */
+Fold *
+fold_from_snapshot (const FoldOptions *options, const uint8_t *data, size_t size, GError **error);
+
+G_END_DECLS
--- /dev/null
+++ b/scripts/check-fuzz-corpus.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs each libFuzzer target over its committed corpus, once and in a fixed order.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+targets=(tests/fuzz/fuzz_*.c)
+if [ ! -e "${targets[0]}" ]; then
+  echo "fuzz corpus: no targets yet"
+  exit 0
+fi
+for source in "${targets[@]}"; do
+  name=$(basename "$source" .c)
+  make -j8 "build/fuzz/$name" >/dev/null
+  "build/fuzz/$name" -runs=0 "tests/fuzz/corpus/${name#fuzz_}" 2>&1 | tail -n 1
+  echo "fuzz corpus: $name passed"
+done
--- /dev/null
+++ b/scripts/check-tsan.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Runs the test binaries under the thread sanitizer.
+#
+# Left out: tests named in tests/tsan-skip.txt, one a line with the reason. liburcu's and ZeroMQ's
+# own locking is not instrumented, so their frames are suppressed by tests/tsan.supp.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+skip=$(sed -e '/^#/d' -e '/^[[:space:]]*$/d' tests/tsan-skip.txt | cut -d' ' -f1)
+tests=()
+for source in tests/*/test_*.c; do
+  name=${source#tests/}
+  if ! grep -qxF "${name%.c}" <<<"$skip"; then
+    tests+=("build/tsan/tests/$name.test")
+  fi
+done
+export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp halt_on_error=1"
+make -j8 BUILD=build/tsan OPT="-O1 -g" SANITIZE="-fsanitize=thread" "${tests[@]}" >/dev/null
+BUILD=build/tsan TEST_JOBS=4 scripts/run-tests.sh "${tests[@]}"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the given C files, several at a time; any finding fails.
+set -euo pipefail
+
+packages="glib-2.0 libzmq liburcu libmicrohttpd neon argtable2 libprotobuf-c jansson libxxhash"
+# shellcheck disable=SC2086
+LINT_FLAGS="-std=gnu11 -D_GNU_SOURCE -Ilib -Itests $(pkg-config --cflags $packages)"
+export LINT_FLAGS
+
+status=0
+printf '%s\n' "$@" | xargs -P "$(nproc)" -I{} \
+  sh -c 'clang-tidy --quiet "$1" -- $LINT_FLAGS 2>/dev/null' _ {} || status=1
+if [ "$status" -ne 0 ]; then
+  echo "lint: findings above" >&2
+  exit 1
+fi
+echo "lint: $# files clean"
