--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 LINT_SRC := $(filter %.c,$(OWN_SRC))
 
 .PHONY: all check check-unit bench bench-full slopes lint format format-check demo fuzz soak docs \
-        proto clean
+        proto mutants clean
 .SECONDARY:
 
 all: $(PROGRAMS) $(STANDINS) $(MEASURES)
@@ -110,6 +110,10 @@
 soak: all $(TESTS)
 	BUILD=$(BUILD) scripts/soak.sh $(TESTS)
 
+# Takes each mechanism out in a scratch copy and expects the test that proves it to fail.
+mutants:
+	BUILD=$(BUILD) scripts/check-mutants.sh
+
 lint:
 	BUILD=$(BUILD) scripts/lint.sh $(LINT_SRC)
 
