--- /dev/null
+++ b/lib/platform/plat_http.c
@@ -0,0 +1,206 @@
+#include "platform/plat_http.h"
+
+#include <ne_request.h>
+#include <ne_session.h>
+#include <ne_socket.h>
+
+#include "common/clk.h"
+#include "common/err.h"
+
+/** Largest answer that is read. */
+#define ANSWER_BYTES_MAX ((size_t) 16 * 1024 * 1024)
+#define READ_CHUNK_BYTES 16384
+
+struct PlatHttp
+{
+  ne_session *session;
+  int64_t read_ms;
+  gboolean is_connected;
+  gboolean was_connected; /**< at any time during the call */
+};
+
+static void
+note_status (void *ctx, ne_session_status status, const ne_session_status_info *info)
+{
+  PlatHttp *http = ctx;
+
+  (void) info;
+  if (status == ne_status_connected)
+    {
+      http->is_connected = TRUE;
+      http->was_connected = TRUE;
+    }
+  else if (status == ne_status_disconnected)
+    http->is_connected = FALSE;
+}
+
+/* neon counts its time-outs in whole seconds. */
+static int
+seconds_up (int64_t millis)
+{
+  int64_t seconds = (millis + CLK_MS_PER_S - 1) / CLK_MS_PER_S;
+
+  return (int) CLAMP (seconds, 1, G_MAXINT);
+}
+
+PlatHttp *
+plat_http_new (const PlatHttpOptions *options)
+{
+  PlatHttp *http = g_new0 (PlatHttp, 1);
+
+  (void) ne_sock_init ();
+  http->session = ne_session_create ("http", options->host, options->port);
+  http->read_ms = options->read_ms;
+  ne_set_connect_timeout (http->session, seconds_up (options->connect_ms));
+  ne_set_notifier (http->session, note_status, http);
+  return http;
+}
+
+void
+plat_http_free (PlatHttp *http)
+{
+  if (http == NULL)
+    return;
+  ne_session_destroy (http->session);
+  g_free (http);
+}
+
+static void
+set_call_error (PlatHttp *http, int result, GError **error)
+{
+  ErrKind kind = http->was_connected ? ERR_TIMEOUT : ERR_REFUSED;
+
+  (void) result;
+  err_set (error, kind, "platform: %s", ne_get_error (http->session));
+}
+
+/* Reads the body until its end, the deadline or the bound. */
+static gboolean
+read_body (
+    PlatHttp *http, ne_request *request, int64_t deadline_us, GByteArray *body, GError **error)
+{
+  char chunk[READ_CHUNK_BYTES];
+
+  for (;;)
+    {
+      ssize_t got = ne_read_response_block (request, chunk, sizeof chunk);
+      if (got == 0)
+        return TRUE;
+      if (got < 0)
+        {
+          err_set (error, ERR_PROTOCOL, "platform: answer cut short: %s",
+                   ne_get_error (http->session));
+          return FALSE;
+        }
+      g_byte_array_append (body, (const guint8 *) chunk, (guint) got);
+      if (body->len > ANSWER_BYTES_MAX)
+        {
+          err_set (error, ERR_PROTOCOL, "platform: answer is over %zu bytes", ANSWER_BYTES_MAX);
+          return FALSE;
+        }
+      if (clk_now_us () > deadline_us)
+        {
+          err_set (error, ERR_TIMEOUT, "platform: answer not whole in time");
+          return FALSE;
+        }
+    }
+}
+
+/* One exchange; neon asks for a repeat when a kept connection turns out to be closed. */
+static gboolean
+exchange (PlatHttp *http,
+          ne_request *request,
+          int64_t deadline_us,
+          GByteArray *body,
+          uint32_t *status,
+          GError **error)
+{
+  int result = NE_RETRY;
+
+  while (result == NE_RETRY)
+    {
+      g_byte_array_set_size (body, 0);
+      result = ne_begin_request (request);
+      if (result != NE_OK)
+        break;
+      if (!read_body (http, request, deadline_us, body, error))
+        return FALSE;
+      result = ne_end_request (request);
+    }
+  if (result != NE_OK)
+    {
+      set_call_error (http, result, error);
+      return FALSE;
+    }
+  *status = (uint32_t) ne_get_status (request)->code;
+  return TRUE;
+}
+
+static json_t *
+parse_answer (const GByteArray *body, GError **error)
+{
+  json_error_t failure;
+  json_t *answer
+      = json_loadb ((const char *) body->data, body->len, JSON_REJECT_DUPLICATES, &failure);
+
+  if (answer != NULL && json_is_object (answer))
+    return answer;
+  json_decref (answer);
+  err_set (error, ERR_PROTOCOL, "platform: answer is not a JSON object");
+  return NULL;
+}
+
+uint32_t
+plat_http_call (PlatHttp *http, const PlatHttpCall *call, json_t **answer, GError **error)
+{
+  int64_t limit_ms = http->read_ms + call->wait_ms;
+  int64_t deadline_us = clk_now_us () + limit_ms * CLK_US_PER_MS;
+  char *text = call->body != NULL ? json_dumps (call->body, JSON_COMPACT) : NULL;
+  ne_request *request = ne_request_create (http->session, call->method, call->path);
+  g_autoptr (GByteArray) body = g_byte_array_new ();
+  uint32_t status = 0;
+
+  ne_set_read_timeout (http->session, seconds_up (limit_ms));
+  http->was_connected = http->is_connected;
+  if (text != NULL)
+    {
+      ne_add_request_header (request, "Content-Type", "application/json");
+      ne_set_request_body_buffer (request, text, strlen (text));
+    }
+  gboolean ok = exchange (http, request, deadline_us, body, &status, error);
+  ne_request_destroy (request);
+  free (text);
+  if (!ok)
+    {
+      ne_close_connection (http->session);
+      http->is_connected = FALSE;
+      return 0;
+    }
+  *answer = parse_answer (body, error);
+  return *answer != NULL ? status : 0;
+}
+
+gboolean
+plat_http_integer (const json_t *object, const char *key, int64_t *value, GError **error)
+{
+  const json_t *member = json_object_get (object, key);
+
+  if (!json_is_integer (member) || json_integer_value (member) < 0)
+    {
+      err_set (error, ERR_PROTOCOL, "platform: '%s' is not a count", key);
+      return FALSE;
+    }
+  *value = json_integer_value (member);
+  return TRUE;
+}
+
+void
+plat_http_failure (uint32_t status, const json_t *answer, int fallback, GError **error)
+{
+  const char *name = json_string_value (json_object_get (answer, "error"));
+  ErrKind kind = (ErrKind) fallback;
+
+  if (name != NULL)
+    (void) err_kind_from_name (name, &kind);
+  err_set (error, kind, "platform: status %u: %s", status, name != NULL ? name : "no reason");
+}
