acaciactl: validate, apply, read back, submit, explain, cancel

The operator's command line. Requests go to the first entry that takes them; one that may have taken effect goes to another entry only when repeating it is harmless.

--- /dev/null
+++ b/programs/ctl/cli.c
@@ -0,0 +1,199 @@
+#include "cli.h"
+
+#include <jansson.h>
+#include <ne_request.h>
+#include <ne_session.h>
+#include <ne_socket.h>
+#include <ne_uri.h>
+#include <string.h>
+
+#include "common/clk.h"
+
+#define CLI_STATUS_ERROR_FIRST 400
+#define CLI_STATUS_UNAVAILABLE 503
+
+/** Body being read; over the bound the rest is refused. */
+typedef struct
+{
+  GString *text;
+  gboolean is_too_large;
+} CliBody;
+
+gboolean
+cli_start (GError **error)
+{
+  if (ne_sock_init () == 0)
+    return TRUE;
+  err_set (error, ERR_INTERNAL, "the socket library can't be set up");
+  return FALSE;
+}
+
+static int
+read_body (void *ctx, const char *data, size_t size)
+{
+  CliBody *body = ctx;
+
+  if (body->text->len + size > CLI_ANSWER_MAX)
+    {
+      body->is_too_large = TRUE;
+      return -1;
+    }
+  g_string_append_len (body->text, data, (gssize) size);
+  return 0;
+}
+
+static ne_session *
+open_session (const CliOptions *options, const char *entry, GError **error)
+{
+  ne_uri uri = { 0 };
+  int timeout_s = (int) ((options->timeout_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S);
+
+  gboolean ok = ne_uri_parse (entry, &uri) == 0 && g_strcmp0 (uri.scheme, "http") == 0
+                && uri.host != NULL && uri.port != 0;
+  ne_session *session = NULL;
+  if (ok)
+    session = ne_session_create ("http", uri.host, uri.port);
+  else
+    err_set (error, ERR_BAD_CONFIG, "entry '%s': expected http://IP:PORT", entry);
+  ne_uri_free (&uri);
+  if (session == NULL)
+    return NULL;
+  ne_set_connect_timeout (session, timeout_s);
+  ne_set_read_timeout (session, timeout_s);
+  return session;
+}
+
+/* What a failed exchange says about the request. */
+static ErrKind
+kind_of_failure (int result, const CliBody *body)
+{
+  if (result == NE_CONNECT || result == NE_LOOKUP)
+    return ERR_REFUSED;
+  if (result == NE_TIMEOUT)
+    return ERR_TIMEOUT;
+  return body->is_too_large ? ERR_TOO_LARGE : ERR_PROTOCOL;
+}
+
+static gboolean
+exchange (const CliOptions *options,
+          const char *entry,
+          const CliRequest *request,
+          CliAnswer *answer,
+          GError **error)
+{
+  ne_session *session = open_session (options, entry, error);
+
+  if (session == NULL)
+    return FALSE;
+  CliBody body = { g_string_new (NULL), FALSE };
+  ne_request *call = ne_request_create (session, request->method, request->path);
+  ne_set_request_flag (call, NE_REQFLAG_IDEMPOTENT, request->is_repeatable);
+  if (request->content_type != NULL)
+    ne_add_request_header (call, "Content-Type", request->content_type);
+  if (request->body != NULL)
+    ne_set_request_body_buffer (call, request->body, request->body_size);
+  ne_add_response_body_reader (call, ne_accept_always, read_body, &body);
+  int result = ne_request_dispatch (call);
+  if (result == NE_OK)
+    {
+      answer->status = (uint32_t) ne_get_status (call)->code;
+      answer->size = body.text->len;
+      answer->body = g_string_free (g_steal_pointer (&body.text), FALSE);
+    }
+  else
+    err_set (error, kind_of_failure (result, &body), "%s: %s", entry, ne_get_error (session));
+  if (body.text != NULL)
+    g_string_free (body.text, TRUE);
+  ne_request_destroy (call);
+  ne_session_destroy (session);
+  return result == NE_OK;
+}
+
+static ErrRan
+ran_of_name (const char *name)
+{
+  if (g_strcmp0 (name, "no") == 0)
+    return ERR_RAN_NO;
+  return g_strcmp0 (name, "yes") == 0 ? ERR_RAN_YES : ERR_RAN_DOUBT;
+}
+
+/* Turns an entry's error answer into a GError; *ran says whether the work ran. */
+static void
+read_error (const char *entry, const CliAnswer *answer, ErrRan *ran, GError **error)
+{
+  json_t *root = json_loadb (answer->body, answer->size, 0, NULL);
+  const json_t *body = json_object_get (root, "error");
+  const char *name = json_string_value (json_object_get (body, "kind"));
+  const char *message = json_string_value (json_object_get (body, "message"));
+  const char *request = json_string_value (json_object_get (body, "request_id"));
+  json_int_t after_ms = json_integer_value (json_object_get (body, "retry_after_ms"));
+  ErrKind kind = ERR_PROTOCOL;
+
+  *ran = ran_of_name (json_string_value (json_object_get (body, "ran")));
+  if (name == NULL || !err_kind_from_name (name, &kind))
+    err_set (error, ERR_PROTOCOL, "%s: answered status %u without a known error kind", entry,
+             answer->status);
+  else
+    {
+      g_autofree char *later
+          = after_ms > 0
+                ? g_strdup_printf ("; come back in %" G_GINT64_FORMAT " ms", (int64_t) after_ms)
+                : g_strdup ("");
+      err_set (error, kind, "%s (ran: %s%s; request %s)", message != NULL ? message : "",
+               err_ran_name (*ran), later, request != NULL ? request : "unknown");
+    }
+  json_decref (root);
+}
+
+/* Whether another entry may be asked after an answer that is a failure. */
+static gboolean
+may_ask_after_answer (const CliRequest *request, uint32_t status, ErrRan ran)
+{
+  return status == CLI_STATUS_UNAVAILABLE && (ran == ERR_RAN_NO || request->is_repeatable);
+}
+
+/* Asks one entry; *go_on says whether another may be asked when this one failed. */
+static gboolean
+ask_entry (const CliOptions *options,
+           const char *entry,
+           const CliRequest *request,
+           CliAnswer *answer,
+           gboolean *go_on,
+           GError **error)
+{
+  CliAnswer got = { 0 };
+  ErrRan ran = ERR_RAN_DOUBT;
+
+  if (!exchange (options, entry, request, &got, error))
+    {
+      *go_on = request->is_repeatable || (error != NULL && err_kind (*error) == ERR_REFUSED);
+      return FALSE;
+    }
+  if (got.status < CLI_STATUS_ERROR_FIRST)
+    {
+      *answer = got;
+      return TRUE;
+    }
+  read_error (entry, &got, &ran, error);
+  *go_on = may_ask_after_answer (request, got.status, ran);
+  g_free (got.body);
+  return FALSE;
+}
+
+gboolean
+cli_call (const CliOptions *options, const CliRequest *request, CliAnswer *answer, GError **error)
+{
+  g_autoptr (GError) failure = NULL;
+  gboolean go_on = TRUE;
+
+  for (size_t i = 0; go_on && options->entries[i] != NULL; i++)
+    {
+      g_clear_error (&failure);
+      if (ask_entry (options, options->entries[i], request, answer, &go_on, &failure))
+        return TRUE;
+    }
+  if (failure == NULL)
+    err_set (&failure, ERR_BAD_CONFIG, "no entry is known: give --entry http://IP:PORT");
+  g_propagate_error (error, g_steal_pointer (&failure));
+  return FALSE;
+}
--- /dev/null
+++ b/programs/ctl/cmd.c
@@ -0,0 +1,360 @@
+#include "cmd.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/doc.h"
+#include "dif.h"
+#include "tab.h"
+
+#define CMD_TOML "application/toml"
+#define CMD_JSON "application/json"
+
+typedef struct
+{
+  const char *name;
+  const char *argument; /**< what it is called in help; NULL when the command takes none */
+  const char *help;
+  gboolean (*run) (const CmdOptions *options, json_t **answer, GError **error);
+} Command;
+
+/* Calls an entry and parses its JSON answer. */
+static gboolean
+call (const CmdOptions *options, const CliRequest *request, json_t **answer, GError **error)
+{
+  CliAnswer got = { 0 };
+
+  if (!cli_call (&options->cli, request, &got, error))
+    return FALSE;
+  json_error_t place;
+  *answer = json_loadb (got.body, got.size, JSON_DECODE_ANY, &place);
+  g_free (got.body);
+  if (*answer != NULL)
+    return TRUE;
+  err_set (error, ERR_PROTOCOL, "the answer is not JSON: line %d: %s", place.line, place.text);
+  return FALSE;
+}
+
+static gboolean
+get (const CmdOptions *options, const char *path, json_t **answer, GError **error)
+{
+  CliRequest request = { .method = "GET", .path = path, .is_repeatable = TRUE };
+
+  return call (options, &request, answer, error);
+}
+
+/* Path of the command's job, with its argument escaped. */
+static char *
+job_path (const CmdOptions *options, const char *ending)
+{
+  g_autofree char *job = g_uri_escape_string (options->argument, NULL, FALSE);
+
+  return g_strdup_printf ("/v1/jobs/%s%s", job, ending);
+}
+
+/* Reads and checks the operators' document; *text is owned by the caller. */
+static DocDocument *
+read_document (const char *path, char **text, GError **error)
+{
+  g_autoptr (GError) failure = NULL;
+  size_t size = 0;
+
+  if (!g_file_get_contents (path, text, &size, &failure))
+    {
+      err_set (error, ERR_BAD_CONFIG, "%s", failure->message);
+      return NULL;
+    }
+  DocDocument *document = doc_parse (*text, size, path, error);
+  if (document == NULL)
+    g_clear_pointer (text, g_free);
+  return document;
+}
+
+static json_t *
+counts_of (const char *path, const DocDocument *document)
+{
+  return json_pack ("{s:s, s:b, s:i, s:i, s:i, s:i, s:i}", "file", path, "valid", 1, "services",
+                    (int) document->services->len, "jobs", (int) document->jobs->len, "teams",
+                    (int) document->teams->len, "labels", (int) document->labels->len, "rules",
+                    (int) document->rules->len);
+}
+
+static gboolean
+run_validate (const CmdOptions *options, json_t **answer, GError **error)
+{
+  g_autofree char *text = NULL;
+  DocDocument *document = read_document (options->argument, &text, error);
+
+  if (document == NULL)
+    return FALSE;
+  *answer = counts_of (options->argument, document);
+  json_object_set_new (*answer, "unmatched", dif_unmatched (document, NULL));
+  doc_free (document);
+  return TRUE;
+}
+
+/* Label sets of the known instances, or NULL when the status page doesn't list them. */
+static json_t *
+known_instances (const CmdOptions *options)
+{
+  json_t *status = NULL;
+
+  if (!get (options, "/v1/status", &status, NULL))
+    return NULL;
+  json_t *sets = json_array ();
+  json_t *workers = json_object_get (status, "workers");
+  size_t index = 0;
+  json_t *worker = NULL;
+  json_array_foreach (workers, index, worker)
+  {
+    json_t *labels = json_object_get (worker, "labels");
+    json_array_append (sets, labels);
+  }
+  if (!json_is_array (workers))
+    g_clear_pointer (&sets, json_decref);
+  json_decref (status);
+  return sets;
+}
+
+static gboolean
+run_dry (const CmdOptions *options,
+         const DocDocument *document,
+         const char *text,
+         json_t **answer,
+         GError **error)
+{
+  json_t *current = NULL;
+  json_t *checked = NULL;
+  CliRequest check = { "POST", "/v1/config/check", CMD_TOML, text, strlen (text), TRUE };
+
+  if (!call (options, &check, &checked, error))
+    return FALSE;
+  json_decref (checked);
+  if (!get (options, "/v1/config", &current, error))
+    return FALSE;
+  const char *old_text = json_string_value (json_object_get (current, "text"));
+  json_t *changes = dif_rows (old_text != NULL ? old_text : "", text, error);
+  if (changes != NULL)
+    {
+      json_t *instances = known_instances (options);
+      *answer = json_pack ("{s:O, s:b, s:o, s:o}", "base", json_object_get (current, "version"),
+                           "published", 0, "changes", changes, "unmatched",
+                           dif_unmatched (document, instances));
+      json_decref (instances);
+    }
+  json_decref (current);
+  return changes != NULL;
+}
+
+/* The version to base on: the command line's, or the newest that an entry has in force. */
+static gboolean
+find_base (const CmdOptions *options, int64_t *base, GError **error)
+{
+  json_t *current = NULL;
+
+  *base = options->base;
+  if (*base != CMD_BASE_NEWEST)
+    return TRUE;
+  if (!get (options, "/v1/config", &current, error))
+    return FALSE;
+  const json_t *version = json_object_get (current, "version");
+  gboolean ok = json_is_integer (version);
+  *base = json_integer_value (version);
+  json_decref (current);
+  if (!ok)
+    err_set (error, ERR_PROTOCOL, "the entry's answer names no configuration version");
+  return ok;
+}
+
+static gboolean
+publish (const CmdOptions *options, const char *text, json_t **answer, GError **error)
+{
+  int64_t base = 0;
+
+  if (!find_base (options, &base, error))
+    return FALSE;
+  g_autofree char *author = g_uri_escape_string (options->author, NULL, FALSE);
+  g_autofree char *note = g_uri_escape_string (options->note, NULL, FALSE);
+  g_autofree char *path = g_strdup_printf ("/v1/config?base=%" G_GINT64_FORMAT "&author=%s&note=%s",
+                                           base, author, note);
+  CliRequest request = { "PUT", path, CMD_TOML, text, strlen (text), FALSE };
+  return call (options, &request, answer, error);
+}
+
+static gboolean
+run_apply (const CmdOptions *options, json_t **answer, GError **error)
+{
+  g_autofree char *text = NULL;
+  DocDocument *document = read_document (options->argument, &text, error);
+
+  if (document == NULL)
+    return FALSE;
+  gboolean ok = options->is_dry_run ? run_dry (options, document, text, answer, error)
+                                    : publish (options, text, answer, error);
+  doc_free (document);
+  return ok;
+}
+
+static gboolean
+run_get (const CmdOptions *options, json_t **answer, GError **error)
+{
+  return get (options, "/v1/config", answer, error);
+}
+
+static gboolean
+run_history (const CmdOptions *options, json_t **answer, GError **error)
+{
+  return get (options, "/v1/config/history", answer, error);
+}
+
+static gboolean
+run_submit (const CmdOptions *options, json_t **answer, GError **error)
+{
+  json_t *body = json_pack ("{s:s, s:s}", "name", options->argument, "submitter", options->author);
+
+  if (options->key != NULL)
+    json_object_set_new (body, "key", json_string (options->key));
+  char *text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  gboolean is_repeatable = options->key != NULL;
+  CliRequest request = { "POST", "/v1/jobs", CMD_JSON, text, strlen (text), is_repeatable };
+  gboolean ok = call (options, &request, answer, error);
+  free (text);
+  return ok;
+}
+
+static gboolean
+run_jobs (const CmdOptions *options, json_t **answer, GError **error)
+{
+  return get (options, "/v1/jobs", answer, error);
+}
+
+static gboolean
+run_job (const CmdOptions *options, json_t **answer, GError **error)
+{
+  g_autofree char *path = job_path (options, "");
+
+  return get (options, path, answer, error);
+}
+
+static gboolean
+run_cancel (const CmdOptions *options, json_t **answer, GError **error)
+{
+  g_autofree char *path = job_path (options, "");
+  CliRequest request = { .method = "DELETE", .path = path, .is_repeatable = TRUE };
+
+  return call (options, &request, answer, error);
+}
+
+static gboolean
+run_explain (const CmdOptions *options, json_t **answer, GError **error)
+{
+  g_autofree char *path = job_path (options, "/explain");
+
+  return get (options, path, answer, error);
+}
+
+static gboolean
+run_status (const CmdOptions *options, json_t **answer, GError **error)
+{
+  return get (options, "/v1/status", answer, error);
+}
+
+static const Command commands[] = {
+  { "validate", "FILE", "check a document here, without an entry", run_validate },
+  { "apply", "FILE", "publish a document; --dry-run shows what would change", run_apply },
+  { "get", NULL, "print the configuration in force", run_get },
+  { "history", NULL, "list the accepted versions", run_history },
+  { "submit", "JOB", "start a run of a job of the configuration", run_submit },
+  { "jobs", NULL, "list the runs", run_jobs },
+  { "job", "ID", "show one run", run_job },
+  { "cancel", "ID", "cancel one run", run_cancel },
+  { "explain", "ID", "say where each task of a run is, and why", run_explain },
+  { "status", NULL, "show entries, instances, shards and counts", run_status },
+};
+
+char *
+cmd_help (void)
+{
+  GString *out = g_string_new ("Commands:\n");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      const char *argument = commands[i].argument != NULL ? commands[i].argument : "";
+      g_string_append_printf (out, "  %-9s%-5s %s\n", commands[i].name, argument, commands[i].help);
+    }
+  return g_string_free (out, FALSE);
+}
+
+static const Command *
+find_command (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      if (g_strcmp0 (commands[i].name, name) == 0)
+        return &commands[i];
+    }
+  return NULL;
+}
+
+static void
+print_answer (const CmdOptions *options, const json_t *answer)
+{
+  if (options->is_json)
+    {
+      json_dumpf (answer, stdout, JSON_INDENT (2) | JSON_ENCODE_ANY);
+      (void) putchar ('\n');
+      return;
+    }
+  tab_print (stdout, answer);
+}
+
+static void
+print_failure (const CmdOptions *options, const GError *error)
+{
+  const char *kind = err_name (err_kind (error));
+
+  (void) fprintf (stderr, "acaciactl: %s: %s: %s\n", options->command, kind, error->message);
+  if (!options->is_json)
+    return;
+  json_t *answer = json_pack ("{s:{s:s, s:s}}", "error", "kind", kind, "message", error->message);
+  print_answer (options, answer);
+  json_decref (answer);
+}
+
+/* A document that doesn't parse here was never sent: that is a fault of usage. */
+static gboolean
+is_usage_fault (const Command *command, const GError *error)
+{
+  return err_kind (error) == ERR_BAD_CONFIG
+         && (command->run == run_validate || command->run == run_apply);
+}
+
+CmdExit
+cmd_run (const CmdOptions *options)
+{
+  const Command *command = find_command (options->command);
+  g_autoptr (GError) error = NULL;
+  json_t *answer = NULL;
+
+  if (command == NULL)
+    {
+      (void) fprintf (stderr, "acaciactl: unknown command '%s'; see --help\n", options->command);
+      return CMD_EXIT_USAGE;
+    }
+  if ((command->argument != NULL) != (options->argument != NULL))
+    {
+      (void) fprintf (stderr, "acaciactl: %s: expected %s\n", command->name,
+                      command->argument != NULL ? command->argument : "no argument");
+      return CMD_EXIT_USAGE;
+    }
+  if (!command->run (options, &answer, &error))
+    {
+      print_failure (options, error);
+      return is_usage_fault (command, error) ? CMD_EXIT_USAGE : CMD_EXIT_REFUSED;
+    }
+  print_answer (options, answer);
+  json_decref (answer);
+  return CMD_EXIT_OK;
+}
