--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,354 @@
+# Functions that start, stop and question a small cluster of real processes on 127.0.0.1.
+#
+# Sourced by scripts/demo.sh, the fault tests and the measurements:
+#   source scripts/cluster.sh
+#   cluster_init mezcla          # or zinsverbund; picks a free block of ports
+#   cluster_start 3 2            # log, 3 workers, 3 services, 2 entries, 3 agents; waits for ready
+# Everything that was started is killed when the script leaves. Every wait is a bounded poll.
+# shellcheck shell=bash disable=SC2034
+
+BUILD=${BUILD:-build}
+CLUSTER_ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+case "$BUILD" in /*) ;; *) BUILD=$CLUSTER_ROOT/$BUILD ;; esac
+BIN=$BUILD/bin
+CTL=$BIN/acaciactl
+
+# Ports within the block that starts at CLUSTER_BASE.
+PORT_LOG=0
+PORT_WORKER=100
+PORT_SERVICE=500
+PORT_ENTRY_HTTP=20
+PORT_ENTRY_WIRE=40
+PORT_AGENT_HTTP=900
+PORT_BLOCK=1300
+
+POLL_S=0.05
+
+declare -A PID=()     # by name: log, worker-1, service-1, entry-1, agent-1
+CLUSTER_ENTRIES=2     # entries that agents and peers know
+ENTRY_EXTRA=""        # settings lines added to every entry
+AGENT_EXTRA=""        # settings lines added to every agent
+LOG_ARGS=()           # arguments added to standin-log
+WORKER_ARGS=()        # arguments added to every standin-worker
+SERVICE_ARGS=()       # arguments added to every standin-service
+
+say() { printf '%s\n' "$*"; }
+
+fail() {
+  printf 'FAILED: %s\n' "$*" >&2
+  cluster_show_logs >&2
+  exit 1
+}
+
+# check DESCRIPTION COMMAND...: the command must succeed.
+check() {
+  local what=$1
+  shift
+  if "$@"; then say "ok: $what"; else fail "$what"; fi
+}
+
+# check_equal DESCRIPTION EXPECTED ACTUAL
+check_equal() {
+  if [ "$2" = "$3" ]; then say "ok: $1"; else fail "$1: expected '$2', got '$3'"; fi
+}
+
+# wait_until SECONDS COMMAND...: polls until the command succeeds; its output is dropped.
+wait_until() {
+  local limit_ms=$(($1 * 1000)) start_ms
+  start_ms=$(now_ms)
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $(($(now_ms) - start_ms)) -lt "$limit_ms" ] || return 1
+    sleep "$POLL_S"
+  done
+}
+
+# wait_for SECONDS DESCRIPTION COMMAND...: like wait_until, but a failure ends the script.
+wait_for() {
+  local limit=$1 what=$2 start_ms
+  shift 2
+  start_ms=$(now_ms)
+  wait_until "$limit" "$@" || fail "$what (not within $limit s)"
+  say "ok: $what ($(($(now_ms) - start_ms)) ms)"
+}
+
+now_ms() { date +%s%3N; }
+
+block_is_free() {
+  local port
+  for port in "$PORT_LOG" $((PORT_WORKER + 1)) $((PORT_SERVICE + 1)) $((PORT_ENTRY_HTTP + 1)) \
+    $((PORT_ENTRY_WIRE + 1)) $((PORT_AGENT_HTTP + 1)); do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$(($1 + port))") 2>/dev/null; then return 1; fi
+  done
+}
+
+# A block belongs to the process that made its folder; folders of dead processes are taken over.
+take_block() {
+  local lock=/tmp/acacia-ports-$1
+  if ! mkdir "$lock" 2>/dev/null; then
+    kill -0 "$(cat "$lock/pid" 2>/dev/null || echo 0)" 2>/dev/null && return 1
+    [ -n "$(find "$lock" -maxdepth 0 -mmin +1 2>/dev/null)" ] || [ -f "$lock/pid" ] || return 1
+  fi
+  echo $$ >"$lock/pid"
+  block_is_free "$1"
+}
+
+pick_base() {
+  local try base
+  for ((try = 0; try < 40; try++)); do
+    base=$((10000 + (($$ + try * 7) % 16) * PORT_BLOCK))
+    if take_block "$base"; then
+      CLUSTER_BASE=$base
+      return 0
+    fi
+  done
+  return 1
+}
+
+cluster_init() {
+  DEPLOYMENT=${1:-mezcla}
+  case "$DEPLOYMENT" in
+    mezcla)
+      DATA_CENTRES=(quito-norte quito-sur cuenca ambato)
+      SERVICE=mixdesk
+      CPU_MILLI=16000
+      MEMORY_MB=61440
+      LABEL_FIRST="disk=fast"
+      ;;
+    zinsverbund)
+      DATA_CENTRES=(wien-ost wien-west st-poelten salzburg)
+      SERVICE=zinspost
+      CPU_MILLI=32000
+      MEMORY_MB=128000
+      LABEL_FIRST="ledger=near"
+      ;;
+    *)
+      echo "unknown deployment '$DEPLOYMENT': expected mezcla or zinsverbund" >&2
+      exit 2
+      ;;
+  esac
+  TENANT=${TENANT:-$DEPLOYMENT}
+  for binary in acaciactl acacia-entry acacia-agent standin-log standin-worker standin-service; do
+    [ -x "$BIN/$binary" ] || { echo "$BIN/$binary is missing: run make" >&2; exit 1; }
+  done
+  CLUSTER_DIR=$(mktemp -d)
+  trap cluster_cleanup EXIT
+  trap 'exit 130' INT TERM
+  if [ -z "${CLUSTER_BASE:-}" ]; then pick_base || fail "no free block of ports"; fi
+}
+
+cluster_cleanup() {
+  local status=$? pid
+  trap - EXIT
+  for pid in "${PID[@]}"; do
+    kill -CONT "$pid" 2>/dev/null
+    kill -KILL "$pid" 2>/dev/null
+  done
+  for pid in "${PID[@]}"; do wait "$pid" 2>/dev/null; done
+  rm -rf "/tmp/acacia-ports-${CLUSTER_BASE:-none}"
+  if [ "$status" -eq 0 ] || [ -z "${CLUSTER_KEEP:-}" ]; then
+    rm -rf "$CLUSTER_DIR"
+  else
+    echo "logs are in $CLUSTER_DIR" >&2
+  fi
+  exit "$status"
+}
+
+cluster_show_logs() {
+  local file
+  for file in "$CLUSTER_DIR"/*.log; do
+    [ -s "$file" ] || continue
+    echo "--- $(basename "$file")"
+    tail -n "${CLUSTER_LOG_LINES:-12}" "$file"
+  done
+}
+
+port_of() {
+  local name=$1 kind=${1%-*} index=${1##*-}
+  case "$kind" in
+    log) echo $((CLUSTER_BASE + PORT_LOG)) ;;
+    worker) echo $((CLUSTER_BASE + PORT_WORKER + index)) ;;
+    service) echo $((CLUSTER_BASE + PORT_SERVICE + index)) ;;
+    entry) echo $((CLUSTER_BASE + PORT_ENTRY_HTTP + index)) ;;
+    agent) echo $((CLUSTER_BASE + PORT_AGENT_HTTP + index)) ;;
+    *) fail "no such kind of process: $name" ;;
+  esac
+}
+
+url_of() { echo "http://127.0.0.1:$(port_of "$1")"; }
+wire_of() { echo "tcp://127.0.0.1:$((CLUSTER_BASE + PORT_ENTRY_WIRE + $1))"; }
+
+# Names and wire addresses of all entries but number $1, as a TOML array.
+entry_list() {
+  local list="" i
+  for ((i = 1; i <= CLUSTER_ENTRIES; i++)); do
+    [ "$i" -eq "$1" ] || list+="${list:+, }\"entry-$i=$(wire_of "$i")\""
+  done
+  echo "[$list]"
+}
+
+data_centre_of() { echo "${DATA_CENTRES[$((($1 - 1) % ${#DATA_CENTRES[@]}))]}"; }
+
+# launch NAME COMMAND...: starts it in the background with its output in NAME.log.
+launch() {
+  local name=$1
+  shift
+  "$@" >>"$CLUSTER_DIR/$name.log" 2>&1 &
+  PID[$name]=$!
+}
+
+start_log() {
+  launch log "$BIN/standin-log" --port "$(port_of log)" "${LOG_ARGS[@]+"${LOG_ARGS[@]}"}"
+}
+
+start_worker() {
+  launch "worker-$1" "$BIN/standin-worker" --port "$(port_of "worker-$1")" \
+    --cpu-milli "${WORKER_CPU_MILLI:-$CPU_MILLI}" --memory-mb "$MEMORY_MB" --accelerators 0 \
+    "${WORKER_ARGS[@]+"${WORKER_ARGS[@]}"}"
+}
+
+start_service() {
+  launch "service-$1" "$BIN/standin-service" --port "$(port_of "service-$1")" --slots 8 \
+    --connections 64 --service-ms "${SERVICE_MS:-20}" --name "$SERVICE" \
+    "${SERVICE_ARGS[@]+"${SERVICE_ARGS[@]}"}"
+}
+
+start_entry() {
+  local file=$CLUSTER_DIR/entry-$1.toml
+  cat >"$file" <<TOML
+name = "entry-$1"
+data_centre = "$(data_centre_of "$1")"
+http.host = "127.0.0.1"
+http.port = $(port_of "entry-$1")
+wire.listen = "$(wire_of "$1")"
+wire.peers = $(entry_list "$1")
+log.host = "127.0.0.1"
+log.port = $(port_of log)
+$ENTRY_EXTRA
+TOML
+  launch "entry-$1" "$BIN/acacia-entry" --config "$file"
+}
+
+# The first instance carries the label that the example documents select; each has a rack of its own.
+start_agent() {
+  local file=$CLUSTER_DIR/agent-$1.toml labels="[\"instance=i$1\"]"
+  [ "$1" -ne 1 ] || labels="[\"instance=i$1\", \"$LABEL_FIRST\"]"
+  cat >"$file" <<TOML
+name = "agent-$1"
+data_centre = "$(data_centre_of "$1")"
+rack = "rack-$1"
+labels = $labels
+entries = $(entry_list 0)
+http.host = "127.0.0.1"
+http.port = $(port_of "agent-$1")
+worker.host = "127.0.0.1"
+worker.port = $(port_of "worker-$1")
+endpoint.service = "$SERVICE"
+endpoint.host = "127.0.0.1"
+endpoint.port = $(port_of "service-$1")
+$AGENT_EXTRA
+TOML
+  launch "agent-$1" "$BIN/acacia-agent" --config "$file"
+}
+
+is_ready() { curl -fsS -m 2 -o /dev/null "$(url_of "$1")/readyz"; }
+is_listening() { (exec 3<>"/dev/tcp/127.0.0.1/$(port_of "$1")") 2>/dev/null; }
+is_running() { kill -0 "${PID[$1]}" 2>/dev/null; }
+has_left() { ! is_running "$1"; }
+
+# cluster_start INSTANCES ENTRIES: the whole set, ready to serve.
+cluster_start() {
+  local instances=$1 i
+  CLUSTER_ENTRIES=$2
+  start_log
+  for ((i = 1; i <= instances; i++)); do
+    start_worker "$i"
+    start_service "$i"
+  done
+  wait_for 10 "log stand-in listens" is_listening log
+  for ((i = 1; i <= CLUSTER_ENTRIES; i++)); do start_entry "$i"; done
+  for ((i = 1; i <= instances; i++)); do start_agent "$i"; done
+  for ((i = 1; i <= CLUSTER_ENTRIES; i++)); do
+    wait_for 20 "entry-$i is ready" is_ready "entry-$i"
+  done
+  for ((i = 1; i <= instances; i++)); do
+    wait_for 20 "agent-$i is ready" is_ready "agent-$i"
+  done
+}
+
+# Signals by name. kill_now is kill -9; both wait until the process is gone.
+terminate() { kill -TERM "${PID[$1]}"; }
+kill_now() {
+  kill -KILL "${PID[$1]}" 2>/dev/null
+  wait "${PID[$1]}" 2>/dev/null
+  unset "PID[$1]"
+}
+pause() { kill -STOP "${PID[$1]}"; }
+resume() { kill -CONT "${PID[$1]}"; }
+
+# ctl COMMAND...: acaciactl with all entries of the cluster.
+ctl() {
+  local entries=() i
+  for ((i = 1; i <= CLUSTER_ENTRIES; i++)); do entries+=(--entry "$(url_of "entry-$i")"); done
+  "$CTL" "${entries[@]}" "$@"
+}
+
+# call ENTRY PATH [curl arguments]: one caller's request; the body is printed.
+call() {
+  local entry=$1 path=$2
+  shift 2
+  curl -sS -m 30 -X POST -H "Acacia-Tenant: $TENANT" "$@" "$(url_of "$entry")/v1/call/$SERVICE/$path"
+}
+
+# call_full ENTRY PATH...: like call, with the answer's headers before the body.
+call_full() {
+  local entry=$1 path=$2
+  shift 2
+  call "$entry" "$path" -i "$@" | tr -d '\r'
+}
+
+# call_status ENTRY PATH...: the status alone.
+call_status() {
+  local entry=$1 path=$2
+  shift 2
+  call "$entry" "$path" -o /dev/null -w '%{http_code}' "$@"
+}
+
+# header NAME <<<ANSWER: the value of a header of an answer that call_full printed.
+header() { sed -n "/^\$/q;s/^$1: //Ip" | head -n 1; }
+body_of() { sed '1,/^$/d'; }
+
+# once_args KEY: headers of a request that may run at most once.
+once_args() { printf '%s\n' -H "Acacia-Kind: once" -H "Idempotency-Key: $1"; }
+
+# runs_of KEY: how often requests with this key ran, over all endpoints that answer.
+runs_of() {
+  local total=0 n name
+  for name in "${!PID[@]}"; do
+    [ "${name%-*}" = service ] || continue
+    n=$(curl -fsS -m 5 "$(url_of "$name")/runs?tenant=$TENANT&key=$1" | jq -r '.runs') || continue
+    total=$((total + n))
+  done
+  echo "$total"
+}
+
+# fault NAME JSON: puts a stand-in into a fault mode.
+fault() {
+  curl -fsS -m 5 -o /dev/null -X POST -d "$2" "$(url_of "$1")/fault" || fail "fault $2 at $1"
+}
+
+# metric PROCESS NAME: sum of a counter over its labels, 0 when there is none.
+metric() {
+  curl -fsS -m 5 "$(url_of "$1")/metrics" \
+    | awk -v name="$2" '{ split($1, part, "{"); if (part[1] == name) sum += $2 } END { print sum + 0 }'
+}
+
+# config_version PROCESS: the version that a process has in force, entry or agent.
+config_version() {
+  case "$1" in
+    entry-*) curl -fsS -m 5 "$(url_of "$1")/v1/config" | jq -r .version ;;
+    *) metric "$1" acacia_agent_config_version ;;
+  esac
+}
+
+has_config() { [ "$(config_version "$1")" -ge "$2" ]; }
