--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -185,6 +185,7 @@
   CORE_WHY_PROBE_WORKER, /**< one start on a quarantined instance */
   CORE_WHY_RELIEVED,     /**< the tail is back under its target */
   CORE_WHY_LEAVING,      /**< the instance is leaving */
+  CORE_WHY_STALE,        /**< a newer attempt of the task is the valid one */
   CORE_WHY_COUNT,
 } CoreWhy;
 
--- /dev/null
+++ b/lib/core/health.c
@@ -0,0 +1,341 @@
+#include "core/tables.h"
+
+#define HEALTH_PROOF_US (5 * CLK_US_PER_S)
+#define HEALTH_STREAK_BAD 3U
+#define HEALTH_PROBE_FIRST_US (30 * CLK_US_PER_S)
+#define HEALTH_PROBE_MAX_US (600 * CLK_US_PER_S)
+
+/* Whether an attempt of the job has shown, on another instance, that the job can run. */
+static gboolean
+has_survivor (const Core *core, const CoreJob *job, uint32_t except_row)
+{
+  int64_t proof_us = HEALTH_PROOF_US + 2 * job->failed_run_us;
+
+  if (job->count[TASK_DONE] > 0)
+    return TRUE;
+  if (job->tasks == NULL)
+    return FALSE;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      const CoreTask *task = &job->tasks[i];
+      if (task->worker != CORE_NONE && task->worker != except_row
+          && core->now_us - task->started_us > proof_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+is_bad_job (const Core *core, const CoreJob *job)
+{
+  return job->is_given_up || (job->n_failed_on >= 2 && !has_survivor (core, job, CORE_NONE));
+}
+
+static void
+note_failed_on (CoreJob *job, uint32_t row)
+{
+  for (uint32_t i = 0; i < job->n_failed_on; i++)
+    {
+      if (job->failed_on[i] == row)
+        return;
+    }
+  if (job->n_failed_on < CORE_FAILED_ON_MAX)
+    job->failed_on[job->n_failed_on++] = row;
+}
+
+static void
+forget_failed_on (CoreJob *job, uint32_t row)
+{
+  for (uint32_t i = 0; i < job->n_failed_on; i++)
+    {
+      if (job->failed_on[i] == row)
+        job->failed_on[i--] = job->failed_on[--job->n_failed_on];
+    }
+}
+
+/* Failures of jobs that fail everywhere say nothing of the instance. */
+static void
+drop_bad_jobs (const Core *core, CoreWorker *worker)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < worker->n_streak; i++)
+    {
+      if (!is_bad_job (core, worker->streak[i].job))
+        worker->streak[kept++] = worker->streak[i];
+    }
+  worker->n_streak = kept;
+}
+
+static uint32_t
+count_jobs (const CoreWorker *worker)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < worker->n_streak; i++)
+    {
+      gboolean is_first = TRUE;
+      for (uint32_t j = 0; j < i; j++)
+        {
+          if (worker->streak[j].job == worker->streak[i].job)
+            is_first = FALSE;
+        }
+      if (is_first)
+        n++;
+    }
+  return n;
+}
+
+static gboolean
+is_bad_worker (const Core *core, const CoreWorker *worker)
+{
+  if (worker->n_streak < HEALTH_STREAK_BAD)
+    return FALSE;
+  return count_jobs (worker) >= 2 || has_survivor (core, worker->streak[0].job, worker->row);
+}
+
+/* The tasks get back the retries that the instance used up. */
+static void
+refund (const CoreWorker *worker)
+{
+  for (uint32_t i = 0; i < worker->n_streak; i++)
+    {
+      CoreJob *job = worker->streak[i].job;
+      if (job->tasks == NULL)
+        continue;
+      CoreTask *task = &job->tasks[worker->streak[i].index];
+      if (task->failures > 0)
+        task->failures--;
+      task->not_before_us = 0;
+      forget_failed_on (job, worker->row);
+    }
+}
+
+static void
+quarantine (Core *core, CoreWorker *worker)
+{
+  CoreCommand command = emit_command (CORE_DO_QUARANTINE, CORE_WHY_WORKER_FAILS);
+
+  command.numbers[0] = worker->n_streak;
+  command.numbers[1] = count_jobs (worker);
+  g_strlcpy (command.worker, worker->id, sizeof command.worker);
+  refund (worker);
+  worker->n_streak = 0;
+  worker->is_quarantined = TRUE;
+  worker->quarantined_us = core->now_us;
+  worker->probe_wait_us = HEALTH_PROBE_FIRST_US;
+  worker->probe_at_us = core->now_us + worker->probe_wait_us;
+  g_ptr_array_add (core->quarantined, worker);
+  emit (core, &command);
+}
+
+static void
+release (Core *core, CoreWorker *worker)
+{
+  CoreCommand command = emit_command (CORE_DO_RELEASE, CORE_WHY_PROBE_WORKER);
+
+  command.numbers[0] = (core->now_us - worker->quarantined_us) / CLK_US_PER_MS;
+  g_strlcpy (command.worker, worker->id, sizeof command.worker);
+  worker->is_quarantined = FALSE;
+  worker->is_probing = FALSE;
+  worker->n_streak = 0;
+  emit (core, &command);
+}
+
+static void
+put_off_probe (Core *core, CoreWorker *worker)
+{
+  worker->is_probing = FALSE;
+  worker->probe_wait_us = MIN (2 * worker->probe_wait_us, HEALTH_PROBE_MAX_US);
+  worker->probe_at_us = core->now_us + worker->probe_wait_us;
+}
+
+/* A failure counts against a job for good once a second instance has confirmed it. */
+static gboolean
+is_beyond_limit (Core *core, CoreTask *task)
+{
+  CoreJob *job = task->job;
+
+  if (task->failures < job->max_failures)
+    return FALSE;
+  if (!tables_has (core, CORE_MECHANISM_BLAME))
+    return TRUE;
+  return job->n_failed_on >= 2 || job->n_failed_on == 0
+         || rules_candidates (core, job->shape)->len < 2;
+}
+
+static void
+give_up (Core *core, CoreTask *task)
+{
+  CoreJob *job = task->job;
+  CoreCommand command = emit_command (CORE_DO_GIVE_UP, CORE_WHY_TASK_FAILS);
+  CoreCommand stop = emit_command (CORE_DO_STOP, CORE_WHY_TASK_FAILS);
+
+  command.numbers[0] = task->failures;
+  command.numbers[1] = job->max_failures;
+  command.numbers[2] = job->n_failed_on;
+  job->is_given_up = TRUE;
+  emit_task (core, task, command);
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      CoreTask *other = &job->tasks[i];
+      if (other->state == TASK_WAITING)
+        tables_set_state (core, other, TASK_GIVEN_UP);
+      else if (other->state == TASK_LIVE && other != task)
+        reclaim_stop (core, other, CORE_DO_STOP, &stop);
+    }
+}
+
+static void
+blame_worker (Core *core, CoreTask *task, CoreWorker *worker)
+{
+  if (worker->n_young > 0)
+    worker->n_young--;
+  if (task->is_probe)
+    {
+      task->failures--;
+      put_off_probe (core, worker);
+      return;
+    }
+  if (worker->is_quarantined)
+    {
+      task->failures--;
+      task->not_before_us = 0;
+      return;
+    }
+  if (worker->n_streak < CORE_STREAK_MAX)
+    worker->streak[worker->n_streak++] = (CoreBlamed){ task->job, task->index };
+  drop_bad_jobs (core, worker);
+  if (is_bad_worker (core, worker))
+    quarantine (core, worker);
+}
+
+void
+health_failed (Core *core, CoreTask *task, CoreWorker *worker)
+{
+  CoreJob *job = task->job;
+
+  if (worker != NULL)
+    {
+      gboolean counts = !worker->is_quarantined && !task->is_probe;
+      task->failed_on = worker->row;
+      job->failed_run_us = MAX (job->failed_run_us, core->now_us - task->started_us);
+      if (counts)
+        note_failed_on (job, worker->row);
+      if (tables_has (core, CORE_MECHANISM_BLAME))
+        blame_worker (core, task, worker);
+    }
+  if (!job->is_given_up && !job->is_cancelled && is_beyond_limit (core, task))
+    give_up (core, task);
+}
+
+void
+health_done (Core *core, CoreTask *task, CoreWorker *worker)
+{
+  CoreClass *class_row = tables_class_row (core, task->job->class_row);
+  int64_t ran_ms = task->progress_ms + (core->now_us - task->started_us) / CLK_US_PER_MS;
+
+  learn_add (&class_row->run, ran_ms, task->job->run_ms);
+  worker->n_streak = 0;
+  if (worker->n_young > 0)
+    worker->n_young--;
+  if (worker->is_quarantined && task->is_probe)
+    {
+      (void) g_ptr_array_remove (core->quarantined, worker);
+      release (core, worker);
+    }
+}
+
+static void
+expire_young (const Core *core, CoreWorker *worker)
+{
+  while (worker->n_young > 0 && core->now_us - worker->young[0] >= HEALTH_PROOF_US)
+    {
+      worker->n_young--;
+      for (uint32_t i = 0; i < worker->n_young; i++)
+        worker->young[i] = worker->young[i + 1];
+    }
+}
+
+uint32_t
+health_room (Core *core, CoreWorker *worker)
+{
+  if (!tables_has (core, CORE_MECHANISM_BLAME))
+    return CORE_YOUNG_MAX;
+  if (worker->is_quarantined)
+    return !worker->is_probing && core->now_us >= worker->probe_at_us ? 1 : 0;
+  expire_young (core, worker);
+  if (worker->n_streak > 0)
+    drop_bad_jobs (core, worker);
+  if (is_bad_worker (core, worker))
+    {
+      quarantine (core, worker);
+      return 0;
+    }
+  uint32_t doubtful = worker->n_young + worker->n_streak;
+  return doubtful < CORE_YOUNG_MAX ? CORE_YOUNG_MAX - doubtful : 0;
+}
+
+gboolean
+health_allows_job (Core *core, const CoreJob *job)
+{
+  if (!tables_has (core, CORE_MECHANISM_BLAME) || job->n_failed_on == 0)
+    return TRUE;
+  if (job->count[TASK_LIVE] + job->count[TASK_STOPPING] == 0)
+    return TRUE;
+  return has_survivor (core, job, CORE_NONE);
+}
+
+void
+health_started (Core *core, CoreWorker *worker, const CoreTask *task)
+{
+  if (task->is_probe)
+    {
+      worker->is_probing = TRUE;
+      return;
+    }
+  expire_young (core, worker);
+  if (worker->n_young < CORE_YOUNG_MAX)
+    worker->young[worker->n_young++] = core->now_us;
+}
+
+static const CoreTask *
+find_probe (const CoreWorker *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->is_probe)
+        return task;
+    }
+  return NULL;
+}
+
+/* A probe that was stopped for another reason is repeated; one that lives on is a proof. */
+static void
+watch_probe (Core *core, CoreWorker *worker)
+{
+  const CoreTask *probe = find_probe (worker);
+
+  if (probe == NULL)
+    {
+      worker->is_probing = FALSE;
+      worker->probe_at_us = MAX (worker->probe_at_us, core->now_us + HEALTH_PROOF_US);
+      return;
+    }
+  if (core->now_us - probe->started_us >= 2 * HEALTH_PROOF_US)
+    release (core, worker);
+}
+
+void
+health_run (Core *core)
+{
+  for (guint i = 0; i < core->quarantined->len; i++)
+    {
+      CoreWorker *worker = g_ptr_array_index (core->quarantined, i);
+      if (worker->is_quarantined && worker->is_probing)
+        watch_probe (core, worker);
+      if (!worker->is_quarantined)
+        g_ptr_array_remove_index (core->quarantined, i--);
+    }
+}
--- /dev/null
+++ b/lib/core/interference.c
@@ -0,0 +1,543 @@
+#include "core/tables.h"
+
+#include <stdlib.h>
+
+#define INTERFERENCE_MARGIN 0.95    /**< share of the target that placement may fill */
+#define INTERFERENCE_RELIEF 0.90    /**< tail below this share of the target is relieved */
+#define INTERFERENCE_STEP 0.3       /**< share of an error that one report corrects */
+#define INTERFERENCE_ALONE_STEP 0.2 /**< like it, for the tail without batch work */
+#define INTERFERENCE_HIGHER_BAND 1.3
+#define INTERFERENCE_SETTLE_US CLK_US_PER_S
+#define INTERFERENCE_BLIND_LAGS 3
+#define INTERFERENCE_LAGS_KEPT 4
+#define INTERFERENCE_THROTTLE_MIN 200U
+#define INTERFERENCE_PERMILLE 1000.0
+
+/** One task that could be slowed or moved. */
+typedef struct
+{
+  CoreTask *task;
+  double relief;
+  double lost_ms;
+} Measure;
+
+static uint64_t
+pair_key (uint32_t service, uint32_t class_row, uint32_t band)
+{
+  return ((uint64_t) service << 40) | ((uint64_t) class_row << 8) | band;
+}
+
+static CorePair *
+find_pair (const Core *core, uint32_t service, uint32_t class_row, uint32_t band)
+{
+  uint64_t key = pair_key (service, class_row, band);
+
+  return g_hash_table_lookup (core->pairs, &key);
+}
+
+static CorePair *
+make_pair (Core *core, uint32_t service, uint32_t class_row, uint32_t band)
+{
+  CorePair *pair = find_pair (core, service, class_row, band);
+
+  if (pair != NULL)
+    return pair;
+  pair = g_new0 (CorePair, 1);
+  pair->key = pair_key (service, class_row, band);
+  g_hash_table_insert (core->pairs, &pair->key, pair);
+  return pair;
+}
+
+/* Growth by one task; an unmeasured band borrows from the nearest one. FALSE: nothing is known. */
+static gboolean
+growth_of (const Core *core, uint32_t service, uint32_t class_row, uint32_t band, double *growth)
+{
+  *growth = 0;
+  for (uint32_t distance = 0; distance < CORE_BANDS; distance++)
+    {
+      const CorePair *lower
+          = band >= distance ? find_pair (core, service, class_row, band - distance) : NULL;
+      const CorePair *higher = band + distance < CORE_BANDS
+                                   ? find_pair (core, service, class_row, band + distance)
+                                   : NULL;
+      if (lower != NULL && lower->samples > 0)
+        {
+          *growth = lower->growth * (distance > 0 ? INTERFERENCE_HIGHER_BAND : 1.0);
+          return TRUE;
+        }
+      if (higher != NULL && higher->samples > 0)
+        {
+          *growth = higher->growth;
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+static double
+alone_of (const CoreService *service, uint32_t band)
+{
+  for (uint32_t distance = 0; distance < CORE_BANDS; distance++)
+    {
+      if (band >= distance && service->alone_us[band - distance] > 0)
+        return service->alone_us[band - distance];
+      if (band + distance < CORE_BANDS && service->alone_us[band + distance] > 0)
+        return service->alone_us[band + distance];
+    }
+  return 0;
+}
+
+void
+interference_change (Core *core, CoreWorker *worker, uint32_t class_row, int32_t delta)
+{
+  CoreChange change = { core->now_us, class_row, delta };
+  int64_t oldest_us = core->now_us - INTERFERENCE_LAGS_KEPT * tables_lag_us (core);
+  guint n_old = 0;
+
+  if (worker->weights->len <= class_row)
+    g_array_set_size (worker->weights, class_row + 1);
+  g_array_index (worker->weights, int32_t, class_row) += delta;
+  if (worker->endpoints->len == 0 || delta == 0)
+    return;
+  while (n_old < worker->changes->len
+         && g_array_index (worker->changes, CoreChange, n_old).at_us < oldest_us)
+    n_old++;
+  if (n_old > 0)
+    g_array_remove_range (worker->changes, 0, n_old);
+  g_array_append_val (worker->changes, change);
+}
+
+/* Batch work on the instance at @p at_us, by class, in tasks; valid until the next call. */
+static const double *
+weights_at (Core *core, const CoreWorker *worker, int64_t at_us)
+{
+  g_array_set_size (core->scratch, 0);
+  g_array_set_size (core->scratch, core->classes->len + 1);
+  double *weights = (double *) (void *) core->scratch->data;
+
+  for (guint i = 0; i < worker->weights->len; i++)
+    weights[i] = g_array_index (worker->weights, int32_t, i);
+  for (guint i = worker->changes->len; i > 0; i--)
+    {
+      const CoreChange *change = &g_array_index (worker->changes, CoreChange, i - 1);
+      if (change->at_us <= at_us)
+        break;
+      weights[change->class_row] -= change->delta_permille;
+    }
+  for (guint i = 0; i < worker->weights->len; i++)
+    weights[i] /= INTERFERENCE_PERMILLE;
+  return weights;
+}
+
+static double
+growth_sum (const Core *core, uint32_t service, uint32_t band, const double *weights)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < core->classes->len; i++)
+    {
+      double growth = 0;
+      if (weights[i] > 0 && growth_of (core, service, i, band, &growth))
+        sum += weights[i] * growth;
+    }
+  return sum;
+}
+
+/* Whether something changed so close before @p at_us that a report from then mixes both. */
+static gboolean
+is_unsettled (const CoreWorker *worker, int64_t at_us)
+{
+  for (guint i = worker->changes->len; i > 0; i--)
+    {
+      const CoreChange *change = &g_array_index (worker->changes, CoreChange, i - 1);
+      if (change->at_us <= at_us - INTERFERENCE_SETTLE_US)
+        return FALSE;
+      if (change->at_us <= at_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* First the unproven pair takes the blame; when all are proven they share the error. */
+static void
+learn_pairs (Core *core, const CoreEndpoint *endpoint, const double *weights, double error)
+{
+  double square = 0;
+  gboolean has_new = FALSE;
+
+  for (guint i = 0; i < core->classes->len; i++)
+    {
+      double growth = 0;
+      if (weights[i] <= 0)
+        continue;
+      if (!growth_of (core, endpoint->service, i, endpoint->band, &growth))
+        has_new = TRUE;
+      square += weights[i] * weights[i];
+    }
+  for (guint i = 0; i < core->classes->len; i++)
+    {
+      double growth = 0;
+      if (weights[i] <= 0)
+        continue;
+      gboolean is_new = !growth_of (core, endpoint->service, i, endpoint->band, &growth);
+      if (has_new && !is_new)
+        continue;
+      CorePair *pair = make_pair (core, endpoint->service, i, endpoint->band);
+      double step = has_new ? 1.0 : INTERFERENCE_STEP;
+      if (pair->samples == 0)
+        pair->growth = growth;
+      pair->growth = MAX (pair->growth + step * error * weights[i] / square, 0.0);
+      pair->samples++;
+      pair->trial_until_us = 0;
+    }
+}
+
+static void
+learn_report (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  CoreService *service = tables_service_row (core, endpoint->service);
+  const double *weights = weights_at (core, worker, endpoint->measured_us);
+  double *alone_us = &service->alone_us[endpoint->band];
+  double sum = growth_sum (core, endpoint->service, endpoint->band, weights);
+  gboolean is_empty = TRUE;
+
+  for (guint i = 0; i < core->classes->len; i++)
+    is_empty = is_empty && weights[i] <= 0;
+  if (is_unsettled (worker, endpoint->measured_us))
+    return;
+  if (*alone_us <= 0 && (is_empty || alone_of (service, endpoint->band) > 0))
+    *alone_us = (double) endpoint->p99_us / (1.0 + sum);
+  if (*alone_us <= 0)
+    return;
+  if (is_empty)
+    *alone_us += INTERFERENCE_ALONE_STEP * ((double) endpoint->p99_us - *alone_us);
+  else
+    learn_pairs (core, endpoint, weights, (double) endpoint->p99_us / *alone_us - 1.0 - sum);
+}
+
+void
+interference_report (Core *core, CoreWorker *worker, const CoreServiceIn *in)
+{
+  for (guint i = 0; i < worker->endpoints->len; i++)
+    {
+      CoreEndpoint *endpoint = &g_array_index (worker->endpoints, CoreEndpoint, i);
+      const CoreService *service = tables_service_row (core, endpoint->service);
+      if (g_strcmp0 (service->name, in->service) != 0 || in->measured_us <= endpoint->measured_us)
+        continue;
+      uint32_t band = in->load_permille * CORE_BANDS / CORE_FULL_PERMILLE;
+      endpoint->band = MIN (band, CORE_BANDS - 1U);
+      endpoint->p99_us = in->p99_us;
+      endpoint->measured_us = in->measured_us;
+      endpoint->is_new = TRUE;
+      worker->lag_us = core->now_us - in->measured_us;
+      if (!worker->is_reported)
+        g_ptr_array_add (core->reported, worker);
+      worker->is_reported = TRUE;
+      if (in->p99_us > 0)
+        learn_report (core, worker, endpoint);
+      if (worker->trial_until_us > 0
+          && in->measured_us
+                 >= worker->trial_until_us - tables_lag_us (core) + INTERFERENCE_SETTLE_US)
+        worker->trial_until_us = 0;
+    }
+}
+
+static gboolean
+is_blind (const Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  int64_t lag_us = tables_lag_us (core);
+
+  if (endpoint->measured_us == 0)
+    return core->now_us - worker->known_us < lag_us;
+  return core->now_us - endpoint->measured_us > INTERFERENCE_BLIND_LAGS * lag_us;
+}
+
+static void
+forecast_endpoint (Core *core,
+                   const CoreWorker *worker,
+                   const CoreEndpoint *endpoint,
+                   const CoreJob *job,
+                   CoreForecast *out)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  double alone_us = alone_of (service, endpoint->band);
+  const double *weights = weights_at (core, worker, core->now_us);
+  double growth = 0;
+
+  if (service->target_us <= 0)
+    return;
+  gboolean is_known = growth_of (core, endpoint->service, job->class_row, endpoint->band, &growth);
+  double sum = growth_sum (core, endpoint->service, endpoint->band, weights);
+  double tail_us = MAX (alone_us * (1.0 + sum + growth), 1.0);
+  int64_t permille = (int64_t) (INTERFERENCE_PERMILLE * tail_us / (double) service->target_us);
+  const CorePair *pair = find_pair (core, endpoint->service, job->class_row, endpoint->band);
+  gboolean is_tried = pair != NULL && pair->trial_until_us > core->now_us;
+  gboolean is_over = endpoint->p99_us > service->target_us;
+
+  out->is_trial = out->is_trial || !is_known;
+  if (is_blind (core, worker, endpoint) || is_over || (!is_known && is_tried)
+      || tail_us > INTERFERENCE_MARGIN * (double) service->target_us)
+    {
+      out->is_allowed = FALSE;
+      out->service = service->name;
+    }
+  if (permille >= out->tail_permille)
+    {
+      out->tail_permille = permille;
+      out->growth_permille = (int64_t) (INTERFERENCE_PERMILLE * growth);
+      out->service = service->name;
+    }
+}
+
+void
+interference_forecast (Core *core, CoreWorker *worker, const CoreJob *job, CoreForecast *out)
+{
+  *out = (CoreForecast){ .is_allowed = TRUE };
+  if (!tables_has (core, CORE_MECHANISM_INTERFERENCE))
+    return;
+  for (guint i = 0; i < worker->endpoints->len; i++)
+    forecast_endpoint (core, worker, &g_array_index (worker->endpoints, CoreEndpoint, i), job, out);
+  if (worker->trial_until_us > core->now_us)
+    out->is_allowed = FALSE;
+  if (job->priority == DOC_URGENT)
+    out->is_allowed = TRUE;
+}
+
+void
+interference_started (Core *core, CoreWorker *worker, const CoreJob *job)
+{
+  int64_t until_us = core->now_us + tables_lag_us (core);
+
+  if (!tables_has (core, CORE_MECHANISM_INTERFERENCE))
+    return;
+  for (guint i = 0; i < worker->endpoints->len; i++)
+    {
+      const CoreEndpoint *endpoint = &g_array_index (worker->endpoints, CoreEndpoint, i);
+      double growth = 0;
+      if (tables_service_row (core, endpoint->service)->target_us <= 0
+          || growth_of (core, endpoint->service, job->class_row, endpoint->band, &growth))
+        continue;
+      make_pair (core, endpoint->service, job->class_row, endpoint->band)->trial_until_us
+          = until_us;
+      worker->trial_until_us = until_us;
+    }
+}
+
+/* The measures against one endpoint's tail, the most relief for the least loss first. */
+static GArray *
+list_measures (const Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  GArray *measures = g_array_new (FALSE, FALSE, sizeof (Measure));
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      double growth = 0;
+      if (task->state != TASK_LIVE)
+        continue;
+      (void) growth_of (core, endpoint->service, task->job->class_row, endpoint->band, &growth);
+      Measure measure = { task, growth * task->throttle_permille / INTERFERENCE_PERMILLE,
+                          (double) learn_lost_ms (core, task) };
+      if (measure.relief > 0)
+        g_array_append_val (measures, measure);
+    }
+  return measures;
+}
+
+static int
+by_task (const CoreTask *a, const CoreTask *b)
+{
+  if (a->job->id != b->job->id)
+    return a->job->id < b->job->id ? -1 : 1;
+  return a->index < b->index ? -1 : (a->index > b->index ? 1 : 0);
+}
+
+static int
+by_relief (const void *a, const void *b)
+{
+  const Measure *x = a;
+  const Measure *y = b;
+
+  if (x->relief != y->relief)
+    return x->relief > y->relief ? -1 : 1;
+  return by_task (x->task, y->task);
+}
+
+static int
+by_relief_per_loss (const void *a, const void *b)
+{
+  const Measure *x = a;
+  const Measure *y = b;
+  double value_x = x->relief / (x->lost_ms + 1000.0);
+  double value_y = y->relief / (y->lost_ms + 1000.0);
+
+  if (value_x != value_y)
+    return value_x > value_y ? -1 : 1;
+  return by_task (x->task, y->task);
+}
+
+static CoreCommand
+tail_command (const Core *core, CoreCommandType type, CoreWhy why, const CoreEndpoint *endpoint)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  CoreCommand command = emit_command (type, why);
+
+  command.numbers[0] = endpoint->p99_us;
+  command.numbers[1] = service->target_us;
+  g_strlcpy (command.rule, service->name, sizeof command.rule);
+  return command;
+}
+
+static gboolean
+throttle (Core *core, const GArray *measures, const CoreEndpoint *endpoint, double needed)
+{
+  gboolean has_acted = FALSE;
+
+  for (guint i = 0; i < measures->len && needed > 0; i++)
+    {
+      const Measure *measure = &g_array_index (measures, Measure, i);
+      CoreTask *task = measure->task;
+      if (task->throttle_permille <= INTERFERENCE_THROTTLE_MIN || task->job->priority == DOC_URGENT)
+        continue;
+      double keep = MAX (1.0 - needed / measure->relief, 0.0);
+      uint32_t permille = (uint32_t) (keep * task->throttle_permille);
+      permille = MAX (permille, INTERFERENCE_THROTTLE_MIN);
+      double relief = measure->relief * (1.0 - (double) permille / task->throttle_permille);
+      CoreCommand command = tail_command (core, CORE_DO_THROTTLE, CORE_WHY_TAIL_OVER, endpoint);
+      command.numbers[2] = (int64_t) (relief * INTERFERENCE_PERMILLE);
+      tables_set_throttle (core, task, permille);
+      emit_task (core, task, command);
+      needed -= relief;
+      has_acted = TRUE;
+    }
+  return has_acted;
+}
+
+static gboolean
+evict_one (Core *core, const GArray *measures, const CoreEndpoint *endpoint)
+{
+  for (guint i = 0; i < measures->len; i++)
+    {
+      const Measure *measure = &g_array_index (measures, Measure, i);
+      CoreCommand command = tail_command (core, CORE_DO_CHECKPOINT, CORE_WHY_TAIL_OVER, endpoint);
+      command.numbers[2] = (int64_t) (measure->relief * INTERFERENCE_PERMILLE);
+      command.numbers[3] = (int64_t) measure->lost_ms;
+      if (measure->task->job->priority != DOC_URGENT
+          && reclaim_evict (core, measure->task, &command, FALSE))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+answer_over (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  double alone_us = MAX (alone_of (service, endpoint->band), 1.0);
+  double limit_us = INTERFERENCE_MARGIN * (double) service->target_us;
+  double needed = ((double) endpoint->p99_us - limit_us) / alone_us;
+  int64_t cooldown_us = core->config.policy.cooldown_ms * CLK_US_PER_MS;
+  int64_t throttle_wait_us = MIN (cooldown_us, 2 * worker->lag_us);
+  gboolean is_seen = endpoint->measured_us > worker->acted_us + INTERFERENCE_SETTLE_US;
+
+  if (worker->acted_us > 0 && (!is_seen || core->now_us - worker->acted_us < throttle_wait_us))
+    return;
+  GArray *measures = list_measures (core, worker, endpoint);
+  g_array_sort (measures, by_relief);
+  gboolean has_acted
+      = tables_has (core, CORE_MECHANISM_THROTTLE) && throttle (core, measures, endpoint, needed);
+  if (!has_acted && (worker->acted_us == 0 || core->now_us - worker->acted_us >= cooldown_us))
+    {
+      g_array_sort (measures, by_relief_per_loss);
+      has_acted = evict_one (core, measures, endpoint);
+    }
+  if (has_acted)
+    worker->acted_us = core->now_us;
+  g_array_free (measures, TRUE);
+}
+
+/* One throttled task gets its share back when the forecast allows it. */
+static void
+answer_relieved (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  const double *weights = weights_at (core, worker, core->now_us);
+  double sum = growth_sum (core, endpoint->service, endpoint->band, weights);
+  double alone_us = alone_of (service, endpoint->band);
+  double limit_us = INTERFERENCE_RELIEF * (double) service->target_us;
+
+  if (endpoint->measured_us <= worker->acted_us + INTERFERENCE_SETTLE_US)
+    return;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      double growth = 0;
+      if (task->state != TASK_LIVE || task->throttle_permille == CORE_FULL_PERMILLE)
+        continue;
+      (void) growth_of (core, endpoint->service, task->job->class_row, endpoint->band, &growth);
+      double more = growth * (CORE_FULL_PERMILLE - task->throttle_permille) / INTERFERENCE_PERMILLE;
+      if (alone_us * (1.0 + sum + more) > limit_us)
+        continue;
+      CoreCommand command = tail_command (core, CORE_DO_THROTTLE, CORE_WHY_RELIEVED, endpoint);
+      command.numbers[2] = (core->now_us - task->throttled_us) / CLK_US_PER_MS;
+      tables_set_throttle (core, task, CORE_FULL_PERMILLE);
+      emit_task (core, task, command);
+      worker->acted_us = core->now_us;
+      return;
+    }
+}
+
+/* The reactive baseline: whenever a tail is over its target, the newest task goes. */
+static void
+answer_reactive (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  CoreTask *newest = NULL;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->state == TASK_LIVE && (newest == NULL || task->started_us > newest->started_us))
+        newest = task;
+    }
+  if (newest == NULL)
+    return;
+  CoreCommand command = tail_command (core, CORE_DO_CHECKPOINT, CORE_WHY_TAIL_OVER, endpoint);
+  command.numbers[3] = learn_lost_ms (core, newest);
+  (void) reclaim_evict (core, newest, &command, TRUE);
+}
+
+static void
+answer (Core *core, CoreWorker *worker, CoreEndpoint *endpoint)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  gboolean is_over = service->target_us > 0 && endpoint->p99_us > service->target_us;
+
+  if (!endpoint->is_new)
+    return;
+  endpoint->is_new = FALSE;
+  if (core->options.reactive)
+    {
+      if (is_over)
+        answer_reactive (core, worker, endpoint);
+      return;
+    }
+  if (!tables_has (core, CORE_MECHANISM_INTERFERENCE))
+    return;
+  if (is_over)
+    answer_over (core, worker, endpoint);
+  else if ((double) endpoint->p99_us < INTERFERENCE_RELIEF * (double) service->target_us)
+    answer_relieved (core, worker, endpoint);
+}
+
+void
+interference_run (Core *core)
+{
+  for (guint i = 0; i < core->reported->len; i++)
+    {
+      CoreWorker *worker = g_ptr_array_index (core->reported, i);
+      worker->is_reported = FALSE;
+      for (guint j = 0; j < worker->endpoints->len; j++)
+        answer (core, worker, &g_array_index (worker->endpoints, CoreEndpoint, j));
+    }
+  g_ptr_array_set_size (core->reported, 0);
+}
--- /dev/null
+++ b/lib/core/learn.c
@@ -0,0 +1,103 @@
+#include "core/tables.h"
+
+#include <math.h>
+
+#define LEARN_PER_DOUBLING 4.0
+#define LEARN_FIRST_BUCKET (-16) /**< ratio 1/16 */
+#define LEARN_SAMPLES_MIN 8U
+#define LEARN_SAMPLES_MAX 1024U
+#define LEARN_SIZE_PERMILLE 950U
+#define LEARN_PERMILLE 1000
+
+static int
+bucket_of (int64_t value, int64_t declared)
+{
+  double ratio = (double) MAX (value, 1) / (double) declared;
+  int bucket = (int) ceil (log2 (ratio) * LEARN_PER_DOUBLING) - LEARN_FIRST_BUCKET;
+
+  return CLAMP (bucket, 0, CORE_LEARN_BUCKETS - 1);
+}
+
+/* Old samples weigh less and less, so that a class may change. */
+static void
+halve (CoreLearned *learned)
+{
+  learned->total = 0;
+  for (guint i = 0; i < CORE_LEARN_BUCKETS; i++)
+    {
+      learned->count[i] /= 2;
+      learned->total += learned->count[i];
+    }
+}
+
+void
+learn_add (CoreLearned *learned, int64_t value, int64_t declared)
+{
+  if (declared <= 0)
+    return;
+  learned->count[bucket_of (value, declared)]++;
+  learned->total++;
+  if (learned->total >= LEARN_SAMPLES_MAX)
+    halve (learned);
+}
+
+int64_t
+learn_quantile_permille (const CoreLearned *learned, uint32_t permille)
+{
+  if (learned->total < LEARN_SAMPLES_MIN)
+    return 0;
+  uint64_t wanted = ((uint64_t) learned->total * permille + LEARN_PERMILLE - 1) / LEARN_PERMILLE;
+  uint64_t seen = 0;
+  int bucket = 0;
+  for (int i = 0; i < CORE_LEARN_BUCKETS; i++)
+    {
+      seen += learned->count[i];
+      bucket = i;
+      if (seen >= wanted)
+        break;
+    }
+  double doublings = (double) (bucket + LEARN_FIRST_BUCKET) / LEARN_PER_DOUBLING;
+  return (int64_t) (LEARN_PERMILLE * exp2 (doublings));
+}
+
+static int64_t
+learned_amount (const CoreLearned *learned, int64_t declared)
+{
+  int64_t ratio = learn_quantile_permille (learned, LEARN_SIZE_PERMILLE);
+
+  return MAX (declared, declared * ratio / LEARN_PERMILLE);
+}
+
+DocSize
+learn_size (const Core *core, const CoreJob *job)
+{
+  const CoreClass *class_row = tables_class_row (core, job->class_row);
+  DocSize size = job->size;
+
+  if (!tables_has (core, CORE_MECHANISM_LEARNING))
+    return size;
+  size.cpu_milli = learned_amount (&class_row->cpu, size.cpu_milli);
+  size.memory_mb = learned_amount (&class_row->memory, size.memory_mb);
+  return size;
+}
+
+int64_t
+learn_run_ms (const Core *core, const CoreJob *job, uint32_t permille)
+{
+  const CoreClass *class_row = tables_class_row (core, job->class_row);
+  int64_t ratio = 0;
+
+  if (tables_has (core, CORE_MECHANISM_LEARNING))
+    ratio = learn_quantile_permille (&class_row->run, permille);
+  return ratio > 0 ? job->run_ms * ratio / LEARN_PERMILLE : job->run_ms;
+}
+
+int64_t
+learn_lost_ms (const Core *core, const CoreTask *task)
+{
+  int64_t ran_ms = (core->now_us - task->started_us) / CLK_US_PER_MS;
+
+  if (task->job->checkpoint_ms > 0)
+    return MIN (ran_ms, task->job->checkpoint_ms);
+  return task->progress_ms + ran_ms;
+}
--- /dev/null
+++ b/lib/core/place.c
@@ -0,0 +1,327 @@
+#include "core/tables.h"
+
+#include <stdlib.h>
+
+#define PLACE_WALK_MAX 64U     /**< instances looked at for one task */
+#define PLACE_BLOCKED_MAX 256U /**< jobs that found no room in one tick */
+#define PLACE_AVOID_US (10 * CLK_US_PER_S)
+#define PLACE_RUN_PERMILLE 900U
+#define PLACE_UNLIMITED UINT32_MAX
+#define PLACE_ROOM_ON_WAY_US (2 * CLK_US_PER_S)
+
+/** What a search found, or why it found nothing. */
+typedef struct
+{
+  CoreWorker *worker;
+  DocSize size;
+  CoreForecast forecast;
+  double score;
+  gboolean lacks_room; /**< an instance would do, had it more room */
+} PlaceChoice;
+
+guint
+place_walk_length (const GArray *candidates)
+{
+  return MIN (candidates->len, PLACE_WALK_MAX);
+}
+
+/* Few candidates are all looked at, in order; of many a sample is drawn. */
+CoreWorker *
+place_nth (Core *core, const GArray *candidates, guint n, uint32_t offset)
+{
+  guint at = candidates->len <= PLACE_WALK_MAX ? n : tables_random (core, candidates->len);
+
+  if (core->options.policy == CORE_POLICY_FIRST_FIT)
+    at = (n + offset) % candidates->len;
+  return tables_worker_row (core, g_array_index (candidates, uint32_t, at));
+}
+
+DocSize
+place_size (const Core *core, const CoreJob *job, const CoreWorker *worker)
+{
+  DocSize room = size_sub (worker->capacity, worker->endpoints_size);
+
+  return size_max (job->size, size_min (learn_size (core, job), room));
+}
+
+gboolean
+place_is_open (Core *core, const CoreJob *job, CoreWorker *worker)
+{
+  return worker->state == WORKER_LIVE && rules_forbid (core, job->shape, worker) < 0
+         && core->placer.admits (core->placer.ctx, worker, job)
+         && rules_neighbour (core, job, worker, NULL) == NULL;
+}
+
+/* The kept instance takes only what is over before the room is needed. */
+static gboolean
+is_kept (const Core *core, const CoreJob *job, const CoreWorker *worker)
+{
+  int64_t run_us = learn_run_ms (core, job, PLACE_RUN_PERMILLE) * CLK_US_PER_MS;
+
+  if (core->hold_row != worker->row || core->hold_job == job->id)
+    return FALSE;
+  return core->now_us + run_us > core->hold_until_us;
+}
+
+static void
+consider (Core *core, const CoreTask *task, CoreWorker *worker, PlaceChoice *best)
+{
+  const CoreJob *job = task->job;
+  DocSize size = place_size (core, job, worker);
+  CoreForecast forecast;
+
+  if (task->failed_on == worker->row && core->now_us < task->not_before_us + PLACE_AVOID_US
+      && rules_candidates (core, job->shape)->len > 1)
+    return;
+  if (worker->is_quarantined && job->priority == DOC_URGENT)
+    return;
+  if (!place_is_open (core, job, worker) || health_room (core, worker) == 0)
+    return;
+  if (!size_fits (size, tables_free_size (worker)) || is_kept (core, job, worker))
+    {
+      best->lacks_room = best->lacks_room || size_fits (job->size, worker->capacity);
+      return;
+    }
+  interference_forecast (core, worker, job, &forecast);
+  if (!forecast.is_allowed)
+    return;
+  double score = core->placer.score (core->placer.ctx, worker, job, size);
+  if (best->worker != NULL && score <= best->score)
+    return;
+  best->worker = worker;
+  best->size = size;
+  best->forecast = forecast;
+  best->score = score;
+}
+
+static PlaceChoice
+choose (Core *core, const CoreTask *task)
+{
+  const GArray *candidates = rules_candidates (core, task->job->shape);
+  guint n = place_walk_length (candidates);
+  PlaceChoice best = { 0 };
+
+  for (guint i = 0; i < n; i++)
+    {
+      CoreWorker *worker = place_nth (core, candidates, i, 0);
+      if (worker->state == WORKER_LIVE)
+        consider (core, task, worker, &best);
+    }
+  return best;
+}
+
+static CoreWhy
+reason_of (const CoreTask *task, const PlaceChoice *choice, gboolean is_backfill)
+{
+  if (choice->worker->is_quarantined)
+    return CORE_WHY_PROBE_WORKER;
+  if (task->job->priority == DOC_URGENT)
+    return CORE_WHY_URGENT;
+  if (choice->forecast.is_trial)
+    return CORE_WHY_PROBE_PAIR;
+  return is_backfill ? CORE_WHY_BACKFILL : CORE_WHY_FITS;
+}
+
+static void
+set_numbers (const Core *core, const CoreTask *task, const PlaceChoice *choice, CoreCommand *out)
+{
+  DocSize free = tables_free_size (choice->worker);
+
+  out->numbers[0] = choice->forecast.tail_permille;
+  out->numbers[1] = choice->forecast.growth_permille;
+  out->numbers[2] = free.cpu_milli;
+  out->numbers[3] = free.memory_mb;
+  if (out->why == CORE_WHY_URGENT)
+    {
+      out->numbers[0] = (core->now_us - task->job->submitted_us) / CLK_US_PER_MS;
+      out->numbers[1] = core->config.policy.urgent_start_ms;
+    }
+  if (out->why == CORE_WHY_BACKFILL)
+    {
+      out->numbers[0] = learn_run_ms (core, task->job, PLACE_RUN_PERMILLE);
+      out->numbers[1] = MAX (core->hold_until_us - core->now_us, 0) / CLK_US_PER_MS;
+    }
+  if (out->why == CORE_WHY_PROBE_WORKER)
+    out->numbers[0] = (core->now_us - choice->worker->quarantined_us) / CLK_US_PER_MS;
+}
+
+static void
+start (Core *core, CoreTask *task, const PlaceChoice *choice, gboolean is_backfill)
+{
+  CoreCommand command = emit_command (CORE_DO_START, reason_of (task, choice, is_backfill));
+
+  set_numbers (core, task, choice, &command);
+  if (choice->forecast.service != NULL)
+    g_strlcpy (command.rule, choice->forecast.service, sizeof command.rule);
+  interference_started (core, choice->worker, task->job);
+  task->attempt++;
+  task->is_probe = choice->worker->is_quarantined;
+  tables_put (core, task, choice->worker, choice->size);
+  health_started (core, choice->worker, task);
+  core->starts++;
+  if (core->starts_left != PLACE_UNLIMITED)
+    core->starts_left--;
+  emit_task (core, task, command);
+}
+
+/* The waiting task with the lowest index that is not put off; NULL for none. */
+static CoreTask *
+next_task (const Core *core, CoreJob *job)
+{
+  gboolean is_first = TRUE;
+
+  for (uint32_t i = job->next; i < job->n_tasks; i++)
+    {
+      CoreTask *task = &job->tasks[i];
+      if (task->state != TASK_WAITING)
+        continue;
+      if (is_first)
+        job->next = i;
+      is_first = FALSE;
+      if (core->now_us >= task->not_before_us)
+        return task;
+    }
+  return NULL;
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *) a;
+  int64_t y = *(const int64_t *) b;
+
+  return x < y ? -1 : (x > y ? 1 : 0);
+}
+
+/* When enough of the tasks on @p worker should be over for a task of @p job to fit. */
+static int64_t
+room_at (const Core *core, const CoreJob *job, const CoreWorker *worker)
+{
+  DocSize wanted = place_size (core, job, worker);
+  DocSize free = tables_free_size (worker);
+  guint n = worker->tasks->len;
+  g_autofree int64_t *ends = g_new0 (int64_t, 2 * (n + 1));
+
+  if (!size_fits (wanted, size_sub (worker->capacity, worker->endpoints_size)))
+    return INT64_MAX;
+  for (guint i = 0; i < n; i++)
+    {
+      const CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      int64_t run_us = learn_run_ms (core, task->job, PLACE_RUN_PERMILLE) * CLK_US_PER_MS;
+      ends[2 * i] = MAX (task->started_us + run_us, core->now_us);
+      ends[2 * i + 1] = i;
+    }
+  qsort (ends, n, 2 * sizeof *ends, compare_times);
+  for (guint i = 0; i < n; i++)
+    {
+      const CoreTask *task = g_ptr_array_index (worker->tasks, (guint) ends[2 * i + 1]);
+      free = size_add (free, task->reserved);
+      if (size_fits (wanted, free))
+        return ends[2 * i];
+    }
+  return INT64_MAX;
+}
+
+/* Keeps the instance where the first job that lacks room will find it soonest. */
+static void
+keep_room (Core *core, const CoreJob *job)
+{
+  const GArray *candidates = rules_candidates (core, job->shape);
+  guint n = place_walk_length (candidates);
+  int64_t soonest_us = INT64_MAX;
+
+  for (guint i = 0; i < n; i++)
+    {
+      CoreWorker *worker = place_nth (core, candidates, i, 0);
+      if (worker->is_quarantined || !place_is_open (core, job, worker))
+        continue;
+      int64_t at_us = room_at (core, job, worker);
+      if (at_us >= soonest_us)
+        continue;
+      soonest_us = at_us;
+      core->hold_row = worker->row;
+      core->hold_job = job->id;
+      core->hold_until_us = at_us;
+    }
+}
+
+static void
+make_room (Core *core, CoreJob *job)
+{
+  for (uint32_t i = job->next; i < job->n_tasks; i++)
+    {
+      CoreTask *task = &job->tasks[i];
+      if (task->state != TASK_WAITING || core->now_us < task->room_until_us
+          || core->now_us < task->not_before_us)
+        continue;
+      task->room_until_us = core->now_us + PLACE_ROOM_ON_WAY_US;
+      reclaim_make_room (core, task);
+    }
+}
+
+/* Starts what it can of one job; FALSE when a task of it found no place. */
+static gboolean
+place_job (Core *core, CoreJob *job, gboolean is_backfill, gboolean *lacks_room)
+{
+  while (core->starts_left > 0)
+    {
+      CoreTask *task = next_task (core, job);
+      if (task == NULL)
+        return TRUE;
+      if (!health_allows_job (core, job))
+        {
+          job->waits_for = "one task at a time until one has shown that it can run";
+          return FALSE;
+        }
+      if (!quota_allows (core, job, job->size))
+        {
+          job->waits_for = "quota of the team";
+          return FALSE;
+        }
+      PlaceChoice choice = choose (core, task);
+      if (choice.worker == NULL)
+        {
+          *lacks_room = choice.lacks_room;
+          job->waits_for = choice.lacks_room ? "room on an instance"
+                                             : "an instance that services and health allow";
+          return FALSE;
+        }
+      if (!quota_allows (core, job, choice.size))
+        {
+          job->waits_for = "quota of the team";
+          return FALSE;
+        }
+      start (core, task, &choice, is_backfill);
+    }
+  job->waits_for = "pacing of starts";
+  return TRUE;
+}
+
+void
+place_run (Core *core)
+{
+  uint32_t blocked = 0;
+
+  core->hold_row = CORE_NONE;
+  core->starts_left
+      = core->options.policy != CORE_POLICY_ACACIA || tables_has (core, CORE_MECHANISM_PACING)
+            ? (uint32_t) core->config.policy.starts_per_tick
+            : PLACE_UNLIMITED;
+  for (guint i = 0; i < core->order->len && blocked < PLACE_BLOCKED_MAX; i++)
+    {
+      CoreJob *job = g_ptr_array_index (core->order, i);
+      gboolean lacks_room = FALSE;
+      if (core->starts_left == 0)
+        break;
+      if (place_job (core, job, blocked > 0, &lacks_room))
+        continue;
+      if (lacks_room && job->priority == DOC_URGENT)
+        make_room (core, job);
+      else if (lacks_room && !tables_has (core, CORE_MECHANISM_BACKFILL)
+               && core->options.policy == CORE_POLICY_ACACIA)
+        break;
+      else if (lacks_room && core->hold_row == CORE_NONE)
+        keep_room (core, job);
+      blocked++;
+    }
+}
--- /dev/null
+++ b/lib/core/reclaim.c
@@ -0,0 +1,287 @@
+#include "core/tables.h"
+
+#include <stdlib.h>
+
+#define RECLAIM_RESEND_US (5 * CLK_US_PER_S)
+#define RECLAIM_SCAN_PER_TICK 1100U /**< instances that the slow scan looks at */
+#define RECLAIM_MOVES_PER_SCAN 2U   /**< of one instance, for rules and for leaving */
+#define RECLAIM_VICTIM_COST_MS 1000
+#define RECLAIM_MS_PER_MINUTE 60000.0
+
+/** One instance's cheapest way to make room. */
+typedef struct
+{
+  CoreWorker *worker;
+  GPtrArray *victims; /**< CoreTask, cheapest first; the first @c n_victims are enough */
+  guint n_victims;
+  int64_t cost_ms;
+} Room;
+
+static int64_t
+cooldown_us (const Core *core)
+{
+  return core->config.policy.cooldown_ms * CLK_US_PER_MS;
+}
+
+static gboolean
+may_evict (const Core *core, const CoreTask *task)
+{
+  return task->state == TASK_LIVE
+         && (task->evicted_us == 0 || core->now_us - task->evicted_us >= cooldown_us (core));
+}
+
+static void
+refill_budget (Core *core)
+{
+  double per_ms = (double) core->config.policy.evictions_per_minute / RECLAIM_MS_PER_MINUTE;
+  double passed_ms = (double) (core->now_us - core->budget_us) / (double) CLK_US_PER_MS;
+
+  if (core->budget_us == 0)
+    core->budget = (double) core->config.policy.evictions_per_minute;
+  else
+    core->budget += per_ms * passed_ms;
+  core->budget = MIN (core->budget, (double) core->config.policy.evictions_per_minute);
+  core->budget_us = core->now_us;
+}
+
+void
+reclaim_stop (Core *core, CoreTask *task, CoreCommandType with, const CoreCommand *because)
+{
+  CoreCommand command = *because;
+
+  command.type = with;
+  task->stop_with = with;
+  task->stop_why = because->why;
+  task->stop_sent_us = core->now_us;
+  tables_set_state (core, task, TASK_STOPPING);
+  emit_task (core, task, command);
+}
+
+gboolean
+reclaim_evict (Core *core, CoreTask *task, const CoreCommand *because, gboolean is_owed)
+{
+  gboolean has_budget = core->budget >= 1.0 || !tables_has (core, CORE_MECHANISM_EVICTION_BUDGET);
+
+  if (!may_evict (core, task) || !(has_budget || is_owed))
+    return FALSE;
+  core->budget = MAX (core->budget - 1.0, 0.0);
+  core->evictions++;
+  task->evicted_us = core->now_us;
+  reclaim_stop (core, task, task->job->checkpoint_ms > 0 ? CORE_DO_CHECKPOINT : CORE_DO_STOP,
+                because);
+  return TRUE;
+}
+
+static int
+by_loss (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const CoreTask *x = *(CoreTask *const *) a;
+  const CoreTask *y = *(CoreTask *const *) b;
+  const Core *core = data;
+  int64_t lost_x = learn_lost_ms (core, x);
+  int64_t lost_y = learn_lost_ms (core, y);
+
+  if (lost_x != lost_y)
+    return lost_x < lost_y ? -1 : 1;
+  if (x->job->id != y->job->id)
+    return x->job->id < y->job->id ? -1 : 1;
+  return x->index < y->index ? -1 : 1;
+}
+
+/* Fills in what must go from @p worker; FALSE when that is not enough. */
+static gboolean
+find_victims (Core *core, const CoreJob *job, CoreWorker *worker, Room *room)
+{
+  DocSize wanted = place_size (core, job, worker);
+  DocSize free = tables_free_size (worker);
+
+  room->worker = worker;
+  room->n_victims = 0;
+  room->cost_ms = 0;
+  g_ptr_array_set_size (room->victims, 0);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->job->priority != DOC_URGENT && may_evict (core, task))
+        g_ptr_array_add (room->victims, task);
+    }
+  g_ptr_array_sort_with_data (room->victims, by_loss, core);
+  while (!size_fits (wanted, free))
+    {
+      if (room->n_victims >= room->victims->len)
+        return FALSE;
+      const CoreTask *victim = g_ptr_array_index (room->victims, room->n_victims++);
+      free = size_add (free, victim->reserved);
+      room->cost_ms += learn_lost_ms (core, victim) + RECLAIM_VICTIM_COST_MS;
+    }
+  return TRUE;
+}
+
+static void
+evict_victims (Core *core, const CoreTask *task, const Room *room)
+{
+  for (guint i = 0; i < room->n_victims; i++)
+    {
+      CoreTask *victim = g_ptr_array_index (room->victims, i);
+      CoreCommand command = emit_command (CORE_DO_CHECKPOINT, CORE_WHY_MAKE_ROOM);
+      command.numbers[0] = (int64_t) task->job->id;
+      command.numbers[1] = learn_lost_ms (core, victim);
+      command.numbers[2] = task->job->size.cpu_milli;
+      command.numbers[3] = task->job->size.memory_mb;
+      g_strlcpy (command.rule, task->job->name, sizeof command.rule);
+      (void) reclaim_evict (core, victim, &command, TRUE);
+    }
+}
+
+void
+reclaim_make_room (Core *core, CoreTask *task)
+{
+  const GArray *candidates = rules_candidates (core, task->job->shape);
+  guint n = place_walk_length (candidates);
+  Room best = { .victims = g_ptr_array_new () };
+  Room room = { .victims = g_ptr_array_new () };
+
+  for (guint i = 0; i < n; i++)
+    {
+      CoreWorker *worker = place_nth (core, candidates, i, 0);
+      if (worker->is_quarantined || !place_is_open (core, task->job, worker)
+          || !find_victims (core, task->job, worker, &room))
+        continue;
+      if (best.worker != NULL && room.cost_ms >= best.cost_ms)
+        continue;
+      Room other = best;
+      best = room;
+      room = other;
+    }
+  if (best.worker != NULL)
+    evict_victims (core, task, &best);
+  g_ptr_array_free (best.victims, TRUE);
+  g_ptr_array_free (room.victims, TRUE);
+}
+
+static void
+cancel_task (Core *core, CoreTask *task)
+{
+  CoreCommand command = emit_command (CORE_DO_CANCELLED, CORE_WHY_CANCEL);
+  CoreCommand stop = emit_command (CORE_DO_STOP, CORE_WHY_CANCEL);
+
+  if (task->state == TASK_WAITING)
+    {
+      tables_set_state (core, task, TASK_CANCELLED);
+      emit_task (core, task, command);
+    }
+  else if (task->state == TASK_LIVE)
+    {
+      stop.numbers[0] = (core->now_us - task->started_us) / CLK_US_PER_MS;
+      reclaim_stop (core, task, CORE_DO_STOP, &stop);
+    }
+}
+
+/* A wave of cancellations is spread over ticks; none of the tasks can start meanwhile. */
+static void
+run_cancels (Core *core)
+{
+  uint32_t left = (uint32_t) core->config.policy.starts_per_tick;
+
+  while (core->cancels->len > 0 && left > 0)
+    {
+      CoreJob *job = g_ptr_array_index (core->cancels, 0);
+      while (job->tasks != NULL && job->cancel_next < job->n_tasks && left > 0)
+        {
+          cancel_task (core, &job->tasks[job->cancel_next++]);
+          left--;
+        }
+      if (job->tasks == NULL || job->cancel_next >= job->n_tasks)
+        g_ptr_array_remove_index (core->cancels, 0);
+    }
+}
+
+static void
+move (Core *core, CoreTask *task, CoreWhy why, const char *rule)
+{
+  CoreCommand command = emit_command (CORE_DO_CHECKPOINT, why);
+
+  command.numbers[0] = (core->now_us - task->started_us) / CLK_US_PER_MS;
+  command.numbers[1] = learn_lost_ms (core, task);
+  if (rule != NULL)
+    g_strlcpy (command.rule, rule, sizeof command.rule);
+  (void) reclaim_evict (core, task, &command, TRUE);
+}
+
+/* The rule by which @p task may not be where it runs; NULL for none. */
+static const char *
+broken_rule (Core *core, const CoreTask *task, const CoreWorker *worker)
+{
+  int32_t row = rules_forbid (core, task->job->shape, worker);
+
+  if (row >= 0)
+    return ((CoreRule *) g_ptr_array_index (core->config.rules, (guint) row))->name;
+  const CoreRule *rule = rules_neighbour (core, task->job, worker, task);
+  return rule != NULL ? rule->name : NULL;
+}
+
+static void
+resend (Core *core, CoreTask *task)
+{
+  CoreCommand command = emit_command (task->stop_with, task->stop_why);
+
+  if (core->now_us - task->stop_sent_us < RECLAIM_RESEND_US)
+    return;
+  task->stop_sent_us = core->now_us;
+  emit_task (core, task, command);
+}
+
+static gboolean
+is_short_of_room (const Core *core, const CoreWorker *worker)
+{
+  return !size_fits (tables_endpoints_wanted (core, worker), worker->endpoints_size);
+}
+
+static void
+scan_worker (Core *core, CoreWorker *worker)
+{
+  uint32_t moves = 0;
+  gboolean is_short = is_short_of_room (core, worker);
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      CoreTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->state == TASK_STOPPING)
+        resend (core, task);
+      if (!may_evict (core, task) || moves >= RECLAIM_MOVES_PER_SCAN)
+        continue;
+      const char *rule = broken_rule (core, task, worker);
+      if (rule != NULL)
+        move (core, task, CORE_WHY_RULE, rule);
+      else if (worker->state == WORKER_LEAVING && task->job->checkpoint_ms > 0)
+        move (core, task, CORE_WHY_LEAVING, NULL);
+      else if (is_short)
+        move (core, task, CORE_WHY_MAKE_ROOM, NULL);
+      else
+        continue;
+      moves++;
+    }
+}
+
+static void
+scan_workers (Core *core)
+{
+  guint n = MIN (core->workers->len, RECLAIM_SCAN_PER_TICK);
+
+  for (guint i = 0; i < n; i++)
+    {
+      if (core->scan_next >= core->workers->len)
+        core->scan_next = 0;
+      CoreWorker *worker = tables_worker_row (core, core->scan_next++);
+      if (worker->state != WORKER_GONE)
+        scan_worker (core, worker);
+    }
+}
+
+void
+reclaim_run (Core *core)
+{
+  refill_budget (core);
+  run_cancels (core);
+  scan_workers (core);
+}
