--- a/lib/state/commit.h
+++ b/lib/state/commit.h
@@ -60,7 +60,15 @@
                         IdsId *id,
                         GError **error);
 
-/** Whether the newest append succeeded. */
+/**
+ * Queues a fence for the record @p id, which was submitted at wall time @p wall_ms. Once the fence
+ * is folded, fold_settled() says whether the record took effect before it; if the fold refuses the
+ * fence, the record is too old to tell.
+ */
+gboolean commit_fence (
+    Commit *commit, IdsId id, int64_t wall_ms, CommitDone done, void *ctx, GError **error);
+
+/** Whether the newest append, or the newest look at an idle log, succeeded. */
 gboolean commit_log_is_up (const Commit *commit);
 
 G_END_DECLS
--- a/lib/state/fold.h
+++ b/lib/state/fold.h
@@ -19,6 +19,13 @@
 
 typedef struct Fold Fold;
 
+/** Defaults of #FoldOptions. */
+#define FOLD_ENDED_JOBS 4096
+#define FOLD_ANSWERS_BYTES (INT64_C (64) * 1024 * 1024)
+
+/** An intent may be dated this much after the log's time; later ones are refused. */
+#define FOLD_DATE_SKEW_MS (INT64_C (5) * 60 * 1000)
+
 /** What applying one record did. */
 typedef enum
 {
@@ -37,6 +44,15 @@
   int64_t id_window_ms;     /**< how long record ids and fences are held; beyond any retry */
   uint32_t shards;
   uint32_t history_max; /**< configuration versions listed by fold_history() */
+
+  /**
+   * How long an entry must have been on the log before it may claim a shard that another entry
+   * owns; a lease time at least. A shard whose owner has left may be claimed at once.
+   */
+  int64_t claim_wait_ms;
+  int64_t entry_keep_ms;   /**< an entry not heard of on the log for so long is dropped; 0: never */
+  uint32_t ended_jobs_max; /**< newest ended jobs that are held; 0: #FOLD_ENDED_JOBS */
+  int64_t answers_bytes_max; /**< sum of the answer bodies that are held; 0: #FOLD_ANSWERS_BYTES */
 } FoldOptions;
 
 /** One accepted configuration; the fold owns texts. Version 0 is "none yet". */
@@ -56,6 +72,7 @@
   char *entry;
   uint64_t incarnation;
   int64_t claimed_ms; /**< log time */
+  gboolean released;  /**< the owner has left: the next claim need not wait */
 } FoldClaim;
 
 typedef struct
@@ -64,8 +81,9 @@
   uint64_t incarnation;
   char *data_centre;
   char *wire_address;
-  int64_t known_ms; /**< log time of its record */
-  gboolean leaving;
+  int64_t known_ms; /**< log time of the first record of this incarnation */
+  gboolean leaving; /**< always FALSE: one that leaves is no longer known */
+  int64_t seen_ms;  /**< log time of its newest record */
 } FoldEntry;
 
 /** One task as the log knows it: only ends are logged, never starts. */
@@ -127,8 +145,9 @@
 void fold_observe (Fold *fold, FoldObserver observer, void *ctx);
 
 /**
- * Applies the record at @p offset, which must be fold_next_offset() or above (the log may skip
- * offsets, never go back). @p time_ms is the log's time stamp.
+ * Applies the record at @p offset; the log may skip offsets. One below fold_next_offset() is
+ * already in the state: it changes nothing and gives #FOLD_DUPLICATE. @p time_ms is the log's
+ * time stamp.
  */
 FoldResult
 fold_apply (Fold *fold, int64_t offset, int64_t time_ms, const uint8_t *data, size_t size);
--- a/lib/state/follow.h
+++ b/lib/state/follow.h
@@ -44,8 +44,35 @@
 /** Stops the thread and joins it. */
 void follow_free (Follow *follow);
 
+/** Offset up to which records were handed on; any thread. */
+int64_t follow_position (const Follow *follow);
+
+/** What is known about the streams when asking whether a new snapshot is due. */
+typedef struct
+{
+  int64_t covered;          /**< next_offset of the newest whole snapshot; 0 for none */
+  int64_t first_kept;       /**< of the records */
+  int64_t end;              /**< of the records */
+  int64_t chunk_first;      /**< offset of the newest snapshot's first chunk */
+  int64_t chunk_first_kept; /**< of the snapshot stream */
+  int64_t chunk_end;        /**< of the snapshot stream */
+  int64_t age_ms;           /**< of the newest snapshot */
+  int64_t retention_ms;     /**< how long the platform keeps records; 0: unknown */
+  int64_t records_per_s;    /**< rate at which records come */
+} FollowKept;
+
+/** Most records that a starting process should have to fold. */
+#define FOLLOW_REPLAY_MAX 50000
+
+/**
+ * Whether a snapshot should be written now: long before the newest one, or the records after it,
+ * expire, and before the records after it are too many to fold at a start.
+ */
+gboolean follow_snapshot_due (const FollowKept *kept);
+
 /**
  * Writes @p fold as snapshot chunks on the snapshot stream; call it on any thread but the reader's.
+ * A snapshot that was cut off by a failure is never used; write another.
  */
 gboolean follow_write_snapshot (PlatLog *log,
                                 const char *snapshot_stream,
--- a/lib/state/record.pb-c.c
+++ b/lib/state/record.pb-c.c
@@ -547,6 +547,321 @@
   assert(message->base.descriptor == &record__snapshot_chunk__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   record__snapshot__init
+                     (Record__Snapshot         *message)
+{
+  static const Record__Snapshot init_value = RECORD__SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t record__snapshot__get_packed_size
+                     (const Record__Snapshot *message)
+{
+  assert(message->base.descriptor == &record__snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot__pack
+                     (const Record__Snapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot__pack_to_buffer
+                     (const Record__Snapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__Snapshot *
+       record__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__Snapshot *)
+     protobuf_c_message_unpack (&record__snapshot__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot__free_unpacked
+                     (Record__Snapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   record__snapshot_config__init
+                     (Record__SnapshotConfig         *message)
+{
+  static const Record__SnapshotConfig init_value = RECORD__SNAPSHOT_CONFIG__INIT;
+  *message = init_value;
+}
+size_t record__snapshot_config__get_packed_size
+                     (const Record__SnapshotConfig *message)
+{
+  assert(message->base.descriptor == &record__snapshot_config__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot_config__pack
+                     (const Record__SnapshotConfig *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot_config__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot_config__pack_to_buffer
+                     (const Record__SnapshotConfig *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot_config__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__SnapshotConfig *
+       record__snapshot_config__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__SnapshotConfig *)
+     protobuf_c_message_unpack (&record__snapshot_config__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot_config__free_unpacked
+                     (Record__SnapshotConfig *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot_config__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   record__snapshot_claim__init
+                     (Record__SnapshotClaim         *message)
+{
+  static const Record__SnapshotClaim init_value = RECORD__SNAPSHOT_CLAIM__INIT;
+  *message = init_value;
+}
+size_t record__snapshot_claim__get_packed_size
+                     (const Record__SnapshotClaim *message)
+{
+  assert(message->base.descriptor == &record__snapshot_claim__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot_claim__pack
+                     (const Record__SnapshotClaim *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot_claim__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot_claim__pack_to_buffer
+                     (const Record__SnapshotClaim *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot_claim__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__SnapshotClaim *
+       record__snapshot_claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__SnapshotClaim *)
+     protobuf_c_message_unpack (&record__snapshot_claim__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot_claim__free_unpacked
+                     (Record__SnapshotClaim *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot_claim__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   record__snapshot_entry__init
+                     (Record__SnapshotEntry         *message)
+{
+  static const Record__SnapshotEntry init_value = RECORD__SNAPSHOT_ENTRY__INIT;
+  *message = init_value;
+}
+size_t record__snapshot_entry__get_packed_size
+                     (const Record__SnapshotEntry *message)
+{
+  assert(message->base.descriptor == &record__snapshot_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot_entry__pack
+                     (const Record__SnapshotEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot_entry__pack_to_buffer
+                     (const Record__SnapshotEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__SnapshotEntry *
+       record__snapshot_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__SnapshotEntry *)
+     protobuf_c_message_unpack (&record__snapshot_entry__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot_entry__free_unpacked
+                     (Record__SnapshotEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   record__snapshot_task__init
+                     (Record__SnapshotTask         *message)
+{
+  static const Record__SnapshotTask init_value = RECORD__SNAPSHOT_TASK__INIT;
+  *message = init_value;
+}
+size_t record__snapshot_task__get_packed_size
+                     (const Record__SnapshotTask *message)
+{
+  assert(message->base.descriptor == &record__snapshot_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot_task__pack
+                     (const Record__SnapshotTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot_task__pack_to_buffer
+                     (const Record__SnapshotTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__SnapshotTask *
+       record__snapshot_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__SnapshotTask *)
+     protobuf_c_message_unpack (&record__snapshot_task__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot_task__free_unpacked
+                     (Record__SnapshotTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   record__snapshot_job__init
+                     (Record__SnapshotJob         *message)
+{
+  static const Record__SnapshotJob init_value = RECORD__SNAPSHOT_JOB__INIT;
+  *message = init_value;
+}
+size_t record__snapshot_job__get_packed_size
+                     (const Record__SnapshotJob *message)
+{
+  assert(message->base.descriptor == &record__snapshot_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot_job__pack
+                     (const Record__SnapshotJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot_job__pack_to_buffer
+                     (const Record__SnapshotJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__SnapshotJob *
+       record__snapshot_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__SnapshotJob *)
+     protobuf_c_message_unpack (&record__snapshot_job__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot_job__free_unpacked
+                     (Record__SnapshotJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   record__snapshot_intent__init
+                     (Record__SnapshotIntent         *message)
+{
+  static const Record__SnapshotIntent init_value = RECORD__SNAPSHOT_INTENT__INIT;
+  *message = init_value;
+}
+size_t record__snapshot_intent__get_packed_size
+                     (const Record__SnapshotIntent *message)
+{
+  assert(message->base.descriptor == &record__snapshot_intent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t record__snapshot_intent__pack
+                     (const Record__SnapshotIntent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &record__snapshot_intent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t record__snapshot_intent__pack_to_buffer
+                     (const Record__SnapshotIntent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &record__snapshot_intent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Record__SnapshotIntent *
+       record__snapshot_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Record__SnapshotIntent *)
+     protobuf_c_message_unpack (&record__snapshot_intent__descriptor,
+                                allocator, len, data);
+}
+void   record__snapshot_intent__free_unpacked
+                     (Record__SnapshotIntent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &record__snapshot_intent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor record__record__field_descriptors[13] =
 {
   {
@@ -819,7 +1134,7 @@
   (ProtobufCMessageInit) record__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor record__fence__field_descriptors[2] =
+static const ProtobufCFieldDescriptor record__fence__field_descriptors[3] =
 {
   {
     "id_high",
@@ -845,15 +1160,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wall_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__Fence, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned record__fence__field_indices_by_name[] = {
   0,   /* field[0] = id_high */
   1,   /* field[1] = id_low */
+  2,   /* field[2] = wall_ms */
 };
 static const ProtobufCIntRange record__fence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor record__fence__descriptor =
 {
@@ -863,7 +1191,7 @@
   "Record__Fence",
   "record",
   sizeof(Record__Fence),
-  2,
+  3,
   record__fence__field_descriptors,
   record__fence__field_indices_by_name,
   1,  record__fence__number_ranges,
@@ -1836,6 +2164,597 @@
   (ProtobufCMessageInit) record__snapshot_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor record__snapshot__field_descriptors[10] =
+{
+  {
+    "format",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Record__Snapshot, format),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__Snapshot, next_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "time_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__Snapshot, time_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__Snapshot, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ids",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Record__Snapshot, ids),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configs",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Record__Snapshot, n_configs),
+    offsetof(Record__Snapshot, configs),
+    &record__snapshot_config__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claims",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Record__Snapshot, n_claims),
+    offsetof(Record__Snapshot, claims),
+    &record__snapshot_claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Record__Snapshot, n_entries),
+    offsetof(Record__Snapshot, entries),
+    &record__snapshot_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Record__Snapshot, n_jobs),
+    offsetof(Record__Snapshot, jobs),
+    &record__snapshot_job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intents",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Record__Snapshot, n_intents),
+    offsetof(Record__Snapshot, intents),
+    &record__snapshot_intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot__field_indices_by_name[] = {
+  6,   /* field[6] = claims */
+  5,   /* field[5] = configs */
+  7,   /* field[7] = entries */
+  0,   /* field[0] = format */
+  4,   /* field[4] = ids */
+  9,   /* field[9] = intents */
+  8,   /* field[8] = jobs */
+  1,   /* field[1] = next_offset */
+  3,   /* field[3] = sequence */
+  2,   /* field[2] = time_ms */
+};
+static const ProtobufCIntRange record__snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor record__snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.Snapshot",
+  "Snapshot",
+  "Record__Snapshot",
+  "record",
+  sizeof(Record__Snapshot),
+  10,
+  record__snapshot__field_descriptors,
+  record__snapshot__field_indices_by_name,
+  1,  record__snapshot__number_ranges,
+  (ProtobufCMessageInit) record__snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor record__snapshot_config__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotConfig, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotConfig, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotConfig, config),
+    &record__config__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot_config__field_indices_by_name[] = {
+  2,   /* field[2] = config */
+  0,   /* field[0] = version */
+  1,   /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange record__snapshot_config__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor record__snapshot_config__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.SnapshotConfig",
+  "SnapshotConfig",
+  "Record__SnapshotConfig",
+  "record",
+  sizeof(Record__SnapshotConfig),
+  3,
+  record__snapshot_config__field_descriptors,
+  record__snapshot_config__field_indices_by_name,
+  1,  record__snapshot_config__number_ranges,
+  (ProtobufCMessageInit) record__snapshot_config__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor record__snapshot_claim__field_descriptors[3] =
+{
+  {
+    "claim",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotClaim, claim),
+    &record__claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claimed_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotClaim, claimed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotClaim, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot_claim__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
+  1,   /* field[1] = claimed_ms */
+  2,   /* field[2] = released */
+};
+static const ProtobufCIntRange record__snapshot_claim__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor record__snapshot_claim__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.SnapshotClaim",
+  "SnapshotClaim",
+  "Record__SnapshotClaim",
+  "record",
+  sizeof(Record__SnapshotClaim),
+  3,
+  record__snapshot_claim__field_descriptors,
+  record__snapshot_claim__field_indices_by_name,
+  1,  record__snapshot_claim__number_ranges,
+  (ProtobufCMessageInit) record__snapshot_claim__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor record__snapshot_entry__field_descriptors[3] =
+{
+  {
+    "entry",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotEntry, entry),
+    &record__entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotEntry, known_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotEntry, seen_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot_entry__field_indices_by_name[] = {
+  0,   /* field[0] = entry */
+  1,   /* field[1] = known_ms */
+  2,   /* field[2] = seen_ms */
+};
+static const ProtobufCIntRange record__snapshot_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor record__snapshot_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.SnapshotEntry",
+  "SnapshotEntry",
+  "Record__SnapshotEntry",
+  "record",
+  sizeof(Record__SnapshotEntry),
+  3,
+  record__snapshot_entry__field_descriptors,
+  record__snapshot_entry__field_indices_by_name,
+  1,  record__snapshot_entry__number_ranges,
+  (ProtobufCMessageInit) record__snapshot_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor record__snapshot_task__field_descriptors[5] =
+{
+  {
+    "end",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotTask, end),
+    &record__task_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotTask, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotTask, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotTask, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotTask, progress_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot_task__field_indices_by_name[] = {
+  1,   /* field[1] = attempts */
+  3,   /* field[3] = checkpoint */
+  0,   /* field[0] = end */
+  2,   /* field[2] = failures */
+  4,   /* field[4] = progress_ms */
+};
+static const ProtobufCIntRange record__snapshot_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor record__snapshot_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.SnapshotTask",
+  "SnapshotTask",
+  "Record__SnapshotTask",
+  "record",
+  sizeof(Record__SnapshotTask),
+  5,
+  record__snapshot_task__field_descriptors,
+  record__snapshot_task__field_indices_by_name,
+  1,  record__snapshot_task__number_ranges,
+  (ProtobufCMessageInit) record__snapshot_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor record__snapshot_job__field_descriptors[4] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotJob, job),
+    &record__job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancelled",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotJob, cancelled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotJob, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Record__SnapshotJob, n_tasks),
+    offsetof(Record__SnapshotJob, tasks),
+    &record__snapshot_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot_job__field_indices_by_name[] = {
+  1,   /* field[1] = cancelled */
+  2,   /* field[2] = ended */
+  0,   /* field[0] = job */
+  3,   /* field[3] = tasks */
+};
+static const ProtobufCIntRange record__snapshot_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor record__snapshot_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.SnapshotJob",
+  "SnapshotJob",
+  "Record__SnapshotJob",
+  "record",
+  sizeof(Record__SnapshotJob),
+  4,
+  record__snapshot_job__field_descriptors,
+  record__snapshot_job__field_indices_by_name,
+  1,  record__snapshot_job__number_ranges,
+  (ProtobufCMessageInit) record__snapshot_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor record__snapshot_intent__field_descriptors[4] =
+{
+  {
+    "intent",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotIntent, intent),
+    &record__intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intent_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotIntent, intent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotIntent, outcome),
+    &record__outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Record__SnapshotIntent, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned record__snapshot_intent__field_indices_by_name[] = {
+  3,   /* field[3] = ended */
+  0,   /* field[0] = intent */
+  1,   /* field[1] = intent_ms */
+  2,   /* field[2] = outcome */
+};
+static const ProtobufCIntRange record__snapshot_intent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor record__snapshot_intent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "record.SnapshotIntent",
+  "SnapshotIntent",
+  "Record__SnapshotIntent",
+  "record",
+  sizeof(Record__SnapshotIntent),
+  4,
+  record__snapshot_intent__field_descriptors,
+  record__snapshot_intent__field_indices_by_name,
+  1,  record__snapshot_intent__number_ranges,
+  (ProtobufCMessageInit) record__snapshot_intent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue record__task_end__enum_values_by_number[7] =
 {
   { "END_NONE", "RECORD__TASK_END__END_NONE", 0 },
--- a/lib/state/record.pb-c.h
+++ b/lib/state/record.pb-c.h
@@ -27,6 +27,13 @@
 typedef struct Record__Intent Record__Intent;
 typedef struct Record__Outcome Record__Outcome;
 typedef struct Record__SnapshotChunk Record__SnapshotChunk;
+typedef struct Record__Snapshot Record__Snapshot;
+typedef struct Record__SnapshotConfig Record__SnapshotConfig;
+typedef struct Record__SnapshotClaim Record__SnapshotClaim;
+typedef struct Record__SnapshotEntry Record__SnapshotEntry;
+typedef struct Record__SnapshotTask Record__SnapshotTask;
+typedef struct Record__SnapshotJob Record__SnapshotJob;
+typedef struct Record__SnapshotIntent Record__SnapshotIntent;
 
 
 /* --- enums --- */
@@ -125,10 +132,14 @@
   ProtobufCMessage base;
   uint64_t id_high;
   uint64_t id_low;
+  /*
+   * of the fenced record; refused when that is before the id window; 0: unknown
+   */
+  int64_t wall_ms;
 };
 #define RECORD__FENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&record__fence__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -313,6 +324,134 @@
     , 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
+/*
+ * State of the fold; rows are in a fixed order, so equal states give equal bytes.
+ */
+struct  Record__Snapshot
+{
+  ProtobufCMessage base;
+  uint32_t format;
+  int64_t next_offset;
+  int64_t time_ms;
+  uint64_t sequence;
+  /*
+   * record ids within the window, oldest first, 24 bytes each
+   */
+  ProtobufCBinaryData ids;
+  /*
+   * newest first; only the newest has its text
+   */
+  size_t n_configs;
+  Record__SnapshotConfig **configs;
+  /*
+   * one for each shard
+   */
+  size_t n_claims;
+  Record__SnapshotClaim **claims;
+  size_t n_entries;
+  Record__SnapshotEntry **entries;
+  /*
+   * in order of submission
+   */
+  size_t n_jobs;
+  Record__SnapshotJob **jobs;
+  /*
+   * in order of their newest attempt
+   */
+  size_t n_intents;
+  Record__SnapshotIntent **intents;
+};
+#define RECORD__SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot__descriptor) \
+    , 0, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+struct  Record__SnapshotConfig
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  int64_t wall_ms;
+  Record__Config *config;
+};
+#define RECORD__SNAPSHOT_CONFIG__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_config__descriptor) \
+    , 0, 0, NULL }
+
+
+struct  Record__SnapshotClaim
+{
+  ProtobufCMessage base;
+  Record__Claim *claim;
+  int64_t claimed_ms;
+  protobuf_c_boolean released;
+};
+#define RECORD__SNAPSHOT_CLAIM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_claim__descriptor) \
+    , NULL, 0, 0 }
+
+
+struct  Record__SnapshotEntry
+{
+  ProtobufCMessage base;
+  Record__Entry *entry;
+  int64_t known_ms;
+  int64_t seen_ms;
+};
+#define RECORD__SNAPSHOT_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_entry__descriptor) \
+    , NULL, 0, 0 }
+
+
+struct  Record__SnapshotTask
+{
+  ProtobufCMessage base;
+  Record__TaskEnd end;
+  uint32_t attempts;
+  uint32_t failures;
+  char *checkpoint;
+  int64_t progress_ms;
+};
+#define RECORD__SNAPSHOT_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_task__descriptor) \
+    , RECORD__TASK_END__END_NONE, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Record__SnapshotJob
+{
+  ProtobufCMessage base;
+  Record__Job *job;
+  protobuf_c_boolean cancelled;
+  /*
+   * sequence number of its end; 0: not ended
+   */
+  uint64_t ended;
+  size_t n_tasks;
+  Record__SnapshotTask **tasks;
+};
+#define RECORD__SNAPSHOT_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_job__descriptor) \
+    , NULL, 0, 0, 0,NULL }
+
+
+struct  Record__SnapshotIntent
+{
+  ProtobufCMessage base;
+  Record__Intent *intent;
+  int64_t intent_ms;
+  /*
+   * left out when there is none
+   */
+  Record__Outcome *outcome;
+  /*
+   * sequence number of its outcome
+   */
+  uint64_t ended;
+};
+#define RECORD__SNAPSHOT_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_intent__descriptor) \
+    , NULL, 0, NULL, 0 }
+
+
 /* Record__Record methods */
 void   record__record__init
                      (Record__Record         *message);
@@ -541,6 +680,139 @@
 void   record__snapshot_chunk__free_unpacked
                      (Record__SnapshotChunk *message,
                       ProtobufCAllocator *allocator);
+/* Record__Snapshot methods */
+void   record__snapshot__init
+                     (Record__Snapshot         *message);
+size_t record__snapshot__get_packed_size
+                     (const Record__Snapshot   *message);
+size_t record__snapshot__pack
+                     (const Record__Snapshot   *message,
+                      uint8_t             *out);
+size_t record__snapshot__pack_to_buffer
+                     (const Record__Snapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Record__Snapshot *
+       record__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot__free_unpacked
+                     (Record__Snapshot *message,
+                      ProtobufCAllocator *allocator);
+/* Record__SnapshotConfig methods */
+void   record__snapshot_config__init
+                     (Record__SnapshotConfig         *message);
+size_t record__snapshot_config__get_packed_size
+                     (const Record__SnapshotConfig   *message);
+size_t record__snapshot_config__pack
+                     (const Record__SnapshotConfig   *message,
+                      uint8_t             *out);
+size_t record__snapshot_config__pack_to_buffer
+                     (const Record__SnapshotConfig   *message,
+                      ProtobufCBuffer     *buffer);
+Record__SnapshotConfig *
+       record__snapshot_config__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot_config__free_unpacked
+                     (Record__SnapshotConfig *message,
+                      ProtobufCAllocator *allocator);
+/* Record__SnapshotClaim methods */
+void   record__snapshot_claim__init
+                     (Record__SnapshotClaim         *message);
+size_t record__snapshot_claim__get_packed_size
+                     (const Record__SnapshotClaim   *message);
+size_t record__snapshot_claim__pack
+                     (const Record__SnapshotClaim   *message,
+                      uint8_t             *out);
+size_t record__snapshot_claim__pack_to_buffer
+                     (const Record__SnapshotClaim   *message,
+                      ProtobufCBuffer     *buffer);
+Record__SnapshotClaim *
+       record__snapshot_claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot_claim__free_unpacked
+                     (Record__SnapshotClaim *message,
+                      ProtobufCAllocator *allocator);
+/* Record__SnapshotEntry methods */
+void   record__snapshot_entry__init
+                     (Record__SnapshotEntry         *message);
+size_t record__snapshot_entry__get_packed_size
+                     (const Record__SnapshotEntry   *message);
+size_t record__snapshot_entry__pack
+                     (const Record__SnapshotEntry   *message,
+                      uint8_t             *out);
+size_t record__snapshot_entry__pack_to_buffer
+                     (const Record__SnapshotEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Record__SnapshotEntry *
+       record__snapshot_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot_entry__free_unpacked
+                     (Record__SnapshotEntry *message,
+                      ProtobufCAllocator *allocator);
+/* Record__SnapshotTask methods */
+void   record__snapshot_task__init
+                     (Record__SnapshotTask         *message);
+size_t record__snapshot_task__get_packed_size
+                     (const Record__SnapshotTask   *message);
+size_t record__snapshot_task__pack
+                     (const Record__SnapshotTask   *message,
+                      uint8_t             *out);
+size_t record__snapshot_task__pack_to_buffer
+                     (const Record__SnapshotTask   *message,
+                      ProtobufCBuffer     *buffer);
+Record__SnapshotTask *
+       record__snapshot_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot_task__free_unpacked
+                     (Record__SnapshotTask *message,
+                      ProtobufCAllocator *allocator);
+/* Record__SnapshotJob methods */
+void   record__snapshot_job__init
+                     (Record__SnapshotJob         *message);
+size_t record__snapshot_job__get_packed_size
+                     (const Record__SnapshotJob   *message);
+size_t record__snapshot_job__pack
+                     (const Record__SnapshotJob   *message,
+                      uint8_t             *out);
+size_t record__snapshot_job__pack_to_buffer
+                     (const Record__SnapshotJob   *message,
+                      ProtobufCBuffer     *buffer);
+Record__SnapshotJob *
+       record__snapshot_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot_job__free_unpacked
+                     (Record__SnapshotJob *message,
+                      ProtobufCAllocator *allocator);
+/* Record__SnapshotIntent methods */
+void   record__snapshot_intent__init
+                     (Record__SnapshotIntent         *message);
+size_t record__snapshot_intent__get_packed_size
+                     (const Record__SnapshotIntent   *message);
+size_t record__snapshot_intent__pack
+                     (const Record__SnapshotIntent   *message,
+                      uint8_t             *out);
+size_t record__snapshot_intent__pack_to_buffer
+                     (const Record__SnapshotIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Record__SnapshotIntent *
+       record__snapshot_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   record__snapshot_intent__free_unpacked
+                     (Record__SnapshotIntent *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Record__Record_Closure)
@@ -579,6 +851,27 @@
 typedef void (*Record__SnapshotChunk_Closure)
                  (const Record__SnapshotChunk *message,
                   void *closure_data);
+typedef void (*Record__Snapshot_Closure)
+                 (const Record__Snapshot *message,
+                  void *closure_data);
+typedef void (*Record__SnapshotConfig_Closure)
+                 (const Record__SnapshotConfig *message,
+                  void *closure_data);
+typedef void (*Record__SnapshotClaim_Closure)
+                 (const Record__SnapshotClaim *message,
+                  void *closure_data);
+typedef void (*Record__SnapshotEntry_Closure)
+                 (const Record__SnapshotEntry *message,
+                  void *closure_data);
+typedef void (*Record__SnapshotTask_Closure)
+                 (const Record__SnapshotTask *message,
+                  void *closure_data);
+typedef void (*Record__SnapshotJob_Closure)
+                 (const Record__SnapshotJob *message,
+                  void *closure_data);
+typedef void (*Record__SnapshotIntent_Closure)
+                 (const Record__SnapshotIntent *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -598,6 +891,13 @@
 extern const ProtobufCMessageDescriptor record__intent__descriptor;
 extern const ProtobufCMessageDescriptor record__outcome__descriptor;
 extern const ProtobufCMessageDescriptor record__snapshot_chunk__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot_config__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot_claim__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot_entry__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot_task__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot_job__descriptor;
+extern const ProtobufCMessageDescriptor record__snapshot_intent__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/tests/state/test_log_path.c
@@ -0,0 +1,348 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "common/clk.h"
+#include "common/err.h"
+#include "support/fake_log.h"
+#include "support/fake_state.h"
+
+#define WAIT_MS 10000
+
+/* Counts how records ended. */
+typedef struct
+{
+  GMutex lock;
+  uint32_t results[3];
+} Ends;
+
+static void
+on_done (void *ctx, IdsId id, CommitResult result)
+{
+  Ends *ends = ctx;
+
+  (void) id;
+  g_mutex_lock (&ends->lock);
+  ends->results[result]++;
+  g_mutex_unlock (&ends->lock);
+}
+
+static uint32_t
+ended (Ends *ends, CommitResult result)
+{
+  g_mutex_lock (&ends->lock);
+  uint32_t n = ends->results[result];
+  g_mutex_unlock (&ends->lock);
+  return n;
+}
+
+static void
+wait_ended (Ends *ends, CommitResult result, uint32_t n)
+{
+  int64_t end_us = clk_now_us () + WAIT_MS * CLK_US_PER_MS;
+
+  while (ended (ends, result) < n && clk_now_us () < end_us)
+    g_usleep (2000);
+  assert_int_equal (ended (ends, result), n);
+}
+
+static IdsId
+submit_entry (Commit *commit, Ends *ends, uint32_t number)
+{
+  g_autofree char *name = g_strdup_printf ("entry-%u", number);
+  Record__Record record;
+  Record__Entry entry;
+  IdsId id;
+
+  fake_entry_record (&record, &entry, name);
+  assert_true (commit_submit (commit, &record, TRUE, on_done, ends, &id, NULL));
+  return id;
+}
+
+static void
+records_go_through_together (void **state)
+{
+  (void) state;
+  const FakeLogOptions log_options = { .append_delay_ms = 5 };
+  FakeLog *log = fake_log_new (&log_options);
+  const CommitOptions options = fake_commit_options (fake_log_port (log));
+  Commit *commit = commit_new (&options);
+  Ends ends = { .results = { 0 } };
+  FakeReceiver receiver;
+  fake_receiver_init (&receiver);
+  const FollowOptions follow_options = fake_follow_options (fake_log_port (log));
+  const FollowEvents events = fake_receiver_events (&receiver);
+  Follow *follow = follow_new (&follow_options, &events);
+
+  for (uint32_t i = 0; i < 600; i++)
+    (void) submit_entry (commit, &ends, i % 50);
+  wait_ended (&ends, COMMIT_APPENDED, 600);
+  assert_true (fake_receiver_wait (&receiver, 600, WAIT_MS));
+  assert_true (fake_log_appends (log) < 60);
+  assert_int_equal (fold_entries (receiver.fold)->len, 50);
+  follow_free (follow);
+  fake_receiver_clear (&receiver);
+  commit_free (commit);
+  fake_log_free (log);
+}
+
+typedef struct
+{
+  const char *name;
+  FakeFault fault;
+  int64_t give_up_ms;
+  CommitResult result;
+  gboolean is_folded; /**< whether the record must be in force after all */
+} CommitCase;
+
+static const CommitCase commit_cases[] = {
+  { "down, then back", { FAKE_FAULT_DOWN, 3, 0, 0 }, 5000, COMMIT_APPENDED, TRUE },
+  { "answer lost", { FAKE_FAULT_LOSE_ANSWER, 1, 0, 0 }, 5000, COMMIT_APPENDED, TRUE },
+  { "answer cut short", { FAKE_FAULT_TRUNCATE, 2, 0, 0 }, 5000, COMMIT_APPENDED, TRUE },
+  { "answer garbled", { FAKE_FAULT_GARBAGE, 2, 0, 0 }, 5000, COMMIT_APPENDED, TRUE },
+  { "appended twice", { FAKE_FAULT_DUPLICATE, 1, 0, 0 }, 5000, COMMIT_APPENDED, TRUE },
+  { "slow beyond the time-out", { FAKE_FAULT_SLOW, 1, 0, 1500 }, 5000, COMMIT_APPENDED, TRUE },
+  { "down for good", { FAKE_FAULT_DOWN, 0, 0, 0 }, 200, COMMIT_NOT, FALSE },
+  { "answers lost for good", { FAKE_FAULT_LOSE_ANSWER, 0, 0, 0 }, 200, COMMIT_DOUBT, TRUE },
+};
+
+/* Whatever happens to the append, its record is in force once or, if so reported, not at all. */
+static void
+appends_survive_faults (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (commit_cases); i++)
+    {
+      const CommitCase *row = &commit_cases[i];
+      FakeLog *log = fake_log_new (&(FakeLogOptions){ .port = 0 });
+      CommitOptions options = fake_commit_options (fake_log_port (log));
+      options.give_up_ms = row->give_up_ms;
+      Commit *commit = commit_new (&options);
+      Ends ends = { .results = { 0 } };
+      FoldResult settled = FOLD_UNKNOWN;
+
+      print_message ("  %s\n", row->name);
+      fake_http_fault (fake_log_http (log), &row->fault);
+      IdsId id = submit_entry (commit, &ends, 1);
+      wait_ended (&ends, row->result, 1);
+      fake_http_fault (fake_log_http (log), &(FakeFault){ .mode = FAKE_FAULT_NONE });
+      assert_true (commit_fence (commit, id, clk_wall_ms (), on_done, &ends, NULL));
+      wait_ended (&ends, COMMIT_APPENDED, row->result == COMMIT_APPENDED ? 2 : 1);
+      FakeReceiver receiver;
+      fake_receiver_init (&receiver);
+      const FollowOptions follow_options = fake_follow_options (fake_log_port (log));
+      const FollowEvents events = fake_receiver_events (&receiver);
+      Follow *follow = follow_new (&follow_options, &events);
+      assert_true (fake_receiver_wait (&receiver, fake_log_end (log, FAKE_STREAM), WAIT_MS));
+      assert_true (fold_settled (receiver.fold, id, &settled));
+      assert_int_equal (settled, row->is_folded ? FOLD_APPLIED : FOLD_FENCED);
+      assert_int_equal (fold_entries (receiver.fold)->len, row->is_folded ? 1 : 0);
+      follow_free (follow);
+      fake_receiver_clear (&receiver);
+      commit_free (commit);
+      fake_log_free (log);
+    }
+}
+
+static void
+full_queue_and_down_log_refuse (void **state)
+{
+  (void) state;
+  FakeLog *log = fake_log_new (&(FakeLogOptions){ .port = 0 });
+  CommitOptions options = fake_commit_options (fake_log_port (log));
+  options.queue_max = 3;
+  Commit *commit = commit_new (&options);
+  Ends ends = { .results = { 0 } };
+  Record__Record record;
+  Record__Entry entry;
+  g_autoptr (GError) error = NULL;
+
+  fake_http_fault (fake_log_http (log), &(FakeFault){ .mode = FAKE_FAULT_DOWN });
+  (void) submit_entry (commit, &ends, 0);
+  while (commit_log_is_up (commit))
+    g_usleep (1000);
+  fake_entry_record (&record, &entry, "x");
+  assert_false (commit_submit (commit, &record, FALSE, NULL, NULL, NULL, &error));
+  assert_int_equal (err_kind (error), ERR_LOG_DOWN);
+  g_clear_error (&error);
+  for (int i = 0; i < 10 && error == NULL; i++)
+    (void) commit_submit (commit, &record, TRUE, NULL, NULL, NULL, &error);
+  assert_int_equal (err_kind (error), ERR_QUEUE_FULL);
+  /* Nothing that is queued would find out that the log is back. */
+  commit_free (commit);
+  assert_int_equal (ended (&ends, COMMIT_NOT), 1);
+  fake_log_free (log);
+}
+
+static void
+idle_commit_sees_log_come_back (void **state)
+{
+  (void) state;
+  FakeLog *log = fake_log_new (&(FakeLogOptions){ .port = 0 });
+  CommitOptions options = fake_commit_options (fake_log_port (log));
+  options.give_up_ms = 1;
+  Commit *commit = commit_new (&options);
+  Ends ends = { .results = { 0 } };
+  int64_t end_us = clk_now_us () + WAIT_MS * CLK_US_PER_MS;
+
+  fake_http_fault (fake_log_http (log), &(FakeFault){ .mode = FAKE_FAULT_DOWN, .count = 2 });
+  (void) submit_entry (commit, &ends, 0);
+  wait_ended (&ends, COMMIT_NOT, 1);
+  while (!commit_log_is_up (commit) && clk_now_us () < end_us)
+    g_usleep (2000);
+  assert_true (commit_log_is_up (commit));
+  commit_free (commit);
+  fake_log_free (log);
+}
+
+/* A record that the service will never take must not hold up the others. */
+static void
+bad_record_is_singled_out (void **state)
+{
+  (void) state;
+  FakeLog *log = fake_log_new (&(FakeLogOptions){ .append_delay_ms = 50 });
+  CommitOptions options = fake_commit_options (fake_log_port (log));
+  options.batch_bytes_max = 64 * 1024 * 1024;
+  Commit *commit = commit_new (&options);
+  Ends ends = { .results = { 0 } };
+  Record__Record record = RECORD__RECORD__INIT;
+  Record__Config config = RECORD__CONFIG__INIT;
+  g_autofree uint8_t *text = g_malloc0 (500 * 1024);
+
+  config.text = (ProtobufCBinaryData){ 500 * 1024, text };
+  record.body_case = RECORD__RECORD__BODY_CONFIG;
+  record.config = &config;
+  /* Twenty of these are over the bound of one append. */
+  for (int i = 0; i < 20; i++)
+    assert_true (commit_submit (commit, &record, TRUE, on_done, &ends, NULL, NULL));
+  wait_ended (&ends, COMMIT_APPENDED, 20);
+  commit_free (commit);
+  fake_log_free (log);
+}
+
+static void
+append_entries (FakeLog *log, uint32_t n)
+{
+  const CommitOptions options = fake_commit_options (fake_log_port (log));
+  Commit *commit = commit_new (&options);
+  Ends ends = { .results = { 0 } };
+
+  for (uint32_t i = 0; i < n; i++)
+    (void) submit_entry (commit, &ends, i);
+  wait_ended (&ends, COMMIT_APPENDED, n);
+  commit_free (commit);
+}
+
+static void
+write_snapshot (FakeLog *log, const Fold *fold)
+{
+  const PlatLogOptions options = fake_log_options (fake_log_port (log));
+  PlatLog *client = plat_log_new (&options);
+
+  assert_true (follow_write_snapshot (client, FAKE_SNAPSHOTS, fold, 100, NULL));
+  plat_log_free (client);
+}
+
+/* A reader that falls behind the retention goes on from a newer snapshot, and from none older. */
+static void
+reader_behind_retention_restarts_from_snapshot (void **state)
+{
+  (void) state;
+  FakeLog *log = fake_log_new (&(FakeLogOptions){ .port = 0 });
+  FakeReceiver receiver;
+  fake_receiver_init (&receiver);
+  const FollowOptions options = fake_follow_options (fake_log_port (log));
+  const FollowEvents events = fake_receiver_events (&receiver);
+
+  append_entries (log, 20);
+  Follow *follow = follow_new (&options, &events);
+  assert_true (fake_receiver_wait (&receiver, 20, WAIT_MS));
+  write_snapshot (log, receiver.fold);
+  assert_int_equal (receiver.snapshots, 1);
+
+  /* The reader is cut off while the log goes on and expires what it needs. */
+  fake_http_fault (fake_log_http (log), &(FakeFault){ .mode = FAKE_FAULT_DOWN, .for_ms = 400 });
+  g_usleep (200000);
+  g_mutex_lock (&receiver.lock);
+  assert_true (receiver.downs[ERR_LOG_DOWN] > 0);
+  g_mutex_unlock (&receiver.lock);
+  fake_http_fault (fake_log_http (log), &(FakeFault){ .mode = FAKE_FAULT_REFUSE, .for_ms = 1 });
+  follow_free (follow);
+  append_entries (log, 30);
+  FakeReceiver second;
+  fake_receiver_init (&second);
+  const FollowEvents second_events = fake_receiver_events (&second);
+  follow = follow_new (&options, &second_events);
+  assert_true (fake_receiver_wait (&second, 50, WAIT_MS));
+  assert_int_equal (second.snapshots, 1);
+  follow_free (follow);
+
+  /* A cut-off snapshot that covers more is passed over, the whole one is taken. */
+  write_snapshot (log, second.fold);
+  fake_log_expire (log, FAKE_STREAM, 45);
+  FakeReceiver third;
+  fake_receiver_init (&third);
+  const FollowEvents third_events = fake_receiver_events (&third);
+  follow = follow_new (&options, &third_events);
+  assert_true (fake_receiver_wait (&third, 50, WAIT_MS));
+  g_autoptr (GBytes) expected = fold_snapshot (second.fold);
+  g_autoptr (GBytes) got = fold_snapshot (third.fold);
+  assert_true (g_bytes_equal (expected, got));
+  follow_free (follow);
+  fake_receiver_clear (&third);
+  fake_receiver_clear (&second);
+  fake_receiver_clear (&receiver);
+  fake_log_free (log);
+}
+
+/* Without a snapshot that covers the gap a reader waits, and goes on when there is one. */
+static void
+gap_without_snapshot_waits (void **state)
+{
+  (void) state;
+  FakeLog *log = fake_log_new (&(FakeLogOptions){ .port = 0 });
+  FakeReceiver whole;
+  FakeReceiver receiver;
+  fake_receiver_init (&whole);
+  fake_receiver_init (&receiver);
+  const FollowOptions options = fake_follow_options (fake_log_port (log));
+  const FollowEvents whole_events = fake_receiver_events (&whole);
+  const FollowEvents events = fake_receiver_events (&receiver);
+
+  append_entries (log, 10);
+  Follow *follow = follow_new (&options, &whole_events);
+  assert_true (fake_receiver_wait (&whole, 10, WAIT_MS));
+  follow_free (follow);
+  fake_log_expire (log, FAKE_STREAM, 5);
+  follow = follow_new (&options, &events);
+  assert_false (fake_receiver_wait (&receiver, 10, 300));
+  g_mutex_lock (&receiver.lock);
+  assert_true (receiver.downs[ERR_GAP] > 0);
+  assert_int_equal (receiver.snapshots, 0);
+  g_mutex_unlock (&receiver.lock);
+  write_snapshot (log, whole.fold);
+  assert_true (fake_receiver_wait (&receiver, 10, WAIT_MS));
+  follow_free (follow);
+  fake_receiver_clear (&receiver);
+  fake_receiver_clear (&whole);
+  fake_log_free (log);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (records_go_through_together),
+    cmocka_unit_test (appends_survive_faults),
+    cmocka_unit_test (full_queue_and_down_log_refuse),
+    cmocka_unit_test (idle_commit_sees_log_come_back),
+    cmocka_unit_test (bad_record_is_singled_out),
+    cmocka_unit_test (reader_behind_retention_restarts_from_snapshot),
+    cmocka_unit_test (gap_without_snapshot_waits),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
