--- /dev/null
+++ b/lib/agent/agent_admission.c
@@ -0,0 +1,121 @@
+#include "agent/agent_admission.h"
+
+struct AgentAdmission
+{
+  DocSize capacity;
+  DocSize wanted;  /**< by the service */
+  DocSize service; /**< held for it: at most wanted */
+  DocSize tasks;
+};
+
+AgentAdmission *
+agent_admission_new (const DocSize *capacity)
+{
+  AgentAdmission *admission = g_new0 (AgentAdmission, 1);
+
+  admission->capacity = *capacity;
+  return admission;
+}
+
+void
+agent_admission_free (AgentAdmission *admission)
+{
+  g_free (admission);
+}
+
+static int64_t
+held_for_service (int64_t wanted, int64_t capacity, int64_t tasks)
+{
+  return CLAMP (wanted, 0, MAX (capacity - tasks, 0));
+}
+
+static void
+settle_service (AgentAdmission *admission)
+{
+  const DocSize *wanted = &admission->wanted;
+  const DocSize *capacity = &admission->capacity;
+  const DocSize *tasks = &admission->tasks;
+  DocSize *service = &admission->service;
+
+  service->cpu_milli = held_for_service (wanted->cpu_milli, capacity->cpu_milli, tasks->cpu_milli);
+  service->memory_mb = held_for_service (wanted->memory_mb, capacity->memory_mb, tasks->memory_mb);
+  service->accelerators
+      = held_for_service (wanted->accelerators, capacity->accelerators, tasks->accelerators);
+}
+
+void
+agent_admission_set_capacity (AgentAdmission *admission, const DocSize *capacity)
+{
+  admission->capacity = *capacity;
+  settle_service (admission);
+}
+
+void
+agent_admission_set_service (AgentAdmission *admission, const DocSize *wanted)
+{
+  admission->wanted = *wanted;
+  settle_service (admission);
+}
+
+/* Written as a subtraction from the capacity: a hostile size can't overflow it. */
+static gboolean
+fits (int64_t size, int64_t capacity, int64_t wanted, int64_t tasks)
+{
+  return size >= 0 && size <= capacity - wanted - tasks;
+}
+
+gboolean
+agent_admission_reserve (AgentAdmission *admission, const DocSize *size)
+{
+  const DocSize *capacity = &admission->capacity;
+  const DocSize *wanted = &admission->wanted;
+  DocSize *tasks = &admission->tasks;
+
+  if (!fits (size->cpu_milli, capacity->cpu_milli, wanted->cpu_milli, tasks->cpu_milli)
+      || !fits (size->memory_mb, capacity->memory_mb, wanted->memory_mb, tasks->memory_mb)
+      || !fits (size->accelerators, capacity->accelerators, wanted->accelerators,
+                tasks->accelerators))
+    return FALSE;
+  tasks->cpu_milli += size->cpu_milli;
+  tasks->memory_mb += size->memory_mb;
+  tasks->accelerators += size->accelerators;
+  return TRUE;
+}
+
+void
+agent_admission_release (AgentAdmission *admission, const DocSize *size)
+{
+  DocSize *tasks = &admission->tasks;
+
+  tasks->cpu_milli -= size->cpu_milli;
+  tasks->memory_mb -= size->memory_mb;
+  tasks->accelerators -= size->accelerators;
+  g_assert (tasks->cpu_milli >= 0 && tasks->memory_mb >= 0 && tasks->accelerators >= 0);
+  settle_service (admission);
+}
+
+DocSize
+agent_admission_capacity (const AgentAdmission *admission)
+{
+  return admission->capacity;
+}
+
+DocSize
+agent_admission_reserved (const AgentAdmission *admission)
+{
+  const DocSize *tasks = &admission->tasks;
+  const DocSize *service = &admission->service;
+
+  return (DocSize){ tasks->cpu_milli + service->cpu_milli, tasks->memory_mb + service->memory_mb,
+                    tasks->accelerators + service->accelerators };
+}
+
+gboolean
+agent_admission_service_fits (const AgentAdmission *admission)
+{
+  const DocSize *wanted = &admission->wanted;
+  const DocSize *service = &admission->service;
+
+  return service->cpu_milli == wanted->cpu_milli && service->memory_mb == wanted->memory_mb
+         && service->accelerators == wanted->accelerators;
+}
--- /dev/null
+++ b/lib/agent/agent_drain.c
@@ -0,0 +1,33 @@
+#include "agent/agent_drain.h"
+
+void
+agent_drain_init (AgentDrain *drain, const AgentDrainOptions *options)
+{
+  *drain = (AgentDrain){ .options = *options };
+}
+
+gboolean
+agent_drain_leave (AgentDrain *drain, int64_t now_us)
+{
+  if (drain->leaving)
+    return FALSE;
+  drain->leaving = TRUE;
+  drain->since_us = now_us;
+  return TRUE;
+}
+
+gboolean
+agent_drain_is_done (AgentDrain *drain, const AgentDrainLeft *left, int64_t now_us)
+{
+  gboolean tasks_done = left->live_tasks + left->held_tasks == 0
+                        || now_us - drain->since_us >= drain->options.task_us;
+
+  if (!drain->leaving || left->requests > 0 || !tasks_done)
+    {
+      drain->quiet_us = 0;
+      return FALSE;
+    }
+  if (drain->quiet_us == 0)
+    drain->quiet_us = now_us;
+  return left->all_received || now_us - drain->quiet_us >= drain->options.receipt_us;
+}
--- /dev/null
+++ b/lib/agent/agent_entries.c
@@ -0,0 +1,94 @@
+#include "agent/agent_entries.h"
+
+typedef struct
+{
+  uint64_t echoed_seq;
+  uint64_t sent_after_seq; /**< newest heartbeat when something was last sent */
+  gboolean is_waiting;     /**< something was sent that no answer covers yet */
+  int64_t heard_us;
+} Row;
+
+struct AgentEntries
+{
+  GHashTable *rows; /**< name -> Row */
+};
+
+AgentEntries *
+agent_entries_new (void)
+{
+  AgentEntries *entries = g_new0 (AgentEntries, 1);
+
+  entries->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return entries;
+}
+
+void
+agent_entries_free (AgentEntries *entries)
+{
+  if (entries == NULL)
+    return;
+  g_hash_table_unref (entries->rows);
+  g_free (entries);
+}
+
+gboolean
+agent_entries_heard (AgentEntries *entries, const char *name, uint64_t seq, int64_t now_us)
+{
+  Row *row = g_hash_table_lookup (entries->rows, name);
+
+  if (row == NULL)
+    {
+      if (g_hash_table_size (entries->rows) >= AGENT_ENTRIES_MAX)
+        return FALSE;
+      row = g_new0 (Row, 1);
+      g_hash_table_insert (entries->rows, g_strdup (name), row);
+    }
+  row->heard_us = now_us;
+  row->echoed_seq = MAX (row->echoed_seq, seq);
+  if (row->echoed_seq > row->sent_after_seq)
+    row->is_waiting = FALSE;
+  return TRUE;
+}
+
+void
+agent_entries_answered (AgentEntries *entries, const char *name, uint64_t last_seq)
+{
+  Row *row = g_hash_table_lookup (entries->rows, name);
+
+  if (row == NULL)
+    return;
+  row->sent_after_seq = last_seq;
+  row->is_waiting = TRUE;
+}
+
+gboolean
+agent_entries_any_heard (const AgentEntries *entries, int64_t within_us, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entries->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Row *row = value;
+      if (now_us - row->heard_us <= within_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+agent_entries_all_received (const AgentEntries *entries, int64_t within_us, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entries->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Row *row = value;
+      if (row->is_waiting && now_us - row->heard_us <= within_us)
+        return FALSE;
+    }
+  return TRUE;
+}
--- a/lib/wire/message.pb-c.c
+++ b/lib/wire/message.pb-c.c
@@ -2042,7 +2042,7 @@
   (ProtobufCMessageInit) wire__task_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__request__field_descriptors[14] =
 {
   {
     "id_high",
@@ -2200,9 +2200,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent_sent_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Request, agent_sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__request__field_indices_by_name[] = {
   12,   /* field[12] = agent_incarnation */
+  13,   /* field[13] = agent_sent_us */
   2,   /* field[2] = attempt */
   9,   /* field[9] = body */
   10,   /* field[10] = body_digest */
@@ -2219,7 +2232,7 @@
 static const ProtobufCIntRange wire__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__request__descriptor =
 {
@@ -2229,7 +2242,7 @@
   "Wire__Request",
   "wire",
   sizeof(Wire__Request),
-  13,
+  14,
   wire__request__field_descriptors,
   wire__request__field_indices_by_name,
   1,  wire__request__number_ranges,
@@ -2443,7 +2456,7 @@
   (ProtobufCMessageInit) wire__response__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__attempt_query__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__attempt_query__field_descriptors[7] =
 {
   {
     "tenant",
@@ -2517,9 +2530,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent_sent_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__AttemptQuery, agent_sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__attempt_query__field_indices_by_name[] = {
   5,   /* field[5] = agent_incarnation */
+  6,   /* field[6] = agent_sent_us */
   2,   /* field[2] = attempt */
   3,   /* field[3] = id_high */
   4,   /* field[4] = id_low */
@@ -2529,7 +2555,7 @@
 static const ProtobufCIntRange wire__attempt_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__attempt_query__descriptor =
 {
@@ -2539,7 +2565,7 @@
   "Wire__AttemptQuery",
   "wire",
   sizeof(Wire__AttemptQuery),
-  6,
+  7,
   wire__attempt_query__field_descriptors,
   wire__attempt_query__field_indices_by_name,
   1,  wire__attempt_query__number_ranges,
--- a/lib/wire/message.pb-c.h
+++ b/lib/wire/message.pb-c.h
@@ -314,10 +314,15 @@
    * the agent that this attempt is meant for
    */
   uint64_t agent_incarnation;
+  /*
+   * Announce.sent_us heard last from the agent before the intent was appended. An agent that had to
+   * forget old attempts refuses, as not run, any once request that is not newer than those.
+   */
+  int64_t agent_sent_us;
 };
 #define WIRE__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__request__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
 
 
 /*
@@ -370,10 +375,14 @@
   uint64_t id_high;
   uint64_t id_low;
   uint64_t agent_incarnation;
+  /*
+   * of the attempt's Request; 0: not known
+   */
+  int64_t agent_sent_us;
 };
 #define WIRE__ATTEMPT_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__attempt_query__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Wire__AttemptReply
