--- a/lib/agent/agent_attempts.c
+++ b/lib/agent/agent_attempts.c
@@ -5,7 +5,7 @@
 typedef struct
 {
   char *name;
-  AgentAttemptState state; /**< running, ran or fenced */
+  AgentAttemptState state; /**< running, ran, fenced or unknown */
   GBytes *answer;
   int64_t ended_us;
   GList *by_end;    /**< link in ended; NULL while running */
@@ -197,6 +197,15 @@
     hold_answer (attempts, row, answer);
 }
 
+void
+agent_attempts_doubt (AgentAttempts *attempts, const AgentAttempt *attempt, int64_t now_us)
+{
+  Row *row = find_row (attempts, attempt);
+
+  g_assert (row != NULL && row->state == AGENT_ATTEMPT_RUNNING);
+  end_row (attempts, row, AGENT_ATTEMPT_UNKNOWN, now_us);
+}
+
 void
 agent_attempts_not_run (AgentAttempts *attempts, const AgentAttempt *attempt, int64_t now_us)
 {
--- a/lib/agent/agent_attempts.h
+++ b/lib/agent/agent_attempts.h
@@ -44,7 +44,7 @@
   AGENT_ATTEMPT_RAN,     /**< seen before: answer with what is held */
   AGENT_ATTEMPT_FENCED,  /**< never runs */
   AGENT_ATTEMPT_FULL,    /**< refused, and never runs either */
-  AGENT_ATTEMPT_UNKNOWN, /**< only for queries: it may have been forgotten */
+  AGENT_ATTEMPT_UNKNOWN, /**< it may have run: its end was lost, or it may have been forgotten */
 } AgentAttemptState;
 
 AgentAttempts *agent_attempts_new (const AgentAttemptsOptions *options);
@@ -66,6 +66,9 @@
                          GBytes *answer,
                          int64_t now_us);
 
+/** Ends a running attempt of which nobody can say whether it ran. */
+void agent_attempts_doubt (AgentAttempts *attempts, const AgentAttempt *attempt, int64_t now_us);
+
 /** Ends a running attempt that certainly didn't start: it is fenced. */
 void agent_attempts_not_run (AgentAttempts *attempts, const AgentAttempt *attempt, int64_t now_us);
 
--- a/lib/agent/agent_entries.c
+++ b/lib/agent/agent_entries.c
@@ -50,15 +50,31 @@
   return TRUE;
 }
 
+static void
+note_sent (Row *row, uint64_t last_seq)
+{
+  row->sent_after_seq = last_seq;
+  row->is_waiting = TRUE;
+}
+
 void
 agent_entries_answered (AgentEntries *entries, const char *name, uint64_t last_seq)
 {
   Row *row = g_hash_table_lookup (entries->rows, name);
 
-  if (row == NULL)
-    return;
-  row->sent_after_seq = last_seq;
-  row->is_waiting = TRUE;
+  if (row != NULL)
+    note_sent (row, last_seq);
+}
+
+void
+agent_entries_answered_all (AgentEntries *entries, uint64_t last_seq)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entries->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    note_sent (value, last_seq);
 }
 
 gboolean
--- a/lib/agent/agent_entries.h
+++ b/lib/agent/agent_entries.h
@@ -26,6 +26,9 @@
 /** Notes that something was sent to entry @p name after heartbeat @p last_seq. */
 void agent_entries_answered (AgentEntries *entries, const char *name, uint64_t last_seq);
 
+/** Notes that something was sent to every known entry after heartbeat @p last_seq. */
+void agent_entries_answered_all (AgentEntries *entries, uint64_t last_seq);
+
 /** Whether some entry was heard within @p within_us. */
 gboolean agent_entries_any_heard (const AgentEntries *entries, int64_t within_us, int64_t now_us);
 
--- a/lib/agent/agent_tasks.h
+++ b/lib/agent/agent_tasks.h
@@ -65,6 +65,11 @@
   int64_t run_ms;
   DocSize used;
   int64_t measured_us; /**< when used was measured; 0: never */
+  int64_t
+      worker_end_us;  /**< the worker ends it by itself at this time unless its lease is extended */
+  gboolean end_taken; /**< the worker has taken the order to end it */
+  gboolean in_doubt;  /**< an answer of the worker to its start was lost */
+  gboolean listed;    /**< the newest list of the worker names it */
 } AgentTask;
 
 /** A command to start one attempt; texts are copied. */
--- /dev/null
+++ b/programs/agent/requests.c
@@ -0,0 +1,415 @@
+/**
+ * @file requests.c
+ * Requests to the endpoint: checked, queued, run by the pool, answered.
+ */
+#include <string.h>
+
+#include "common/clk.h"
+#include "common/jnl.h"
+#include "node.h"
+#include "wire/wire_parse.h"
+
+#define TEXT_BYTES_MAX 255
+#define PATH_BYTES_MAX 2048
+/** Longest budget that a request may carry. */
+#define BUDGET_US_MAX (INT64_C (24) * 3600 * CLK_US_PER_S)
+
+static AgentAttempt
+attempt_of (const EndpointCall *call)
+{
+  return (AgentAttempt){ call->tenant, call->key, call->attempt, call->chosen_us };
+}
+
+static void
+fill_response (Node *node, const EndpointCall *call, Wire__Response *response)
+{
+  wire__response__init (response);
+  response->id_high = call->id.high;
+  response->id_low = call->id.low;
+  response->attempt = call->attempt;
+  response->tenant = call->tenant;
+  response->status = call->status;
+  response->running = agent_queue_running (node->queue);
+  response->queued = agent_queue_queued (node->queue);
+  if (!call->has_answer)
+    {
+      response->kind = (char *) err_name (call->kind);
+      response->ran = call->ran;
+      response->message = call->message != NULL ? call->message : (char *) "";
+      return;
+    }
+  response->ran = ERR_RAN_YES;
+  response->content_type = call->answer_type;
+  response->body.data = call->answer->data;
+  response->body.len = call->answer->len;
+  response->length = call->answer->len;
+  response->body_digest = ids_hash (call->answer->data, call->answer->len);
+}
+
+static void
+send_response (Node *node, const char *peer, Wire__Response *response)
+{
+  Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+  envelope.body_case = WIRE__ENVELOPE__BODY_RESPONSE;
+  envelope.response = response;
+  if (!node_send (node, peer, &envelope))
+    node_count (node, "acacia_agent_answers_lost_total", "Answers that could not be sent.");
+}
+
+/* Frees @p call. */
+static void
+answer_call (Node *node, EndpointCall *call)
+{
+  Wire__Response response;
+
+  fill_response (node, call, &response);
+  send_response (node, call->peer, &response);
+  endpoint_call_free (call);
+}
+
+static void
+set_failure (EndpointCall *call, ErrKind kind, ErrRan ran, const char *message)
+{
+  call->has_answer = FALSE;
+  call->kind = kind;
+  call->ran = ran;
+  g_free (call->message);
+  call->message = g_strdup (message);
+}
+
+/* Answers a once request that was seen before, from what is held. */
+static void
+answer_again (Node *node, EndpointCall *call, AgentAttemptState state, GBytes *held)
+{
+  Wire__Response *response = NULL;
+
+  if (state == AGENT_ATTEMPT_RAN && held != NULL)
+    {
+      gsize size;
+      const uint8_t *data = g_bytes_get_data (held, &size);
+      response = wire__response__unpack (NULL, size, data);
+    }
+  if (response != NULL)
+    {
+      response->id_high = call->id.high;
+      response->id_low = call->id.low;
+      send_response (node, call->peer, response);
+      wire__response__free_unpacked (response, NULL);
+      endpoint_call_free (call);
+      return;
+    }
+  if (state == AGENT_ATTEMPT_RAN)
+    set_failure (call, ERR_ANSWER_GONE, ERR_RAN_YES, "ran before; the answer is no longer held");
+  else if (state == AGENT_ATTEMPT_UNKNOWN)
+    set_failure (call, ERR_IN_DOUBT, ERR_RAN_DOUBT, "started before; its end is not known");
+  else
+    set_failure (call, ERR_FENCED, ERR_RAN_NO, "this attempt is fenced");
+  node_count_refused (node, call->kind);
+  answer_call (node, call);
+}
+
+/* Refuses a call that was not started, and fences it against a late duplicate. Frees @p call. */
+static void
+refuse (Node *node, EndpointCall *call, ErrKind kind, const char *message)
+{
+  AgentAttempt attempt = attempt_of (call);
+  AgentAttemptState state = AGENT_ATTEMPT_FENCED;
+
+  if (call->once)
+    state = agent_attempts_refuse (node->attempts, &attempt, clk_now_us ());
+  else
+    agent_refusals_add (node->refusals, call->id, call->attempt);
+  if (state == AGENT_ATTEMPT_RUNNING)
+    {
+      node_count (node, "acacia_agent_duplicates_total", "Requests that came again while running.");
+      endpoint_call_free (call);
+      return;
+    }
+  if (state == AGENT_ATTEMPT_RAN || state == AGENT_ATTEMPT_UNKNOWN)
+    {
+      GBytes *held;
+      state = agent_attempts_begin (node->attempts, &attempt, clk_now_us (), &held);
+      answer_again (node, call, state, held);
+      return;
+    }
+  set_failure (call, kind, ERR_RAN_NO, message);
+  node_count_refused (node, kind);
+  answer_call (node, call);
+}
+
+static gboolean
+is_header_text (const char *text, size_t max)
+{
+  size_t length = strlen (text);
+
+  for (size_t i = 0; i < length; i++)
+    {
+      if ((uint8_t) text[i] < 0x20 || text[i] == 0x7f)
+        return FALSE;
+    }
+  return length <= max;
+}
+
+static gboolean
+is_well_formed (const Wire__Request *request)
+{
+  return is_header_text (request->tenant, TEXT_BYTES_MAX) && *request->tenant != '\0'
+         && is_header_text (request->key, TEXT_BYTES_MAX)
+         && is_header_text (request->content_type, TEXT_BYTES_MAX)
+         && is_header_text (request->path, PATH_BYTES_MAX) && *request->path == '/'
+         && strchr (request->path, ' ') == NULL && (!request->once || *request->key != '\0');
+}
+
+static EndpointCall *
+make_call (const char *peer, const Wire__Request *request, int64_t now_us)
+{
+  EndpointCall *call = g_new0 (EndpointCall, 1);
+
+  call->id = (IdsId){ request->id_high, request->id_low };
+  call->attempt = request->attempt;
+  call->peer = g_strdup (peer);
+  call->tenant = g_strdup (request->tenant);
+  call->once = request->once;
+  call->key = g_strdup (request->once ? request->key : "");
+  call->chosen_us = MIN (request->agent_sent_us, now_us);
+  call->path = g_strdup (request->path);
+  call->content_type = g_strdup (request->content_type);
+  call->body = g_byte_array_new ();
+  g_byte_array_append (call->body, request->body.data, (guint) request->body.len);
+  call->deadline_us = now_us + CLAMP (request->budget_us, 0, BUDGET_US_MAX);
+  return call;
+}
+
+/* Why a request can't be taken at all; ERR_KIND_COUNT when it can. */
+static ErrKind
+reason_to_refuse (const Node *node, const Wire__Request *request, const char **message)
+{
+  if (request->agent_incarnation != node->incarnation)
+    {
+      *message = "meant for an earlier process of this name";
+      return ERR_FENCED;
+    }
+  if (request->body_digest != ids_hash (request->body.data, request->body.len))
+    {
+      *message = "the body does not match its digest";
+      return ERR_PROTOCOL;
+    }
+  if (node->endpoint == NULL || strcmp (request->service, node->settings->endpoint_service) != 0)
+    {
+      *message = "no endpoint of this service is here";
+      return ERR_NO_ENDPOINT;
+    }
+  if (node->drain.leaving)
+    {
+      *message = "the agent is leaving";
+      return ERR_LEAVING;
+    }
+  return ERR_KIND_COUNT;
+}
+
+/* Puts a call in the queue; once requests are recorded first. Takes @p call. */
+static void
+enqueue (Node *node, EndpointCall *call, int64_t now_us)
+{
+  ErrKind kind;
+
+  if (call->once)
+    {
+      AgentAttempt attempt = attempt_of (call);
+      GBytes *held;
+      AgentAttemptState state = agent_attempts_begin (node->attempts, &attempt, now_us, &held);
+      if (state == AGENT_ATTEMPT_FULL)
+        {
+          refuse (node, call, ERR_QUEUE_FULL, "the table of attempts is full");
+          return;
+        }
+      if (state == AGENT_ATTEMPT_RUNNING)
+        {
+          refuse (node, call, ERR_FENCED, "");
+          return;
+        }
+      if (state != AGENT_ATTEMPT_START)
+        {
+          answer_again (node, call, state, held);
+          return;
+        }
+    }
+  else if (agent_refusals_has (node->refusals, call->id, call->attempt))
+    {
+      refuse (node, call, ERR_FENCED, "this attempt was refused before");
+      return;
+    }
+  if (agent_queue_add (node->queue, call, call->deadline_us, now_us, &kind))
+    return;
+  if (call->once)
+    {
+      AgentAttempt attempt = attempt_of (call);
+      agent_attempts_not_run (node->attempts, &attempt, now_us);
+    }
+  refuse (node, call, kind, "no room, or no time left");
+}
+
+void
+requests_take (Node *node, const char *peer, const Wire__Request *request)
+{
+  int64_t now_us = clk_now_us ();
+  const char *message = "";
+  ErrKind kind;
+
+  node_count (node, "acacia_agent_requests_total", "Requests received.");
+  if (!is_well_formed (request))
+    {
+      /* Nothing of it can be recorded; it never starts, whenever it comes. */
+      EndpointCall *call = make_call (peer, request, now_us);
+      set_failure (call, ERR_BAD_REQUEST, ERR_RAN_NO, "malformed request");
+      node_count_refused (node, ERR_BAD_REQUEST);
+      answer_call (node, call);
+      return;
+    }
+  EndpointCall *call = make_call (peer, request, now_us);
+  kind = reason_to_refuse (node, request, &message);
+  if (kind == ERR_FENCED || kind == ERR_NO_ENDPOINT)
+    {
+      /* True of every later duplicate as well: no fence is needed. */
+      set_failure (call, kind, ERR_RAN_NO, message);
+      node_count_refused (node, kind);
+      answer_call (node, call);
+      return;
+    }
+  if (kind != ERR_KIND_COUNT)
+    {
+      refuse (node, call, kind, message);
+      return;
+    }
+  enqueue (node, call, now_us);
+  requests_pump (node, now_us);
+}
+
+void
+requests_pump (Node *node, int64_t now_us)
+{
+  EndpointCall *call;
+  gboolean expired;
+
+  while ((call = agent_queue_take (node->queue, now_us, &expired)) != NULL)
+    {
+      if (!expired)
+        {
+          endpoint_push (node->endpoint, call);
+          continue;
+        }
+      if (call->once)
+        {
+          AgentAttempt attempt = attempt_of (call);
+          agent_attempts_not_run (node->attempts, &attempt, now_us);
+        }
+      refuse (node, call, ERR_DEADLINE, "no slot was free before the deadline");
+    }
+}
+
+/* Records the end of a once request. */
+static void
+end_attempt (Node *node, const EndpointCall *call, int64_t now_us)
+{
+  AgentAttempt attempt = attempt_of (call);
+
+  if (!call->has_answer && call->ran == ERR_RAN_NO)
+    {
+      agent_attempts_not_run (node->attempts, &attempt, now_us);
+      return;
+    }
+  if (!call->has_answer && call->ran == ERR_RAN_DOUBT)
+    {
+      agent_attempts_doubt (node->attempts, &attempt, now_us);
+      return;
+    }
+  Wire__Response response;
+  fill_response (node, call, &response);
+  size_t size = wire__response__get_packed_size (&response);
+  uint8_t *packed = g_malloc (size);
+  (void) wire__response__pack (&response, packed);
+  g_autoptr (GBytes) answer = g_bytes_new_take (packed, size);
+  agent_attempts_ran (node->attempts, &attempt, answer, now_us);
+}
+
+static void
+finish_call (void *ctx, void *data)
+{
+  Node *node = ctx;
+  EndpointCall *call = data;
+  int64_t now_us = clk_now_us ();
+
+  agent_queue_done (node->queue);
+  if (call->has_answer)
+    {
+      node->completed++;
+      agent_latency_add (&node->latency, call->took_us, now_us);
+      met_observe (node->request_us, call->took_us);
+    }
+  else
+    {
+      node_count_refused (node, call->kind);
+      jnl_event (JNL_WARN, "agent", "request_failed", "kind=%s ran=\"%s\" reason=\"%s\"",
+                 err_name (call->kind), err_ran_name (call->ran), call->message);
+      if (!call->once && call->ran == ERR_RAN_NO)
+        agent_refusals_add (node->refusals, call->id, call->attempt);
+    }
+  if (call->once)
+    end_attempt (node, call, now_us);
+  answer_call (node, call);
+  requests_pump (node, now_us);
+}
+
+void
+requests_on_done (void *ctx, EndpointCall *call)
+{
+  node_post (ctx, finish_call, call);
+}
+
+static Wire__AttemptState
+wire_state (AgentAttemptState state)
+{
+  switch (state)
+    {
+    case AGENT_ATTEMPT_RUNNING:
+      return WIRE__ATTEMPT_STATE__ATTEMPT_RUNNING;
+    case AGENT_ATTEMPT_RAN:
+      return WIRE__ATTEMPT_STATE__ATTEMPT_RAN;
+    case AGENT_ATTEMPT_FENCED:
+      return WIRE__ATTEMPT_STATE__ATTEMPT_FENCED;
+    default:
+      return WIRE__ATTEMPT_STATE__ATTEMPT_UNKNOWN;
+    }
+}
+
+void
+requests_query (Node *node, const char *peer, const Wire__AttemptQuery *query)
+{
+  Wire__AttemptReply reply = WIRE__ATTEMPT_REPLY__INIT;
+  Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+  int64_t now_us = clk_now_us ();
+  AgentAttempt attempt
+      = { query->tenant, query->key, query->attempt, MIN (query->agent_sent_us, now_us) };
+  GBytes *held = NULL;
+
+  reply.tenant = query->tenant;
+  reply.key = query->key;
+  reply.attempt = query->attempt;
+  reply.id_high = query->id_high;
+  reply.id_low = query->id_low;
+  if (query->agent_incarnation == node->incarnation && strlen (query->key) <= AGENT_KEY_MAX
+      && strlen (query->tenant) <= AGENT_KEY_MAX)
+    reply.state = wire_state (agent_attempts_query (node->attempts, &attempt, now_us, &held));
+  if (held != NULL)
+    {
+      gsize size;
+      const uint8_t *data = g_bytes_get_data (held, &size);
+      reply.response = wire__response__unpack (NULL, size, data);
+    }
+  envelope.body_case = WIRE__ENVELOPE__BODY_ATTEMPT_REPLY;
+  envelope.attempt_reply = &reply;
+  (void) node_send (node, peer, &envelope);
+  if (reply.response != NULL)
+    wire__response__free_unpacked (reply.response, NULL);
+}
--- /dev/null
+++ b/programs/agent/tasks.c
@@ -0,0 +1,557 @@
+/**
+ * @file tasks.c
+ * Commands for batch tasks, the worker's answers, and the ends of leases.
+ */
+#include <string.h>
+
+#include "agent/agent_announce.h"
+#include "common/clk.h"
+#include "common/jnl.h"
+#include "node.h"
+
+#define PERMILLE_MAX 1000
+#define PLACE "job=%016" G_GINT64_MODIFIER "x index=%u attempt=%u"
+/** How much later than the lease's end a worker may be in ending a task by itself. */
+#define WORKER_DRIFT_US (INT64_C (1) * CLK_US_PER_S)
+/** Shard of a task that was found on the worker without one. */
+#define SHARD_NONE G_MAXUINT32
+
+static WorkerOrder *
+make_order (const AgentTask *task, WorkerVerb verb)
+{
+  WorkerOrder *order = g_new0 (WorkerOrder, 1);
+
+  order->verb = verb;
+  order->id = task->id;
+  order->shard = task->shard;
+  order->epoch = task->epoch;
+  return order;
+}
+
+/* Hands an order over; one that doesn't fit is made again after the worker's next report. */
+static gboolean
+push (Node *node, WorkerOrder *order)
+{
+  if (worker_push (node->worker, order))
+    return TRUE;
+  node_count (node, "acacia_agent_worker_orders_dropped_total",
+              "Orders that found the queue full.");
+  worker_order_free (order);
+  return FALSE;
+}
+
+static void
+send_status (Node *node, const char *peer, Wire__TaskStatus *status)
+{
+  Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+  envelope.body_case = WIRE__ENVELOPE__BODY_EVENT;
+  envelope.event = status;
+  if (peer != NULL)
+    {
+      (void) node_send (node, peer, &envelope);
+      return;
+    }
+  for (const char *const *name = wire_peers (node->wire); *name != NULL; name++)
+    (void) node_send (node, *name, &envelope);
+}
+
+/* Tells one entry, or all (NULL), about a task, ahead of the next heartbeat. */
+static void
+send_task (Node *node, const char *peer, const AgentTask *task)
+{
+  Wire__TaskStatus status;
+  Wire__Size used;
+  Wire__Size reserved;
+
+  agent_announce_task (task, clk_now_us (), 0, &status, &used, &reserved);
+  send_status (node, peer, &status);
+}
+
+static void
+send_refused (Node *node, const char *peer, const Wire__TaskCommand *command, ErrKind kind)
+{
+  Wire__TaskStatus status = WIRE__TASK_STATUS__INIT;
+
+  status.job = command->job;
+  status.index = command->index;
+  status.attempt = command->attempt;
+  status.shard = command->shard;
+  status.epoch = command->epoch;
+  status.state = WIRE__TASK_STATE__TASK_REFUSED;
+  status.kind = (char *) err_name (kind);
+  send_status (node, peer, &status);
+}
+
+static gboolean
+push_start (Node *node, const AgentTask *task, int64_t lease_end_us)
+{
+  WorkerOrder *order = make_order (task, WORKER_START);
+
+  order->lease_end_us = lease_end_us;
+  order->job_name = g_strdup (task->job_name);
+  order->batch_class = g_strdup (task->batch_class);
+  order->checkpoint = g_strdup (task->checkpoint);
+  order->reserved = task->reserved;
+  order->run_ms = task->run_ms;
+  order->progress_ms = task->progress_ms;
+  return push (node, order);
+}
+
+static void
+end_task (Node *node,
+          AgentTask *task,
+          AgentTaskState state,
+          ErrKind kind,
+          const char *checkpoint,
+          const char *failure)
+{
+  agent_tasks_end (node->tasks, task, state, kind, checkpoint, failure);
+  send_task (node, NULL, task);
+  jnl_event (JNL_INFO, "agent", "task_end", PLACE " state=%d kind=%s", task->id.job, task->id.index,
+             task->id.attempt, (int) state, err_name (kind));
+}
+
+static AgentStart
+start_of (const Wire__TaskCommand *command)
+{
+  AgentStart start = {
+    .id = { command->job, command->index, command->attempt },
+    .shard = command->shard,
+    .epoch = command->epoch,
+    .job_name = command->job_name,
+    .batch_class = command->batch_class,
+    .checkpoint = *command->checkpoint != '\0' ? command->checkpoint : NULL,
+    .progress_ms = MAX (command->progress_ms, 0),
+    .run_ms = MAX (command->run_ms, 0),
+  };
+
+  if (command->reserved != NULL)
+    start.reserved = (DocSize){ command->reserved->cpu_milli, command->reserved->memory_mb,
+                                command->reserved->accelerators };
+  return start;
+}
+
+static void
+take_start (Node *node, const char *peer, const Wire__TaskCommand *command)
+{
+  AgentStart start = start_of (command);
+  AgentTask *task;
+  int64_t end_us;
+  ErrKind kind;
+
+  switch (agent_tasks_start (node->tasks, &start, clk_now_us (), &task, &end_us, &kind))
+    {
+    case AGENT_START_GO:
+      task->worker_end_us = end_us;
+      if (!push_start (node, task, end_us))
+        end_task (node, task, AGENT_TASK_REFUSED, ERR_QUEUE_FULL, NULL, NULL);
+      jnl_event (JNL_INFO, "agent", "task_start", PLACE, task->id.job, task->id.index,
+                 task->id.attempt);
+      break;
+    case AGENT_START_KNOWN:
+      send_task (node, peer, task);
+      break;
+    case AGENT_START_REFUSED:
+      node_count_refused (node, kind);
+      send_refused (node, peer, command, kind);
+      break;
+    case AGENT_START_DROPPED:
+      node_count_refused (node, ERR_QUEUE_FULL);
+      break;
+    }
+}
+
+/* Refuses a start before any decision; without room for its fence nothing is said. */
+static void
+refuse_start (Node *node, const char *peer, const Wire__TaskCommand *command, ErrKind kind)
+{
+  AgentTaskId id = { command->job, command->index, command->attempt };
+  const AgentTask *task = agent_tasks_find (node->tasks, &id);
+
+  node_count_refused (node, kind);
+  if (task != NULL)
+    send_task (node, peer, task);
+  else if (agent_tasks_fence (node->tasks, &id, clk_now_us ()))
+    send_refused (node, peer, command, kind);
+}
+
+static void
+push_end (Node *node, const AgentTask *task)
+{
+  WorkerVerb verb = task->end_wanted == AGENT_END_STOP ? WORKER_STOP : WORKER_CHECKPOINT;
+
+  (void) push (node, make_order (task, verb));
+}
+
+static void
+want_end (Node *node, AgentTask *task, AgentEndWanted wanted)
+{
+  if (agent_task_is_ended (task) || task->end_wanted >= wanted)
+    return;
+  task->end_wanted = wanted;
+  push_end (node, task);
+}
+
+static void
+take_end (Node *node, const char *peer, const Wire__TaskCommand *command, AgentEndWanted wanted)
+{
+  AgentTaskId id = { command->job, command->index, command->attempt };
+  AgentTask *task = agent_tasks_find (node->tasks, &id);
+
+  if (task == NULL)
+    {
+      if (agent_tasks_is_fenced (node->tasks, &id)
+          || agent_tasks_fence (node->tasks, &id, clk_now_us ()))
+        send_refused (node, peer, command, ERR_FENCED);
+      return;
+    }
+  if (agent_task_is_ended (task))
+    send_task (node, peer, task);
+  else
+    want_end (node, task, wanted);
+}
+
+static void
+take_throttle (Node *node, const Wire__TaskCommand *command)
+{
+  AgentTaskId id = { command->job, command->index, command->attempt };
+  const AgentTask *task = agent_tasks_find (node->tasks, &id);
+
+  if (task == NULL || agent_task_is_ended (task))
+    return;
+  WorkerOrder *order = make_order (task, WORKER_THROTTLE);
+  order->permille = CLAMP (command->throttle_permille, 1, PERMILLE_MAX);
+  (void) push (node, order);
+}
+
+void
+tasks_command (Node *node, const char *peer, const Wire__TaskCommand *command)
+{
+  gboolean is_start = command->verb == WIRE__TASK_VERB__VERB_START;
+
+  node_count (node, "acacia_agent_commands_total", "Commands for tasks received.");
+  if (node->worker == NULL)
+    {
+      node_count_refused (node, ERR_NO_CAPACITY);
+      if (is_start)
+        send_refused (node, peer, command, ERR_NO_CAPACITY);
+      return;
+    }
+  if (command->epoch < agent_leases_epoch (node->leases, command->shard))
+    {
+      node_count_refused (node, ERR_STALE_EPOCH);
+      if (is_start)
+        send_refused (node, peer, command, ERR_STALE_EPOCH);
+      return;
+    }
+  if (is_start && (node->drain.leaving || !node->has_listed))
+    {
+      refuse_start (node, peer, command, node->drain.leaving ? ERR_LEAVING : ERR_NO_CAPACITY);
+      return;
+    }
+  switch (command->verb)
+    {
+    case WIRE__TASK_VERB__VERB_START:
+      take_start (node, peer, command);
+      break;
+    case WIRE__TASK_VERB__VERB_CHECKPOINT:
+      take_end (node, peer, command, AGENT_END_CHECKPOINT);
+      break;
+    case WIRE__TASK_VERB__VERB_STOP:
+      take_end (node, peer, command, AGENT_END_STOP);
+      break;
+    case WIRE__TASK_VERB__VERB_THROTTLE:
+      take_throttle (node, command);
+      break;
+    default:
+      node_count_refused (node, ERR_BAD_REQUEST);
+      break;
+    }
+}
+
+void
+tasks_acknowledge (Node *node, const Wire__TaskAck *ack, int64_t now_us)
+{
+  AgentTaskId id = { ack->job, ack->index, ack->attempt };
+  const AgentTask *task = agent_tasks_find (node->tasks, &id);
+
+  if (task == NULL || !agent_task_is_ended (task))
+    return;
+  WorkerOrder *order = make_order (task, WORKER_FORGET);
+  if (agent_tasks_acknowledge (node->tasks, &id, now_us))
+    (void) push (node, order);
+  else
+    worker_order_free (order);
+}
+
+/* Hands each shard's lease on to the worker, once for each round of answers. */
+void
+tasks_extend_all (Node *node, int64_t now_us)
+{
+  if (node->worker == NULL || node->extends_waiting > 0)
+    return;
+  for (uint32_t i = 0; i < agent_leases_count (node->leases); i++)
+    {
+      AgentLease lease = agent_leases_at (node->leases, i);
+      gboolean has_task = FALSE;
+      for (uint32_t k = 0; k < agent_tasks_count (node->tasks) && !has_task; k++)
+        {
+          const AgentTask *task = agent_tasks_at (node->tasks, k);
+          has_task = task->shard == lease.shard && !agent_task_is_ended (task);
+        }
+      if (!has_task || now_us >= lease.end_us)
+        continue;
+      WorkerOrder *order = g_new0 (WorkerOrder, 1);
+      order->verb = WORKER_EXTEND;
+      order->shard = lease.shard;
+      order->epoch = lease.epoch;
+      order->lease_end_us = lease.end_us;
+      if (push (node, order))
+        node->extends_waiting++;
+    }
+}
+
+void
+tasks_end_lapsed (Node *node, int64_t now_us)
+{
+  uint32_t shard;
+
+  while (agent_leases_take_lapsed (node->leases, now_us, &shard))
+    {
+      jnl_event (JNL_WARN, "agent", "lease_lapsed", "shard=%u", shard);
+      node_count (node, "acacia_agent_leases_lapsed_total",
+                  "Leases that were not renewed in time.");
+      for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+        {
+          AgentTask *task = agent_tasks_at (node->tasks, i);
+          if (task->shard == shard)
+            want_end (node, task, AGENT_END_CHECKPOINT);
+        }
+    }
+}
+
+void
+tasks_end_all (Node *node)
+{
+  for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+    want_end (node, agent_tasks_at (node->tasks, i), AGENT_END_CHECKPOINT);
+}
+
+static gboolean
+is_definite (ErrKind kind)
+{
+  return kind == ERR_NO_LEASE || kind == ERR_STALE_EPOCH || kind == ERR_NO_CAPACITY
+         || kind == ERR_FENCED || kind == ERR_REFUSED || kind == ERR_BAD_REQUEST;
+}
+
+static void
+finish_start (Node *node, const WorkerOrder *order, AgentTask *task)
+{
+  if (agent_task_is_ended (task))
+    return;
+  if (order->ok)
+    {
+      agent_tasks_running (node->tasks, task);
+      send_task (node, NULL, task);
+      return;
+    }
+  node_count_refused (node, order->kind);
+  jnl_event (JNL_WARN, "agent", "start_failed", PLACE " kind=%s reason=\"%s\"", task->id.job,
+             task->id.index, task->id.attempt, err_name (order->kind), order->message);
+  if (task->state != AGENT_TASK_STARTING)
+    return;
+  if (is_definite (order->kind) && !task->in_doubt)
+    {
+      end_task (node, task, AGENT_TASK_REFUSED, order->kind, NULL, NULL);
+      return;
+    }
+  task->in_doubt = TRUE;
+}
+
+static void
+finish_extend (Node *node, const WorkerOrder *order)
+{
+  node->extends_waiting--;
+  if (!order->ok)
+    return;
+  for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+    {
+      AgentTask *task = agent_tasks_at (node->tasks, i);
+      if (task->shard == order->shard)
+        task->worker_end_us = MAX (task->worker_end_us, order->lease_end_us);
+    }
+}
+
+static void
+finish_order (void *ctx, void *data)
+{
+  Node *node = ctx;
+  WorkerOrder *order = data;
+  AgentTask *task = agent_tasks_find (node->tasks, &order->id);
+
+  if (order->verb == WORKER_EXTEND)
+    finish_extend (node, order);
+  else if (order->verb == WORKER_START && task != NULL)
+    finish_start (node, order, task);
+  else if ((order->verb == WORKER_CHECKPOINT || order->verb == WORKER_STOP) && task != NULL)
+    task->end_taken = task->end_taken || order->ok;
+  if (!order->ok)
+    jnl_event (JNL_DEBUG, "agent", "order_failed", "verb=%d kind=%s reason=\"%s\"",
+               (int) order->verb, err_name (order->kind), order->message);
+  worker_order_free (order);
+}
+
+void
+tasks_on_result (void *ctx, WorkerOrder *order)
+{
+  node_post (ctx, finish_order, order);
+}
+
+static void
+end_as_listed (Node *node, AgentTask *task, const PlatTask *listed)
+{
+  static const AgentTaskState states[] = {
+    [PLAT_TASK_DONE] = AGENT_TASK_DONE,
+    [PLAT_TASK_FAILED] = AGENT_TASK_FAILED,
+    [PLAT_TASK_CHECKPOINTED] = AGENT_TASK_CHECKPOINTED,
+    [PLAT_TASK_STOPPED] = AGENT_TASK_STOPPED,
+  };
+
+  end_task (node, task, states[listed->state], ERR_ENDPOINT_FAILED, listed->checkpoint,
+            listed->error);
+}
+
+/* An attempt of an earlier agent process: it is kept if it fits, and ended if not. */
+static void
+adopt (Node *node, const PlatTask *listed)
+{
+  AgentStart start = {
+    .id = { listed->job, listed->index, listed->attempt },
+    .shard = SHARD_NONE,
+    .epoch = listed->epoch,
+    .reserved = listed->reserved,
+    .job_name = "",
+    .batch_class = "",
+    .progress_ms = listed->progress_ms,
+  };
+  gboolean fenced = agent_tasks_is_fenced (node->tasks, &start.id);
+  AgentTask *task = agent_tasks_adopt (node->tasks, &start);
+  AgentTask unknown = { .id = start.id, .shard = SHARD_NONE };
+
+  if (task != NULL)
+    {
+      node_count (node, "acacia_agent_adopted_total", "Tasks found running at the start.");
+      task->worker_end_us = clk_now_us () + node->settings->worker_orphan_ms * CLK_US_PER_MS;
+      return;
+    }
+  if (listed->state == PLAT_TASK_RUNNING)
+    (void) push (node, make_order (&unknown, WORKER_CHECKPOINT));
+  else if (fenced)
+    (void) push (node, make_order (&unknown, WORKER_FORGET));
+}
+
+static void
+take_listed (Node *node, const PlatTask *listed, int64_t asked_us)
+{
+  AgentTaskId id = { listed->job, listed->index, listed->attempt };
+  AgentTask *task = agent_tasks_find (node->tasks, &id);
+
+  if (task == NULL)
+    adopt (node, listed);
+  task = agent_tasks_find (node->tasks, &id);
+  if (task != NULL && agent_task_is_ended (task) && listed->state == PLAT_TASK_RUNNING)
+    (void) push (node, make_order (task, WORKER_CHECKPOINT));
+  if (task == NULL || agent_task_is_ended (task))
+    return;
+  task->listed = TRUE;
+  task->progress_ms = MAX (task->progress_ms, listed->progress_ms);
+  task->used = listed->used;
+  task->measured_us = MAX (asked_us - listed->used_age_ms * CLK_US_PER_MS, 1);
+  if (listed->state == PLAT_TASK_RUNNING)
+    agent_tasks_running (node->tasks, task);
+  else
+    end_as_listed (node, task, listed);
+}
+
+/* A live task that a whole list doesn't name: the worker has lost it, or never had it. */
+static void
+take_missing (Node *node, AgentTask *task)
+{
+  if (task->state == AGENT_TASK_RUNNING)
+    end_task (node, task, AGENT_TASK_STOPPED, ERR_INTERNAL, NULL, "the worker lost it");
+  else if (task->end_taken)
+    end_task (node, task, AGENT_TASK_REFUSED, ERR_FENCED, NULL, NULL);
+}
+
+static void
+take_tasks (Node *node, const WorkerReport *report)
+{
+  for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+    agent_tasks_at (node->tasks, i)->listed = FALSE;
+  for (guint i = 0; i < report->tasks->len; i++)
+    take_listed (node, g_ptr_array_index (report->tasks, i), report->asked_us);
+  for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+    {
+      AgentTask *task = agent_tasks_at (node->tasks, i);
+      if (!task->listed && !agent_task_is_ended (task))
+        take_missing (node, task);
+    }
+  if (!node->has_listed)
+    jnl_event (JNL_INFO, "agent", "worker_listed", "tasks=%u", report->tasks->len);
+  node->has_listed = TRUE;
+}
+
+/* What a worker that doesn't answer was told to end by now has ended. */
+static void
+end_silent (Node *node, int64_t now_us)
+{
+  for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+    {
+      AgentTask *task = agent_tasks_at (node->tasks, i);
+      if (!agent_task_is_ended (task) && now_us > task->worker_end_us + WORKER_DRIFT_US)
+        end_task (node, task, AGENT_TASK_STOPPED, ERR_TIMEOUT, NULL, "the worker is silent");
+    }
+}
+
+/* Asks again for what the worker may not have taken: it knows each attempt by its id. */
+static void
+ask_again (Node *node, AgentTask *task, int64_t now_us)
+{
+  if (agent_task_is_ended (task))
+    return;
+  if (task->end_wanted != AGENT_END_NONE && !task->end_taken)
+    push_end (node, task);
+  if (task->end_wanted != AGENT_END_NONE || task->state != AGENT_TASK_STARTING || !task->in_doubt)
+    return;
+  if (now_us < task->worker_end_us)
+    (void) push_start (node, task, task->worker_end_us);
+  else
+    want_end (node, task, AGENT_END_CHECKPOINT);
+}
+
+static void
+take_report (void *ctx, void *data)
+{
+  Node *node = ctx;
+  WorkerReport *report = data;
+
+  if (report->has_capacity)
+    agent_admission_set_capacity (node->admission, &report->capacity);
+  if (report->tasks != NULL)
+    take_tasks (node, report);
+  else
+    {
+      node_count (node, "acacia_agent_worker_silent_total", "Lists that the worker did not give.");
+      end_silent (node, clk_now_us ());
+    }
+  for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
+    ask_again (node, agent_tasks_at (node->tasks, i), clk_now_us ());
+  worker_report_free (report);
+}
+
+void
+tasks_on_report (void *ctx, WorkerReport *report)
+{
+  node_post (ctx, take_report, report);
+}
