--- a/programs/agent/endpoint.c
+++ b/lib/agent/agent_call.c
@@ -1,4 +1,4 @@
-#include "endpoint.h"
+#include "agent/agent_call.h"
 
 #include <ne_request.h>
 #include <ne_session.h>
@@ -13,28 +13,17 @@
 /** Header with which the endpoint says that it refused before it ran anything. */
 #define HEADER_RAN "Acacia-Ran"
 
-struct Endpoint
+struct AgentCaller
 {
-  EndpointOptions options;
-  GAsyncQueue *calls; /**< EndpointCall, or this object itself to end a thread */
-  GPtrArray *threads;
-  GThread *health_thread;
-  GMutex mutex;
-  GCond stopping;
-  gboolean is_stopping; /**< guarded by mutex */
-};
-
-/** A thread's session and how far its connection came within the call. */
-typedef struct
-{
-  const Endpoint *endpoint;
   ne_session *session;
+  int64_t connect_ms;
+  int64_t once_read_ms;
   gboolean is_connected;
-  gboolean was_connected;
-} Caller;
+  gboolean was_connected; /**< at any time during the call */
+};
 
 void
-endpoint_call_free (EndpointCall *call)
+agent_call_free (AgentCall *call)
 {
   if (call == NULL)
     return;
@@ -55,7 +44,7 @@
 static void
 note_status (void *ctx, ne_session_status status, const ne_session_status_info *info)
 {
-  Caller *caller = ctx;
+  AgentCaller *caller = ctx;
 
   (void) info;
   if (status == ne_status_connected)
@@ -72,18 +61,31 @@
   return (int) CLAMP (seconds, 1, G_MAXINT);
 }
 
-static void
-open_caller (Caller *caller, const Endpoint *endpoint)
+AgentCaller *
+agent_caller_new (const AgentCallerOptions *options)
 {
-  *caller = (Caller){ .endpoint = endpoint };
-  caller->session = ne_session_create ("http", endpoint->options.host, endpoint->options.port);
-  ne_set_connect_timeout (caller->session,
-                          seconds_up (endpoint->options.connect_ms * CLK_US_PER_MS));
+  AgentCaller *caller = g_new0 (AgentCaller, 1);
+
+  (void) ne_sock_init ();
+  caller->once_read_ms = options->once_read_ms;
+  caller->connect_ms = options->connect_ms;
+  caller->session = ne_session_create ("http", options->host, options->port);
+  ne_set_connect_timeout (caller->session, seconds_up (options->connect_ms * CLK_US_PER_MS));
   ne_set_notifier (caller->session, note_status, caller);
+  return caller;
+}
+
+void
+agent_caller_free (AgentCaller *caller)
+{
+  if (caller == NULL)
+    return;
+  ne_session_destroy (caller->session);
+  g_free (caller);
 }
 
 static void
-fail (EndpointCall *call, ErrKind kind, ErrRan ran, const char *message)
+fail (AgentCall *call, ErrKind kind, ErrRan ran, const char *message)
 {
   call->has_answer = FALSE;
   call->kind = kind;
@@ -93,7 +95,7 @@
 }
 
 static ne_request *
-make_request (const Caller *caller, const EndpointCall *call)
+make_request (const AgentCaller *caller, const AgentCall *call)
 {
   ne_request *request = ne_request_create (caller->session, "POST", call->path);
   char id[IDS_TEXT_SIZE];
@@ -122,7 +124,7 @@
 
 /* Reads the body; FALSE, with the failure in @p call, unless it is whole. */
 static gboolean
-read_answer (const Caller *caller, ne_request *request, EndpointCall *call, int64_t end_us)
+read_answer (const AgentCaller *caller, ne_request *request, AgentCall *call, int64_t end_us)
 {
   char chunk[READ_CHUNK_BYTES];
   ssize_t got;
@@ -130,7 +132,7 @@
   g_byte_array_set_size (call->answer, 0);
   while ((got = ne_read_response_block (request, chunk, sizeof (chunk))) > 0)
     {
-      if (call->answer->len + (size_t) got > ENDPOINT_ANSWER_MAX)
+      if (call->answer->len + (size_t) got > AGENT_ANSWER_MAX)
         {
           fail (call, ERR_TOO_LARGE, ERR_RAN_YES, "endpoint: answer over the bound");
           return FALSE;
@@ -149,7 +151,7 @@
 }
 
 static void
-take_answer (ne_request *request, EndpointCall *call)
+take_answer (ne_request *request, AgentCall *call)
 {
   uint32_t status = (uint32_t) ne_get_status (request)->code;
   const char *type = ne_get_response_header (request, "Content-Type");
@@ -166,7 +168,7 @@
 }
 
 static void
-fail_exchange (const Caller *caller, int result, EndpointCall *call)
+fail_exchange (const AgentCaller *caller, int result, AgentCall *call)
 {
   const char *message = ne_get_error (caller->session);
 
@@ -180,7 +182,7 @@
 
 /* Sends the request and reads its whole answer; FALSE with the failure in @p call. */
 static gboolean
-exchange (Caller *caller, ne_request *request, EndpointCall *call, int64_t end_us)
+exchange (AgentCaller *caller, ne_request *request, AgentCall *call, int64_t end_us)
 {
   int result = NE_RETRY;
 
@@ -206,8 +208,8 @@
   return FALSE;
 }
 
-static void
-run_call (Caller *caller, EndpointCall *call)
+void
+agent_caller_run (AgentCaller *caller, AgentCall *call)
 {
   int64_t start_us = clk_now_us ();
   int64_t left_us = call->deadline_us - start_us;
@@ -218,7 +220,7 @@
       return;
     }
   if (call->once)
-    left_us = MAX (left_us, caller->endpoint->options.once_read_ms * CLK_US_PER_MS);
+    left_us = MAX (left_us, caller->once_read_ms * CLK_US_PER_MS);
   /* A kept connection may be closed at the other end, and neon then sends again. */
   if (call->once)
     ne_close_connection (caller->session);
@@ -236,108 +238,16 @@
   call->took_us = clk_now_us () - start_us;
 }
 
-static void *
-run_calls (void *data)
-{
-  Endpoint *endpoint = data;
-  Caller caller;
-  void *item;
-
-  open_caller (&caller, endpoint);
-  while ((item = g_async_queue_pop (endpoint->calls)) != endpoint)
-    {
-      EndpointCall *call = item;
-      run_call (&caller, call);
-      endpoint->options.on_done (endpoint->options.ctx, call);
-    }
-  ne_session_destroy (caller.session);
-  return NULL;
-}
-
-static gboolean
-check_health (Caller *caller)
+gboolean
+agent_caller_check (AgentCaller *caller)
 {
   ne_request *request = ne_request_create (caller->session, "GET", "/healthz");
   gboolean healthy;
 
-  ne_set_read_timeout (caller->session,
-                       seconds_up (caller->endpoint->options.connect_ms * CLK_US_PER_MS));
+  ne_set_read_timeout (caller->session, seconds_up (caller->connect_ms * CLK_US_PER_MS));
   healthy = ne_request_dispatch (request) == NE_OK && ne_get_status (request)->klass == 2;
   ne_request_destroy (request);
   if (!healthy)
     ne_close_connection (caller->session);
   return healthy;
 }
-
-static gboolean
-wait_health (Endpoint *endpoint)
-{
-  int64_t end_us = g_get_monotonic_time () + endpoint->options.health_ms * CLK_US_PER_MS;
-  gboolean go_on;
-
-  g_mutex_lock (&endpoint->mutex);
-  while (!endpoint->is_stopping
-         && g_cond_wait_until (&endpoint->stopping, &endpoint->mutex, end_us))
-    continue;
-  go_on = !endpoint->is_stopping;
-  g_mutex_unlock (&endpoint->mutex);
-  return go_on;
-}
-
-static void *
-run_health (void *data)
-{
-  Endpoint *endpoint = data;
-  Caller caller;
-
-  open_caller (&caller, endpoint);
-  do
-    endpoint->options.on_health (endpoint->options.ctx, check_health (&caller));
-  while (wait_health (endpoint));
-  ne_session_destroy (caller.session);
-  return NULL;
-}
-
-Endpoint *
-endpoint_new (const EndpointOptions *options)
-{
-  Endpoint *endpoint = g_new0 (Endpoint, 1);
-
-  (void) ne_sock_init ();
-  endpoint->options = *options;
-  endpoint->calls = g_async_queue_new ();
-  endpoint->threads = g_ptr_array_new ();
-  g_mutex_init (&endpoint->mutex);
-  g_cond_init (&endpoint->stopping);
-  for (uint32_t i = 0; i < options->threads; i++)
-    g_ptr_array_add (endpoint->threads, g_thread_new ("endpoint", run_calls, endpoint));
-  endpoint->health_thread = g_thread_new ("health", run_health, endpoint);
-  return endpoint;
-}
-
-void
-endpoint_free (Endpoint *endpoint)
-{
-  if (endpoint == NULL)
-    return;
-  g_mutex_lock (&endpoint->mutex);
-  endpoint->is_stopping = TRUE;
-  g_cond_broadcast (&endpoint->stopping);
-  g_mutex_unlock (&endpoint->mutex);
-  for (guint i = 0; i < endpoint->threads->len; i++)
-    g_async_queue_push (endpoint->calls, endpoint);
-  for (guint i = 0; i < endpoint->threads->len; i++)
-    (void) g_thread_join (g_ptr_array_index (endpoint->threads, i));
-  (void) g_thread_join (endpoint->health_thread);
-  g_ptr_array_unref (endpoint->threads);
-  g_async_queue_unref (endpoint->calls);
-  g_cond_clear (&endpoint->stopping);
-  g_mutex_clear (&endpoint->mutex);
-  g_free (endpoint);
-}
-
-void
-endpoint_push (Endpoint *endpoint, EndpointCall *call)
-{
-  g_async_queue_push (endpoint->calls, call);
-}
--- a/programs/agent/node.c
+++ b/lib/agent/agent_node.c
@@ -1,8 +1,8 @@
 /**
- * @file node.c
+ * @file agent_node.c
  * The loop: heartbeats, leases, configuration, leaving.
  */
-#include "node.h"
+#include "agent/agent_node.h"
 
 #include <string.h>
 
@@ -20,19 +20,19 @@
 #define EPOCH_FIRST 1
 
 void
-node_count (Node *node, const char *name, const char *help)
+agent_node_count (AgentNode *node, const char *name, const char *help)
 {
   met_add (met_counter (node->metrics, name, NULL, help), 1);
 }
 
 void
-node_count_refused (Node *node, ErrKind kind)
+agent_node_count_refused (AgentNode *node, ErrKind kind)
 {
   met_kind_add (node->metrics, "acacia_agent_refused_total", kind, 1);
 }
 
 void
-node_post (Node *node, void (*function) (void *ctx, void *data), void *data)
+agent_node_post (AgentNode *node, void (*function) (void *ctx, void *data), void *data)
 {
   /* The threads that post are joined before the loop stops, so this ends. */
   while (!wire_post (node->wire, function, node, data))
@@ -40,7 +40,7 @@
 }
 
 gboolean
-node_send (Node *node, const char *peer, const Wire__Envelope *envelope)
+agent_node_send (AgentNode *node, const char *peer, const Wire__Envelope *envelope)
 {
   if (!wire_send (node->wire, peer, envelope))
     return FALSE;
@@ -49,7 +49,7 @@
 }
 
 void
-node_beat (Node *node, int64_t now_us)
+agent_node_beat (AgentNode *node, int64_t now_us)
 {
   const AgentSettings *settings = node->settings;
   AgentAnnounceSource source = {
@@ -82,7 +82,7 @@
 }
 
 static void
-take_lease (Node *node, const char *peer, const Wire__Lease *lease)
+take_lease (AgentNode *node, const char *peer, const Wire__Lease *lease)
 {
   int64_t now_us = clk_now_us ();
   AgentGrant grant = { lease->shard, lease->epoch, lease->seq, lease->sent_us, lease->lease_ms };
@@ -96,21 +96,21 @@
       uint64_t before = agent_leases_epoch (node->leases, grant.shard);
       AgentGrantResult result = agent_leases_grant (node->leases, &grant, now_us);
       if (result == AGENT_GRANT_STALE_EPOCH)
-        node_count_refused (node, ERR_STALE_EPOCH);
+        agent_node_count_refused (node, ERR_STALE_EPOCH);
       if (result == AGENT_GRANT_TAKEN && before != grant.epoch)
         {
           jnl_event (JNL_INFO, "agent", "epoch", "shard=%u epoch=%" G_GUINT64_FORMAT " entry=%s",
                      grant.shard, grant.epoch, peer);
           /* The new owner learns at once what runs here. */
-          node_beat (node, now_us);
+          agent_node_beat (node, now_us);
         }
     }
   for (size_t i = 0; i < lease->n_acks; i++)
-    tasks_acknowledge (node, lease->acks[i], now_us);
+    agent_work_acknowledge (node, lease->acks[i], now_us);
 }
 
 static void
-apply_document (Node *node, const DocDocument *document)
+apply_document (AgentNode *node, const DocDocument *document)
 {
   const AgentSettings *settings = node->settings;
   const DocService *service = doc_service (document, settings->endpoint_service);
@@ -124,7 +124,7 @@
 }
 
 static void
-take_config (Node *node, const Wire__ConfigOffer *offer)
+take_config (AgentNode *node, const Wire__ConfigOffer *offer)
 {
   g_autoptr (GError) error = NULL;
 
@@ -134,7 +134,7 @@
       = doc_parse ((const char *) offer->text.data, offer->text.len, "offer", &error);
   if (document == NULL)
     {
-      node_count_refused (node, ERR_BAD_CONFIG);
+      agent_node_count_refused (node, ERR_BAD_CONFIG);
       jnl_event (JNL_WARN, "agent", "config_refused", "reason=\"%s\"", error->message);
       return;
     }
@@ -142,13 +142,13 @@
   apply_document (node, document);
   doc_free (document);
   jnl_event (JNL_INFO, "agent", "config", "version=%" G_GUINT64_FORMAT, offer->version);
-  node_beat (node, clk_now_us ());
+  agent_node_beat (node, clk_now_us ());
 }
 
 static void
 on_message (void *ctx, const char *peer, const Wire__Envelope *envelope)
 {
-  Node *node = ctx;
+  AgentNode *node = ctx;
 
   switch (envelope->body_case)
     {
@@ -156,25 +156,25 @@
       take_lease (node, peer, envelope->lease);
       break;
     case WIRE__ENVELOPE__BODY_COMMAND:
-      tasks_command (node, peer, envelope->command);
+      agent_work_command (node, peer, envelope->command);
       break;
     case WIRE__ENVELOPE__BODY_REQUEST:
-      requests_take (node, peer, envelope->request);
+      agent_requests_take (node, peer, envelope->request);
       break;
     case WIRE__ENVELOPE__BODY_ATTEMPT_QUERY:
-      requests_query (node, peer, envelope->attempt_query);
+      agent_requests_query (node, peer, envelope->attempt_query);
       break;
     case WIRE__ENVELOPE__BODY_CONFIG:
       take_config (node, envelope->config);
       break;
     default:
-      node_count (node, "acacia_agent_unexpected_total", "Messages that no agent expects.");
+      agent_node_count (node, "acacia_agent_unexpected_total", "Messages that no agent expects.");
       break;
     }
 }
 
 static void
-update_gauges (Node *node)
+update_gauges (AgentNode *node)
 {
   MetRegistry *metrics = node->metrics;
   DocSize reserved = agent_admission_reserved (node->admission);
@@ -194,7 +194,7 @@
 }
 
 static void
-update_ready (Node *node, int64_t now_us)
+update_ready (AgentNode *node, int64_t now_us)
 {
   int64_t within_us = node->settings->ready_ms * CLK_US_PER_MS;
   gboolean ready = agent_entries_any_heard (node->entries, within_us, now_us)
@@ -204,7 +204,7 @@
 }
 
 static void
-check_leaving (Node *node, int64_t now_us)
+check_leaving (AgentNode *node, int64_t now_us)
 {
   int64_t within_us = node->settings->ready_ms * CLK_US_PER_MS;
   uint32_t live = agent_tasks_live (node->tasks);
@@ -222,16 +222,16 @@
 static void
 on_timer (void *ctx, int64_t now_us)
 {
-  Node *node = ctx;
+  AgentNode *node = ctx;
 
   if (now_us - node->opened_us > node->settings->worker_orphan_ms * CLK_US_PER_MS)
     node->has_listed = TRUE;
-  tasks_end_lapsed (node, now_us);
-  requests_pump (node, now_us);
+  agent_work_end_lapsed (node, now_us);
+  agent_requests_pump (node, now_us);
   if (node->has_listed && now_us - node->beat_us >= node->settings->heartbeat_ms * CLK_US_PER_MS)
     {
-      node_beat (node, now_us);
-      tasks_extend_all (node, now_us);
+      agent_node_beat (node, now_us);
+      agent_work_extend (node, now_us);
       update_gauges (node);
     }
   update_ready (node, now_us);
@@ -241,7 +241,7 @@
 static void
 set_healthy (void *ctx, void *data)
 {
-  Node *node = ctx;
+  AgentNode *node = ctx;
   gboolean healthy = data != NULL;
 
   if (node->endpoint_healthy == healthy)
@@ -249,19 +249,19 @@
   node->endpoint_healthy = healthy;
   jnl_event (healthy ? JNL_INFO : JNL_WARN, "agent", "endpoint", "healthy=%d", healthy);
   if (node->has_listed)
-    node_beat (node, clk_now_us ());
+    agent_node_beat (node, clk_now_us ());
 }
 
 static void
 on_health (void *ctx, gboolean healthy)
 {
-  node_post (ctx, set_healthy, healthy ? ctx : NULL);
+  agent_node_post (ctx, set_healthy, healthy ? ctx : NULL);
 }
 
 static void
 leave (void *ctx, void *data)
 {
-  Node *node = ctx;
+  AgentNode *node = ctx;
   int64_t now_us = clk_now_us ();
 
   (void) data;
@@ -270,20 +270,20 @@
   jnl_event (JNL_INFO, "agent", "leaving", "requests=%u tasks=%u",
              agent_queue_running (node->queue) + agent_queue_queued (node->queue),
              agent_tasks_live (node->tasks));
-  node_beat (node, now_us);
+  agent_node_beat (node, now_us);
   agent_entries_answered_all (node->entries, node->seq - 1);
   if (node->worker != NULL)
-    tasks_end_all (node);
+    agent_work_end_all (node);
 }
 
 void
-node_leave (Node *node)
+agent_node_leave (AgentNode *node)
 {
-  node_post (node, leave, NULL);
+  agent_node_post (node, leave, NULL);
 }
 
 static void
-make_tables (Node *node)
+make_tables (AgentNode *node)
 {
   const AgentSettings *settings = node->settings;
   DocSize capacity = { settings->cpu_milli, settings->memory_mb, settings->accelerators };
@@ -310,7 +310,7 @@
 }
 
 static gboolean
-open_wire (Node *node, GError **error)
+open_wire (AgentNode *node, GError **error)
 {
   const AgentSettings *settings = node->settings;
   WireOptions options = {
@@ -339,41 +339,39 @@
 }
 
 static void
-start_threads (Node *node)
+start_threads (AgentNode *node)
 {
   const AgentSettings *settings = node->settings;
-  EndpointOptions endpoint = {
-    .host = settings->endpoint_host,
-    .port = (uint16_t) settings->endpoint_port,
+  AgentEndpointOptions endpoint = {
+    .caller = { settings->endpoint_host, (uint16_t) settings->endpoint_port,
+                settings->endpoint_connect_ms, settings->endpoint_once_read_ms },
     .threads = (uint32_t) settings->endpoint_threads,
-    .connect_ms = settings->endpoint_connect_ms,
-    .once_read_ms = settings->endpoint_once_read_ms,
     .health_ms = settings->endpoint_health_ms,
-    .on_done = requests_on_done,
+    .on_done = agent_requests_on_done,
     .on_health = on_health,
     .ctx = node,
   };
-  WorkerOptions worker = {
+  AgentWorkerOptions worker = {
     .client = { settings->worker_host, (uint16_t) settings->worker_port,
                 settings->worker_connect_ms, settings->worker_read_ms },
     .poll_ms = settings->worker_poll_ms,
-    .on_result = tasks_on_result,
-    .on_report = tasks_on_report,
+    .on_result = agent_work_on_result,
+    .on_report = agent_work_on_report,
     .ctx = node,
   };
 
   if (settings->endpoint_port != 0)
-    node->endpoint = endpoint_new (&endpoint);
+    node->endpoint = agent_endpoint_new (&endpoint);
   if (settings->worker_port != 0)
-    node->worker = worker_new (&worker);
+    node->worker = agent_worker_new (&worker);
   node->has_listed = node->worker == NULL;
   wire_start (node->wire);
 }
 
-Node *
-node_open (const AgentSettings *settings, MetRegistry *metrics, GError **error)
+AgentNode *
+agent_node_open (const AgentSettings *settings, MetRegistry *metrics, GError **error)
 {
-  Node *node = g_new0 (Node, 1);
+  AgentNode *node = g_new0 (AgentNode, 1);
 
   node->settings = settings;
   node->metrics = metrics;
@@ -384,7 +382,7 @@
   make_tables (node);
   if (!open_wire (node, error))
     {
-      node_close (node);
+      agent_node_close (node);
       return NULL;
     }
   start_threads (node);
@@ -392,20 +390,20 @@
 }
 
 void
-node_close (Node *node)
+agent_node_close (AgentNode *node)
 {
   gboolean expired;
   void *waiting;
 
   if (node == NULL)
     return;
-  endpoint_free (node->endpoint);
-  worker_free (node->worker);
+  agent_endpoint_free (node->endpoint);
+  agent_worker_free (node->worker);
   wire_free (node->wire);
   /* Only a process that did not leave first has requests that wait. */
   agent_queue_set_limits (node->queue, G_MAXUINT32, G_MAXUINT32);
   while ((waiting = agent_queue_take (node->queue, 0, &expired)) != NULL)
-    endpoint_call_free (waiting);
+    agent_call_free (waiting);
   agent_tasks_free (node->tasks);
   agent_leases_free (node->leases);
   agent_admission_free (node->admission);
--- a/programs/agent/node.h
+++ b/lib/agent/agent_node.h
@@ -1,5 +1,5 @@
 /**
- * @file node.h
+ * @file agent_node.h
  * The agent's loop: all its state belongs to the wire's loop thread, which the other threads reach
  * by posts. What is decided is in lib/agent; here are its inputs and outputs.
  */
@@ -19,10 +19,10 @@
 #include "agent/agent_refusals.h"
 #include "agent/agent_tasks.h"
 #include "common/met.h"
-#include "endpoint.h"
-#include "settings.h"
+#include "agent/agent_endpoint.h"
+#include "agent/agent_settings.h"
 #include "wire/wire.h"
-#include "worker.h"
+#include "agent/agent_worker.h"
 
 G_BEGIN_DECLS
 
@@ -31,8 +31,8 @@
   const AgentSettings *settings;
   MetRegistry *metrics;
   Wire *wire;
-  Endpoint *endpoint; /**< NULL for none */
-  Worker *worker;     /**< NULL for none */
+  AgentEndpoint *endpoint; /**< NULL for none */
+  AgentWorker *worker;     /**< NULL for none */
   uint64_t incarnation;
   /** Below: the loop thread's. */
   uint64_t seq; /**< of the newest heartbeat */
@@ -56,45 +56,45 @@
   /** Read by other threads. */
   atomic_bool is_ready;
   atomic_bool is_done;
-} Node;
+} AgentNode;
 
 /** Makes the tables, connects to the entries and starts all threads. NULL with the reason. */
-Node *node_open (const AgentSettings *settings, MetRegistry *metrics, GError **error);
+AgentNode *agent_node_open (const AgentSettings *settings, MetRegistry *metrics, GError **error);
 
 /** Ends all threads and frees all. NULL is allowed. */
-void node_close (Node *node);
+void agent_node_close (AgentNode *node);
 
 /** Starts leaving; from any thread. */
-void node_leave (Node *node);
+void agent_node_leave (AgentNode *node);
 
 /** Counts something refused, by reason. */
-void node_count_refused (Node *node, ErrKind kind);
+void agent_node_count_refused (AgentNode *node, ErrKind kind);
 
 /** Adds one to a counter. */
-void node_count (Node *node, const char *name, const char *help);
+void agent_node_count (AgentNode *node, const char *name, const char *help);
 
 /** Posts to the loop from another thread; waits while its queue is full. */
-void node_post (Node *node, void (*function) (void *ctx, void *data), void *data);
+void agent_node_post (AgentNode *node, void (*function) (void *ctx, void *data), void *data);
 
 /** Sends to an entry and notes it for the receipt. */
-gboolean node_send (Node *node, const char *peer, const Wire__Envelope *envelope);
+gboolean agent_node_send (AgentNode *node, const char *peer, const Wire__Envelope *envelope);
 
 /** Sends a heartbeat to every entry now. */
-void node_beat (Node *node, int64_t now_us);
+void agent_node_beat (AgentNode *node, int64_t now_us);
 
-/** requests.c: requests to the endpoint. */
-void requests_take (Node *node, const char *peer, const Wire__Request *request);
-void requests_query (Node *node, const char *peer, const Wire__AttemptQuery *query);
-void requests_pump (Node *node, int64_t now_us);
-void requests_on_done (void *ctx, EndpointCall *call);
+/** agent_requests.c: requests to the endpoint. */
+void agent_requests_take (AgentNode *node, const char *peer, const Wire__Request *request);
+void agent_requests_query (AgentNode *node, const char *peer, const Wire__AttemptQuery *query);
+void agent_requests_pump (AgentNode *node, int64_t now_us);
+void agent_requests_on_done (void *ctx, AgentCall *call);
 
-/** tasks.c: commands for tasks and what the worker says. */
-void tasks_command (Node *node, const char *peer, const Wire__TaskCommand *command);
-void tasks_acknowledge (Node *node, const Wire__TaskAck *ack, int64_t now_us);
-void tasks_extend_all (Node *node, int64_t now_us);
-void tasks_end_lapsed (Node *node, int64_t now_us);
-void tasks_end_all (Node *node);
-void tasks_on_result (void *ctx, WorkerOrder *order);
-void tasks_on_report (void *ctx, WorkerReport *report);
+/** agent_work.c: commands for tasks and what the worker says. */
+void agent_work_command (AgentNode *node, const char *peer, const Wire__TaskCommand *command);
+void agent_work_acknowledge (AgentNode *node, const Wire__TaskAck *ack, int64_t now_us);
+void agent_work_extend (AgentNode *node, int64_t now_us);
+void agent_work_end_lapsed (AgentNode *node, int64_t now_us);
+void agent_work_end_all (AgentNode *node);
+void agent_work_on_result (void *ctx, AgentOrder *order);
+void agent_work_on_report (void *ctx, AgentReport *report);
 
 G_END_DECLS
--- a/programs/agent/requests.c
+++ b/lib/agent/agent_requests.c
@@ -1,12 +1,12 @@
 /**
- * @file requests.c
+ * @file agent_requests.c
  * Requests to the endpoint: checked, queued, run by the pool, answered.
  */
 #include <string.h>
 
 #include "common/clk.h"
 #include "common/jnl.h"
-#include "node.h"
+#include "agent/agent_node.h"
 #include "wire/wire_parse.h"
 
 #define TEXT_BYTES_MAX 255
@@ -15,13 +15,13 @@
 #define BUDGET_US_MAX (INT64_C (24) * 3600 * CLK_US_PER_S)
 
 static AgentAttempt
-attempt_of (const EndpointCall *call)
+attempt_of (const AgentCall *call)
 {
   return (AgentAttempt){ call->tenant, call->key, call->attempt, call->chosen_us };
 }
 
 static void
-fill_response (Node *node, const EndpointCall *call, Wire__Response *response)
+fill_response (AgentNode *node, const AgentCall *call, Wire__Response *response)
 {
   wire__response__init (response);
   response->id_high = call->id.high;
@@ -47,29 +47,29 @@
 }
 
 static void
-send_response (Node *node, const char *peer, Wire__Response *response)
+send_response (AgentNode *node, const char *peer, Wire__Response *response)
 {
   Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
   envelope.body_case = WIRE__ENVELOPE__BODY_RESPONSE;
   envelope.response = response;
-  if (!node_send (node, peer, &envelope))
-    node_count (node, "acacia_agent_answers_lost_total", "Answers that could not be sent.");
+  if (!agent_node_send (node, peer, &envelope))
+    agent_node_count (node, "acacia_agent_answers_lost_total", "Answers that could not be sent.");
 }
 
 /* Frees @p call. */
 static void
-answer_call (Node *node, EndpointCall *call)
+answer_call (AgentNode *node, AgentCall *call)
 {
   Wire__Response response;
 
   fill_response (node, call, &response);
   send_response (node, call->peer, &response);
-  endpoint_call_free (call);
+  agent_call_free (call);
 }
 
 static void
-set_failure (EndpointCall *call, ErrKind kind, ErrRan ran, const char *message)
+set_failure (AgentCall *call, ErrKind kind, ErrRan ran, const char *message)
 {
   call->has_answer = FALSE;
   call->kind = kind;
@@ -80,7 +80,7 @@
 
 /* Answers a once request that was seen before, from what is held. */
 static void
-answer_again (Node *node, EndpointCall *call, AgentAttemptState state, GBytes *held)
+answer_again (AgentNode *node, AgentCall *call, AgentAttemptState state, GBytes *held)
 {
   Wire__Response *response = NULL;
 
@@ -96,7 +96,7 @@
       response->id_low = call->id.low;
       send_response (node, call->peer, response);
       wire__response__free_unpacked (response, NULL);
-      endpoint_call_free (call);
+      agent_call_free (call);
       return;
     }
   if (state == AGENT_ATTEMPT_RAN)
@@ -105,13 +105,13 @@
     set_failure (call, ERR_IN_DOUBT, ERR_RAN_DOUBT, "started before; its end is not known");
   else
     set_failure (call, ERR_FENCED, ERR_RAN_NO, "this attempt is fenced");
-  node_count_refused (node, call->kind);
+  agent_node_count_refused (node, call->kind);
   answer_call (node, call);
 }
 
 /* Refuses a call that was not started, and fences it against a late duplicate. Frees @p call. */
 static void
-refuse (Node *node, EndpointCall *call, ErrKind kind, const char *message)
+refuse (AgentNode *node, AgentCall *call, ErrKind kind, const char *message)
 {
   AgentAttempt attempt = attempt_of (call);
   AgentAttemptState state = AGENT_ATTEMPT_FENCED;
@@ -122,8 +122,9 @@
     agent_refusals_add (node->refusals, call->id, call->attempt);
   if (state == AGENT_ATTEMPT_RUNNING)
     {
-      node_count (node, "acacia_agent_duplicates_total", "Requests that came again while running.");
-      endpoint_call_free (call);
+      agent_node_count (node, "acacia_agent_duplicates_total",
+                        "Requests that came again while running.");
+      agent_call_free (call);
       return;
     }
   if (state == AGENT_ATTEMPT_RAN || state == AGENT_ATTEMPT_UNKNOWN)
@@ -134,7 +135,7 @@
       return;
     }
   set_failure (call, kind, ERR_RAN_NO, message);
-  node_count_refused (node, kind);
+  agent_node_count_refused (node, kind);
   answer_call (node, call);
 }
 
@@ -161,10 +162,10 @@
          && strchr (request->path, ' ') == NULL && (!request->once || *request->key != '\0');
 }
 
-static EndpointCall *
+static AgentCall *
 make_call (const char *peer, const Wire__Request *request, int64_t now_us)
 {
-  EndpointCall *call = g_new0 (EndpointCall, 1);
+  AgentCall *call = g_new0 (AgentCall, 1);
 
   call->id = (IdsId){ request->id_high, request->id_low };
   call->attempt = request->attempt;
@@ -183,7 +184,7 @@
 
 /* Why a request can't be taken at all; ERR_KIND_COUNT when it can. */
 static ErrKind
-reason_to_refuse (const Node *node, const Wire__Request *request, const char **message)
+reason_to_refuse (const AgentNode *node, const Wire__Request *request, const char **message)
 {
   if (request->agent_incarnation != node->incarnation)
     {
@@ -210,7 +211,7 @@
 
 /* Puts a call in the queue; once requests are recorded first. Takes @p call. */
 static void
-enqueue (Node *node, EndpointCall *call, int64_t now_us)
+enqueue (AgentNode *node, AgentCall *call, int64_t now_us)
 {
   ErrKind kind;
 
@@ -251,29 +252,29 @@
 }
 
 void
-requests_take (Node *node, const char *peer, const Wire__Request *request)
+agent_requests_take (AgentNode *node, const char *peer, const Wire__Request *request)
 {
   int64_t now_us = clk_now_us ();
   const char *message = "";
   ErrKind kind;
 
-  node_count (node, "acacia_agent_requests_total", "Requests received.");
+  agent_node_count (node, "acacia_agent_requests_total", "Requests received.");
   if (!is_well_formed (request))
     {
       /* Nothing of it can be recorded; it never starts, whenever it comes. */
-      EndpointCall *call = make_call (peer, request, now_us);
+      AgentCall *call = make_call (peer, request, now_us);
       set_failure (call, ERR_BAD_REQUEST, ERR_RAN_NO, "malformed request");
-      node_count_refused (node, ERR_BAD_REQUEST);
+      agent_node_count_refused (node, ERR_BAD_REQUEST);
       answer_call (node, call);
       return;
     }
-  EndpointCall *call = make_call (peer, request, now_us);
+  AgentCall *call = make_call (peer, request, now_us);
   kind = reason_to_refuse (node, request, &message);
   if (kind == ERR_FENCED || kind == ERR_NO_ENDPOINT)
     {
       /* True of every later duplicate as well: no fence is needed. */
       set_failure (call, kind, ERR_RAN_NO, message);
-      node_count_refused (node, kind);
+      agent_node_count_refused (node, kind);
       answer_call (node, call);
       return;
     }
@@ -283,20 +284,20 @@
       return;
     }
   enqueue (node, call, now_us);
-  requests_pump (node, now_us);
+  agent_requests_pump (node, now_us);
 }
 
 void
-requests_pump (Node *node, int64_t now_us)
+agent_requests_pump (AgentNode *node, int64_t now_us)
 {
-  EndpointCall *call;
+  AgentCall *call;
   gboolean expired;
 
   while ((call = agent_queue_take (node->queue, now_us, &expired)) != NULL)
     {
       if (!expired)
         {
-          endpoint_push (node->endpoint, call);
+          agent_endpoint_push (node->endpoint, call);
           continue;
         }
       if (call->once)
@@ -310,7 +311,7 @@
 
 /* Records the end of a once request. */
 static void
-end_attempt (Node *node, const EndpointCall *call, int64_t now_us)
+end_attempt (AgentNode *node, const AgentCall *call, int64_t now_us)
 {
   AgentAttempt attempt = attempt_of (call);
 
@@ -336,8 +337,8 @@
 static void
 finish_call (void *ctx, void *data)
 {
-  Node *node = ctx;
-  EndpointCall *call = data;
+  AgentNode *node = ctx;
+  AgentCall *call = data;
   int64_t now_us = clk_now_us ();
 
   agent_queue_done (node->queue);
@@ -349,7 +350,7 @@
     }
   else
     {
-      node_count_refused (node, call->kind);
+      agent_node_count_refused (node, call->kind);
       jnl_event (JNL_WARN, "agent", "request_failed", "kind=%s ran=\"%s\" reason=\"%s\"",
                  err_name (call->kind), err_ran_name (call->ran), call->message);
       if (!call->once && call->ran == ERR_RAN_NO)
@@ -358,13 +359,13 @@
   if (call->once)
     end_attempt (node, call, now_us);
   answer_call (node, call);
-  requests_pump (node, now_us);
+  agent_requests_pump (node, now_us);
 }
 
 void
-requests_on_done (void *ctx, EndpointCall *call)
+agent_requests_on_done (void *ctx, AgentCall *call)
 {
-  node_post (ctx, finish_call, call);
+  agent_node_post (ctx, finish_call, call);
 }
 
 static Wire__AttemptState
@@ -384,7 +385,7 @@
 }
 
 void
-requests_query (Node *node, const char *peer, const Wire__AttemptQuery *query)
+agent_requests_query (AgentNode *node, const char *peer, const Wire__AttemptQuery *query)
 {
   Wire__AttemptReply reply = WIRE__ATTEMPT_REPLY__INIT;
   Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -409,7 +410,7 @@
     }
   envelope.body_case = WIRE__ENVELOPE__BODY_ATTEMPT_REPLY;
   envelope.attempt_reply = &reply;
-  (void) node_send (node, peer, &envelope);
+  (void) agent_node_send (node, peer, &envelope);
   if (reply.response != NULL)
     wire__response__free_unpacked (reply.response, NULL);
 }
--- a/programs/agent/settings.c
+++ b/lib/agent/agent_settings.c
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "agent/agent_settings.h"
 
 #include <stddef.h>
 #include <string.h>
--- a/programs/agent/settings.h
+++ b/lib/agent/agent_settings.h
@@ -1,5 +1,5 @@
 /**
- * @file settings.h
+ * @file agent_settings.h
  * Settings file of acacia-agent.
  */
 #pragma once
--- a/programs/agent/tasks.c
+++ b/lib/agent/agent_work.c
@@ -1,5 +1,5 @@
 /**
- * @file tasks.c
+ * @file agent_work.c
  * Commands for batch tasks, the worker's answers, and the ends of leases.
  */
 #include <string.h>
@@ -7,7 +7,7 @@
 #include "agent/agent_announce.h"
 #include "common/clk.h"
 #include "common/jnl.h"
-#include "node.h"
+#include "agent/agent_node.h"
 
 #define PERMILLE_MAX 1000
 #define PLACE "job=%016" G_GINT64_MODIFIER "x index=%u attempt=%u"
@@ -16,10 +16,10 @@
 /** Shard of a task that was found on the worker without one. */
 #define SHARD_NONE G_MAXUINT32
 
-static WorkerOrder *
-make_order (const AgentTask *task, WorkerVerb verb)
+static AgentOrder *
+make_order (const AgentTask *task, AgentVerb verb)
 {
-  WorkerOrder *order = g_new0 (WorkerOrder, 1);
+  AgentOrder *order = g_new0 (AgentOrder, 1);
 
   order->verb = verb;
   order->id = task->id;
@@ -30,18 +30,18 @@
 
 /* Hands an order over; one that doesn't fit is made again after the worker's next report. */
 static gboolean
-push (Node *node, WorkerOrder *order)
+push (AgentNode *node, AgentOrder *order)
 {
-  if (worker_push (node->worker, order))
+  if (agent_worker_push (node->worker, order))
     return TRUE;
-  node_count (node, "acacia_agent_worker_orders_dropped_total",
-              "Orders that found the queue full.");
-  worker_order_free (order);
+  agent_node_count (node, "acacia_agent_worker_orders_dropped_total",
+                    "Orders that found the queue full.");
+  agent_order_free (order);
   return FALSE;
 }
 
 static void
-send_status (Node *node, const char *peer, Wire__TaskStatus *status)
+send_status (AgentNode *node, const char *peer, Wire__TaskStatus *status)
 {
   Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
@@ -49,16 +49,16 @@
   envelope.event = status;
   if (peer != NULL)
     {
-      (void) node_send (node, peer, &envelope);
+      (void) agent_node_send (node, peer, &envelope);
       return;
     }
   for (const char *const *name = wire_peers (node->wire); *name != NULL; name++)
-    (void) node_send (node, *name, &envelope);
+    (void) agent_node_send (node, *name, &envelope);
 }
 
 /* Tells one entry, or all (NULL), about a task, ahead of the next heartbeat. */
 static void
-send_task (Node *node, const char *peer, const AgentTask *task)
+send_task (AgentNode *node, const char *peer, const AgentTask *task)
 {
   Wire__TaskStatus status;
   Wire__Size used;
@@ -69,7 +69,7 @@
 }
 
 static void
-send_refused (Node *node, const char *peer, const Wire__TaskCommand *command, ErrKind kind)
+send_refused (AgentNode *node, const char *peer, const Wire__TaskCommand *command, ErrKind kind)
 {
   Wire__TaskStatus status = WIRE__TASK_STATUS__INIT;
 
@@ -84,9 +84,9 @@
 }
 
 static gboolean
-push_start (Node *node, const AgentTask *task, int64_t lease_end_us)
+push_start (AgentNode *node, const AgentTask *task, int64_t lease_end_us)
 {
-  WorkerOrder *order = make_order (task, WORKER_START);
+  AgentOrder *order = make_order (task, AGENT_VERB_START);
 
   order->lease_end_us = lease_end_us;
   order->job_name = g_strdup (task->job_name);
@@ -99,7 +99,7 @@
 }
 
 static void
-end_task (Node *node,
+end_task (AgentNode *node,
           AgentTask *task,
           AgentTaskState state,
           ErrKind kind,
@@ -133,7 +133,7 @@
 }
 
 static void
-take_start (Node *node, const char *peer, const Wire__TaskCommand *command)
+take_start (AgentNode *node, const char *peer, const Wire__TaskCommand *command)
 {
   AgentStart start = start_of (command);
   AgentTask *task;
@@ -153,23 +153,23 @@
       send_task (node, peer, task);
       break;
     case AGENT_START_REFUSED:
-      node_count_refused (node, kind);
+      agent_node_count_refused (node, kind);
       send_refused (node, peer, command, kind);
       break;
     case AGENT_START_DROPPED:
-      node_count_refused (node, ERR_QUEUE_FULL);
+      agent_node_count_refused (node, ERR_QUEUE_FULL);
       break;
     }
 }
 
 /* Refuses a start before any decision; without room for its fence nothing is said. */
 static void
-refuse_start (Node *node, const char *peer, const Wire__TaskCommand *command, ErrKind kind)
+refuse_start (AgentNode *node, const char *peer, const Wire__TaskCommand *command, ErrKind kind)
 {
   AgentTaskId id = { command->job, command->index, command->attempt };
   const AgentTask *task = agent_tasks_find (node->tasks, &id);
 
-  node_count_refused (node, kind);
+  agent_node_count_refused (node, kind);
   if (task != NULL)
     send_task (node, peer, task);
   else if (agent_tasks_fence (node->tasks, &id, clk_now_us ()))
@@ -177,15 +177,15 @@
 }
 
 static void
-push_end (Node *node, const AgentTask *task)
+push_end (AgentNode *node, const AgentTask *task)
 {
-  WorkerVerb verb = task->end_wanted == AGENT_END_STOP ? WORKER_STOP : WORKER_CHECKPOINT;
+  AgentVerb verb = task->end_wanted == AGENT_END_STOP ? AGENT_VERB_STOP : AGENT_VERB_CHECKPOINT;
 
   (void) push (node, make_order (task, verb));
 }
 
 static void
-want_end (Node *node, AgentTask *task, AgentEndWanted wanted)
+want_end (AgentNode *node, AgentTask *task, AgentEndWanted wanted)
 {
   if (agent_task_is_ended (task) || task->end_wanted >= wanted)
     return;
@@ -194,7 +194,10 @@
 }
 
 static void
-take_end (Node *node, const char *peer, const Wire__TaskCommand *command, AgentEndWanted wanted)
+take_end (AgentNode *node,
+          const char *peer,
+          const Wire__TaskCommand *command,
+          AgentEndWanted wanted)
 {
   AgentTaskId id = { command->job, command->index, command->attempt };
   AgentTask *task = agent_tasks_find (node->tasks, &id);
@@ -213,34 +216,34 @@
 }
 
 static void
-take_throttle (Node *node, const Wire__TaskCommand *command)
+take_throttle (AgentNode *node, const Wire__TaskCommand *command)
 {
   AgentTaskId id = { command->job, command->index, command->attempt };
   const AgentTask *task = agent_tasks_find (node->tasks, &id);
 
   if (task == NULL || agent_task_is_ended (task))
     return;
-  WorkerOrder *order = make_order (task, WORKER_THROTTLE);
+  AgentOrder *order = make_order (task, AGENT_VERB_THROTTLE);
   order->permille = CLAMP (command->throttle_permille, 1, PERMILLE_MAX);
   (void) push (node, order);
 }
 
 void
-tasks_command (Node *node, const char *peer, const Wire__TaskCommand *command)
+agent_work_command (AgentNode *node, const char *peer, const Wire__TaskCommand *command)
 {
   gboolean is_start = command->verb == WIRE__TASK_VERB__VERB_START;
 
-  node_count (node, "acacia_agent_commands_total", "Commands for tasks received.");
+  agent_node_count (node, "acacia_agent_commands_total", "Commands for tasks received.");
   if (node->worker == NULL)
     {
-      node_count_refused (node, ERR_NO_CAPACITY);
+      agent_node_count_refused (node, ERR_NO_CAPACITY);
       if (is_start)
         send_refused (node, peer, command, ERR_NO_CAPACITY);
       return;
     }
   if (command->epoch < agent_leases_epoch (node->leases, command->shard))
     {
-      node_count_refused (node, ERR_STALE_EPOCH);
+      agent_node_count_refused (node, ERR_STALE_EPOCH);
       if (is_start)
         send_refused (node, peer, command, ERR_STALE_EPOCH);
       return;
@@ -265,29 +268,29 @@
       take_throttle (node, command);
       break;
     default:
-      node_count_refused (node, ERR_BAD_REQUEST);
+      agent_node_count_refused (node, ERR_BAD_REQUEST);
       break;
     }
 }
 
 void
-tasks_acknowledge (Node *node, const Wire__TaskAck *ack, int64_t now_us)
+agent_work_acknowledge (AgentNode *node, const Wire__TaskAck *ack, int64_t now_us)
 {
   AgentTaskId id = { ack->job, ack->index, ack->attempt };
   const AgentTask *task = agent_tasks_find (node->tasks, &id);
 
   if (task == NULL || !agent_task_is_ended (task))
     return;
-  WorkerOrder *order = make_order (task, WORKER_FORGET);
+  AgentOrder *order = make_order (task, AGENT_VERB_FORGET);
   if (agent_tasks_acknowledge (node->tasks, &id, now_us))
     (void) push (node, order);
   else
-    worker_order_free (order);
+    agent_order_free (order);
 }
 
 /* Hands each shard's lease on to the worker, once for each round of answers. */
 void
-tasks_extend_all (Node *node, int64_t now_us)
+agent_work_extend (AgentNode *node, int64_t now_us)
 {
   if (node->worker == NULL || node->extends_waiting > 0)
     return;
@@ -302,8 +305,8 @@
         }
       if (!has_task || now_us >= lease.end_us)
         continue;
-      WorkerOrder *order = g_new0 (WorkerOrder, 1);
-      order->verb = WORKER_EXTEND;
+      AgentOrder *order = g_new0 (AgentOrder, 1);
+      order->verb = AGENT_VERB_EXTEND;
       order->shard = lease.shard;
       order->epoch = lease.epoch;
       order->lease_end_us = lease.end_us;
@@ -313,15 +316,15 @@
 }
 
 void
-tasks_end_lapsed (Node *node, int64_t now_us)
+agent_work_end_lapsed (AgentNode *node, int64_t now_us)
 {
   uint32_t shard;
 
   while (agent_leases_take_lapsed (node->leases, now_us, &shard))
     {
       jnl_event (JNL_WARN, "agent", "lease_lapsed", "shard=%u", shard);
-      node_count (node, "acacia_agent_leases_lapsed_total",
-                  "Leases that were not renewed in time.");
+      agent_node_count (node, "acacia_agent_leases_lapsed_total",
+                        "Leases that were not renewed in time.");
       for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
         {
           AgentTask *task = agent_tasks_at (node->tasks, i);
@@ -332,7 +335,7 @@
 }
 
 void
-tasks_end_all (Node *node)
+agent_work_end_all (AgentNode *node)
 {
   for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
     want_end (node, agent_tasks_at (node->tasks, i), AGENT_END_CHECKPOINT);
@@ -346,7 +349,7 @@
 }
 
 static void
-finish_start (Node *node, const WorkerOrder *order, AgentTask *task)
+finish_start (AgentNode *node, const AgentOrder *order, AgentTask *task)
 {
   if (agent_task_is_ended (task))
     return;
@@ -356,7 +359,7 @@
       send_task (node, NULL, task);
       return;
     }
-  node_count_refused (node, order->kind);
+  agent_node_count_refused (node, order->kind);
   jnl_event (JNL_WARN, "agent", "start_failed", PLACE " kind=%s reason=\"%s\"", task->id.job,
              task->id.index, task->id.attempt, err_name (order->kind), order->message);
   if (task->state != AGENT_TASK_STARTING)
@@ -370,7 +373,7 @@
 }
 
 static void
-finish_extend (Node *node, const WorkerOrder *order)
+finish_extend (AgentNode *node, const AgentOrder *order)
 {
   node->extends_waiting--;
   if (!order->ok)
@@ -386,30 +389,30 @@
 static void
 finish_order (void *ctx, void *data)
 {
-  Node *node = ctx;
-  WorkerOrder *order = data;
+  AgentNode *node = ctx;
+  AgentOrder *order = data;
   AgentTask *task = agent_tasks_find (node->tasks, &order->id);
 
-  if (order->verb == WORKER_EXTEND)
+  if (order->verb == AGENT_VERB_EXTEND)
     finish_extend (node, order);
-  else if (order->verb == WORKER_START && task != NULL)
+  else if (order->verb == AGENT_VERB_START && task != NULL)
     finish_start (node, order, task);
-  else if ((order->verb == WORKER_CHECKPOINT || order->verb == WORKER_STOP) && task != NULL)
+  else if ((order->verb == AGENT_VERB_CHECKPOINT || order->verb == AGENT_VERB_STOP) && task != NULL)
     task->end_taken = task->end_taken || order->ok;
   if (!order->ok)
     jnl_event (JNL_DEBUG, "agent", "order_failed", "verb=%d kind=%s reason=\"%s\"",
                (int) order->verb, err_name (order->kind), order->message);
-  worker_order_free (order);
+  agent_order_free (order);
 }
 
 void
-tasks_on_result (void *ctx, WorkerOrder *order)
+agent_work_on_result (void *ctx, AgentOrder *order)
 {
-  node_post (ctx, finish_order, order);
+  agent_node_post (ctx, finish_order, order);
 }
 
 static void
-end_as_listed (Node *node, AgentTask *task, const PlatTask *listed)
+end_as_listed (AgentNode *node, AgentTask *task, const PlatTask *listed)
 {
   static const AgentTaskState states[] = {
     [PLAT_TASK_DONE] = AGENT_TASK_DONE,
@@ -424,7 +427,7 @@
 
 /* An attempt of an earlier agent process: it is kept if it fits, and ended if not. */
 static void
-adopt (Node *node, const PlatTask *listed)
+adopt (AgentNode *node, const PlatTask *listed)
 {
   AgentStart start = {
     .id = { listed->job, listed->index, listed->attempt },
@@ -441,18 +444,18 @@
 
   if (task != NULL)
     {
-      node_count (node, "acacia_agent_adopted_total", "Tasks found running at the start.");
+      agent_node_count (node, "acacia_agent_adopted_total", "Tasks found running at the start.");
       task->worker_end_us = clk_now_us () + node->settings->worker_orphan_ms * CLK_US_PER_MS;
       return;
     }
   if (listed->state == PLAT_TASK_RUNNING)
-    (void) push (node, make_order (&unknown, WORKER_CHECKPOINT));
+    (void) push (node, make_order (&unknown, AGENT_VERB_CHECKPOINT));
   else if (fenced)
-    (void) push (node, make_order (&unknown, WORKER_FORGET));
+    (void) push (node, make_order (&unknown, AGENT_VERB_FORGET));
 }
 
 static void
-take_listed (Node *node, const PlatTask *listed, int64_t asked_us)
+take_listed (AgentNode *node, const PlatTask *listed, int64_t asked_us)
 {
   AgentTaskId id = { listed->job, listed->index, listed->attempt };
   AgentTask *task = agent_tasks_find (node->tasks, &id);
@@ -461,7 +464,7 @@
     adopt (node, listed);
   task = agent_tasks_find (node->tasks, &id);
   if (task != NULL && agent_task_is_ended (task) && listed->state == PLAT_TASK_RUNNING)
-    (void) push (node, make_order (task, WORKER_CHECKPOINT));
+    (void) push (node, make_order (task, AGENT_VERB_CHECKPOINT));
   if (task == NULL || agent_task_is_ended (task))
     return;
   task->listed = TRUE;
@@ -476,7 +479,7 @@
 
 /* A live task that a whole list doesn't name: the worker has lost it, or never had it. */
 static void
-take_missing (Node *node, AgentTask *task)
+take_missing (AgentNode *node, AgentTask *task)
 {
   if (task->state == AGENT_TASK_RUNNING)
     end_task (node, task, AGENT_TASK_STOPPED, ERR_INTERNAL, NULL, "the worker lost it");
@@ -485,7 +488,7 @@
 }
 
 static void
-take_tasks (Node *node, const WorkerReport *report)
+take_tasks (AgentNode *node, const AgentReport *report)
 {
   for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
     agent_tasks_at (node->tasks, i)->listed = FALSE;
@@ -504,7 +507,7 @@
 
 /* What a worker that doesn't answer was told to end by now has ended. */
 static void
-end_silent (Node *node, int64_t now_us)
+end_silent (AgentNode *node, int64_t now_us)
 {
   for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
     {
@@ -516,7 +519,7 @@
 
 /* Asks again for what the worker may not have taken: it knows each attempt by its id. */
 static void
-ask_again (Node *node, AgentTask *task, int64_t now_us)
+ask_again (AgentNode *node, AgentTask *task, int64_t now_us)
 {
   if (agent_task_is_ended (task))
     return;
@@ -533,8 +536,8 @@
 static void
 take_report (void *ctx, void *data)
 {
-  Node *node = ctx;
-  WorkerReport *report = data;
+  AgentNode *node = ctx;
+  AgentReport *report = data;
 
   if (report->has_capacity)
     agent_admission_set_capacity (node->admission, &report->capacity);
@@ -542,16 +545,17 @@
     take_tasks (node, report);
   else
     {
-      node_count (node, "acacia_agent_worker_silent_total", "Lists that the worker did not give.");
+      agent_node_count (node, "acacia_agent_worker_silent_total",
+                        "Lists that the worker did not give.");
       end_silent (node, clk_now_us ());
     }
   for (uint32_t i = 0; i < agent_tasks_count (node->tasks); i++)
     ask_again (node, agent_tasks_at (node->tasks, i), clk_now_us ());
-  worker_report_free (report);
+  agent_report_free (report);
 }
 
 void
-tasks_on_report (void *ctx, WorkerReport *report)
+agent_work_on_report (void *ctx, AgentReport *report)
 {
-  node_post (ctx, take_report, report);
+  agent_node_post (ctx, take_report, report);
 }
--- a/programs/agent/worker.c
+++ b/lib/agent/agent_worker.c
@@ -1,20 +1,20 @@
-#include "worker.h"
+#include "agent/agent_worker.h"
 
 #include <stdatomic.h>
 
 #include "common/clk.h"
 #include "common/err.h"
 
-struct Worker
+struct AgentWorker
 {
-  WorkerOptions options;
-  GAsyncQueue *orders; /**< WorkerOrder, or this object itself to wake the thread */
+  AgentWorkerOptions options;
+  GAsyncQueue *orders; /**< AgentOrder, or this object itself to wake the thread */
   GThread *thread;
   atomic_bool is_stopping;
 };
 
 void
-worker_order_free (WorkerOrder *order)
+agent_order_free (AgentOrder *order)
 {
   if (order == NULL)
     return;
@@ -26,7 +26,7 @@
 }
 
 void
-worker_report_free (WorkerReport *report)
+agent_report_free (AgentReport *report)
 {
   if (report->tasks != NULL)
     g_ptr_array_unref (report->tasks);
@@ -35,7 +35,7 @@
 
 /* The clock is read right before the call: the process may have been paused since the order. */
 static gboolean
-lease_left (const WorkerOrder *order, int64_t *left_ms, GError **error)
+lease_left (const AgentOrder *order, int64_t *left_ms, GError **error)
 {
   *left_ms = (order->lease_end_us - clk_now_us ()) / CLK_US_PER_MS;
   if (*left_ms > 0)
@@ -45,7 +45,7 @@
 }
 
 static gboolean
-start (PlatWorker *client, const WorkerOrder *order, GError **error)
+start (PlatWorker *client, const AgentOrder *order, GError **error)
 {
   PlatStart request = {
     .job = order->id.job,
@@ -68,7 +68,7 @@
 }
 
 static gboolean
-extend (PlatWorker *client, const WorkerOrder *order, GError **error)
+extend (PlatWorker *client, const AgentOrder *order, GError **error)
 {
   int64_t left_ms;
 
@@ -77,30 +77,30 @@
 }
 
 static void
-run_order (PlatWorker *client, WorkerOrder *order)
+run_order (PlatWorker *client, AgentOrder *order)
 {
   const AgentTaskId *id = &order->id;
   g_autoptr (GError) error = NULL;
 
   switch (order->verb)
     {
-    case WORKER_START:
+    case AGENT_VERB_START:
       order->ok = start (client, order, &error);
       break;
-    case WORKER_CHECKPOINT:
+    case AGENT_VERB_CHECKPOINT:
       order->ok = plat_worker_checkpoint (client, id->job, id->index, id->attempt, &error);
       break;
-    case WORKER_STOP:
+    case AGENT_VERB_STOP:
       order->ok = plat_worker_stop (client, id->job, id->index, id->attempt, &error);
       break;
-    case WORKER_THROTTLE:
+    case AGENT_VERB_THROTTLE:
       order->ok
           = plat_worker_throttle (client, id->job, id->index, id->attempt, order->permille, &error);
       break;
-    case WORKER_EXTEND:
+    case AGENT_VERB_EXTEND:
       order->ok = extend (client, order, &error);
       break;
-    case WORKER_FORGET:
+    case AGENT_VERB_FORGET:
       order->ok = plat_worker_forget (client, id->job, id->index, id->attempt, &error);
       break;
     }
@@ -110,10 +110,10 @@
   order->message = g_strdup (error != NULL ? error->message : "");
 }
 
-static WorkerReport *
+static AgentReport *
 make_report (PlatWorker *client)
 {
-  WorkerReport *report = g_new0 (WorkerReport, 1);
+  AgentReport *report = g_new0 (AgentReport, 1);
 
   report->asked_us = clk_now_us ();
   report->has_capacity = plat_worker_capacity (client, &report->capacity, NULL);
@@ -125,7 +125,7 @@
 static void *
 run_worker (void *data)
 {
-  Worker *worker = data;
+  AgentWorker *worker = data;
   PlatWorker *client = plat_worker_new (&worker->options.client);
   int64_t due_us = clk_now_us ();
 
@@ -148,10 +148,10 @@
   return NULL;
 }
 
-Worker *
-worker_new (const WorkerOptions *options)
+AgentWorker *
+agent_worker_new (const AgentWorkerOptions *options)
 {
-  Worker *worker = g_new0 (Worker, 1);
+  AgentWorker *worker = g_new0 (AgentWorker, 1);
 
   worker->options = *options;
   worker->orders = g_async_queue_new ();
@@ -161,7 +161,7 @@
 }
 
 void
-worker_free (Worker *worker)
+agent_worker_free (AgentWorker *worker)
 {
   void *item;
 
@@ -173,16 +173,16 @@
   while ((item = g_async_queue_try_pop (worker->orders)) != NULL)
     {
       if (item != worker)
-        worker_order_free (item);
+        agent_order_free (item);
     }
   g_async_queue_unref (worker->orders);
   g_free (worker);
 }
 
 gboolean
-worker_push (Worker *worker, WorkerOrder *order)
+agent_worker_push (AgentWorker *worker, AgentOrder *order)
 {
-  if (g_async_queue_length (worker->orders) >= WORKER_ORDERS_MAX)
+  if (g_async_queue_length (worker->orders) >= AGENT_ORDERS_MAX)
     return FALSE;
   g_async_queue_push (worker->orders, order);
   return TRUE;
--- a/programs/agent/worker.h
+++ b/lib/agent/agent_worker.h
@@ -1,5 +1,5 @@
 /**
- * @file worker.h
+ * @file agent_worker.h
  * The one thread that calls the worker: orders in turn, and a list of its tasks now and then.
  */
 #pragma once
@@ -13,24 +13,24 @@
 G_BEGIN_DECLS
 
 /** Orders that may wait for the thread. */
-#define WORKER_ORDERS_MAX 4096
+#define AGENT_ORDERS_MAX 4096
 
-typedef struct Worker Worker;
+typedef struct AgentWorker AgentWorker;
 
 typedef enum
 {
-  WORKER_START,
-  WORKER_CHECKPOINT,
-  WORKER_STOP,
-  WORKER_THROTTLE,
-  WORKER_EXTEND,
-  WORKER_FORGET,
-} WorkerVerb;
+  AGENT_VERB_START,
+  AGENT_VERB_CHECKPOINT,
+  AGENT_VERB_STOP,
+  AGENT_VERB_THROTTLE,
+  AGENT_VERB_EXTEND,
+  AGENT_VERB_FORGET,
+} AgentVerb;
 
-/** One order and what became of it; freed with worker_order_free(). */
+/** One order and what became of it; freed with agent_order_free(). */
 typedef struct
 {
-  WorkerVerb verb;
+  AgentVerb verb;
   AgentTaskId id;
   uint32_t shard;
   uint64_t epoch;
@@ -46,7 +46,7 @@
   gboolean ok;
   ErrKind kind;
   char *message;
-} WorkerOrder;
+} AgentOrder;
 
 /** One list of the worker's tasks, made after all orders before it; freed by the receiver. */
 typedef struct
@@ -55,27 +55,27 @@
   gboolean has_capacity;
   DocSize capacity;
   int64_t asked_us;
-} WorkerReport;
+} AgentReport;
 
 typedef struct
 {
   PlatWorkerOptions client;
   int64_t poll_ms;
   /** Both are called on the worker's thread and are handed what they get. */
-  void (*on_result) (void *ctx, WorkerOrder *order);
-  void (*on_report) (void *ctx, WorkerReport *report);
+  void (*on_result) (void *ctx, AgentOrder *order);
+  void (*on_report) (void *ctx, AgentReport *report);
   void *ctx;
-} WorkerOptions;
+} AgentWorkerOptions;
 
-Worker *worker_new (const WorkerOptions *options);
+AgentWorker *agent_worker_new (const AgentWorkerOptions *options);
 
 /** Ends the thread after its present call; orders that wait are dropped. NULL is allowed. */
-void worker_free (Worker *worker);
+void agent_worker_free (AgentWorker *worker);
 
 /** Hands an order over; FALSE when too many wait, and the caller keeps it. */
-gboolean worker_push (Worker *worker, WorkerOrder *order);
+gboolean agent_worker_push (AgentWorker *worker, AgentOrder *order);
 
-void worker_order_free (WorkerOrder *order);
-void worker_report_free (WorkerReport *report);
+void agent_order_free (AgentOrder *order);
+void agent_report_free (AgentReport *report);
 
 G_END_DECLS
--- a/programs/agent/main.c
+++ b/programs/agent/main.c
@@ -13,7 +13,7 @@
 #include "common/clk.h"
 #include "common/jnl.h"
 #include "http.h"
-#include "node.h"
+#include "agent/agent_node.h"
 
 #define AGENT_VERSION "0.1.0"
 #define EXIT_USAGE 2
@@ -54,7 +54,7 @@
 static gboolean
 node_is_ready (void *ctx)
 {
-  Node *node = ctx;
+  AgentNode *node = ctx;
 
   return atomic_load (&node->is_ready);
 }
@@ -71,7 +71,7 @@
 
 /* The first signal starts leaving, the second ends the process at once. */
 static void
-wait_until_done (Node *node, const sigset_t *set)
+wait_until_done (AgentNode *node, const sigset_t *set)
 {
   const struct timespec wait = { .tv_nsec = WAIT_NS };
   gboolean is_leaving = FALSE;
@@ -83,7 +83,7 @@
       if (is_leaving)
         _exit (EXIT_FAILURE);
       is_leaving = TRUE;
-      node_leave (node);
+      agent_node_leave (node);
     }
 }
 
@@ -97,7 +97,7 @@
   int status = EXIT_FAILURE;
 
   block_signals (&set);
-  Node *node = node_open (settings, metrics, &error);
+  AgentNode *node = agent_node_open (settings, metrics, &error);
   HttpOptions options
       = { settings->http_host, (uint16_t) settings->http_port, metrics, node_is_ready, node };
   if (node != NULL && settings->http_port != 0)
@@ -112,7 +112,7 @@
   else
     (void) fprintf (stderr, "acacia-agent: %s\n", error->message);
   http_free (http);
-  node_close (node);
+  agent_node_close (node);
   met_free (metrics);
   return status;
 }
