--- /dev/null
+++ b/lib/agent/agent_node.h
@@ -0,0 +1,100 @@
+/**
+ * @file agent_node.h
+ * The agent's loop: all its state belongs to the wire's loop thread, which the other threads reach
+ * by posts. What is decided is in lib/agent; here are its inputs and outputs.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdint.h>
+
+#include "agent/agent_admission.h"
+#include "agent/agent_attempts.h"
+#include "agent/agent_drain.h"
+#include "agent/agent_entries.h"
+#include "agent/agent_latency.h"
+#include "agent/agent_lease.h"
+#include "agent/agent_queue.h"
+#include "agent/agent_refusals.h"
+#include "agent/agent_tasks.h"
+#include "common/met.h"
+#include "agent/agent_endpoint.h"
+#include "agent/agent_settings.h"
+#include "wire/wire.h"
+#include "agent/agent_worker.h"
+
+G_BEGIN_DECLS
+
+typedef struct
+{
+  const AgentSettings *settings;
+  MetRegistry *metrics;
+  Wire *wire;
+  AgentEndpoint *endpoint; /**< NULL for none */
+  AgentWorker *worker;     /**< NULL for none */
+  uint64_t incarnation;
+  /** Below: the loop thread's. */
+  uint64_t seq; /**< of the newest heartbeat */
+  int64_t opened_us;
+  int64_t beat_us;     /**< when the newest heartbeat left */
+  gboolean has_listed; /**< the worker's tasks are known, or can't be running any more */
+  gboolean endpoint_healthy;
+  uint64_t config_version;
+  uint64_t completed;
+  uint32_t extends_waiting; /**< extensions handed to the worker and not yet answered */
+  AgentAdmission *admission;
+  AgentLeases *leases;
+  AgentTasks *tasks;
+  AgentAttempts *attempts;
+  AgentRefusals *refusals;
+  AgentQueue *queue;
+  AgentEntries *entries;
+  AgentDrain drain;
+  AgentLatency latency;
+  MetHistogram *request_us;
+  /** Read by other threads. */
+  atomic_bool is_ready;
+  atomic_bool is_done;
+} AgentNode;
+
+/** Makes the tables, connects to the entries and starts all threads. NULL with the reason. */
+AgentNode *agent_node_open (const AgentSettings *settings, MetRegistry *metrics, GError **error);
+
+/** Ends all threads and frees all. NULL is allowed. */
+void agent_node_close (AgentNode *node);
+
+/** Starts leaving; from any thread. */
+void agent_node_leave (AgentNode *node);
+
+/** Counts something refused, by reason. */
+void agent_node_count_refused (AgentNode *node, ErrKind kind);
+
+/** Adds one to a counter. */
+void agent_node_count (AgentNode *node, const char *name, const char *help);
+
+/** Posts to the loop from another thread; waits while its queue is full. */
+void agent_node_post (AgentNode *node, void (*function) (void *ctx, void *data), void *data);
+
+/** Sends to an entry and notes it for the receipt. */
+gboolean agent_node_send (AgentNode *node, const char *peer, const Wire__Envelope *envelope);
+
+/** Sends a heartbeat to every entry now. */
+void agent_node_beat (AgentNode *node, int64_t now_us);
+
+/** agent_requests.c: requests to the endpoint. */
+void agent_requests_take (AgentNode *node, const char *peer, const Wire__Request *request);
+void agent_requests_query (AgentNode *node, const char *peer, const Wire__AttemptQuery *query);
+void agent_requests_pump (AgentNode *node, int64_t now_us);
+void agent_requests_on_done (void *ctx, AgentCall *call);
+
+/** agent_work.c: commands for tasks and what the worker says. */
+void agent_work_command (AgentNode *node, const char *peer, const Wire__TaskCommand *command);
+void agent_work_acknowledge (AgentNode *node, const Wire__TaskAck *ack, int64_t now_us);
+void agent_work_extend (AgentNode *node, int64_t now_us);
+void agent_work_end_lapsed (AgentNode *node, int64_t now_us);
+void agent_work_end_all (AgentNode *node);
+void agent_work_on_result (void *ctx, AgentOrder *order);
+void agent_work_on_report (void *ctx, AgentReport *report);
+
+G_END_DECLS
