acacia-entry: calls, once requests, jobs, shard ownership and operators' paths

The thin whole path: configuration published and handed on, a repeatable call routed to an agent and back, a once request through intent and outcome, a job accepted, placed, started under a lease and its end logged.

No tests of the entry's own parts yet: they follow.

--- /dev/null
+++ b/lib/entry/settings.c
@@ -0,0 +1,176 @@
+#include "entry/settings.h"
+
+#include <string.h>
+
+#include "common/err.h"
+#include "common/jnl.h"
+#include "entry/params.h"
+
+#define MILLIS_MAX INT64_C (86400000)
+#define WEEK_MS INT64_C (604800000)
+
+#define INTEGER(name, field, min, max, fallback, help)                                             \
+  {                                                                                                \
+    name, SET_INTEGER, offsetof (EntrySettings, field), min, max, fallback, help                   \
+  }
+#define TEXT(name, field, min, max, fallback, help)                                                \
+  {                                                                                                \
+    name, SET_TEXT, offsetof (EntrySettings, field), min, max, fallback, help                      \
+  }
+
+static const SetKey setting_keys[] = {
+  TEXT ("name", name, 1, 63, NULL, "Name of this entry, unique in the system."),
+  TEXT ("data_centre", data_centre, 1, 63, NULL, "Data centre it runs in."),
+  TEXT ("http.host", http_host, 1, 63, "127.0.0.1", "IP number to listen on."),
+  INTEGER ("http.port", http_port, 1, 65535, "8080", "Port of callers and operators."),
+  INTEGER ("http.body_bytes_max",
+           http_body_bytes_max,
+           1,
+           2097152,
+           "1048576",
+           "Largest body of a request."),
+  INTEGER ("http.headers_bytes_max",
+           http_headers_bytes_max,
+           1024,
+           1048576,
+           "16384",
+           "Largest request line with headers."),
+  INTEGER (
+      "http.connections_max", http_connections_max, 1, 100000, "4096", "Connections held at once."),
+  INTEGER ("http.idle_ms",
+           http_idle_ms,
+           1000,
+           600000,
+           "30000",
+           "Longest silence on a connection, and longest time to send a request."),
+  TEXT ("wire.listen",
+        wire_listen,
+        1,
+        255,
+        "tcp://127.0.0.1:7001",
+        "Address for agents and other entries."),
+  { "wire.peers", SET_LIST, offsetof (EntrySettings, wire_peers), 0, 64, "",
+    "Other entries, each \"name=tcp://IP:PORT\"." },
+  INTEGER ("wire.queue_max", wire_queue_max, 16, 1000000, "8192", "Messages waiting for one peer."),
+  TEXT ("log.host", log_host, 1, 63, "127.0.0.1", "IP number of the platform's log service."),
+  INTEGER ("log.port", log_port, 1, 65535, "9100", "Its port."),
+  TEXT ("log.stream", log_stream, 1, 63, "acacia", "Stream of records."),
+  TEXT ("log.snapshot_stream",
+        log_snapshot_stream,
+        1,
+        63,
+        "acacia-snapshots",
+        "Stream of snapshots."),
+  INTEGER ("log.connect_ms", log_connect_ms, 10, 60000, "1000", "Time to connect."),
+  INTEGER ("log.read_ms", log_read_ms, 10, 60000, "2000", "Time to wait for an answer."),
+  INTEGER ("log.give_up_ms",
+           log_give_up_ms,
+           10,
+           600000,
+           "3000",
+           "Time after which an append that was not answered is in doubt."),
+  INTEGER ("snapshot_every_ms",
+           snapshot_every_ms,
+           1000,
+           MILLIS_MAX,
+           "600000",
+           "Time between snapshots; well under the log's retention."),
+  INTEGER ("shards", shards, 1, 64, "1", "Shards of tasks; the same in every process."),
+  INTEGER ("lease_ms", lease_ms, 100, 600000, "5000", "Length of a lease."),
+  INTEGER ("fresh_ms", fresh_ms, 100, 600000, "2000", "Oldest view of the log that renews."),
+  INTEGER ("drift_ms", drift_ms, 0, 60000, "500", "Bound on drift between two clocks in a lease."),
+  INTEGER ("heartbeat_ms", heartbeat_ms, 10, 60000, "500", "Time between digests to entries."),
+  INTEGER ("tick_ms", tick_ms, 1, 10000, "100", "Time between decisions on tasks."),
+  INTEGER ("member_timeout_ms",
+           member_timeout_ms,
+           20,
+           600000,
+           "1250",
+           "Silence after which an agent or entry gets nothing new."),
+  INTEGER ("key_window_ms",
+           key_window_ms,
+           1000,
+           WEEK_MS,
+           "86400000",
+           "How long idempotency keys are held; the same in every process."),
+  INTEGER ("answer_bytes_max",
+           answer_bytes_max,
+           0,
+           262144,
+           "65536",
+           "Largest answer kept with an outcome; the same in every process."),
+  INTEGER ("calls_max", calls_max, 1, 1000000, "4096", "Requests waiting for answers at once."),
+  INTEGER ("stop_wait_ms",
+           stop_wait_ms,
+           0,
+           600000,
+           "30000",
+           "Longest wait for requests in flight at a stop."),
+  TEXT ("log_level", log_level, 4, 5, "info", "debug, info, warn or error."),
+};
+
+gboolean
+settings_peer (const char *text, char **name, char **address, GError **error)
+{
+  const char *equals = strchr (text, '=');
+
+  *name = equals != NULL ? g_strndup (text, (gsize) (equals - text)) : NULL;
+  if (params_is_name (*name, PARAMS_NAME_MAX) && g_str_has_prefix (equals + 1, "tcp://"))
+    {
+      *address = g_strdup (equals + 1);
+      return TRUE;
+    }
+  g_clear_pointer (name, g_free);
+  err_set (error, ERR_BAD_CONFIG, "wire.peers: %s: expected name=tcp://IP:PORT", text);
+  return FALSE;
+}
+
+static gboolean
+check_peers (const EntrySettings *settings, GError **error)
+{
+  for (char **peer = settings->wire_peers; *peer != NULL; peer++)
+    {
+      g_autofree char *name = NULL;
+      g_autofree char *address = NULL;
+      if (!settings_peer (*peer, &name, &address, error))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+check_rest (const EntrySettings *settings, GError **error)
+{
+  JnlLevel level = JNL_INFO;
+
+  if (!params_is_name (settings->name, PARAMS_NAME_MAX))
+    err_set (error, ERR_BAD_CONFIG, "name: expected letters, digits, '.', '_' or '-'");
+  else if (!jnl_level_from_name (settings->log_level, &level))
+    err_set (error, ERR_BAD_CONFIG, "log_level: expected debug, info, warn or error");
+  else
+    return check_peers (settings, error);
+  return FALSE;
+}
+
+gboolean
+settings_load (const char *path, EntrySettings *settings, GError **error)
+{
+  if (!set_load (setting_keys, G_N_ELEMENTS (setting_keys), path, settings, error))
+    return FALSE;
+  if (check_rest (settings, error))
+    return TRUE;
+  settings_clear (settings);
+  return FALSE;
+}
+
+void
+settings_clear (EntrySettings *settings)
+{
+  set_clear (setting_keys, G_N_ELEMENTS (setting_keys), settings);
+}
+
+char *
+settings_example (void)
+{
+  return set_example (setting_keys, G_N_ELEMENTS (setting_keys));
+}
--- /dev/null
+++ b/lib/entry/shard.c
@@ -0,0 +1,627 @@
+#include "entry/shard.h"
+
+#include <string.h>
+
+#include "common/clk.h"
+#include "entry/inputs.h"
+#include "entry/jobs.h"
+
+/** A start that the agent's heartbeats don't show after this time is sent again. */
+#define RESEND_US (1500 * CLK_US_PER_MS)
+
+/* What this owner knows of an agent. */
+typedef struct
+{
+  uint64_t incarnation;
+  int64_t lease_until_us; /**< its leases from this owner have lapsed then */
+  uint64_t signature;     /**< of the row that the core has */
+  gboolean is_known;      /**< the core has it */
+  gboolean is_left;       /**< the core was told that it leaves */
+  gboolean is_replaced;   /**< an older incarnation's lease may be live */
+  int64_t replaced_until_us;
+} AgentRow;
+
+/* A start that was sent and not yet reported. */
+typedef struct
+{
+  CoreTaskKey task;
+  uint32_t attempt;
+  char *agent;
+  Wire__TaskCommand command;
+  Wire__Size reserved;
+  char *batch_class;
+  char *checkpoint;
+  char *job_name;
+  int64_t sent_us;
+} StartRow;
+
+/* A job that the core has. */
+typedef struct
+{
+  DocDocument *document;
+  char *name;
+  gboolean is_cancelled;
+  GArray *checkpoints; /**< TaskMemory by index */
+} JobRow;
+
+typedef struct
+{
+  char *checkpoint;
+  int64_t progress_ms;
+} TaskMemory;
+
+struct Shard
+{
+  ShardOptions options;
+  ShardOps ops;
+  Core *core;
+  Reports *reports;
+  GHashTable *agents; /**< name -> AgentRow */
+  GHashTable *jobs;   /**< id -> JobRow */
+  GHashTable *starts; /**< CoreTaskKey -> StartRow */
+  GHashTable *held;   /**< CoreTaskKey set: may run on an agent not yet heard */
+  Inputs *inputs;     /**< for the next tick */
+  GArray *commands;
+};
+
+static guint
+task_hash (gconstpointer data)
+{
+  const CoreTaskKey *key = data;
+
+  return (guint) (key->job ^ key->job >> 32) * 31U + key->index;
+}
+
+static gboolean
+task_equal (gconstpointer a, gconstpointer b)
+{
+  const CoreTaskKey *left = a;
+  const CoreTaskKey *right = b;
+
+  return left->job == right->job && left->index == right->index;
+}
+
+static void
+start_free (void *data)
+{
+  StartRow *row = data;
+
+  g_free (row->agent);
+  g_free (row->batch_class);
+  g_free (row->checkpoint);
+  g_free (row->job_name);
+  g_free (row);
+}
+
+static void
+memory_clear (void *data)
+{
+  TaskMemory *memory = data;
+
+  g_free (memory->checkpoint);
+}
+
+static void
+job_free (void *data)
+{
+  JobRow *job = data;
+
+  doc_free (job->document);
+  g_free (job->name);
+  g_array_free (job->checkpoints, TRUE);
+  g_free (job);
+}
+
+static gboolean
+ends_task (Record__TaskEnd end, CoreTaskEvent *event)
+{
+  switch (end)
+    {
+    case RECORD__TASK_END__END_DONE:
+    case RECORD__TASK_END__END_CANCELLED:
+    case RECORD__TASK_END__END_GIVEN_UP:
+      *event = CORE_TASK_DONE;
+      return TRUE;
+    case RECORD__TASK_END__END_FAILED:
+      *event = CORE_TASK_FAILED;
+      return FALSE;
+    case RECORD__TASK_END__END_CHECKPOINT:
+      *event = CORE_TASK_CHECKPOINTED;
+      return FALSE;
+    default:
+      *event = CORE_TASK_FREE;
+      return FALSE;
+    }
+}
+
+/* What the log knows of a task, as inputs; what may still run elsewhere is held. */
+static void
+add_task (Shard *shard, const FoldJob *job, uint32_t index, gboolean may_run)
+{
+  const FoldTask *task = &job->tasks[index];
+  CoreTaskKey key = { job->job, index };
+  CoreTaskEvent event = CORE_TASK_FREE;
+  gboolean is_over = ends_task (task->end, &event);
+  uint32_t times = event == CORE_TASK_FAILED ? MAX (task->failures, 1) : 1;
+
+  for (uint32_t i = 0; event != CORE_TASK_FREE && i < times; i++)
+    {
+      CoreInput *input = inputs_task (shard->inputs, key, task->attempts, event);
+      input->task.progress_ms = task->progress_ms;
+      input->task.checkpoint = inputs_keep (shard->inputs, task->checkpoint);
+    }
+  if (is_over || !may_run)
+    return;
+  CoreTaskKey *held = g_new (CoreTaskKey, 1);
+  *held = key;
+  g_hash_table_add (shard->held, held);
+  inputs_task (shard->inputs, key, task->attempts, CORE_TASK_HELD);
+}
+
+static void
+add_memory (JobRow *row, const FoldJob *job)
+{
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      TaskMemory memory = { g_strdup (job->tasks[i].checkpoint), job->tasks[i].progress_ms };
+      g_array_append_val (row->checkpoints, memory);
+    }
+}
+
+static void
+add_job (Shard *shard, const FoldJob *job, gboolean may_run, int64_t now_us)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (job->definition, &size);
+  DocDocument *document = jobs_parse (job->name, data, size);
+  CoreInput input = { .type = CORE_IN_JOB };
+
+  if (document == NULL)
+    return;
+  JobRow *row = g_new0 (JobRow, 1);
+  uint64_t *key = g_new (uint64_t, 1);
+  *key = job->job;
+  row->document = document;
+  row->name = g_strdup (job->name);
+  row->checkpoints = g_array_new (FALSE, TRUE, sizeof (TaskMemory));
+  g_array_set_clear_func (row->checkpoints, memory_clear);
+  add_memory (row, job);
+  g_hash_table_insert (shard->jobs, key, row);
+  input.job.job = job->job;
+  input.job.definition = doc_job (document, job->name);
+  input.job.submitted_us = (job->submitted_ms - shard->options.wall_offset_ms) * CLK_US_PER_MS;
+  input.job.submitted_us = MIN (input.job.submitted_us, now_us);
+  if (job->deadline_ms != 0)
+    input.job.deadline_us = (job->deadline_ms - shard->options.wall_offset_ms) * CLK_US_PER_MS;
+  g_array_append_val (shard->inputs->rows, input);
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    add_task (shard, job, i, may_run);
+}
+
+static void
+take_job (Shard *shard, const FoldJob *job, gboolean may_run, int64_t now_us)
+{
+  CoreInput input = { .type = CORE_IN_CANCEL };
+  JobRow *row = g_hash_table_lookup (shard->jobs, &job->job);
+
+  if (row == NULL && job->n_final < job->n_tasks)
+    {
+      add_job (shard, job, may_run, now_us);
+      row = g_hash_table_lookup (shard->jobs, &job->job);
+    }
+  if (row == NULL || row->is_cancelled || !job->cancelled)
+    return;
+  input.cancelled_job = job->job;
+  row->is_cancelled = TRUE;
+  g_array_append_val (shard->inputs->rows, input);
+}
+
+void
+shard_job (Shard *shard, const Fold *fold, uint64_t id, int64_t now_us)
+{
+  const FoldJob *job = fold_job (fold, id);
+
+  /* A predecessor that reads a job after this owner's claim is deposed before it sees the job. */
+  if (job != NULL && jobs_shard (id, shard->options.shards) == shard->options.shard)
+    take_job (shard, job, FALSE, now_us);
+}
+
+Shard *
+shard_new (const ShardOptions *options,
+           const ShardOps *ops,
+           const Fold *fold,
+           const DocDocument *document,
+           int64_t now_us)
+{
+  Shard *shard = g_new0 (Shard, 1);
+  const GPtrArray *jobs = fold_jobs (fold);
+
+  shard->options = *options;
+  shard->ops = *ops;
+  shard->core = core_new (&options->core);
+  shard->reports = reports_new (options->shard, options->epoch);
+  shard->agents = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  shard->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, job_free);
+  shard->starts = g_hash_table_new_full (task_hash, task_equal, NULL, start_free);
+  shard->held = g_hash_table_new_full (task_hash, task_equal, g_free, NULL);
+  shard->inputs = inputs_new ();
+  shard->commands = g_array_new (FALSE, FALSE, sizeof (CoreCommand));
+  if (document != NULL)
+    core_set_document (shard->core, document);
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      const FoldJob *job = g_ptr_array_index (jobs, i);
+      if (jobs_shard (job->job, options->shards) == options->shard)
+        take_job (shard, job, !options->is_settled, now_us);
+    }
+  return shard;
+}
+
+void
+shard_free (Shard *shard)
+{
+  if (shard == NULL)
+    return;
+  core_free (shard->core);
+  reports_free (shard->reports);
+  g_hash_table_destroy (shard->agents);
+  g_hash_table_destroy (shard->jobs);
+  g_hash_table_destroy (shard->starts);
+  g_hash_table_destroy (shard->held);
+  inputs_free (shard->inputs);
+  g_array_free (shard->commands, TRUE);
+  g_free (shard);
+}
+
+void
+shard_set_document (Shard *shard, const DocDocument *document)
+{
+  core_set_document (shard->core, document);
+}
+
+static AgentRow *
+agent_row (Shard *shard, const MembersAgent *agent)
+{
+  AgentRow *row = g_hash_table_lookup (shard->agents, agent->name);
+
+  if (row == NULL)
+    {
+      row = g_new0 (AgentRow, 1);
+      row->incarnation = agent->incarnation;
+      g_hash_table_insert (shard->agents, g_strdup (agent->name), row);
+    }
+  if (row->incarnation != agent->incarnation)
+    {
+      /* What the old process had started may run until its longest lease has lapsed. */
+      row->is_replaced = TRUE;
+      row->replaced_until_us = MAX (row->replaced_until_us, row->lease_until_us);
+      row->incarnation = agent->incarnation;
+      row->is_left = FALSE;
+      row->signature = 0;
+    }
+  return row;
+}
+
+static void
+update_worker (Shard *shard, AgentRow *row, const MembersAgent *agent, int64_t now_us)
+{
+  if (row->is_replaced)
+    {
+      if (now_us < row->replaced_until_us)
+        return;
+      if (row->is_known)
+        inputs_worker_end (shard->inputs, agent->name, CORE_IN_WORKER_LOST);
+      row->is_replaced = FALSE;
+      row->is_known = FALSE;
+    }
+  uint64_t signature = inputs_signature (agent);
+  if (!row->is_known || signature != row->signature)
+    inputs_worker (shard->inputs, agent);
+  row->is_known = TRUE;
+  row->signature = signature;
+  if (agent->leaving && !row->is_left)
+    inputs_worker_end (shard->inputs, agent->name, CORE_IN_WORKER_LEFT);
+  row->is_left = agent->leaving;
+}
+
+static void
+command_stop (Shard *shard, const char *agent, const Wire__TaskStatus *status)
+{
+  Wire__TaskCommand command = WIRE__TASK_COMMAND__INIT;
+
+  command.shard = shard->options.shard;
+  command.epoch = shard->options.epoch;
+  command.job = status->job;
+  command.index = status->index;
+  command.attempt = status->attempt;
+  command.verb = WIRE__TASK_VERB__VERB_STOP;
+  command.entry_incarnation = shard->options.entry_incarnation;
+  (void) shard->ops.command (shard->ops.ctx, agent, &command);
+}
+
+/* Checkpoints are kept here so that the next start can name them. */
+static void
+remember (Shard *shard, const Wire__TaskStatus *status)
+{
+  JobRow *job = g_hash_table_lookup (shard->jobs, &status->job);
+
+  if (job == NULL || status->index >= job->checkpoints->len || *status->checkpoint == '\0')
+    return;
+  TaskMemory *memory = &g_array_index (job->checkpoints, TaskMemory, status->index);
+  g_free (memory->checkpoint);
+  memory->checkpoint = g_strdup (status->checkpoint);
+  memory->progress_ms = status->progress_ms;
+}
+
+static void
+take_status (Shard *shard,
+             const Fold *fold,
+             const MembersAgent *agent,
+             const Wire__TaskStatus *status,
+             int64_t now_us)
+{
+  CoreTaskKey task = { status->job, status->index };
+  GArray *rows = shard->inputs->rows;
+  guint first = rows->len;
+
+  if (jobs_shard (status->job, shard->options.shards) != shard->options.shard)
+    return;
+  StartRow *start = g_hash_table_lookup (shard->starts, &task);
+  if (start != NULL && start->attempt <= status->attempt)
+    g_hash_table_remove (shard->starts, &task);
+  if (reports_status (shard->reports, fold, agent->name, status, now_us, rows) == REPORTS_STOP_IT)
+    {
+      command_stop (shard, agent->name, status);
+      return;
+    }
+  for (guint i = first; i < rows->len; i++)
+    {
+      CoreInput *input = &g_array_index (rows, CoreInput, i);
+      if (input->type == CORE_IN_USAGE)
+        input->usage.worker = inputs_keep (shard->inputs, agent->name);
+      else
+        {
+          input->task.worker = inputs_keep (shard->inputs, agent->name);
+          input->task.checkpoint = inputs_keep (shard->inputs, input->task.checkpoint);
+        }
+    }
+  remember (shard, status);
+  g_hash_table_remove (shard->held, &task);
+}
+
+static void
+resend_starts (Shard *shard, const MembersAgent *agent, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, shard->starts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      StartRow *row = value;
+      if (now_us - row->sent_us < RESEND_US || strcmp (row->agent, agent->name) != 0)
+        continue;
+      row->sent_us = now_us;
+      (void) shard->ops.command (shard->ops.ctx, row->agent, &row->command);
+    }
+}
+
+void
+shard_announce (Shard *shard,
+                const Fold *fold,
+                const MembersAgent *agent,
+                const Wire__Announce *announce,
+                gboolean granted,
+                int64_t now_us)
+{
+  AgentRow *row = agent_row (shard, agent);
+
+  if (granted)
+    row->lease_until_us = now_us + shard->options.lease_us + shard->options.drift_us;
+  if (members_epoch (agent, shard->options.shard) != shard->options.epoch)
+    return;
+  update_worker (shard, row, agent, now_us);
+  if (!row->is_known || row->is_replaced)
+    return;
+  inputs_services (shard->inputs, agent);
+  for (size_t i = 0; i < announce->n_tasks; i++)
+    take_status (shard, fold, agent, announce->tasks[i], now_us);
+  resend_starts (shard, agent, now_us);
+}
+
+void
+shard_event (Shard *shard,
+             const Fold *fold,
+             const MembersAgent *agent,
+             const Wire__TaskStatus *status,
+             int64_t now_us)
+{
+  const AgentRow *row = g_hash_table_lookup (shard->agents, agent->name);
+
+  if (row != NULL && row->is_known && !row->is_replaced && row->incarnation == agent->incarnation)
+    take_status (shard, fold, agent, status, now_us);
+}
+
+void
+shard_settled (Shard *shard)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  shard->options.is_settled = TRUE;
+  g_hash_table_iter_init (&iter, shard->held);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    (void) inputs_task (shard->inputs, *(const CoreTaskKey *) key, 0, CORE_TASK_FREE);
+  g_hash_table_remove_all (shard->held);
+}
+
+static void
+find_lost (Shard *shard, const Members *members, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer name = NULL;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, shard->agents);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      AgentRow *row = value;
+      const MembersAgent *agent = members_agent (members, name, row->incarnation);
+      gboolean is_live = agent != NULL && members_is_live (members, agent->heard_us, now_us);
+      if (!row->is_known || is_live || now_us < row->lease_until_us)
+        continue;
+      inputs_worker_end (shard->inputs, name, CORE_IN_WORKER_LOST);
+      row->is_known = FALSE;
+    }
+}
+
+static void
+fill_command (const Shard *shard, const CoreCommand *decision, Wire__TaskCommand *command)
+{
+  static const Wire__TaskVerb verbs[] = { [CORE_DO_START] = WIRE__TASK_VERB__VERB_START,
+                                          [CORE_DO_THROTTLE] = WIRE__TASK_VERB__VERB_THROTTLE,
+                                          [CORE_DO_CHECKPOINT] = WIRE__TASK_VERB__VERB_CHECKPOINT,
+                                          [CORE_DO_STOP] = WIRE__TASK_VERB__VERB_STOP };
+
+  wire__task_command__init (command);
+  command->shard = shard->options.shard;
+  command->epoch = shard->options.epoch;
+  command->job = decision->task.job;
+  command->index = decision->task.index;
+  command->attempt = decision->attempt;
+  command->verb = verbs[decision->type];
+  command->throttle_permille = decision->throttle_permille;
+  command->entry_incarnation = shard->options.entry_incarnation;
+}
+
+static void
+fill_start (StartRow *row, const CoreCommand *decision, const JobRow *job)
+{
+  const DocJob *definition = doc_job (job->document, job->name);
+  const TaskMemory *memory
+      = decision->task.index < job->checkpoints->len
+            ? &g_array_index (job->checkpoints, TaskMemory, decision->task.index)
+            : NULL;
+
+  wire__size__init (&row->reserved);
+  row->reserved.cpu_milli = decision->reserved.cpu_milli;
+  row->reserved.memory_mb = decision->reserved.memory_mb;
+  row->reserved.accelerators = decision->reserved.accelerators;
+  row->batch_class = g_strdup (definition->batch_class);
+  row->job_name = g_strdup (job->name);
+  row->checkpoint
+      = g_strdup (memory != NULL && memory->checkpoint != NULL ? memory->checkpoint : "");
+  row->command.reserved = &row->reserved;
+  row->command.batch_class = row->batch_class;
+  row->command.job_name = row->job_name;
+  row->command.checkpoint = row->checkpoint;
+  row->command.progress_ms = memory != NULL ? memory->progress_ms : 0;
+  row->command.run_ms = definition->run_ms;
+}
+
+static void
+do_start (Shard *shard, const CoreCommand *decision, gboolean may_command, int64_t now_us)
+{
+  const JobRow *job = g_hash_table_lookup (shard->jobs, &decision->task.job);
+
+  if (!may_command || job == NULL)
+    {
+      (void) inputs_task (shard->inputs, decision->task, decision->attempt, CORE_TASK_REFUSED);
+      return;
+    }
+  StartRow *row = g_new0 (StartRow, 1);
+  row->task = decision->task;
+  row->attempt = decision->attempt;
+  row->agent = g_strdup (decision->worker);
+  row->sent_us = now_us;
+  fill_command (shard, decision, &row->command);
+  fill_start (row, decision, job);
+  if (shard->ops.command (shard->ops.ctx, row->agent, &row->command))
+    {
+      g_hash_table_replace (shard->starts, &row->task, row);
+      return;
+    }
+  (void) inputs_task (shard->inputs, decision->task, decision->attempt, CORE_TASK_REFUSED);
+  start_free (row);
+}
+
+static void
+carry_out (Shard *shard, const CoreCommand *decision, gboolean may_command, int64_t now_us)
+{
+  Wire__TaskCommand command;
+
+  shard->ops.decided (shard->ops.ctx, decision);
+  switch (decision->type)
+    {
+    case CORE_DO_START:
+      do_start (shard, decision, may_command, now_us);
+      break;
+    case CORE_DO_THROTTLE:
+    case CORE_DO_CHECKPOINT:
+    case CORE_DO_STOP:
+      if (!may_command)
+        break;
+      fill_command (shard, decision, &command);
+      (void) shard->ops.command (shard->ops.ctx, decision->worker, &command);
+      break;
+    case CORE_DO_CANCELLED:
+      reports_decided (shard->reports, decision->task, decision->attempt,
+                       RECORD__TASK_END__END_CANCELLED, core_why_name (decision->why));
+      break;
+    case CORE_DO_GIVE_UP:
+      reports_decided (shard->reports, decision->task, decision->attempt,
+                       RECORD__TASK_END__END_GIVEN_UP, core_why_name (decision->why));
+      break;
+    case CORE_DO_UNPLACEABLE:
+    case CORE_DO_QUARANTINE:
+    case CORE_DO_RELEASE:
+    default:
+      break;
+    }
+}
+
+void
+shard_tick (Shard *shard, const Members *members, gboolean may_command, int64_t now_us)
+{
+  find_lost (shard, members, now_us);
+  Inputs *inputs = shard->inputs;
+  /* Refusals that this tick's commands meet are inputs of the next. */
+  shard->inputs = inputs_new ();
+  g_array_set_size (shard->commands, 0);
+  core_tick (shard->core, now_us, (const CoreInput *) inputs->rows->data, inputs->rows->len,
+             shard->commands);
+  inputs_free (inputs);
+  for (guint i = 0; i < shard->commands->len; i++)
+    carry_out (shard, &g_array_index (shard->commands, CoreCommand, i), may_command, now_us);
+  reports_flush (shard->reports, shard->ops.append, shard->ops.ctx);
+}
+
+void
+shard_folded (Shard *shard, const Fold *fold)
+{
+  reports_folded (shard->reports, fold);
+}
+
+void
+shard_not_appended (Shard *shard, IdsId id)
+{
+  reports_not_appended (shard->reports, id);
+}
+
+const Core *
+shard_core (const Shard *shard)
+{
+  return shard->core;
+}
+
+const Reports *
+shard_reports (const Shard *shard)
+{
+  return shard->reports;
+}
+
+uint64_t
+shard_epoch (const Shard *shard)
+{
+  return shard->options.epoch;
+}
--- /dev/null
+++ b/programs/entry/http.c
@@ -0,0 +1,389 @@
+#include "http.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "common/clk.h"
+#include "common/jnl.h"
+#include "entry/render.h"
+#include "http_private.h"
+
+/** Longest sleep of the polling thread. */
+#define POLL_MS 200
+/** Time for the last answers at a stop, and sleep between two looks at them. */
+#define LAST_ANSWERS_US (500 * CLK_US_PER_MS)
+#define LAST_POLL_MS 10
+/** Memory of one connection beyond its headers, for the library's own use. */
+#define CONNECTION_BYTES 16384
+#define RETRY_AFTER_SIZE 24
+
+const HttpAsk *
+http_ask (const HttpRequest *request)
+{
+  return &request->ask;
+}
+
+static void
+set_answer (HttpRequest *request,
+            uint32_t status,
+            const char *content_type,
+            GBytes *body,
+            const HttpHeader *headers,
+            size_t n_headers)
+{
+  g_assert (request->status == 0);
+  request->content_type = g_strdup (content_type);
+  request->body = g_bytes_ref (body);
+  request->headers = g_ptr_array_new_with_free_func (g_free);
+  for (size_t i = 0; i < n_headers; i++)
+    {
+      g_ptr_array_add (request->headers, g_strdup (headers[i].name));
+      g_ptr_array_add (request->headers, g_strdup (headers[i].value));
+    }
+  request->status = status;
+}
+
+void
+http_answer (HttpRequest *request,
+             uint32_t status,
+             const char *content_type,
+             GBytes *body,
+             const HttpHeader *headers,
+             size_t n_headers)
+{
+  gboolean is_submitted = request->is_submitted;
+
+  set_answer (request, status, content_type, body, headers, n_headers);
+  if (is_submitted)
+    MHD_resume_connection (request->connection);
+}
+
+void
+http_fail (HttpRequest *request,
+           ErrKind kind,
+           ErrRan ran,
+           const char *message,
+           int64_t retry_after_ms,
+           const char *request_id,
+           uint32_t attempts)
+{
+  char retry_after[RETRY_AFTER_SIZE];
+  char attempts_text[RETRY_AFTER_SIZE];
+  HttpHeader headers[4];
+  size_t count = 0;
+  g_autoptr (GBytes) body = render_error (kind, ran, message, retry_after_ms, request_id);
+
+  met_kind_add (request->http->options.metrics, "acacia_entry_refusals_total", kind, 1);
+  g_snprintf (attempts_text, sizeof attempts_text, "%u", attempts);
+  headers[count++] = (HttpHeader){ "Acacia-Ran", err_ran_name (ran) };
+  headers[count++] = (HttpHeader){ "Acacia-Attempts", attempts_text };
+  if (request_id != NULL)
+    headers[count++] = (HttpHeader){ "Acacia-Request-Id", request_id };
+  if (retry_after_ms > 0)
+    {
+      int64_t seconds = (retry_after_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S;
+      g_snprintf (retry_after, sizeof retry_after, "%" G_GINT64_FORMAT, seconds);
+      headers[count++] = (HttpHeader){ "Retry-After", retry_after };
+    }
+  http_answer (request, err_row (kind)->http_status, "application/json", body, headers, count);
+}
+
+static enum MHD_Result
+queue_answer (HttpRequest *request)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (request->body, &size);
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (size, (void *) data, MHD_RESPMEM_MUST_COPY);
+
+  if (response == NULL)
+    return MHD_NO;
+  if (*request->content_type != '\0')
+    (void) MHD_add_response_header (response, "Content-Type", request->content_type);
+  for (guint i = 0; i + 1 < request->headers->len; i += 2)
+    (void) MHD_add_response_header (response, g_ptr_array_index (request->headers, i),
+                                    g_ptr_array_index (request->headers, i + 1));
+  enum MHD_Result queued = MHD_queue_response (request->connection, request->status, response);
+  MHD_destroy_response (response);
+  return queued;
+}
+
+static enum MHD_Result
+refuse (HttpRequest *request, const GError *error)
+{
+  ErrKind kind = err_kind (error);
+  const ErrRow *row = err_row (kind);
+
+  http_fail (request, kind, row->ran, error->message, row->retry_after_ms, NULL, 0);
+  return queue_answer (request);
+}
+
+static enum MHD_Result
+add_header_size (void *ctx, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+  size_t *size = ctx;
+
+  (void) kind;
+  *size += strlen (key) + (value != NULL ? strlen (value) : 0) + 4;
+  return MHD_YES;
+}
+
+static gboolean
+check_size (HttpRequest *request, GError **error)
+{
+  const HttpOptions *options = &request->http->options;
+  size_t headers = strlen (request->target);
+  int64_t length = 0;
+  const char *text = MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
+                                                  MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+  (void) MHD_get_connection_values (request->connection, MHD_HEADER_KIND, add_header_size,
+                                    &headers);
+  if (headers > options->headers_bytes_max)
+    err_set (error, ERR_TOO_LARGE, "headers: expected at most %u bytes",
+             options->headers_bytes_max);
+  else if (text != NULL
+           && (!params_integer (text, 0, G_MAXINT64, &length) || length > options->body_bytes_max))
+    err_set (error, ERR_TOO_LARGE, "body: expected at most %u bytes", options->body_bytes_max);
+  else
+    return TRUE;
+  return FALSE;
+}
+
+/* First callback: the headers are known, the body is not. A refusal here ends the connection. */
+static enum MHD_Result
+start_request (HttpRequest *request, const char *method, const char *path)
+{
+  g_autoptr (GError) error = NULL;
+
+  request->is_started = TRUE;
+  request->ask.received_us = clk_now_us ();
+  request->received = g_byte_array_new ();
+  if (!check_size (request, &error))
+    return refuse (request, error);
+  /* Other refusals wait for the body, so that the connection can be used again. */
+  (void) http_route (request, method, path, &request->refusal);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+take_body (HttpRequest *request, const char *data, size_t *size)
+{
+  const HttpOptions *options = &request->http->options;
+  int64_t age_us = clk_now_us () - request->ask.received_us;
+
+  if (age_us > options->idle_ms * CLK_US_PER_MS)
+    {
+      met_kind_add (options->metrics, "acacia_entry_refusals_total", ERR_TIMEOUT, 1);
+      return MHD_NO;
+    }
+  if (request->received->len + *size > options->body_bytes_max)
+    request->is_too_large = TRUE;
+  else
+    g_byte_array_append (request->received, (const guint8 *) data, (guint) *size);
+  *size = 0;
+  return MHD_YES;
+}
+
+static void
+submit (HttpRequest *request)
+{
+  if (g_atomic_int_get (&request->http->stopping))
+    {
+      http_fail (request, ERR_LEAVING, ERR_RAN_NO, "this entry is leaving",
+                 err_row (ERR_LEAVING)->retry_after_ms, NULL, 0);
+      return;
+    }
+  MHD_suspend_connection (request->connection);
+  request->is_submitted = TRUE;
+  if (request->http->options.submit (request->http->options.ctx, request))
+    return;
+  http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry can't take more requests now",
+             err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
+}
+
+/* The whole request is here. */
+static enum MHD_Result
+finish_request (HttpRequest *request)
+{
+  g_autoptr (GError) error = NULL;
+
+  if (request->refusal != NULL)
+    return refuse (request, request->refusal);
+  if (request->is_too_large)
+    {
+      err_set (&error, ERR_TOO_LARGE, "body: expected at most %u bytes",
+               request->http->options.body_bytes_max);
+      return refuse (request, error);
+    }
+  request->ask.body = g_byte_array_free_to_bytes (g_steal_pointer (&request->received));
+  if (!http_read_body (request, &error))
+    return refuse (request, error);
+  if (http_answer_here (request))
+    return queue_answer (request);
+  submit (request);
+  /* A suspended connection is called again when it is resumed. */
+  return request->is_submitted ? MHD_YES : queue_answer (request);
+}
+
+static enum MHD_Result
+on_request (void *ctx,
+            struct MHD_Connection *connection,
+            const char *url,
+            const char *method,
+            const char *version,
+            const char *upload_data,
+            size_t *upload_data_size,
+            void **con_cls)
+{
+  HttpRequest *request = *con_cls;
+
+  (void) version;
+  if (request == NULL)
+    return MHD_NO;
+  request->http = ctx;
+  request->connection = connection;
+  if (!request->is_started)
+    return start_request (request, method, url);
+  if (*upload_data_size > 0)
+    return take_body (request, upload_data, upload_data_size);
+  if (request->status != 0)
+    return queue_answer (request);
+  return finish_request (request);
+}
+
+static void *
+on_target (void *ctx, const char *target, struct MHD_Connection *connection)
+{
+  HttpRequest *request = g_new0 (HttpRequest, 1);
+
+  request->http = ctx;
+  request->connection = connection;
+  request->target = g_strdup (target);
+  return request;
+}
+
+static void
+on_completed (void *ctx,
+              struct MHD_Connection *connection,
+              void **con_cls,
+              enum MHD_RequestTerminationCode code)
+{
+  HttpRequest *request = *con_cls;
+
+  (void) ctx;
+  (void) connection;
+  (void) code;
+  *con_cls = NULL;
+  if (request == NULL)
+    return;
+  params_clear (&request->ask.call);
+  g_clear_pointer (&request->ask.body, g_bytes_unref);
+  g_free (request->ask.author);
+  g_free (request->ask.note);
+  g_free (request->ask.job_name);
+  g_free (request->ask.job_key);
+  g_free (request->ask.submitter);
+  g_free (request->target);
+  g_clear_pointer (&request->received, g_byte_array_unref);
+  g_clear_error (&request->refusal);
+  g_free (request->content_type);
+  g_clear_pointer (&request->body, g_bytes_unref);
+  g_clear_pointer (&request->headers, g_ptr_array_unref);
+  g_free (request);
+}
+
+/* The library's own notices, as events. */
+static void
+on_library_log (void *ctx, const char *format, va_list args)
+{
+  g_autofree char *text = g_strdup_vprintf (format, args);
+
+  (void) ctx;
+  g_strdelimit (text, "\"\n", ' ');
+  jnl_event (JNL_DEBUG, "http", "library", "text=\"%s\"", text);
+}
+
+static gpointer
+poll_thread (gpointer data)
+{
+  Http *http = data;
+
+  rcu_register_thread ();
+  while (!g_atomic_int_get (&http->stopping))
+    (void) MHD_run_wait (http->daemon, POLL_MS);
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+static struct MHD_Daemon *
+start_daemon (Http *http, const struct sockaddr_in *address)
+{
+  const HttpOptions *options = &http->options;
+  unsigned int idle_s = (unsigned int) ((options->idle_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S);
+  size_t memory = (size_t) options->headers_bytes_max * 2 + CONNECTION_BYTES;
+
+  return MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_ERROR_LOG, options->port,
+      NULL, NULL, on_request, http, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, http,
+      MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_URI_LOG_CALLBACK, on_target, http,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, http, MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
+      MHD_OPTION_CONNECTION_LIMIT, options->connections_max, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      memory, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+}
+
+Http *
+http_new (const HttpOptions *options, GError **error)
+{
+  Http *http = g_new0 (Http, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (options->port) };
+
+  http->options = *options;
+  http->host = g_strdup (options->host);
+  if (inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
+    http->daemon = start_daemon (http, &address);
+  if (http->daemon == NULL)
+    {
+      err_set (error, ERR_REFUSED, "can't listen on %s port %u", options->host, options->port);
+      g_free (http->host);
+      g_free (http);
+      return NULL;
+    }
+  http->thread = g_thread_new ("http", poll_thread, http);
+  return http;
+}
+
+void
+http_stop (Http *http)
+{
+  if (http == NULL)
+    return;
+  g_atomic_int_set (&http->stopping, 1);
+  g_thread_join (http->thread);
+}
+
+static gboolean
+has_connections (const Http *http)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+  return info != NULL && info->num_connections > 0;
+}
+
+void
+http_free (Http *http)
+{
+  if (http == NULL)
+    return;
+  int64_t end_us = clk_now_us () + LAST_ANSWERS_US;
+  rcu_register_thread ();
+  while (has_connections (http) && clk_now_us () < end_us)
+    (void) MHD_run_wait (http->daemon, LAST_POLL_MS);
+  MHD_stop_daemon (http->daemon);
+  rcu_unregister_thread ();
+  g_free (http->host);
+  g_free (http);
+}
