--- a/Makefile
+++ b/Makefile
@@ -135,7 +135,7 @@
 proto:
 	cd lib && protoc-c --c_out=. wire/message.proto state/record.proto
 
-$(BUILD)/fuzz/fuzz_%: tests/fuzz/fuzz_%.c
+$(BUILD)/fuzz/fuzz_%: tests/fuzz/fuzz_%.c $(LIB_SRC)
 	@mkdir -p $(@D)
 	$(MAKE) BUILD=$(BUILD)/fuzz-lib CC=clang CXX=clang++ \
 	  SANITIZE="-fsanitize=address,undefined,fuzzer-no-link" $(BUILD)/fuzz-lib/libacacia.a
