--- a/programs/ctl/cmd.c
+++ b/programs/ctl/cmd.c
@@ -2,10 +2,11 @@
 
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/doc.h"
-#include "dif.h"
+#include "common/ids.h"
 #include "tab.h"
 
 #define CMD_TOML "application/toml"
@@ -89,62 +90,17 @@
   if (document == NULL)
     return FALSE;
   *answer = counts_of (options->argument, document);
-  json_object_set_new (*answer, "unmatched", dif_unmatched (document, NULL));
   doc_free (document);
   return TRUE;
 }
 
-/* Label sets of the known instances, or NULL when the status page doesn't list them. */
-static json_t *
-known_instances (const CmdOptions *options)
-{
-  json_t *status = NULL;
-
-  if (!get (options, "/v1/status", &status, NULL))
-    return NULL;
-  json_t *sets = json_array ();
-  json_t *workers = json_object_get (status, "workers");
-  size_t index = 0;
-  json_t *worker = NULL;
-  json_array_foreach (workers, index, worker)
-  {
-    json_t *labels = json_object_get (worker, "labels");
-    json_array_append (sets, labels);
-  }
-  if (!json_is_array (workers))
-    g_clear_pointer (&sets, json_decref);
-  json_decref (status);
-  return sets;
-}
-
+/* The entry compares with what is in force and with the instances that it knows. */
 static gboolean
-run_dry (const CmdOptions *options,
-         const DocDocument *document,
-         const char *text,
-         json_t **answer,
-         GError **error)
+dry_run (const CmdOptions *options, const char *text, json_t **answer, GError **error)
 {
-  json_t *current = NULL;
-  json_t *checked = NULL;
-  CliRequest check = { "POST", "/v1/config/check", CMD_TOML, text, strlen (text), TRUE };
+  CliRequest request = { "POST", "/v1/config/check", CMD_TOML, text, strlen (text), TRUE };
 
-  if (!call (options, &check, &checked, error))
-    return FALSE;
-  json_decref (checked);
-  if (!get (options, "/v1/config", &current, error))
-    return FALSE;
-  const char *old_text = json_string_value (json_object_get (current, "text"));
-  json_t *changes = dif_rows (old_text != NULL ? old_text : "", text, error);
-  if (changes != NULL)
-    {
-      json_t *instances = known_instances (options);
-      *answer = json_pack ("{s:O, s:b, s:o, s:o}", "base", json_object_get (current, "version"),
-                           "published", 0, "changes", changes, "unmatched",
-                           dif_unmatched (document, instances));
-      json_decref (instances);
-    }
-  json_decref (current);
-  return changes != NULL;
+  return call (options, &request, answer, error);
 }
 
 /* The version to base on: the command line's, or the newest that an entry has in force. */
@@ -190,10 +146,9 @@
 
   if (document == NULL)
     return FALSE;
-  gboolean ok = options->is_dry_run ? run_dry (options, document, text, answer, error)
-                                    : publish (options, text, answer, error);
   doc_free (document);
-  return ok;
+  return options->is_dry_run ? dry_run (options, text, answer, error)
+                             : publish (options, text, answer, error);
 }
 
 static gboolean
@@ -208,17 +163,18 @@
   return get (options, "/v1/config/history", answer, error);
 }
 
+/* Without a key of the operator's the run gets one of its own, so that asking again is harmless. */
 static gboolean
 run_submit (const CmdOptions *options, json_t **answer, GError **error)
 {
-  json_t *body = json_pack ("{s:s, s:s}", "name", options->argument, "submitter", options->author);
-
-  if (options->key != NULL)
-    json_object_set_new (body, "key", json_string (options->key));
+  char own_key[IDS_TEXT_SIZE];
+  const char *key = options->key != NULL ? options->key : ids_print (ids_new (), own_key);
+  json_t *body = json_pack ("{s:s, s:s, s:s}", "name", options->argument, "key", key, "submitter",
+                            options->author);
   char *text = json_dumps (body, JSON_COMPACT);
+
   json_decref (body);
-  gboolean is_repeatable = options->key != NULL;
-  CliRequest request = { "POST", "/v1/jobs", CMD_JSON, text, strlen (text), is_repeatable };
+  CliRequest request = { "POST", "/v1/jobs", CMD_JSON, text, strlen (text), TRUE };
   gboolean ok = call (options, &request, answer, error);
   free (text);
   return ok;
--- a/programs/load/jobs.c
+++ b/programs/load/jobs.c
@@ -7,7 +7,9 @@
 #include "common/ids.h"
 #include "link.h"
 
-#define JOBS_EVICTIONS "acacia_entry_evictions_total"
+#define JOBS_COMMANDS "acacia_entry_commands_total{"
+#define JOBS_CHECKPOINT "command=\"checkpoint\""
+#define JOBS_CANCEL "reason=\"cancel\""
 #define JOBS_POLL_MS 200
 #define JOBS_STATUS_ERROR_FIRST 400
 #define JOBS_S_PER_MINUTE 60
@@ -148,20 +150,19 @@
   g_free (jobs);
 }
 
-/* Sum of a counter over its labels in Prometheus' text form. */
+/* Checkpoints ordered for any reason but a cancellation, from Prometheus' text form. */
 static int64_t
-sum_counter (const char *text, const char *name)
+sum_evictions (const char *text)
 {
   char **lines = g_strsplit (text, "\n", -1);
-  size_t length = strlen (name);
   int64_t sum = 0;
 
   for (size_t i = 0; lines[i] != NULL; i++)
     {
       const char *value = strrchr (lines[i], ' ');
-      if (strncmp (lines[i], name, length) != 0 || value == NULL)
+      if (value == NULL || !g_str_has_prefix (lines[i], JOBS_COMMANDS))
         continue;
-      if (lines[i][length] == '{' || lines[i][length] == ' ')
+      if (strstr (lines[i], JOBS_CHECKPOINT) != NULL && strstr (lines[i], JOBS_CANCEL) == NULL)
         sum += g_ascii_strtoll (value + 1, NULL, 10);
     }
   g_strfreev (lines);
@@ -180,7 +181,7 @@
       LinkAnswer answer = { 0 };
       if (link != NULL && link_call (link, &request, &answer, NULL))
         {
-          sum = MAX (sum, 0) + sum_counter (answer.body->str, JOBS_EVICTIONS);
+          sum = MAX (sum, 0) + sum_evictions (answer.body->str);
           link_answer_clear (&answer);
         }
       link_free (link);
--- a/programs/load/run.c
+++ b/programs/load/run.c
@@ -84,8 +84,18 @@
   return link_call (link, &request, answer, error);
 }
 
+/* The back end answers with the digest of the body it was sent; a body holds the run's own tag. */
+static gboolean
+is_own_answer (const LinkAnswer *answer, const GString *body)
+{
+  g_autofree char *digest = g_strdup_printf ("\"digest\":\"%016" G_GINT64_MODIFIER "x\"",
+                                             ids_hash (body->str, body->len));
+
+  return strstr (answer->body->str, digest) != NULL;
+}
+
 static void
-count_answer (LoadTally *tally, const LinkAnswer *answer, const char *tag, LoadSample sample)
+count_answer (LoadTally *tally, const LinkAnswer *answer, const GString *body, LoadSample sample)
 {
   if (answer->attempts > 1)
     tally->retries += answer->attempts - 1;
@@ -94,7 +104,7 @@
       tally->refusals[link_answer_kind (answer)]++;
       return;
     }
-  if (strstr (answer->body->str, tag) == NULL)
+  if (!is_own_answer (answer, body))
     tally->mismatched++;
   g_array_append_val (tally->samples, sample);
 }
@@ -120,7 +130,7 @@
   else if (sender->run->options->is_own_cost)
     g_array_append_val (tally->samples, sample);
   else
-    count_answer (tally, &answer, tag, sample);
+    count_answer (tally, &answer, body, sample);
   link_answer_clear (&answer);
 }
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -326,7 +326,8 @@
   local total=0 n name
   for name in "${!PID[@]}"; do
     [ "${name%-*}" = service ] || continue
-    n=$(curl -fsS -m 5 "$(url_of "$name")/runs?tenant=$TENANT&key=$1" | jq -r '.runs') || continue
+    n=$(curl -fsS -m 5 "$(url_of "$name")/runs?tenant=$TENANT&key=$1" | jq -r '.runs')
+    [ -n "$n" ] || continue
     total=$((total + n))
   done
   echo "$total"
@@ -343,6 +344,40 @@
     | awk -v name="$2" '{ split($1, part, "{"); if (part[1] == name) sum += $2 } END { print sum + 0 }'
 }
 
+# Checkpoints ordered by all entries for any reason but a cancellation.
+evictions() {
+  local i
+  for ((i = 1; i <= CLUSTER_ENTRIES; i++)); do
+    curl -fsS -m 5 "$(url_of "entry-$i")/metrics" 2>/dev/null
+  done | awk '/^acacia_entry_commands_total\{.*command="checkpoint"/ && !/reason="cancel"/ { sum += $2 }
+              END { print sum + 0 }'
+}
+
+# history: every attempt that a live worker ever started, one JSON object a line.
+history() {
+  local name
+  for name in "${!PID[@]}"; do
+    [ "${name%-*}" = worker ] || continue
+    curl -fsS -m 5 "$(url_of "$name")/v1/history" \
+      | jq -c --arg worker "$name" \
+        '.tasks[] | . as $task | .attempts[] | . + {worker: $worker, job: $task.job, index: $task.index}'
+  done
+}
+
+# overlaps: pairs of attempts of one task that ran at the same time, on any workers.
+overlaps() {
+  history | jq -s '
+    [group_by([.job, .index])[] | sort_by(.start_ms) | . as $a
+     | range(0; length - 1) as $i
+     | select($a[$i].end_ms == null or $a[$i].end_ms > $a[$i + 1].start_ms)] | length'
+}
+
+# done_twice: tasks with more than one attempt that ended as done.
+done_twice() {
+  history | jq -s '[group_by([.job, .index])[] | select(map(select(.state == "done")) | length > 1)]
+                   | length'
+}
+
 # config_version PROCESS: the version that a process has in force, entry or agent.
 config_version() {
   case "$1" in
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -76,7 +76,8 @@
   for ((i = 1; i <= ENTRIES; i++)); do
     preview=$(call_full "entry-$i" preview/cut -d "cut $i")
     check "a preview through entry-$i is answered" grep -q '^HTTP/1.1 200' <<<"$preview"
-    check "its whole answer came back" grep -q "cut $i" <<<"$(body_of <<<"$preview")"
+    check_equal "its whole answer came back" "$TENANT 5" \
+      "$(body_of <<<"$preview" | jq -r '"\(.tenant) \(.length)"')"
   done
   mapfile -t once < <(once_args "$key")
   first=$(call entry-1 deliver "${once[@]}" -d master) || fail "first once request"
@@ -100,7 +101,7 @@
 # Number of attempts that worker $1 started.
 starts_on() {
   curl -fsS -m 5 "$(url_of "worker-$1")/v1/history" \
-    | jq '[.history[] | select(.event == "start")] | length'
+    | jq '[.tasks[].attempts[]] | length'
 }
 
 check_leaving() {
@@ -115,7 +116,7 @@
   before=$(completed_at service-1)
   for ((i = 0; i < 10; i++)); do call entry-1 preview/after -d x >/dev/null || fail "preview"; done
   wait "$caller" || fail "the request in flight was cut"
-  check "the request in flight was answered whole" grep -q slow-request "$out"
+  check "the request in flight was answered whole" test "$(jq -r .length "$out")" = 12
   wait_for 10 "agent-1 has left" has_left agent-1
   wait "${PID[agent-1]}"
   check_equal "its exit code is 0" 0 $?
@@ -126,7 +127,7 @@
 # Sends requests until one is held by the first endpoint, which is slow.
 call_agent_one() { call entry-1 preview/slow -d slow-request >"$1"; }
 running_at() { [ "$(curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .running)" -ge 1 ]; }
-completed_at() { curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .completed; }
+completed_at() { curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .total; }
 
 say "== $DEPLOYMENT: processes"
 cluster_start "$INSTANCES" "$ENTRIES"
