--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -29,7 +29,7 @@
 ENTRY_EXTRA=""        # settings lines added to every entry
 AGENT_EXTRA=""        # settings lines added to every agent
 LOG_ARGS=()           # arguments added to standin-log
-WORKER_ARGS=()        # arguments added to every standin-worker
+WORKER_ARGS=(--usage-lag-ms 200) # arguments added to every standin-worker
 SERVICE_ARGS=()       # arguments added to every standin-service
 
 say() { printf '%s\n' "$*"; }
@@ -229,10 +229,11 @@
   launch "entry-$1" "$BIN/acacia-entry" --config "$file"
 }
 
-# The first instance carries the label that the example documents select; each has a rack of its own.
+# Each instance has a group label and a rack of its own; the first carries the label that the example
+# documents select.
 start_agent() {
-  local file=$CLUSTER_DIR/agent-$1.toml labels="[\"instance=i$1\"]"
-  [ "$1" -ne 1 ] || labels="[\"instance=i$1\", \"$LABEL_FIRST\"]"
+  local file=$CLUSTER_DIR/agent-$1.toml labels="[\"group=g$1\"]"
+  [ "$1" -ne 1 ] || labels="[\"group=g$1\", \"$LABEL_FIRST\"]"
   cat >"$file" <<TOML
 name = "agent-$1"
 data_centre = "$(data_centre_of "$1")"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,14 +16,18 @@
 INSTANCES=3
 ENTRIES=2
 CONFIG_S=4
+REPORT_LAG_MS=300
 STARTED=$SECONDS
 
 cluster_init "$1"
 document=$CLUSTER_DIR/document.toml
 
-# The deployment's own document, with short jobs that the checks below can wait for.
+# The deployment's own document, with short jobs that the checks below can wait for, and the lag of
+# the stand-ins' usage reports.
 write_document() {
-  cat "$CLUSTER_ROOT/examples/$DEPLOYMENT/document.toml" - >"$document" <<TOML
+  sed "s/^report_lag_ms = .*/report_lag_ms = $REPORT_LAG_MS/" \
+    "$CLUSTER_ROOT/examples/$DEPLOYMENT/document.toml" >"$document"
+  cat >>"$document" <<TOML
 
 [job.demo-render]
 tasks = 3
@@ -38,10 +42,10 @@
 run_ms = 500
 
 [[rule]]
-name = "demo-in-second-data-centre"
+name = "demo-in-second-group"
 effect = "may"
 work = "name = demo-render"
-instances = "data_centre = $(data_centre_of 2)"
+instances = "group = g2"
 TOML
 }
 
@@ -91,7 +95,7 @@
   impossible=$(ctl --json submit demo-impossible --key imp-1 | jq -r .job) || fail "submit"
   job=$(ctl --json submit demo-render --key render-1 | jq -r .job) || fail "submit"
   wait_for 20 "the job is done" job_is "$job" done
-  check "explain says which rule placed it" explains "$job" demo-in-second-data-centre
+  check "explain says which rule placed it" explains "$job" demo-in-second-group
   check_equal "it ran only where its selector allows" "0 3 0" \
     "$(starts_on 1) $(starts_on 2) $(starts_on 3)"
   wait_for 10 "the impossible job says so" explains "$impossible" too_large
