--- a/lib/core/explain.c
+++ b/lib/core/explain.c
@@ -31,6 +31,7 @@
 task_json (const Core *core, const CoreTask *task)
 {
   const CoreWorker *worker = tables_worker_row (core, task->worker);
+  const CoreWorker *placed = tables_worker_row (core, task->placed_on);
   json_t *object
       = json_pack ("{s:i,s:s,s:i,s:i,s:I}", "index", (int) task->index, "state",
                    explain_states[task->state], "attempt", (int) task->attempt, "failures",
@@ -43,6 +44,11 @@
       json_object_set_new (object, "throttle_permille",
                            json_integer ((json_int_t) task->throttle_permille));
     }
+  if (placed != NULL)
+    {
+      json_object_set_new (object, "placed_on", json_string (placed->id));
+      json_object_set_new (object, "placed_for", json_string (core_why_name (task->placed_why)));
+    }
   if (task->state == TASK_WAITING)
     json_object_set_new (object, "waits_for", json_string (waits_for (core, task)));
   if (task->state == TASK_STOPPING)
@@ -50,6 +56,21 @@
   return object;
 }
 
+/* Names of the rules whose selector of work matches the job: they say where it may run. */
+static json_t *
+rules_json (const Core *core, const CoreJob *job)
+{
+  json_t *names = json_array ();
+
+  for (guint i = 0; i < core->config.rules->len; i++)
+    {
+      const CoreRule *rule = g_ptr_array_index (core->config.rules, i);
+      if (sel_match (rule->work, job->shape->labels))
+        json_array_append_new (names, json_string (rule->name));
+    }
+  return names;
+}
+
 static json_t *
 counts_json (const CoreJob *job)
 {
@@ -81,6 +102,7 @@
   json_object_set_new (root, "reserves", size_json (learn_size (core, job)));
   json_object_set_new (root, "expected_run_ms",
                        json_integer ((json_int_t) learn_run_ms (core, job, 500)));
+  json_object_set_new (root, "rules", rules_json (core, job));
   json_object_set_new (root, "counts", counts_json (job));
   for (uint32_t i = 0; job->tasks != NULL && i < MIN (job->n_tasks, EXPLAIN_TASKS_MAX); i++)
     json_array_append_new (tasks, task_json (core, &job->tasks[i]));
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -156,6 +156,8 @@
   interference_started (core, choice->worker, task->job);
   task->attempt++;
   task->is_probe = choice->worker->is_quarantined;
+  task->placed_on = choice->worker->row;
+  task->placed_why = command.why;
   tables_put (core, task, choice->worker, choice->size);
   health_started (core, choice->worker, task);
   core->starts++;
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -44,6 +44,8 @@
   uint32_t worker;    /**< CORE_NONE while it is on none */
   uint32_t place;     /**< place in the worker's list */
   uint32_t failed_on; /**< worker of the last failure */
+  uint32_t placed_on; /**< worker of the newest start; CORE_NONE: started by an earlier owner */
+  CoreWhy placed_why; /**< reason of the newest start */
   uint32_t failures;  /**< that were not blamed on a worker */
   uint32_t throttle_permille;
   gboolean is_probe;
