--- a/lib/agent/agent_attempts.c
+++ b/lib/agent/agent_attempts.c
@@ -19,8 +19,9 @@
   GQueue ended;     /**< Row, oldest end first */
   GQueue answered;  /**< Row with an answer, oldest first */
   int64_t answers_bytes;
-  /** Attempts chosen at or before this time and without a row are refused. */
-  int64_t forgotten_us;
+  /** Attempts chosen at or before these times and without a row are refused: */
+  int64_t forgotten_us; /**< they may have run and been forgotten */
+  int64_t closed_us;    /**< there was no room for a row: they never ran */
 };
 
 static void
@@ -43,6 +44,7 @@
   attempts->options = *options;
   attempts->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, row_free);
   attempts->forgotten_us = -1;
+  attempts->closed_us = -1;
   return attempts;
 }
 
@@ -128,6 +130,17 @@
   return attempt->chosen_us <= attempts->forgotten_us;
 }
 
+/* Fences an attempt without a row; without room for one by its time, as it was chosen before now.
+ */
+static void
+fence_unseen (AgentAttempts *attempts, const AgentAttempt *attempt, int64_t now_us)
+{
+  if (make_room (attempts, now_us))
+    end_row (attempts, add_row (attempts, attempt), AGENT_ATTEMPT_FENCED, now_us);
+  else
+    attempts->closed_us = MAX (attempts->closed_us, now_us);
+}
+
 AgentAttemptState
 agent_attempts_begin (AgentAttempts *attempts,
                       const AgentAttempt *attempt,
@@ -143,15 +156,14 @@
       return row->state;
     }
   if (may_be_forgotten (attempts, attempt))
+    return AGENT_ATTEMPT_UNKNOWN;
+  if (attempt->chosen_us <= attempts->closed_us)
     return AGENT_ATTEMPT_FENCED;
   if (!make_room (attempts, now_us))
     {
-      /* There is no row to fence it: all that was chosen until now is refused from here on. */
-      attempts->forgotten_us = MAX (attempts->forgotten_us, now_us);
+      attempts->closed_us = MAX (attempts->closed_us, now_us);
       return AGENT_ATTEMPT_FULL;
     }
-  if (may_be_forgotten (attempts, attempt))
-    return AGENT_ATTEMPT_FENCED;
   (void) add_row (attempts, attempt);
   return AGENT_ATTEMPT_START;
 }
@@ -159,12 +171,13 @@
 AgentAttemptState
 agent_attempts_refuse (AgentAttempts *attempts, const AgentAttempt *attempt, int64_t now_us)
 {
-  GBytes *answer;
-  AgentAttemptState state = agent_attempts_begin (attempts, attempt, now_us, &answer);
+  const Row *row = find_row (attempts, attempt);
 
-  if (state != AGENT_ATTEMPT_START)
-    return state;
-  agent_attempts_not_run (attempts, attempt, now_us);
+  if (row != NULL)
+    return row->state;
+  if (may_be_forgotten (attempts, attempt))
+    return AGENT_ATTEMPT_UNKNOWN;
+  fence_unseen (attempts, attempt, now_us);
   return AGENT_ATTEMPT_FENCED;
 }
 
@@ -231,8 +244,8 @@
     }
   if (may_be_forgotten (attempts, attempt))
     return AGENT_ATTEMPT_UNKNOWN;
-  /* Without room for a row it is refused by its time, which fences it as well. */
-  (void) agent_attempts_refuse (attempts, attempt, now_us);
+  /* The time in a question may be unknown, so the fence is a row wherever there is room. */
+  fence_unseen (attempts, attempt, now_us);
   return AGENT_ATTEMPT_FENCED;
 }
 
--- a/lib/agent/agent_attempts.h
+++ b/lib/agent/agent_attempts.h
@@ -4,9 +4,9 @@
  *
  * A row is running, ran or fenced. A question about an attempt never seen fences it for good. Rows
  * are bounded. At the bound the oldest ended rows are forgotten once they are old enough, and from
- * then on every attempt that was chosen before is refused: a request carries the agent's own time
- * that its sender had heard before it chose the attempt, so an old one is known without its row.
- * When no row is old enough, new attempts are refused. Pure: time is passed in.
+ * then on every attempt that was chosen before is refused as in doubt: a request carries the
+ * agent's own time that its sender had heard before it chose the attempt, so an old one is known
+ * without its row. When no row is old enough, new attempts are refused. Pure: time is passed in.
  */
 #pragma once
 
--- a/tests/agent/test_node.c
+++ b/tests/agent/test_node.c
@@ -8,9 +8,9 @@
 #include "agent/canned_server.h"
 #include "common/clk.h"
 #include "support/fake_worker.h"
+#include "wire/free_address.h"
 #include "wire/wire_parse.h"
 
-#define ENTRY "tcp://127.0.0.1:17921"
 #define WAIT_US (INT64_C (10) * CLK_US_PER_S)
 #define LEASE_MS 3000
 #define SHARD 7
@@ -20,6 +20,7 @@
 {
   CannedServer *endpoint;
   FakeWorker *worker;
+  char *address; /**< of the entry */
   AgentSettings settings;
   MetRegistry *metrics;
   AgentNode *node;
@@ -116,12 +117,12 @@
   GError *error = NULL;
   int fd = g_file_open_tmp ("agentXXXXXX", &path, NULL);
   g_autofree char *text = g_strdup_printf (
-      "name = \"agent-1\"\ndata_centre = \"dc-1\"\nentries = [\"entry-1=" ENTRY "\"]\n"
+      "name = \"agent-1\"\ndata_centre = \"dc-1\"\nentries = [\"entry-1=%s\"]\n"
       "heartbeat_ms = 50\nlease_margin_ms = 300\nworker.poll_ms = 100\nworker.port = %u\n"
       "endpoint.service = \"mixdesk\"\nendpoint.port = %u\nendpoint.slots = 2\n"
       "endpoint.connections = 4\nendpoint.threads = 4\nendpoint.once_read_ms = 1000\n"
       "drain_task_ms = 5000\n",
-      with_worker ? fake_worker_port (rig->worker) : 0, rig->endpoint->port);
+      rig->address, with_worker ? fake_worker_port (rig->worker) : 0, rig->endpoint->port);
 
   assert_true (fd >= 0 && write (fd, text, strlen (text)) == (ssize_t) strlen (text));
   close (fd);
@@ -141,12 +142,13 @@
   g_cond_init (&rig->changed);
   rig->heard = g_ptr_array_new_with_free_func ((GDestroyNotify) wire_parsed_free);
   rig->metrics = met_new ();
+  rig->address = free_address ();
   rig->endpoint = canned_new ();
   rig->worker = fake_worker_new (&worker);
   open_settings (rig, with_worker);
   WireOptions options = { .name = "entry-1",
                           .incarnation = 1,
-                          .listen = ENTRY,
+                          .listen = rig->address,
                           .send_queue_max = 1000,
                           .timer_ms = 50,
                           .heartbeat_ms = 500,
@@ -170,6 +172,7 @@
   g_ptr_array_unref (rig->heard);
   agent_settings_clear (&rig->settings);
   met_free (rig->metrics);
+  g_free (rig->address);
   g_mutex_clear (&rig->mutex);
   g_cond_clear (&rig->changed);
   g_free (rig);
--- a/tests/wire/test_wire.c
+++ b/tests/wire/test_wire.c
@@ -8,6 +8,7 @@
 
 #include "common/clk.h"
 #include "common/err.h"
+#include "wire/free_address.h"
 #include "wire/wire.h"
 #include "wire/wire_parse.h"
 #include "wire/wire_peers.h"
@@ -15,6 +16,9 @@
 #define WAIT_US (INT64_C (5) * CLK_US_PER_S)
 #define QUEUE_MAX 64
 
+/** Where the listening end of each test is; found at the start. */
+static char *hub_address;
+
 /** One end of the wire and what its loop thread has seen. */
 typedef struct
 {
@@ -193,13 +197,11 @@
   return dropped (end, reason) >= at_least;
 }
 
-#define HUB "tcp://127.0.0.1:17911"
-
 static void
 both_ways_and_in_order (void **state)
 {
-  End *hub = open_end ("entry-1", 1, HUB, NULL);
-  End *agent = open_end ("agent-1", 2, NULL, HUB);
+  End *hub = open_end ("entry-1", 1, hub_address, NULL);
+  End *agent = open_end ("agent-1", 2, NULL, hub_address);
 
   (void) state;
   send_until_heard (agent, "hub", hub, 1, "agent-1:1");
@@ -217,9 +219,9 @@
 static void
 replaced_process_is_told_apart (void **state)
 {
-  End *hub = open_end ("entry-1", 1, HUB, NULL);
-  End *old = open_end ("agent-1", 7, NULL, HUB);
-  End *new = open_end ("agent-1", 8, NULL, HUB);
+  End *hub = open_end ("entry-1", 1, hub_address, NULL);
+  End *old = open_end ("agent-1", 7, NULL, hub_address);
+  End *new = open_end ("agent-1", 8, NULL, hub_address);
 
   (void) state;
   send_until_heard (old, "hub", hub, 1, "agent-1:1");
@@ -260,8 +262,8 @@
 static void
 hostile_messages_are_dropped_and_counted (void **state)
 {
-  End *hub = open_end ("entry-1", 1, HUB, NULL);
-  End *agent = open_end ("agent-1", 2, NULL, HUB);
+  End *hub = open_end ("entry-1", 1, hub_address, NULL);
+  End *agent = open_end ("agent-1", 2, NULL, hub_address);
   void *context = zmq_ctx_new ();
 
   (void) state;
@@ -271,7 +273,7 @@
       int64_t before = dropped (hub, hostile->reason);
       void *socket = zmq_socket (context, ZMQ_DEALER);
       zmq_setsockopt (socket, ZMQ_ROUTING_ID, hostile->id, strlen (hostile->id));
-      assert_int_equal (zmq_connect (socket, HUB), 0);
+      assert_int_equal (zmq_connect (socket, hub_address), 0);
       for (uint32_t part = 1; part <= hostile->parts; part++)
         zmq_send (socket, hostile->payload, hostile->size, part < hostile->parts ? ZMQ_SNDMORE : 0);
       if (!wait_dropped (hub, hostile->reason, before + 1))
@@ -287,8 +289,8 @@
 static void
 oversize_is_refused_and_the_peer_lives_on (void **state)
 {
-  End *hub = open_end ("entry-1", 1, HUB, NULL);
-  End *agent = open_end ("agent-1", 2, NULL, HUB);
+  End *hub = open_end ("entry-1", 1, hub_address, NULL);
+  End *agent = open_end ("agent-1", 2, NULL, hub_address);
   void *context = zmq_ctx_new ();
   void *socket = zmq_socket (context, ZMQ_DEALER);
   g_autofree char *large = g_malloc0 (WIRE_MESSAGE_MAX + 1);
@@ -296,7 +298,7 @@
   (void) state;
   send_n (agent, "hub", 1, 1, WIRE_MESSAGE_MAX);
   zmq_setsockopt (socket, ZMQ_ROUTING_ID, "big/0123456789abcdef", 20);
-  assert_int_equal (zmq_connect (socket, HUB), 0);
+  assert_int_equal (zmq_connect (socket, hub_address), 0);
   zmq_send (socket, large, WIRE_MESSAGE_MAX + 1, 0);
   send_until_heard (agent, "hub", hub, 2, "agent-1:2");
   assert_int_equal (refused (agent, "too_large"), 1);
@@ -345,13 +347,13 @@
 static void
 full_queue_is_a_counted_refusal (void **state)
 {
-  End *agent = open_end ("agent-1", 2, NULL, "tcp://127.0.0.1:17912");
+  End *agent = open_end ("agent-1", 2, NULL, hub_address);
   void *context = zmq_ctx_new ();
   void *deaf = zmq_socket (context, ZMQ_ROUTER);
 
   (void) state;
   assert_int_equal (zmq_setsockopt (deaf, ZMQ_RCVHWM, &(int){ 1 }, sizeof (int)), 0);
-  assert_int_equal (zmq_bind (deaf, "tcp://127.0.0.1:17912"), 0);
+  assert_int_equal (zmq_bind (deaf, hub_address), 0);
   g_usleep (300000);
   for (int i = 0; i < 40 && refused (agent, "queue_full") == 0; i++)
     {
@@ -398,12 +400,12 @@
 static void
 bad_options_are_typed_errors (void **state)
 {
-  End *hub = open_end ("entry-1", 1, HUB, NULL);
+  End *hub = open_end ("entry-1", 1, hub_address, NULL);
   End *other = open_end ("agent-1", 1, NULL, NULL);
   GError *error = NULL;
 
   (void) state;
-  assert_null (make_wire (other, "entry-2", 1, HUB, &error));
+  assert_null (make_wire (other, "entry-2", 1, hub_address, &error));
   assert_int_equal (err_kind (error), ERR_REFUSED);
   g_clear_error (&error);
   assert_null (make_wire (other, "no name", 1, NULL, &error));
@@ -453,5 +455,8 @@
     cmocka_unit_test (peer_table_forgets_and_is_bounded),
   };
 
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  hub_address = free_address ();
+  int failed = cmocka_run_group_tests (tests, NULL, NULL);
+  g_free (hub_address);
+  return failed;
 }
