--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -15,7 +15,6 @@
 #define RECEIVE_BATCH 256
 #define PEER_EXPIRY_US (INT64_C (600) * CLK_US_PER_S)
 #define RECONNECT_MS 100
-#define ADDRESS_SIZE 128
 #define RECONNECT_MAX_MS 1000
 #define CONNECT_TIMEOUT_MS 2000
 /** ZeroMQ heartbeats that may be missed before a connection is made anew. */
@@ -51,7 +50,6 @@
   int64_t timer_ms;
   int64_t heartbeat_ms;
   char id[WIRE_ID_SIZE];
-  char address[ADDRESS_SIZE]; /**< that router listens on */
   void *context;
   void *router; /**< NULL for a process that only connects */
   GArray *dealers;
@@ -132,12 +130,7 @@
   set_option (wire->router, ZMQ_ROUTER_MANDATORY, 1);
   set_option (wire->router, ZMQ_ROUTER_HANDOVER, 1);
   if (zmq_bind (wire->router, address) == 0)
-    {
-      size_t size = sizeof (wire->address);
-      int rc = zmq_getsockopt (wire->router, ZMQ_LAST_ENDPOINT, wire->address, &size);
-      g_assert (rc == 0);
-      return TRUE;
-    }
+    return TRUE;
   err_set (error, ERR_REFUSED, "listen on %s: %s", address, zmq_strerror (errno));
   return FALSE;
 }
@@ -202,12 +195,6 @@
   return TRUE;
 }
 
-const char *
-wire_listen_address (const Wire *wire)
-{
-  return wire->router != NULL ? wire->address : NULL;
-}
-
 const char *const *
 wire_peers (const Wire *wire)
 {
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -60,12 +60,6 @@
  */
 gboolean wire_send (Wire *wire, const char *peer, const Wire__Envelope *envelope);
 
-/**
- * Address that the process listens on, with the real port where it was asked for "tcp://IP:*"; NULL
- * without one. Owned by @p wire.
- */
-const char *wire_listen_address (const Wire *wire);
-
 /** Names of the peers given to wire_connect(), NULL-terminated; owned by @p wire. */
 const char *const *wire_peers (const Wire *wire);
 
