Core: smoothed tails, growth with doubt, due work first, cheap tails first

Tails are now smoothed against the forecast, a pair's growth carries its doubt, and work that asks less of a tail for a processor goes first until it is due; laxity counts all work with an earlier deadline.

--- a/lib/core/config.c
+++ b/lib/core/config.c
@@ -56,12 +56,14 @@
 copy_rules (CoreConfig *config, const DocDocument *document)
 {
   config->rules = g_ptr_array_new_with_free_func (rule_free);
+  config->has_spread = FALSE;
   for (guint i = 0; document != NULL && i < document->rules->len; i++)
     {
       const DocRule *from = g_ptr_array_index (document->rules, i);
       CoreRule *rule = g_new0 (CoreRule, 1);
       rule->name = g_strdup (from->name);
       rule->effect = from->effect;
+      config->has_spread = config->has_spread || from->effect == DOC_APART;
       rule->work = copy_selector (from->work);
       rule->instances = copy_selector (from->instances);
       rule->beside = copy_selector (from->beside);
--- a/lib/core/interference.c
+++ b/lib/core/interference.c
@@ -1,10 +1,14 @@
 #include "core/tables.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-#define INTERFERENCE_MARGIN 0.95    /**< share of the target that placement may fill */
-#define INTERFERENCE_RELIEF 0.90    /**< tail below this share of the target is relieved */
-#define INTERFERENCE_STEP 0.3       /**< share of an error that one report corrects */
+#define INTERFERENCE_MARGIN 0.99    /**< share of the target that placement may fill */
+#define INTERFERENCE_RELIEF 0.97    /**< tail below this share of the target is relieved */
+#define INTERFERENCE_STEP_MIN 0.05  /**< least share of an error that one report corrects */
+#define INTERFERENCE_BIAS_STEP 0.3  /**< share of a report in the smoothed tail */
+#define INTERFERENCE_NOISE 0.03     /**< share of a report taken to be noise */
+#define INTERFERENCE_ALARM 1.10     /**< one report this far over the target counts by itself */
 #define INTERFERENCE_ALONE_STEP 0.2 /**< like it, for the tail without batch work */
 #define INTERFERENCE_HIGHER_BAND 1.3
 #define INTERFERENCE_SETTLE_US CLK_US_PER_S
@@ -21,34 +25,34 @@
   double lost_ms;
 } Measure;
 
-static uint64_t
-pair_key (uint32_t service, uint32_t class_row, uint32_t band)
-{
-  return ((uint64_t) service << 40) | ((uint64_t) class_row << 8) | band;
-}
-
+/* The pair's row; NULL while nothing was learned of it. */
 static CorePair *
 find_pair (const Core *core, uint32_t service, uint32_t class_row, uint32_t band)
 {
-  uint64_t key = pair_key (service, class_row, band);
+  GArray *pairs = tables_service_row (core, service)->pairs;
+  guint at = class_row * CORE_BANDS + band;
 
-  return g_hash_table_lookup (core->pairs, &key);
+  return at < pairs->len ? &g_array_index (pairs, CorePair, at) : NULL;
 }
 
 static CorePair *
 make_pair (Core *core, uint32_t service, uint32_t class_row, uint32_t band)
 {
-  CorePair *pair = find_pair (core, service, class_row, band);
+  GArray *pairs = tables_service_row (core, service)->pairs;
+
+  if (pairs->len <= (class_row + 1) * CORE_BANDS)
+    g_array_set_size (pairs, (class_row + 1) * CORE_BANDS);
+  return find_pair (core, service, class_row, band);
+}
 
-  if (pair != NULL)
-    return pair;
-  pair = g_new0 (CorePair, 1);
-  pair->key = pair_key (service, class_row, band);
-  g_hash_table_insert (core->pairs, &pair->key, pair);
-  return pair;
+static double
+with_doubt (const CorePair *pair)
+{
+  return pair->growth + INTERFERENCE_NOISE / sqrt (pair->information);
 }
 
-/* Growth by one task; an unmeasured band borrows from the nearest one. FALSE: nothing is known. */
+/* Growth by one task, on the safe side; an unmeasured band borrows from the nearest one. FALSE:
+ * nothing is known. */
 static gboolean
 growth_of (const Core *core, uint32_t service, uint32_t class_row, uint32_t band, double *growth)
 {
@@ -60,14 +64,14 @@
       const CorePair *higher = band + distance < CORE_BANDS
                                    ? find_pair (core, service, class_row, band + distance)
                                    : NULL;
-      if (lower != NULL && lower->samples > 0)
+      if (lower != NULL && lower->information > 0)
         {
-          *growth = lower->growth * (distance > 0 ? INTERFERENCE_HIGHER_BAND : 1.0);
+          *growth = with_doubt (lower) * (distance > 0 ? INTERFERENCE_HIGHER_BAND : 1.0);
           return TRUE;
         }
-      if (higher != NULL && higher->samples > 0)
+      if (higher != NULL && higher->information > 0)
         {
-          *growth = higher->growth;
+          *growth = with_doubt (higher);
           return TRUE;
         }
     }
@@ -158,7 +162,22 @@
   return FALSE;
 }
 
-/* First the unproven pair takes the blame; when all are proven they share the error. */
+/* What the pairs' growth, without doubt added, makes of @p weights. */
+static double
+fitted_sum (const Core *core, const CoreEndpoint *endpoint, const double *weights)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < core->classes->len; i++)
+    {
+      const CorePair *pair = find_pair (core, endpoint->service, i, endpoint->band);
+      if (weights[i] > 0 && pair != NULL)
+        sum += weights[i] * pair->growth;
+    }
+  return sum;
+}
+
+/* An unproven pair takes the whole error; when all are proven they share it. */
 static void
 learn_pairs (Core *core, const CoreEndpoint *endpoint, const double *weights, double error)
 {
@@ -167,48 +186,68 @@
 
   for (guint i = 0; i < core->classes->len; i++)
     {
-      double growth = 0;
       if (weights[i] <= 0)
         continue;
-      if (!growth_of (core, endpoint->service, i, endpoint->band, &growth))
-        has_new = TRUE;
-      square += weights[i] * weights[i];
+      const CorePair *pair = make_pair (core, endpoint->service, i, endpoint->band);
+      has_new = has_new || pair->information <= 0;
     }
   for (guint i = 0; i < core->classes->len; i++)
     {
-      double growth = 0;
-      if (weights[i] <= 0)
-        continue;
-      gboolean is_new = !growth_of (core, endpoint->service, i, endpoint->band, &growth);
-      if (has_new && !is_new)
+      const CorePair *pair = find_pair (core, endpoint->service, i, endpoint->band);
+      if (weights[i] > 0 && (!has_new || pair->information <= 0))
+        square += weights[i] * weights[i];
+    }
+  for (guint i = 0; i < core->classes->len; i++)
+    {
+      CorePair *pair = find_pair (core, endpoint->service, i, endpoint->band);
+      if (weights[i] <= 0 || (has_new && pair->information > 0))
         continue;
-      CorePair *pair = make_pair (core, endpoint->service, i, endpoint->band);
-      double step = has_new ? 1.0 : INTERFERENCE_STEP;
-      if (pair->samples == 0)
-        pair->growth = growth;
+      double weight_square = weights[i] * weights[i];
+      double step
+          = MAX (weight_square / (pair->information + weight_square), INTERFERENCE_STEP_MIN);
       pair->growth = MAX (pair->growth + step * error * weights[i] / square, 0.0);
-      pair->samples++;
+      pair->information += weight_square;
       pair->trial_until_us = 0;
     }
 }
 
 static void
-learn_report (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
+learn_bias (CoreEndpoint *endpoint, double forecast_us)
+{
+  double seen = (double) endpoint->p99_us / MAX (forecast_us, 1.0);
+
+  if (endpoint->bias <= 0)
+    endpoint->bias = 1.0;
+  endpoint->bias += INTERFERENCE_BIAS_STEP * (seen - endpoint->bias);
+}
+
+static gboolean
+is_all_zero (const Core *core, const double *weights)
+{
+  for (guint i = 0; i < core->classes->len; i++)
+    {
+      if (weights[i] > 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+learn_report (Core *core, CoreWorker *worker, CoreEndpoint *endpoint)
 {
   CoreService *service = tables_service_row (core, endpoint->service);
   const double *weights = weights_at (core, worker, endpoint->measured_us);
   double *alone_us = &service->alone_us[endpoint->band];
-  double sum = growth_sum (core, endpoint->service, endpoint->band, weights);
-  gboolean is_empty = TRUE;
+  double sum = fitted_sum (core, endpoint, weights);
+  gboolean is_empty = is_all_zero (core, weights);
 
-  for (guint i = 0; i < core->classes->len; i++)
-    is_empty = is_empty && weights[i] <= 0;
   if (is_unsettled (worker, endpoint->measured_us))
     return;
   if (*alone_us <= 0 && (is_empty || alone_of (service, endpoint->band) > 0))
     *alone_us = (double) endpoint->p99_us / (1.0 + sum);
   if (*alone_us <= 0)
     return;
+  learn_bias (endpoint, *alone_us * (1.0 + sum));
   if (is_empty)
     *alone_us += INTERFERENCE_ALONE_STEP * ((double) endpoint->p99_us - *alone_us);
   else
@@ -229,6 +268,7 @@
       endpoint->p99_us = in->p99_us;
       endpoint->measured_us = in->measured_us;
       endpoint->is_new = TRUE;
+      tables_service_row (core, endpoint->service)->band = endpoint->band;
       worker->lag_us = core->now_us - in->measured_us;
       if (!worker->is_reported)
         g_ptr_array_add (core->reported, worker);
@@ -242,14 +282,57 @@
     }
 }
 
+double
+interference_growth (Core *core, uint32_t class_row)
+{
+  CoreClass *row = tables_class_row (core, class_row);
+
+  if (row->growth_us == core->now_us)
+    return row->growth;
+  row->growth_us = core->now_us;
+  row->growth = 0;
+  for (guint i = 0; i < core->services->len; i++)
+    {
+      const CoreService *service = tables_service_row (core, i);
+      const CorePair *pair = find_pair (core, i, class_row, service->band);
+      if (service->target_us > 0 && pair != NULL && pair->information > 0)
+        row->growth = MAX (row->growth, pair->growth);
+    }
+  return row->growth;
+}
+
 static gboolean
 is_blind (const Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
 {
-  int64_t lag_us = tables_lag_us (core);
+  int64_t newest_us = MAX (endpoint->measured_us, worker->known_us);
+
+  return core->now_us - newest_us > INTERFERENCE_BLIND_LAGS * tables_lag_us (core);
+}
 
-  if (endpoint->measured_us == 0)
-    return core->now_us - worker->known_us < lag_us;
-  return core->now_us - endpoint->measured_us > INTERFERENCE_BLIND_LAGS * lag_us;
+/* The load band of an endpoint; before its first report that of the others. */
+static uint32_t
+band_of (const Core *core, const CoreEndpoint *endpoint)
+{
+  return endpoint->measured_us > 0 ? endpoint->band
+                                   : tables_service_row (core, endpoint->service)->band;
+}
+
+/* Tail over its target: smoothed, or in one report by more than noise. */
+static gboolean
+is_over (Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  double target_us = (double) service->target_us;
+  double alone_us = service->alone_us[endpoint->band];
+
+  if (endpoint->measured_us == 0 || service->target_us <= 0)
+    return FALSE;
+  if ((double) endpoint->p99_us > INTERFERENCE_ALARM * target_us)
+    return TRUE;
+  if (alone_us <= 0 || endpoint->bias <= 0)
+    return (double) endpoint->p99_us > target_us;
+  const double *weights = weights_at (core, worker, endpoint->measured_us);
+  return alone_us * (1.0 + fitted_sum (core, endpoint, weights)) * endpoint->bias > target_us;
 }
 
 static void
@@ -260,22 +343,23 @@
                    CoreForecast *out)
 {
   const CoreService *service = tables_service_row (core, endpoint->service);
-  double alone_us = alone_of (service, endpoint->band);
-  const double *weights = weights_at (core, worker, core->now_us);
+  uint32_t band = band_of (core, endpoint);
+  double alone_us = alone_of (service, band);
   double growth = 0;
 
   if (service->target_us <= 0)
     return;
-  gboolean is_known = growth_of (core, endpoint->service, job->class_row, endpoint->band, &growth);
-  double sum = growth_sum (core, endpoint->service, endpoint->band, weights);
-  double tail_us = MAX (alone_us * (1.0 + sum + growth), 1.0);
+  gboolean is_known = growth_of (core, endpoint->service, job->class_row, band, &growth);
+  gboolean is_high = is_over (core, worker, endpoint);
+  const double *weights = weights_at (core, worker, core->now_us);
+  double sum = growth_sum (core, endpoint->service, band, weights);
+  double tail_us = MAX (alone_us * (1.0 + sum + growth), 1.0) * MAX (endpoint->bias, 1.0);
   int64_t permille = (int64_t) (INTERFERENCE_PERMILLE * tail_us / (double) service->target_us);
-  const CorePair *pair = find_pair (core, endpoint->service, job->class_row, endpoint->band);
+  const CorePair *pair = find_pair (core, endpoint->service, job->class_row, band);
   gboolean is_tried = pair != NULL && pair->trial_until_us > core->now_us;
-  gboolean is_over = endpoint->p99_us > service->target_us;
 
   out->is_trial = out->is_trial || !is_known;
-  if (is_blind (core, worker, endpoint) || is_over || (!is_known && is_tried)
+  if (is_blind (core, worker, endpoint) || is_high || (!is_known && is_tried)
       || tail_us > INTERFERENCE_MARGIN * (double) service->target_us)
     {
       out->is_allowed = FALSE;
@@ -314,11 +398,11 @@
     {
       const CoreEndpoint *endpoint = &g_array_index (worker->endpoints, CoreEndpoint, i);
       double growth = 0;
+      uint32_t band = band_of (core, endpoint);
       if (tables_service_row (core, endpoint->service)->target_us <= 0
-          || growth_of (core, endpoint->service, job->class_row, endpoint->band, &growth))
+          || growth_of (core, endpoint->service, job->class_row, band, &growth))
         continue;
-      make_pair (core, endpoint->service, job->class_row, endpoint->band)->trial_until_us
-          = until_us;
+      make_pair (core, endpoint->service, job->class_row, band)->trial_until_us = until_us;
       worker->trial_until_us = until_us;
     }
 }
@@ -510,22 +594,21 @@
 answer (Core *core, CoreWorker *worker, CoreEndpoint *endpoint)
 {
   const CoreService *service = tables_service_row (core, endpoint->service);
-  gboolean is_over = service->target_us > 0 && endpoint->p99_us > service->target_us;
 
   if (!endpoint->is_new)
     return;
   endpoint->is_new = FALSE;
   if (core->options.reactive)
     {
-      if (is_over)
+      if (service->target_us > 0 && endpoint->p99_us > service->target_us)
         answer_reactive (core, worker, endpoint);
       return;
     }
   if (!tables_has (core, CORE_MECHANISM_INTERFERENCE))
     return;
-  if (is_over)
+  if (is_over (core, worker, endpoint))
     answer_over (core, worker, endpoint);
-  else if ((double) endpoint->p99_us < INTERFERENCE_RELIEF * (double) service->target_us)
+  else if (service->target_us > 0)
     answer_relieved (core, worker, endpoint);
 }
 
--- a/lib/core/order.c
+++ b/lib/core/order.c
@@ -1,6 +1,12 @@
 #include "core/tables.h"
 
-#define ORDER_DUE_SHARE 4 /**< due when laxity is below a quarter of the work left */
+#include <math.h>
+
+#define ORDER_RATE_SHARE 4
+#define ORDER_RUN_PERMILLE 900U
+#define ORDER_AGED_US (900 * CLK_US_PER_S)
+#define ORDER_COST_UNKNOWN (-100)
+#define ORDER_MILLI 1000.0
 
 static double
 share_of (int64_t used, int64_t all)
@@ -38,34 +44,70 @@
          && is_within (sum.accelerators, team->quota.accelerators);
 }
 
-/* How many tasks of this size the whole fleet could run at once. */
-static int64_t
-fleet_width (const Core *core, const CoreJob *job)
+static int
+by_deadline (gconstpointer a, gconstpointer b)
 {
-  int64_t width = INT64_MAX;
-
-  if (job->size.cpu_milli > 0)
-    width = MIN (width, core->fleet.cpu_milli / job->size.cpu_milli);
-  if (job->size.memory_mb > 0)
-    width = MIN (width, core->fleet.memory_mb / job->size.memory_mb);
-  if (job->size.accelerators > 0)
-    width = MIN (width, core->fleet.accelerators / job->size.accelerators);
-  return MAX (width, 1);
+  const CoreJob *x = *(CoreJob *const *) a;
+  const CoreJob *y = *(CoreJob *const *) b;
+
+  if (x->deadline_us != y->deadline_us)
+    return x->deadline_us < y->deadline_us ? -1 : 1;
+  return x->id < y->id ? -1 : (x->id > y->id ? 1 : 0);
 }
 
+/* Processors that batch work can count on: what it has now, at least a quarter of all. */
+static double
+batch_rate (const Core *core)
+{
+  int64_t used = 0;
+
+  for (guint i = 0; i < core->teams->len; i++)
+    used += tables_team_row (core, i)->used.cpu_milli;
+  return (double) MAX (MAX (used, core->fleet.cpu_milli / ORDER_RATE_SHARE), 1);
+}
+
+/* Work of @p job that is not done, in milliseconds of thousandths of a processor. */
+static double
+work_left (const Core *core, const CoreJob *job)
+{
+  uint32_t n = job->count[TASK_WAITING] + job->count[TASK_LIVE] + job->count[TASK_STOPPING];
+
+  return (double) n * (double) learn_run_ms (core, job, ORDER_RUN_PERMILLE)
+         * (double) MAX (job->size.cpu_milli, 1);
+}
+
+/* A job's laxity counts all work with an earlier deadline as ahead of it. */
+static void
+find_laxities (Core *core)
+{
+  double rate = batch_rate (core);
+  double ahead = 0;
+
+  g_ptr_array_sort (core->deadlines, by_deadline);
+  for (guint i = 0; i < core->deadlines->len; i++)
+    {
+      CoreJob *job = g_ptr_array_index (core->deadlines, i);
+      ahead += work_left (core, job);
+      double needed_ms = MAX (ahead / rate, (double) learn_run_ms (core, job, ORDER_RUN_PERMILLE));
+      int64_t needed_us = (int64_t) needed_ms * CLK_US_PER_MS;
+      job->laxity_us = job->deadline_us - core->now_us - needed_us;
+      job->is_due = job->is_due || job->laxity_us < needed_us;
+    }
+}
+
+/* What is scarce beside services is the room under their tails: who asks least of it for a
+ * processor goes first, until a job is due. */
 static void
-find_laxity (const Core *core, CoreJob *job)
+find_tail_cost (Core *core, CoreJob *job)
 {
-  int64_t width = fleet_width (core, job);
-  int64_t rounds = ((int64_t) job->count[TASK_WAITING] + width - 1) / width;
-  int64_t work_us = rounds * learn_run_ms (core, job, 900) * CLK_US_PER_MS;
-
-  job->laxity_us = INT64_MAX;
-  job->is_due = FALSE;
-  if (job->deadline_us == 0)
-    return;
-  job->laxity_us = job->deadline_us - core->now_us - work_us;
-  job->is_due = job->laxity_us < work_us / ORDER_DUE_SHARE;
+  double growth = 0;
+
+  if (tables_has (core, CORE_MECHANISM_INTERFERENCE))
+    growth = interference_growth (core, job->class_row);
+  job->tail_cost = ORDER_COST_UNKNOWN;
+  if (growth > 0)
+    job->tail_cost
+        = (int) floor (log2 (growth * ORDER_MILLI / (double) MAX (job->size.cpu_milli, 1)));
 }
 
 static int
@@ -95,6 +137,8 @@
       double share_y = tables_team_row (core, y->team_row)->share;
       if (share_x != share_y)
         return share_x < share_y ? -1 : 1;
+      if (x->tail_cost != y->tail_cost)
+        return x->tail_cost < y->tail_cost ? -1 : 1;
     }
   if (x->laxity_us != y->laxity_us)
     return x->laxity_us < y->laxity_us ? -1 : 1;
@@ -105,13 +149,19 @@
 order_run (Core *core)
 {
   g_ptr_array_set_size (core->order, 0);
+  g_ptr_array_set_size (core->deadlines, 0);
   for (guint i = 0; i < core->ready->len; i++)
     {
       CoreJob *job = g_ptr_array_index (core->ready, i);
       if (job->is_cancelled || job->is_given_up || job->is_unplaceable)
         continue;
-      find_laxity (core, job);
+      job->laxity_us = INT64_MAX;
+      job->is_due = core->now_us - job->submitted_us > ORDER_AGED_US;
+      find_tail_cost (core, job);
       g_ptr_array_add (core->order, job);
+      if (job->deadline_us != 0)
+        g_ptr_array_add (core->deadlines, job);
     }
+  find_laxities (core);
   g_ptr_array_sort_with_data (core->order, compare, core);
 }
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -1,6 +1,7 @@
 #include "core/tables.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define PLACE_WALK_MAX 64U     /**< instances looked at for one task */
 #define PLACE_BLOCKED_MAX 256U /**< jobs that found no room in one tick */
@@ -193,6 +194,28 @@
   return x < y ? -1 : (x > y ? 1 : 0);
 }
 
+/* Room only shrinks within a tick: what found no place finds none for a like task. */
+static gboolean
+is_known_blocked (const Core *core, const CoreTask *task)
+{
+  const CoreShape *shape = task->job->shape;
+
+  return shape->blocked_us == core->now_us && !core->config.has_spread
+         && memcmp (&shape->blocked_size, &task->job->size, sizeof (DocSize)) == 0;
+}
+
+static void
+note_blocked (const Core *core, const CoreTask *task, gboolean lacks_room)
+{
+  CoreShape *shape = task->job->shape;
+
+  if (task->failed_on != CORE_NONE)
+    return;
+  shape->blocked_us = core->now_us;
+  shape->blocked_size = task->job->size;
+  shape->blocked_lacks_room = lacks_room;
+}
+
 /* When enough of the tasks on @p worker should be over for a task of @p job to fit. */
 static int64_t
 room_at (const Core *core, const CoreJob *job, const CoreWorker *worker)
@@ -278,9 +301,12 @@
           job->waits_for = "quota of the team";
           return FALSE;
         }
-      PlaceChoice choice = choose (core, task);
+      PlaceChoice choice = { .lacks_room = job->shape->blocked_lacks_room };
+      if (!is_known_blocked (core, task))
+        choice = choose (core, task);
       if (choice.worker == NULL)
         {
+          note_blocked (core, task, choice.lacks_room);
           *lacks_room = choice.lacks_room;
           job->waits_for = choice.lacks_room ? "room on an instance"
                                              : "an instance that services and health allow";
--- a/lib/core/policy.c
+++ b/lib/core/policy.c
@@ -58,6 +58,9 @@
   double tail = (double) forecast.tail_permille / POLICY_PERMILLE;
   double packing = MAX (filled (free.cpu_milli, size.cpu_milli, worker->capacity.cpu_milli),
                         filled (free.memory_mb, size.memory_mb, worker->capacity.memory_mb));
+  /* A trial is answered soonest where reports are youngest. */
+  if (forecast.is_trial)
+    return -(double) worker->lag_us;
   return (double) policy->batch_weight * packing - (double) policy->tail_weight * tail;
 }
 
--- a/lib/core/tables.c
+++ b/lib/core/tables.c
@@ -83,6 +83,7 @@
 
   g_free (service->name);
   lab_free (service->labels);
+  g_array_free (service->pairs, TRUE);
   g_free (service);
 }
 
@@ -104,13 +105,13 @@
   core->jobs_by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   core->ready = g_ptr_array_new ();
   core->order = g_ptr_array_new ();
+  core->deadlines = g_ptr_array_new ();
   core->teams = g_ptr_array_new_with_free_func (team_free);
   core->team_rows = g_hash_table_new (g_str_hash, g_str_equal);
   core->services = g_ptr_array_new_with_free_func (service_free);
   core->service_rows = g_hash_table_new (g_str_hash, g_str_equal);
   core->classes = g_ptr_array_new_with_free_func (class_free);
   core->class_rows = g_hash_table_new (g_str_hash, g_str_equal);
-  core->pairs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   core->shapes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, rules_shape_free);
   core->cancels = g_ptr_array_new ();
   core->finished = g_ptr_array_new ();
@@ -130,11 +131,11 @@
   g_ptr_array_free (core->reported, TRUE);
   g_array_free (core->scratch, TRUE);
   g_ptr_array_free (core->order, TRUE);
+  g_ptr_array_free (core->deadlines, TRUE);
   g_ptr_array_free (core->ready, TRUE);
   g_hash_table_destroy (core->jobs_by_id);
   g_ptr_array_free (core->jobs, TRUE);
   g_hash_table_destroy (core->shapes);
-  g_hash_table_destroy (core->pairs);
   g_hash_table_destroy (core->worker_rows);
   g_ptr_array_free (core->workers, TRUE);
   g_hash_table_destroy (core->team_rows);
@@ -224,6 +225,7 @@
     return row;
   CoreService *service = g_new0 (CoreService, 1);
   service->name = g_strdup (name);
+  service->pairs = g_array_new (FALSE, TRUE, sizeof (CorePair));
   return add_row (core->services, core->service_rows, service->name, service);
 }
 
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -68,6 +68,9 @@
   GArray *allowed;     /**< by worker: index of the forbidding rule, -1 for allowed */
   GArray *candidates;  /**< uint32_t: allowed workers */
   gboolean has_candidates;
+  int64_t blocked_us; /**< tick in which a task of this shape and size found no place */
+  DocSize blocked_size;
+  gboolean blocked_lacks_room;
 } CoreShape;
 
 /** Learned ratios to what was declared, in quarter powers of two. */
@@ -83,6 +86,8 @@
   CoreLearned cpu;
   CoreLearned memory;
   CoreLearned run;
+  double growth;     /**< most that one task adds to a service's tail, as far as known */
+  int64_t growth_us; /**< tick that it was worked out in */
 } CoreClass;
 
 struct CoreJob
@@ -118,7 +123,8 @@
   int64_t known_us;
   int64_t finished_us;
   int64_t laxity_us;
-  gboolean is_due;       /**< little laxity is left */
+  gboolean is_due;       /**< little laxity is left, or it has waited long */
+  int tail_cost;         /**< growth of the worst tail by processor, in steps of a factor of two */
   const char *waits_for; /**< why nothing was started last; static storage */
 };
 
@@ -137,6 +143,8 @@
   DocSize size;
   int64_t target_us; /**< 0: not in the document */
   LabSet *labels;
+  GArray *pairs;               /**< CorePair by class and load band */
+  uint32_t band;               /**< newest load band seen anywhere */
   double alone_us[CORE_BANDS]; /**< learned tail without batch work; 0: unknown */
 } CoreService;
 
@@ -147,6 +155,7 @@
   uint32_t band;
   int64_t p99_us;
   int64_t measured_us; /**< 0: no report yet */
+  double bias;         /**< smoothed share of the forecast that was seen; 0: not known */
   gboolean is_new;     /**< not yet answered by the interference system */
 } CoreEndpoint;
 
@@ -208,9 +217,8 @@
 /** How much a service's tail grows by one task of a class at one load. */
 typedef struct
 {
-  uint64_t key;
   double growth;
-  uint32_t samples;
+  double information; /**< sum of squared tasks that were seen beside the service; 0: unproven */
   int64_t trial_until_us;
 } CorePair;
 
@@ -231,6 +239,7 @@
   GPtrArray *rules;        /**< CoreRule */
   DocDocument *label_only; /**< holds label rules for doc_apply_labels() */
   DocPolicy policy;
+  gboolean has_spread; /**< a rule spreads the tasks of a job */
   uint64_t generation;
 } CoreConfig;
 
@@ -254,8 +263,9 @@
   GHashTable *worker_rows; /**< id to row + 1 */
   GPtrArray *jobs;
   GHashTable *jobs_by_id;
-  GPtrArray *ready; /**< jobs with waiting tasks, not owned */
-  GPtrArray *order; /**< ready jobs, sorted this tick */
+  GPtrArray *ready;     /**< jobs with waiting tasks, not owned */
+  GPtrArray *order;     /**< ready jobs, sorted this tick */
+  GPtrArray *deadlines; /**< those of them that have a deadline */
   GPtrArray *teams;
   GHashTable *team_rows;
   GPtrArray *services;
@@ -376,6 +386,8 @@
 void interference_run (Core *core);
 void interference_forecast (Core *core, CoreWorker *worker, const CoreJob *job, CoreForecast *out);
 void interference_started (Core *core, CoreWorker *worker, const CoreJob *job);
+/** Growth of the worst service's tail by one task of the class; 0 while unproven. */
+double interference_growth (Core *core, uint32_t class_row);
 void interference_change (Core *core, CoreWorker *worker, uint32_t class_row, int32_t delta);
 
 /* order.c */
--- /dev/null
+++ b/tests/bench/fake.c
@@ -0,0 +1,514 @@
+#include "bench/fake.h"
+
+#include <math.h>
+#include <string.h>
+
+#define FAKE_TAIL_NOISE 0.03
+#define FAKE_TASK_SPREAD 1.25
+#define FAKE_REFERENCE_CPU 16000.0 /**< of an instance that the kinds' growth is given for */
+#define FAKE_REPORT_MS INT64_C (5000)
+#define FAKE_LAG_MIN_MS 2000
+#define FAKE_LAG_MAX_MS 30000
+#define FAKE_START_MS INT64_C (200)
+#define FAKE_STOP_MS INT64_C (300)
+#define FAKE_LEASE_MS INT64_C (10000)
+#define FAKE_SILENCE_MS INT64_C (60000)
+#define FAKE_CHECKPOINT_COST_MS INT64_C (1000)
+#define FAKE_FAIL_MS INT64_C (1000)
+#define FAKE_CPU_PRESSURE 2.0
+
+typedef enum
+{
+  FAKE_RUNS,
+  FAKE_STOPS,
+} FakeState;
+
+/** One running attempt. */
+typedef struct
+{
+  CoreTaskKey key;
+  uint32_t attempt;
+  uint32_t worker;
+  FakeState state;
+  CoreCommandType stop_with;
+  int64_t due_ms; /**< when it starts to run, or has stopped */
+  int64_t began_ms;
+  double left_ms; /**< run time still to go */
+  double saved_left_ms;
+  uint32_t throttle;
+  DocSize reserved;
+  gboolean is_running;
+} FakeTask;
+
+typedef struct
+{
+  char id[16];
+  char rack[16];
+  gboolean is_dead;
+  int64_t lost_at_ms;
+  int64_t next_report_ms;
+  int64_t lag_ms;
+  double p99_us;
+} FakeWorker;
+
+/** A report on its way. */
+typedef struct
+{
+  int64_t at_ms;
+  CoreInput input;
+} FakeReport;
+
+struct Fake
+{
+  const BenchCase *bench;
+  const BenchDeployment *deployment;
+  GRand *rand;
+  uint32_t seed;
+  int64_t now_ms;
+  FakeWorker workers[FAKE_WORKERS];
+  GArray *tasks;    /**< FakeTask */
+  GArray *reports;  /**< FakeReport */
+  GHashTable *left; /**< run time left by task, of tasks that ran before; double */
+  GArray *done;     /**< CoreTaskKey */
+  double hidden[8]; /**< factor on each kind's growth */
+  FakeMeasures measures;
+};
+
+static const FakeKind *
+kind_of (CoreTaskKey key)
+{
+  return &fake_kinds[key.job / FAKE_KIND_STEP];
+}
+
+/* A number in [0, 1) that belongs to a task, whatever else happens in the run. */
+static double
+fate (const Fake *fake, CoreTaskKey key, uint32_t salt)
+{
+  uint64_t x = key.job * UINT64_C (0x9e3779b97f4a7c15) + key.index + fake->seed * 7919U + salt;
+
+  x ^= x >> 31;
+  x *= UINT64_C (0xbf58476d1ce4e5b9);
+  x ^= x >> 27;
+  x *= UINT64_C (0x94d049bb133111eb);
+  x ^= x >> 31;
+  return (double) (x >> 11) / (double) (UINT64_C (1) << 53);
+}
+
+/* A factor from 1/error to error, the same for all tasks of one kind but for a little. */
+static double
+factor (const Fake *fake, CoreTaskKey key, uint32_t salt, double error)
+{
+  CoreTaskKey kind = { .job = key.job / FAKE_KIND_STEP };
+  double of_kind = (2 * fate (fake, kind, salt) - 1) * log (error);
+  double of_task = (2 * fate (fake, key, salt) - 1) * log (FAKE_TASK_SPREAD);
+
+  return exp (of_kind + of_task);
+}
+
+static double
+load_now (const Fake *fake)
+{
+  gboolean is_after = fake->bench->noon_s > 0 && fake->now_ms >= fake->bench->noon_s * CLK_MS_PER_S;
+
+  return is_after ? fake->bench->load_after : fake->bench->load;
+}
+
+Fake *
+fake_new (const BenchCase *bench, const BenchDeployment *deployment, uint32_t seed)
+{
+  Fake *fake = g_new0 (Fake, 1);
+
+  fake->bench = bench;
+  fake->deployment = deployment;
+  fake->seed = seed;
+  fake->rand = g_rand_new_with_seed (seed);
+  fake->tasks = g_array_new (FALSE, TRUE, sizeof (FakeTask));
+  fake->reports = g_array_new (FALSE, TRUE, sizeof (FakeReport));
+  fake->left = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  fake->done = g_array_new (FALSE, TRUE, sizeof (CoreTaskKey));
+  for (guint i = 0; i < G_N_ELEMENTS (fake->hidden); i++)
+    fake->hidden[i] = g_rand_double_range (fake->rand, 0.7, 1.4);
+  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
+    {
+      FakeWorker *worker = &fake->workers[i];
+      (void) g_snprintf (worker->id, sizeof worker->id, "runner-%02u", i);
+      (void) g_snprintf (worker->rack, sizeof worker->rack, "rack-%u", i / FAKE_PER_RACK);
+      worker->lag_ms = g_rand_int_range (fake->rand, FAKE_LAG_MIN_MS, FAKE_LAG_MAX_MS);
+      worker->next_report_ms = g_rand_int_range (fake->rand, 0, (gint32) FAKE_REPORT_MS);
+    }
+  return fake;
+}
+
+void
+fake_free (Fake *fake)
+{
+  g_rand_free (fake->rand);
+  g_array_free (fake->tasks, TRUE);
+  g_array_free (fake->reports, TRUE);
+  g_array_free (fake->done, TRUE);
+  g_hash_table_destroy (fake->left);
+  g_free (fake);
+}
+
+void
+fake_announce (Fake *fake, GArray *inputs, gboolean has_services)
+{
+  static const char *const services[] = { "mixdesk", NULL };
+
+  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
+    {
+      FakeWorker *worker = &fake->workers[i];
+      CoreInput input = { .type = CORE_IN_WORKER };
+      if (worker->is_dead)
+        continue;
+      input.worker.id = worker->id;
+      input.worker.incarnation = 1;
+      input.worker.data_centre = "cuenca";
+      input.worker.rack = worker->rack;
+      input.worker.capacity
+          = (DocSize){ fake->deployment->cpu_milli, fake->deployment->memory_mb, 0 };
+      input.worker.services = has_services ? services : NULL;
+      g_array_append_val (inputs, input);
+    }
+}
+
+static void
+tell (GArray *inputs, const Fake *fake, const FakeTask *task, CoreTaskEvent event)
+{
+  CoreInput input = { .type = CORE_IN_TASK };
+
+  input.task.task = task->key;
+  input.task.attempt = task->attempt;
+  input.task.worker = fake->workers[task->worker].id;
+  input.task.event = event;
+  g_array_append_val (inputs, input);
+}
+
+void
+fake_take_over (Fake *fake, GArray *inputs)
+{
+  for (guint i = 0; i < fake->tasks->len; i++)
+    tell (inputs, fake, &g_array_index (fake->tasks, FakeTask, i), CORE_TASK_RUNNING);
+  for (guint i = 0; i < fake->done->len; i++)
+    {
+      CoreInput input = { .type = CORE_IN_TASK };
+      input.task.task = g_array_index (fake->done, CoreTaskKey, i);
+      input.task.attempt = 1;
+      input.task.event = CORE_TASK_DONE;
+      g_array_append_val (inputs, input);
+    }
+}
+
+static uint64_t
+left_key (CoreTaskKey key)
+{
+  return key.job * 1000 + key.index;
+}
+
+static double
+left_of (const Fake *fake, CoreTaskKey key)
+{
+  uint64_t id = left_key (key);
+  const double *left = g_hash_table_lookup (fake->left, &id);
+
+  if (left != NULL)
+    return *left;
+  return (double) kind_of (key)->run_ms * factor (fake, key, 1, fake->bench->run_error);
+}
+
+static void
+set_left (Fake *fake, CoreTaskKey key, double left_ms)
+{
+  uint64_t id = left_key (key);
+
+  g_hash_table_insert (fake->left, g_memdup2 (&id, sizeof id),
+                       g_memdup2 (&left_ms, sizeof left_ms));
+}
+
+static double
+cpu_of (const Fake *fake, const FakeTask *task)
+{
+  double cpu = (double) kind_of (task->key)->size.cpu_milli;
+
+  return cpu * factor (fake, task->key, 2, fake->bench->size_error) * task->throttle / 1000.0;
+}
+
+static DocSize
+used_by (const Fake *fake, const FakeTask *task)
+{
+  const FakeKind *kind = kind_of (task->key);
+  double memory = (double) kind->size.memory_mb;
+
+  memory *= factor (fake, task->key, 3, fake->bench->size_error);
+  return (DocSize){ (int64_t) cpu_of (fake, task), (int64_t) memory, 0 };
+}
+
+/* Tail of the service and speed of the tasks on one instance, from all that runs there. */
+static double
+look_at (Fake *fake, uint32_t row, double *speed)
+{
+  double load = load_now (fake);
+  double growth = 0;
+  double cpu = FAKE_SERVICE_CPU * load;
+  double scale = FAKE_REFERENCE_CPU / (double) fake->deployment->cpu_milli;
+
+  for (guint i = 0; i < fake->tasks->len; i++)
+    {
+      const FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
+      if (task->worker != row || !task->is_running)
+        continue;
+      const FakeKind *kind = kind_of (task->key);
+      growth += kind->growth * fake->hidden[kind - fake_kinds] * scale * (0.4 + 1.2 * load)
+                * task->throttle / 1000.0;
+      cpu += cpu_of (fake, task);
+    }
+  double pressure = cpu / (double) fake->deployment->cpu_milli;
+  *speed = pressure > 1 ? 1 / pressure : 1;
+  growth += pressure > 1 ? FAKE_CPU_PRESSURE * (pressure - 1) : 0;
+  return fake_alone_us (load) * (1 + growth);
+}
+
+static void
+send_later (Fake *fake, int64_t lag_ms, const CoreInput *input)
+{
+  FakeReport report = { fake->now_ms + lag_ms, *input };
+
+  g_array_append_val (fake->reports, report);
+}
+
+static void
+report (Fake *fake, uint32_t row)
+{
+  FakeWorker *worker = &fake->workers[row];
+  CoreInput input = { .type = CORE_IN_SERVICE };
+  double noise
+      = 1
+        + FAKE_TAIL_NOISE
+              * (g_rand_double_range (fake->rand, -1, 1) + g_rand_double_range (fake->rand, -1, 1));
+  int64_t silent_ms = fake->bench->silent_from_s * CLK_MS_PER_S;
+  int64_t jitter_ms = g_rand_int_range (fake->rand, 0, 1000);
+
+  worker->next_report_ms += FAKE_REPORT_MS;
+  if (silent_ms > 0 && fake->now_ms >= silent_ms && fake->now_ms < silent_ms + FAKE_SILENCE_MS)
+    return;
+  input.service.worker = worker->id;
+  input.service.service = "mixdesk";
+  input.service.p99_us = (int64_t) (worker->p99_us * noise);
+  input.service.load_permille = (uint32_t) (1000 * load_now (fake));
+  input.service.measured_us = fake->now_ms * CLK_US_PER_MS;
+  send_later (fake, worker->lag_ms + jitter_ms, &input);
+  for (guint i = 0; i < fake->tasks->len; i++)
+    {
+      const FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
+      CoreInput usage = { .type = CORE_IN_USAGE };
+      if (task->worker != row || !task->is_running)
+        continue;
+      usage.usage.worker = worker->id;
+      usage.usage.task = task->key;
+      usage.usage.attempt = task->attempt;
+      usage.usage.used = used_by (fake, task);
+      usage.usage.measured_us = fake->now_ms * CLK_US_PER_MS;
+      send_later (fake, worker->lag_ms + jitter_ms, &usage);
+    }
+}
+
+static void
+deliver (Fake *fake, GArray *inputs)
+{
+  guint kept = 0;
+
+  for (guint i = 0; i < fake->reports->len; i++)
+    {
+      FakeReport *waiting = &g_array_index (fake->reports, FakeReport, i);
+      if (waiting->at_ms <= fake->now_ms)
+        g_array_append_val (inputs, waiting->input);
+      else
+        g_array_index (fake->reports, FakeReport, kept++) = *waiting;
+    }
+  g_array_set_size (fake->reports, kept);
+}
+
+/* Whether the attempt is over; tells the core and counts its work. */
+static gboolean
+advance (Fake *fake, FakeTask *task, double speed, GArray *inputs)
+{
+  const FakeKind *kind = kind_of (task->key);
+  double cores = (double) kind->size.cpu_milli / 1000.0;
+  gboolean is_doomed
+      = (int) task->worker + 1 == fake->bench->failing_worker || strcmp (kind->name, "bad") == 0;
+
+  if (task->state == FAKE_STOPS && fake->now_ms >= task->due_ms)
+    {
+      gboolean is_saved = task->stop_with == CORE_DO_CHECKPOINT && kind->checkpoint_ms > 0;
+      double all = left_of (fake, task->key);
+      double lost_ms = is_saved ? FAKE_CHECKPOINT_COST_MS : all - task->left_ms;
+      if (is_saved)
+        set_left (fake, task->key, MIN (task->left_ms + lost_ms, all));
+      fake->measures.evict_lost_s += cores * lost_ms / 1000.0;
+      tell (inputs, fake, task, is_saved ? CORE_TASK_CHECKPOINTED : CORE_TASK_STOPPED);
+      return TRUE;
+    }
+  if (!task->is_running && fake->now_ms >= task->due_ms)
+    {
+      task->is_running = TRUE;
+      tell (inputs, fake, task, CORE_TASK_RUNNING);
+    }
+  if (!task->is_running)
+    return FALSE;
+  if (is_doomed && fake->now_ms - task->began_ms >= FAKE_FAIL_MS)
+    {
+      if ((int) task->worker + 1 == fake->bench->failing_worker)
+        fake->measures.failed_on_bad++;
+      tell (inputs, fake, task, CORE_TASK_FAILED);
+      return TRUE;
+    }
+  task->left_ms -= (double) FAKE_STEP_MS * speed * task->throttle / 1000.0;
+  if (task->saved_left_ms - task->left_ms >= (double) kind->checkpoint_ms
+      && kind->checkpoint_ms > 0)
+    task->saved_left_ms = task->left_ms;
+  if (task->left_ms > 0)
+    return FALSE;
+  fake->measures.done++;
+  fake->measures.work_s += cores * (double) kind->run_ms
+                           * factor (fake, task->key, 1, fake->bench->run_error) / 1000.0;
+  g_array_append_val (fake->done, task->key);
+  tell (inputs, fake, task, CORE_TASK_DONE);
+  return TRUE;
+}
+
+static void
+lose_dead (Fake *fake, GArray *inputs)
+{
+  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
+    {
+      FakeWorker *worker = &fake->workers[i];
+      CoreInput input = { .type = CORE_IN_WORKER_LOST };
+      if (!worker->is_dead || worker->lost_at_ms == 0 || fake->now_ms < worker->lost_at_ms)
+        continue;
+      worker->lost_at_ms = 0;
+      input.worker_id = worker->id;
+      g_array_append_val (inputs, input);
+    }
+}
+
+void
+fake_step (Fake *fake, int64_t now_us, GArray *inputs)
+{
+  double speed[FAKE_WORKERS];
+
+  fake->now_ms = now_us / CLK_US_PER_MS;
+  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
+    {
+      FakeWorker *worker = &fake->workers[i];
+      speed[i] = 1;
+      if (worker->is_dead)
+        continue;
+      worker->p99_us = look_at (fake, i, &speed[i]);
+      fake_count_tail (&fake->measures.tails, worker->p99_us, load_now (fake));
+      fake_count_tail (&fake->measures.alone, fake_alone_us (load_now (fake)), load_now (fake));
+      if (fake->now_ms >= worker->next_report_ms)
+        report (fake, i);
+    }
+  for (guint i = 0; i < fake->tasks->len; i++)
+    {
+      FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
+      if (advance (fake, task, speed[task->worker], inputs))
+        g_array_remove_index_fast (fake->tasks, i--);
+    }
+  lose_dead (fake, inputs);
+  deliver (fake, inputs);
+}
+
+static FakeTask *
+find_task (Fake *fake, const CoreCommand *command)
+{
+  for (guint i = 0; i < fake->tasks->len; i++)
+    {
+      FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
+      if (task->key.job == command->task.job && task->key.index == command->task.index)
+        return task;
+    }
+  return NULL;
+}
+
+static uint32_t
+find_worker (const Fake *fake, const char *id)
+{
+  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
+    {
+      if (strcmp (fake->workers[i].id, id) == 0)
+        return i;
+    }
+  g_assert_not_reached ();
+}
+
+static void
+begin (Fake *fake, const CoreCommand *command)
+{
+  FakeTask task = { .key = command->task, .attempt = command->attempt };
+
+  if (find_task (fake, command) != NULL)
+    fake->measures.doubles++;
+  task.worker = find_worker (fake, command->worker);
+  task.reserved = command->reserved;
+  task.throttle = 1000;
+  task.due_ms = fake->now_ms + FAKE_START_MS;
+  task.began_ms = task.due_ms;
+  task.left_ms = left_of (fake, task.key);
+  task.saved_left_ms = task.left_ms;
+  if (!fake->workers[task.worker].is_dead)
+    g_array_append_val (fake->tasks, task);
+}
+
+static gboolean
+is_eviction (CoreWhy why)
+{
+  return why == CORE_WHY_TAIL_OVER || why == CORE_WHY_MAKE_ROOM || why == CORE_WHY_RULE
+         || why == CORE_WHY_LEAVING;
+}
+
+void
+fake_obey (Fake *fake, const GArray *commands)
+{
+  for (guint i = 0; i < commands->len; i++)
+    {
+      const CoreCommand *command = &g_array_index (commands, CoreCommand, i);
+      FakeTask *task = find_task (fake, command);
+      if (command->type == CORE_DO_START)
+        begin (fake, command);
+      if (task == NULL || task->attempt != command->attempt)
+        continue;
+      if (command->type == CORE_DO_THROTTLE)
+        task->throttle = command->throttle_permille;
+      if ((command->type != CORE_DO_CHECKPOINT && command->type != CORE_DO_STOP)
+          || task->state == FAKE_STOPS)
+        continue;
+      task->state = FAKE_STOPS;
+      task->stop_with = command->type;
+      task->due_ms = fake->now_ms + FAKE_STOP_MS;
+      if (is_eviction (command->why))
+        fake->measures.evictions++;
+    }
+}
+
+void
+fake_kill (Fake *fake, uint32_t row)
+{
+  fake->workers[row].is_dead = TRUE;
+  fake->workers[row].lost_at_ms = fake->now_ms + FAKE_LEASE_MS;
+  for (guint i = 0; i < fake->tasks->len; i++)
+    {
+      FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
+      if (task->worker != row)
+        continue;
+      fake->measures.lost_s += (task->saved_left_ms - task->left_ms) / 1000.0;
+      set_left (fake, task->key, task->saved_left_ms);
+      g_array_remove_index_fast (fake->tasks, i--);
+    }
+}
+
+const FakeMeasures *
+fake_measures (const Fake *fake)
+{
+  return &fake->measures;
+}
