--- a/lib/state/chunks.c
+++ b/lib/state/chunks.c
@@ -20,6 +20,7 @@
 
 typedef struct
 {
+  IdsId id;
   int64_t next_offset;
   GBytes *bytes;
 } WholeSnapshot;
@@ -167,6 +168,7 @@
                 > partial->next_offset)
     place++;
   WholeSnapshot *whole = g_new0 (WholeSnapshot, 1);
+  whole->id = partial->id;
   whole->next_offset = partial->next_offset;
   whole->bytes = bytes;
   g_ptr_array_insert (chunks->whole, (gint) place, whole);
@@ -174,6 +176,18 @@
     g_ptr_array_set_size (chunks->whole, WHOLE_MAX);
 }
 
+static gboolean
+is_whole (const Chunks *chunks, IdsId id)
+{
+  for (guint i = 0; i < chunks->whole->len; i++)
+    {
+      const WholeSnapshot *whole = g_ptr_array_index (chunks->whole, i);
+      if (ids_equal (whole->id, id))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Whether @p chunk tells the same about its snapshot as the first chunk that was seen. */
 static gboolean
 is_of (const Record__SnapshotChunk *chunk, const PartialSnapshot *partial)
@@ -190,7 +204,8 @@
   if (ids_is_zero (id) || chunk->count == 0 || chunk->count > CHUNKS_COUNT_MAX
       || chunk->index >= chunk->count)
     return FALSE;
-  if (chunk->next_offset < chunks->least || chunk->next_offset > chunks->most)
+  if (chunk->next_offset < chunks->least || chunk->next_offset > chunks->most
+      || is_whole (chunks, id))
     return TRUE;
   PartialSnapshot *partial = find_partial (chunks, id);
   if (partial == NULL)
--- a/lib/state/fold.c
+++ b/lib/state/fold.c
@@ -111,8 +111,10 @@
     return FOLD_MALFORMED;
   if (fold_ids_find (fold->ids, id, &known))
     return known == FOLD_FENCED ? FOLD_FENCED : FOLD_DUPLICATE;
-  FoldResult result
-      = is_before_window (fold, record->wall_ms) ? FOLD_REFUSED : apply_body (fold, record, offset);
+  /* Not noted: an earlier copy may have taken effect. */
+  if (is_before_window (fold, record->wall_ms))
+    return FOLD_REFUSED;
+  FoldResult result = apply_body (fold, record, offset);
   /* A fence may name its own id. */
   if (!fold_ids_find (fold->ids, id, &known))
     fold_ids_add (fold->ids, id, fold->time_ms, (uint8_t) result);
@@ -126,7 +128,7 @@
 {
   fold->next_offset = offset + 1;
   fold->time_ms = MAX (fold->time_ms, MIN (time_ms, FOLD_TIME_MAX_MS));
-  fold_ids_expire (fold->ids, fold->time_ms - fold->options.id_window_ms);
+  fold_ids_expire (fold->ids, fold->time_ms - fold->options.id_window_ms - FOLD_DATE_SKEW_MS);
   fold_expire_entries (fold);
   fold_expire_intents (fold);
 }
--- a/lib/state/fold.h
+++ b/lib/state/fold.h
@@ -23,7 +23,10 @@
 #define FOLD_ENDED_JOBS 4096
 #define FOLD_ANSWERS_BYTES (INT64_C (64) * 1024 * 1024)
 
-/** An intent may be dated this much after the log's time; later ones are refused. */
+/**
+ * How far a writer's clock may be ahead of the log's: keys and record ids are held so much longer
+ * than their windows. An intent dated still later is refused.
+ */
 #define FOLD_DATE_SKEW_MS (INT64_C (5) * 60 * 1000)
 
 /** What applying one record did. */
@@ -41,7 +44,7 @@
 {
   int64_t key_window_ms;    /**< how long idempotency keys are held, by log time */
   int64_t answer_bytes_max; /**< largest answer body held with an outcome */
-  int64_t id_window_ms;     /**< how long record ids and fences are held; beyond any retry */
+  int64_t id_window_ms; /**< records and fences written longer ago are refused; beyond any retry */
   uint32_t shards;
   uint32_t history_max; /**< configuration versions listed by fold_history() */
 
--- /dev/null
+++ b/tests/state/test_fold_props.cc
@@ -0,0 +1,730 @@
+/**
+ * @file test_fold_props.cc
+ * Properties of the fold over random schedules of the log.
+ *
+ * A schedule has appends whose answer was lost and that are repeated, records that land late or
+ * after their fence, racing operators and claims, clock jumps past every window, garbage and
+ * skipped offsets.
+ */
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "common/ids.h"
+#include "state/fold.h"
+
+namespace
+{
+
+constexpr int64_t START_MS = 1000000000;
+constexpr int64_t CLAIM_WAIT_MS = 1000;
+constexpr int64_t ENTRY_KEEP_MS = 30000;
+constexpr int64_t BEYOND_WINDOWS_MS = 400000;
+constexpr int64_t BEYOND_ID_WINDOW_MS = 60000;
+constexpr int64_t CLOCK_SKEW_MS = 100000;
+constexpr uint32_t SHARDS = 2;
+
+FoldOptions
+fold_options ()
+{
+  FoldOptions options = {};
+  options.key_window_ms = 10000;
+  options.answer_bytes_max = 16;
+  options.id_window_ms = 20000;
+  options.shards = SHARDS;
+  options.history_max = 3;
+  options.claim_wait_ms = CLAIM_WAIT_MS;
+  options.entry_keep_ms = ENTRY_KEEP_MS;
+  options.ended_jobs_max = 2;
+  options.answers_bytes_max = 24;
+  return options;
+}
+
+struct FoldDeleter
+{
+  void
+  operator() (Fold *fold) const
+  {
+    fold_free (fold);
+  }
+};
+using FoldPtr = std::unique_ptr<Fold, FoldDeleter>;
+
+/** One record on the log. */
+struct LogRecord
+{
+  int64_t offset;
+  int64_t time_ms;
+  std::string bytes;
+  uint64_t id;
+  uint64_t fences; /**< id that it fences; 0: none */
+  int tenant;      /**< of intents and outcomes; -1: none */
+  int64_t wall_ms; /**< by its writer's clock */
+};
+using Log = std::vector<LogRecord>;
+
+/** One step of a schedule: what to do and three choices. */
+using Step = std::tuple<uint8_t, uint8_t, uint8_t, uint8_t>;
+
+std::string
+pack (const Record__Record &record)
+{
+  std::string bytes (record__record__get_packed_size (&record), '\0');
+  record__record__pack (&record, reinterpret_cast<uint8_t *> (bytes.data ()));
+  return bytes;
+}
+
+FoldResult
+apply (Fold *fold, const LogRecord &record)
+{
+  return fold_apply (fold, record.offset, record.time_ms,
+                     reinterpret_cast<const uint8_t *> (record.bytes.data ()),
+                     record.bytes.size ());
+}
+
+std::string
+state_of (const Fold *fold)
+{
+  GBytes *bytes = fold_snapshot (fold);
+  gsize size;
+  const char *data = static_cast<const char *> (g_bytes_get_data (bytes, &size));
+  std::string text (data, size);
+  g_bytes_unref (bytes);
+  return text;
+}
+
+/** Turns steps into a log; folds along to know versions and epochs as a writer would. */
+class Writer
+{
+public:
+  Log log;
+
+  Writer ()
+  {
+    const FoldOptions options = fold_options ();
+    live.reset (fold_new (&options));
+  }
+
+  void
+  take (const Step &step)
+  {
+    const auto [what, a, b, c] = step;
+    time_ms += c % 8 * 50;
+    switch (what % 18)
+      {
+      case 0:
+      case 1:
+        config (a);
+        break;
+      case 2:
+      case 3:
+        entry (a, b, false);
+        break;
+      case 4:
+        entry (a, b, true);
+        break;
+      case 5:
+      case 6:
+        claim (a, b, c);
+        break;
+      case 7:
+        job (a, b);
+        break;
+      case 8:
+        cancel (a);
+        break;
+      case 9:
+      case 10:
+        tasks (a, b, c);
+        break;
+      case 11:
+      case 12:
+        intent (a, b, c);
+        break;
+      case 13:
+        outcome (a, b, c);
+        break;
+      case 14:
+        repeat (a, b);
+        break;
+      case 15:
+        fence (a);
+        break;
+      case 16:
+        time_ms += a % 6 == 0 ? BEYOND_WINDOWS_MS : a % 6 == 1 ? BEYOND_ID_WINDOW_MS : a * 20;
+        break;
+      default:
+        garbage (a);
+        break;
+      }
+  }
+
+private:
+  FoldPtr live;
+  int64_t time_ms = START_MS;
+  int64_t offset = 0;
+  uint64_t last_id = 0;
+  std::vector<LogRecord> written; /**< every record ever made, landed or not */
+
+  void
+  land (LogRecord record)
+  {
+    record.offset = offset++;
+    record.time_ms = time_ms;
+    log.push_back (record);
+    apply (live.get (), record);
+  }
+
+  /* A third of the records does not land now; it may later. */
+  void
+  append (Record__Record &record, int tenant = -1, uint64_t fences = 0)
+  {
+    record.id_high = 7;
+    record.id_low = ++last_id;
+    /* Some writers' clocks are ahead. */
+    record.wall_ms = time_ms + (last_id % 11 == 0 ? CLOCK_SKEW_MS : 0);
+    LogRecord row = { 0, 0, pack (record), last_id, fences, tenant, record.wall_ms };
+    written.push_back (row);
+    if (fences != 0 || last_id % 3 != 0)
+      land (row);
+  }
+
+  void
+  config (uint8_t a)
+  {
+    Record__Record record;
+    Record__Config body;
+    record__record__init (&record);
+    record__config__init (&body);
+    const GPtrArray *history = fold_history (live.get ());
+    body.base_version = fold_config (live.get ())->version;
+    if (a % 4 == 0 && history->len > 1)
+      body.base_version = static_cast<FoldConfig *> (g_ptr_array_index (history, 1))->version;
+    std::string text (a % 7, 'x');
+    body.text.data = reinterpret_cast<uint8_t *> (text.data ());
+    body.text.len = text.size ();
+    record.body_case = RECORD__RECORD__BODY_CONFIG;
+    record.config = &body;
+    append (record);
+  }
+
+  void
+  entry (uint8_t a, uint8_t b, bool leaving)
+  {
+    Record__Record record;
+    Record__Entry body;
+    record__record__init (&record);
+    record__entry__init (&body);
+    std::string name = "entry-" + std::to_string (a % 3);
+    body.entry = name.data ();
+    body.incarnation = 1 + b % 2;
+    body.leaving = leaving;
+    record.body_case = RECORD__RECORD__BODY_ENTRY;
+    record.entry = &body;
+    append (record);
+  }
+
+  void
+  claim (uint8_t a, uint8_t b, uint8_t c)
+  {
+    Record__Record record;
+    Record__Claim body;
+    record__record__init (&record);
+    record__claim__init (&body);
+    std::string name = "entry-" + std::to_string (a % 3);
+    body.shard = b % SHARDS;
+    body.epoch = fold_claim (live.get (), body.shard)->epoch + (c % 4 == 0 ? 2 : 1);
+    body.entry = name.data ();
+    body.incarnation = 1 + b / 2 % 2;
+    record.body_case = RECORD__RECORD__BODY_CLAIM;
+    record.claim = &body;
+    append (record);
+  }
+
+  void
+  job (uint8_t a, uint8_t b)
+  {
+    Record__Record record;
+    Record__Job body;
+    record__record__init (&record);
+    record__job__init (&body);
+    char name[] = "job";
+    body.job = 1 + a % 5;
+    body.name = name;
+    body.shard = a % SHARDS;
+    body.tasks = 1 + b % 2;
+    record.body_case = RECORD__RECORD__BODY_JOB;
+    record.job = &body;
+    append (record);
+  }
+
+  void
+  cancel (uint8_t a)
+  {
+    Record__Record record;
+    Record__JobCancel body;
+    record__record__init (&record);
+    record__job_cancel__init (&body);
+    body.job = 1 + a % 5;
+    record.body_case = RECORD__RECORD__BODY_CANCEL;
+    record.cancel = &body;
+    append (record);
+  }
+
+  void
+  tasks (uint8_t a, uint8_t b, uint8_t c)
+  {
+    Record__Record record;
+    Record__TaskBatch body;
+    Record__TaskOutcome outcome;
+    Record__TaskOutcome *outcomes[] = { &outcome };
+    record__record__init (&record);
+    record__task_batch__init (&body);
+    record__task_outcome__init (&outcome);
+    std::string token = c % 2 == 0 ? "" : "token-" + std::to_string (b);
+    outcome.job = 1 + a % 5;
+    outcome.index = b % 2;
+    outcome.attempt = 1 + c % 4;
+    outcome.state = static_cast<Record__TaskEnd> (b / 2 % 8);
+    outcome.checkpoint = token.data ();
+    body.shard = a % SHARDS;
+    body.epoch = fold_claim (live.get (), body.shard)->epoch + (c % 5 == 0 ? -1 : 0);
+    body.n_outcomes = 1;
+    body.outcomes = outcomes;
+    record.body_case = RECORD__RECORD__BODY_TASKS;
+    record.tasks = &body;
+    append (record);
+  }
+
+  void
+  intent (uint8_t a, uint8_t b, uint8_t c)
+  {
+    Record__Record record;
+    Record__Intent body;
+    record__record__init (&record);
+    record__intent__init (&body);
+    std::string tenant = "tenant-" + std::to_string (a % 2);
+    std::string key = "key-" + std::to_string (a / 2 % 2);
+    const FoldIntent *known = fold_intent (live.get (), tenant.c_str (), key.c_str ());
+    char service[] = "service";
+    char agent[] = "agent";
+    body.tenant = tenant.data ();
+    body.key = key.data ();
+    body.service = service;
+    body.agent = agent;
+    body.request_digest = 1 + (b % 8 == 0 ? 1 : 0);
+    body.attempt = known != nullptr && known->fenced ? known->attempt + 1 : 1;
+    /* Few dates, so that one request comes again and again. */
+    body.dated_ms = time_ms - time_ms % 20000 + (c % 5 == 0 ? 200000 : 0)
+                    - (c % 7 == 0 ? BEYOND_WINDOWS_MS : 0);
+    record.body_case = RECORD__RECORD__BODY_INTENT;
+    record.intent = &body;
+    append (record, a % 2);
+  }
+
+  void
+  outcome (uint8_t a, uint8_t b, uint8_t c)
+  {
+    Record__Record record;
+    Record__Outcome body;
+    record__record__init (&record);
+    record__outcome__init (&body);
+    std::string tenant = "tenant-" + std::to_string (a % 2);
+    std::string key = "key-" + std::to_string (a / 2 % 2);
+    const FoldIntent *known = fold_intent (live.get (), tenant.c_str (), key.c_str ());
+    std::string text (c % 20, 'y');
+    body.tenant = tenant.data ();
+    body.key = key.data ();
+    body.attempt = known != nullptr ? known->attempt : 1;
+    body.fenced = b % 2 == 0;
+    body.body.data = reinterpret_cast<uint8_t *> (text.data ());
+    body.body.len = text.size ();
+    body.length = text.size ();
+    body.body_held = !body.fenced;
+    record.body_case = RECORD__RECORD__BODY_OUTCOME;
+    record.outcome = &body;
+    append (record, a % 2);
+  }
+
+  /* An answer was lost and the append is repeated, or a late one lands at last. */
+  void
+  repeat (uint8_t a, uint8_t b)
+  {
+    if (written.empty ())
+      return;
+    size_t n = written.size ();
+    land (written[b % 2 == 0 ? n - 1 - a % std::min<size_t> (n, 6) : a % n]);
+  }
+
+  void
+  fence (uint8_t a)
+  {
+    Record__Record record;
+    Record__Fence body;
+    record__record__init (&record);
+    record__fence__init (&body);
+    if (written.empty ())
+      return;
+    const LogRecord &wanted
+        = written[written.size () - 1 - a % std::min<size_t> (written.size (), 6)];
+    if (wanted.fences != 0)
+      return;
+    body.id_high = 7;
+    body.id_low = wanted.id;
+    body.wall_ms = wanted.wall_ms;
+    record.body_case = RECORD__RECORD__BODY_FENCE;
+    record.fence = &body;
+    append (record, -1, wanted.id);
+  }
+
+  void
+  garbage (uint8_t a)
+  {
+    offset += a % 3;
+    land ({ 0, 0, std::string (a % 5, '\xff'), 0, 0, -1, 0 });
+  }
+};
+
+Log
+make_log (const std::vector<Step> &steps)
+{
+  Writer writer;
+  for (const Step &step : steps)
+    writer.take (step);
+  return writer.log;
+}
+
+FoldPtr
+fold_of (const Log &log, FoldObserver observer = nullptr, void *ctx = nullptr)
+{
+  const FoldOptions options = fold_options ();
+  FoldPtr fold (fold_new (&options));
+  fold_observe (fold.get (), observer, ctx);
+  for (const LogRecord &record : log)
+    apply (fold.get (), record);
+  return fold;
+}
+
+LogRecord
+blank (const LogRecord &record)
+{
+  return { record.offset, record.time_ms, "\xff", 0, 0, -1, 0 };
+}
+
+/** Restart from a snapshot taken anywhere gives the state of a fold that never stopped. */
+void
+restart_gives_same_state (const std::vector<Step> &steps, uint8_t cut)
+{
+  const Log log = make_log (steps);
+  const FoldOptions options = fold_options ();
+  const size_t at = log.empty () ? 0 : cut % (log.size () + 1);
+  FoldPtr first (fold_new (&options));
+  for (size_t i = 0; i < at; i++)
+    apply (first.get (), log[i]);
+  const std::string saved = state_of (first.get ());
+  FoldPtr second (fold_from_snapshot (&options, reinterpret_cast<const uint8_t *> (saved.data ()),
+                                      saved.size (), nullptr));
+  RC_ASSERT (static_cast<bool> (second));
+  RC_ASSERT (state_of (second.get ()) == saved);
+  /* The reader may hand on again what the snapshot covers. */
+  for (size_t i = at / 2; i < log.size (); i++)
+    {
+      const FoldResult result = apply (second.get (), log[i]);
+      const FoldResult wanted = i < at ? FOLD_DUPLICATE : apply (first.get (), log[i]);
+      RC_ASSERT (result == wanted);
+    }
+  RC_ASSERT (state_of (second.get ()) == state_of (first.get ()));
+}
+
+/** Records of one id after the first, and after a fence for it, change nothing at all. */
+void
+duplicates_and_fenced_change_nothing (const std::vector<Step> &steps)
+{
+  const Log log = make_log (steps);
+  Log once;
+  std::set<uint64_t> done;
+  for (const LogRecord &record : log)
+    {
+      const bool is_first = record.id == 0 || done.insert (record.id).second;
+      once.push_back (is_first ? record : blank (record));
+      if (is_first && record.fences != 0)
+        done.insert (record.fences);
+    }
+  RC_ASSERT (state_of (fold_of (log).get ()) == state_of (fold_of (once).get ()));
+}
+
+/** What was said of an id stays true: settled once, never otherwise. */
+void
+settled_stays_settled (const std::vector<Step> &steps)
+{
+  const Log log = make_log (steps);
+  const FoldOptions options = fold_options ();
+  FoldPtr fold (fold_new (&options));
+  std::map<uint64_t, FoldResult> said;
+  for (const LogRecord &record : log)
+    {
+      const FoldResult result = apply (fold.get (), record);
+      for (uint64_t id : { record.id, record.fences })
+        {
+          FoldResult settled;
+          if (id == 0 || !fold_settled (fold.get (), { 7, id }, &settled))
+            continue;
+          const auto [at, is_new] = said.emplace (id, settled);
+          RC_ASSERT (at->second == settled);
+          if (id == record.id && !is_new)
+            RC_ASSERT (result != FOLD_APPLIED);
+        }
+    }
+}
+
+/* Observers are called from C and don't throw: they note what is wrong. */
+struct Versions
+{
+  uint64_t newest = 0;
+  std::string wrong;
+};
+
+/** Of operators that race from one base exactly one wins, and the version never goes back. */
+void
+one_operator_wins (const std::vector<Step> &steps)
+{
+  Versions versions;
+  auto observer = [] (void *ctx, const Record__Record *record, int64_t offset) {
+    auto *seen = static_cast<Versions *> (ctx);
+    if (record->body_case != RECORD__RECORD__BODY_CONFIG)
+      return;
+    if (record->config->base_version != seen->newest)
+      seen->wrong = "base is not the newest version";
+    if (static_cast<uint64_t> (offset) + 1 <= seen->newest)
+      seen->wrong = "version went back";
+    seen->newest = static_cast<uint64_t> (offset) + 1;
+  };
+  FoldPtr fold = fold_of (make_log (steps), observer, &versions);
+  RC_ASSERT (versions.wrong == "");
+  RC_ASSERT (fold_config (fold.get ())->version == versions.newest);
+  RC_ASSERT (fold_history (fold.get ())->len <= fold_options ().history_max);
+}
+
+/** Own account of who is known and who owns, from what took effect. */
+struct Owners
+{
+  const Fold *fold = nullptr;
+  std::map<std::string, std::tuple<uint64_t, int64_t, int64_t> >
+      known; /**< incarnation, since, seen */
+  std::map<uint32_t, std::tuple<uint64_t, std::string, uint64_t> > owner; /**< epoch, entry, inc. */
+  std::set<std::pair<std::string, uint64_t> > left;
+  std::string wrong;
+};
+
+void
+note_entry (Owners *owners, const Record__Entry *entry, int64_t now_ms)
+{
+  if (entry->leaving)
+    {
+      owners->left.insert ({ entry->entry, entry->incarnation });
+      const auto at = owners->known.find (entry->entry);
+      if (at != owners->known.end () && std::get<0> (at->second) == entry->incarnation)
+        owners->known.erase (at);
+      return;
+    }
+  auto &row = owners->known[entry->entry];
+  const bool is_same
+      = std::get<0> (row) == entry->incarnation && std::get<2> (row) + ENTRY_KEEP_MS >= now_ms;
+  row = { entry->incarnation, is_same ? std::get<1> (row) : now_ms, now_ms };
+}
+
+void
+check_claim (Owners *owners, const Record__Claim *claim, int64_t now_ms)
+{
+  const auto before = owners->owner[claim->shard];
+  const auto at = owners->known.find (claim->entry);
+  if (claim->epoch != std::get<0> (before) + 1)
+    owners->wrong = "epoch is not the next";
+  if (at == owners->known.end () || std::get<0> (at->second) != claim->incarnation)
+    {
+      owners->wrong = "claimed by an unknown entry";
+      return;
+    }
+  const bool is_own
+      = std::get<1> (before) == claim->entry && std::get<2> (before) == claim->incarnation;
+  const bool has_left = owners->left.count ({ std::get<1> (before), std::get<2> (before) }) > 0;
+  if (std::get<0> (before) > 0 && !is_own && !has_left
+      && now_ms - std::get<1> (at->second) < CLAIM_WAIT_MS)
+    owners->wrong = "claimed by an entry that the owner may not know";
+  owners->owner[claim->shard] = { claim->epoch, claim->entry, claim->incarnation };
+  owners->left.erase ({ claim->entry, claim->incarnation });
+}
+
+/** Each epoch of a shard has one winner, and one that an owner could not know of has waited. */
+void
+one_claim_wins (const std::vector<Step> &steps)
+{
+  const Log log = make_log (steps);
+  const FoldOptions options = fold_options ();
+  FoldPtr fold (fold_new (&options));
+  Owners owners;
+  owners.fold = fold.get ();
+  auto observer = [] (void *ctx, const Record__Record *record, int64_t) {
+    auto *seen = static_cast<Owners *> (ctx);
+    const int64_t now_ms = fold_time_ms (seen->fold);
+    if (record->body_case == RECORD__RECORD__BODY_ENTRY)
+      note_entry (seen, record->entry, now_ms);
+    else if (record->body_case == RECORD__RECORD__BODY_CLAIM)
+      check_claim (seen, record->claim, now_ms);
+    else if (record->body_case == RECORD__RECORD__BODY_TASKS
+             && record->tasks->epoch != std::get<0> (seen->owner[record->tasks->shard]))
+      seen->wrong = "tasks of an old epoch";
+  };
+  fold_observe (fold.get (), observer, &owners);
+  for (const LogRecord &record : log)
+    apply (fold.get (), record);
+  RC_ASSERT (owners.wrong == "");
+}
+
+struct Attempts
+{
+  const Fold *fold = nullptr;
+  /** Attempts that may have run, by tenant, key and date of the request. */
+  std::map<std::tuple<std::string, std::string, int64_t>, int> open;
+  std::map<std::pair<std::string, std::string>, std::tuple<std::string, std::string, int64_t> >
+      newest;
+  std::string wrong;
+};
+
+/** A request is never run by two attempts, however often and late it comes again. */
+void
+one_attempt_runs (const std::vector<Step> &steps)
+{
+  const Log log = make_log (steps);
+  const FoldOptions options = fold_options ();
+  FoldPtr fold (fold_new (&options));
+  Attempts attempts;
+  attempts.fold = fold.get ();
+  auto observer = [] (void *ctx, const Record__Record *record, int64_t) {
+    auto *seen = static_cast<Attempts *> (ctx);
+    if (record->body_case == RECORD__RECORD__BODY_INTENT)
+      {
+        const Record__Intent *intent = record->intent;
+        const std::tuple<std::string, std::string, int64_t> request
+            = { intent->tenant, intent->key, intent->dated_ms };
+        if (intent->dated_ms < fold_key_window_start_ms (seen->fold))
+          seen->wrong = "dated before the key window";
+        if (++seen->open[request] != 1)
+          seen->wrong = "two attempts of one request";
+        seen->newest[{ intent->tenant, intent->key }] = request;
+      }
+    else if (record->body_case == RECORD__RECORD__BODY_OUTCOME && record->outcome->fenced)
+      seen->open[seen->newest[{ record->outcome->tenant, record->outcome->key }]]--;
+  };
+  fold_observe (fold.get (), observer, &attempts);
+  for (const LogRecord &record : log)
+    apply (fold.get (), record);
+  RC_ASSERT (attempts.wrong == "");
+}
+
+/** Keys of one tenant fold as if the other tenants did not exist. */
+void
+tenants_stay_apart (const std::vector<Step> &steps)
+{
+  const Log log = make_log (steps);
+  Log alone;
+  for (const LogRecord &record : log)
+    alone.push_back (record.tenant == 1 ? blank (record) : record);
+  FoldPtr both = fold_of (log);
+  FoldPtr one = fold_of (alone);
+  for (const char *key : { "key-0", "key-1" })
+    {
+      const FoldIntent *left = fold_intent (both.get (), "tenant-0", key);
+      const FoldIntent *right = fold_intent (one.get (), "tenant-0", key);
+      RC_ASSERT ((left == nullptr) == (right == nullptr));
+      if (left == nullptr)
+        continue;
+      RC_ASSERT (left->attempt == right->attempt);
+      RC_ASSERT (left->intent_ms == right->intent_ms);
+      RC_ASSERT (left->has_outcome == right->has_outcome);
+      RC_ASSERT (left->fenced == right->fenced);
+      RC_ASSERT (left->length == right->length);
+      RC_ASSERT (left->request_digest == right->request_digest);
+    }
+}
+
+bool
+is_final (const FoldTask &task)
+{
+  return task.end == RECORD__TASK_END__END_DONE || task.end == RECORD__TASK_END__END_CANCELLED
+         || task.end == RECORD__TASK_END__END_GIVEN_UP;
+}
+
+/** A final end of a task never changes, and counts never go back. */
+void
+final_ends_stay (const std::vector<Step> &steps)
+{
+  using Tasks = std::map<std::pair<uint64_t, uint32_t>, FoldTask>;
+  const Log log = make_log (steps);
+  const FoldOptions options = fold_options ();
+  FoldPtr fold (fold_new (&options));
+  Tasks before;
+  for (const LogRecord &record : log)
+    {
+      apply (fold.get (), record);
+      const GPtrArray *jobs = fold_jobs (fold.get ());
+      Tasks now;
+      guint n_ended = 0;
+      for (guint i = 0; i < jobs->len; i++)
+        {
+          const auto *job = static_cast<FoldJob *> (g_ptr_array_index (jobs, i));
+          n_ended += job->n_final == job->n_tasks ? 1 : 0;
+          for (uint32_t k = 0; k < job->n_tasks; k++)
+            now[{ job->job, k }] = job->tasks[k];
+        }
+      RC_ASSERT (n_ended <= options.ended_jobs_max);
+      for (const auto &[place, task] : now)
+        {
+          const auto was = before.find (place);
+          if (was == before.end ())
+            continue;
+          RC_ASSERT (!is_final (was->second) || task.end == was->second.end);
+          RC_ASSERT (!is_final (was->second) || task.attempts == was->second.attempts);
+          RC_ASSERT (task.attempts >= was->second.attempts);
+          RC_ASSERT (task.failures >= was->second.failures);
+        }
+      before = now;
+    }
+}
+
+/* The seed comes from RC_PARAMS; the number of schedules, too, when it is given there. */
+void
+set_schedules ()
+{
+  const char *given = getenv ("RC_PARAMS");
+  std::string params = given != nullptr ? given : "seed=1";
+  if (params.find ("max_success") == std::string::npos)
+    params += " max_success=4000";
+  if (params.find ("max_size") == std::string::npos)
+    params += " max_size=120";
+  setenv ("RC_PARAMS", params.c_str (), 1);
+}
+
+} // namespace
+
+int
+main ()
+{
+  set_schedules ();
+  bool ok = rc::check ("restart gives the same state", restart_gives_same_state);
+  ok = rc::check ("duplicates and fenced records change nothing",
+                  duplicates_and_fenced_change_nothing)
+       && ok;
+  ok = rc::check ("what is settled stays settled", settled_stays_settled) && ok;
+  ok = rc::check ("one operator wins", one_operator_wins) && ok;
+  ok = rc::check ("one claim wins", one_claim_wins) && ok;
+  ok = rc::check ("one attempt runs", one_attempt_runs) && ok;
+  ok = rc::check ("tenants stay apart", tenants_stay_apart) && ok;
+  ok = rc::check ("final ends stay", final_ends_stay) && ok;
+  return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/support/fake_log.c
+++ b/tests/support/fake_log.c
@@ -290,6 +290,20 @@
   return appends;
 }
 
+void
+fake_log_put (FakeLog *log, const char *stream, GBytes *record)
+{
+  gsize size;
+  const void *data = g_bytes_get_data (record, &size);
+  g_autofree char *text = g_base64_encode (data, size);
+  json_t *items = json_pack ("[s]", text);
+  json_t *answer = NULL;
+
+  (void) append (log, stream, items, &answer);
+  json_decref (items);
+  json_decref (answer);
+}
+
 void
 fake_log_expire (FakeLog *log, const char *stream, int64_t first_kept)
 {
--- a/tests/support/fake_log.h
+++ b/tests/support/fake_log.h
@@ -31,6 +31,9 @@
 int64_t fake_log_end (FakeLog *log, const char *stream);
 uint64_t fake_log_appends (FakeLog *log);
 
+/** Appends @p record as if by another process; faults don't touch it. */
+void fake_log_put (FakeLog *log, const char *stream, GBytes *record);
+
 /** Drops all records of @p stream below @p first_kept. */
 void fake_log_expire (FakeLog *log, const char *stream, int64_t first_kept);
 
