--- a/programs/entry/http.c
+++ b/lib/entry/http.c
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "entry/http.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -8,7 +8,7 @@
 #include "common/clk.h"
 #include "common/jnl.h"
 #include "entry/render.h"
-#include "http_private.h"
+#include "entry/http_private.h"
 
 /** Longest sleep of the polling thread. */
 #define POLL_MS 200
--- a/programs/entry/http.h
+++ b/lib/entry/http.h
@@ -10,7 +10,7 @@
 #include "common/err.h"
 #include "common/met.h"
 #include "entry/params.h"
-#include "view.h"
+#include "entry/view.h"
 
 G_BEGIN_DECLS
 
--- a/programs/entry/http_private.h
+++ b/lib/entry/http_private.h
@@ -6,7 +6,7 @@
 
 #include <microhttpd.h>
 
-#include "http.h"
+#include "entry/http.h"
 
 G_BEGIN_DECLS
 
--- a/programs/entry/http_route.c
+++ b/lib/entry/http_route.c
@@ -4,7 +4,7 @@
 #include "common/clk.h"
 #include "common/doc.h"
 #include "entry/render.h"
-#include "http_private.h"
+#include "entry/http_private.h"
 
 /** Silence of the loop after which the process is not healthy. */
 #define LOOP_SILENCE_US (5 * CLK_US_PER_S)
--- a/programs/entry/view.c
+++ b/lib/entry/view.c
@@ -1,4 +1,4 @@
-#include "view.h"
+#include "entry/view.h"
 
 #include <urcu.h>
 
--- a/programs/entry/loop.h
+++ b/programs/entry/loop.h
@@ -8,8 +8,8 @@
 
 #include "common/met.h"
 #include "entry/settings.h"
-#include "http.h"
-#include "view.h"
+#include "entry/http.h"
+#include "entry/view.h"
 
 G_BEGIN_DECLS
 
--- a/programs/entry/main.c
+++ b/programs/entry/main.c
@@ -9,7 +9,7 @@
 
 #include "common/jnl.h"
 #include "entry/settings.h"
-#include "http.h"
+#include "entry/http.h"
 #include "loop.h"
 
 #define VERSION "0.1.0"
