An entry that doesn't own the shard asks the owner about ended jobs too

Cause: explain_here() answered an ended job from the log alone wherever the entry didn't own its shard, so whether an operator saw why a task ran where it ran hung on which entry was asked. Ruled out: the core forgetting the job; the owner's answer has it. Now the owner is asked, and the log's rows are the answer when it can't be.

--- a/programs/entry/loop_operators.c
+++ b/programs/entry/loop_operators.c
@@ -154,20 +154,25 @@
     }
 }
 
-/* What this entry can explain itself: NULL when another owns the shard. */
+/* What this entry can explain itself: NULL when it doesn't own the shard. */
 static char *
 explain_here (Loop *loop, uint64_t id)
 {
-  const FoldJob *job = fold_job (loop->fold, id);
   const Shard *shard = loop->shards[jobs_shard (id, (uint32_t) loop->settings->shards)];
-  char *text = shard != NULL ? core_explain_job (shard_core (shard), id) : NULL;
 
-  if (text != NULL || job == NULL || (shard == NULL && job->n_final < job->n_tasks))
-    return text;
-  g_autoptr (GBytes) body = render_job (job);
-  gsize size = 0;
-  const char *data = g_bytes_get_data (body, &size);
-  return g_strndup (data, size);
+  return shard != NULL ? core_explain_job (shard_core (shard), id) : NULL;
+}
+
+/* Without the owner's word an ended job still has what the log holds of it. */
+static void
+explain_without_owner (Loop *loop, HttpRequest *request, const char *message)
+{
+  const FoldJob *job = fold_job (loop->fold, http_ask (request)->job);
+
+  if (job != NULL && job->n_final == job->n_tasks)
+    answer_json (request, render_job (job));
+  else
+    refuse (request, ERR_NOT_OWNER, message);
 }
 
 static void
@@ -186,7 +191,7 @@
   envelope.query = &query;
   if (claim->epoch == 0 || loop->pending->len >= PENDING_MAX
       || !wire_send (loop->wire, claim->entry, &envelope))
-    refuse (request, ERR_NOT_OWNER, "the shard's owner can't be reached now");
+    explain_without_owner (loop, request, "the shard's owner can't be reached now");
   else
     add_pending (loop, request, id, TRUE);
 }
@@ -315,7 +320,7 @@
   if (*reply->kind == '\0')
     answer_json (request, g_bytes_new (reply->json, strlen (reply->json)));
   else
-    refuse (request, ERR_NOT_OWNER, "the shard's owner changes now");
+    explain_without_owner (loop, request, "the shard's owner changes now");
 }
 
 void
@@ -402,7 +407,7 @@
       gboolean is_query = pending->is_query;
       HttpRequest *request = take_pending (loop, pending);
       if (is_query)
-        refuse (request, ERR_NOT_OWNER, "the shard's owner did not answer");
+        explain_without_owner (loop, request, "the shard's owner did not answer");
       else
         refuse (request, ERR_IN_DOUBT, "the log may have taken it; look before trying again");
     }
