--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,7 +16,7 @@
 INSTANCES=3
 ENTRIES=2
 CONFIG_S=4
-REPORT_LAG_MS=300
+REPORT_LAG_MS=1000
 STARTED=$SECONDS
 
 cluster_init "$1"
@@ -78,7 +78,7 @@
 check_requests() {
   local preview first second key=demo-once-1 i
   for ((i = 1; i <= ENTRIES; i++)); do
-    preview=$(call_full "entry-$i" preview/cut -d "cut $i")
+    preview=$(call_full "entry-$i" preview/cut -H "Acacia-Kind: repeatable" -d "cut $i")
     check "a preview through entry-$i is answered" grep -q '^HTTP/1.1 200' <<<"$preview"
     check_equal "its whole answer came back" "$TENANT 5" \
       "$(body_of <<<"$preview" | jq -r '"\(.tenant) \(.length)"')"
@@ -118,7 +118,7 @@
   sleep 2
   local before
   before=$(completed_at service-1)
-  for ((i = 0; i < 10; i++)); do call entry-1 preview/after -d x >/dev/null || fail "preview"; done
+  for ((i = 0; i < 10; i++)); do call entry-1 preview/after -H "Acacia-Kind: repeatable" -d x >/dev/null || fail "preview"; done
   wait "$caller" || fail "the request in flight was cut"
   check "the request in flight was answered whole" test "$(jq -r .length "$out")" = 12
   wait_for 10 "agent-1 has left" has_left agent-1
@@ -129,7 +129,7 @@
 }
 
 # Sends requests until one is held by the first endpoint, which is slow.
-call_agent_one() { call entry-1 preview/slow -d slow-request >"$1"; }
+call_agent_one() { call entry-1 preview/slow -H "Acacia-Kind: repeatable" -d slow-request >"$1"; }
 running_at() { [ "$(curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .running)" -ge 1 ]; }
 completed_at() { curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .total; }
 
