--- /dev/null
+++ b/tests/fault/common.sh
@@ -0,0 +1,85 @@
+# What the fault tests share: the clusters they start and the documents they publish.
+# shellcheck shell=bash disable=SC2034
+
+source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/cluster.sh"
+
+# Short leases keep the tests short; the bounds below are worked out from them.
+LEASE_MS=2000
+FRESH_MS=1000
+DRIFT_MS=200
+TAKEOVER_S=$(((LEASE_MS + FRESH_MS) / 1000 + 2))
+CONFIG_S=4
+LEAVING_S=2
+AT_ONCE_MS=1000
+ENTRY_EXTRA="lease_ms = $LEASE_MS
+fresh_ms = $FRESH_MS
+drift_ms = $DRIFT_MS
+snapshot_every_ms = 5000"
+
+# The service alone: what callers need.
+service_document() {
+  cat <<TOML
+[service.$SERVICE]
+requests = "repeatable"
+slots = 8
+connections = 64
+timeout_ms = ${SERVICE_TIMEOUT_MS:-5000}
+TOML
+}
+
+# Jobs alone: without a service no instance waits for interference to be measured.
+batch_document() {
+  cat <<TOML
+[job.steady]
+tasks = ${STEADY_TASKS:-6}
+cpu_milli = 1000
+memory_mb = 256
+run_ms = ${STEADY_RUN_MS:-4000}
+checkpoint_ms = 200
+
+[policy]
+report_lag_ms = 1000
+TOML
+}
+
+# publish FUNCTION: publishes what the function prints and waits until all have it in force.
+publish() {
+  local name
+  "$1" >"$CLUSTER_DIR/document.toml"
+  VERSION=$(ctl --json apply "$CLUSTER_DIR/document.toml" | jq -r .version) || fail "publish $1"
+  for name in "${!PID[@]}"; do
+    case "$name" in
+      entry-* | agent-*)
+        wait_for "$CONFIG_S" "$name has configuration $VERSION in force" has_config "$name" "$VERSION"
+        ;;
+    esac
+  done
+}
+
+submit() { ctl --json submit "$1" --key "$2" | jq -r .job; }
+job_state() { ctl --json job "$1" | jq -r .state; }
+job_is() { [ "$(job_state "$1")" = "$2" ]; }
+
+# Attempts that run now, on the workers that answer.
+running_tasks() { history | jq -s 'map(select(.end_ms == null)) | length'; }
+runs_at_least() { [ "$(running_tasks)" -ge "$1" ]; }
+owner_of() { ctl --json status | jq -r ".shards[$1].owner"; }
+owner_is_not() { local now; now=$(owner_of 0) && [ -n "$now" ] && [ "$now" != "$1" ]; }
+
+other_entry() { [ "$1" = entry-1 ] && echo entry-2 || echo entry-1; }
+
+# Kind and "ran" of an error answer that call printed.
+error_of() { jq -r '"\(.error.kind) \(.error.ran)"'; }
+
+# once ENTRY KEY BODY [curl arguments]: one request that may run at most once.
+once() {
+  local entry=$1 key=$2 body=$3
+  shift 3
+  call "$entry" deliver -H "Acacia-Kind: once" -H "Idempotency-Key: $key" -d "$body" "$@"
+}
+
+# After any fault: no task ran in two places, none was done twice.
+check_tasks() {
+  check_equal "no task ran in two places at once" 0 "$(overlaps)"
+  check_equal "no task was done twice" 0 "$(done_twice)"
+}
--- /dev/null
+++ b/tests/fault/test_drain.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# A graceful stop, of an agent and of an entry: no request in flight is cut, and what leaves gets
+# nothing new after two seconds.
+set -uo pipefail
+source "$(dirname "$0")/common.sh"
+
+SERVICE_MS=20
+CALLS=12
+cluster_init mezcla
+cluster_start 2 2
+publish service_document
+
+total_of() { curl -fsS -m 5 "$(url_of "$1")/stats" | jq -r .total; }
+running_of() { curl -fsS -m 5 "$(url_of "$1")/stats" | jq -r .running; }
+is_busy() { [ "$(running_of "$1")" -ge "$2" ]; }
+
+# Starts CALLS slow requests, waits until the first endpoint has some, then stops $1.
+stop_under_load() {
+  local name=$1 i callers=()
+  fault service-1 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":2500}"
+  fault service-2 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":2500}"
+  for ((i = 0; i < CALLS; i++)); do
+    call "$([ $((i % 2)) = 0 ] && echo entry-1 || echo entry-2)" cut -d "cut $i" \
+      -o "$CLUSTER_DIR/answer-$i" -w '%{http_code}' >"$CLUSTER_DIR/status-$i" 2>/dev/null &
+    callers+=($!)
+  done
+  wait_for 5 "requests are in flight" is_busy service-1 2
+  terminate "$name"
+  wait "${callers[@]}"
+  for ((i = 0; i < CALLS; i++)); do
+    check_equal "request $i was answered" 200 "$(cat "$CLUSTER_DIR/status-$i")"
+  done
+}
+
+left_cleanly() {
+  wait_for 15 "$1 has left" has_left "$1"
+  wait "${PID[$1]}"
+  check_equal "its exit code is 0" 0 $?
+  unset "PID[$1]"
+}
+
+say "== an agent leaves"
+stop_under_load agent-1
+left_cleanly agent-1
+sleep "$LEAVING_S"
+before=$(total_of service-1)
+for ((i = 0; i < CALLS; i++)); do
+  check_equal "request $i is answered by the others" 200 "$(call_status entry-1 cut -d x)"
+done
+check_equal "the endpoint that left got nothing new" "$before" "$(total_of service-1)"
+
+say "== it comes back"
+start_agent 1
+wait_for 10 "agent-1 is ready" is_ready agent-1
+served() { call entry-1 cut -d x >/dev/null && [ "$(total_of service-1)" -gt "$before" ]; }
+wait_for 10 "its endpoint is used again" served
+
+say "== an entry leaves"
+stop_under_load entry-2
+left_cleanly entry-2
+check_equal "the other entry serves on" 200 "$(call_status entry-1 cut -d x)"
--- /dev/null
+++ b/tests/fault/test_lost_append.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# The log takes an append, but its answer is lost (or cut short, or garbled): what was asked for
+# takes effect once, and the caller is told the truth.
+set -uo pipefail
+source "$(dirname "$0")/common.sh"
+
+SERVICE_MS=20
+STEADY_TASKS=1
+STEADY_RUN_MS=200
+documents() {
+  service_document
+  batch_document
+}
+
+cluster_init zinsverbund
+cluster_start 2 2
+publish documents
+
+for mode in lose_answer truncate garbage; do
+  say "== $mode"
+  fault log "{\"mode\":\"$mode\",\"count\":1}"
+  credited() { once entry-1 "credit-$mode" x | jq -e '.run == 1' >/dev/null; }
+  wait_for 15 "a once request has its answer" credited
+  check_equal "it ran once" 1 "$(runs_of "credit-$mode")"
+
+  fault log "{\"mode\":\"$mode\",\"count\":1}"
+  wait_for 15 "a job is accepted" submit steady "job-$mode"
+  job=$(submit steady "job-$mode")
+  wait_for 20 "it is done" job_is "$job" done
+  check_equal "it was started once" 1 \
+    "$(history | jq -s --arg job "$job" 'map(select(.job == $job)) | length')"
+
+  fault log "{\"mode\":\"$mode\",\"count\":1}"
+  before=$(config_version entry-1)
+  ctl --json apply "$CLUSTER_DIR/document.toml" --base "$before" --note "$mode" >/dev/null 2>&1
+  wait_for "$CONFIG_S" "a configuration is in force" has_config entry-1 $((before + 1))
+  check_equal "it stands in the history once" 1 \
+    "$(ctl --json history | jq --arg note "$mode" '[.versions[] | select(.note == $note)] | length')"
+done
