--- a/lib/core/interference.c
+++ b/lib/core/interference.c
@@ -3,10 +3,10 @@
 #include <math.h>
 #include <stdlib.h>
 
-#define INTERFERENCE_MARGIN 0.99    /**< share of the target that placement may fill */
-#define INTERFERENCE_RELIEF 0.97    /**< tail below this share of the target is relieved */
+#define INTERFERENCE_MARGIN 1.0     /**< share of the target that placement may fill */
+#define INTERFERENCE_RELIEF 0.98    /**< tail below this share of the target is relieved */
 #define INTERFERENCE_STEP_MIN 0.05  /**< least share of an error that one report corrects */
-#define INTERFERENCE_BIAS_STEP 0.3  /**< share of a report in the smoothed tail */
+#define INTERFERENCE_BIAS_STEP 0.15 /**< share of a report in the smoothed tail */
 #define INTERFERENCE_NOISE 0.03     /**< share of a report taken to be noise */
 #define INTERFERENCE_ALARM 1.10     /**< one report this far over the target counts by itself */
 #define INTERFERENCE_ALONE_STEP 0.2 /**< like it, for the tail without batch work */
@@ -353,7 +353,8 @@
   gboolean is_high = is_over (core, worker, endpoint);
   const double *weights = weights_at (core, worker, core->now_us);
   double sum = growth_sum (core, endpoint->service, band, weights);
-  double tail_us = MAX (alone_us * (1.0 + sum + growth), 1.0) * MAX (endpoint->bias, 1.0);
+  double tail_us
+      = MAX (alone_us * (1.0 + sum + growth), 1.0) * (endpoint->bias > 0 ? endpoint->bias : 1.0);
   int64_t permille = (int64_t) (INTERFERENCE_PERMILLE * tail_us / (double) service->target_us);
   const CorePair *pair = find_pair (core, endpoint->service, job->class_row, band);
   gboolean is_tried = pair != NULL && pair->trial_until_us > core->now_us;
--- a/lib/core/learn.c
+++ b/lib/core/learn.c
@@ -2,11 +2,12 @@
 
 #include <math.h>
 
-#define LEARN_PER_DOUBLING 4.0
-#define LEARN_FIRST_BUCKET (-16) /**< ratio 1/16 */
+#define LEARN_PER_DOUBLING 8.0
+#define LEARN_FIRST_BUCKET (-32) /**< ratio 1/16 */
 #define LEARN_SAMPLES_MIN 8U
 #define LEARN_SAMPLES_MAX 1024U
-#define LEARN_SIZE_PERMILLE 950U
+#define LEARN_CPU_PERMILLE 800U /**< processors are shared when they run short */
+#define LEARN_MEMORY_PERMILLE 950U
 #define LEARN_PERMILLE 1000
 
 static int
@@ -46,24 +47,21 @@
 {
   if (learned->total < LEARN_SAMPLES_MIN)
     return 0;
-  uint64_t wanted = ((uint64_t) learned->total * permille + LEARN_PERMILLE - 1) / LEARN_PERMILLE;
-  uint64_t seen = 0;
+  double wanted = (double) learned->total * permille / LEARN_PERMILLE;
+  double below = 0;
   int bucket = 0;
-  for (int i = 0; i < CORE_LEARN_BUCKETS; i++)
-    {
-      seen += learned->count[i];
-      bucket = i;
-      if (seen >= wanted)
-        break;
-    }
-  double doublings = (double) (bucket + LEARN_FIRST_BUCKET) / LEARN_PER_DOUBLING;
+  while (bucket < CORE_LEARN_BUCKETS - 1 && below + learned->count[bucket] < wanted)
+    below += learned->count[bucket++];
+  /* Samples are taken to be spread evenly within the bucket. */
+  double part = (wanted - below) / MAX (learned->count[bucket], 1);
+  double doublings = (bucket + LEARN_FIRST_BUCKET - 1 + MIN (part, 1.0)) / LEARN_PER_DOUBLING;
   return (int64_t) (LEARN_PERMILLE * exp2 (doublings));
 }
 
 static int64_t
-learned_amount (const CoreLearned *learned, int64_t declared)
+learned_amount (const CoreLearned *learned, uint32_t permille, int64_t declared)
 {
-  int64_t ratio = learn_quantile_permille (learned, LEARN_SIZE_PERMILLE);
+  int64_t ratio = learn_quantile_permille (learned, permille);
 
   return MAX (declared, declared * ratio / LEARN_PERMILLE);
 }
@@ -76,8 +74,8 @@
 
   if (!tables_has (core, CORE_MECHANISM_LEARNING))
     return size;
-  size.cpu_milli = learned_amount (&class_row->cpu, size.cpu_milli);
-  size.memory_mb = learned_amount (&class_row->memory, size.memory_mb);
+  size.cpu_milli = learned_amount (&class_row->cpu, LEARN_CPU_PERMILLE, size.cpu_milli);
+  size.memory_mb = learned_amount (&class_row->memory, LEARN_MEMORY_PERMILLE, size.memory_mb);
   return size;
 }
 
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -1,6 +1,5 @@
 #include "core/tables.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #define PLACE_WALK_MAX 64U     /**< instances looked at for one task */
@@ -185,15 +184,6 @@
   return NULL;
 }
 
-static int
-compare_times (const void *a, const void *b)
-{
-  int64_t x = *(const int64_t *) a;
-  int64_t y = *(const int64_t *) b;
-
-  return x < y ? -1 : (x > y ? 1 : 0);
-}
-
 /* Room only shrinks within a tick: what found no place finds none for a like task. */
 static gboolean
 is_known_blocked (const Core *core, const CoreTask *task)
@@ -216,33 +206,50 @@
   shape->blocked_lacks_room = lacks_room;
 }
 
+/** When a task should be over, and what it gives back. */
+typedef struct
+{
+  int64_t end_us;
+  DocSize size;
+} End;
+
+static int
+compare_ends (const void *a, const void *b)
+{
+  const End *x = a;
+  const End *y = b;
+
+  return x->end_us < y->end_us ? -1 : (x->end_us > y->end_us ? 1 : 0);
+}
+
 /* When enough of the tasks on @p worker should be over for a task of @p job to fit. */
 static int64_t
 room_at (const Core *core, const CoreJob *job, const CoreWorker *worker)
 {
   DocSize wanted = place_size (core, job, worker);
   DocSize free = tables_free_size (worker);
-  guint n = worker->tasks->len;
-  g_autofree int64_t *ends = g_new0 (int64_t, 2 * (n + 1));
+  int64_t at_us = INT64_MAX;
 
   if (!size_fits (wanted, size_sub (worker->capacity, worker->endpoints_size)))
     return INT64_MAX;
-  for (guint i = 0; i < n; i++)
+  GArray *ends = g_array_new (FALSE, FALSE, sizeof (End));
+  for (guint i = 0; i < worker->tasks->len; i++)
     {
       const CoreTask *task = g_ptr_array_index (worker->tasks, i);
       int64_t run_us = learn_run_ms (core, task->job, PLACE_RUN_PERMILLE) * CLK_US_PER_MS;
-      ends[2 * i] = MAX (task->started_us + run_us, core->now_us);
-      ends[2 * i + 1] = i;
+      End end = { MAX (task->started_us + run_us, core->now_us), task->reserved };
+      g_array_append_val (ends, end);
     }
-  qsort (ends, n, 2 * sizeof *ends, compare_times);
-  for (guint i = 0; i < n; i++)
+  g_array_sort (ends, compare_ends);
+  for (guint i = 0; i < ends->len && at_us == INT64_MAX; i++)
     {
-      const CoreTask *task = g_ptr_array_index (worker->tasks, (guint) ends[2 * i + 1]);
-      free = size_add (free, task->reserved);
+      const End *end = &g_array_index (ends, End, i);
+      free = size_add (free, end->size);
       if (size_fits (wanted, free))
-        return ends[2 * i];
+        at_us = end->end_us;
     }
-  return INT64_MAX;
+  g_array_free (ends, TRUE);
+  return at_us;
 }
 
 /* Keeps the instance where the first job that lacks room will find it soonest. */
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -16,7 +16,7 @@
 #define CORE_NONE UINT32_MAX
 #define CORE_BANDS 4
 #define CORE_FULL_PERMILLE 1000
-#define CORE_LEARN_BUCKETS 32
+#define CORE_LEARN_BUCKETS 64
 #define CORE_STREAK_MAX 8
 #define CORE_YOUNG_MAX 5
 #define CORE_FAILED_ON_MAX 8
@@ -73,7 +73,7 @@
   gboolean blocked_lacks_room;
 } CoreShape;
 
-/** Learned ratios to what was declared, in quarter powers of two. */
+/** Learned ratios to what was declared, in eighth powers of two. */
 typedef struct
 {
   uint32_t count[CORE_LEARN_BUCKETS];
--- a/tests/bench/cases.c
+++ b/tests/bench/cases.c
@@ -10,7 +10,7 @@
 
 static const BenchCase bench_cases[] = {
   { .name = "steady" },
-  { .name = "waves", .wave_s = 100, .wave_jobs = 20, .p99_limit = 1.3 },
+  { .name = "waves", .renders = 60, .noisy = 1, .wave_s = 100, .wave_jobs = 20, .p99_limit = 1.3 },
   { .name = "noon", .load = 0.25, .load_after = 0.75, .noon_s = 300 },
   { .name = "wrong-sizes", .size_error = 5.0, .run_error = 10.0 },
   { .name = "impossible", .impossible = 10 },
@@ -19,11 +19,16 @@
   { .name = "cancel-wave", .cancel_s = 120 },
   { .name = "worker-dies", .worker_dies_s = 200 },
   { .name = "rack-dies", .rack_dies_s = 200 },
-  { .name = "silent", .silent_from_s = 200, .wave_s = 210, .wave_jobs = 20 },
+  { .name = "silent", .silent_from_s = 200, .renders = 60, .wave_s = 210, .wave_jobs = 20 },
   { .name = "month-end", .accruals = 100, .deadline_s = 420 },
   { .name = "urgent-full", .urgent_every_s = 5 },
   { .name = "quotas", .has_quotas = TRUE },
-  { .name = "takeover", .wave_s = 150, .wave_jobs = 20, .takeover_s = 165 },
+  { .name = "takeover",
+    .renders = 60,
+    .noisy = 1,
+    .wave_s = 150,
+    .wave_jobs = 20,
+    .takeover_s = 165 },
 };
 const guint n_bench_cases = G_N_ELEMENTS (bench_cases);
 
