Core: cheaper ticks at scale

Cause: each of 64 sampled instances was forecast twice with a walk over all classes, the order was sorted each tick, quantiles were worked out each time. Now a sample ends with four offers, the forecast is made once, the order is kept half a second, quantiles and a report's verdict are kept.

--- a/lib/core/check.c
+++ b/lib/core/check.c
@@ -109,6 +109,7 @@
   else
     is_bad = !is_placeable (core, job);
   job->is_unplaceable = is_bad;
+  core->is_ready_changed = core->is_ready_changed || was != is_bad;
   if (is_bad && (!was || why != job->unplaceable_why))
     mark (core, job, why);
 }
--- a/lib/core/interference.c
+++ b/lib/core/interference.c
@@ -45,12 +45,6 @@
   return find_pair (core, service, class_row, band);
 }
 
-static double
-with_doubt (const CorePair *pair)
-{
-  return pair->growth + INTERFERENCE_NOISE / sqrt (pair->information);
-}
-
 /* Growth by one task, on the safe side; an unmeasured band borrows from the nearest one. FALSE:
  * nothing is known. */
 static gboolean
@@ -66,12 +60,12 @@
                                    : NULL;
       if (lower != NULL && lower->information > 0)
         {
-          *growth = with_doubt (lower) * (distance > 0 ? INTERFERENCE_HIGHER_BAND : 1.0);
+          *growth = lower->safe_growth * (distance > 0 ? INTERFERENCE_HIGHER_BAND : 1.0);
           return TRUE;
         }
       if (higher != NULL && higher->information > 0)
         {
-          *growth = with_doubt (higher);
+          *growth = higher->safe_growth;
           return TRUE;
         }
     }
@@ -133,18 +127,20 @@
   return weights;
 }
 
+/* What the batch work on @p worker now adds to the tail of a service. */
 static double
-growth_sum (const Core *core, uint32_t service, uint32_t band, const double *weights)
+growth_now (const Core *core, const CoreWorker *worker, uint32_t service, uint32_t band)
 {
   double sum = 0;
 
-  for (guint i = 0; i < core->classes->len; i++)
+  for (guint i = 0; i < worker->weights->len; i++)
     {
+      int32_t weight = g_array_index (worker->weights, int32_t, i);
       double growth = 0;
-      if (weights[i] > 0 && growth_of (core, service, i, band, &growth))
-        sum += weights[i] * growth;
+      if (weight > 0 && growth_of (core, service, i, band, &growth))
+        sum += weight * growth;
     }
-  return sum;
+  return sum / INTERFERENCE_PERMILLE;
 }
 
 /* Whether something changed so close before @p at_us that a report from then mixes both. */
@@ -207,6 +203,7 @@
           = MAX (weight_square / (pair->information + weight_square), INTERFERENCE_STEP_MIN);
       pair->growth = MAX (pair->growth + step * error * weights[i] / square, 0.0);
       pair->information += weight_square;
+      pair->safe_growth = pair->growth + INTERFERENCE_NOISE / sqrt (pair->information);
       pair->trial_until_us = 0;
     }
 }
@@ -254,6 +251,24 @@
     learn_pairs (core, endpoint, weights, (double) endpoint->p99_us / *alone_us - 1.0 - sum);
 }
 
+/* Tail over its target: smoothed, or in one report by more than noise. */
+static gboolean
+is_over (Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
+{
+  const CoreService *service = tables_service_row (core, endpoint->service);
+  double target_us = (double) service->target_us;
+  double alone_us = service->alone_us[endpoint->band];
+
+  if (endpoint->measured_us == 0 || service->target_us <= 0)
+    return FALSE;
+  if ((double) endpoint->p99_us > INTERFERENCE_ALARM * target_us)
+    return TRUE;
+  if (alone_us <= 0 || endpoint->bias <= 0)
+    return (double) endpoint->p99_us > target_us;
+  const double *weights = weights_at (core, worker, endpoint->measured_us);
+  return alone_us * (1.0 + fitted_sum (core, endpoint, weights)) * endpoint->bias > target_us;
+}
+
 void
 interference_report (Core *core, CoreWorker *worker, const CoreServiceIn *in)
 {
@@ -275,6 +290,7 @@
       worker->is_reported = TRUE;
       if (in->p99_us > 0)
         learn_report (core, worker, endpoint);
+      endpoint->is_over = is_over (core, worker, endpoint);
       if (worker->trial_until_us > 0
           && in->measured_us
                  >= worker->trial_until_us - tables_lag_us (core) + INTERFERENCE_SETTLE_US)
@@ -317,24 +333,6 @@
                                    : tables_service_row (core, endpoint->service)->band;
 }
 
-/* Tail over its target: smoothed, or in one report by more than noise. */
-static gboolean
-is_over (Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
-{
-  const CoreService *service = tables_service_row (core, endpoint->service);
-  double target_us = (double) service->target_us;
-  double alone_us = service->alone_us[endpoint->band];
-
-  if (endpoint->measured_us == 0 || service->target_us <= 0)
-    return FALSE;
-  if ((double) endpoint->p99_us > INTERFERENCE_ALARM * target_us)
-    return TRUE;
-  if (alone_us <= 0 || endpoint->bias <= 0)
-    return (double) endpoint->p99_us > target_us;
-  const double *weights = weights_at (core, worker, endpoint->measured_us);
-  return alone_us * (1.0 + fitted_sum (core, endpoint, weights)) * endpoint->bias > target_us;
-}
-
 static void
 forecast_endpoint (Core *core,
                    const CoreWorker *worker,
@@ -350,9 +348,7 @@
   if (service->target_us <= 0)
     return;
   gboolean is_known = growth_of (core, endpoint->service, job->class_row, band, &growth);
-  gboolean is_high = is_over (core, worker, endpoint);
-  const double *weights = weights_at (core, worker, core->now_us);
-  double sum = growth_sum (core, endpoint->service, band, weights);
+  double sum = growth_now (core, worker, endpoint->service, band);
   double tail_us
       = MAX (alone_us * (1.0 + sum + growth), 1.0) * (endpoint->bias > 0 ? endpoint->bias : 1.0);
   int64_t permille = (int64_t) (INTERFERENCE_PERMILLE * tail_us / (double) service->target_us);
@@ -360,7 +356,7 @@
   gboolean is_tried = pair != NULL && pair->trial_until_us > core->now_us;
 
   out->is_trial = out->is_trial || !is_known;
-  if (is_blind (core, worker, endpoint) || is_high || (!is_known && is_tried)
+  if (is_blind (core, worker, endpoint) || endpoint->is_over || (!is_known && is_tried)
       || tail_us > INTERFERENCE_MARGIN * (double) service->target_us)
     {
       out->is_allowed = FALSE;
@@ -546,8 +542,7 @@
 answer_relieved (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
 {
   const CoreService *service = tables_service_row (core, endpoint->service);
-  const double *weights = weights_at (core, worker, core->now_us);
-  double sum = growth_sum (core, endpoint->service, endpoint->band, weights);
+  double sum = growth_now (core, worker, endpoint->service, endpoint->band);
   double alone_us = alone_of (service, endpoint->band);
   double limit_us = INTERFERENCE_RELIEF * (double) service->target_us;
 
@@ -607,7 +602,7 @@
     }
   if (!tables_has (core, CORE_MECHANISM_INTERFERENCE))
     return;
-  if (is_over (core, worker, endpoint))
+  if (endpoint->is_over)
     answer_over (core, worker, endpoint);
   else if (service->target_us > 0)
     answer_relieved (core, worker, endpoint);
--- a/lib/core/learn.c
+++ b/lib/core/learn.c
@@ -36,6 +36,7 @@
 {
   if (declared <= 0)
     return;
+  learned->known_permille = 0;
   learned->count[bucket_of (value, declared)]++;
   learned->total++;
   if (learned->total >= LEARN_SAMPLES_MAX)
@@ -43,11 +44,16 @@
 }
 
 int64_t
-learn_quantile_permille (const CoreLearned *learned, uint32_t permille)
+learn_quantile_permille (CoreLearned *learned, uint32_t permille)
 {
-  if (learned->total < LEARN_SAMPLES_MIN)
+  if (learned->total == 0)
     return 0;
-  double wanted = (double) learned->total * permille / LEARN_PERMILLE;
+  if (learned->known_permille == permille)
+    return learned->known_ratio;
+  /* Of few samples the largest counts. */
+  double wanted = learned->total < LEARN_SAMPLES_MIN
+                      ? learned->total
+                      : (double) learned->total * permille / LEARN_PERMILLE;
   double below = 0;
   int bucket = 0;
   while (bucket < CORE_LEARN_BUCKETS - 1 && below + learned->count[bucket] < wanted)
@@ -55,11 +61,13 @@
   /* Samples are taken to be spread evenly within the bucket. */
   double part = (wanted - below) / MAX (learned->count[bucket], 1);
   double doublings = (bucket + LEARN_FIRST_BUCKET - 1 + MIN (part, 1.0)) / LEARN_PER_DOUBLING;
-  return (int64_t) (LEARN_PERMILLE * exp2 (doublings));
+  learned->known_permille = permille;
+  learned->known_ratio = (int64_t) (LEARN_PERMILLE * exp2 (doublings));
+  return learned->known_ratio;
 }
 
 static int64_t
-learned_amount (const CoreLearned *learned, uint32_t permille, int64_t declared)
+learned_amount (CoreLearned *learned, uint32_t permille, int64_t declared)
 {
   int64_t ratio = learn_quantile_permille (learned, permille);
 
@@ -69,7 +77,7 @@
 DocSize
 learn_size (const Core *core, const CoreJob *job)
 {
-  const CoreClass *class_row = tables_class_row (core, job->class_row);
+  CoreClass *class_row = tables_class_row (core, job->class_row);
   DocSize size = job->size;
 
   if (!tables_has (core, CORE_MECHANISM_LEARNING))
@@ -82,7 +90,7 @@
 int64_t
 learn_run_ms (const Core *core, const CoreJob *job, uint32_t permille)
 {
-  const CoreClass *class_row = tables_class_row (core, job->class_row);
+  CoreClass *class_row = tables_class_row (core, job->class_row);
   int64_t ratio = 0;
 
   if (tables_has (core, CORE_MECHANISM_LEARNING))
--- a/lib/core/order.c
+++ b/lib/core/order.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #define ORDER_RATE_SHARE 4
+#define ORDER_PERIOD_US (CLK_US_PER_S / 2)
 #define ORDER_RUN_PERMILLE 900U
 #define ORDER_AGED_US (900 * CLK_US_PER_S)
 #define ORDER_COST_UNKNOWN (-100)
@@ -145,9 +146,14 @@
   return compare_ids (x, y);
 }
 
+/* The order holds until jobs come to wait or some time has passed; what ended is skipped. */
 void
 order_run (Core *core)
 {
+  if (!core->is_ready_changed && core->now_us - core->ordered_us < ORDER_PERIOD_US)
+    return;
+  core->is_ready_changed = FALSE;
+  core->ordered_us = core->now_us;
   g_ptr_array_set_size (core->order, 0);
   g_ptr_array_set_size (core->deadlines, 0);
   for (guint i = 0; i < core->ready->len; i++)
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define PLACE_WALK_MAX 64U     /**< instances looked at for one task */
+#define PLACE_ENOUGH 4U        /**< offers that a sample ends with */
 #define PLACE_BLOCKED_MAX 256U /**< jobs that found no room in one tick */
 #define PLACE_AVOID_US (10 * CLK_US_PER_S)
 #define PLACE_RUN_PERMILLE 900U
@@ -13,9 +14,9 @@
 typedef struct
 {
   CoreWorker *worker;
-  DocSize size;
-  CoreForecast forecast;
+  CoreOffer offer;
   double score;
+  uint32_t n_offers;
   gboolean lacks_room; /**< an instance would do, had it more room */
 } PlaceChoice;
 
@@ -27,12 +28,12 @@
 
 /* Few candidates are all looked at, in order; of many a sample is drawn. */
 CoreWorker *
-place_nth (Core *core, const GArray *candidates, guint n, uint32_t offset)
+place_nth (Core *core, const GArray *candidates, guint n)
 {
   guint at = candidates->len <= PLACE_WALK_MAX ? n : tables_random (core, candidates->len);
 
   if (core->options.policy == CORE_POLICY_FIRST_FIT)
-    at = (n + offset) % candidates->len;
+    at = n;
   return tables_worker_row (core, g_array_index (candidates, uint32_t, at));
 }
 
@@ -67,8 +68,7 @@
 consider (Core *core, const CoreTask *task, CoreWorker *worker, PlaceChoice *best)
 {
   const CoreJob *job = task->job;
-  DocSize size = place_size (core, job, worker);
-  CoreForecast forecast;
+  CoreOffer offer = { .worker = worker, .size = place_size (core, job, worker) };
 
   if (task->failed_on == worker->row && core->now_us < task->not_before_us + PLACE_AVOID_US
       && rules_candidates (core, job->shape)->len > 1)
@@ -77,20 +77,20 @@
     return;
   if (!place_is_open (core, job, worker) || health_room (core, worker) == 0)
     return;
-  if (!size_fits (size, tables_free_size (worker)) || is_kept (core, job, worker))
+  if (!size_fits (offer.size, tables_free_size (worker)) || is_kept (core, job, worker))
     {
       best->lacks_room = best->lacks_room || size_fits (job->size, worker->capacity);
       return;
     }
-  interference_forecast (core, worker, job, &forecast);
-  if (!forecast.is_allowed)
+  interference_forecast (core, worker, job, &offer.forecast);
+  if (!offer.forecast.is_allowed)
     return;
-  double score = core->placer.score (core->placer.ctx, worker, job, size);
+  double score = core->placer.score (core->placer.ctx, &offer);
+  best->n_offers++;
   if (best->worker != NULL && score <= best->score)
     return;
   best->worker = worker;
-  best->size = size;
-  best->forecast = forecast;
+  best->offer = offer;
   best->score = score;
 }
 
@@ -101,9 +101,11 @@
   guint n = place_walk_length (candidates);
   PlaceChoice best = { 0 };
 
-  for (guint i = 0; i < n; i++)
+  gboolean is_sample = candidates->len > PLACE_WALK_MAX;
+
+  for (guint i = 0; i < n && !(is_sample && best.n_offers >= PLACE_ENOUGH); i++)
     {
-      CoreWorker *worker = place_nth (core, candidates, i, 0);
+      CoreWorker *worker = place_nth (core, candidates, i);
       if (worker->state == WORKER_LIVE)
         consider (core, task, worker, &best);
     }
@@ -117,7 +119,7 @@
     return CORE_WHY_PROBE_WORKER;
   if (task->job->priority == DOC_URGENT)
     return CORE_WHY_URGENT;
-  if (choice->forecast.is_trial)
+  if (choice->offer.forecast.is_trial)
     return CORE_WHY_PROBE_PAIR;
   return is_backfill ? CORE_WHY_BACKFILL : CORE_WHY_FITS;
 }
@@ -127,8 +129,8 @@
 {
   DocSize free = tables_free_size (choice->worker);
 
-  out->numbers[0] = choice->forecast.tail_permille;
-  out->numbers[1] = choice->forecast.growth_permille;
+  out->numbers[0] = choice->offer.forecast.tail_permille;
+  out->numbers[1] = choice->offer.forecast.growth_permille;
   out->numbers[2] = free.cpu_milli;
   out->numbers[3] = free.memory_mb;
   if (out->why == CORE_WHY_URGENT)
@@ -151,12 +153,12 @@
   CoreCommand command = emit_command (CORE_DO_START, reason_of (task, choice, is_backfill));
 
   set_numbers (core, task, choice, &command);
-  if (choice->forecast.service != NULL)
-    g_strlcpy (command.rule, choice->forecast.service, sizeof command.rule);
+  if (choice->offer.forecast.service != NULL)
+    g_strlcpy (command.rule, choice->offer.forecast.service, sizeof command.rule);
   interference_started (core, choice->worker, task->job);
   task->attempt++;
   task->is_probe = choice->worker->is_quarantined;
-  tables_put (core, task, choice->worker, choice->size);
+  tables_put (core, task, choice->worker, choice->offer.size);
   health_started (core, choice->worker, task);
   core->starts++;
   if (core->starts_left != PLACE_UNLIMITED)
@@ -262,7 +264,7 @@
 
   for (guint i = 0; i < n; i++)
     {
-      CoreWorker *worker = place_nth (core, candidates, i, 0);
+      CoreWorker *worker = place_nth (core, candidates, i);
       if (worker->is_quarantined || !place_is_open (core, job, worker))
         continue;
       int64_t at_us = room_at (core, job, worker);
@@ -319,7 +321,7 @@
                                              : "an instance that services and health allow";
           return FALSE;
         }
-      if (!quota_allows (core, job, choice.size))
+      if (!quota_allows (core, job, choice.offer.size))
         {
           job->waits_for = "quota of the team";
           return FALSE;
@@ -346,6 +348,8 @@
       gboolean lacks_room = FALSE;
       if (core->starts_left == 0)
         break;
+      if (job->count[TASK_WAITING] == 0 || job->is_cancelled || job->is_given_up)
+        continue;
       if (place_job (core, job, blocked > 0, &lacks_room))
         continue;
       if (lacks_room && job->priority == DOC_URGENT)
--- a/lib/core/policy.c
+++ b/lib/core/policy.c
@@ -22,21 +22,17 @@
 }
 
 static double
-score_first (void *ctx, const CoreWorker *worker, const CoreJob *job, DocSize size)
+score_first (void *ctx, const CoreOffer *offer)
 {
   (void) ctx;
-  (void) job;
-  (void) size;
-  return -(double) worker->row;
+  return -(double) offer->worker->row;
 }
 
 static double
-score_most_free (void *ctx, const CoreWorker *worker, const CoreJob *job, DocSize size)
+score_most_free (void *ctx, const CoreOffer *offer)
 {
   (void) ctx;
-  (void) job;
-  (void) size;
-  return (double) tables_free_size (worker).cpu_milli;
+  return (double) tables_free_size (offer->worker).cpu_milli;
 }
 
 static double
@@ -47,20 +43,19 @@
 
 /* A low predicted tail against a tight packing, by the operator's weights. */
 static double
-score_weighted (void *ctx, const CoreWorker *worker, const CoreJob *job, DocSize size)
+score_weighted (void *ctx, const CoreOffer *offer)
 {
-  Core *core = ctx;
+  const Core *core = ctx;
   const DocPolicy *policy = &core->config.policy;
-  DocSize free = tables_free_size (worker);
-  CoreForecast forecast;
+  const DocSize *capacity = &offer->worker->capacity;
+  DocSize free = tables_free_size (offer->worker);
+  double tail = (double) offer->forecast.tail_permille / POLICY_PERMILLE;
+  double packing = MAX (filled (free.cpu_milli, offer->size.cpu_milli, capacity->cpu_milli),
+                        filled (free.memory_mb, offer->size.memory_mb, capacity->memory_mb));
 
-  interference_forecast (core, (CoreWorker *) worker, job, &forecast);
-  double tail = (double) forecast.tail_permille / POLICY_PERMILLE;
-  double packing = MAX (filled (free.cpu_milli, size.cpu_milli, worker->capacity.cpu_milli),
-                        filled (free.memory_mb, size.memory_mb, worker->capacity.memory_mb));
   /* A trial is answered soonest where reports are youngest. */
-  if (forecast.is_trial)
-    return -(double) worker->lag_us;
+  if (offer->forecast.is_trial)
+    return -(double) offer->worker->lag_us;
   return (double) policy->batch_weight * packing - (double) policy->tail_weight * tail;
 }
 
--- a/lib/core/reclaim.c
+++ b/lib/core/reclaim.c
@@ -143,7 +143,7 @@
 
   for (guint i = 0; i < n; i++)
     {
-      CoreWorker *worker = place_nth (core, candidates, i, 0);
+      CoreWorker *worker = place_nth (core, candidates, i);
       if (worker->is_quarantined || !place_is_open (core, task->job, worker)
           || !find_victims (core, task->job, worker, &room))
         continue;
--- a/lib/core/tables.c
+++ b/lib/core/tables.c
@@ -332,6 +332,7 @@
   g_hash_table_insert (core->jobs_by_id, &job->id, job);
   job->ready_place = core->ready->len;
   g_ptr_array_add (core->ready, job);
+  core->is_ready_changed = TRUE;
   return job;
 }
 
@@ -344,6 +345,7 @@
     return;
   if (should)
     {
+      core->is_ready_changed = TRUE;
       job->ready_place = core->ready->len;
       g_ptr_array_add (core->ready, job);
       return;
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -78,6 +78,8 @@
 {
   uint32_t count[CORE_LEARN_BUCKETS];
   uint32_t total;
+  uint32_t known_permille; /**< quantile that was worked out last; 0: none since a sample */
+  int64_t known_ratio;
 } CoreLearned;
 
 typedef struct
@@ -157,6 +159,7 @@
   int64_t measured_us; /**< 0: no report yet */
   double bias;         /**< smoothed share of the forecast that was seen; 0: not known */
   gboolean is_new;     /**< not yet answered by the interference system */
+  gboolean is_over;    /**< the tail was over its target in the newest report */
 } CoreEndpoint;
 
 /** What changed on an instance and when, to know what a lagging report saw. */
@@ -218,6 +221,7 @@
 typedef struct
 {
   double growth;
+  double safe_growth; /**< with the doubt that few samples leave */
   double information; /**< sum of squared tasks that were seen beside the service; 0: unproven */
   int64_t trial_until_us;
 } CorePair;
@@ -243,12 +247,30 @@
   uint64_t generation;
 } CoreConfig;
 
+/** What the interference system expects of one more task on an instance. */
+typedef struct
+{
+  gboolean is_allowed;
+  gboolean is_trial;
+  int64_t tail_permille; /**< predicted tail of the worst service, by its target */
+  int64_t growth_permille;
+  const char *service; /**< that decided; may be NULL */
+} CoreForecast;
+
+/** One instance that a task could start on. */
+typedef struct
+{
+  const CoreWorker *worker;
+  DocSize size;
+  CoreForecast forecast;
+} CoreOffer;
+
 /** Chooses among instances: the baselines are other callbacks over the same systems. */
 typedef struct
 {
   void *ctx;
   gboolean (*admits) (void *ctx, const CoreWorker *worker, const CoreJob *job);
-  double (*score) (void *ctx, const CoreWorker *worker, const CoreJob *job, DocSize size);
+  double (*score) (void *ctx, const CoreOffer *offer);
 } CorePlacer;
 
 struct Core
@@ -263,9 +285,11 @@
   GHashTable *worker_rows; /**< id to row + 1 */
   GPtrArray *jobs;
   GHashTable *jobs_by_id;
-  GPtrArray *ready;     /**< jobs with waiting tasks, not owned */
-  GPtrArray *order;     /**< ready jobs, sorted this tick */
-  GPtrArray *deadlines; /**< those of them that have a deadline */
+  GPtrArray *ready;          /**< jobs with waiting tasks, not owned */
+  GPtrArray *order;          /**< ready jobs, sorted this tick */
+  GPtrArray *deadlines;      /**< those of them that have a deadline */
+  gboolean is_ready_changed; /**< a job began to wait since the order was made */
+  int64_t ordered_us;
   GPtrArray *teams;
   GHashTable *team_rows;
   GPtrArray *services;
@@ -355,8 +379,8 @@
 
 /* learn.c */
 void learn_add (CoreLearned *learned, int64_t value, int64_t declared);
-/** Quantile as permille of what was declared; 0 with too few samples. */
-int64_t learn_quantile_permille (const CoreLearned *learned, uint32_t permille);
+/** Quantile as permille of what was declared; 0 without samples. */
+int64_t learn_quantile_permille (CoreLearned *learned, uint32_t permille);
 DocSize learn_size (const Core *core, const CoreJob *job);
 int64_t learn_run_ms (const Core *core, const CoreJob *job, uint32_t permille);
 /** Work that is lost when @p task is stopped now. */
@@ -374,14 +398,6 @@
 void health_started (Core *core, CoreWorker *worker, const CoreTask *task);
 
 /* interference.c */
-typedef struct
-{
-  gboolean is_allowed;
-  gboolean is_trial;
-  int64_t tail_permille; /**< predicted tail of the worst service, by its target */
-  int64_t growth_permille;
-  const char *service; /**< that decided; may be NULL */
-} CoreForecast;
 void interference_report (Core *core, CoreWorker *worker, const CoreServiceIn *in);
 void interference_run (Core *core);
 void interference_forecast (Core *core, CoreWorker *worker, const CoreJob *job, CoreForecast *out);
@@ -402,7 +418,7 @@
 /** Whether @p worker may take a task of @p job but for room and interference. */
 gboolean place_is_open (Core *core, const CoreJob *job, CoreWorker *worker);
 /** The next instance to look at, in a bounded walk of @p candidates; NULL at its end. */
-CoreWorker *place_nth (Core *core, const GArray *candidates, guint n, uint32_t offset);
+CoreWorker *place_nth (Core *core, const GArray *candidates, guint n);
 guint place_walk_length (const GArray *candidates);
 
 /* policy.c */
