--- a/lib/core/learn.c
+++ b/lib/core/learn.c
@@ -2,11 +2,12 @@
 
 #include <math.h>
 
-#define LEARN_PER_DOUBLING 4.0
-#define LEARN_FIRST_BUCKET (-16) /**< ratio 1/16 */
+#define LEARN_PER_DOUBLING 8.0
+#define LEARN_FIRST_BUCKET (-32) /**< ratio 1/16 */
 #define LEARN_SAMPLES_MIN 8U
 #define LEARN_SAMPLES_MAX 1024U
-#define LEARN_SIZE_PERMILLE 950U
+#define LEARN_CPU_PERMILLE 800U /**< processors are shared when they run short */
+#define LEARN_MEMORY_PERMILLE 950U
 #define LEARN_PERMILLE 1000
 
 static int
@@ -35,6 +36,7 @@
 {
   if (declared <= 0)
     return;
+  learned->known_permille = 0;
   learned->count[bucket_of (value, declared)]++;
   learned->total++;
   if (learned->total >= LEARN_SAMPLES_MAX)
@@ -42,28 +44,32 @@
 }
 
 int64_t
-learn_quantile_permille (const CoreLearned *learned, uint32_t permille)
+learn_quantile_permille (CoreLearned *learned, uint32_t permille)
 {
-  if (learned->total < LEARN_SAMPLES_MIN)
+  if (learned->total == 0)
     return 0;
-  uint64_t wanted = ((uint64_t) learned->total * permille + LEARN_PERMILLE - 1) / LEARN_PERMILLE;
-  uint64_t seen = 0;
+  if (learned->known_permille == permille)
+    return learned->known_ratio;
+  /* Of few samples the largest counts. */
+  double wanted = learned->total < LEARN_SAMPLES_MIN
+                      ? learned->total
+                      : (double) learned->total * permille / LEARN_PERMILLE;
+  double below = 0;
   int bucket = 0;
-  for (int i = 0; i < CORE_LEARN_BUCKETS; i++)
-    {
-      seen += learned->count[i];
-      bucket = i;
-      if (seen >= wanted)
-        break;
-    }
-  double doublings = (double) (bucket + LEARN_FIRST_BUCKET) / LEARN_PER_DOUBLING;
-  return (int64_t) (LEARN_PERMILLE * exp2 (doublings));
+  while (bucket < CORE_LEARN_BUCKETS - 1 && below + learned->count[bucket] < wanted)
+    below += learned->count[bucket++];
+  /* Samples are taken to be spread evenly within the bucket. */
+  double part = (wanted - below) / MAX (learned->count[bucket], 1);
+  double doublings = (bucket + LEARN_FIRST_BUCKET - 1 + MIN (part, 1.0)) / LEARN_PER_DOUBLING;
+  learned->known_permille = permille;
+  learned->known_ratio = (int64_t) (LEARN_PERMILLE * exp2 (doublings));
+  return learned->known_ratio;
 }
 
 static int64_t
-learned_amount (const CoreLearned *learned, int64_t declared)
+learned_amount (CoreLearned *learned, uint32_t permille, int64_t declared)
 {
-  int64_t ratio = learn_quantile_permille (learned, LEARN_SIZE_PERMILLE);
+  int64_t ratio = learn_quantile_permille (learned, permille);
 
   return MAX (declared, declared * ratio / LEARN_PERMILLE);
 }
@@ -71,20 +77,20 @@
 DocSize
 learn_size (const Core *core, const CoreJob *job)
 {
-  const CoreClass *class_row = tables_class_row (core, job->class_row);
+  CoreClass *class_row = tables_class_row (core, job->class_row);
   DocSize size = job->size;
 
   if (!tables_has (core, CORE_MECHANISM_LEARNING))
     return size;
-  size.cpu_milli = learned_amount (&class_row->cpu, size.cpu_milli);
-  size.memory_mb = learned_amount (&class_row->memory, size.memory_mb);
+  size.cpu_milli = learned_amount (&class_row->cpu, LEARN_CPU_PERMILLE, size.cpu_milli);
+  size.memory_mb = learned_amount (&class_row->memory, LEARN_MEMORY_PERMILLE, size.memory_mb);
   return size;
 }
 
 int64_t
 learn_run_ms (const Core *core, const CoreJob *job, uint32_t permille)
 {
-  const CoreClass *class_row = tables_class_row (core, job->class_row);
+  CoreClass *class_row = tables_class_row (core, job->class_row);
   int64_t ratio = 0;
 
   if (tables_has (core, CORE_MECHANISM_LEARNING))
