--- a/tests/state/test_fold_props.cc
+++ b/tests/state/test_fold_props.cc
@@ -164,6 +164,21 @@
       }
   }
 
+  /** Puts known owners and jobs at the beginning. */
+  void
+  prepare ()
+  {
+    for (uint8_t shard = 0; shard < SHARDS; shard++)
+      {
+        entry (shard, 0, false);
+        claim (shard, shard, 1);
+        job (shard, 1);
+        /* Repeats what did not land. */
+        for (uint8_t i = 0; i < 3; i++)
+          repeat (i, 0);
+      }
+  }
+
 private:
   FoldPtr live;
   int64_t time_ms = START_MS;
@@ -289,7 +304,11 @@
     std::string token = c % 2 == 0 ? "" : "token-" + std::to_string (b);
     outcome.job = 1 + a % 5;
     outcome.index = b % 2;
-    outcome.attempt = 1 + c % 4;
+    const FoldJob *known = fold_job (live.get (), outcome.job);
+    const uint32_t newest = known != nullptr && outcome.index < known->n_tasks
+                                ? known->tasks[outcome.index].attempts
+                                : 0;
+    outcome.attempt = newest + c % 3;
     outcome.state = static_cast<Record__TaskEnd> (b / 2 % 8);
     outcome.checkpoint = token.data ();
     body.shard = a % SHARDS;
@@ -318,7 +337,7 @@
     body.service = service;
     body.agent = agent;
     body.request_digest = 1 + (b % 8 == 0 ? 1 : 0);
-    body.attempt = known != nullptr && known->fenced ? known->attempt + 1 : 1;
+    body.attempt = known != nullptr && (known->fenced || b % 4 == 1) ? known->attempt + 1 : 1;
     /* Few dates, so that one request comes again and again. */
     body.dated_ms = time_ms - time_ms % 20000 + (c % 5 == 0 ? 200000 : 0)
                     - (c % 7 == 0 ? BEYOND_WINDOWS_MS : 0);
@@ -394,6 +413,8 @@
 make_log (const std::vector<Step> &steps)
 {
   Writer writer;
+  if (!steps.empty () && std::get<1> (steps[0]) % 2 == 1)
+    writer.prepare ();
   for (const Step &step : steps)
     writer.take (step);
   return writer.log;
