--- a/tests/state/test_fold_props.cc
+++ b/tests/state/test_fold_props.cc
@@ -17,6 +17,7 @@
 
 #include "common/ids.h"
 #include "state/fold.h"
+#include "state/fold_ids.h"
 
 namespace
 {
@@ -718,6 +719,39 @@
     }
 }
 
+/** The window of record ids holds what a plain map holds, while it grows, wraps and expires. */
+void
+id_window_is_a_map (const std::vector<std::pair<uint8_t, uint8_t> > &steps)
+{
+  constexpr size_t STEPS_MAX = 12;
+  FoldIds *ids = fold_ids_new ();
+  std::map<uint64_t, std::pair<int64_t, uint8_t> > wanted;
+  uint64_t next = 0;
+  int64_t time_ms = 0;
+  bool same = true;
+  for (size_t i = 0; i < std::min (steps.size (), STEPS_MAX); i++)
+    {
+      for (int n = 0; n < steps[i].first * 3; n++, next++)
+        {
+          time_ms += n % 7 == 0 ? 1 : 0;
+          fold_ids_add (ids, { next * next, next + 1 }, time_ms, next % 4);
+          wanted[next] = { time_ms, next % 4 };
+        }
+      const int64_t before_ms = time_ms - steps[i].second;
+      fold_ids_expire (ids, before_ms);
+      for (auto at = wanted.begin (); at != wanted.end () && at->second.first < before_ms;)
+        at = wanted.erase (at);
+      same = same && fold_ids_count (ids) == wanted.size ();
+      for (const auto &[id, row] : wanted)
+        {
+          uint8_t result = 255;
+          same = same && fold_ids_find (ids, { id * id, id + 1 }, &result) && result == row.second;
+        }
+    }
+  fold_ids_free (ids);
+  RC_ASSERT (same);
+}
+
 /* The seed comes from RC_PARAMS; the number of schedules, too, when it is given there. */
 void
 set_schedules ()
@@ -747,5 +781,6 @@
   ok = rc::check ("one attempt runs", one_attempt_runs) && ok;
   ok = rc::check ("tenants stay apart", tenants_stay_apart) && ok;
   ok = rc::check ("final ends stay", final_ends_stay) && ok;
+  ok = rc::check ("id window is a map", id_window_is_a_map) && ok;
   return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
