--- a/tests/fuzz/fuzz_wire.c
+++ b/tests/fuzz/fuzz_wire.c
@@ -9,7 +9,8 @@
 #include "wire/wire_parse.h"
 #include "wire/wire_peers.h"
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput (const uint8_t *data, /* NOLINT(readability-identifier-naming) */
+                            size_t size);
 
 static void
 parse_packed (const Wire__Envelope *envelope)
@@ -38,7 +39,8 @@
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+LLVMFuzzerTestOneInput (const uint8_t *data, /* NOLINT(readability-identifier-naming) */
+                        size_t size)
 {
   g_autoptr (GError) error = NULL;
   Wire__Envelope *envelope = wire_parse (data, size, &error);
