Wire and agent: POSIX threads in place of GLib's

Cause: GLib's mutexes and queues are futexes inside a library without instrumentation, so the thread sanitizer reported every post and every queued call as a race, and could not have seen a true one. With pthread mutexes (lib/agent/agent_handoff, lib/wire/wire_posts) test_wire, test_endpoint and test_node run clean under it; before, each ended with a report (exit 66).

--- a/lib/agent/agent_worker.c
+++ b/lib/agent/agent_worker.c
@@ -1,16 +1,16 @@
 #include "agent/agent_worker.h"
 
-#include <stdatomic.h>
+#include <pthread.h>
 
+#include "agent/agent_handoff.h"
 #include "common/clk.h"
 #include "common/err.h"
 
 struct AgentWorker
 {
   AgentWorkerOptions options;
-  GAsyncQueue *orders; /**< AgentOrder, or this object itself to wake the thread */
-  GThread *thread;
-  atomic_bool is_stopping;
+  AgentHandoff *orders; /**< AgentOrder */
+  pthread_t thread;
 };
 
 void
@@ -129,15 +129,13 @@
   PlatWorker *client = plat_worker_new (&worker->options.client);
   int64_t due_us = clk_now_us ();
 
-  while (!atomic_load (&worker->is_stopping))
+  while (!agent_handoff_is_closed (worker->orders))
     {
-      int64_t wait_us = MAX (due_us - clk_now_us (), 0);
-      void *item = wait_us > 0 ? g_async_queue_timeout_pop (worker->orders, (guint64) wait_us)
-                               : g_async_queue_try_pop (worker->orders);
-      if (item != NULL && item != worker)
+      AgentOrder *order = agent_handoff_pop (worker->orders, MAX (due_us - clk_now_us (), 0));
+      if (order != NULL)
         {
-          run_order (client, item);
-          worker->options.on_result (worker->options.ctx, item);
+          run_order (client, order);
+          worker->options.on_result (worker->options.ctx, order);
         }
       if (clk_now_us () < due_us)
         continue;
@@ -152,38 +150,34 @@
 agent_worker_new (const AgentWorkerOptions *options)
 {
   AgentWorker *worker = g_new0 (AgentWorker, 1);
+  int rc;
 
   worker->options = *options;
-  worker->orders = g_async_queue_new ();
-  atomic_init (&worker->is_stopping, FALSE);
-  worker->thread = g_thread_new ("worker", run_worker, worker);
+  worker->orders = agent_handoff_new (AGENT_ORDERS_MAX);
+  rc = pthread_create (&worker->thread, NULL, run_worker, worker);
+  g_assert (rc == 0);
   return worker;
 }
 
+static void
+free_order (void *data)
+{
+  agent_order_free (data);
+}
+
 void
 agent_worker_free (AgentWorker *worker)
 {
-  void *item;
-
   if (worker == NULL)
     return;
-  atomic_store (&worker->is_stopping, TRUE);
-  g_async_queue_push (worker->orders, worker);
-  (void) g_thread_join (worker->thread);
-  while ((item = g_async_queue_try_pop (worker->orders)) != NULL)
-    {
-      if (item != worker)
-        agent_order_free (item);
-    }
-  g_async_queue_unref (worker->orders);
+  agent_handoff_close (worker->orders);
+  (void) pthread_join (worker->thread, NULL);
+  agent_handoff_free (worker->orders, free_order);
   g_free (worker);
 }
 
 gboolean
 agent_worker_push (AgentWorker *worker, AgentOrder *order)
 {
-  if (g_async_queue_length (worker->orders) >= AGENT_ORDERS_MAX)
-    return FALSE;
-  g_async_queue_push (worker->orders, order);
-  return TRUE;
+  return agent_handoff_push (worker->orders, order);
 }
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -1,6 +1,7 @@
 #include "wire/wire.h"
 
 #include <errno.h>
+#include <pthread.h>
 #include <string.h>
 #include <zmq.h>
 
@@ -58,8 +59,9 @@
   WirePosts *posts;
   GByteArray *packed; /**< of the message being sent */
   Counters counters;
-  GThread *thread;
-  GThread *owner; /**< the loop thread, as it knows itself */
+  pthread_t thread;
+  gboolean is_started;
+  pthread_t owner; /**< the loop thread, as it knows itself; set by it */
 };
 
 static MetSeries *
@@ -177,7 +179,7 @@
 {
   Dealer dealer = { .socket = make_socket (wire, ZMQ_DEALER) };
 
-  g_assert (wire->thread == NULL);
+  g_assert (!wire->is_started);
   /* Nothing is queued for a peer that isn't there: it would arrive late. */
   set_option (dealer.socket, ZMQ_IMMEDIATE, 1);
   set_option (dealer.socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
@@ -229,7 +231,7 @@
   const char *id = NULL;
   size_t size = wire__envelope__get_packed_size (envelope);
 
-  g_assert (wire->owner == g_thread_self ());
+  g_assert (pthread_equal (wire->owner, pthread_self ()));
   if (size > WIRE_MESSAGE_MAX)
     {
       met_add (wire->counters.refused_large, 1);
@@ -414,7 +416,7 @@
   int64_t due_us = clk_now_us ();
   gboolean stopped = FALSE;
 
-  wire->owner = g_thread_self ();
+  wire->owner = pthread_self ();
   while (!stopped)
     {
       int64_t wait_us = due_us - clk_now_us ();
@@ -435,8 +437,12 @@
 void
 wire_start (Wire *wire)
 {
-  g_assert (wire->thread == NULL);
-  wire->thread = g_thread_new ("wire", run_loop, wire);
+  int rc;
+
+  g_assert (!wire->is_started);
+  wire->is_started = TRUE;
+  rc = pthread_create (&wire->thread, NULL, run_loop, wire);
+  g_assert (rc == 0);
 }
 
 void
@@ -445,8 +451,8 @@
   if (wire == NULL)
     return;
   wire_posts_close (wire->posts);
-  if (wire->thread != NULL)
-    (void) g_thread_join (wire->thread);
+  if (wire->is_started)
+    (void) pthread_join (wire->thread, NULL);
   else
     (void) wire_posts_run (wire->posts);
   for (guint i = 0; i < wire->dealers->len; i++)
--- a/lib/wire/wire_posts.c
+++ b/lib/wire/wire_posts.c
@@ -1,6 +1,7 @@
 #include "wire/wire_posts.h"
 
 #include <errno.h>
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -15,7 +16,7 @@
 
 struct WirePosts
 {
-  GMutex mutex;
+  pthread_mutex_t mutex;
   GArray *calls; /**< Call; guarded by mutex, as is closed */
   gboolean closed;
   uint32_t max;
@@ -33,7 +34,7 @@
       return NULL;
     }
   WirePosts *posts = g_new0 (WirePosts, 1);
-  g_mutex_init (&posts->mutex);
+  (void) pthread_mutex_init (&posts->mutex, NULL);
   posts->calls = g_array_new (FALSE, FALSE, sizeof (Call));
   posts->max = max;
   posts->fd = fd;
@@ -48,7 +49,7 @@
   g_assert (posts->calls->len == 0);
   (void) close (posts->fd);
   g_array_unref (posts->calls);
-  g_mutex_clear (&posts->mutex);
+  (void) pthread_mutex_destroy (&posts->mutex);
   g_free (posts);
 }
 
@@ -73,11 +74,11 @@
   Call call = { function, ctx, data };
   gboolean added;
 
-  g_mutex_lock (&posts->mutex);
+  (void) pthread_mutex_lock (&posts->mutex);
   added = !posts->closed && posts->calls->len < posts->max;
   if (added)
     g_array_append_val (posts->calls, call);
-  g_mutex_unlock (&posts->mutex);
+  (void) pthread_mutex_unlock (&posts->mutex);
   if (added)
     wake (posts);
   return added;
@@ -86,9 +87,9 @@
 void
 wire_posts_close (WirePosts *posts)
 {
-  g_mutex_lock (&posts->mutex);
+  (void) pthread_mutex_lock (&posts->mutex);
   posts->closed = TRUE;
-  g_mutex_unlock (&posts->mutex);
+  (void) pthread_mutex_unlock (&posts->mutex);
   wake (posts);
 }
 
@@ -102,11 +103,11 @@
 
   if (read (posts->fd, &count, sizeof (count)) < 0)
     g_assert (errno == EAGAIN);
-  g_mutex_lock (&posts->mutex);
+  (void) pthread_mutex_lock (&posts->mutex);
   calls = posts->calls;
   posts->calls = empty;
   closed = posts->closed;
-  g_mutex_unlock (&posts->mutex);
+  (void) pthread_mutex_unlock (&posts->mutex);
   for (guint i = 0; i < calls->len; i++)
     {
       const Call *call = &g_array_index (calls, Call, i);
--- a/tests/agent/canned_server.h
+++ b/tests/agent/canned_server.h
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,9 +18,9 @@
 {
   int fd;
   uint16_t port;
-  GThread *thread;
-  GPtrArray *connections; /**< GThread; the accepting thread's until it is joined */
-  GMutex mutex;
+  pthread_t thread;
+  GArray *connections; /**< pthread_t; the accepting thread's until it is joined */
+  pthread_mutex_t mutex;
   const char *answer; /**< guarded by mutex, as are the others */
   int64_t delay_ms;
   int32_t n_posts;
@@ -65,17 +66,17 @@
   while (canned_read (connection->fd, request))
     {
       gboolean is_post = g_str_has_prefix (request->str, "POST");
-      g_mutex_lock (&server->mutex);
+      pthread_mutex_lock (&server->mutex);
       const char *answer = is_post ? server->answer : CANNED_HEALTHY;
       int64_t delay_ms = is_post ? server->delay_ms : 0;
       server->n_posts += is_post ? 1 : 0;
       server->running += is_post ? 1 : 0;
       server->max_running = MAX (server->max_running, server->running);
-      g_mutex_unlock (&server->mutex);
+      pthread_mutex_unlock (&server->mutex);
       g_usleep ((gulong) delay_ms * 1000);
-      g_mutex_lock (&server->mutex);
+      pthread_mutex_lock (&server->mutex);
       server->running -= is_post ? 1 : 0;
-      g_mutex_unlock (&server->mutex);
+      pthread_mutex_unlock (&server->mutex);
       (void) send (connection->fd, answer, strlen (answer), MSG_NOSIGNAL);
       if (is_post)
         break;
@@ -96,7 +97,9 @@
     {
       CannedConnection *connection = g_new (CannedConnection, 1);
       *connection = (CannedConnection){ server, fd };
-      g_ptr_array_add (server->connections, g_thread_new ("canned", canned_serve, connection));
+      pthread_t thread;
+      g_assert_cmpint (pthread_create (&thread, NULL, canned_serve, connection), ==, 0);
+      g_array_append_val (server->connections, thread);
     }
   return NULL;
 }
@@ -109,15 +112,15 @@
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t size = sizeof (address);
 
-  g_mutex_init (&server->mutex);
+  pthread_mutex_init (&server->mutex, NULL);
   server->answer = CANNED_OK;
-  server->connections = g_ptr_array_new ();
+  server->connections = g_array_new (FALSE, FALSE, sizeof (pthread_t));
   server->fd = socket (AF_INET, SOCK_STREAM, 0);
   g_assert_cmpint (bind (server->fd, (struct sockaddr *) &address, size), ==, 0);
   g_assert_cmpint (listen (server->fd, 64), ==, 0);
   g_assert_cmpint (getsockname (server->fd, (struct sockaddr *) &address, &size), ==, 0);
   server->port = ntohs (address.sin_port);
-  server->thread = g_thread_new ("accept", canned_accept, server);
+  g_assert_cmpint (pthread_create (&server->thread, NULL, canned_accept, server), ==, 0);
   return server;
 }
 
@@ -127,28 +130,28 @@
 {
   shutdown (server->fd, SHUT_RDWR);
   close (server->fd);
-  g_thread_join (server->thread);
+  pthread_join (server->thread, NULL);
   for (guint i = 0; i < server->connections->len; i++)
-    g_thread_join (g_ptr_array_index (server->connections, i));
-  g_ptr_array_unref (server->connections);
-  g_mutex_clear (&server->mutex);
+    pthread_join (g_array_index (server->connections, pthread_t, i), NULL);
+  g_array_unref (server->connections);
+  pthread_mutex_destroy (&server->mutex);
   g_free (server);
 }
 
 static inline void
 canned_set (CannedServer *server, const char *answer, int64_t delay_ms)
 {
-  g_mutex_lock (&server->mutex);
+  pthread_mutex_lock (&server->mutex);
   server->answer = answer;
   server->delay_ms = delay_ms;
-  g_mutex_unlock (&server->mutex);
+  pthread_mutex_unlock (&server->mutex);
 }
 
 static inline int32_t
 canned_posts (CannedServer *server)
 {
-  g_mutex_lock (&server->mutex);
+  pthread_mutex_lock (&server->mutex);
   int32_t n = server->n_posts;
-  g_mutex_unlock (&server->mutex);
+  pthread_mutex_unlock (&server->mutex);
   return n;
 }
--- a/tests/agent/test_node.c
+++ b/tests/agent/test_node.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 
 #include <cmocka.h>
+#include <pthread.h>
 
 #include "agent/agent_node.h"
 #include "agent/canned_server.h"
@@ -12,6 +13,7 @@
 #include "wire/wire_parse.h"
 
 #define WAIT_US (INT64_C (10) * CLK_US_PER_S)
+#define POLL_US 2000
 #define LEASE_MS 3000
 #define SHARD 7
 
@@ -25,8 +27,7 @@
   MetRegistry *metrics;
   AgentNode *node;
   Wire *entry;
-  GMutex mutex;
-  GCond changed;
+  pthread_mutex_t mutex;
   GPtrArray *heard; /**< Wire__Envelope of all but heartbeats */
   Wire__Envelope *announce;
   uint32_t n_announces;
@@ -89,7 +90,7 @@
 {
   Rig *rig = ctx;
 
-  g_mutex_lock (&rig->mutex);
+  pthread_mutex_lock (&rig->mutex);
   if (envelope->body_case == WIRE__ENVELOPE__BODY_ANNOUNCE)
     {
       wire_parsed_free (rig->announce);
@@ -99,8 +100,7 @@
     }
   else
     g_ptr_array_add (rig->heard, copy (envelope));
-  g_cond_broadcast (&rig->changed);
-  g_mutex_unlock (&rig->mutex);
+  pthread_mutex_unlock (&rig->mutex);
 }
 
 static void
@@ -138,8 +138,7 @@
   Rig *rig = g_new0 (Rig, 1);
   WireEvents events = { on_entry_message, on_entry_timer, rig };
 
-  g_mutex_init (&rig->mutex);
-  g_cond_init (&rig->changed);
+  pthread_mutex_init (&rig->mutex, NULL);
   rig->heard = g_ptr_array_new_with_free_func ((GDestroyNotify) wire_parsed_free);
   rig->metrics = met_new ();
   rig->address = free_address ();
@@ -173,8 +172,7 @@
   agent_settings_clear (&rig->settings);
   met_free (rig->metrics);
   g_free (rig->address);
-  g_mutex_clear (&rig->mutex);
-  g_cond_clear (&rig->changed);
+  pthread_mutex_destroy (&rig->mutex);
   g_free (rig);
 }
 
@@ -202,26 +200,32 @@
   assert_true (wire_post (rig->entry, send_packed, rig, packed));
 }
 
-/* Waits for the n-th message that fits; it belongs to the rig. */
 static const Wire__Envelope *
-wait_for (Rig *rig, Matches matches, uint64_t what, uint32_t nth)
+find_heard (Rig *rig, Matches matches, uint64_t what, uint32_t nth)
 {
-  int64_t end_us = g_get_monotonic_time () + WAIT_US;
   const Wire__Envelope *found = NULL;
+  uint32_t seen = 0;
 
-  g_mutex_lock (&rig->mutex);
-  do
+  pthread_mutex_lock (&rig->mutex);
+  for (guint i = 0; i < rig->heard->len && found == NULL; i++)
     {
-      uint32_t seen = 0;
-      for (guint i = 0; i < rig->heard->len && found == NULL; i++)
-        {
-          const Wire__Envelope *envelope = g_ptr_array_index (rig->heard, i);
-          if (matches (envelope, what) && ++seen == nth)
-            found = envelope;
-        }
+      const Wire__Envelope *envelope = g_ptr_array_index (rig->heard, i);
+      if (matches (envelope, what) && ++seen == nth)
+        found = envelope;
     }
-  while (found == NULL && g_cond_wait_until (&rig->changed, &rig->mutex, end_us));
-  g_mutex_unlock (&rig->mutex);
+  pthread_mutex_unlock (&rig->mutex);
+  return found;
+}
+
+/* Waits for the n-th message that fits; it belongs to the rig. */
+static const Wire__Envelope *
+wait_for (Rig *rig, Matches matches, uint64_t what, uint32_t nth)
+{
+  int64_t end_us = clk_now_us () + WAIT_US;
+  const Wire__Envelope *found;
+
+  while ((found = find_heard (rig, matches, what, nth)) == NULL && clk_now_us () < end_us)
+    g_usleep (POLL_US);
   assert_non_null (found);
   return found;
 }
@@ -253,28 +257,44 @@
          && envelope->event->state != WIRE__TASK_STATE__TASK_RUNNING;
 }
 
-/* Waits until a heartbeat that left after now says that the endpoint is healthy. */
+static gboolean
+is_healthy (Rig *rig)
+{
+  gboolean healthy;
+
+  pthread_mutex_lock (&rig->mutex);
+  healthy = rig->announce != NULL && rig->announce->announce->services[0]->healthy
+            && (rig->grant_epoch == 0 || rig->announce->announce->n_shards > 0);
+  pthread_mutex_unlock (&rig->mutex);
+  return healthy;
+}
+
+/* Waits for a heartbeat that says that the endpoint is healthy and the lease is there. */
 static void
 wait_healthy (Rig *rig)
 {
-  int64_t end_us = g_get_monotonic_time () + WAIT_US;
-  gboolean healthy = FALSE;
+  int64_t end_us = clk_now_us () + WAIT_US;
 
-  g_mutex_lock (&rig->mutex);
-  do
-    healthy = rig->announce != NULL && rig->announce->announce->services[0]->healthy
-              && (rig->grant_epoch == 0 || rig->announce->announce->n_shards > 0);
-  while (!healthy && g_cond_wait_until (&rig->changed, &rig->mutex, end_us));
-  g_mutex_unlock (&rig->mutex);
-  assert_true (healthy);
+  while (!is_healthy (rig) && clk_now_us () < end_us)
+    g_usleep (POLL_US);
+  assert_true (is_healthy (rig));
+}
+
+static void
+set_grant (Rig *rig, uint64_t epoch, gboolean acknowledge)
+{
+  pthread_mutex_lock (&rig->mutex);
+  rig->grant_epoch = epoch;
+  rig->acknowledge = acknowledge;
+  pthread_mutex_unlock (&rig->mutex);
 }
 
 static size_t
 announced_tasks (Rig *rig)
 {
-  g_mutex_lock (&rig->mutex);
+  pthread_mutex_lock (&rig->mutex);
   size_t n = rig->announce->announce->n_tasks;
-  g_mutex_unlock (&rig->mutex);
+  pthread_mutex_unlock (&rig->mutex);
   return n;
 }
 
@@ -439,7 +459,9 @@
   assert_int_equal (answered, 4);
   assert_int_equal (busy, 4);
   assert_int_equal (canned_posts (rig->endpoint), 4);
+  pthread_mutex_lock (&rig->endpoint->mutex);
   assert_int_equal (rig->endpoint->max_running, 2);
+  pthread_mutex_unlock (&rig->endpoint->mutex);
   rig_free (rig);
 }
 
@@ -465,9 +487,9 @@
   for (int i = 0; i < 100 && !atomic_load (&rig->node->is_done); i++)
     g_usleep (20000);
   assert_true (atomic_load (&rig->node->is_done));
-  g_mutex_lock (&rig->mutex);
+  pthread_mutex_lock (&rig->mutex);
   assert_true (rig->announce->announce->leaving);
-  g_mutex_unlock (&rig->mutex);
+  pthread_mutex_unlock (&rig->mutex);
   assert_int_equal (canned_posts (rig->endpoint), 1);
   rig_free (rig);
 }
@@ -478,7 +500,7 @@
   Rig *rig = rig_new (TRUE);
 
   (void) state;
-  rig->grant_epoch = 3;
+  set_grant (rig, 3, FALSE);
   wait_healthy (rig);
   send_command (rig, WIRE__TASK_VERB__VERB_START, 11, 3, 400);
   (void) wait_for (rig, is_running, 11, 1);
@@ -487,9 +509,7 @@
   assert_int_equal (full->state, WIRE__TASK_STATE__TASK_REFUSED);
   assert_string_equal (full->kind, "no_capacity");
   assert_int_equal (wait_for (rig, is_ended, 11, 1)->event->state, WIRE__TASK_STATE__TASK_DONE);
-  g_mutex_lock (&rig->mutex);
-  rig->acknowledge = TRUE;
-  g_mutex_unlock (&rig->mutex);
+  set_grant (rig, 3, TRUE);
   for (int i = 0; i < 100 && announced_tasks (rig) > 0; i++)
     g_usleep (20000);
   assert_int_equal (announced_tasks (rig), 0);
@@ -507,9 +527,7 @@
   wait_healthy (rig);
   send_command (rig, WIRE__TASK_VERB__VERB_START, 11, 3, 400);
   assert_string_equal (wait_for (rig, is_ended, 11, 1)->event->kind, "no_lease");
-  g_mutex_lock (&rig->mutex);
-  rig->grant_epoch = 3;
-  g_mutex_unlock (&rig->mutex);
+  set_grant (rig, 3, FALSE);
   wait_healthy (rig);
   send_command (rig, WIRE__TASK_VERB__VERB_START, 12, 2, 400);
   assert_string_equal (wait_for (rig, is_ended, 12, 1)->event->kind, "stale_epoch");
@@ -523,14 +541,12 @@
   int64_t since_us;
 
   (void) state;
-  rig->grant_epoch = 3;
+  set_grant (rig, 3, FALSE);
   wait_healthy (rig);
   send_command (rig, WIRE__TASK_VERB__VERB_START, 11, 3, 60000);
   (void) wait_for (rig, is_running, 11, 1);
-  g_mutex_lock (&rig->mutex);
-  rig->grant_epoch = 0;
   since_us = clk_now_us ();
-  g_mutex_unlock (&rig->mutex);
+  set_grant (rig, 0, FALSE);
   const Wire__TaskStatus *ended = wait_for (rig, is_ended, 11, 1)->event;
   assert_int_equal (ended->state, WIRE__TASK_STATE__TASK_CHECKPOINTED);
   assert_true (clk_now_us () - since_us < LEASE_MS * CLK_US_PER_MS);
@@ -543,8 +559,7 @@
   Rig *rig = rig_new (TRUE);
 
   (void) state;
-  rig->grant_epoch = 3;
-  rig->acknowledge = TRUE;
+  set_grant (rig, 3, TRUE);
   wait_healthy (rig);
   send_command (rig, WIRE__TASK_VERB__VERB_START, 11, 3, 60000);
   (void) wait_for (rig, is_running, 11, 1);
--- a/tests/standin/service/service.c
+++ b/tests/standin/service/service.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <jansson.h>
 #include <microhttpd.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -42,8 +43,8 @@
   ServiceOptions options;
   char *name;
   struct MHD_Daemon *daemon;
-  GMutex mutex; /**< guards all below */
-  GCond slot_free;
+  pthread_mutex_t mutex; /**< guards all below */
+  pthread_cond_t slot_free;
   GHashTable *runs; /**< "length/tenant/key" -> Runs */
   uint32_t running;
   uint32_t held;
@@ -97,14 +98,14 @@
 {
   FaultMode mode;
 
-  g_mutex_lock (&service->mutex);
+  pthread_mutex_lock (&service->mutex);
   if (service->fault_end_us != 0 && clk_now_us () >= service->fault_end_us)
     service->fault = FAULT_NONE;
   mode = service->fault;
   *delay_ms = service->fault_delay_ms;
   if (mode != FAULT_NONE && service->fault_count > 0 && --service->fault_count == 0)
     service->fault = FAULT_NONE;
-  g_mutex_unlock (&service->mutex);
+  pthread_mutex_unlock (&service->mutex);
   return mode;
 }
 
@@ -168,27 +169,27 @@
 {
   int64_t count;
 
-  g_mutex_lock (&service->mutex);
+  pthread_mutex_lock (&service->mutex);
   if (service->held >= service->options.connections)
     {
       service->refused++;
-      g_mutex_unlock (&service->mutex);
+      pthread_mutex_unlock (&service->mutex);
       return 0;
     }
   service->held++;
   while (service->running >= service->options.slots)
-    g_cond_wait (&service->slot_free, &service->mutex);
+    pthread_cond_wait (&service->slot_free, &service->mutex);
   service->running++;
   service->max_running = MAX (service->max_running, service->running);
   service->total++;
   count = ++runs_of (service, tenant, key)->runs;
-  g_mutex_unlock (&service->mutex);
+  pthread_mutex_unlock (&service->mutex);
   g_usleep ((gulong) ((service->options.service_ms + extra_ms) * CLK_US_PER_MS));
-  g_mutex_lock (&service->mutex);
+  pthread_mutex_lock (&service->mutex);
   service->running--;
   service->held--;
-  g_cond_signal (&service->slot_free);
-  g_mutex_unlock (&service->mutex);
+  pthread_cond_signal (&service->slot_free);
+  pthread_mutex_unlock (&service->mutex);
   return count;
 }
 
@@ -260,14 +261,14 @@
       if (strcmp (mode, fault_names[i]) != 0)
         continue;
       found = TRUE;
-      g_mutex_lock (&service->mutex);
+      pthread_mutex_lock (&service->mutex);
       service->fault = (FaultMode) i;
       service->fault_count = integer (object, "count");
       service->fault_delay_ms = integer (object, "delay_ms");
       service->fault_end_us = integer (object, "for_ms") > 0
                                   ? clk_now_us () + integer (object, "for_ms") * CLK_US_PER_MS
                                   : 0;
-      g_mutex_unlock (&service->mutex);
+      pthread_mutex_unlock (&service->mutex);
     }
   json_decref (object);
   if (found)
@@ -285,7 +286,7 @@
   int64_t total = 0;
   int64_t mine;
 
-  g_mutex_lock (&service->mutex);
+  pthread_mutex_lock (&service->mutex);
   mine = runs_of (service, argument (connection, "tenant"), argument (connection, "key"))->runs;
   g_hash_table_iter_init (&iter, service->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -297,7 +298,7 @@
       total += runs->runs;
       max = MAX (max, runs->runs);
     }
-  g_mutex_unlock (&service->mutex);
+  pthread_mutex_unlock (&service->mutex);
   return reply (connection, MHD_HTTP_OK, NULL,
                 json_pack ("{s:I,s:I,s:I,s:I}", "runs", (json_int_t) mine, "keys",
                            (json_int_t) keys, "total", (json_int_t) total, "max",
@@ -309,12 +310,12 @@
 {
   json_t *object;
 
-  g_mutex_lock (&service->mutex);
+  pthread_mutex_lock (&service->mutex);
   object = json_pack ("{s:s,s:I,s:I,s:I,s:I,s:I}", "service", service->name, "total",
                       (json_int_t) service->total, "running", (json_int_t) service->running, "held",
                       (json_int_t) service->held, "max_running", (json_int_t) service->max_running,
                       "refused", (json_int_t) service->refused);
-  g_mutex_unlock (&service->mutex);
+  pthread_mutex_unlock (&service->mutex);
   return reply (connection, MHD_HTTP_OK, NULL, object);
 }
 
@@ -323,10 +324,10 @@
 {
   gboolean down;
 
-  g_mutex_lock (&service->mutex);
+  pthread_mutex_lock (&service->mutex);
   down = service->fault == FAULT_DOWN
          && (service->fault_end_us == 0 || clk_now_us () < service->fault_end_us);
-  g_mutex_unlock (&service->mutex);
+  pthread_mutex_unlock (&service->mutex);
   if (down)
     return reply_error (connection, MHD_HTTP_SERVICE_UNAVAILABLE, "no", "down");
   return reply (connection, MHD_HTTP_OK, NULL, json_pack ("{s:b}", "healthy", 1));
@@ -419,8 +420,8 @@
   service->options = *options;
   service->name = g_strdup (options->name);
   service->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, runs_free);
-  g_mutex_init (&service->mutex);
-  g_cond_init (&service->slot_free);
+  pthread_mutex_init (&service->mutex, NULL);
+  pthread_cond_init (&service->slot_free, NULL);
   service->daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, serve,
       service, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
@@ -441,8 +442,8 @@
   if (service->daemon != NULL)
     MHD_stop_daemon (service->daemon);
   g_hash_table_unref (service->runs);
-  g_cond_clear (&service->slot_free);
-  g_mutex_clear (&service->mutex);
+  pthread_cond_destroy (&service->slot_free);
+  pthread_mutex_destroy (&service->mutex);
   g_free (service->name);
   g_free (service);
 }
--- a/tests/wire/test_wire.c
+++ b/tests/wire/test_wire.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <pthread.h>
 #include <zmq.h>
 
 #include "common/clk.h"
@@ -14,6 +15,7 @@
 #include "wire/wire_peers.h"
 
 #define WAIT_US (INT64_C (5) * CLK_US_PER_S)
+#define POLL_US 2000
 #define QUEUE_MAX 64
 
 /** Where the listening end of each test is; found at the start. */
@@ -24,8 +26,7 @@
 {
   MetRegistry *metrics;
   Wire *wire;
-  GMutex mutex;
-  GCond changed;
+  pthread_mutex_t mutex;
   GPtrArray *heard; /**< "peer:seq" of each digest; guarded by mutex, as are the others */
   uint32_t n_sent;
   uint32_t n_refused;
@@ -46,12 +47,11 @@
 {
   End *end = ctx;
 
-  g_mutex_lock (&end->mutex);
+  pthread_mutex_lock (&end->mutex);
   if (envelope->body_case == WIRE__ENVELOPE__BODY_DIGEST)
     g_ptr_array_add (end->heard,
                      g_strdup_printf ("%s:%" G_GUINT64_FORMAT, peer, envelope->digest->seq));
-  g_cond_broadcast (&end->changed);
-  g_mutex_unlock (&end->mutex);
+  pthread_mutex_unlock (&end->mutex);
 }
 
 static void
@@ -83,8 +83,7 @@
 {
   End *end = g_new0 (End, 1);
 
-  g_mutex_init (&end->mutex);
-  g_cond_init (&end->changed);
+  pthread_mutex_init (&end->mutex, NULL);
   end->heard = g_ptr_array_new_with_free_func (g_free);
   end->metrics = met_new ();
   end->wire = make_wire (end, name, incarnation, listen, NULL);
@@ -101,25 +100,31 @@
   wire_free (end->wire);
   met_free (end->metrics);
   g_ptr_array_unref (end->heard);
-  g_cond_clear (&end->changed);
-  g_mutex_clear (&end->mutex);
+  pthread_mutex_destroy (&end->mutex);
   g_free (end);
 }
 
 static gboolean
-wait_heard (End *end, const char *what)
+has_heard (End *end, const char *what)
 {
-  int64_t end_us = g_get_monotonic_time () + WAIT_US;
-  gboolean found = FALSE;
-
-  g_mutex_lock (&end->mutex);
-  do
-    found = g_ptr_array_find_with_equal_func (end->heard, what, g_str_equal, NULL);
-  while (!found && g_cond_wait_until (&end->changed, &end->mutex, end_us));
-  g_mutex_unlock (&end->mutex);
+  gboolean found;
+
+  pthread_mutex_lock (&end->mutex);
+  found = g_ptr_array_find_with_equal_func (end->heard, what, g_str_equal, NULL);
+  pthread_mutex_unlock (&end->mutex);
   return found;
 }
 
+static gboolean
+wait_heard (End *end, const char *what)
+{
+  int64_t end_us = clk_now_us () + WAIT_US;
+
+  while (!has_heard (end, what) && clk_now_us () < end_us)
+    g_usleep (POLL_US);
+  return has_heard (end, what);
+}
+
 static void
 send_digests (void *ctx, void *data)
 {
@@ -132,7 +137,7 @@
   digest.data_centre = padding;
   envelope.body_case = WIRE__ENVELOPE__BODY_DIGEST;
   envelope.digest = &digest;
-  g_mutex_lock (&end->mutex);
+  pthread_mutex_lock (&end->mutex);
   for (uint32_t i = 0; i < sending->n; i++)
     {
       digest.seq = sending->first + i;
@@ -141,8 +146,7 @@
       else
         end->n_refused++;
     }
-  g_cond_broadcast (&end->changed);
-  g_mutex_unlock (&end->mutex);
+  pthread_mutex_unlock (&end->mutex);
   g_free (sending);
 }
 
@@ -161,13 +165,9 @@
 {
   for (int i = 0; i < 200; i++)
     {
-      gboolean found;
       send_n (from, peer, seq, 1, 0);
       g_usleep (20000);
-      g_mutex_lock (&to->mutex);
-      found = g_ptr_array_find_with_equal_func (to->heard, what, g_str_equal, NULL);
-      g_mutex_unlock (&to->mutex);
-      if (found)
+      if (has_heard (to, what))
         return;
     }
   fail_msg ("%s never arrived", what);
@@ -230,9 +230,9 @@
   assert_true (wait_dropped (hub, "replaced", 1));
   send_n (hub, "agent-1", 4, 1, 0);
   assert_true (wait_heard (new, "hub:4"));
-  g_mutex_lock (&old->mutex);
+  pthread_mutex_lock (&old->mutex);
   assert_int_equal (old->heard->len, 0);
-  g_mutex_unlock (&old->mutex);
+  pthread_mutex_unlock (&old->mutex);
   close_end (new);
   close_end (old);
   close_end (hub);
@@ -304,7 +304,7 @@
   assert_int_equal (refused (agent, "too_large"), 1);
   send_n (agent, "hub", 3, 1, WIRE_MESSAGE_MAX / 2);
   assert_true (wait_heard (hub, "agent-1:3"));
-  assert_false (g_ptr_array_find_with_equal_func (hub->heard, "big:0", g_str_equal, NULL));
+  assert_false (has_heard (hub, "big:0"));
   zmq_setsockopt (socket, ZMQ_LINGER, &(int){ 0 }, sizeof (int));
   zmq_close (socket);
   zmq_ctx_term (context);
