--- a/lib/agent/agent_work.c
+++ b/lib/agent/agent_work.c
@@ -472,10 +472,15 @@
   task->progress_ms = MAX (task->progress_ms, listed->progress_ms);
   task->used = listed->used;
   task->measured_us = MAX (asked_us - listed->used_age_ms * CLK_US_PER_MS, 1);
-  if (listed->state == PLAT_TASK_RUNNING)
-    agent_tasks_running (node->tasks, task);
-  else
-    end_as_listed (node, task, listed);
+  if (listed->state != PLAT_TASK_RUNNING)
+    {
+      end_as_listed (node, task, listed);
+      return;
+    }
+  if (task->state == AGENT_TASK_RUNNING)
+    return;
+  agent_tasks_running (node->tasks, task);
+  send_task (node, NULL, task);
 }
 
 /* A live task that a whole list doesn't name: the worker has lost it, or never had it. */
