--- /dev/null
+++ b/tests/cli/test_cli.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# Command lines of the programs: exit codes and exact messages, in a table; then acaciactl and
+# acacia-load against a cluster.
+set -uo pipefail
+source "$(dirname "$0")/../../scripts/cluster.sh"
+
+cluster_init mezcla
+good=$CLUSTER_ROOT/examples/mezcla/document.toml
+bad=$CLUSTER_DIR/bad.toml
+settings=$CLUSTER_DIR/settings.toml
+crash=$CLUSTER_DIR/mark.toml
+printf '[job.a]\ntasks = 0\n' >"$bad"
+printf 'entries = [1]\n' >"$settings"
+printf '[job.a]\n\n[!x]\n' >"$crash"
+free=$(url_of entry-1)
+
+# expected exit code | program and arguments | what stdout and stderr together must contain
+table="0|acaciactl --help|Exit codes: 0 done
+0|acaciactl --version|acaciactl 0.
+0|acaciactl --print-example|# entries = [\"http://127.0.0.1:8080\"]
+0|acaciactl --check-config|settings are valid
+2|acaciactl --config $settings --check-config|settings.toml:1: entries: expected an array of strings
+2|acaciactl --config /nowhere jobs|/nowhere
+2|acaciactl|expected a command
+2|acaciactl --wrong|invalid option
+2|acaciactl frobnicate|unknown command 'frobnicate'
+2|acaciactl validate|validate: expected FILE
+2|acaciactl jobs now|jobs: expected no argument
+2|acaciactl submit a b|excess option
+0|acaciactl validate $good|valid            true
+2|acaciactl validate $bad|bad.toml:2: job.a.tasks: expected an integer from 1 to 1000000
+2|acaciactl validate $crash|mark.toml:3: expected a key or a table header
+2|acaciactl validate /nowhere|No such file
+2|acaciactl --entry $free apply $bad|bad.toml:2: job.a.tasks
+1|acaciactl --entry $free jobs|jobs: refused: $free: Could not connect
+1|acaciactl --entry ftp://x jobs|entry 'ftp://x': expected http://IP:PORT
+1|acaciactl --json --entry $free jobs|\"kind\": \"refused\"
+0|acacia-load --help|Exit codes: 0 done
+0|acacia-load --version|acacia-load 0.
+0|acacia-load --print-example|# rate_per_s = 50
+0|acacia-load --check-config|settings are valid
+2|acacia-load --rate 0|rate_per_s: expected an integer from 1 to
+2|acacia-load --rate 100000 --seconds 80000|at most 10000000 requests
+2|acacia-load --entry nonsense --seconds 1|'nonsense': expected http://IP:PORT
+1|acacia-load --entry $free --rate 10 --seconds 1|refused     refused
+0|acacia-load --own-cost --rate 100 --seconds 1|sent 8
+0|acacia-entry --help|--config
+0|acacia-entry --version|acacia-entry
+0|acacia-entry --print-example|http.port
+2|acacia-entry --config $settings --check-config|settings.toml:1
+2|acacia-entry --config /nowhere|/nowhere
+0|acacia-agent --help|--config
+0|acacia-agent --version|acacia-agent
+0|acacia-agent --print-example|endpoint.service
+2|acacia-agent --config $settings --check-config|settings.toml:1
+2|acacia-agent --config /nowhere|/nowhere"
+
+while IFS='|' read -r code line expected; do
+  # shellcheck disable=SC2086
+  set -- $line
+  program=$1
+  shift
+  output=$("$BIN/$program" "$@" 2>&1)
+  check_equal "$line: exit code" "$code" "$?"
+  check "$line: says '$expected'" grep -qF -- "$expected" <<<"$output"
+done <<<"$table"
+
+say "== against a cluster"
+cluster_start 2 2
+check "the next entry is tried when the first refuses" \
+  "$CTL" --entry http://127.0.0.1:1 --entry "$(url_of entry-2)" status >/dev/null
+version=$(ctl --json apply "$good" | jq -r .version)
+check "apply gives the version" test "$version" -ge 1
+output=$(ctl apply "$good" --base 0 2>&1)
+check_equal "an old base: exit code" 1 $?
+check "an old base: stale_base" grep -q 'apply: stale_base: ' <<<"$output"
+output=$(ctl --json apply "$good" --dry-run)
+check_equal "a dry run of the same document changes nothing" 0 "$(jq '.changes | length' <<<"$output")"
+sed 's/^tasks = 6/tasks = 7/' "$good" >"$CLUSTER_DIR/next.toml"
+check_equal "a dry run names the changed row" "job master-render changed" \
+  "$(ctl --json apply "$CLUSTER_DIR/next.toml" --dry-run \
+    | jq -r '.changes[] | "\(.section) \(.name) \(.change)"')"
+check_equal "and publishes nothing" "$version" "$(config_version entry-1)"
+output=$(ctl submit nonsense 2>&1)
+check_equal "an unknown job: exit code" 1 $?
+check "an unknown job: not_found" grep -q 'submit: not_found: ' <<<"$output"
+first=$(ctl --json submit preview-warmup --key k | jq -r .job)
+check_equal "the same key gives the same run" "$first" \
+  "$(ctl --json submit preview-warmup --key k | jq -r .job)"
+check "a table for people" grep -q '^JOB ' <(ctl jobs)
+output=$(ctl job nonsense 2>&1)
+check_equal "a wrong id: exit code" 1 $?
+check "a wrong id: bad_request" grep -q 'job: bad_request: ' <<<"$output"
+
+say "== acacia-load"
+"$BIN/acacia-load" --entry "$(url_of entry-1)" --entry "$(url_of entry-2)" \
+  --direct "$(url_of service-1)" --rate 60 --seconds 3 --service "$SERVICE" --json \
+  >"$CLUSTER_DIR/load.json" || fail "acacia-load"
+check "it measured all classes" jq -e \
+  '[.classes.repeatable, .classes.once, .classes.direct] | all(.answered > 0 and .mismatched == 0)' \
+  "$CLUSTER_DIR/load.json"
+check "it gives quantiles and the path's cost" jq -e \
+  '.classes.once.latency_us["p99.9"] > 0 and .path_cost_p50_us.repeatable != null' \
+  "$CLUSTER_DIR/load.json"
