Core: learned processors by their median

Cause: a reservation of the 0.8 quantile kept a fifth of the processors idle; tasks share them and the tail is watched by itself. Memory keeps its 0.95 quantile.

--- a/lib/core/learn.c
+++ b/lib/core/learn.c
@@ -6,7 +6,7 @@
 #define LEARN_FIRST_BUCKET (-32) /**< ratio 1/16 */
 #define LEARN_SAMPLES_MIN 8U
 #define LEARN_SAMPLES_MAX 1024U
-#define LEARN_CPU_PERMILLE 800U /**< processors are shared when they run short */
+#define LEARN_CPU_PERMILLE 500U /**< processors are shared when they run short */
 #define LEARN_MEMORY_PERMILLE 950U
 #define LEARN_PERMILLE 1000
 
