--- a/tests/agent/test_node_tasks.c
+++ b/tests/agent/test_node_tasks.c
@@ -189,7 +189,7 @@
   FakeWorker *server = fake_worker_new (&fake);
   AgentOrder *taken = NULL;
   AgentWorkerOptions options = { .client = { "127.0.0.1", fake_worker_port (server), 1000, 1000 },
-                                 .poll_ms = 10,
+                                 .poll_ms = 3600000,
                                  .on_result = note_order,
                                  .on_report = drop_report,
                                  .ctx = &taken };
@@ -209,6 +209,8 @@
   assert_false (taken->ok);
   assert_int_equal (taken->kind, ERR_NO_LEASE);
   agent_order_free (taken);
+  /* Capacity and list of the one report; the worker would have refused the start as well. */
+  assert_int_equal (fake_http_calls (fake_worker_http (server)), 2);
   PlatWorkerOptions client_options = { "127.0.0.1", fake_worker_port (server), 1000, 1000 };
   PlatWorker *client = plat_worker_new (&client_options);
   GPtrArray *tasks = plat_worker_list (client, NULL);
