--- a/tests/slopes/fold.c
+++ b/tests/slopes/fold.c
@@ -1,9 +1,5 @@
 #include "slopes/slopes.h"
 
-#include <malloc.h>
-#include <stdio.h>
-#include <string.h>
-
 #include "common/ids.h"
 #include "state/fold.h"
 
@@ -11,7 +7,6 @@
 #define TASKS_A_JOB 12
 #define INTENTS 50000
 #define ANSWER_BYTES 256
-#define CONFIG_BYTES 65536
 
 /** A log that is folded as it is written. */
 typedef struct
@@ -163,7 +158,7 @@
 }
 
 static void
-print_snapshot (const Writer *writer, const FoldOptions *options)
+print_snapshot (const Writer *writer, const FoldOptions *options, const char *name, double n)
 {
   double start_us = slopes_cpu_us ();
   g_autoptr (GBytes) snapshot = fold_snapshot (writer->fold);
@@ -172,32 +167,34 @@
   const uint8_t *data = g_bytes_get_data (snapshot, &size);
   g_autoptr (GError) error = NULL;
   Fold *loaded = fold_from_snapshot (options, data, size, &error);
+  g_autofree char *bytes = g_strdup_printf ("snapshot.%s_bytes", name);
+  g_autofree char *write = g_strdup_printf ("snapshot.%s_write_cpu", name);
+  g_autofree char *load = g_strdup_printf ("snapshot.%s_load_cpu", name);
 
   if (loaded == NULL)
     g_error ("%s", error->message);
-  slopes_print ("snapshot.size", (double) size, "bytes");
-  slopes_print ("snapshot.write_cpu", written_us - start_us, "us");
-  slopes_print ("snapshot.load_cpu", slopes_cpu_us () - written_us, "us");
-  slopes_print ("snapshot.write_cpu_a_megabyte", (written_us - start_us) / ((double) size / 1e6),
-                "us");
-  slopes_print ("snapshot.load_cpu_a_megabyte",
-                (slopes_cpu_us () - written_us) / ((double) size / 1e6), "us");
+  slopes_print (bytes, (double) size / n, "bytes");
+  slopes_print (write, (written_us - start_us) / n, "us");
+  slopes_print (load, (slopes_cpu_us () - written_us) / n, "us");
   fold_free (loaded);
 }
 
-void
-slopes_fold (void)
+static Writer
+new_writer (const FoldOptions *options)
 {
-  FoldOptions options = { .key_window_ms = 86400000,
-                          .answer_bytes_max = 65536,
-                          .id_window_ms = 86400000,
-                          .shards = 1,
-                          .history_max = 100 };
-  Writer writer = { .fold = fold_new (&options), .time_ms = 1000000 };
+  Writer writer = { .fold = fold_new (options), .time_ms = 1000000 };
 
   put_claim (&writer);
-  double heap = slopes_heap_bytes ();
+  return writer;
+}
+
+static void
+measure_jobs (const FoldOptions *options)
+{
+  Writer writer = new_writer (options);
   Writer before = writer;
+  double heap = slopes_heap_bytes ();
+
   for (uint64_t i = 0; i < JOBS; i++)
     put_job (&writer, i + 1);
   print_since (&writer, &before, heap, "job", JOBS);
@@ -206,11 +203,33 @@
   for (uint64_t i = 0; i < JOBS; i++)
     put_ends (&writer, i + 1);
   print_since (&writer, &before, heap, "task_end", (double) JOBS * (TASKS_A_JOB - 1));
-  heap = slopes_heap_bytes ();
-  before = writer;
+  print_snapshot (&writer, options, "job", JOBS);
+  fold_free (writer.fold);
+}
+
+static void
+measure_once (const FoldOptions *options)
+{
+  Writer writer = new_writer (options);
+  Writer before = writer;
+  double heap = slopes_heap_bytes ();
+
   for (uint32_t i = 0; i < INTENTS; i++)
     put_once (&writer, i);
   print_since (&writer, &before, heap, "once", INTENTS);
-  print_snapshot (&writer, &options);
+  print_snapshot (&writer, options, "once", INTENTS);
   fold_free (writer.fold);
 }
+
+void
+slopes_fold (void)
+{
+  FoldOptions options = { .key_window_ms = 86400000,
+                          .answer_bytes_max = 65536,
+                          .id_window_ms = 86400000,
+                          .shards = 1,
+                          .history_max = 100 };
+
+  measure_jobs (&options);
+  measure_once (&options);
+}
