Slopes: starts are measured with enough instances to fill an owner

Cause: the core starts at most five young tasks on an instance at a time, so three instances gave 15 starts a second whatever the owner could do. Ruled out: the agents' calls to the worker and the appends (16 in 8 s).

--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -26,6 +26,10 @@
 DOCUMENT_BYTES=65536
 HEARTBEATS_A_S=2
 
+# An instance starts a handful of tasks a second, so that many of them are needed to fill an owner.
+START_INSTANCES=80
+START_TASKS=3200
+
 SCALES=${SLOPES_AGENTS:-"10 100 300"}
 MEASURE_S=${SLOPES_SECONDS:-8}
 declare -A V=()
@@ -138,7 +142,7 @@
 batch_document() {
   cat <<TOML
 [job.many]
-tasks = 1200
+tasks = $START_TASKS
 cpu_milli = 20
 memory_mb = 10
 run_ms = 500
@@ -158,20 +162,40 @@
 job_is() { [ "$(ctl --json job "$1" | jq -r .state)" = "$2" ]; }
 appends() { echo $(($(metric entry-1 acacia_commit_appends_total) + $(metric entry-2 acacia_commit_appends_total))); }
 
+# Workers and agents without endpoints, two entries, one log.
+start_batch_cluster() {
+  local i
+  CLUSTER_ENTRIES=2
+  start_log
+  wait_until 10 is_listening log || fail "log"
+  start_entry 1
+  start_entry 2
+  wait_until 20 is_ready entry-1 || fail "entry-1"
+  wait_until 20 is_ready entry-2 || fail "entry-2"
+  for ((i = 1; i <= START_INSTANCES; i++)); do
+    start_worker "$i"
+    start_agent "$i"
+  done
+  wait_until 60 live_agents "$START_INSTANCES" || fail "$START_INSTANCES agents are not live"
+}
+
 # Starts a second against appends a second, and the time until urgent work runs.
 measure_starts() {
-  local start job before worst=0 took i
-  cluster_start 3 2
+  local start job before entry0 took worst=0 i
+  start_batch_cluster
   batch_document >"$CLUSTER_DIR/batch.toml"
   ctl apply "$CLUSTER_DIR/batch.toml" >/dev/null || fail "apply"
   wait_until 10 none_behind || fail "configuration"
   before=$(appends)
+  entry0=$(sum_of cpu_ms entry-1 entry-2)
   start=$(now_ms)
   job=$(ctl --json submit many | jq -r .job)
-  wait_until 120 job_is "$job" done || fail "1200 tasks"
+  wait_until 120 job_is "$job" done || fail "$START_TASKS tasks"
   took=$(($(now_ms) - start))
-  set_value starts.rate "$(calc "1200 / $took * 1000")" "starts a second"
+  set_value starts.rate "$(calc "$START_TASKS / $took * 1000")" "starts a second"
   set_value starts.appends "$(calc "($(appends) - $before) / $took * 1000")" "appends a second"
+  set_value starts.entries_cpu \
+    "$(calc "($(sum_of cpu_ms entry-1 entry-2) - $entry0) / $took * 100")" "percent of a core"
   for ((i = 0; i < 10; i++)); do
     start=$(now_ms)
     job=$(ctl --json submit urgent | jq -r .job)
@@ -221,6 +245,8 @@
     "$BUDGET_CPU_PERCENT" "% of a core"
   line owner.tick_cpu_one_owner "([tick.usage_cpu_11000] * 10 + $STARTS_A_S * [tick.start_cpu_11000]) / 10000" \
     "$BUDGET_CPU_PERCENT" "% of a core"
+  line owner.starts_cpu "[starts.entries_cpu] / [starts.rate] * $starts" \
+    "$BUDGET_CPU_PERCENT" "% of a core"
   line owner.bytes "$starts * ([wire.command] + 2 * [wire.event])" "$BUDGET_BYTES_A_S" "bytes a second"
   line owner.starts_shortfall "$starts - [starts.rate]" 0 "starts a second"
   line urgent.start "[urgent.worst]" "$BUDGET_URGENT_MS" ms
