--- a/Makefile
+++ b/Makefile
@@ -100,11 +100,11 @@
 
 # The runner prints each failure, applies KNOWN-RED.txt and counts the guarantees that were proved.
 check: all $(TESTS)
-	BUILD=$(BUILD) scripts/run-tests.sh $(TESTS) $(TEST_SCRIPTS)
+	@BUILD=$(BUILD) scripts/run-tests.sh $(TESTS) $(TEST_SCRIPTS)
 
 # The test binaries alone, without the scripts that start processes.
 check-unit: $(TESTS)
-	BUILD=$(BUILD) scripts/run-tests.sh $(TESTS)
+	@BUILD=$(BUILD) scripts/run-tests.sh $(TESTS)
 
 bench: $(BUILD)/bin/acacia-bench
 	$(BUILD)/bin/acacia-bench --short --out $(BUILD)/bench
@@ -123,13 +123,14 @@
 	BUILD=$(BUILD) scripts/check-mutants.sh
 
 lint:
-	BUILD=$(BUILD) scripts/lint.sh $(LINT_SRC)
+	@BUILD=$(BUILD) scripts/lint.sh $(LINT_SRC)
 
 format:
-	clang-format -i $(OWN_SRC)
+	@clang-format -i $(OWN_SRC)
 
 format-check:
-	clang-format --dry-run -Werror $(OWN_SRC)
+	@clang-format --dry-run -Werror $(OWN_SRC)
+	@echo "format-check: $(words $(OWN_SRC)) files clean"
 
 demo:
 	scripts/deps.sh
