--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -60,7 +60,7 @@
   core->commands = commands;
   ingest_run (core, inputs, n_inputs);
   health_run (core);
-  interference_run (core);
+  tail_run (core);
   quota_run (core);
   check_run (core);
   order_run (core);
--- a/lib/core/interference.c
+++ b/lib/core/interference.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 
 #define INTERFERENCE_MARGIN 1.0     /**< share of the target that placement may fill */
-#define INTERFERENCE_RELIEF 0.98    /**< tail below this share of the target is relieved */
 #define INTERFERENCE_STEP_MIN 0.05  /**< least share of an error that one report corrects */
 #define INTERFERENCE_BIAS_STEP 0.15 /**< share of a report in the smoothed tail */
 #define INTERFERENCE_NOISE 0.03     /**< share of a report taken to be noise */
@@ -12,19 +11,11 @@
 #define INTERFERENCE_ALONE_STEP 0.2 /**< like it, for the tail without batch work */
 #define INTERFERENCE_HIGHER_BAND 1.3
 #define INTERFERENCE_SETTLE_US CLK_US_PER_S
+#define INTERFERENCE_SETTLED 0.3 /**< share of the work that may change while it is measured */
 #define INTERFERENCE_BLIND_LAGS 3
 #define INTERFERENCE_LAGS_KEPT 4
-#define INTERFERENCE_THROTTLE_MIN 200U
 #define INTERFERENCE_PERMILLE 1000.0
 
-/** One task that could be slowed or moved. */
-typedef struct
-{
-  CoreTask *task;
-  double relief;
-  double lost_ms;
-} Measure;
-
 /* The pair's row; NULL while nothing was learned of it. */
 static CorePair *
 find_pair (const Core *core, uint32_t service, uint32_t class_row, uint32_t band)
@@ -47,8 +38,9 @@
 
 /* Growth by one task, on the safe side; an unmeasured band borrows from the nearest one. FALSE:
  * nothing is known. */
-static gboolean
-growth_of (const Core *core, uint32_t service, uint32_t class_row, uint32_t band, double *growth)
+gboolean
+interference_growth_of (
+    const Core *core, uint32_t service, uint32_t class_row, uint32_t band, double *growth)
 {
   *growth = 0;
   for (uint32_t distance = 0; distance < CORE_BANDS; distance++)
@@ -72,8 +64,8 @@
   return FALSE;
 }
 
-static double
-alone_of (const CoreService *service, uint32_t band)
+double
+interference_alone_of (const CoreService *service, uint32_t band)
 {
   for (uint32_t distance = 0; distance < CORE_BANDS; distance++)
     {
@@ -128,8 +120,8 @@
 }
 
 /* What the batch work on @p worker now adds to the tail of a service. */
-static double
-growth_now (const Core *core, const CoreWorker *worker, uint32_t service, uint32_t band)
+double
+interference_now (const Core *core, const CoreWorker *worker, uint32_t service, uint32_t band)
 {
   double sum = 0;
 
@@ -137,25 +129,30 @@
     {
       int32_t weight = g_array_index (worker->weights, int32_t, i);
       double growth = 0;
-      if (weight > 0 && growth_of (core, service, i, band, &growth))
+      if (weight > 0 && interference_growth_of (core, service, i, band, &growth))
         sum += weight * growth;
     }
   return sum / INTERFERENCE_PERMILLE;
 }
 
-/* Whether something changed so close before @p at_us that a report from then mixes both. */
+/* Whether so much changed shortly before @p at_us that a report from then mixes two states. */
 static gboolean
-is_unsettled (const CoreWorker *worker, int64_t at_us)
+is_unsettled (const Core *core, const CoreWorker *worker, int64_t at_us, const double *weights)
 {
+  double changed = 0;
+  double all = 0;
+
+  for (guint i = 0; i < core->classes->len; i++)
+    all += weights[i];
   for (guint i = worker->changes->len; i > 0; i--)
     {
       const CoreChange *change = &g_array_index (worker->changes, CoreChange, i - 1);
       if (change->at_us <= at_us - INTERFERENCE_SETTLE_US)
-        return FALSE;
+        break;
       if (change->at_us <= at_us)
-        return TRUE;
+        changed += abs (change->delta_permille) / INTERFERENCE_PERMILLE;
     }
-  return FALSE;
+  return changed > INTERFERENCE_SETTLED * all;
 }
 
 /* What the pairs' growth, without doubt added, makes of @p weights. */
@@ -238,9 +235,9 @@
   double sum = fitted_sum (core, endpoint, weights);
   gboolean is_empty = is_all_zero (core, weights);
 
-  if (is_unsettled (worker, endpoint->measured_us))
+  if (is_unsettled (core, worker, endpoint->measured_us, weights))
     return;
-  if (*alone_us <= 0 && (is_empty || alone_of (service, endpoint->band) > 0))
+  if (*alone_us <= 0 && (is_empty || interference_alone_of (service, endpoint->band) > 0))
     *alone_us = (double) endpoint->p99_us / (1.0 + sum);
   if (*alone_us <= 0)
     return;
@@ -342,13 +339,14 @@
 {
   const CoreService *service = tables_service_row (core, endpoint->service);
   uint32_t band = band_of (core, endpoint);
-  double alone_us = alone_of (service, band);
+  double alone_us = interference_alone_of (service, band);
   double growth = 0;
 
   if (service->target_us <= 0)
     return;
-  gboolean is_known = growth_of (core, endpoint->service, job->class_row, band, &growth);
-  double sum = growth_now (core, worker, endpoint->service, band);
+  gboolean is_known
+      = interference_growth_of (core, endpoint->service, job->class_row, band, &growth);
+  double sum = interference_now (core, worker, endpoint->service, band);
   double tail_us
       = MAX (alone_us * (1.0 + sum + growth), 1.0) * (endpoint->bias > 0 ? endpoint->bias : 1.0);
   int64_t permille = (int64_t) (INTERFERENCE_PERMILLE * tail_us / (double) service->target_us);
@@ -397,226 +395,9 @@
       double growth = 0;
       uint32_t band = band_of (core, endpoint);
       if (tables_service_row (core, endpoint->service)->target_us <= 0
-          || growth_of (core, endpoint->service, job->class_row, band, &growth))
+          || interference_growth_of (core, endpoint->service, job->class_row, band, &growth))
         continue;
       make_pair (core, endpoint->service, job->class_row, band)->trial_until_us = until_us;
       worker->trial_until_us = until_us;
     }
 }
-
-/* The measures against one endpoint's tail, the most relief for the least loss first. */
-static GArray *
-list_measures (const Core *core, const CoreWorker *worker, const CoreEndpoint *endpoint)
-{
-  GArray *measures = g_array_new (FALSE, FALSE, sizeof (Measure));
-
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      CoreTask *task = g_ptr_array_index (worker->tasks, i);
-      double growth = 0;
-      if (task->state != TASK_LIVE)
-        continue;
-      (void) growth_of (core, endpoint->service, task->job->class_row, endpoint->band, &growth);
-      Measure measure = { task, growth * task->throttle_permille / INTERFERENCE_PERMILLE,
-                          (double) learn_lost_ms (core, task) };
-      if (measure.relief > 0)
-        g_array_append_val (measures, measure);
-    }
-  return measures;
-}
-
-static int
-by_task (const CoreTask *a, const CoreTask *b)
-{
-  if (a->job->id != b->job->id)
-    return a->job->id < b->job->id ? -1 : 1;
-  return a->index < b->index ? -1 : (a->index > b->index ? 1 : 0);
-}
-
-static int
-by_relief (const void *a, const void *b)
-{
-  const Measure *x = a;
-  const Measure *y = b;
-
-  if (x->relief != y->relief)
-    return x->relief > y->relief ? -1 : 1;
-  return by_task (x->task, y->task);
-}
-
-static int
-by_relief_per_loss (const void *a, const void *b)
-{
-  const Measure *x = a;
-  const Measure *y = b;
-  double value_x = x->relief / (x->lost_ms + 1000.0);
-  double value_y = y->relief / (y->lost_ms + 1000.0);
-
-  if (value_x != value_y)
-    return value_x > value_y ? -1 : 1;
-  return by_task (x->task, y->task);
-}
-
-static CoreCommand
-tail_command (const Core *core, CoreCommandType type, CoreWhy why, const CoreEndpoint *endpoint)
-{
-  const CoreService *service = tables_service_row (core, endpoint->service);
-  CoreCommand command = emit_command (type, why);
-
-  command.numbers[0] = endpoint->p99_us;
-  command.numbers[1] = service->target_us;
-  g_strlcpy (command.rule, service->name, sizeof command.rule);
-  return command;
-}
-
-static gboolean
-throttle (Core *core, const GArray *measures, const CoreEndpoint *endpoint, double needed)
-{
-  gboolean has_acted = FALSE;
-
-  for (guint i = 0; i < measures->len && needed > 0; i++)
-    {
-      const Measure *measure = &g_array_index (measures, Measure, i);
-      CoreTask *task = measure->task;
-      if (task->throttle_permille <= INTERFERENCE_THROTTLE_MIN || task->job->priority == DOC_URGENT)
-        continue;
-      double keep = MAX (1.0 - needed / measure->relief, 0.0);
-      uint32_t permille = (uint32_t) (keep * task->throttle_permille);
-      permille = MAX (permille, INTERFERENCE_THROTTLE_MIN);
-      double relief = measure->relief * (1.0 - (double) permille / task->throttle_permille);
-      CoreCommand command = tail_command (core, CORE_DO_THROTTLE, CORE_WHY_TAIL_OVER, endpoint);
-      command.numbers[2] = (int64_t) (relief * INTERFERENCE_PERMILLE);
-      tables_set_throttle (core, task, permille);
-      emit_task (core, task, command);
-      needed -= relief;
-      has_acted = TRUE;
-    }
-  return has_acted;
-}
-
-static gboolean
-evict_one (Core *core, const GArray *measures, const CoreEndpoint *endpoint)
-{
-  for (guint i = 0; i < measures->len; i++)
-    {
-      const Measure *measure = &g_array_index (measures, Measure, i);
-      CoreCommand command = tail_command (core, CORE_DO_CHECKPOINT, CORE_WHY_TAIL_OVER, endpoint);
-      command.numbers[2] = (int64_t) (measure->relief * INTERFERENCE_PERMILLE);
-      command.numbers[3] = (int64_t) measure->lost_ms;
-      if (measure->task->job->priority != DOC_URGENT
-          && reclaim_evict (core, measure->task, &command, FALSE))
-        return TRUE;
-    }
-  return FALSE;
-}
-
-static void
-answer_over (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
-{
-  const CoreService *service = tables_service_row (core, endpoint->service);
-  double alone_us = MAX (alone_of (service, endpoint->band), 1.0);
-  double limit_us = INTERFERENCE_MARGIN * (double) service->target_us;
-  double needed = ((double) endpoint->p99_us - limit_us) / alone_us;
-  int64_t cooldown_us = core->config.policy.cooldown_ms * CLK_US_PER_MS;
-  int64_t throttle_wait_us = MIN (cooldown_us, 2 * worker->lag_us);
-  gboolean is_seen = endpoint->measured_us > worker->acted_us + INTERFERENCE_SETTLE_US;
-
-  if (worker->acted_us > 0 && (!is_seen || core->now_us - worker->acted_us < throttle_wait_us))
-    return;
-  GArray *measures = list_measures (core, worker, endpoint);
-  g_array_sort (measures, by_relief);
-  gboolean has_acted
-      = tables_has (core, CORE_MECHANISM_THROTTLE) && throttle (core, measures, endpoint, needed);
-  if (!has_acted && (worker->acted_us == 0 || core->now_us - worker->acted_us >= cooldown_us))
-    {
-      g_array_sort (measures, by_relief_per_loss);
-      has_acted = evict_one (core, measures, endpoint);
-    }
-  if (has_acted)
-    worker->acted_us = core->now_us;
-  g_array_free (measures, TRUE);
-}
-
-/* One throttled task gets its share back when the forecast allows it. */
-static void
-answer_relieved (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
-{
-  const CoreService *service = tables_service_row (core, endpoint->service);
-  double sum = growth_now (core, worker, endpoint->service, endpoint->band);
-  double alone_us = alone_of (service, endpoint->band);
-  double limit_us = INTERFERENCE_RELIEF * (double) service->target_us;
-
-  if (endpoint->measured_us <= worker->acted_us + INTERFERENCE_SETTLE_US)
-    return;
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      CoreTask *task = g_ptr_array_index (worker->tasks, i);
-      double growth = 0;
-      if (task->state != TASK_LIVE || task->throttle_permille == CORE_FULL_PERMILLE)
-        continue;
-      (void) growth_of (core, endpoint->service, task->job->class_row, endpoint->band, &growth);
-      double more = growth * (CORE_FULL_PERMILLE - task->throttle_permille) / INTERFERENCE_PERMILLE;
-      if (alone_us * (1.0 + sum + more) > limit_us)
-        continue;
-      CoreCommand command = tail_command (core, CORE_DO_THROTTLE, CORE_WHY_RELIEVED, endpoint);
-      command.numbers[2] = (core->now_us - task->throttled_us) / CLK_US_PER_MS;
-      tables_set_throttle (core, task, CORE_FULL_PERMILLE);
-      emit_task (core, task, command);
-      worker->acted_us = core->now_us;
-      return;
-    }
-}
-
-/* The reactive baseline: whenever a tail is over its target, the newest task goes. */
-static void
-answer_reactive (Core *core, CoreWorker *worker, const CoreEndpoint *endpoint)
-{
-  CoreTask *newest = NULL;
-
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      CoreTask *task = g_ptr_array_index (worker->tasks, i);
-      if (task->state == TASK_LIVE && (newest == NULL || task->started_us > newest->started_us))
-        newest = task;
-    }
-  if (newest == NULL)
-    return;
-  CoreCommand command = tail_command (core, CORE_DO_CHECKPOINT, CORE_WHY_TAIL_OVER, endpoint);
-  command.numbers[3] = learn_lost_ms (core, newest);
-  (void) reclaim_evict (core, newest, &command, TRUE);
-}
-
-static void
-answer (Core *core, CoreWorker *worker, CoreEndpoint *endpoint)
-{
-  const CoreService *service = tables_service_row (core, endpoint->service);
-
-  if (!endpoint->is_new)
-    return;
-  endpoint->is_new = FALSE;
-  if (core->options.reactive)
-    {
-      if (service->target_us > 0 && endpoint->p99_us > service->target_us)
-        answer_reactive (core, worker, endpoint);
-      return;
-    }
-  if (!tables_has (core, CORE_MECHANISM_INTERFERENCE))
-    return;
-  if (endpoint->is_over)
-    answer_over (core, worker, endpoint);
-  else if (service->target_us > 0)
-    answer_relieved (core, worker, endpoint);
-}
-
-void
-interference_run (Core *core)
-{
-  for (guint i = 0; i < core->reported->len; i++)
-    {
-      CoreWorker *worker = g_ptr_array_index (core->reported, i);
-      worker->is_reported = FALSE;
-      for (guint j = 0; j < worker->endpoints->len; j++)
-        answer (core, worker, &g_array_index (worker->endpoints, CoreEndpoint, j));
-    }
-  g_ptr_array_set_size (core->reported, 0);
-}
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -399,13 +399,25 @@
 
 /* interference.c */
 void interference_report (Core *core, CoreWorker *worker, const CoreServiceIn *in);
-void interference_run (Core *core);
 void interference_forecast (Core *core, CoreWorker *worker, const CoreJob *job, CoreForecast *out);
 void interference_started (Core *core, CoreWorker *worker, const CoreJob *job);
 /** Growth of the worst service's tail by one task of the class; 0 while unproven. */
 double interference_growth (Core *core, uint32_t class_row);
 void interference_change (Core *core, CoreWorker *worker, uint32_t class_row, int32_t delta);
 
+/** Growth by one task, on the safe side; FALSE while nothing is known in any band. */
+gboolean interference_growth_of (
+    const Core *core, uint32_t service, uint32_t class_row, uint32_t band, double *growth);
+/** The service's tail without batch work; 0 while unknown. */
+double interference_alone_of (const CoreService *service, uint32_t band);
+/** What the batch work on @p worker now adds to the tail of a service. */
+double
+interference_now (const Core *core, const CoreWorker *worker, uint32_t service, uint32_t band);
+
+/* tail.c */
+/** Answers new reports: throttles, evicts, gives back. */
+void tail_run (Core *core);
+
 /* order.c */
 void quota_run (Core *core);
 gboolean quota_allows (const Core *core, const CoreJob *job, DocSize size);
