--- a/lib/platform/plat_http.c
+++ b/lib/platform/plat_http.c
@@ -43,12 +43,24 @@
   return (int) CLAMP (seconds, 1, G_MAXINT);
 }
 
+/* neon's own set-up may run only once at a time; it also turns SIGPIPE into an error. */
+static void
+set_up_neon (void)
+{
+  static gsize is_done = 0;
+
+  if (!g_once_init_enter (&is_done))
+    return;
+  (void) ne_sock_init ();
+  g_once_init_leave (&is_done, 1);
+}
+
 PlatHttp *
 plat_http_new (const PlatHttpOptions *options)
 {
   PlatHttp *http = g_new0 (PlatHttp, 1);
 
-  (void) ne_sock_init ();
+  set_up_neon ();
   http->session = ne_session_create ("http", options->host, options->port);
   http->read_ms = options->read_ms;
   ne_set_connect_timeout (http->session, seconds_up (options->connect_ms));
--- a/lib/state/commit.h
+++ b/lib/state/commit.h
@@ -27,7 +27,7 @@
   COMMIT_DOUBT,    /**< may be on the log, now or later */
 } CommitResult;
 
-/** Called on the commit thread, once for each record. */
+/** Called once for each record: on the commit thread, or within commit_free(). */
 typedef void (*CommitDone) (void *ctx, IdsId id, CommitResult result);
 
 typedef struct
--- a/lib/state/follow.c
+++ b/lib/state/follow.c
@@ -274,15 +274,15 @@
 }
 
 gboolean
-follow_write_snapshot (PlatLog *log,
-                       const char *snapshot_stream,
-                       const Fold *fold,
-                       uint32_t chunk_bytes,
-                       GError **error)
+follow_write_saved (PlatLog *log,
+                    const char *snapshot_stream,
+                    GBytes *saved,
+                    int64_t next_offset,
+                    uint32_t chunk_bytes,
+                    GError **error)
 {
-  g_autoptr (GBytes) snapshot = fold_snapshot (fold);
   g_autoptr (GPtrArray) records
-      = chunks_cut (snapshot, fold_next_offset (fold), CLAMP (chunk_bytes, 1, CHUNK_BYTES_MAX));
+      = chunks_cut (saved, next_offset, CLAMP (chunk_bytes, 1, CHUNK_BYTES_MAX));
   gboolean ok = TRUE;
 
   for (guint i = 0; ok && i < records->len;)
@@ -299,6 +299,19 @@
   return ok;
 }
 
+gboolean
+follow_write_snapshot (PlatLog *log,
+                       const char *snapshot_stream,
+                       const Fold *fold,
+                       uint32_t chunk_bytes,
+                       GError **error)
+{
+  g_autoptr (GBytes) saved = fold_snapshot (fold);
+
+  return follow_write_saved (log, snapshot_stream, saved, fold_next_offset (fold), chunk_bytes,
+                             error);
+}
+
 /* Whether half of what lies between the oldest kept offset and the end has expired under it. */
 static gboolean
 is_expiring (int64_t needed, int64_t first_kept, int64_t end)
--- a/lib/state/follow.h
+++ b/lib/state/follow.h
@@ -80,4 +80,12 @@
                                 uint32_t chunk_bytes,
                                 GError **error);
 
+/** Like follow_write_snapshot(), from the bytes of fold_snapshot() at @p next_offset. */
+gboolean follow_write_saved (PlatLog *log,
+                             const char *snapshot_stream,
+                             GBytes *saved,
+                             int64_t next_offset,
+                             uint32_t chunk_bytes,
+                             GError **error);
+
 G_END_DECLS
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -72,10 +72,9 @@
 static int64_t
 progress_at (const Attempt *attempt, int64_t now_us)
 {
-  int64_t progress
-      = attempt->progress_us + (now_us - attempt->since_us) * attempt->permille / PERMILLE;
+  int64_t run_us = (now_us - attempt->since_us) * attempt->permille / PERMILLE;
 
-  return MIN (progress, attempt->run_us);
+  return MIN (attempt->progress_us + run_us, attempt->run_us);
 }
 
 static void
@@ -191,7 +190,6 @@
 seen_epoch (FakeWorker *worker, int64_t shard)
 {
   const uint64_t *epoch = g_hash_table_lookup (worker->epochs, &shard);
-
   return epoch != NULL ? *epoch : 0;
 }
 
