--- a/lib/entry/members.c
+++ b/lib/entry/members.c
@@ -191,6 +191,7 @@
 {
   agent->seq = announce->seq;
   agent->heard_us = now_us;
+  agent->sent_us = announce->sent_us;
   agent->leaving = agent->leaving || announce->leaving;
   agent->config_version = announce->config_version;
   g_free (agent->data_centre);
--- a/lib/entry/members.h
+++ b/lib/entry/members.h
@@ -53,6 +53,7 @@
   uint64_t incarnation;
   uint64_t seq;
   int64_t heard_us;
+  int64_t sent_us; /**< of its newest heartbeat, on its own clock */
   char *data_centre;
   char *rack;
   LabSet *labels;
--- a/lib/entry/once.c
+++ b/lib/entry/once.c
@@ -118,13 +118,15 @@
 {
   const char *agent = NULL;
   uint64_t incarnation = 0;
+  int64_t sent_us = 0;
   int64_t budget_us = once_row_deadline (row) - now_us;
 
   if (!once->ops.pick (once->ops.ctx, row->service, row->tried, row->n_tried, budget_us, &agent,
-                       &incarnation, kind))
+                       &incarnation, &sent_us, kind))
     return FALSE;
   IdsId request = row->own_attempts == 0 ? row->first_request : ids_new ();
   set_attempt (row, attempt, request, agent, incarnation);
+  row->agent_sent_us = sent_us;
   if (row->n_tried < ROUTE_TRIED_MAX)
     row->tried[row->n_tried++] = g_intern_string (agent);
   row->own_attempts++;
@@ -160,6 +162,7 @@
 {
   uncount (once, row, ROUTE_GIVEN_UP);
   set_attempt (row, intent->attempt, intent->request, intent->agent, intent->agent_incarnation);
+  row->agent_sent_us = 0;
   row->state = ONCE_WATCH;
   row->ask_us = now_us + once->options.ask_after_us;
 }
@@ -247,7 +250,8 @@
                     row->service,      row->path,
                     row->content_type, row->body,
                     row->body_digest,  once_row_deadline (row) - now_us,
-                    row->agent,        row->agent_incarnation };
+                    row->agent,        row->agent_incarnation,
+                    row->agent_sent_us };
 
   row->state = ONCE_SENT;
   if (once->ops.send (once->ops.ctx, &send))
@@ -594,7 +598,7 @@
     return;
   row->ask_us = now_us + once->options.ask_every_us;
   once->ops.query (once->ops.ctx, row->agent, row->agent_incarnation, row->tenant, row->key,
-                   row->attempt, row->request);
+                   row->attempt, row->request, row->agent_sent_us);
 }
 
 static void
--- a/lib/entry/once.h
+++ b/lib/entry/once.h
@@ -70,6 +70,7 @@
   int64_t budget_us;
   const char *agent;
   uint64_t agent_incarnation;
+  int64_t agent_sent_us; /**< of its newest heartbeat before the intent; 0: not known */
 } OnceSend;
 
 /** What the state machine needs done. */
@@ -83,6 +84,7 @@
                     int64_t budget_us,
                     const char **agent,
                     uint64_t *incarnation,
+                    int64_t *agent_sent_us,
                     ErrKind *kind);
   /** Queues a record; FALSE: certainly not on the log. @p wait: also while the log is away. */
   gboolean (*append) (void *ctx, const Record__Record *record, gboolean wait, IdsId *id);
@@ -94,7 +96,8 @@
                  const char *tenant,
                  const char *key,
                  uint32_t attempt,
-                 IdsId request);
+                 IdsId request,
+                 int64_t agent_sent_us);
   /** Whether that incarnation may still answer. */
   gboolean (*is_alive) (void *ctx, const char *agent, uint64_t incarnation);
   /** Whether the log can be read and written, as far as is known. */
--- a/lib/entry/once_row.h
+++ b/lib/entry/once_row.h
@@ -45,6 +45,7 @@
   uint32_t attempt;
   char *agent;
   uint64_t agent_incarnation;
+  int64_t agent_sent_us; /**< of its newest heartbeat before the intent; 0: not known */
   IdsId record;          /**< pending record */
   gboolean is_abandoned; /**< a waiter was told that the attempt did not run: never sent */
   gboolean is_counted;   /**< counts as outstanding at its endpoint */
--- a/lib/entry/owner.c
+++ b/lib/entry/owner.c
@@ -8,6 +8,7 @@
 {
   uint64_t epoch; /**< of the newest claim that was folded */
   gboolean is_mine;
+  gboolean knows_self; /**< the owner has folded this entry's record, and asks for its consent */
   gboolean is_settled;
   int64_t settled_us;  /**< when is_settled is due */
   int64_t owner_ok_us; /**< when the owner was last known to do its work */
@@ -26,7 +27,8 @@
   OwnerShard *shards;
   int64_t view_us; /**< when the newest read to the end was sent */
   gboolean has_view;
-  int64_t known_us; /**< when the own Entry record was folded */
+  int64_t known_us;     /**< when the own Entry record was folded */
+  int64_t known_offset; /**< the own Entry record is below it */
   gboolean is_known;
   gboolean is_leaving;
 };
@@ -100,15 +102,19 @@
     return;
   owner->is_known = TRUE;
   owner->known_us = now_us;
+  owner->known_offset = fold_next_offset (fold);
 }
 
 static void
-claim_changed (Owner *owner, uint32_t index, const FoldClaim *claim, int64_t now_us)
+claim_changed (
+    Owner *owner, uint32_t index, const FoldClaim *claim, gboolean was_known, int64_t now_us)
 {
   OwnerShard *shard = &owner->shards[index];
   gboolean was_mine = shard->is_mine;
   gboolean is_first = claim->epoch == 1;
 
+  /* A claim after the own record: its owner has read both in this order. */
+  shard->knows_self = was_known;
   shard->epoch = claim->epoch;
   shard->owner_ok_us = now_us;
   shard->is_mine = g_strcmp0 (claim->entry, owner->name) == 0
@@ -126,6 +132,8 @@
 void
 owner_folded (Owner *owner, const Fold *fold, int64_t now_us)
 {
+  gboolean was_known = owner->is_known;
+
   note_own_entry (owner, fold, now_us);
   for (uint32_t i = 0; i < owner->options.shards; i++)
     {
@@ -133,7 +141,7 @@
       const FoldClaim *claim = fold_claim (fold, i);
       FoldResult result = FOLD_APPLIED;
       if (claim->epoch != shard->epoch)
-        claim_changed (owner, i, claim, now_us);
+        claim_changed (owner, i, claim, was_known, now_us);
       if (shard->is_claiming && fold_settled (fold, shard->claim_id, &result))
         shard->is_claiming = FALSE;
     }
@@ -208,12 +216,29 @@
 }
 
 static gboolean
-may_claim (const Owner *owner, const OwnerShard *shard, int64_t now_us)
+may_claim (const Owner *owner, const OwnerShard *shard, gboolean is_gone, int64_t now_us)
 {
   if (owner->is_leaving || shard->is_claiming || !owner->is_known || !is_fresh (owner, now_us)
       || now_us < shard->hold_until_us)
     return FALSE;
-  return shard->epoch == 0 || now_us >= owner->known_us + owner->options.lease_us;
+  int64_t wait_us = shard->knows_self || is_gone
+                        ? owner->options.lease_us
+                        : owner->options.outage_us + owner->options.drift_us;
+  return shard->epoch == 0 || now_us >= owner->known_us + MAX (wait_us, owner->options.lease_us);
+}
+
+/* Whether the owner's digests show that it has read this entry's record. */
+static void
+note_owner_knows (const Owner *owner,
+                  OwnerShard *shard,
+                  const FoldClaim *claim,
+                  const Members *members)
+{
+  const MembersEntry *member = members_entry (members, claim->entry);
+
+  if (owner->is_known && member != NULL && member->incarnation == claim->incarnation
+      && member->log_offset >= owner->known_offset)
+    shard->knows_self = TRUE;
 }
 
 static void
@@ -223,11 +248,12 @@
   const FoldClaim *claim = fold_claim (fold, index);
   gboolean is_vacant = claim->epoch == 0 || owner_is_gone (claim, fold);
 
+  note_owner_knows (owner, shard, claim, members);
   if (shard->owner_ok_us == 0 || (!is_vacant && owner_is_well (owner, claim, members, now_us)))
     shard->owner_ok_us = now_us;
   int64_t wait = (is_vacant ? 0 : owner->options.silence_us)
                  + own_rank (owner, index, fold, members, now_us) * owner->options.stagger_us;
-  if (now_us - shard->owner_ok_us < wait || !may_claim (owner, shard, now_us))
+  if (now_us - shard->owner_ok_us < wait || !may_claim (owner, shard, is_vacant, now_us))
     return;
   shard->is_claiming
       = owner->events.claim (owner->events.ctx, index, claim->epoch + 1, &shard->claim_id);
@@ -250,12 +276,29 @@
     }
 }
 
+static gboolean
+has_all_consents (const Owner *owner, const OwnerShard *shard, const Fold *fold, int64_t now_us)
+{
+  const GPtrArray *entries = fold_entries (fold);
+
+  if (owner_view_age_us (owner, now_us) > owner->options.outage_us)
+    return FALSE;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const FoldEntry *entry = g_ptr_array_index (entries, i);
+      const int64_t *until = g_hash_table_lookup (shard->consents, entry->entry);
+      if (strcmp (entry->entry, owner->name) != 0 && (until == NULL || now_us >= *until))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static void
 tick_mine (Owner *owner, uint32_t index, const Fold *fold, int64_t now_us)
 {
   OwnerShard *shard = &owner->shards[index];
 
-  if (!shard->is_settled && now_us >= shard->settled_us)
+  if (!shard->is_settled && owner_certain_us (owner, fold, index, now_us) >= shard->settled_us)
     {
       shard->is_settled = TRUE;
       owner->events.settled (owner->events.ctx, index);
@@ -311,21 +354,6 @@
   g_hash_table_replace (shard->consents, g_strdup (consent->entry), until);
 }
 
-static gboolean
-has_all_consents (const Owner *owner, const OwnerShard *shard, const Fold *fold, int64_t now_us)
-{
-  const GPtrArray *entries = fold_entries (fold);
-
-  for (guint i = 0; i < entries->len; i++)
-    {
-      const FoldEntry *entry = g_ptr_array_index (entries, i);
-      const int64_t *until = g_hash_table_lookup (shard->consents, entry->entry);
-      if (strcmp (entry->entry, owner->name) != 0 && (until == NULL || now_us >= *until))
-        return FALSE;
-    }
-  return TRUE;
-}
-
 gboolean
 owner_may_renew (const Owner *owner, const Fold *fold, uint32_t index, int64_t now_us)
 {
@@ -336,6 +364,14 @@
   return is_fresh (owner, now_us) || has_all_consents (owner, shard, fold, now_us);
 }
 
+int64_t
+owner_certain_us (const Owner *owner, const Fold *fold, uint32_t index, int64_t now_us)
+{
+  const OwnerShard *shard = &owner->shards[index];
+
+  return has_all_consents (owner, shard, fold, now_us) ? now_us : owner->view_us;
+}
+
 uint64_t
 owner_epoch (const Owner *owner, uint32_t shard)
 {
--- a/lib/entry/owner.h
+++ b/lib/entry/owner.h
@@ -8,8 +8,12 @@
  * it holds unexpired consents of every other entry that the log knows;
  *  - a claim needs a fresh view of the log, no consent given that still holds, no earlier claim
  *    whose end isn't known, and an own Entry record that is a lease time old;
+ *  - an entry that the owner may not know of, and so would not ask, claims only outage_us after its
+ * own Entry record, unless the log says that the owner is gone;
  *  - a new owner waits fresh + lease + drift from when it read its claim before it starts what may
- *    still run elsewhere.
+ *    still run elsewhere;
+ *  - it takes that wait, or the lapse of an agent's lease, as over only when it is certain that no
+ *    third entry had claimed by then, who would have prolonged the agents' leases.
  */
 #pragma once
 
@@ -32,6 +36,7 @@
   int64_t lease_us;
   int64_t fresh_us;
   int64_t drift_us;
+  int64_t outage_us;    /**< longest time for which consents stand in for the log */
   int64_t silence_us;   /**< of an owner, before another claims */
   int64_t stagger_us;   /**< later candidates wait this much longer each */
   int64_t ask_every_us; /**< between two requests for consents */
@@ -82,6 +87,13 @@
 /** Whether leases of @p shard may be renewed and commands sent now. */
 gboolean owner_may_renew (const Owner *owner, const Fold *fold, uint32_t shard, int64_t now_us);
 
+/**
+ * Latest time up to which it is certain that nobody else claimed @p shard: when the newest read of
+ * the log was sent, or now while all consents hold. What other owners' leases could prolong is
+ * taken as ended only when its end is before this time.
+ */
+int64_t owner_certain_us (const Owner *owner, const Fold *fold, uint32_t shard, int64_t now_us);
+
 /** Epoch under which this entry owns @p shard; 0: it doesn't. */
 uint64_t owner_epoch (const Owner *owner, uint32_t shard);
 
--- a/lib/entry/settings.c
+++ b/lib/entry/settings.c
@@ -79,6 +79,14 @@
   INTEGER ("lease_ms", lease_ms, 100, 600000, "5000", "Length of a lease."),
   INTEGER ("fresh_ms", fresh_ms, 100, 600000, "2000", "Oldest view of the log that renews."),
   INTEGER ("drift_ms", drift_ms, 0, 60000, "500", "Bound on drift between two clocks in a lease."),
+  INTEGER (
+      "outage_ms",
+      outage_ms,
+      0,
+      MILLIS_MAX,
+      "7200000",
+      "Longest outage of the log through which leases are renewed by consent; the same in every "
+      "entry."),
   INTEGER ("heartbeat_ms", heartbeat_ms, 10, 60000, "500", "Time between digests to entries."),
   INTEGER ("tick_ms", tick_ms, 1, 10000, "100", "Time between decisions on tasks."),
   INTEGER ("member_timeout_ms",
--- a/lib/entry/settings.h
+++ b/lib/entry/settings.h
@@ -37,6 +37,7 @@
   int64_t lease_ms;
   int64_t fresh_ms;
   int64_t drift_ms;
+  int64_t outage_ms;
   int64_t heartbeat_ms;
   int64_t tick_ms;
   int64_t member_timeout_ms;
--- a/lib/entry/shard.c
+++ b/lib/entry/shard.c
@@ -3,219 +3,12 @@
 #include <string.h>
 
 #include "common/clk.h"
-#include "entry/inputs.h"
 #include "entry/jobs.h"
+#include "entry/shard_private.h"
 
 /** A start that the agent's heartbeats don't show after this time is sent again. */
 #define RESEND_US (1500 * CLK_US_PER_MS)
 
-/* What this owner knows of an agent. */
-typedef struct
-{
-  uint64_t incarnation;
-  int64_t lease_until_us; /**< its leases from this owner have lapsed then */
-  uint64_t signature;     /**< of the row that the core has */
-  gboolean is_known;      /**< the core has it */
-  gboolean is_left;       /**< the core was told that it leaves */
-  gboolean is_replaced;   /**< an older incarnation's lease may be live */
-  int64_t replaced_until_us;
-} AgentRow;
-
-/* A start that was sent and not yet reported. */
-typedef struct
-{
-  CoreTaskKey task;
-  uint32_t attempt;
-  char *agent;
-  Wire__TaskCommand command;
-  Wire__Size reserved;
-  char *batch_class;
-  char *checkpoint;
-  char *job_name;
-  int64_t sent_us;
-} StartRow;
-
-/* A job that the core has. */
-typedef struct
-{
-  DocDocument *document;
-  char *name;
-  gboolean is_cancelled;
-  GArray *checkpoints; /**< TaskMemory by index */
-} JobRow;
-
-typedef struct
-{
-  char *checkpoint;
-  int64_t progress_ms;
-} TaskMemory;
-
-struct Shard
-{
-  ShardOptions options;
-  ShardOps ops;
-  Core *core;
-  Reports *reports;
-  GHashTable *agents; /**< name -> AgentRow */
-  GHashTable *jobs;   /**< id -> JobRow */
-  GHashTable *starts; /**< CoreTaskKey -> StartRow */
-  GHashTable *held;   /**< CoreTaskKey set: may run on an agent not yet heard */
-  Inputs *inputs;     /**< for the next tick */
-  GArray *commands;
-};
-
-static guint
-task_hash (gconstpointer data)
-{
-  const CoreTaskKey *key = data;
-
-  return (guint) (key->job ^ key->job >> 32) * 31U + key->index;
-}
-
-static gboolean
-task_equal (gconstpointer a, gconstpointer b)
-{
-  const CoreTaskKey *left = a;
-  const CoreTaskKey *right = b;
-
-  return left->job == right->job && left->index == right->index;
-}
-
-static void
-start_free (void *data)
-{
-  StartRow *row = data;
-
-  g_free (row->agent);
-  g_free (row->batch_class);
-  g_free (row->checkpoint);
-  g_free (row->job_name);
-  g_free (row);
-}
-
-static void
-memory_clear (void *data)
-{
-  TaskMemory *memory = data;
-
-  g_free (memory->checkpoint);
-}
-
-static void
-job_free (void *data)
-{
-  JobRow *job = data;
-
-  doc_free (job->document);
-  g_free (job->name);
-  g_array_free (job->checkpoints, TRUE);
-  g_free (job);
-}
-
-static gboolean
-ends_task (Record__TaskEnd end, CoreTaskEvent *event)
-{
-  switch (end)
-    {
-    case RECORD__TASK_END__END_DONE:
-    case RECORD__TASK_END__END_CANCELLED:
-    case RECORD__TASK_END__END_GIVEN_UP:
-      *event = CORE_TASK_DONE;
-      return TRUE;
-    case RECORD__TASK_END__END_FAILED:
-      *event = CORE_TASK_FAILED;
-      return FALSE;
-    case RECORD__TASK_END__END_CHECKPOINT:
-      *event = CORE_TASK_CHECKPOINTED;
-      return FALSE;
-    default:
-      *event = CORE_TASK_FREE;
-      return FALSE;
-    }
-}
-
-/* What the log knows of a task, as inputs; what may still run elsewhere is held. */
-static void
-add_task (Shard *shard, const FoldJob *job, uint32_t index, gboolean may_run)
-{
-  const FoldTask *task = &job->tasks[index];
-  CoreTaskKey key = { job->job, index };
-  CoreTaskEvent event = CORE_TASK_FREE;
-  gboolean is_over = ends_task (task->end, &event);
-  uint32_t times = event == CORE_TASK_FAILED ? MAX (task->failures, 1) : 1;
-
-  for (uint32_t i = 0; event != CORE_TASK_FREE && i < times; i++)
-    {
-      CoreInput *input = inputs_task (shard->inputs, key, task->attempts, event);
-      input->task.progress_ms = task->progress_ms;
-      input->task.checkpoint = inputs_keep (shard->inputs, task->checkpoint);
-    }
-  if (is_over || !may_run)
-    return;
-  CoreTaskKey *held = g_new (CoreTaskKey, 1);
-  *held = key;
-  g_hash_table_add (shard->held, held);
-  inputs_task (shard->inputs, key, task->attempts, CORE_TASK_HELD);
-}
-
-static void
-add_memory (JobRow *row, const FoldJob *job)
-{
-  for (uint32_t i = 0; i < job->n_tasks; i++)
-    {
-      TaskMemory memory = { g_strdup (job->tasks[i].checkpoint), job->tasks[i].progress_ms };
-      g_array_append_val (row->checkpoints, memory);
-    }
-}
-
-static void
-add_job (Shard *shard, const FoldJob *job, gboolean may_run, int64_t now_us)
-{
-  gsize size = 0;
-  const void *data = g_bytes_get_data (job->definition, &size);
-  DocDocument *document = jobs_parse (job->name, data, size);
-  CoreInput input = { .type = CORE_IN_JOB };
-
-  if (document == NULL)
-    return;
-  JobRow *row = g_new0 (JobRow, 1);
-  uint64_t *key = g_new (uint64_t, 1);
-  *key = job->job;
-  row->document = document;
-  row->name = g_strdup (job->name);
-  row->checkpoints = g_array_new (FALSE, TRUE, sizeof (TaskMemory));
-  g_array_set_clear_func (row->checkpoints, memory_clear);
-  add_memory (row, job);
-  g_hash_table_insert (shard->jobs, key, row);
-  input.job.job = job->job;
-  input.job.definition = doc_job (document, job->name);
-  input.job.submitted_us = (job->submitted_ms - shard->options.wall_offset_ms) * CLK_US_PER_MS;
-  input.job.submitted_us = MIN (input.job.submitted_us, now_us);
-  if (job->deadline_ms != 0)
-    input.job.deadline_us = (job->deadline_ms - shard->options.wall_offset_ms) * CLK_US_PER_MS;
-  g_array_append_val (shard->inputs->rows, input);
-  for (uint32_t i = 0; i < job->n_tasks; i++)
-    add_task (shard, job, i, may_run);
-}
-
-static void
-take_job (Shard *shard, const FoldJob *job, gboolean may_run, int64_t now_us)
-{
-  CoreInput input = { .type = CORE_IN_CANCEL };
-  JobRow *row = g_hash_table_lookup (shard->jobs, &job->job);
-
-  if (row == NULL && job->n_final < job->n_tasks)
-    {
-      add_job (shard, job, may_run, now_us);
-      row = g_hash_table_lookup (shard->jobs, &job->job);
-    }
-  if (row == NULL || row->is_cancelled || !job->cancelled)
-    return;
-  input.cancelled_job = job->job;
-  row->is_cancelled = TRUE;
-  g_array_append_val (shard->inputs->rows, input);
-}
-
 void
 shard_job (Shard *shard, const Fold *fold, uint64_t id, int64_t now_us)
 {
@@ -223,7 +16,7 @@
 
   /* A predecessor that reads a job after this owner's claim is deposed before it sees the job. */
   if (job != NULL && jobs_shard (id, shard->options.shards) == shard->options.shard)
-    take_job (shard, job, FALSE, now_us);
+    shard_take_job (shard, job, FALSE, now_us);
 }
 
 Shard *
@@ -241,9 +34,9 @@
   shard->core = core_new (&options->core);
   shard->reports = reports_new (options->shard, options->epoch);
   shard->agents = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  shard->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, job_free);
-  shard->starts = g_hash_table_new_full (task_hash, task_equal, NULL, start_free);
-  shard->held = g_hash_table_new_full (task_hash, task_equal, g_free, NULL);
+  shard->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, shard_job_free);
+  shard->starts = g_hash_table_new_full (shard_task_hash, shard_task_equal, NULL, shard_start_free);
+  shard->held = g_hash_table_new_full (shard_task_hash, shard_task_equal, NULL, g_free);
   shard->inputs = inputs_new ();
   shard->commands = g_array_new (FALSE, FALSE, sizeof (CoreCommand));
   if (document != NULL)
@@ -252,7 +45,7 @@
     {
       const FoldJob *job = g_ptr_array_index (jobs, i);
       if (jobs_shard (job->job, options->shards) == options->shard)
-        take_job (shard, job, !options->is_settled, now_us);
+        shard_take_job (shard, job, !options->is_settled, now_us);
     }
   return shard;
 }
@@ -279,6 +72,23 @@
   core_set_document (shard->core, document);
 }
 
+/* Its tasks go elsewhere: a start that it never reported must not be sent to it again. */
+static void
+lose_agent (Shard *shard, const char *agent)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, shard->starts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const StartRow *row = value;
+      if (strcmp (row->agent, agent) == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+  inputs_worker_end (shard->inputs, agent, CORE_IN_WORKER_LOST);
+}
+
 static AgentRow *
 agent_row (Shard *shard, const MembersAgent *agent)
 {
@@ -297,20 +107,21 @@
       row->replaced_until_us = MAX (row->replaced_until_us, row->lease_until_us);
       row->incarnation = agent->incarnation;
       row->is_left = FALSE;
+      row->is_registered = FALSE;
       row->signature = 0;
     }
   return row;
 }
 
 static void
-update_worker (Shard *shard, AgentRow *row, const MembersAgent *agent, int64_t now_us)
+update_worker (Shard *shard, AgentRow *row, const MembersAgent *agent)
 {
   if (row->is_replaced)
     {
-      if (now_us < row->replaced_until_us)
+      if (shard->certain_us < row->replaced_until_us)
         return;
       if (row->is_known)
-        inputs_worker_end (shard->inputs, agent->name, CORE_IN_WORKER_LOST);
+        lose_agent (shard, agent->name);
       row->is_replaced = FALSE;
       row->is_known = FALSE;
     }
@@ -339,18 +150,36 @@
   (void) shard->ops.command (shard->ops.ctx, agent, &command);
 }
 
-/* Checkpoints are kept here so that the next start can name them. */
+/* Until settled the predecessor may act on the same report, so an end alone lets nothing start. */
 static void
-remember (Shard *shard, const Wire__TaskStatus *status)
+update_held (Shard *shard, CoreTaskKey task, const Wire__TaskStatus *status)
 {
-  JobRow *job = g_hash_table_lookup (shard->jobs, &status->job);
+  HeldRow *held = g_hash_table_lookup (shard->held, &task);
 
-  if (job == NULL || status->index >= job->checkpoints->len || *status->checkpoint == '\0')
+  if (held == NULL)
     return;
-  TaskMemory *memory = &g_array_index (job->checkpoints, TaskMemory, status->index);
-  g_free (memory->checkpoint);
-  memory->checkpoint = g_strdup (status->checkpoint);
-  memory->progress_ms = status->progress_ms;
+  if (status->state == WIRE__TASK_STATE__TASK_DONE)
+    g_hash_table_remove (shard->held, &task);
+  else if (status->state == WIRE__TASK_STATE__TASK_RUNNING)
+    held->is_running = TRUE;
+  else
+    {
+      held->is_running = FALSE;
+      (void) inputs_task (shard->inputs, task, status->attempt, CORE_TASK_HELD);
+    }
+}
+
+/* A task is done by whichever attempt ends first, also by one that was given up as lost: a later
+ * start is taken back, and the core hears of it as the end of its newest attempt. */
+static void
+take_done (Shard *shard, CoreInput *input)
+{
+  const TaskMemory *memory = shard_memory (shard, input->task.task);
+
+  g_hash_table_remove (shard->starts, &input->task.task);
+  input->task.worker = NULL;
+  if (memory != NULL)
+    input->task.attempt = MAX (input->task.attempt, memory->newest_attempt);
 }
 
 static void
@@ -383,10 +212,12 @@
         {
           input->task.worker = inputs_keep (shard->inputs, agent->name);
           input->task.checkpoint = inputs_keep (shard->inputs, input->task.checkpoint);
+          if (input->task.event == CORE_TASK_DONE)
+            take_done (shard, input);
         }
     }
-  remember (shard, status);
-  g_hash_table_remove (shard->held, &task);
+  shard_remember (shard, status);
+  update_held (shard, task, status);
 }
 
 static void
@@ -418,9 +249,10 @@
 
   if (granted)
     row->lease_until_us = now_us + shard->options.lease_us + shard->options.drift_us;
-  if (members_epoch (agent, shard->options.shard) != shard->options.epoch)
+  row->is_registered = members_epoch (agent, shard->options.shard) == shard->options.epoch;
+  if (!row->is_registered)
     return;
-  update_worker (shard, row, agent, now_us);
+  update_worker (shard, row, agent);
   if (!row->is_known || row->is_replaced)
     return;
   inputs_services (shard->inputs, agent);
@@ -442,16 +274,54 @@
     take_status (shard, fold, agent, status, now_us);
 }
 
+gboolean
+shard_may_grant (const Shard *shard, const MembersAgent *agent)
+{
+  return !shard->is_settling || members_epoch (agent, shard->options.shard) == shard->options.epoch;
+}
+
 void
 shard_settled (Shard *shard)
+{
+  shard->is_settling = !shard->options.is_settled;
+}
+
+/* Whether an agent may hold a lease of this owner and not yet have told what it runs: what it
+ * started under the predecessor goes on under the new lease. */
+static gboolean
+has_untold_lease (const Shard *shard)
 {
   GHashTableIter iter;
-  gpointer key = NULL;
+  gpointer value = NULL;
 
+  g_hash_table_iter_init (&iter, shard->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const AgentRow *row = value;
+      if ((!row->is_registered && shard->certain_us < row->lease_until_us)
+          || shard->certain_us < row->replaced_until_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+settle (Shard *shard)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  if (!shard->is_settling || has_untold_lease (shard))
+    return;
+  shard->is_settling = FALSE;
   shard->options.is_settled = TRUE;
   g_hash_table_iter_init (&iter, shard->held);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    (void) inputs_task (shard->inputs, *(const CoreTaskKey *) key, 0, CORE_TASK_FREE);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const HeldRow *held = value;
+      if (!held->is_running)
+        (void) inputs_task (shard->inputs, held->task, 0, CORE_TASK_FREE);
+    }
   g_hash_table_remove_all (shard->held);
 }
 
@@ -468,9 +338,9 @@
       AgentRow *row = value;
       const MembersAgent *agent = members_agent (members, name, row->incarnation);
       gboolean is_live = agent != NULL && members_is_live (members, agent->heard_us, now_us);
-      if (!row->is_known || is_live || now_us < row->lease_until_us)
+      if (!row->is_known || is_live || shard->certain_us < row->lease_until_us)
         continue;
-      inputs_worker_end (shard->inputs, name, CORE_IN_WORKER_LOST);
+      lose_agent (shard, name);
       row->is_known = FALSE;
     }
 }
@@ -495,13 +365,9 @@
 }
 
 static void
-fill_start (StartRow *row, const CoreCommand *decision, const JobRow *job)
+fill_start (StartRow *row, const CoreCommand *decision, const JobRow *job, const TaskMemory *memory)
 {
   const DocJob *definition = doc_job (job->document, job->name);
-  const TaskMemory *memory
-      = decision->task.index < job->checkpoints->len
-            ? &g_array_index (job->checkpoints, TaskMemory, decision->task.index)
-            : NULL;
 
   wire__size__init (&row->reserved);
   row->reserved.cpu_milli = decision->reserved.cpu_milli;
@@ -535,14 +401,17 @@
   row->agent = g_strdup (decision->worker);
   row->sent_us = now_us;
   fill_command (shard, decision, &row->command);
-  fill_start (row, decision, job);
+  TaskMemory *memory = shard_memory (shard, decision->task);
+  fill_start (row, decision, job, memory);
+  if (memory != NULL)
+    memory->newest_attempt = decision->attempt;
   if (shard->ops.command (shard->ops.ctx, row->agent, &row->command))
     {
       g_hash_table_replace (shard->starts, &row->task, row);
       return;
     }
   (void) inputs_task (shard->inputs, decision->task, decision->attempt, CORE_TASK_REFUSED);
-  start_free (row);
+  shard_start_free (row);
 }
 
 static void
@@ -581,8 +450,11 @@
 }
 
 void
-shard_tick (Shard *shard, const Members *members, gboolean may_command, int64_t now_us)
+shard_tick (
+    Shard *shard, const Members *members, gboolean may_command, int64_t certain_us, int64_t now_us)
 {
+  shard->certain_us = certain_us;
+  settle (shard);
   find_lost (shard, members, now_us);
   Inputs *inputs = shard->inputs;
   /* Refusals that this tick's commands meet are inputs of the next. */
--- a/lib/entry/shard.h
+++ b/lib/entry/shard.h
@@ -73,11 +73,25 @@
                   const Wire__TaskStatus *status,
                   int64_t now_us);
 
-/** What nobody reported may start now: the predecessor's leases have lapsed. */
+/**
+ * Whether the answer to @p agent may renew its lease. While the owner waits to settle, an agent
+ * that has not registered with the epoch gets none, so that its leases end.
+ */
+gboolean shard_may_grant (const Shard *shard, const MembersAgent *agent);
+
+/**
+ * The predecessor's leases have lapsed: what nobody reported may start as soon as each agent that
+ * got a lease from this owner has registered, or its lease has lapsed as well.
+ */
 void shard_settled (Shard *shard);
 
-/** Decides. @p may_command: leases are renewed, so that commands are allowed. */
-void shard_tick (Shard *shard, const Members *members, gboolean may_command, int64_t now_us);
+/**
+ * Decides. @p may_command: leases are renewed, so that commands are allowed. @p certain_us: up to
+ * when it is certain that no other entry owned the shard; a lease that ended later may have been
+ * prolonged.
+ */
+void shard_tick (
+    Shard *shard, const Members *members, gboolean may_command, int64_t certain_us, int64_t now_us);
 
 /** After records were folded. */
 void shard_folded (Shard *shard, const Fold *fold);
--- a/programs/entry/loop.c
+++ b/programs/entry/loop.c
@@ -9,6 +9,8 @@
 
 /** Members silent for so long are forgotten. */
 #define FORGET_US (600 * CLK_US_PER_S)
+/** The own record is repeated, so that the log does not forget this entry. */
+#define ENTRY_AGAIN_US (3600 * CLK_US_PER_S)
 
 void
 loop_adopt (Loop *loop, Config *next)
@@ -104,6 +106,7 @@
   record.body_case = RECORD__RECORD__BODY_ENTRY;
   record.entry = &entry;
   loop->is_entry_sent = loop_append (loop, &record, TRUE, &loop->entry_record);
+  loop->entry_due_us = clk_now_us () + ENTRY_AGAIN_US;
 }
 
 static GHashTable *
@@ -148,7 +151,8 @@
     {
       if (loop->shards[i] != NULL)
         shard_tick (loop->shards[i], loop->members,
-                    owner_may_renew (loop->owner, loop->fold, i, now_us), now_us);
+                    owner_may_renew (loop->owner, loop->fold, i, now_us),
+                    owner_certain_us (loop->owner, loop->fold, i, now_us), now_us);
     }
   loop_calls_check_agents (loop, now_us);
   publish_view (loop, now_us);
@@ -157,6 +161,8 @@
 static void
 beat (Loop *loop, int64_t now_us)
 {
+  if (now_us >= loop->entry_due_us)
+    loop->is_entry_sent = FALSE;
   if (!loop->is_entry_sent && !loop->is_leaving && loop->is_caught_up)
     append_entry (loop, FALSE);
   loop_send_digests (loop, now_us);
--- a/programs/entry/loop_log.c
+++ b/programs/entry/loop_log.c
@@ -10,6 +10,8 @@
 #define COMMIT_QUEUE_MAX 16384
 #define ID_WINDOW_MS INT64_C (3600000)
 #define HISTORY_MAX 1000
+/** Entries that the log did not hear of for so long are dropped. */
+#define ENTRY_KEEP_MS INT64_C (86400000)
 #define SNAPSHOT_CHUNK_BYTES (256 * 1024)
 /** A post that finds the queue full tries again after this time. */
 #define POST_RETRY_US 1000
@@ -24,6 +26,8 @@
   options.id_window_ms = ID_WINDOW_MS;
   options.shards = (uint32_t) settings->shards;
   options.history_max = HISTORY_MAX;
+  options.claim_wait_ms = settings->lease_ms;
+  options.entry_keep_ms = ENTRY_KEEP_MS;
   return options;
 }
 
@@ -56,20 +60,6 @@
   return TRUE;
 }
 
-static void
-append_fence (Loop *loop, IdsId id)
-{
-  Record__Record record = RECORD__RECORD__INIT;
-  Record__Fence fence = RECORD__FENCE__INIT;
-  IdsId own = { 0 };
-
-  fence.id_high = id.high;
-  fence.id_low = id.low;
-  record.body_case = RECORD__RECORD__BODY_FENCE;
-  record.fence = &fence;
-  (void) commit_submit (loop->commit, &record, TRUE, NULL, NULL, &own, NULL);
-}
-
 static void
 not_appended (Loop *loop, IdsId id)
 {
@@ -96,7 +86,9 @@
     not_appended (loop, appended->id);
   else if (appended->result == COMMIT_DOUBT)
     {
-      append_fence (loop, appended->id);
+      /* The record was written at most so long ago. */
+      int64_t wall_ms = clk_wall_ms () - loop->settings->log_give_up_ms;
+      (void) commit_fence (loop->commit, appended->id, wall_ms, NULL, NULL, NULL);
       once_doubtful (loop->once, appended->id);
     }
 }
--- a/programs/entry/loop_once.c
+++ b/programs/entry/loop_once.c
@@ -14,6 +14,7 @@
       int64_t budget_us,
       const char **agent,
       uint64_t *incarnation,
+      int64_t *agent_sent_us,
       ErrKind *kind)
 {
   Loop *loop = ctx;
@@ -27,6 +28,7 @@
     return FALSE;
   *agent = choice.endpoint->agent->name;
   *incarnation = choice.endpoint->agent->incarnation;
+  *agent_sent_us = choice.endpoint->agent->sent_us;
   return TRUE;
 }
 
@@ -61,6 +63,7 @@
   request.body_digest = send->body_digest;
   request.budget_us = send->budget_us;
   request.agent_incarnation = send->agent_incarnation;
+  request.agent_sent_us = send->agent_sent_us;
   envelope.body_case = WIRE__ENVELOPE__BODY_REQUEST;
   envelope.request = &request;
   if (!wire_send (loop->wire, send->agent, &envelope))
@@ -78,7 +81,8 @@
        const char *tenant,
        const char *key,
        uint32_t attempt,
-       IdsId request)
+       IdsId request,
+       int64_t agent_sent_us)
 {
   Loop *loop = ctx;
   Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
@@ -90,6 +94,7 @@
   message.id_high = request.high;
   message.id_low = request.low;
   message.agent_incarnation = incarnation;
+  message.agent_sent_us = agent_sent_us;
   envelope.body_case = WIRE__ENVELOPE__BODY_ATTEMPT_QUERY;
   envelope.attempt_query = &message;
   (void) wire_send (loop->wire, agent, &envelope);
--- a/programs/entry/loop_private.h
+++ b/programs/entry/loop_private.h
@@ -74,6 +74,7 @@
   int64_t started_us;
   int64_t tick_due_us;
   int64_t beat_due_us;
+  int64_t entry_due_us; /**< when the own Entry record is repeated */
   int64_t snapshot_due_us;
   MetHistogram *call_us;
   MetSeries *calls_gauge;
--- a/programs/entry/loop_tasks.c
+++ b/programs/entry/loop_tasks.c
@@ -134,6 +134,7 @@
   options.lease_us = settings->lease_ms * CLK_US_PER_MS;
   options.fresh_us = settings->fresh_ms * CLK_US_PER_MS;
   options.drift_us = settings->drift_ms * CLK_US_PER_MS;
+  options.outage_us = settings->outage_ms * CLK_US_PER_MS;
   options.silence_us = settings->heartbeat_ms * CLK_US_PER_MS * SILENT_BEATS_TENTHS / 10;
   options.stagger_us = settings->heartbeat_ms * CLK_US_PER_MS;
   options.ask_every_us = settings->heartbeat_ms * CLK_US_PER_MS;
@@ -222,7 +223,8 @@
       Shard *shard = loop->shards[i];
       if (shard == NULL)
         continue;
-      gboolean granted = owner_may_renew (loop->owner, loop->fold, i, now_us);
+      gboolean granted
+          = owner_may_renew (loop->owner, loop->fold, i, now_us) && shard_may_grant (shard, agent);
       shard_announce (shard, loop->fold, agent, announce, granted, now_us);
       send_lease (loop, agent->name, announce, i, granted ? loop->settings->lease_ms : 0);
       is_answered = TRUE;
--- a/tests/entry/test_once_props.cc
+++ b/tests/entry/test_once_props.cc
@@ -137,6 +137,7 @@
          int64_t budget_us,
          const char **agent,
          uint64_t *incarnation,
+         int64_t *,
          ErrKind *kind)
 {
   auto *entry = static_cast<Entry *> (ctx);
@@ -211,7 +212,8 @@
           const char *tenant,
           const char *key,
           uint32_t attempt,
-          IdsId request)
+          IdsId request,
+          int64_t)
 {
   auto *entry = static_cast<Entry *> (ctx);
   Wire__AttemptQuery query = WIRE__ATTEMPT_QUERY__INIT;
