--- a/tests/entry/test_shard.c
+++ b/tests/entry/test_shard.c
@@ -307,10 +307,9 @@
   tick (fix, 100, 0);
   assert_int_equal (fix->starts->len, 1);
   tick (fix, 3000, 0);
-  hear (fix, "a1", &present);
-  tick (fix, 100, 0);
-  assert_int_equal (newest_start (fix), 2);
   hear (fix, "a0", &present);
+  assert_int_equal (fix->starts->len, 1);
+  tick (fix, 100, 0);
   assert_int_equal (newest_start (fix), 2);
   assert_int_equal (fix->starts->len, 2);
 }
@@ -330,9 +329,12 @@
   tick (fix, 100, 0);
   assert_int_equal (newest_start (fix), 2);
   hear (fix, "a0", &done);
-  tick (fix, 2000, 0);
-  shard_folded (fix->shard, fix->fold);
-  hear (fix, "a1", &present);
+  for (int i = 0; i < 20; i++)
+    {
+      tick (fix, 100, 0);
+      shard_folded (fix->shard, fix->fold);
+      hear (fix, "a1", &present);
+    }
   assert_int_equal (fix->starts->len, 2);
   hear (fix, "a1", &running);
   assert_int_equal (fix->stops, 1);
