--- a/lib/common/met.c
+++ b/lib/common/met.c
@@ -1,5 +1,6 @@
 #include "common/met.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 
 /** Each power of two is cut into this many equal parts; the error is at most 1/16. */
@@ -29,7 +30,7 @@
 
 struct MetRegistry
 {
-  GMutex lock;
+  pthread_mutex_t lock;
   GHashTable *by_key; /**< "name{labels}" -> MetSeries or MetHistogram, not owned */
   GPtrArray *series;
   GPtrArray *histograms;
@@ -62,7 +63,7 @@
 {
   MetRegistry *registry = g_new0 (MetRegistry, 1);
 
-  g_mutex_init (&registry->lock);
+  (void) pthread_mutex_init (&registry->lock, NULL);
   registry->by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   registry->series = g_ptr_array_new_with_free_func (series_free);
   registry->histograms = g_ptr_array_new_with_free_func (histogram_free);
@@ -77,7 +78,7 @@
   g_hash_table_destroy (registry->by_key);
   g_ptr_array_free (registry->series, TRUE);
   g_ptr_array_free (registry->histograms, TRUE);
-  g_mutex_clear (&registry->lock);
+  (void) pthread_mutex_destroy (&registry->lock);
   g_free (registry);
 }
 
@@ -90,7 +91,7 @@
 {
   char *key = g_strdup_printf ("%s{%s}", name, labels != NULL ? labels : "");
 
-  g_mutex_lock (&registry->lock);
+  (void) pthread_mutex_lock (&registry->lock);
   MetSeries *series = g_hash_table_lookup (registry->by_key, key);
   if (series == NULL)
     {
@@ -102,7 +103,7 @@
       g_ptr_array_add (registry->series, series);
       g_hash_table_insert (registry->by_key, g_steal_pointer (&key), series);
     }
-  g_mutex_unlock (&registry->lock);
+  (void) pthread_mutex_unlock (&registry->lock);
   g_free (key);
   return series;
 }
@@ -151,7 +152,7 @@
 {
   char *key = g_strdup_printf ("%s{%s}", name, labels != NULL ? labels : "");
 
-  g_mutex_lock (&registry->lock);
+  (void) pthread_mutex_lock (&registry->lock);
   MetHistogram *histogram = g_hash_table_lookup (registry->by_key, key);
   if (histogram == NULL)
     {
@@ -162,7 +163,7 @@
       g_ptr_array_add (registry->histograms, histogram);
       g_hash_table_insert (registry->by_key, g_steal_pointer (&key), histogram);
     }
-  g_mutex_unlock (&registry->lock);
+  (void) pthread_mutex_unlock (&registry->lock);
   g_free (key);
   return histogram;
 }
@@ -275,7 +276,7 @@
   GString *out = g_string_new (NULL);
   const char *previous_name = NULL;
 
-  g_mutex_lock (&registry->lock);
+  (void) pthread_mutex_lock (&registry->lock);
   g_ptr_array_sort (registry->series, compare_series);
   for (guint i = 0; i < registry->series->len; i++)
     {
@@ -285,6 +286,6 @@
     }
   for (guint i = 0; i < registry->histograms->len; i++)
     render_histogram (out, g_ptr_array_index (registry->histograms, i));
-  g_mutex_unlock (&registry->lock);
+  (void) pthread_mutex_unlock (&registry->lock);
   return g_string_free (out, FALSE);
 }
