Heartbeat traffic within 6 KB/s a node, headers included

Cause: measured with ss on the agent's two connections for 20 s (two entries, one service, 20 tasks): payload 83,450 bytes, 1,343 segments of 52 header bytes: 7,664 bytes a second, over the target. ZeroMQ's own heartbeats, two pings and two pongs a period for each connection, were half of the segments; the tasks' reservations, which don't change, a fifth of a heartbeat. A heartbeat is 839 bytes. Ruled out: a longer heartbeat_ms, which would delay membership.

--- a/lib/agent/agent_announce.c
+++ b/lib/agent/agent_announce.c
@@ -55,6 +55,7 @@
 agent_announce_task (const AgentTask *task,
                      int64_t now_us,
                      int64_t previous_us,
+                     gboolean full,
                      Wire__TaskStatus *status,
                      Wire__Size *used,
                      Wire__Size *reserved)
@@ -67,8 +68,11 @@
   status->epoch = task->epoch;
   status->state = wire_state (task->state);
   status->progress_ms = task->progress_ms;
-  *reserved = agent_announce_size (&task->reserved);
-  status->reserved = reserved;
+  if (full)
+    {
+      *reserved = agent_announce_size (&task->reserved);
+      status->reserved = reserved;
+    }
   if (task->measured_us != 0 && task->measured_us >= previous_us)
     {
       *used = agent_announce_size (&task->used);
@@ -133,7 +137,7 @@
     {
       TaskRow *row = &announce->tasks[i];
       agent_announce_task (agent_tasks_at (source->tasks, i), source->now_us, source->previous_us,
-                           &row->status, &row->used, &row->reserved);
+                           source->full, &row->status, &row->used, &row->reserved);
       announce->message.tasks[i] = &row->status;
     }
 }
--- a/lib/agent/agent_announce.h
+++ b/lib/agent/agent_announce.h
@@ -40,6 +40,7 @@
   const AgentLeases *leases;
   const AgentTasks *tasks;
   int64_t previous_us; /**< usage measured before this was in the last heartbeat */
+  gboolean full;       /**< with the reservation of each task, which doesn't change */
 } AgentAnnounceSource;
 
 /** Builds a heartbeat; valid while the source's tables are unchanged. */
@@ -51,11 +52,13 @@
 
 /**
  * Fills @p status from @p task, without the batch class, which the owner knows from the job; usage
- * only when it was measured since @p previous_us. @p used and @p reserved are the caller's room for
- * its sizes. */
+ * only when it was measured since @p previous_us, the reservation only when @p full. @p used and
+ * @p reserved are the caller's room.
+ */
 void agent_announce_task (const AgentTask *task,
                           int64_t now_us,
                           int64_t previous_us,
+                          gboolean full,
                           Wire__TaskStatus *status,
                           Wire__Size *used,
                           Wire__Size *reserved);
--- a/lib/agent/agent_node.c
+++ b/lib/agent/agent_node.c
@@ -17,7 +17,10 @@
 #define LATENCY_WINDOW_US (INT64_C (10) * CLK_US_PER_S)
 /** Pause before a post is tried again at a full queue. */
 #define POST_RETRY_US 1000
-#define EPOCH_FIRST 1
+/** Heartbeats of which one repeats what doesn't change. */
+#define FULL_HEARTBEAT_EVERY 20
+/** Set in every incarnation, so that none is 0. */
+#define INCARNATION_BIT 1
 
 void
 agent_node_count (AgentNode *node, const char *name, const char *help)
@@ -52,10 +55,12 @@
 agent_node_beat (AgentNode *node, int64_t now_us)
 {
   const AgentSettings *settings = node->settings;
+
+  node->seq++;
   AgentAnnounceSource source = {
     .name = settings->name,
     .incarnation = node->incarnation,
-    .seq = ++node->seq,
+    .seq = node->seq,
     .now_us = now_us,
     .data_centre = settings->data_centre,
     .rack = settings->rack,
@@ -71,6 +76,7 @@
     .leases = node->leases,
     .tasks = node->tasks,
     .previous_us = node->beat_us,
+    .full = node->seq % FULL_HEARTBEAT_EVERY == 0 || node->tell_all,
   };
   AgentAnnounce *announce = agent_announce_new (&source);
 
@@ -78,6 +84,7 @@
   for (const char *const *name = wire_peers (node->wire); *name != NULL; name++)
     (void) wire_send (node->wire, *name, agent_announce_envelope (announce));
   agent_announce_free (announce);
+  node->tell_all = FALSE;
   node->beat_us = now_us;
 }
 
@@ -101,7 +108,8 @@
         {
           jnl_event (JNL_INFO, "agent", "epoch", "shard=%u epoch=%" G_GUINT64_FORMAT " entry=%s",
                      grant.shard, grant.epoch, peer);
-          /* The new owner learns at once what runs here. */
+          /* The new owner learns at once all that runs here. */
+          node->tell_all = TRUE;
           agent_node_beat (node, now_us);
         }
     }
@@ -375,7 +383,7 @@
 
   node->settings = settings;
   node->metrics = metrics;
-  node->incarnation = ids_new ().low | EPOCH_FIRST;
+  node->incarnation = ids_new ().low | INCARNATION_BIT;
   node->opened_us = clk_now_us ();
   atomic_init (&node->is_ready, FALSE);
   atomic_init (&node->is_done, FALSE);
--- a/lib/agent/agent_node.h
+++ b/lib/agent/agent_node.h
@@ -40,6 +40,7 @@
   int64_t beat_us;     /**< when the newest heartbeat left */
   gboolean has_listed; /**< the worker's tasks are known, or can't be running any more */
   gboolean endpoint_healthy;
+  gboolean tell_all; /**< the next heartbeat repeats what doesn't change */
   uint64_t config_version;
   uint64_t completed;
   uint32_t extends_waiting; /**< extensions handed to the worker and not yet answered */
--- a/lib/agent/agent_work.c
+++ b/lib/agent/agent_work.c
@@ -64,7 +64,7 @@
   Wire__Size used;
   Wire__Size reserved;
 
-  agent_announce_task (task, clk_now_us (), 0, &status, &used, &reserved);
+  agent_announce_task (task, clk_now_us (), 0, TRUE, &status, &used, &reserved);
   status.batch_class = task->batch_class;
   send_status (node, peer, &status);
 }
--- a/lib/wire/message.pb-c.h
+++ b/lib/wire/message.pb-c.h
@@ -134,6 +134,10 @@
    * age of used when this message was sent
    */
   int64_t measured_ago_us;
+  /*
+   * Known to the owner that started it: in events, and in a heartbeat after a new epoch or now and
+   * then. Absent means unchanged. batch_class is in events only.
+   */
   Wire__Size *reserved;
   char *batch_class;
 };
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -18,8 +18,10 @@
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 1000
 #define CONNECT_TIMEOUT_MS 2000
-/** ZeroMQ heartbeats that may be missed before a connection is made anew. */
-#define HEARTBEATS_MISSED 3
+/** Periods between two ZeroMQ heartbeats: our own messages mostly show that a peer is there. */
+#define HEARTBEAT_PERIODS 4
+/** Periods without an answer to one before a connection is made anew. */
+#define HEARTBEAT_TIMEOUT_PERIODS 3
 
 /** One peer given to wire_connect(). */
 typedef struct
@@ -115,9 +117,11 @@
   set_option (socket, ZMQ_LINGER, 0);
   set_option (socket, ZMQ_SNDHWM, (int) wire->send_queue_max);
   set_option (socket, ZMQ_RCVHWM, (int) wire->send_queue_max);
-  set_option (socket, ZMQ_HEARTBEAT_IVL, (int) wire->heartbeat_ms);
-  set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, (int) (wire->heartbeat_ms * HEARTBEATS_MISSED));
-  set_option (socket, ZMQ_HEARTBEAT_TTL, (int) (wire->heartbeat_ms * HEARTBEATS_MISSED));
+  set_option (socket, ZMQ_HEARTBEAT_IVL, (int) (wire->heartbeat_ms * HEARTBEAT_PERIODS));
+  set_option (socket, ZMQ_HEARTBEAT_TIMEOUT,
+              (int) (wire->heartbeat_ms * HEARTBEAT_TIMEOUT_PERIODS));
+  set_option (socket, ZMQ_HEARTBEAT_TTL,
+              (int) (wire->heartbeat_ms * (HEARTBEAT_PERIODS + HEARTBEAT_TIMEOUT_PERIODS)));
   rc = zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof (max_bytes));
   g_assert (rc == 0);
   rc = zmq_setsockopt (socket, ZMQ_ROUTING_ID, wire->id, strlen (wire->id));
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -29,7 +29,7 @@
   const char *listen;      /**< "tcp://IP:PORT"; NULL for a process that only connects */
   uint32_t send_queue_max; /**< messages waiting for one peer, and posts waiting for the loop */
   int64_t timer_ms;
-  int64_t heartbeat_ms; /**< ZeroMQ heartbeats; a silent connection is made anew */
+  int64_t heartbeat_ms; /**< a connection silent for seven of these is made anew */
   MetRegistry *metrics;
 } WireOptions;
 
