--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -2,7 +2,8 @@
 
 #include "core/tables.h"
 
-#define CORE_FORGET_US (600 * CLK_US_PER_S)
+#define CORE_FORGET_TASKS_US (600 * CLK_US_PER_S)
+#define CORE_FORGET_JOB_US (24 * 3600 * CLK_US_PER_S)
 #define CORE_SEED_MIX UINT64_C (0x9e3779b97f4a7c15)
 
 Core *
@@ -37,17 +38,26 @@
   config_load (core, document);
 }
 
-/* Rows of tasks go some time after their job is over; the job's row stays and keeps its id. */
+/* Rows of tasks go some time after their job is over; the job's row keeps its id for a day. */
 static void
 forget_finished (Core *core)
 {
   while (core->finished->len > 0)
     {
       CoreJob *job = g_ptr_array_index (core->finished, 0);
-      if (core->now_us - job->finished_us < CORE_FORGET_US)
-        return;
+      if (core->now_us - job->finished_us < CORE_FORGET_TASKS_US)
+        break;
       g_clear_pointer (&job->tasks, g_free);
       g_ptr_array_remove_index (core->finished, 0);
+      g_ptr_array_add (core->ended, job);
+    }
+  while (core->ended->len > 0)
+    {
+      CoreJob *job = g_ptr_array_index (core->ended, 0);
+      if (core->now_us - job->finished_us < CORE_FORGET_JOB_US)
+        break;
+      g_ptr_array_remove_index (core->ended, 0);
+      g_hash_table_remove (core->jobs_by_id, &job->id);
     }
 }
 
@@ -89,7 +99,7 @@
 {
   *counts = (CoreCounts){ .workers = g_hash_table_size (core->worker_rows),
                           .quarantined = core->quarantined->len,
-                          .jobs = core->jobs->len,
+                          .jobs = g_hash_table_size (core->jobs_by_id),
                           .waiting = core->total[TASK_WAITING] + core->total[TASK_HELD],
                           .running = core->total[TASK_LIVE] + core->total[TASK_STOPPING],
                           .done = core->total[TASK_DONE],
--- a/lib/core/health.c
+++ b/lib/core/health.c
@@ -9,12 +9,11 @@
 static gboolean
 has_survivor (const Core *core, const CoreJob *job, uint32_t except_row)
 {
-  int64_t proof_us = HEALTH_PROOF_US + 2 * job->failed_run_us;
-
-  if (job->count[TASK_DONE] > 0)
+  if (job != NULL && job->count[TASK_DONE] > 0)
     return TRUE;
-  if (job->tasks == NULL)
+  if (job == NULL || job->tasks == NULL)
     return FALSE;
+  int64_t proof_us = HEALTH_PROOF_US + 2 * job->failed_run_us;
   for (uint32_t i = 0; i < job->n_tasks; i++)
     {
       const CoreTask *task = &job->tasks[i];
@@ -28,7 +27,8 @@
 static gboolean
 is_bad_job (const Core *core, const CoreJob *job)
 {
-  return job->is_given_up || (job->n_failed_on >= 2 && !has_survivor (core, job, CORE_NONE));
+  return job == NULL || job->is_given_up
+         || (job->n_failed_on >= 2 && !has_survivor (core, job, CORE_NONE));
 }
 
 static void
@@ -61,7 +61,7 @@
 
   for (uint32_t i = 0; i < worker->n_streak; i++)
     {
-      if (!is_bad_job (core, worker->streak[i].job))
+      if (!is_bad_job (core, tables_job (core, worker->streak[i].job)))
         worker->streak[kept++] = worker->streak[i];
     }
   worker->n_streak = kept;
@@ -91,17 +91,18 @@
 {
   if (worker->n_streak < HEALTH_STREAK_BAD)
     return FALSE;
-  return count_jobs (worker) >= 2 || has_survivor (core, worker->streak[0].job, worker->row);
+  return count_jobs (worker) >= 2
+         || has_survivor (core, tables_job (core, worker->streak[0].job), worker->row);
 }
 
 /* The tasks get back the retries that the instance used up. */
 static void
-refund (const CoreWorker *worker)
+refund (const Core *core, const CoreWorker *worker)
 {
   for (uint32_t i = 0; i < worker->n_streak; i++)
     {
-      CoreJob *job = worker->streak[i].job;
-      if (job->tasks == NULL)
+      CoreJob *job = tables_job (core, worker->streak[i].job);
+      if (job == NULL || job->tasks == NULL)
         continue;
       CoreTask *task = &job->tasks[worker->streak[i].index];
       if (task->failures > 0)
@@ -119,7 +120,7 @@
   command.numbers[0] = worker->n_streak;
   command.numbers[1] = count_jobs (worker);
   g_strlcpy (command.worker, worker->id, sizeof command.worker);
-  refund (worker);
+  refund (core, worker);
   worker->n_streak = 0;
   worker->is_quarantined = TRUE;
   worker->quarantined_us = core->now_us;
@@ -204,7 +205,7 @@
       return;
     }
   if (worker->n_streak < CORE_STREAK_MAX)
-    worker->streak[worker->n_streak++] = (CoreBlamed){ task->job, task->index };
+    worker->streak[worker->n_streak++] = (CoreBlamed){ task->job->id, task->index };
   drop_bad_jobs (core, worker);
   if (is_bad_worker (core, worker))
     quarantine (core, worker);
--- a/lib/core/ingest.c
+++ b/lib/core/ingest.c
@@ -76,7 +76,10 @@
 
   if (worker != NULL && is_same_worker (core, worker, in))
     return;
-  if (worker != NULL && in->incarnation < worker->incarnation)
+  /* An incarnation that is leaving doesn't come back: a late announcement changes nothing. */
+  if (worker != NULL
+      && (in->incarnation < worker->incarnation
+          || (worker->state == WORKER_LEAVING && in->incarnation == worker->incarnation)))
     return;
   if (worker == NULL)
     worker = tables_worker_add (core, in->id);
--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -159,6 +159,8 @@
   task->attempt++;
   task->is_probe = choice->worker->is_quarantined;
   tables_put (core, task, choice->worker, choice->offer.size);
+  g_assert (size_fits (size_add (choice->worker->endpoints_size, choice->worker->tasks_size),
+                       choice->worker->capacity));
   health_started (core, choice->worker, task);
   core->starts++;
   if (core->starts_left != PLACE_UNLIMITED)
--- a/lib/core/reclaim.c
+++ b/lib/core/reclaim.c
@@ -234,7 +234,8 @@
 static gboolean
 is_short_of_room (const Core *core, const CoreWorker *worker)
 {
-  return !size_fits (tables_endpoints_wanted (core, worker), worker->endpoints_size);
+  return !size_fits (tables_endpoints_wanted (core, worker), worker->endpoints_size)
+         || !size_fits (worker->tasks_size, worker->capacity);
 }
 
 static void
--- a/lib/core/tables.c
+++ b/lib/core/tables.c
@@ -66,8 +66,7 @@
 {
   core->workers = g_ptr_array_new_with_free_func (worker_free);
   core->worker_rows = g_hash_table_new (g_str_hash, g_str_equal);
-  core->jobs = g_ptr_array_new_with_free_func (job_free);
-  core->jobs_by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  core->jobs_by_id = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, job_free);
   core->ready = g_ptr_array_new ();
   core->order = g_ptr_array_new ();
   core->deadlines = g_ptr_array_new ();
@@ -80,6 +79,7 @@
   core->shapes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, rules_shape_free);
   core->cancels = g_ptr_array_new ();
   core->finished = g_ptr_array_new ();
+  core->ended = g_ptr_array_new ();
   core->quarantined = g_ptr_array_new ();
   core->reported = g_ptr_array_new ();
   core->scratch = g_array_new (FALSE, TRUE, sizeof (double));
@@ -91,6 +91,7 @@
 {
   g_ptr_array_free (core->cancels, TRUE);
   g_ptr_array_free (core->finished, TRUE);
+  g_ptr_array_free (core->ended, TRUE);
   g_array_free (core->free_rows, TRUE);
   g_ptr_array_free (core->quarantined, TRUE);
   g_ptr_array_free (core->reported, TRUE);
@@ -99,7 +100,6 @@
   g_ptr_array_free (core->deadlines, TRUE);
   g_ptr_array_free (core->ready, TRUE);
   g_hash_table_destroy (core->jobs_by_id);
-  g_ptr_array_free (core->jobs, TRUE);
   g_hash_table_destroy (core->shapes);
   g_hash_table_destroy (core->worker_rows);
   g_ptr_array_free (core->workers, TRUE);
@@ -293,7 +293,6 @@
   job->known_us = core->now_us;
   job->waits_for = "not looked at yet";
   make_tasks (core, job);
-  g_ptr_array_add (core->jobs, job);
   g_hash_table_insert (core->jobs_by_id, &job->id, job);
   job->ready_place = core->ready->len;
   g_ptr_array_add (core->ready, job);
@@ -378,7 +377,6 @@
   g_ptr_array_add (worker->tasks, task);
   worker->tasks_size = size_add (worker->tasks_size, size);
   team->used = size_add (team->used, size);
-  g_assert (size_fits (size_add (worker->endpoints_size, worker->tasks_size), worker->capacity));
   interference_change (core, worker, task->job->class_row, CORE_FULL_PERMILLE);
   tables_set_state (core, task, TASK_LIVE);
 }
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -172,7 +172,7 @@
 
 typedef struct
 {
-  CoreJob *job;
+  uint64_t job;
   uint32_t index;
 } CoreBlamed;
 
@@ -282,9 +282,8 @@
   uint64_t generation; /**< grows when the document or an instance changes */
   GArray *commands;    /**< of the running tick; not owned */
   GPtrArray *workers;
-  GHashTable *worker_rows; /**< id to row + 1 */
-  GPtrArray *jobs;
-  GHashTable *jobs_by_id;
+  GHashTable *worker_rows;   /**< id to row + 1 */
+  GHashTable *jobs_by_id;    /**< CoreJob, owned */
   GPtrArray *ready;          /**< jobs with waiting tasks, not owned */
   GPtrArray *order;          /**< ready jobs, sorted this tick */
   GPtrArray *deadlines;      /**< those of them that have a deadline */
@@ -299,6 +298,7 @@
   GHashTable *pairs;      /**< CorePair by key */
   GHashTable *shapes;     /**< CoreShape by printed labels */
   GPtrArray *cancels;     /**< jobs being cancelled, not owned */
+  GPtrArray *ended;       /**< jobs whose rows can be forgotten, oldest first, not owned */
   GPtrArray *finished;    /**< jobs whose tasks can be forgotten, oldest first, not owned */
   GArray *free_rows;      /**< rows of gone workers */
   GPtrArray *quarantined; /**< CoreWorker, not owned */
--- a/tests/core/test_core.c
+++ b/tests/core/test_core.c
@@ -177,6 +177,48 @@
   fix_free (fix);
 }
 
+static void
+smaller_instance_gives_tasks_back (void **state)
+{
+  Fixture *fix = fix_new (plain, NULL);
+  CoreTaskKey found = { 2, 0 };
+  CoreInput smaller = { .type = CORE_IN_WORKER };
+
+  (void) state;
+  fix_worker (fix, "w1", "r1");
+  fix_job (fix, 1, "wide");
+  fix_tick (fix, 100);
+  smaller.worker.id = "w1";
+  smaller.worker.incarnation = 2;
+  smaller.worker.data_centre = "quito-norte";
+  smaller.worker.rack = "r1";
+  smaller.worker.capacity = (DocSize){ 6000, 60000, 0 };
+  fix_input (fix, &smaller);
+  fix_job (fix, 2, "small");
+  fix_task (fix, found, 1, "w1", CORE_TASK_RUNNING);
+  fix_tick (fix, 100);
+  assert_int_equal (fix_count (fix->commands, CORE_DO_START, CORE_WHY_COUNT), 0);
+  assert_true (fix_count (fix->commands, CORE_DO_CHECKPOINT, CORE_WHY_MAKE_ROOM) >= 1);
+  fix_free (fix);
+}
+
+static void
+leaving_incarnation_does_not_come_back (void **state)
+{
+  Fixture *fix = fix_new (plain, NULL);
+
+  (void) state;
+  fix_worker (fix, "w1", "r1");
+  fix_tick (fix, 100);
+  fix_worker_event (fix, "w1", CORE_IN_WORKER_LEFT);
+  fix_tick (fix, 100);
+  fix_worker (fix, "w1", "r1");
+  fix_job (fix, 1, "small");
+  fix_tick (fix, 100);
+  assert_int_equal (fix_count (fix->commands, CORE_DO_START, CORE_WHY_COUNT), 0);
+  fix_free (fix);
+}
+
 typedef struct
 {
   const char *job;
@@ -386,6 +428,8 @@
     cmocka_unit_test (cancelled_work_never_starts),
     cmocka_unit_test (lost_instance_frees_its_tasks),
     cmocka_unit_test (leaving_instance_gets_nothing_new),
+    cmocka_unit_test (smaller_instance_gives_tasks_back),
+    cmocka_unit_test (leaving_incarnation_does_not_come_back),
     cmocka_unit_test (unplaceable_jobs_are_named_within_2_s),
     cmocka_unit_test (unplaceable_job_starts_when_an_instance_comes),
     cmocka_unit_test (urgent_work_makes_room),
--- a/tests/core/test_core_props.cc
+++ b/tests/core/test_core_props.cc
@@ -127,7 +127,7 @@
       {
       case 0:
       case 1:
-        add_worker (a % n_workers);
+        add_worker (a % n_workers, b % 2 == 0);
         break;
       case 2:
         add_job (a % G_N_ELEMENTS (names), b % 8 == 0);
@@ -181,17 +181,24 @@
   }
 
   void
-  add_worker (size_t worker)
+  add_worker (size_t worker, bool is_new)
   {
     CoreInput input = input_of (CORE_IN_WORKER);
     input.worker.id = worker_ids[worker];
-    input.worker.incarnation = 1;
+    bool is_replaced = workers_[worker] == WorkerState::leaving && is_new;
+    if (is_replaced)
+      incarnations_[worker]++;
+    input.worker.incarnation = incarnations_[worker];
     input.worker.data_centre = "cuenca";
     input.worker.rack = rack_names[worker];
     input.worker.capacity = capacity_of (worker);
     input.worker.services = worker < 3 ? services : nullptr;
     inputs_.push_back (input);
-    workers_[worker] = WorkerState::live;
+    if (is_replaced)
+      quarantined_[worker] = false;
+    /* An incarnation that is leaving stays so, whatever it still announces. */
+    if (is_replaced || workers_[worker] == WorkerState::unknown)
+      workers_[worker] = WorkerState::live;
   }
 
   void
@@ -447,6 +454,7 @@
   std::vector<CoreInput> inputs_;
   WorkerState workers_[n_workers] = {};
   bool quarantined_[n_workers] = {};
+  uint64_t incarnations_[n_workers] = { 1, 1, 1, 1 };
   std::map<TaskId, Attempt> live_;
   std::map<TaskId, uint32_t> attempts_;
   std::map<TaskId, uint32_t> held_;
