Tests: no deref of an end iterator inside RC_ASSERT

Cause: RC_ASSERT's captured expression overloads "or", so both sides run; the undefined-behaviour sanitizer found memcmp on an empty array. The same conditions, as plain booleans first. make check-unit with address and undefined sanitizers: 5 passed, 0 failed.

--- a/tests/core/test_core_props.cc
+++ b/tests/core/test_core_props.cc
@@ -332,10 +332,10 @@
     core_tick (twin_, now_us_, inputs_.data (), inputs_.size (), twin_commands_);
     inputs_.clear ();
     RC_ASSERT (commands_->len == twin_commands_->len);
-    RC_ASSERT (
-        commands_->len == 0
-        || memcmp (commands_->data, twin_commands_->data, commands_->len * sizeof (CoreCommand))
-               == 0);
+    /* RC_ASSERT evaluates both sides of an "or", and empty arrays have no data to compare. */
+    size_t size = commands_->len * sizeof (CoreCommand);
+    bool is_same = size == 0 || memcmp (commands_->data, twin_commands_->data, size) == 0;
+    RC_ASSERT (is_same);
     for (guint i = 0; i < commands_->len; i++)
       check_command (g_array_index (commands_, CoreCommand, i));
     for (size_t worker = 0; worker < n_workers; worker++)
@@ -396,7 +396,8 @@
     RC_ASSERT (given_up_.count (task.first) == 0);
     RC_ASSERT (command.attempt > attempts_[task]);
     RC_ASSERT (workers_[worker] == WorkerState::live);
-    RC_ASSERT (!quarantined_[worker] || command.why == CORE_WHY_PROBE_WORKER);
+    bool is_allowed = !quarantined_[worker] || command.why == CORE_WHY_PROBE_WORKER;
+    RC_ASSERT (is_allowed);
     RC_ASSERT (!is_forbidden (task.first, worker));
     attempts_[task] = command.attempt;
     live_[task] = Attempt{ command.attempt, worker, command.reserved };
@@ -414,7 +415,8 @@
     /* The same attempt named again is the same eviction. */
     if (last != evicted_.end () && last->second.first == command.attempt)
       return;
-    RC_ASSERT (last == evicted_.end () || now_us_ - last->second.second >= cooldown_us);
+    bool is_cool = last == evicted_.end () || now_us_ - last->second.second >= cooldown_us;
+    RC_ASSERT (is_cool);
     evicted_[task] = { command.attempt, now_us_ };
   }
 
