HTTP: the answer is handed to the HTTP thread by one atomic store

Cause: the thread sanitizer reported on_request writing fields that the answering thread read before it resumed the connection (test_http, seen red under -fsanitize=thread). The library's own lock orders the two, but the connection was also read after the status was set. Now the status is set last and atomically, the connection is read before, and the HTTP thread writes the request's fields once. test_http passes under the thread sanitizer.

--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -33,7 +33,7 @@
             const HttpHeader *headers,
             size_t n_headers)
 {
-  g_assert (request->status == 0);
+  g_assert (g_atomic_int_get (&request->status) == 0);
   request->content_type = g_strdup (content_type);
   request->body = g_bytes_ref (body);
   request->headers = g_ptr_array_new_with_free_func (g_free);
@@ -42,7 +42,7 @@
       g_ptr_array_add (request->headers, g_strdup (headers[i].name));
       g_ptr_array_add (request->headers, g_strdup (headers[i].value));
     }
-  request->status = status;
+  g_atomic_int_set (&request->status, (gint) status);
 }
 
 void
@@ -53,11 +53,12 @@
              const HttpHeader *headers,
              size_t n_headers)
 {
-  gboolean is_submitted = request->is_submitted;
+  /* The request belongs to the HTTP thread again as soon as its status is set. */
+  struct MHD_Connection *connection = request->is_submitted ? request->connection : NULL;
 
   set_answer (request, status, content_type, body, headers, n_headers);
-  if (is_submitted)
-    MHD_resume_connection (request->connection);
+  if (connection != NULL)
+    MHD_resume_connection (connection);
 }
 
 void
@@ -105,7 +106,8 @@
   for (guint i = 0; i + 1 < request->headers->len; i += 2)
     (void) MHD_add_response_header (response, g_ptr_array_index (request->headers, i),
                                     g_ptr_array_index (request->headers, i + 1));
-  enum MHD_Result queued = MHD_queue_response (request->connection, request->status, response);
+  enum MHD_Result queued = MHD_queue_response (
+      request->connection, (unsigned int) g_atomic_int_get (&request->status), response);
   MHD_destroy_response (response);
   return queued;
 }
@@ -187,21 +189,22 @@
   return MHD_YES;
 }
 
-static void
+/* TRUE: it is suspended, and belongs to whoever answers it. */
+static gboolean
 submit (HttpRequest *request)
 {
   if (g_atomic_int_get (&request->http->stopping))
     {
       http_fail (request, ERR_LEAVING, ERR_RAN_NO, "this entry is leaving",
                  err_row (ERR_LEAVING)->retry_after_ms, NULL, 0);
-      return;
+      return FALSE;
     }
   MHD_suspend_connection (request->connection);
   request->is_submitted = TRUE;
-  if (request->http->options.submit (request->http->options.ctx, request))
-    return;
-  http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry can't take more requests now",
-             err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
+  if (!request->http->options.submit (request->http->options.ctx, request))
+    http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry can't take more requests now",
+               err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
+  return TRUE;
 }
 
 /* The whole request is here. */
@@ -223,9 +226,9 @@
     return refuse (request, error);
   if (http_answer_here (request))
     return queue_answer (request);
-  submit (request);
+  gboolean is_submitted = submit (request);
   /* A suspended connection is called again when it is resumed. */
-  return request->is_submitted ? MHD_YES : queue_answer (request);
+  return is_submitted ? MHD_YES : queue_answer (request);
 }
 
 static enum MHD_Result
@@ -243,13 +246,12 @@
   (void) version;
   if (request == NULL)
     return MHD_NO;
-  request->http = ctx;
-  request->connection = connection;
+  g_assert (request->http == ctx && request->connection == connection);
   if (!request->is_started)
     return start_request (request, method, url);
   if (*upload_data_size > 0)
     return take_body (request, upload_data, upload_data_size);
-  if (request->status != 0)
+  if (g_atomic_int_get (&request->status) != 0)
     return queue_answer (request);
   return finish_request (request);
 }
--- a/lib/entry/http_private.h
+++ b/lib/entry/http_private.h
@@ -30,7 +30,7 @@
   gboolean is_too_large; /**< the body passed its bound: the rest is dropped */
   gboolean is_submitted; /**< handed to the loop */
   GError *refusal;       /**< found before the body was read */
-  uint32_t status;       /**< of the answer; 0: none yet */
+  gint status;           /**< of the answer; 0: none yet. Set last, atomically */
   char *content_type;
   GBytes *body;
   GPtrArray *headers; /**< names and values in turn */
--- a/tests/entry/test_http.c
+++ b/tests/entry/test_http.c
@@ -25,7 +25,7 @@
   MetRegistry *metrics;
   ViewBoard *board;
   uint16_t port;
-  gboolean is_full; /**< the loop takes nothing */
+  gint is_full; /**< the loop takes nothing; read by the HTTP thread */
 } Fixture;
 
 /* Answers with the body that came, from another thread. */
@@ -45,7 +45,7 @@
 {
   const Fixture *fix = ctx;
 
-  if (fix->is_full)
+  if (g_atomic_int_get (&fix->is_full))
     return FALSE;
   g_thread_unref (g_thread_new ("echo", echo, request));
   return TRUE;
@@ -246,7 +246,7 @@
 {
   Fixture *fix = *state;
 
-  fix->is_full = TRUE;
+  g_atomic_int_set (&fix->is_full, 1);
   g_autofree char *answer = ask (fix, "POST /v1/call/live/x HTTP/1.1\r\n" TENANT EMPTY);
   assert_non_null (strstr (answer, " 503 "));
   assert_non_null (strstr (answer, "\"kind\":\"queue_full\""));
