HTTP: an answer goes out when it is there

Cause: MHD_resume_connection does not wake a thread that runs MHD_run_wait itself (libmicrohttpd 0.9.75, epoll without an internal thread), so each answer waited for the next poll, up to 200 ms. Ruled out: the wire loop, which had answered before (a log_down refusal without any sending took 205 ms as well). The polling thread now waits for the daemon's epoll descriptor and an eventfd of its own that http_answer() writes.

test_http, an_answer_goes_out_at_once: ten calls answered after 10 ms each took 2,015 ms before (bound 600 ms) and pass now.

--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -2,7 +2,10 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "common/clk.h"
@@ -25,6 +28,13 @@
   return &request->ask;
 }
 
+/* The library does not wake a thread that polls for it when a connection is resumed. */
+static void
+wake (const Http *http)
+{
+  (void) eventfd_write (http->wake_fd, 1);
+}
+
 static void
 set_answer (HttpRequest *request,
             uint32_t status,
@@ -55,10 +65,14 @@
 {
   /* The request belongs to the HTTP thread again as soon as its status is set. */
   struct MHD_Connection *connection = request->is_submitted ? request->connection : NULL;
+  const Http *http = request->http;
 
   set_answer (request, status, content_type, body, headers, n_headers);
   if (connection != NULL)
-    MHD_resume_connection (connection);
+    {
+      MHD_resume_connection (connection);
+      wake (http);
+    }
 }
 
 void
@@ -308,6 +322,23 @@
   jnl_event (JNL_DEBUG, "http", "library", "text=\"%s\"", text);
 }
 
+/* Sleeps until a connection has something, an answer is there, or @p wait_ms are over. */
+static void
+run_once (const Http *http, int wait_ms)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  struct pollfd fds[] = { { .fd = http->wake_fd, .events = POLLIN },
+                          { .fd = info != NULL ? info->epoll_fd : -1, .events = POLLIN } };
+  MHD_UNSIGNED_LONG_LONG due_ms = 0;
+  eventfd_t woken = 0;
+
+  if (MHD_get_timeout (http->daemon, &due_ms) == MHD_YES && due_ms < (unsigned int) wait_ms)
+    wait_ms = (int) due_ms;
+  (void) poll (fds, G_N_ELEMENTS (fds), wait_ms);
+  (void) eventfd_read (http->wake_fd, &woken);
+  (void) MHD_run (http->daemon);
+}
+
 static gpointer
 poll_thread (gpointer data)
 {
@@ -315,7 +346,7 @@
 
   rcu_register_thread ();
   while (!g_atomic_int_get (&http->stopping))
-    (void) MHD_run_wait (http->daemon, POLL_MS);
+    run_once (http, POLL_MS);
   rcu_unregister_thread ();
   return NULL;
 }
@@ -344,11 +375,14 @@
 
   http->options = *options;
   http->host = g_strdup (options->host);
-  if (inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
+  http->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (http->wake_fd >= 0 && inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
     http->daemon = start_daemon (http, &address);
   if (http->daemon == NULL)
     {
       err_set (error, ERR_REFUSED, "can't listen on %s port %u", options->host, options->port);
+      if (http->wake_fd >= 0)
+        close (http->wake_fd);
       g_free (http->host);
       g_free (http);
       return NULL;
@@ -363,6 +397,7 @@
   if (http == NULL)
     return;
   g_atomic_int_set (&http->stopping, 1);
+  wake (http);
   g_thread_join (http->thread);
 }
 
@@ -383,9 +418,10 @@
   int64_t end_us = clk_now_us () + LAST_ANSWERS_US;
   rcu_register_thread ();
   while (has_connections (http) && clk_now_us () < end_us)
-    (void) MHD_run_wait (http->daemon, LAST_POLL_MS);
+    run_once (http, LAST_POLL_MS);
   MHD_stop_daemon (http->daemon);
   rcu_unregister_thread ();
+  close (http->wake_fd);
   g_free (http->host);
   g_free (http);
 }
--- a/lib/entry/http_private.h
+++ b/lib/entry/http_private.h
@@ -16,6 +16,7 @@
   char *host;
   struct MHD_Daemon *daemon;
   GThread *thread;
+  int wake_fd; /**< written when an answer is there */
   gint stopping;
 };
 
--- a/tests/entry/test_http.c
+++ b/tests/entry/test_http.c
@@ -18,6 +18,8 @@
 #define CONNECTIONS_MAX 8
 #define IDLE_MS 1000
 #define ANSWER_MAX 65536
+#define ANSWERS 10
+#define ANSWER_MS_MAX 60
 
 typedef struct
 {
@@ -253,6 +255,21 @@
   assert_non_null (strstr (answer, "Retry-After: 1"));
 }
 
+/* The answer of a suspended request goes out when it is there, not at the next poll. */
+static void
+an_answer_goes_out_at_once (void **state)
+{
+  const Fixture *fix = *state;
+  int64_t start_us = clk_now_us ();
+
+  for (int i = 0; i < ANSWERS; i++)
+    {
+      g_autofree char *answer = ask (fix, "POST /v1/call/live/x HTTP/1.1\r\n" TENANT EMPTY);
+      assert_non_null (strstr (answer, " 200 "));
+    }
+  assert_in_range (clk_now_us () - start_us, 0, ANSWERS * ANSWER_MS_MAX * CLK_US_PER_MS);
+}
+
 /* A body that trickles in is cut when the time for one request is over. */
 static void
 a_slow_request_is_cut (void **state)
@@ -307,6 +324,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (each_request_has_its_answer, set_up, tear_down),
     cmocka_unit_test_setup_teardown (a_full_loop_refuses, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (an_answer_goes_out_at_once, set_up, tear_down),
     cmocka_unit_test_setup_teardown (a_slow_request_is_cut, set_up, tear_down),
     cmocka_unit_test_setup_teardown (connections_are_bounded, set_up, tear_down),
   };
