Entry: once rows are walked without copies of their names; future dates

Each 5 ms tick copied the name of every once request under way. A request dated ahead of the log's allowance was told key_expired; it is bad_request. Logic of records moves to once_row.c.

--- a/lib/entry/once.c
+++ b/lib/entry/once.c
@@ -80,34 +80,13 @@
   remove_row (once, row);
 }
 
-static void
-set_attempt (OnceRow *row, uint32_t attempt, IdsId request, const char *agent, uint64_t incarnation)
-{
-  char *copy = g_strdup (agent);
-
-  row->attempt = attempt;
-  row->request = request;
-  g_free (row->agent);
-  row->agent = copy;
-  row->agent_incarnation = incarnation;
-}
-
 static gboolean
 append_intent (Once *once, OnceRow *row)
 {
   Record__Record record = RECORD__RECORD__INIT;
-  Record__Intent intent = RECORD__INTENT__INIT;
-
-  intent.tenant = row->tenant;
-  intent.key = row->key;
-  intent.service = row->service;
-  intent.request_digest = row->request_digest;
-  intent.request_high = row->request.high;
-  intent.request_low = row->request.low;
-  intent.attempt = row->attempt;
-  intent.agent = row->agent;
-  intent.agent_incarnation = row->agent_incarnation;
-  intent.dated_ms = row->dated_ms;
+  Record__Intent intent;
+
+  once_row_intent (row, &intent);
   record.body_case = RECORD__RECORD__BODY_INTENT;
   record.intent = &intent;
   return once->ops.append (once->ops.ctx, &record, FALSE, &row->record);
@@ -125,7 +104,7 @@
                        &incarnation, &sent_us, kind))
     return FALSE;
   IdsId request = row->own_attempts == 0 ? row->first_request : ids_new ();
-  set_attempt (row, attempt, request, agent, incarnation);
+  once_row_set_attempt (row, attempt, request, agent, incarnation);
   row->agent_sent_us = sent_us;
   if (row->n_tried < ROUTE_TRIED_MAX)
     row->tried[row->n_tried++] = g_intern_string (agent);
@@ -161,7 +140,8 @@
 watch (Once *once, OnceRow *row, const FoldIntent *intent, int64_t now_us)
 {
   uncount (once, row, ROUTE_GIVEN_UP);
-  set_attempt (row, intent->attempt, intent->request, intent->agent, intent->agent_incarnation);
+  once_row_set_attempt (row, intent->attempt, intent->request, intent->agent,
+                        intent->agent_incarnation);
   row->agent_sent_us = 0;
   row->state = ONCE_WATCH;
   row->ask_us = now_us + once->options.ask_after_us;
@@ -226,13 +206,9 @@
 fence (Once *once, OnceRow *row, ErrKind kind)
 {
   Record__Record record = RECORD__RECORD__INIT;
-  Record__Outcome outcome = RECORD__OUTCOME__INIT;
+  Record__Outcome outcome;
 
-  outcome.tenant = row->tenant;
-  outcome.key = row->key;
-  outcome.attempt = row->attempt;
-  outcome.fenced = TRUE;
-  outcome.kind = (char *) err_name (kind);
+  once_row_fence (row, kind, &outcome);
   record.body_case = RECORD__RECORD__BODY_OUTCOME;
   record.outcome = &outcome;
   row->last_kind = kind;
@@ -323,36 +299,33 @@
     start (once, row, fold, now_us);
 }
 
-/* Rows come and go while they are walked: by name. */
-static char **
-row_names (const Once *once)
+/* The rows as they are now: each may take itself, and no other, from the table when it is walked.
+ */
+static GPtrArray *
+all_rows (const Once *once)
 {
-  GPtrArray *names = g_ptr_array_new ();
+  GPtrArray *rows = g_ptr_array_sized_new (g_hash_table_size (once->rows));
   GHashTableIter iter;
-  gpointer name = NULL;
+  gpointer row = NULL;
 
   g_hash_table_iter_init (&iter, once->rows);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
-    g_ptr_array_add (names, g_strdup (name));
-  g_ptr_array_add (names, NULL);
-  return (char **) g_ptr_array_free (names, FALSE);
+  while (g_hash_table_iter_next (&iter, NULL, &row))
+    g_ptr_array_add (rows, row);
+  return rows;
 }
 
 void
 once_folded (Once *once, const Fold *fold, int64_t now_us)
 {
-  g_auto (GStrv) names = row_names (once);
+  g_autoptr (GPtrArray) rows = all_rows (once);
 
-  for (char **name = names; *name != NULL; name++)
-    {
-      OnceRow *row = g_hash_table_lookup (once->rows, *name);
-      if (row != NULL)
-        row_folded (once, row, fold, now_us);
-    }
+  for (guint i = 0; i < rows->len; i++)
+    row_folded (once, g_ptr_array_index (rows, i), fold, now_us);
 }
 
+/* The row whose pending record, or whose attempt's request, has the id. */
 static OnceRow *
-find_by_record (const Once *once, IdsId id)
+find_row (const Once *once, IdsId id, gboolean by_record)
 {
   GHashTableIter iter;
   gpointer value = NULL;
@@ -361,7 +334,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       OnceRow *row = value;
-      if (ids_equal (row->record, id))
+      if (ids_equal (by_record ? row->record : row->request, id))
         return row;
     }
   return NULL;
@@ -370,7 +343,7 @@
 void
 once_not_appended (Once *once, IdsId id)
 {
-  OnceRow *row = find_by_record (once, id);
+  OnceRow *row = find_row (once, id, TRUE);
 
   if (row == NULL)
     return;
@@ -404,7 +377,7 @@
 void
 once_doubtful (Once *once, IdsId id)
 {
-  OnceRow *row = find_by_record (once, id);
+  OnceRow *row = find_row (once, id, TRUE);
 
   if (row != NULL && row->state == ONCE_INTENT)
     abandon (once, row);
@@ -469,27 +442,11 @@
     }
 }
 
-static OnceRow *
-find_by_request (const Once *once, IdsId id)
-{
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, once->rows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      OnceRow *row = value;
-      if (ids_equal (row->request, id))
-        return row;
-    }
-  return NULL;
-}
-
 gboolean
 once_response (Once *once, const char *agent, const Wire__Response *response, CallsVerdict *verdict)
 {
   IdsId id = { response->id_high, response->id_low };
-  OnceRow *row = find_by_request (once, id);
+  OnceRow *row = find_row (once, id, FALSE);
 
   *verdict = CALLS_DROP_UNKNOWN;
   if (row == NULL || (row->state != ONCE_SENT && row->state != ONCE_WATCH))
@@ -624,14 +581,10 @@
 void
 once_tick (Once *once, int64_t now_us)
 {
-  g_auto (GStrv) names = row_names (once);
+  g_autoptr (GPtrArray) rows = all_rows (once);
 
-  for (char **name = names; *name != NULL; name++)
-    {
-      OnceRow *row = g_hash_table_lookup (once->rows, *name);
-      if (row != NULL)
-        row_tick (once, row, now_us);
-    }
+  for (guint i = 0; i < rows->len; i++)
+    row_tick (once, g_ptr_array_index (rows, i), now_us);
 }
 
 uint32_t
--- a/lib/entry/once_row.c
+++ b/lib/entry/once_row.c
@@ -164,3 +164,43 @@
   answer.attempts = intent->attempt;
   return answer;
 }
+
+void
+once_row_set_attempt (
+    OnceRow *row, uint32_t attempt, IdsId request, const char *agent, uint64_t incarnation)
+{
+  char *copy = g_strdup (agent);
+
+  row->attempt = attempt;
+  row->request = request;
+  g_free (row->agent);
+  row->agent = copy;
+  row->agent_incarnation = incarnation;
+}
+
+void
+once_row_intent (const OnceRow *row, Record__Intent *intent)
+{
+  record__intent__init (intent);
+  intent->tenant = row->tenant;
+  intent->key = row->key;
+  intent->service = row->service;
+  intent->request_digest = row->request_digest;
+  intent->request_high = row->request.high;
+  intent->request_low = row->request.low;
+  intent->attempt = row->attempt;
+  intent->agent = row->agent;
+  intent->agent_incarnation = row->agent_incarnation;
+  intent->dated_ms = row->dated_ms;
+}
+
+void
+once_row_fence (const OnceRow *row, ErrKind kind, Record__Outcome *outcome)
+{
+  record__outcome__init (outcome);
+  outcome->tenant = row->tenant;
+  outcome->key = row->key;
+  outcome->attempt = row->attempt;
+  outcome->fenced = TRUE;
+  outcome->kind = (char *) err_name (kind);
+}
--- a/lib/entry/once_row.h
+++ b/lib/entry/once_row.h
@@ -82,6 +82,16 @@
 /** The record that ends the current attempt with the held answer, packed by the caller at once. */
 void once_row_outcome (const OnceRow *row, int64_t answer_bytes_max, Record__Outcome *outcome);
 
+/** Notes the current attempt. */
+void once_row_set_attempt (
+    OnceRow *row, uint32_t attempt, IdsId request, const char *agent, uint64_t incarnation);
+
+/** The record of the current attempt's intent, packed by the caller at once. */
+void once_row_intent (const OnceRow *row, Record__Intent *intent);
+
+/** The record that the current attempt was truly not run, for the reason @p kind. */
+void once_row_fence (const OnceRow *row, ErrKind kind, Record__Outcome *outcome);
+
 /** An error as an answer. */
 OnceAnswer once_error (ErrKind kind, ErrRan ran, const char *message);
 
--- a/programs/entry/loop_once.c
+++ b/programs/entry/loop_once.c
@@ -166,18 +166,28 @@
   return once_new (&options, &ops);
 }
 
+static void
+refuse (HttpRequest *request, ErrKind kind, const char *message)
+{
+  http_fail (request, kind, ERR_RAN_NO, message, err_row (kind)->retry_after_ms, NULL, 0);
+}
+
 void
 loop_once_call (Loop *loop, HttpRequest *request, int64_t deadline_us)
 {
   const HttpAsk *ask = http_ask (request);
   OnceAsk once = { 0 };
 
+  int64_t wall_ms = clk_wall_ms ();
   /* The log says whether the key was used: without a state of it nothing can be promised. */
   if (!loop->has_state)
     {
-      const ErrRow *row = err_row (ERR_LOG_DOWN);
-      http_fail (request, ERR_LOG_DOWN, ERR_RAN_NO, "the platform's log was not read yet",
-                 row->retry_after_ms, NULL, 0);
+      refuse (request, ERR_LOG_DOWN, "the platform's log was not read yet");
+      return;
+    }
+  if (ask->call.dated_ms > wall_ms + FOLD_DATE_SKEW_MS)
+    {
+      refuse (request, ERR_BAD_REQUEST, "Acacia-Date-Ms: expected a time that is not ahead of now");
       return;
     }
   once.request = ask->call.id;
@@ -187,7 +197,7 @@
   once.path = ask->call.path;
   once.content_type = ask->call.content_type;
   once.body = ask->body;
-  once.dated_ms = ask->call.dated_ms != 0 ? ask->call.dated_ms : clk_wall_ms ();
+  once.dated_ms = ask->call.dated_ms != 0 ? ask->call.dated_ms : wall_ms;
   once.deadline_us = deadline_us;
   once.waiter = request;
   budget_first (&loop->budget);
