--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The whole path with real processes, checked step by step:
 #   scripts/demo.sh [mezcla|zinsverbund]      (both, one after the other, without an argument)
+#   scripts/demo.sh mezcla load [SECONDS]     acacia-load against the same processes, in place of checks
 # Starts 1 log, 3 workers and 3 service back ends as stand-ins, 2 entries and 3 agents, all on
 # 127.0.0.1. Exits non-zero at the first check that fails; leaves no process behind.
 set -uo pipefail
@@ -133,8 +134,22 @@
 running_at() { [ "$(curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .running)" -ge 1 ]; }
 completed_at() { curl -fsS -m 2 "$(url_of "$1")/stats" | jq -r .total; }
 
+# Requests of both kinds, direct calls to a back end and job submissions, in one run.
+run_load() {
+  write_document
+  ctl apply "$document" --note load >/dev/null || fail "apply"
+  wait_for "$CONFIG_S" "configuration is in force" has_config agent-1 1
+  "$BIN/acacia-load" --entry "$(url_of entry-1)" --entry "$(url_of entry-2)" \
+    --direct "$(url_of service-1)" --service "$SERVICE" --rate "${LOAD_RATE:-200}" \
+    --seconds "$1" --threads 64 --job demo-render --jobs-per-minute 6 --job-wait-s 60
+}
+
 say "== $DEPLOYMENT: processes"
 cluster_start "$INSTANCES" "$ENTRIES"
+if [ "${2:-}" = load ]; then
+  run_load "${3:-20}" || fail "acacia-load"
+  exit
+fi
 say "== 1 configuration"
 check_configuration
 say "== 2 requests"
--- a/tests/fault/test_drain.sh
+++ b/tests/fault/test_drain.sh
@@ -5,6 +5,9 @@
 source "$(dirname "$0")/common.sh"
 
 SERVICE_MS=20
+SERVICE_TIMEOUT_MS=15000
+# Longer than any wait of a leaving process for anything but its requests.
+SLOW_MS=6000
 CALLS=12
 cluster_init mezcla
 cluster_start 2 2
@@ -17,8 +20,8 @@
 # Starts CALLS slow requests, waits until the first endpoint has some, then stops $1.
 stop_under_load() {
   local name=$1 i callers=()
-  fault service-1 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":2500}"
-  fault service-2 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":2500}"
+  fault service-1 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":$SLOW_MS}"
+  fault service-2 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":$SLOW_MS}"
   for ((i = 0; i < CALLS; i++)); do
     call "$([ $((i % 2)) = 0 ] && echo entry-1 || echo entry-2)" cut -d "cut $i" \
       -o "$CLUSTER_DIR/answer-$i" -w '%{http_code}' >"$CLUSTER_DIR/status-$i" 2>/dev/null &
