--- a/tests/fault/test_lost_append.sh
+++ b/tests/fault/test_lost_append.sh
@@ -37,3 +37,16 @@
   check_equal "it stands in the history once" 1 \
     "$(ctl --json history | jq --arg note "$mode" '[.versions[] | select(.note == $note)] | length')"
 done
+
+say "== every answer of the log is lost, for longer than an append is tried"
+jobs_held() { ctl --json jobs | jq '.jobs | length'; }
+before=$(jobs_held)
+fault log '{"mode":"lose_answer","for_ms":6000}'
+answer=$(curl -sS -m 20 -X POST -d '{"name":"steady","key":"doubt","submitter":"test"}' \
+  "$(url_of entry-1)/v1/jobs")
+said=$(jq -r '.error.ran // "accepted"' <<<"$answer")
+sleep 7
+wait_for 10 "the log answers again" once entry-1 settled x
+held=$(($(jobs_held) - before))
+check "said '$said': what was said not to have happened did not" \
+  test "$said:$held" != no:1 -a "$held" -le 1
