A task found running keeps its shard, so that its lease is extended

Cause: the client's row of a listed attempt had no shard; the next agent announced what it found with none, never extended its lease, and the worker checkpointed it at the old lease's end. Ruled out: the entry's part; it works the shard out from the job. Before: lease_of_a_found_task_is_extended failed, state 4 (checkpointed) in place of 2 (done). After: 10 of 10 cases of agent/test_node_tasks passed.

--- a/lib/agent/agent_work.c
+++ b/lib/agent/agent_work.c
@@ -432,7 +432,7 @@
 {
   AgentStart start = {
     .id = { listed->job, listed->index, listed->attempt },
-    .shard = SHARD_NONE,
+    .shard = listed->shard,
     .epoch = listed->epoch,
     .reserved = listed->reserved,
     .job_name = "",
@@ -441,7 +441,7 @@
   };
   gboolean fenced = agent_tasks_is_fenced (node->tasks, &start.id);
   AgentTask *task = agent_tasks_adopt (node->tasks, &start);
-  AgentTask unknown = { .id = start.id, .shard = SHARD_NONE };
+  AgentTask unknown = { .id = start.id, .shard = listed->shard };
 
   if (task != NULL)
     {
--- a/lib/platform/plat_worker.h
+++ b/lib/platform/plat_worker.h
@@ -56,6 +56,7 @@
   uint64_t job;
   uint32_t index;
   uint32_t attempt;
+  uint32_t shard;
   uint64_t epoch;
   PlatTaskState state;
   int64_t progress_ms;
--- a/tests/agent/test_node_tasks.c
+++ b/tests/agent/test_node_tasks.c
@@ -6,6 +6,8 @@
 
 #include "agent/rig.h"
 
+#define LONGER_THAN_A_LEASE_MS (3 * LEASE_MS)
+
 static void
 task_runs_under_a_lease_until_acknowledged (void **state)
 {
@@ -143,6 +145,18 @@
   rig_free (rig);
 }
 
+static void
+replace_agent (Rig *rig)
+{
+  agent_node_close (rig->node);
+  pthread_mutex_lock (&rig->mutex);
+  wire_parsed_free (rig->announce);
+  rig->announce = NULL;
+  pthread_mutex_unlock (&rig->mutex);
+  rig->node = agent_node_open (&rig->settings, rig->metrics, NULL);
+  wait_healthy (rig);
+}
+
 static void
 next_agent_takes_over_what_runs (void **state)
 {
@@ -153,18 +167,28 @@
   wait_healthy (rig);
   send_command (rig, WIRE__TASK_VERB__VERB_START, 11, 3, 1000);
   (void) wait_for (rig, is_running, 11, 1);
-  agent_node_close (rig->node);
-  pthread_mutex_lock (&rig->mutex);
-  wire_parsed_free (rig->announce);
-  rig->announce = NULL;
-  pthread_mutex_unlock (&rig->mutex);
-  rig->node = agent_node_open (&rig->settings, rig->metrics, NULL);
-  wait_healthy (rig);
+  replace_agent (rig);
   assert_int_equal (announced_tasks (rig), 1);
   assert_int_equal (wait_for (rig, is_ended, 11, 1)->event->state, WIRE__TASK_STATE__TASK_DONE);
   rig_free (rig);
 }
 
+/* The next agent renews the lease of what it found, under the shard that started it. */
+static void
+lease_of_a_found_task_is_extended (void **state)
+{
+  Rig *rig = rig_new (TRUE);
+
+  (void) state;
+  set_grant (rig, 3, FALSE);
+  wait_healthy (rig);
+  send_command (rig, WIRE__TASK_VERB__VERB_START, 12, 3, LONGER_THAN_A_LEASE_MS);
+  (void) wait_for (rig, is_running, 12, 1);
+  replace_agent (rig);
+  assert_int_equal (wait_for (rig, is_ended, 12, 1)->event->state, WIRE__TASK_STATE__TASK_DONE);
+  rig_free (rig);
+}
+
 static void
 note_order (void *ctx, AgentOrder *order)
 {
@@ -232,6 +256,7 @@
     cmocka_unit_test (refused_start_never_ran),
     cmocka_unit_test (task_of_a_silent_worker_is_stopped_after_its_lease),
     cmocka_unit_test (next_agent_takes_over_what_runs),
+    cmocka_unit_test (lease_of_a_found_task_is_extended),
     cmocka_unit_test (order_older_than_its_lease_is_not_sent),
   };
 
