--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -67,8 +67,9 @@
 
 typedef enum
 {
-  CORE_IN_WORKER,      /**< an instance is known, or its row changed */
-  CORE_IN_WORKER_LEFT, /**< it left or is leaving: nothing new; its tasks still count */
+  CORE_IN_WORKER,      /**< an instance is known, or its row changed; may be repeated freely */
+  CORE_IN_WORKER_LEFT, /**< it left or is leaving, for good with this incarnation: nothing new;
+                            its tasks still count */
   CORE_IN_WORKER_LOST, /**< its longest lease has lapsed: its tasks run no more */
   CORE_IN_USAGE,       /**< lagging usage of one task */
   CORE_IN_SERVICE,     /**< lagging tail of one service's endpoint on one instance */
@@ -157,9 +158,10 @@
 {
   CORE_DO_START,
   CORE_DO_THROTTLE,
-  CORE_DO_CHECKPOINT, /**< checkpoint and stop: an eviction when the reason is not cancel */
-  CORE_DO_STOP,
-  CORE_DO_UNPLACEABLE, /**< report: no instance can hold the task */
+  CORE_DO_CHECKPOINT,  /**< checkpoint and stop: an eviction; repeated until its end is told */
+  CORE_DO_STOP,        /**< stop; an eviction of a task that has no checkpoints, unless cancelled;
+                            repeated until its end is told */
+  CORE_DO_UNPLACEABLE, /**< report: no instance can hold the job's tasks; names its first */
   CORE_DO_GIVE_UP,     /**< report: the job's failure limit is reached */
   CORE_DO_CANCELLED,   /**< report: the task is cancelled and runs nowhere */
   CORE_DO_QUARANTINE,  /**< report: instance out of use */
@@ -225,11 +227,11 @@
   uint32_t workers;
   uint32_t quarantined;
   uint32_t jobs;
-  uint32_t waiting;
+  uint32_t waiting; /**< held ones too */
   uint32_t running;
   uint32_t done;
-  uint32_t unplaceable;
-  uint64_t evictions;
+  uint32_t unplaceable; /**< waiting tasks of jobs that no instance can hold */
+  uint64_t evictions;   /**< attempts told to stop for another reason than cancel or failure */
   uint64_t starts;
 } CoreCounts;
 
