State: an incarnation that was replaced stays out

An entry that was paused, and replaced under its name, registered itself again when it went on. The two then pushed each other out with every refresh, and each change began the wait before a claim anew. The fold now remembers the eight newest incarnations that were replaced.

--- a/lib/state/fold.h
+++ b/lib/state/fold.h
@@ -19,6 +19,9 @@
 
 typedef struct Fold Fold;
 
+/** Earlier incarnations of an entry that are remembered, so that they don't come back. */
+#define FOLD_REPLACED_MAX 8
+
 /** Defaults of #FoldOptions. */
 #define FOLD_ENDED_JOBS 4096
 #define FOLD_ANSWERS_BYTES (INT64_C (64) * 1024 * 1024)
@@ -87,6 +90,8 @@
   int64_t known_ms; /**< log time of the first record of this incarnation */
   gboolean leaving; /**< always FALSE: one that leaves is no longer known */
   int64_t seen_ms;  /**< log time of its newest record */
+  uint32_t n_replaced;
+  uint64_t replaced[FOLD_REPLACED_MAX]; /**< incarnations that came before, oldest first */
 } FoldEntry;
 
 /** One task as the log knows it: only ends are logged, never starts. */
--- a/lib/state/fold_members.c
+++ b/lib/state/fold_members.c
@@ -185,6 +185,26 @@
   entry->wire_address = g_strdup (record->wire_address);
 }
 
+static gboolean
+is_replaced (const FoldEntry *entry, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < entry->n_replaced; i++)
+    if (entry->replaced[i] == incarnation)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+note_replaced (FoldEntry *entry)
+{
+  if (entry->n_replaced == FOLD_REPLACED_MAX)
+    {
+      entry->n_replaced--;
+      memmove (entry->replaced, entry->replaced + 1, entry->n_replaced * sizeof entry->replaced[0]);
+    }
+  entry->replaced[entry->n_replaced++] = entry->incarnation;
+}
+
 FoldResult
 fold_apply_entry (Fold *fold, const Record__Entry *record)
 {
@@ -196,6 +216,8 @@
     return apply_leave (fold, record);
   if (entry == NULL && fold->entries->len >= FOLD_ENTRIES_MAX)
     return FOLD_REFUSED;
+  if (entry != NULL && is_replaced (entry, record->incarnation))
+    return FOLD_REFUSED;
   if (entry == NULL)
     {
       entry = g_new0 (FoldEntry, 1);
@@ -203,7 +225,10 @@
       g_ptr_array_add (fold->entries, entry);
     }
   else if (entry->incarnation != record->incarnation)
-    entry->known_ms = fold->time_ms;
+    {
+      note_replaced (entry);
+      entry->known_ms = fold->time_ms;
+    }
   entry_set (entry, record);
   entry->seen_ms = fold->time_ms;
   return FOLD_APPLIED;
@@ -213,12 +238,15 @@
 fold_load_entry (Fold *fold, const Record__SnapshotEntry *row)
 {
   if (row->entry == NULL || !entry_fits (row->entry) || fold->entries->len >= FOLD_ENTRIES_MAX
-      || find_entry (fold, row->entry->entry) != NULL)
+      || row->n_replaced > FOLD_REPLACED_MAX || find_entry (fold, row->entry->entry) != NULL)
     return FALSE;
   FoldEntry *entry = g_new0 (FoldEntry, 1);
   entry_set (entry, row->entry);
   entry->known_ms = row->known_ms;
   entry->seen_ms = row->seen_ms;
+  entry->n_replaced = (uint32_t) row->n_replaced;
+  for (uint32_t i = 0; i < entry->n_replaced; i++)
+    entry->replaced[i] = row->replaced[i];
   g_ptr_array_add (fold->entries, entry);
   return TRUE;
 }
--- a/lib/state/fold_snapshot.c
+++ b/lib/state/fold_snapshot.c
@@ -94,7 +94,7 @@
   writer->snapshot.entries = take (writer, n, sizeof (Record__SnapshotEntry *));
   for (size_t i = 0; i < n; i++)
     {
-      const FoldEntry *entry = g_ptr_array_index (fold->entries, i);
+      FoldEntry *entry = g_ptr_array_index (fold->entries, i);
       record__entry__init (&entries[i]);
       entries[i].entry = entry->entry;
       entries[i].incarnation = entry->incarnation;
@@ -104,6 +104,8 @@
       rows[i].entry = &entries[i];
       rows[i].known_ms = entry->known_ms;
       rows[i].seen_ms = entry->seen_ms;
+      rows[i].n_replaced = entry->n_replaced;
+      rows[i].replaced = entry->replaced;
       writer->snapshot.entries[i] = &rows[i];
     }
 }
--- a/lib/state/record.pb-c.c
+++ b/lib/state/record.pb-c.c
@@ -2447,7 +2447,7 @@
   (ProtobufCMessageInit) record__snapshot_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor record__snapshot_entry__field_descriptors[3] =
+static const ProtobufCFieldDescriptor record__snapshot_entry__field_descriptors[4] =
 {
   {
     "entry",
@@ -2485,16 +2485,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replaced",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Record__SnapshotEntry, n_replaced),
+    offsetof(Record__SnapshotEntry, replaced),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned record__snapshot_entry__field_indices_by_name[] = {
   0,   /* field[0] = entry */
   1,   /* field[1] = known_ms */
+  3,   /* field[3] = replaced */
   2,   /* field[2] = seen_ms */
 };
 static const ProtobufCIntRange record__snapshot_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor record__snapshot_entry__descriptor =
 {
@@ -2504,7 +2517,7 @@
   "Record__SnapshotEntry",
   "record",
   sizeof(Record__SnapshotEntry),
-  3,
+  4,
   record__snapshot_entry__field_descriptors,
   record__snapshot_entry__field_indices_by_name,
   1,  record__snapshot_entry__number_ranges,
--- a/lib/state/record.pb-c.h
+++ b/lib/state/record.pb-c.h
@@ -396,10 +396,15 @@
   Record__Entry *entry;
   int64_t known_ms;
   int64_t seen_ms;
+  /*
+   * incarnations that came before, oldest first
+   */
+  size_t n_replaced;
+  uint64_t *replaced;
 };
 #define RECORD__SNAPSHOT_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&record__snapshot_entry__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0,NULL }
 
 
 struct  Record__SnapshotTask
--- a/tests/state/test_fold.c
+++ b/tests/state/test_fold.c
@@ -302,6 +302,26 @@
   assert_int_equal (apply_claim (fixture, 0, 2, "b", 2), FOLD_REFUSED);
 }
 
+/* A process that was paused and replaced under its name does not push out its successor. */
+static void
+replaced_incarnation_stays_out (void **state)
+{
+  Fixture *fixture = *state;
+  const FoldOptions options = fake_fold_options ();
+
+  assert_int_equal (apply_entry (fixture, "a", 1, FALSE), FOLD_APPLIED);
+  assert_int_equal (apply_entry (fixture, "a", 2, FALSE), FOLD_APPLIED);
+  assert_int_equal (apply_entry (fixture, "a", 1, FALSE), FOLD_REFUSED);
+  restart (fixture, &options);
+  assert_int_equal (apply_entry (fixture, "a", 1, FALSE), FOLD_REFUSED);
+  assert_int_equal (apply_claim (fixture, 0, 1, "a", 1), FOLD_REFUSED);
+  assert_int_equal (apply_claim (fixture, 0, 1, "a", 2), FOLD_APPLIED);
+  for (uint64_t incarnation = 3; incarnation < 30; incarnation++)
+    assert_int_equal (apply_entry (fixture, "a", incarnation, FALSE), FOLD_APPLIED);
+  assert_int_equal (apply_entry (fixture, "a", 28, FALSE), FOLD_REFUSED);
+  assert_int_equal (apply_entry (fixture, "a", 29, FALSE), FOLD_APPLIED);
+}
+
 static void
 history_is_bounded_and_keeps_one_text (void **state)
 {
@@ -376,6 +396,7 @@
     cmocka_unit_test_setup_teardown (key_is_bound_to_its_request, set_up, tear_down),
     cmocka_unit_test_setup_teardown (oldest_answers_go_first, set_up, tear_down),
     cmocka_unit_test_setup_teardown (owner_that_left_is_followed_at_once, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (replaced_incarnation_stays_out, set_up, tear_down),
     cmocka_unit_test_setup_teardown (history_is_bounded_and_keeps_one_text, set_up, tear_down),
     cmocka_unit_test_setup_teardown (newer_and_malformed_records_change_nothing, set_up, tear_down),
     cmocka_unit_test_setup_teardown (late_fence_is_refused, set_up, tear_down),
