--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -161,6 +161,8 @@
   task->placed_on = choice->worker->row;
   task->placed_why = command.why;
   tables_put (core, task, choice->worker, choice->offer.size);
+  g_assert (size_fits (size_add (choice->worker->endpoints_size, choice->worker->tasks_size),
+                       choice->worker->capacity));
   health_started (core, choice->worker, task);
   core->starts++;
   if (core->starts_left != PLACE_UNLIMITED)
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -2,7 +2,10 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "common/clk.h"
@@ -25,6 +28,13 @@
   return &request->ask;
 }
 
+/* The library does not wake a thread that polls for it when a connection is resumed. */
+static void
+wake (const Http *http)
+{
+  (void) eventfd_write (http->wake_fd, 1);
+}
+
 static void
 set_answer (HttpRequest *request,
             uint32_t status,
@@ -33,7 +43,7 @@
             const HttpHeader *headers,
             size_t n_headers)
 {
-  g_assert (request->status == 0);
+  g_assert (g_atomic_int_get (&request->status) == 0);
   request->content_type = g_strdup (content_type);
   request->body = g_bytes_ref (body);
   request->headers = g_ptr_array_new_with_free_func (g_free);
@@ -42,7 +52,7 @@
       g_ptr_array_add (request->headers, g_strdup (headers[i].name));
       g_ptr_array_add (request->headers, g_strdup (headers[i].value));
     }
-  request->status = status;
+  g_atomic_int_set (&request->status, (gint) status);
 }
 
 void
@@ -53,11 +63,16 @@
              const HttpHeader *headers,
              size_t n_headers)
 {
-  gboolean is_submitted = request->is_submitted;
+  /* The request belongs to the HTTP thread again as soon as its status is set. */
+  struct MHD_Connection *connection = request->is_submitted ? request->connection : NULL;
+  const Http *http = request->http;
 
   set_answer (request, status, content_type, body, headers, n_headers);
-  if (is_submitted)
-    MHD_resume_connection (request->connection);
+  if (connection != NULL)
+    {
+      MHD_resume_connection (connection);
+      wake (http);
+    }
 }
 
 void
@@ -105,7 +120,8 @@
   for (guint i = 0; i + 1 < request->headers->len; i += 2)
     (void) MHD_add_response_header (response, g_ptr_array_index (request->headers, i),
                                     g_ptr_array_index (request->headers, i + 1));
-  enum MHD_Result queued = MHD_queue_response (request->connection, request->status, response);
+  enum MHD_Result queued = MHD_queue_response (
+      request->connection, (unsigned int) g_atomic_int_get (&request->status), response);
   MHD_destroy_response (response);
   return queued;
 }
@@ -187,21 +203,22 @@
   return MHD_YES;
 }
 
-static void
+/* TRUE: it is suspended, and belongs to whoever answers it. */
+static gboolean
 submit (HttpRequest *request)
 {
   if (g_atomic_int_get (&request->http->stopping))
     {
       http_fail (request, ERR_LEAVING, ERR_RAN_NO, "this entry is leaving",
                  err_row (ERR_LEAVING)->retry_after_ms, NULL, 0);
-      return;
+      return FALSE;
     }
   MHD_suspend_connection (request->connection);
   request->is_submitted = TRUE;
-  if (request->http->options.submit (request->http->options.ctx, request))
-    return;
-  http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry can't take more requests now",
-             err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
+  if (!request->http->options.submit (request->http->options.ctx, request))
+    http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry can't take more requests now",
+               err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
+  return TRUE;
 }
 
 /* The whole request is here. */
@@ -223,9 +240,9 @@
     return refuse (request, error);
   if (http_answer_here (request))
     return queue_answer (request);
-  submit (request);
+  gboolean is_submitted = submit (request);
   /* A suspended connection is called again when it is resumed. */
-  return request->is_submitted ? MHD_YES : queue_answer (request);
+  return is_submitted ? MHD_YES : queue_answer (request);
 }
 
 static enum MHD_Result
@@ -243,13 +260,12 @@
   (void) version;
   if (request == NULL)
     return MHD_NO;
-  request->http = ctx;
-  request->connection = connection;
+  g_assert (request->http == ctx && request->connection == connection);
   if (!request->is_started)
     return start_request (request, method, url);
   if (*upload_data_size > 0)
     return take_body (request, upload_data, upload_data_size);
-  if (request->status != 0)
+  if (g_atomic_int_get (&request->status) != 0)
     return queue_answer (request);
   return finish_request (request);
 }
@@ -306,6 +322,23 @@
   jnl_event (JNL_DEBUG, "http", "library", "text=\"%s\"", text);
 }
 
+/* Sleeps until a connection has something, an answer is there, or @p wait_ms are over. */
+static void
+run_once (const Http *http, int wait_ms)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  struct pollfd fds[] = { { .fd = http->wake_fd, .events = POLLIN },
+                          { .fd = info != NULL ? info->epoll_fd : -1, .events = POLLIN } };
+  MHD_UNSIGNED_LONG_LONG due_ms = 0;
+  eventfd_t woken = 0;
+
+  if (MHD_get_timeout (http->daemon, &due_ms) == MHD_YES && due_ms < (unsigned int) wait_ms)
+    wait_ms = (int) due_ms;
+  (void) poll (fds, G_N_ELEMENTS (fds), wait_ms);
+  (void) eventfd_read (http->wake_fd, &woken);
+  (void) MHD_run (http->daemon);
+}
+
 static gpointer
 poll_thread (gpointer data)
 {
@@ -313,7 +346,7 @@
 
   rcu_register_thread ();
   while (!g_atomic_int_get (&http->stopping))
-    (void) MHD_run_wait (http->daemon, POLL_MS);
+    run_once (http, POLL_MS);
   rcu_unregister_thread ();
   return NULL;
 }
@@ -342,11 +375,14 @@
 
   http->options = *options;
   http->host = g_strdup (options->host);
-  if (inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
+  http->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (http->wake_fd >= 0 && inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
     http->daemon = start_daemon (http, &address);
   if (http->daemon == NULL)
     {
       err_set (error, ERR_REFUSED, "can't listen on %s port %u", options->host, options->port);
+      if (http->wake_fd >= 0)
+        close (http->wake_fd);
       g_free (http->host);
       g_free (http);
       return NULL;
@@ -361,6 +397,7 @@
   if (http == NULL)
     return;
   g_atomic_int_set (&http->stopping, 1);
+  wake (http);
   g_thread_join (http->thread);
 }
 
@@ -381,9 +418,10 @@
   int64_t end_us = clk_now_us () + LAST_ANSWERS_US;
   rcu_register_thread ();
   while (has_connections (http) && clk_now_us () < end_us)
-    (void) MHD_run_wait (http->daemon, LAST_POLL_MS);
+    run_once (http, LAST_POLL_MS);
   MHD_stop_daemon (http->daemon);
   rcu_unregister_thread ();
+  close (http->wake_fd);
   g_free (http->host);
   g_free (http);
 }
