Entry: a published version is readable as soon as its author is told

Cause: the loop answered a PUT when the fold had the version, but readers saw it only at the next tick, up to 100 ms later; an operator's next 'get' gave the old version and the apply based on it was refused as stale_base. The wait of the HTTP thread had hidden it. Ruled out: another author; the message names the version just accepted.

--- a/programs/entry/loop.c
+++ b/programs/entry/loop.c
@@ -27,6 +27,40 @@
     }
 }
 
+static GHashTable *
+live_services (const Loop *loop, int64_t now_us)
+{
+  GHashTable *names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  const GPtrArray *agents = members_agents (loop->members);
+
+  for (guint i = 0; i < agents->len; i++)
+    {
+      const MembersAgent *agent = g_ptr_array_index (agents, i);
+      if (agent->leaving || !members_is_live (loop->members, agent->heard_us, now_us))
+        continue;
+      for (guint j = 0; j < agent->endpoints->len; j++)
+        {
+          const MembersEndpoint *endpoint = g_ptr_array_index (agent->endpoints, j);
+          if (endpoint->is_listed && endpoint->healthy)
+            g_hash_table_add (names, g_strdup (endpoint->service));
+        }
+    }
+  return names;
+}
+
+static void
+publish_view (Loop *loop, int64_t now_us)
+{
+  View view = { .config = config_ref (loop->config),
+                .is_ready = loop->is_caught_up || loop->config->version > 0,
+                .is_leaving = loop->is_leaving,
+                .log_is_up = loop_log_is_up (loop),
+                .published_us = now_us,
+                .live_services = live_services (loop, now_us) };
+
+  view_publish (loop->board, &view);
+}
+
 void
 loop_take_config (Loop *loop, uint64_t version, const char *author, int64_t wall_ms, GBytes *text)
 {
@@ -36,7 +70,11 @@
     return;
   Config *next = config_new (version, author, wall_ms, text, &error);
   if (next != NULL)
-    loop_adopt (loop, next);
+    {
+      loop_adopt (loop, next);
+      /* Who is told of the version reads it from here at once. */
+      publish_view (loop, clk_now_us ());
+    }
   else
     jnl_event (JNL_ERROR, "config", "unreadable", "version=%" G_GUINT64_FORMAT " message=\"%s\"",
                version, error->message);
@@ -109,40 +147,6 @@
   loop->entry_due_us = clk_now_us () + ENTRY_AGAIN_US;
 }
 
-static GHashTable *
-live_services (const Loop *loop, int64_t now_us)
-{
-  GHashTable *names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  const GPtrArray *agents = members_agents (loop->members);
-
-  for (guint i = 0; i < agents->len; i++)
-    {
-      const MembersAgent *agent = g_ptr_array_index (agents, i);
-      if (agent->leaving || !members_is_live (loop->members, agent->heard_us, now_us))
-        continue;
-      for (guint j = 0; j < agent->endpoints->len; j++)
-        {
-          const MembersEndpoint *endpoint = g_ptr_array_index (agent->endpoints, j);
-          if (endpoint->is_listed && endpoint->healthy)
-            g_hash_table_add (names, g_strdup (endpoint->service));
-        }
-    }
-  return names;
-}
-
-static void
-publish_view (Loop *loop, int64_t now_us)
-{
-  View view = { .config = config_ref (loop->config),
-                .is_ready = loop->is_caught_up || loop->config->version > 0,
-                .is_leaving = loop->is_leaving,
-                .log_is_up = loop_log_is_up (loop),
-                .published_us = now_us,
-                .live_services = live_services (loop, now_us) };
-
-  view_publish (loop->board, &view);
-}
-
 static void
 tick (Loop *loop, int64_t now_us)
 {
