--- a/programs/entry/loop_operators.c
+++ b/programs/entry/loop_operators.c
@@ -154,13 +154,21 @@
     }
 }
 
-/* What this entry can explain itself: NULL when it doesn't own the shard. */
+/* What this entry can explain itself: NULL when it doesn't own the shard. A job that the core has
+   not met yet, or has forgotten, still has what the log holds of it. */
 static char *
 explain_here (Loop *loop, uint64_t id)
 {
+  const FoldJob *job = fold_job (loop->fold, id);
   const Shard *shard = loop->shards[jobs_shard (id, (uint32_t) loop->settings->shards)];
+  char *text = shard != NULL ? core_explain_job (shard_core (shard), id) : NULL;
 
-  return shard != NULL ? core_explain_job (shard_core (shard), id) : NULL;
+  if (shard == NULL || text != NULL || job == NULL)
+    return text;
+  g_autoptr (GBytes) body = render_job (job);
+  gsize size = 0;
+  const char *data = g_bytes_get_data (body, &size);
+  return g_strndup (data, size);
 }
 
 /* Without the owner's word an ended job still has what the log holds of it. */
