--- a/lib/core/reclaim.c
+++ b/lib/core/reclaim.c
@@ -144,7 +144,8 @@
   for (guint i = 0; i < n; i++)
     {
       CoreWorker *worker = place_nth (core, candidates, i);
-      if (worker->is_quarantined || !place_is_open (core, task->job, worker)
+      if (worker->is_quarantined || health_room (core, worker) == 0
+          || !place_is_open (core, task->job, worker)
           || !find_victims (core, task->job, worker, &room))
         continue;
       if (best.worker != NULL && room.cost_ms >= best.cost_ms)
--- a/tests/core/test_core_policy.c
+++ b/tests/core/test_core_policy.c
@@ -335,6 +335,27 @@
   fix_free (fix);
 }
 
+static void
+room_is_made_where_a_start_may_go (void **state)
+{
+  Fixture *fix = fix_new ("[job.five]\ntasks = 5\ncpu_milli = 3200\n"
+                          "[job.now]\npriority = \"urgent\"\ncpu_milli = 3200\n",
+                          NULL);
+
+  (void) state;
+  fix_worker (fix, "old", "r1");
+  fix_job (fix, 1, "five");
+  fix_tick (fix, 100);
+  fix_worker (fix, "young", "r1");
+  fix_job (fix, 2, "five");
+  fix_tick (fix, 10000);
+  fix_job (fix, 3, "now");
+  fix_tick (fix, 100);
+  /* The young instance's tasks would lose less, but it may get no start for some seconds. */
+  assert_string_equal (fix_last (fix->commands, CORE_DO_STOP, 1).worker, "old");
+  fix_free (fix);
+}
+
 int
 main (void)
 {
@@ -351,6 +372,7 @@
     cmocka_unit_test (due_work_goes_before_other_work),
     cmocka_unit_test (room_is_kept_for_a_large_task),
     cmocka_unit_test (wave_of_starts_is_paced),
+    cmocka_unit_test (room_is_made_where_a_start_may_go),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
