--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -339,8 +339,8 @@
   (void) MHD_run (http->daemon);
 }
 
-static gpointer
-poll_thread (gpointer data)
+static void *
+poll_thread (void *data)
 {
   Http *http = data;
 
@@ -387,7 +387,8 @@
       g_free (http);
       return NULL;
     }
-  http->thread = g_thread_new ("http", poll_thread, http);
+  int rc = pthread_create (&http->thread, NULL, poll_thread, http);
+  g_assert (rc == 0);
   return http;
 }
 
@@ -398,7 +399,7 @@
     return;
   g_atomic_int_set (&http->stopping, 1);
   wake (http);
-  g_thread_join (http->thread);
+  (void) pthread_join (http->thread, NULL);
 }
 
 static gboolean
--- a/lib/entry/http_private.h
+++ b/lib/entry/http_private.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <microhttpd.h>
+#include <pthread.h>
 
 #include "entry/http.h"
 
@@ -15,7 +16,7 @@
   HttpOptions options;
   char *host;
   struct MHD_Daemon *daemon;
-  GThread *thread;
+  pthread_t thread;
   int wake_fd; /**< written when an answer is there */
   gint stopping;
 };
--- a/programs/entry/loop_log.c
+++ b/programs/entry/loop_log.c
@@ -269,29 +269,25 @@
 {
   Loop *loop;
   GBytes *state;
+  int64_t next_offset; /**< of the fold that was saved */
 } SnapshotWork;
 
-static gpointer
-write_snapshot (gpointer data)
+static void *
+write_snapshot (void *data)
 {
   SnapshotWork *work = data;
   const EntrySettings *settings = work->loop->settings;
-  FoldOptions fold_options = loop_fold_options (settings);
   PlatLogOptions options = log_options (settings);
   g_autoptr (GError) error = NULL;
-  gsize size = 0;
-  const uint8_t *bytes = g_bytes_get_data (work->state, &size);
-  Fold *fold = fold_from_snapshot (&fold_options, bytes, size, &error);
   PlatLog *log = plat_log_new (&options);
 
-  if (fold != NULL
-      && follow_write_snapshot (log, settings->log_snapshot_stream, fold, SNAPSHOT_CHUNK_BYTES,
-                                &error))
-    jnl_event (JNL_INFO, "log", "snapshot", "bytes=%" G_GSIZE_FORMAT, size);
+  if (follow_write_saved (log, settings->log_snapshot_stream, work->state, work->next_offset,
+                          SNAPSHOT_CHUNK_BYTES, &error))
+    jnl_event (JNL_INFO, "log", "snapshot", "bytes=%" G_GSIZE_FORMAT,
+               g_bytes_get_size (work->state));
   else
     jnl_event (JNL_WARN, "log", "snapshot_failed", "kind=%s", err_name (err_kind (error)));
   plat_log_free (log);
-  fold_free (fold);
   g_bytes_unref (work->state);
   g_atomic_int_set (&work->loop->snapshot_done, 1);
   g_free (work);
@@ -301,24 +297,28 @@
 void
 loop_join_snapshot (Loop *loop)
 {
-  if (loop->snapshot != NULL)
-    g_thread_join (g_steal_pointer (&loop->snapshot));
+  if (loop->has_snapshot)
+    (void) pthread_join (loop->snapshot, NULL);
+  loop->has_snapshot = FALSE;
 }
 
 void
 loop_snapshot_tick (Loop *loop, int64_t now_us)
 {
-  if (loop->snapshot != NULL && g_atomic_int_get (&loop->snapshot_done))
+  if (loop->has_snapshot && g_atomic_int_get (&loop->snapshot_done))
     loop_join_snapshot (loop);
-  if (now_us < loop->snapshot_due_us || loop->snapshot != NULL || !loop_log_is_up (loop)
+  if (now_us < loop->snapshot_due_us || loop->has_snapshot || !loop_log_is_up (loop)
       || owner_epoch (loop->owner, 0) == 0)
     return;
   loop->snapshot_due_us = now_us + loop->settings->snapshot_every_ms * CLK_US_PER_MS;
   SnapshotWork *work = g_new0 (SnapshotWork, 1);
   work->loop = loop;
   work->state = fold_snapshot (loop->fold);
+  work->next_offset = fold_next_offset (loop->fold);
   g_atomic_int_set (&loop->snapshot_done, 0);
-  loop->snapshot = g_thread_new ("snapshot", write_snapshot, work);
+  int rc = pthread_create (&loop->snapshot, NULL, write_snapshot, work);
+  g_assert (rc == 0);
+  loop->has_snapshot = TRUE;
 }
 
 Commit *
--- a/programs/entry/loop_private.h
+++ b/programs/entry/loop_private.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <pthread.h>
+
 #include "entry/budget.h"
 #include "entry/calls.h"
 #include "entry/config.h"
@@ -61,7 +63,8 @@
   Shard **shards;     /**< by number; NULL where another entry owns it */
   GPtrArray *pending; /**< LoopPending */
   GArray *dirty_jobs; /**< uint64_t: jobs whose records were just folded */
-  GThread *snapshot;  /**< writes a snapshot; NULL: none */
+  pthread_t snapshot; /**< writes a snapshot while has_snapshot */
+  gboolean has_snapshot;
   gint snapshot_done;
   gint stopping;      /**< set once, read by the log's threads */
   gint in_flight;     /**< requests that wait, for loop_leave() */
--- a/programs/load/jobs.c
+++ b/programs/load/jobs.c
@@ -1,5 +1,6 @@
 #include "jobs.h"
 
+#include <pthread.h>
 #include <jansson.h>
 #include <string.h>
 
@@ -17,7 +18,7 @@
 struct Jobs
 {
   const LoadOptions *options;
-  GThread *thread;
+  pthread_t thread;
   GPtrArray *accepted; /**< ids of the accepted runs */
   LoadJobs counts;
 };
@@ -96,7 +97,8 @@
 
   jobs->options = options;
   jobs->accepted = g_ptr_array_new_with_free_func (g_free);
-  jobs->thread = g_thread_new ("jobs", submit_main, jobs);
+  int rc = pthread_create (&jobs->thread, NULL, submit_main, jobs);
+  g_assert (rc == 0);
   return jobs;
 }
 
@@ -136,7 +138,7 @@
 {
   if (jobs == NULL)
     return;
-  g_thread_join (jobs->thread);
+  (void) pthread_join (jobs->thread, NULL);
   int64_t end_us = clk_now_us () + jobs->options->job_wait_s * CLK_US_PER_S;
   count_done (jobs);
   while (jobs->accepted->len > 0 && clk_now_us () < end_us)
--- a/programs/load/run.c
+++ b/programs/load/run.c
@@ -1,5 +1,6 @@
 #include "run.h"
 
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -26,7 +27,7 @@
 typedef struct
 {
   Run *run;
-  GThread *thread;
+  pthread_t thread;
   GPtrArray *links; /**< Link, one for each entry */
   Link *direct;     /**< NULL without direct calls */
   LoadTally tallies[LOAD_CLASS_COUNT];
@@ -196,10 +197,13 @@
 {
   run->start_us = clk_now_us ();
   for (int64_t i = 0; i < n_senders; i++)
-    senders[i].thread = g_thread_new ("sender", sender_main, &senders[i]);
+    {
+      int rc = pthread_create (&senders[i].thread, NULL, sender_main, &senders[i]);
+      g_assert (rc == 0);
+    }
   for (int64_t i = 0; i < n_senders; i++)
     {
-      g_thread_join (senders[i].thread);
+      (void) pthread_join (senders[i].thread, NULL);
       for (int class = 0; class < LOAD_CLASS_COUNT; class ++)
         load_tally_merge (&result->tallies[class], &senders[i].tallies[class]);
     }
--- a/tests/entry/test_http.c
+++ b/tests/entry/test_http.c
@@ -31,8 +31,8 @@
 } Fixture;
 
 /* Answers with the body that came, from another thread. */
-static gpointer
-echo (gpointer data)
+static void *
+echo (void *data)
 {
   HttpRequest *request = data;
   const HttpHeader headers[] = { { "Acacia-Ran", "yes" } };
@@ -49,7 +49,9 @@
 
   if (g_atomic_int_get (&fix->is_full))
     return FALSE;
-  g_thread_unref (g_thread_new ("echo", echo, request));
+  pthread_t thread;
+  assert_int_equal (pthread_create (&thread, NULL, echo, request), 0);
+  (void) pthread_detach (thread);
   return TRUE;
 }
 
