--- a/lib/core/place.c
+++ b/lib/core/place.c
@@ -279,17 +279,34 @@
     }
 }
 
+/* Whether what was evicted for @p task is still on its way out. */
+static gboolean
+is_room_on_way (const Core *core, const CoreTask *task)
+{
+  const CoreWorker *worker = tables_worker_row (core, task->room_on);
+
+  if (core->now_us >= task->room_until_us || worker == NULL)
+    return FALSE;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const CoreTask *other = g_ptr_array_index (worker->tasks, i);
+      if (other->state == TASK_STOPPING)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 make_room (Core *core, CoreJob *job)
 {
   for (uint32_t i = job->next; i < job->n_tasks; i++)
     {
       CoreTask *task = &job->tasks[i];
-      if (task->state != TASK_WAITING || core->now_us < task->room_until_us
+      if (task->state != TASK_WAITING || is_room_on_way (core, task)
           || core->now_us < task->not_before_us)
         continue;
       task->room_until_us = core->now_us + PLACE_ROOM_ON_WAY_US;
-      reclaim_make_room (core, task);
+      task->room_on = reclaim_make_room (core, task);
     }
 }
 
--- a/lib/core/reclaim.c
+++ b/lib/core/reclaim.c
@@ -133,7 +133,7 @@
     }
 }
 
-void
+uint32_t
 reclaim_make_room (Core *core, CoreTask *task)
 {
   const GArray *candidates = rules_candidates (core, task->job->shape);
@@ -158,6 +158,7 @@
     evict_victims (core, task, &best);
   g_ptr_array_free (best.victims, TRUE);
   g_ptr_array_free (room.victims, TRUE);
+  return best.worker != NULL ? best.worker->row : CORE_NONE;
 }
 
 static void
--- a/lib/core/tables.c
+++ b/lib/core/tables.c
@@ -264,6 +264,7 @@
       task->index = i;
       task->worker = CORE_NONE;
       task->failed_on = CORE_NONE;
+      task->room_on = CORE_NONE;
       task->throttle_permille = CORE_FULL_PERMILLE;
     }
   job->count[TASK_WAITING] = job->n_tasks;
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -58,6 +58,7 @@
   int64_t throttled_us;
   int64_t progress_ms;
   int64_t room_until_us; /**< room is being made for it until then */
+  uint32_t room_on;      /**< where */
 } CoreTask;
 
 /** Where work with one set of labels may run. Shared by all runs of like definitions. */
@@ -444,8 +445,8 @@
 void reclaim_run (Core *core);
 /** Checkpoints and stops @p task if cooldown and budget allow it. */
 gboolean reclaim_evict (Core *core, CoreTask *task, const CoreCommand *because, gboolean is_owed);
-/** Evicts what costs least to make room for an urgent task. */
-void reclaim_make_room (Core *core, CoreTask *task);
+/** Evicts what costs least to make room for an urgent task; the row, or CORE_NONE. */
+uint32_t reclaim_make_room (Core *core, CoreTask *task);
 void reclaim_stop (Core *core, CoreTask *task, CoreCommandType with, const CoreCommand *because);
 
 /* emit.c */
--- a/tests/core/test_core_policy.c
+++ b/tests/core/test_core_policy.c
@@ -356,6 +356,34 @@
   fix_free (fix);
 }
 
+static void
+room_that_is_not_enough_is_made_again (void **state)
+{
+  Fixture *fix = fix_new ("[job.four]\ntasks = 4\ncpu_milli = 4000\n"
+                          "[job.now]\npriority = \"urgent\"\ncpu_milli = 4000\n",
+                          NULL);
+  CoreInput more = { .type = CORE_IN_USAGE };
+
+  (void) state;
+  fix_worker (fix, "w1", "r1");
+  fix_job (fix, 1, "four");
+  fix_tick (fix, 100);
+  fix_job (fix, 2, "now");
+  fix_tick (fix, 10000);
+  CoreCommand stop = fix_last (fix->commands, CORE_DO_STOP, 1);
+  /* The others turn out to use more than they reserved, which takes up the room. */
+  more.usage.worker = "w1";
+  more.usage.task = (CoreTaskKey){ 1, (stop.task.index + 1) % 4 };
+  more.usage.attempt = 1;
+  more.usage.used = (DocSize){ 5000, 0, 0 };
+  more.usage.measured_us = fix->now_us;
+  fix_input (fix, &more);
+  fix_answer (fix, &stop, CORE_TASK_STOPPED);
+  fix_tick (fix, 100);
+  assert_int_equal (fix_count (fix->commands, CORE_DO_STOP, CORE_WHY_MAKE_ROOM), 1);
+  fix_free (fix);
+}
+
 int
 main (void)
 {
@@ -373,6 +401,7 @@
     cmocka_unit_test (room_is_kept_for_a_large_task),
     cmocka_unit_test (wave_of_starts_is_paced),
     cmocka_unit_test (room_is_made_where_a_start_may_go),
+    cmocka_unit_test (room_that_is_not_enough_is_made_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
