Dry runs know racks, data centres and what earlier label rules set

Cause: rack and data centre became labels only inside the core, there as 'data-centre' while settings, status and pages say data_centre; so a dry run said of 'rack = rack-2' that it matches nothing. A label rule was also judged after all rules were applied, its own included, so 'pool not exists' matched nothing. Seen red: cli/test_cli, 'a dry run knows racks and data centres'. Now members add both labels, by one name.

--- a/lib/core/rules.c
+++ b/lib/core/rules.c
@@ -42,8 +42,8 @@
   worker->labels = worker->announced != NULL ? lab_copy (worker->announced) : lab_new ();
   if (worker->rack != NULL && lab_get (worker->labels, "rack") == NULL)
     (void) lab_set (worker->labels, "rack", worker->rack, NULL);
-  if (worker->data_centre != NULL && lab_get (worker->labels, "data-centre") == NULL)
-    (void) lab_set (worker->labels, "data-centre", worker->data_centre, NULL);
+  if (worker->data_centre != NULL && lab_get (worker->labels, "data_centre") == NULL)
+    (void) lab_set (worker->labels, "data_centre", worker->data_centre, NULL);
   doc_apply_labels (core->config.label_only, worker->labels);
   GHashTableIter iter;
   void *value = NULL;
--- a/lib/entry/dryrun.c
+++ b/lib/entry/dryrun.c
@@ -153,6 +153,30 @@
   return found;
 }
 
+/* A label rule sees what the rules before it have set, and not what it sets itself. */
+static gboolean
+label_matches (guint index, const DocDocument *next, const Members *members)
+{
+  const GPtrArray *agents = members_agents (members);
+  gboolean found = FALSE;
+
+  for (guint i = 0; i < agents->len && !found; i++)
+    {
+      const MembersAgent *agent = g_ptr_array_index (agents, i);
+      LabSet *labels = lab_copy (agent->labels);
+      for (guint j = 0; j < index; j++)
+        {
+          const DocLabel *earlier = g_ptr_array_index (next->labels, j);
+          if (sel_match (earlier->instances, labels))
+            (void) lab_set (labels, earlier->key, earlier->value, NULL);
+        }
+      const DocLabel *label = g_ptr_array_index (next->labels, index);
+      found = sel_match (label->instances, labels);
+      lab_free (labels);
+    }
+  return found;
+}
+
 static gboolean
 matches_work (const Sel *sel, const DocDocument *next)
 {
@@ -205,7 +229,7 @@
     {
       const DocLabel *label = g_ptr_array_index (next->labels, i);
       g_autofree char *where = g_strdup_printf ("label %s=%s", label->key, label->value);
-      if (!matches_instance (label->instances, next, members))
+      if (!label_matches (i, next, members))
         add_unmatched (rows, where, label->instances);
     }
   for (guint i = 0; i < next->rules->len; i++)
--- a/lib/entry/members.c
+++ b/lib/entry/members.c
@@ -163,11 +163,14 @@
   endpoint->sent_since = 0;
 }
 
+/* Rack and data centre are labels too, unless the agent's settings give their own. */
 static void
 read_labels (MembersAgent *agent, const Wire__Announce *announce)
 {
   lab_free (agent->labels);
   agent->labels = lab_new ();
+  (void) lab_set (agent->labels, "rack", agent->rack, NULL);
+  (void) lab_set (agent->labels, "data_centre", agent->data_centre, NULL);
   for (size_t i = 0; i < announce->n_labels; i++)
     (void) lab_set (agent->labels, announce->labels[i]->key, announce->labels[i]->value, NULL);
 }
--- a/lib/entry/render.c
+++ b/lib/entry/render.c
@@ -232,7 +232,6 @@
       count_label (counts, key, value);
     }
   lab_free (labels);
-  count_label (counts, "data_centre", agent->data_centre);
 }
 
 static json_t *
--- a/tests/cli/test_cli.sh
+++ b/tests/cli/test_cli.sh
@@ -81,6 +81,19 @@
   "$(ctl --json apply "$CLUSTER_DIR/next.toml" --dry-run \
     | jq -r '.changes[] | "\(.section) \(.name) \(.change)"')"
 check_equal "and publishes nothing" "$version" "$(config_version entry-1)"
+cat "$good" - >"$CLUSTER_DIR/places.toml" <<TOML
+[[label]]
+instances = "rack = rack-2 and data_centre = $(data_centre_of 2)"
+key = "pool"
+value = "second"
+[[label]]
+instances = "rack = nowhere"
+key = "pool"
+value = "none"
+TOML
+check_equal "a dry run knows racks and data centres" "rack = nowhere" \
+  "$(ctl --json apply "$CLUSTER_DIR/places.toml" --dry-run \
+    | jq -r '.matches_nothing[] | select(.where | startswith("label")) | .selector')"
 output=$(ctl submit nonsense 2>&1)
 check_equal "an unknown job: exit code" 1 $?
 check "an unknown job: not_found" grep -q 'submit: not_found: ' <<<"$output"
