--- a/tests/fault/test_drain.sh
+++ b/tests/fault/test_drain.sh
@@ -15,11 +15,13 @@
 
 total_of() { curl -fsS -m 5 "$(url_of "$1")/stats" | jq -r .total; }
 running_of() { curl -fsS -m 5 "$(url_of "$1")/stats" | jq -r .running; }
-is_busy() { [ "$(running_of "$1")" -ge "$2" ]; }
+both() { echo $(($("$1" service-1) + $("$1" service-2))); }
+all_run() { [ "$(both running_of)" -eq "$CALLS" ]; }
 
-# Starts CALLS slow requests, waits until the first endpoint has some, then stops $1.
+# Starts CALLS slow requests, waits until all are at the endpoints, then stops $1.
 stop_under_load() {
-  local name=$1 i callers=()
+  local name=$1 i callers=() before
+  before=$(both total_of)
   fault service-1 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":$SLOW_MS}"
   fault service-2 "{\"mode\":\"slow\",\"for_ms\":1000,\"delay_ms\":$SLOW_MS}"
   for ((i = 0; i < CALLS; i++)); do
@@ -27,12 +29,14 @@
       -o "$CLUSTER_DIR/answer-$i" -w '%{http_code}' >"$CLUSTER_DIR/status-$i" 2>/dev/null &
     callers+=($!)
   done
-  wait_for 5 "requests are in flight" is_busy service-1 2
+  wait_for 5 "all requests are in flight" all_run
   terminate "$name"
   wait "${callers[@]}"
   for ((i = 0; i < CALLS; i++)); do
     check_equal "request $i was answered" 200 "$(cat "$CLUSTER_DIR/status-$i")"
   done
+  # A request that was cut and run again elsewhere would count twice.
+  check_equal "each ran once" "$CALLS" $(($(both total_of) - before))
 }
 
 left_cleanly() {
