A once request must carry the date of its first try

Cause: keys are held for a window. A caller that tried again after the window without a date was dated now, was taken for a first request, and ran a second time. Ruled out: a longer window alone, which moves the hole; taking undated requests as old, which refuses them all. Before: fault/test_once with the new row failed, 'bad_request no' expected, an answer got. After: fault/test_once passed. Callers, the load tool and the scripts send the header.

--- a/lib/entry/params.h
+++ b/lib/entry/params.h
@@ -36,7 +36,7 @@
   char *content_type;
   ParamsKind kind;
   int64_t timeout_ms; /**< 0: the service's */
-  int64_t dated_ms;   /**< 0: now */
+  int64_t dated_ms;   /**< wall time of the first try; 0: not said */
   IdsId id;           /**< zero: make one */
 } ParamsCall;
 
--- a/programs/entry/loop_calls.c
+++ b/programs/entry/loop_calls.c
@@ -207,6 +207,8 @@
     begin_repeatable (loop, request, deadline_us);
   else if (call->key == NULL)
     refuse (request, ERR_BAD_REQUEST, "Idempotency-Key: required for once requests");
+  else if (call->dated_ms == 0)
+    refuse (request, ERR_BAD_REQUEST, "Acacia-Date-Ms: required for once requests");
   else
     loop_once_call (loop, request, deadline_us);
 }
--- a/programs/entry/loop_once.c
+++ b/programs/entry/loop_once.c
@@ -197,7 +197,7 @@
   once.path = ask->call.path;
   once.content_type = ask->call.content_type;
   once.body = ask->body;
-  once.dated_ms = ask->call.dated_ms != 0 ? ask->call.dated_ms : wall_ms;
+  once.dated_ms = ask->call.dated_ms;
   once.deadline_us = deadline_us;
   once.waiter = request;
   budget_first (&loop->budget);
--- a/programs/load/run.c
+++ b/programs/load/run.c
@@ -12,7 +12,9 @@
 
 #define RUN_TAG_SIZE 64
 #define RUN_STATUS_ERROR_FIRST 400
-#define RUN_HEADERS_MAX 4
+#define RUN_HEADERS_MAX 5
+/** The last headers, which only once requests have. */
+#define RUN_ONCE_HEADERS 2
 
 /** What all threads share. */
 typedef struct
@@ -71,13 +73,15 @@
                               ? g_strdup_printf ("/%s", options->path)
                               : g_strdup_printf ("/v1/call/%s/%s", options->service, options->path);
   g_autofree char *timeout = g_strdup_printf ("%" G_GINT64_FORMAT, options->timeout_ms);
+  g_autofree char *date = g_strdup_printf ("%" G_GINT64_FORMAT, clk_wall_ms ());
   const LinkHeader headers[RUN_HEADERS_MAX] = {
     { "Acacia-Tenant", options->tenant },
     { "Acacia-Timeout-Ms", timeout },
     { "Acacia-Kind", class == LOAD_ONCE ? "once" : "repeatable" },
     { "Idempotency-Key", tag },
+    { "Acacia-Date-Ms", date },
   };
-  size_t n_headers = class == LOAD_ONCE ? RUN_HEADERS_MAX : RUN_HEADERS_MAX - 1;
+  size_t n_headers = class == LOAD_ONCE ? RUN_HEADERS_MAX : RUN_HEADERS_MAX - RUN_ONCE_HEADERS;
   LinkRequest request = { "POST", path, headers, n_headers, body->str, body->len };
   Link *link = sender->direct;
   if (class != LOAD_DIRECT)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -320,7 +320,9 @@
 body_of() { sed '1,/^$/d'; }
 
 # once_args KEY: headers of a request that may run at most once.
-once_args() { printf '%s\n' -H "Acacia-Kind: once" -H "Idempotency-Key: $1"; }
+once_args() {
+  printf '%s\n' -H "Acacia-Kind: once" -H "Idempotency-Key: $1" -H "Acacia-Date-Ms: $(now_ms)"
+}
 
 # runs_of KEY: how often requests with this key ran, over all endpoints that answer.
 runs_of() {
--- a/tests/fault/common.sh
+++ b/tests/fault/common.sh
@@ -75,11 +75,12 @@
 # Kind and "ran" of an error answer that call printed.
 error_of() { jq -r '"\(.error.kind) \(.error.ran)"'; }
 
-# once ENTRY KEY BODY [curl arguments]: one request that may run at most once.
+# once ENTRY KEY BODY [curl arguments]: one request that may run at most once, dated now or DATE_MS.
 once() {
   local entry=$1 key=$2 body=$3
   shift 3
-  call "$entry" deliver -H "Acacia-Kind: once" -H "Idempotency-Key: $key" -d "$body" "$@"
+  call "$entry" deliver -H "Acacia-Kind: once" -H "Idempotency-Key: $key" \
+    -H "Acacia-Date-Ms: ${DATE_MS:-$(now_ms)}" -d "$body" "$@"
 }
 
 # Attempts that ended before their task did, as the workers saw it.
--- a/tests/fault/test_endpoint.sh
+++ b/tests/fault/test_endpoint.sh
@@ -23,7 +23,8 @@
   for kind in repeatable once; do
     key=$mode-$kind
     fault service-1 "{\"mode\":\"$mode\",\"count\":50,\"for_ms\":1500}"
-    answer=$(call entry-1 deliver -H "Acacia-Kind: $kind" -H "Idempotency-Key: $key" -d credit)
+    answer=$(call entry-1 deliver -H "Acacia-Kind: $kind" -H "Idempotency-Key: $key" \
+      -H "Acacia-Date-Ms: $(now_ms)" -d credit)
     check "$kind: a whole answer or a typed error" \
       jq -e '(.error.kind != null and .error.ran != null) or .length == 6' <<<"$answer"
     said=$(jq -r '.error.ran // "answer"' <<<"$answer")
--- a/tests/fault/test_log_outage.sh
+++ b/tests/fault/test_log_outage.sh
@@ -44,7 +44,8 @@
 done
 check "previews went on ($rounds rounds)" test "$rounds" -ge 5
 start=$(now_ms)
-refusal=$(call_full entry-2 deliver -H "Acacia-Kind: once" -H "Idempotency-Key: during" -d master)
+refusal=$(call_full entry-2 deliver -H "Acacia-Kind: once" -H "Idempotency-Key: during" \
+  -H "Acacia-Date-Ms: $(now_ms)" -d master)
 took=$(($(now_ms) - start))
 check "a once request is refused at once ($took ms)" test "$took" -lt "$AT_ONCE_MS"
 check_equal "it was not run" "log_down no" "$(body_of <<<"$refusal" | error_of)"
--- a/tests/fault/test_once.sh
+++ b/tests/fault/test_once.sh
@@ -41,9 +41,14 @@
 say "== dated before the key window"
 old=$(($(now_ms) - 90000000))
 check_equal "it is not run, and may have run then" "key_expired" \
-  "$(once entry-1 ancient credit -H "Acacia-Date-Ms: $old" | jq -r .error.kind)"
+  "$(DATE_MS=$old once entry-1 ancient credit | jq -r .error.kind)"
 check_equal "no run" 0 "$(runs_of ancient)"
 
+say "== without the date of its first try"
+check_equal "it is refused, since it might be older than its key's window" "bad_request no" \
+  "$(call entry-1 deliver -H "Acacia-Kind: once" -H "Idempotency-Key: undated" -d credit | error_of)"
+check_equal "no run" 0 "$(runs_of undated)"
+
 say "== after a restart of every process of ours"
 for name in agent-1 agent-2 entry-1 entry-2; do kill_now "$name"; done
 start_entry 1
