A lease's margin is at most a quarter of the lease

Cause: with lease_ms 2000 and the agent's default lease_margin_ms 1000, a lease ended between two renewals and every task was checkpointed about once a second; nothing refused or clamped it. Ruled out: refusing such settings; the two values belong to two processes that start apart. Also: the log line of a task's end names a kind only when there is one.

--- a/lib/agent/agent_lease.c
+++ b/lib/agent/agent_lease.c
@@ -2,6 +2,9 @@
 
 #include "common/clk.h"
 
+/** The margin is at most this part of a lease, so that renewals come before it. */
+#define MARGIN_PARTS 4
+
 typedef struct
 {
   AgentLease lease; /**< end_us has the margin taken off */
@@ -98,7 +101,9 @@
   if (row == NULL)
     row = add_row (leases, grant->shard);
   row->lease.epoch = grant->epoch;
-  row->lease.end_us = grant->sent_us + grant->lease_ms * CLK_US_PER_MS - leases->margin_us;
+  int64_t lease_us = grant->lease_ms * CLK_US_PER_MS;
+  int64_t margin_us = MIN (leases->margin_us, lease_us / MARGIN_PARTS);
+  row->lease.end_us = grant->sent_us + lease_us - margin_us;
   row->seq = grant->seq;
   row->is_live = TRUE;
   return AGENT_GRANT_TAKEN;
--- a/lib/agent/agent_lease.h
+++ b/lib/agent/agent_lease.h
@@ -49,7 +49,10 @@
   int64_t end_us;
 } AgentLease;
 
-/** Leases end @p margin_ms early, which leaves time to checkpoint and stop. */
+/**
+ * Leases end @p margin_ms early, at most a quarter of the lease, which leaves time to checkpoint
+ * and stop.
+ */
 AgentLeases *agent_leases_new (int64_t margin_ms);
 void agent_leases_free (AgentLeases *leases);
 
--- a/lib/agent/agent_work.c
+++ b/lib/agent/agent_work.c
@@ -109,8 +109,10 @@
 {
   agent_tasks_end (node->tasks, task, state, kind, checkpoint, failure);
   send_task (node, NULL, task);
-  jnl_event (JNL_INFO, "agent", "task_end", PLACE " state=%d kind=%s", task->id.job, task->id.index,
-             task->id.attempt, (int) state, err_name (kind));
+  gboolean has_kind = state == AGENT_TASK_FAILED || state == AGENT_TASK_REFUSED;
+  jnl_event (JNL_INFO, "agent", "task_end", PLACE " state=%d%s%s", task->id.job, task->id.index,
+             task->id.attempt, (int) state, has_kind ? " kind=" : "",
+             has_kind ? err_name (kind) : "");
 }
 
 static AgentStart
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -21,6 +21,26 @@
 /** Answer of an entry to a heartbeat. */
 #define LEASE_BYTES 60
 
+/* A margin as long as the lease would end every task between two renewals. */
+static void
+margin_is_at_most_a_quarter_of_the_lease (void **state)
+{
+  static const int64_t sent_us = 5000000;
+  AgentLeases *leases = agent_leases_new (1000);
+  const AgentGrant grant = { .seq = 1, .sent_us = sent_us, .epoch = 1, .lease_ms = 2000 };
+  int64_t end_us = 0;
+  ErrKind kind = ERR_INTERNAL;
+
+  (void) state;
+  agent_leases_sent (leases, 1, sent_us);
+  assert_int_equal (agent_leases_grant (leases, &grant, sent_us), AGENT_GRANT_TAKEN);
+  assert_true (agent_leases_check (leases, 0, 1, sent_us + 1499 * CLK_US_PER_MS, &end_us, &kind));
+  assert_int_equal (end_us, sent_us + 1500 * CLK_US_PER_MS);
+  assert_false (agent_leases_check (leases, 0, 1, end_us, &end_us, &kind));
+  assert_int_equal (kind, ERR_NO_LEASE);
+  agent_leases_free (leases);
+}
+
 static AgentAnnounceSource
 make_source (int64_t now_us)
 {
@@ -218,6 +238,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (margin_is_at_most_a_quarter_of_the_lease),
     cmocka_unit_test (heartbeat_is_within_the_control_budget),
     cmocka_unit_test (drain_waits_for_what_is_left),
     cmocka_unit_test (drain_waits_for_receipts_within_a_bound),
