--- a/tests/entry/test_owner_props.cc
+++ b/tests/entry/test_owner_props.cc
@@ -20,6 +20,9 @@
 constexpr int64_t kFreshUs = 400 * CLK_US_PER_MS;
 constexpr int64_t kDriftUs = 100 * CLK_US_PER_MS;
 constexpr int64_t kBeatUs = 100 * CLK_US_PER_MS;
+/** One hour of injected time. */
+constexpr int kOutageRounds = 3600 * CLK_US_PER_S / kBeatUs;
+constexpr int kQuietRounds = 100;
 constexpr uint64_t kJob = 7;
 constexpr uint32_t kTasks = 2;
 constexpr const char *kNames[] = { "e0", "e1", "e2" };
@@ -812,26 +815,26 @@
   stop_world (&world);
 }
 
-/* Without faults one entry owns the shard, and the tasks run on through an outage of the log. */
+/* Without faults one entry owns the shard, and the tasks run on while the log is away an hour. */
 void
 outage_keeps_owner ()
 {
   World world;
   int owners = 0;
 
-  world.outage_us = 300 * kBeatUs;
+  world.outage_us = 2 * kOutageRounds * kBeatUs;
   start_world (&world);
-  for (int i = 0; i < 400; i++)
+  for (int i = 0; i < kOutageRounds + 2 * kQuietRounds; i++)
     {
       for (Entry &entry : world.entries)
-        entry.reads_log = i < 100 || i > 300;
+        entry.reads_log = i < kQuietRounds || i > kQuietRounds + kOutageRounds;
       round_of_all (&world);
       land_appends (&world);
       while (!world.messages.empty ())
         deliver (&world, 0);
       pass (&world, kBeatUs);
       for (const Agent &agent : world.agents)
-        RC_ASSERT (i < 100 || world.now_us < agent.lease_end_us);
+        RC_ASSERT (i < kQuietRounds || world.now_us < agent.lease_end_us);
     }
   for (const Entry &entry : world.entries)
     owners += entry.shard != nullptr;
