--- a/lib/common/doc.c
+++ b/lib/common/doc.c
@@ -2,178 +2,8 @@
 
 #include <string.h>
 
-#include "common/clk.h"
+#include "common/doc_read.h"
 #include "common/err.h"
-#include "common/toml.h"
-
-#define DOC_CPU_MILLI_MAX INT64_C (1000000000000)
-#define DOC_MEMORY_MB_MAX INT64_C (1000000000000)
-#define DOC_ACCELERATORS_MAX INT64_C (1000000000)
-#define DOC_MILLIS_MAX (INT64_C (366) * 24 * 3600 * CLK_MS_PER_S)
-#define DOC_TASKS_MAX INT64_C (1000000)
-#define DOC_WEIGHT_MAX INT64_C (1000000)
-
-/** One table being read: messages name its file, line and path. */
-typedef struct
-{
-  const char *source;
-  const TomlNode *table;
-  const char *path;
-  GError **error;
-} DocReader;
-
-static gboolean
-complain (const DocReader *reader, const TomlNode *node, const char *key, const char *expected)
-{
-  err_set (reader->error, ERR_BAD_CONFIG, "%s:%u: %s%s%s: expected %s", reader->source,
-           node != NULL ? node->line : 1, reader->path, *key != '\0' ? "." : "", key, expected);
-  return FALSE;
-}
-
-static gboolean
-only_keys (const DocReader *reader, const char *const *keys)
-{
-  for (guint i = 0; i < reader->table->children->len; i++)
-    {
-      const TomlNode *child = g_ptr_array_index (reader->table->children, i);
-      if (!g_strv_contains (keys, child->key))
-        {
-          g_autofree char *list = g_strjoinv (", ", (char **) keys);
-          g_autofree char *expected = g_strdup_printf ("one of %s", list);
-          return complain (reader, child, child->key, expected);
-        }
-    }
-  return TRUE;
-}
-
-static gboolean
-read_integer (const DocReader *reader,
-              const char *key,
-              int64_t min,
-              int64_t max,
-              int64_t fallback,
-              int64_t *out)
-{
-  const TomlNode *node = toml_get (reader->table, key);
-
-  *out = fallback;
-  if (node == NULL)
-    return TRUE;
-  if (node->type != TOML_INTEGER || node->integer < min || node->integer > max)
-    {
-      g_autofree char *expected
-          = g_strdup_printf ("an integer from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, min, max);
-      return complain (reader, node, key, expected);
-    }
-  *out = node->integer;
-  return TRUE;
-}
-
-static gboolean
-is_name (const char *text)
-{
-  size_t length = strlen (text);
-
-  if (length == 0 || length > DOC_NAME_MAX)
-    return FALSE;
-  for (size_t i = 0; i < length; i++)
-    {
-      if (!g_ascii_isalnum (text[i]) && strchr ("._-", text[i]) == NULL)
-        return FALSE;
-    }
-  return TRUE;
-}
-
-static gboolean
-read_name (const DocReader *reader, const char *key, const char *fallback, char **out)
-{
-  const TomlNode *node = toml_get (reader->table, key);
-
-  if (node == NULL && fallback != NULL)
-    {
-      *out = g_strdup (fallback);
-      return TRUE;
-    }
-  if (node == NULL || node->type != TOML_STRING || !is_name (node->text))
-    return complain (reader, node != NULL ? node : reader->table, key,
-                     "a name of 1 to 63 letters, digits, '.', '_' or '-'");
-  *out = g_strdup (node->text);
-  return TRUE;
-}
-
-/* Reads a word and gives its place in @p words. */
-static gboolean
-read_choice (
-    const DocReader *reader, const char *key, const char *const *words, int fallback, int *out)
-{
-  const TomlNode *node = toml_get (reader->table, key);
-
-  *out = fallback;
-  if (node == NULL && fallback >= 0)
-    return TRUE;
-  for (int i = 0; node != NULL && node->type == TOML_STRING && words[i] != NULL; i++)
-    {
-      if (strcmp (words[i], node->text) == 0)
-        {
-          *out = i;
-          return TRUE;
-        }
-    }
-  g_autofree char *list = g_strjoinv (", ", (char **) words);
-  g_autofree char *expected = g_strdup_printf ("one of %s", list);
-  return complain (reader, node != NULL ? node : reader->table, key, expected);
-}
-
-static gboolean
-read_selector (const DocReader *reader, const char *key, gboolean required, Sel **out)
-{
-  const TomlNode *node = toml_get (reader->table, key);
-  g_autoptr (GError) failure = NULL;
-
-  if (node == NULL && !required)
-    return TRUE;
-  if (node == NULL || node->type != TOML_STRING)
-    return complain (reader, node != NULL ? node : reader->table, key, "a selector");
-  *out = sel_parse (node->text, &failure);
-  if (*out != NULL)
-    return TRUE;
-  err_set (reader->error, ERR_BAD_CONFIG, "%s:%u: %s.%s: %s", reader->source, node->line,
-           reader->path, key, failure->message);
-  return FALSE;
-}
-
-static gboolean
-read_labels (const DocReader *reader, LabSet *labels)
-{
-  const TomlNode *node = toml_get (reader->table, "labels");
-
-  if (node == NULL)
-    return TRUE;
-  if (node->type != TOML_TABLE)
-    return complain (reader, node, "labels", "a table of strings");
-  for (guint i = 0; i < node->children->len; i++)
-    {
-      const TomlNode *child = g_ptr_array_index (node->children, i);
-      g_autoptr (GError) failure = NULL;
-      if (child->type != TOML_STRING)
-        return complain (reader, child, child->key, "a string");
-      if (!lab_set (labels, child->key, child->text, &failure))
-        {
-          err_set (reader->error, ERR_BAD_CONFIG, "%s:%u: %s.labels: %s", reader->source,
-                   child->line, reader->path, failure->message);
-          return FALSE;
-        }
-    }
-  return TRUE;
-}
-
-static gboolean
-read_size (const DocReader *reader, DocSize *size)
-{
-  return read_integer (reader, "cpu_milli", 0, DOC_CPU_MILLI_MAX, 0, &size->cpu_milli)
-         && read_integer (reader, "memory_mb", 0, DOC_MEMORY_MB_MAX, 0, &size->memory_mb)
-         && read_integer (reader, "accelerators", 0, DOC_ACCELERATORS_MAX, 0, &size->accelerators);
-}
 
 /* The labels that selectors see on every piece of work. */
 static void
@@ -206,22 +36,22 @@
 
   service->labels = lab_new ();
   gboolean ok
-      = only_keys (reader, keys) && read_name (reader, "team", "default", &service->team)
-        && read_labels (reader, service->labels)
-        && read_choice (reader, "requests", kinds, DOC_REPEATABLE, &kind)
-        && read_size (reader, &service->size)
-        && read_integer (reader, "slots", 1, 65536, 8, &service->slots)
-        && read_integer (reader, "connections", 1, 65536, 64, &service->connections)
-        && read_integer (reader, "target_p99_us", 1, INT64_C (3600000000), 100000,
-                         &service->target_p99_us)
-        && read_integer (reader, "timeout_ms", 1, DOC_MILLIS_MAX, 10000, &service->timeout_ms);
+      = doc_only_keys (reader, keys) && doc_read_name (reader, "team", "default", &service->team)
+        && doc_read_labels (reader, service->labels)
+        && doc_read_choice (reader, "requests", kinds, DOC_REPEATABLE, &kind)
+        && doc_read_size (reader, &service->size)
+        && doc_read_integer (reader, "slots", 1, 65536, 8, &service->slots)
+        && doc_read_integer (reader, "connections", 1, 65536, 64, &service->connections)
+        && doc_read_integer (reader, "target_p99_us", 1, INT64_C (3600000000), 100000,
+                             &service->target_p99_us)
+        && doc_read_integer (reader, "timeout_ms", 1, DOC_MILLIS_MAX, 10000, &service->timeout_ms);
   if (!ok)
     return FALSE;
   service->kind = (DocRequestKind) kind;
   add_own_labels (service->labels, service->name, service->team, "service");
   if (service->connections < service->slots)
-    return complain (reader, toml_get (reader->table, "connections"), "connections",
-                     "at least as many as slots");
+    return doc_complain (reader, toml_get (reader->table, "connections"), "connections",
+                         "at least as many as slots");
   return TRUE;
 }
 
@@ -249,16 +79,16 @@
 
   job->labels = lab_new ();
   gboolean ok
-      = only_keys (reader, keys) && read_name (reader, "team", "default", &job->team)
-        && read_labels (reader, job->labels)
-        && read_name (reader, "class", job->name, &job->batch_class)
-        && read_choice (reader, "priority", priorities, DOC_NORMAL, &priority)
-        && read_integer (reader, "tasks", 1, DOC_TASKS_MAX, 1, &job->tasks)
-        && read_size (reader, &job->size)
-        && read_integer (reader, "run_ms", 1, DOC_MILLIS_MAX, 60000, &job->run_ms)
-        && read_integer (reader, "deadline_ms", 0, DOC_MILLIS_MAX, 0, &job->deadline_ms)
-        && read_integer (reader, "max_failures", 1, 1000, 3, &job->max_failures)
-        && read_integer (reader, "checkpoint_ms", 0, DOC_MILLIS_MAX, 0, &job->checkpoint_ms);
+      = doc_only_keys (reader, keys) && doc_read_name (reader, "team", "default", &job->team)
+        && doc_read_labels (reader, job->labels)
+        && doc_read_name (reader, "class", job->name, &job->batch_class)
+        && doc_read_choice (reader, "priority", priorities, DOC_NORMAL, &priority)
+        && doc_read_integer (reader, "tasks", 1, DOC_TASKS_MAX, 1, &job->tasks)
+        && doc_read_size (reader, &job->size)
+        && doc_read_integer (reader, "run_ms", 1, DOC_MILLIS_MAX, 60000, &job->run_ms)
+        && doc_read_integer (reader, "deadline_ms", 0, DOC_MILLIS_MAX, 0, &job->deadline_ms)
+        && doc_read_integer (reader, "max_failures", 1, 1000, 3, &job->max_failures)
+        && doc_read_integer (reader, "checkpoint_ms", 0, DOC_MILLIS_MAX, 0, &job->checkpoint_ms);
   if (!ok)
     return FALSE;
   job->priority = (DocPriority) priority;
@@ -280,8 +110,8 @@
 {
   static const char *const keys[] = { "cpu_milli", "memory_mb", "accelerators", "weight", NULL };
 
-  return only_keys (reader, keys) && read_size (reader, &team->quota)
-         && read_integer (reader, "weight", 1, DOC_WEIGHT_MAX, 1, &team->weight);
+  return doc_only_keys (reader, keys) && doc_read_size (reader, &team->quota)
+         && doc_read_integer (reader, "weight", 1, DOC_WEIGHT_MAX, 1, &team->weight);
 }
 
 static void
@@ -302,12 +132,12 @@
   LabSet *probe = lab_new ();
   g_autoptr (GError) failure = NULL;
 
-  gboolean ok = only_keys (reader, keys)
-                && read_selector (reader, "instances", TRUE, &label->instances)
-                && read_name (reader, "key", NULL, &label->key)
-                && read_name (reader, "value", NULL, &label->value);
+  gboolean ok = doc_only_keys (reader, keys)
+                && doc_read_selector (reader, "instances", TRUE, &label->instances)
+                && doc_read_name (reader, "key", NULL, &label->key)
+                && doc_read_name (reader, "value", NULL, &label->value);
   if (ok && !lab_set (probe, label->key, label->value, &failure))
-    ok = complain (reader, reader->table, "key", failure->message);
+    ok = doc_complain (reader, reader->table, "key", failure->message);
   lab_free (probe);
   return ok;
 }
@@ -334,13 +164,13 @@
   gboolean is_place = rule->effect == DOC_MAY || rule->effect == DOC_MAY_NOT;
 
   if (is_place != (instances != NULL))
-    return complain (reader, instances != NULL ? instances : reader->table, "instances",
-                     is_place ? "a selector" : "no such key with this effect");
+    return doc_complain (reader, instances != NULL ? instances : reader->table, "instances",
+                         is_place ? "a selector" : "no such key with this effect");
   if ((rule->effect == DOC_NOT_BESIDE) != (beside != NULL))
-    return complain (reader, beside != NULL ? beside : reader->table, "beside",
-                     beside == NULL ? "a selector" : "no such key with this effect");
+    return doc_complain (reader, beside != NULL ? beside : reader->table, "beside",
+                         beside == NULL ? "a selector" : "no such key with this effect");
   if (rule->effect != DOC_APART && by != NULL)
-    return complain (reader, by, "by", "no such key with this effect");
+    return doc_complain (reader, by, "by", "no such key with this effect");
   return TRUE;
 }
 
@@ -354,13 +184,13 @@
   int effect = -1;
   int spread = DOC_BY_RACK;
 
-  gboolean ok = only_keys (reader, keys) && read_name (reader, "name", NULL, &rule->name)
-                && read_choice (reader, "effect", effects, -1, &effect)
-                && read_selector (reader, "work", TRUE, &rule->work)
-                && read_selector (reader, "instances", FALSE, &rule->instances)
-                && read_selector (reader, "beside", FALSE, &rule->beside)
-                && read_choice (reader, "by", spreads, DOC_BY_RACK, &spread)
-                && read_integer (reader, "max_each", 1, DOC_TASKS_MAX, 1, &rule->max_each);
+  gboolean ok = doc_only_keys (reader, keys) && doc_read_name (reader, "name", NULL, &rule->name)
+                && doc_read_choice (reader, "effect", effects, -1, &effect)
+                && doc_read_selector (reader, "work", TRUE, &rule->work)
+                && doc_read_selector (reader, "instances", FALSE, &rule->instances)
+                && doc_read_selector (reader, "beside", FALSE, &rule->beside)
+                && doc_read_choice (reader, "by", spreads, DOC_BY_RACK, &spread)
+                && doc_read_integer (reader, "max_each", 1, DOC_TASKS_MAX, 1, &rule->max_each);
   if (!ok)
     return FALSE;
   rule->effect = (DocEffect) effect;
@@ -376,18 +206,19 @@
     "report_lag_ms", "urgent_start_ms", "starts_per_tick", "retry_percent",        NULL
   };
 
-  return only_keys (reader, keys)
-         && read_integer (reader, "tail_weight", 0, 1000, 1, &policy->tail_weight)
-         && read_integer (reader, "batch_weight", 0, 1000, 1, &policy->batch_weight)
-         && read_integer (reader, "eviction_weight", 0, 1000, 1, &policy->eviction_weight)
-         && read_integer (reader, "evictions_per_minute", 0, 1000000, 6,
-                          &policy->evictions_per_minute)
-         && read_integer (reader, "cooldown_ms", 0, DOC_MILLIS_MAX, 60000, &policy->cooldown_ms)
-         && read_integer (reader, "report_lag_ms", 1, DOC_MILLIS_MAX, 30000, &policy->report_lag_ms)
-         && read_integer (reader, "urgent_start_ms", 1, DOC_MILLIS_MAX, 1100,
-                          &policy->urgent_start_ms)
-         && read_integer (reader, "starts_per_tick", 1, 1000000, 100, &policy->starts_per_tick)
-         && read_integer (reader, "retry_percent", 0, 100, 10, &policy->retry_percent);
+  return doc_only_keys (reader, keys)
+         && doc_read_integer (reader, "tail_weight", 0, 1000, 1, &policy->tail_weight)
+         && doc_read_integer (reader, "batch_weight", 0, 1000, 1, &policy->batch_weight)
+         && doc_read_integer (reader, "eviction_weight", 0, 1000, 1, &policy->eviction_weight)
+         && doc_read_integer (reader, "evictions_per_minute", 0, 1000000, 6,
+                              &policy->evictions_per_minute)
+         && doc_read_integer (reader, "cooldown_ms", 0, DOC_MILLIS_MAX, 60000, &policy->cooldown_ms)
+         && doc_read_integer (reader, "report_lag_ms", 1, DOC_MILLIS_MAX, 30000,
+                              &policy->report_lag_ms)
+         && doc_read_integer (reader, "urgent_start_ms", 1, DOC_MILLIS_MAX, 1100,
+                              &policy->urgent_start_ms)
+         && doc_read_integer (reader, "starts_per_tick", 1, 1000000, 100, &policy->starts_per_tick)
+         && doc_read_integer (reader, "retry_percent", 0, 100, 10, &policy->retry_percent);
 }
 
 /* One of the named tables ([service.X]) being filled. */
@@ -436,10 +267,10 @@
   TomlType wanted = section->is_named ? TOML_TABLE : TOML_ARRAY;
 
   if (node->type != wanted)
-    return complain (parent, node, section->section,
-                     section->is_named ? "tables [section.NAME]" : "an array of tables");
+    return doc_complain (parent, node, section->section,
+                         section->is_named ? "tables [section.NAME]" : "an array of tables");
   if (node->children->len > DOC_ROWS_MAX)
-    return complain (parent, node, section->section, "at most 4096 rows");
+    return doc_complain (parent, node, section->section, "at most 4096 rows");
   for (guint i = 0; i < node->children->len; i++)
     {
       const TomlNode *child = g_ptr_array_index (node->children, i);
@@ -448,9 +279,10 @@
                                   : g_strdup_printf ("%s[%u]", section->section, i);
       DocReader reader = { parent->source, child, path, parent->error };
       if (child->type != TOML_TABLE)
-        return complain (&reader, child, "", "a table");
-      if (section->is_named && !is_name (child->key))
-        return complain (&reader, child, "", "a name of 1 to 63 letters, digits, '.', '_' or '-'");
+        return doc_complain (&reader, child, "", "a table");
+      if (section->is_named && !doc_is_name (child->key))
+        return doc_complain (&reader, child, "",
+                             "a name of 1 to 63 letters, digits, '.', '_' or '-'");
       char **row = g_malloc0 (section->row_size);
       g_ptr_array_add (section->rows, row);
       /* The name is the first field of every named row. */
@@ -475,7 +307,7 @@
   static const char *const keys[] = { "service", "job", "team", "label", "rule", "policy", NULL };
   const TomlNode *policy = toml_get (reader->table, "policy");
 
-  if (!only_keys (reader, keys))
+  if (!doc_only_keys (reader, keys))
     return FALSE;
   for (size_t i = 0; i < G_N_ELEMENTS (sections); i++)
     {
@@ -484,7 +316,7 @@
         return FALSE;
     }
   if (policy != NULL && policy->type != TOML_TABLE)
-    return complain (reader, policy, "policy", "a table");
+    return doc_complain (reader, policy, "policy", "a table");
   TomlNode empty = { .type = TOML_TABLE, .line = 1, .children = g_ptr_array_new () };
   DocReader policy_reader
       = { reader->source, policy != NULL ? policy : &empty, "policy", reader->error };
@@ -505,7 +337,7 @@
   const TomlNode *row = toml_get (toml_get (reader->table, section), name);
   g_autofree char *path = g_strdup_printf ("%s.%s", section, name);
   DocReader row_reader = { reader->source, row, path, reader->error };
-  return complain (&row_reader, toml_get (row, "team"), "team", "a team of this document");
+  return doc_complain (&row_reader, toml_get (row, "team"), "team", "a team of this document");
 }
 
 static gboolean
@@ -530,8 +362,8 @@
       if (!g_hash_table_add (names, rule->name))
         {
           const TomlNode *rules = toml_get (reader->table, "rule");
-          return complain (reader, g_ptr_array_index (rules->children, i), "rule.name",
-                           "a name that no other rule has");
+          return doc_complain (reader, g_ptr_array_index (rules->children, i), "rule.name",
+                               "a name that no other rule has");
         }
     }
   return TRUE;
