Evictions are counted by cause, those by lapsed leases too

Cause: the counter of commands had only the checkpoints that were ordered, and had each again that the core repeats every 5 s; tasks that ended with a lapsed lease or a lost instance were in none. Both users count evictions. Ruled out: the agents' own counters; an agent that dies takes them along. Before: untold_end_is_an_interruption and lost_instance_frees_its_tasks failed, 0 != 1. After: core/test_core 18 of 18; fault/test_pause sees them at the entries. acacia-load reads the new counter.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -105,6 +105,7 @@
                           .done = core->total[TASK_DONE],
                           .unplaceable = count_unplaceable (core),
                           .evictions = core->evictions,
+                          .interruptions = core->interruptions,
                           .starts = core->starts };
 }
 
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -230,8 +230,9 @@
   uint32_t waiting; /**< held ones too */
   uint32_t running;
   uint32_t done;
-  uint32_t unplaceable; /**< waiting tasks of jobs that no instance can hold */
-  uint64_t evictions;   /**< attempts told to stop for another reason than cancel or failure */
+  uint32_t unplaceable;   /**< waiting tasks of jobs that no instance can hold */
+  uint64_t evictions;     /**< attempts told to stop for another reason than cancel or failure */
+  uint64_t interruptions; /**< attempts that ended early untold, lost instances' included */
   uint64_t starts;
 } CoreCounts;
 
--- a/lib/core/ingest.c
+++ b/lib/core/ingest.c
@@ -142,6 +142,7 @@
 
   if (worker == NULL)
     return;
+  core->interruptions += worker->tasks->len;
   while (worker->tasks->len > 0)
     settle (core, g_ptr_array_index (worker->tasks, worker->tasks->len - 1), TASK_WAITING);
   tables_worker_gone (core, worker);
@@ -286,6 +287,8 @@
     task->progress_ms = MAX (task->progress_ms, in->progress_ms);
   else if (in->event == CORE_TASK_STOPPED && task->job->checkpoint_ms == 0)
     task->progress_ms = 0;
+  if (in->event != CORE_TASK_REFUSED && task->state == TASK_LIVE)
+    core->interruptions++;
   if (in->event == CORE_TASK_REFUSED)
     task->not_before_us = core->now_us + INGEST_RETRY_FIRST_US;
   settle (core, task, TASK_WAITING);
--- a/lib/core/tables.h
+++ b/lib/core/tables.h
@@ -317,6 +317,7 @@
   uint32_t starts_left; /**< of this tick */
   uint64_t random;
   uint64_t evictions;
+  uint64_t interruptions;
   uint64_t starts;
   uint32_t total[TASK_STATE_COUNT];
 };
--- a/programs/entry/loop.c
+++ b/programs/entry/loop.c
@@ -153,10 +153,12 @@
   owner_tick (loop->owner, loop->fold, loop->members, now_us);
   for (uint32_t i = 0; i < (uint32_t) loop->settings->shards; i++)
     {
-      if (loop->shards[i] != NULL)
-        shard_tick (loop->shards[i], loop->members,
-                    owner_may_renew (loop->owner, loop->fold, i, now_us),
-                    owner_certain_us (loop->owner, loop->fold, i, now_us), now_us);
+      if (loop->shards[i] == NULL)
+        continue;
+      shard_tick (loop->shards[i], loop->members,
+                  owner_may_renew (loop->owner, loop->fold, i, now_us),
+                  owner_certain_us (loop->owner, loop->fold, i, now_us), now_us);
+      loop_count_evictions (loop, i);
     }
   loop_calls_check_agents (loop, now_us);
   publish_view (loop, now_us);
@@ -253,6 +255,7 @@
   for (uint32_t i = 0; i < (uint32_t) loop->settings->shards; i++)
     shard_free (loop->shards[i]);
   g_free (loop->shards);
+  g_free (loop->counted);
   owner_free (loop->owner);
   once_free (loop->once);
   calls_free (loop->calls);
@@ -286,6 +289,7 @@
   loop->once = loop_once_new (loop);
   loop->owner = loop_owner_new (loop);
   loop->shards = g_new0 (Shard *, settings->shards);
+  loop->counted = g_new0 (CoreCounts, settings->shards);
   loop->pending = g_ptr_array_new_with_free_func (g_free);
   loop->dirty_jobs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   loop->call_us = met_histogram (metrics, "acacia_entry_call_us", NULL, "Time of answered calls.");
--- a/programs/entry/loop_private.h
+++ b/programs/entry/loop_private.h
@@ -60,10 +60,11 @@
   Once *once;
   Owner *owner;
   Budget budget;
-  Shard **shards;     /**< by number; NULL where another entry owns it */
-  GPtrArray *pending; /**< LoopPending */
-  GArray *dirty_jobs; /**< uint64_t: jobs whose records were just folded */
-  pthread_t snapshot; /**< writes a snapshot while has_snapshot */
+  Shard **shards;      /**< by number; NULL where another entry owns it */
+  CoreCounts *counted; /**< by number; what the counters of evictions have of each shard */
+  GPtrArray *pending;  /**< LoopPending */
+  GArray *dirty_jobs;  /**< uint64_t: jobs whose records were just folded */
+  pthread_t snapshot;  /**< writes a snapshot while has_snapshot */
   gboolean has_snapshot;
   gint snapshot_done;
   gint stopping;      /**< set once, read by the log's threads */
@@ -97,6 +98,9 @@
 /** Posts from the log's threads: waits while the queue is full; FALSE: the loop stops. */
 gboolean loop_post_surely (Loop *loop, void (*function) (void *ctx, void *data), void *data);
 
+/** Adds what shard @p number counted since the last call to the counters of evictions. */
+void loop_count_evictions (Loop *loop, uint32_t number);
+
 /** Writes a snapshot when one is due and this entry owns shard 0. */
 void loop_snapshot_tick (Loop *loop, int64_t now_us);
 void loop_join_snapshot (Loop *loop);
--- a/programs/entry/loop_tasks.c
+++ b/programs/entry/loop_tasks.c
@@ -43,6 +43,26 @@
              core_why_name (command->why));
 }
 
+static void
+add_evictions (Loop *loop, const char *labels, uint64_t n)
+{
+  met_add (met_counter (loop->metrics, "acacia_entry_evictions_total", labels,
+                        "Attempts that ended before their task did, by cause."),
+           n);
+}
+
+void
+loop_count_evictions (Loop *loop, uint32_t number)
+{
+  CoreCounts *counted = &loop->counted[number];
+  CoreCounts now;
+
+  core_counts (shard_core (loop->shards[number]), &now);
+  add_evictions (loop, "cause=\"ordered\"", now.evictions - counted->evictions);
+  add_evictions (loop, "cause=\"lapsed\"", now.interruptions - counted->interruptions);
+  *counted = now;
+}
+
 static gboolean
 append_claim (void *ctx, uint32_t shard, uint64_t epoch, IdsId *id)
 {
@@ -98,6 +118,7 @@
       = (CoreOptions){ .seed = 1, .policy = CORE_POLICY_ACACIA, .mechanisms = CORE_MECHANISM_ALL };
   jnl_event (JNL_INFO, "owner", "gained", "shard=%u epoch=%" G_GUINT64_FORMAT, number, epoch);
   shard_free (loop->shards[number]);
+  loop->counted[number] = (CoreCounts){ 0 };
   loop->shards[number] = shard_new (&options, &ops, loop->fold, loop->config->document, now_us);
 }
 
--- a/programs/load/jobs.c
+++ b/programs/load/jobs.c
@@ -8,9 +8,7 @@
 #include "common/ids.h"
 #include "link.h"
 
-#define JOBS_COMMANDS "acacia_entry_commands_total{"
-#define JOBS_CHECKPOINT "command=\"checkpoint\""
-#define JOBS_CANCEL "reason=\"cancel\""
+#define JOBS_EVICTIONS "acacia_entry_evictions_total{"
 #define JOBS_POLL_MS 200
 #define JOBS_STATUS_ERROR_FIRST 400
 #define JOBS_S_PER_MINUTE 60
@@ -152,7 +150,7 @@
   g_free (jobs);
 }
 
-/* Checkpoints ordered for any reason but a cancellation, from Prometheus' text form. */
+/* Evictions of any cause, from Prometheus' text form. */
 static int64_t
 sum_evictions (const char *text)
 {
@@ -162,9 +160,7 @@
   for (size_t i = 0; lines[i] != NULL; i++)
     {
       const char *value = strrchr (lines[i], ' ');
-      if (value == NULL || !g_str_has_prefix (lines[i], JOBS_COMMANDS))
-        continue;
-      if (strstr (lines[i], JOBS_CHECKPOINT) != NULL && strstr (lines[i], JOBS_CANCEL) == NULL)
+      if (value != NULL && g_str_has_prefix (lines[i], JOBS_EVICTIONS))
         sum += g_ascii_strtoll (value + 1, NULL, 10);
     }
   g_strfreev (lines);
--- a/tests/core/test_core.c
+++ b/tests/core/test_core.c
@@ -123,6 +123,28 @@
   fix_free (fix);
 }
 
+/* An instance whose lease lapsed ends its tasks by itself: no eviction of ours, but counted. */
+static void
+untold_end_is_an_interruption (void **state)
+{
+  Fixture *fix = fix_new (plain, NULL);
+  CoreTaskKey key = { 1, 0 };
+  CoreCounts counts;
+
+  (void) state;
+  fix_worker (fix, "w1", "r1");
+  fix_job (fix, 1, "small");
+  fix_tick (fix, 100);
+  fix_task (fix, key, 1, "w1", CORE_TASK_RUNNING);
+  fix_tick (fix, 100);
+  fix_task (fix, key, 1, "w1", CORE_TASK_CHECKPOINTED);
+  fix_tick (fix, 100);
+  core_counts (fix->core, &counts);
+  assert_int_equal (counts.interruptions, 1);
+  assert_int_equal (counts.evictions, 0);
+  fix_free (fix);
+}
+
 static void
 lost_instance_frees_its_tasks (void **state)
 {
@@ -152,6 +174,8 @@
   core_counts (fix->core, &counts);
   assert_int_equal (counts.done, 0);
   assert_int_equal (counts.running, 1);
+  assert_int_equal (counts.interruptions, 1);
+  assert_int_equal (counts.evictions, 0);
   fix_free (fix);
 }
 
@@ -426,6 +450,7 @@
     cmocka_unit_test (rules_and_label_rules_are_kept),
     cmocka_unit_test (quota_of_a_team_is_kept),
     cmocka_unit_test (cancelled_work_never_starts),
+    cmocka_unit_test (untold_end_is_an_interruption),
     cmocka_unit_test (lost_instance_frees_its_tasks),
     cmocka_unit_test (leaving_instance_gets_nothing_new),
     cmocka_unit_test (smaller_instance_gives_tasks_back),
--- a/tests/fault/test_pause.sh
+++ b/tests/fault/test_pause.sh
@@ -27,6 +27,8 @@
 resume "$agent"
 wait_for 40 "the job is done" job_is "$job" done
 check_tasks
+lapsed=$(($(metric entry-1 acacia_entry_evictions_total) + $(metric entry-2 acacia_entry_evictions_total)))
+check "the tasks that it lost are counted as evictions ($lapsed)" test "$lapsed" -ge 1
 
 say "== the shard's owner is paused past its lease"
 job=$(submit steady second)
