An endpoint without requests tells no tail, as of now

Cause: the agent gave the age of the newest request's end as the age of its report, so an idle endpoint looked like one whose reports had stopped, and the core placed nothing beside it until its window of samples had emptied. Ruled out: a longer report_lag_ms, which only hides it; calling old samples new, from which the core would learn that a pair does no harm. A stalled endpoint's report still has the age of its newest sample.

--- a/lib/agent/agent_announce.c
+++ b/lib/agent/agent_announce.c
@@ -3,6 +3,9 @@
 #include "common/clk.h"
 #include "common/err.h"
 
+/** An endpoint without requests is idle after this time. */
+#define IDLE_AFTER_US CLK_US_PER_S
+
 /** One task's row in the message, with the sizes that it points to. */
 typedef struct
 {
@@ -142,6 +145,15 @@
     }
 }
 
+/* Without requests there is no tail to tell of, and that is known now, not when the last one ended.
+ */
+static gboolean
+is_idle (const AgentAnnounceSource *source)
+{
+  return agent_queue_running (source->queue) == 0 && agent_queue_queued (source->queue) == 0
+         && source->now_us - source->quantiles.newest_us >= IDLE_AFTER_US;
+}
+
 static void
 add_service (AgentAnnounce *announce, const AgentAnnounceSource *source)
 {
@@ -156,11 +168,13 @@
   service->running = agent_queue_running (source->queue);
   service->queued = agent_queue_queued (source->queue);
   service->p50_us = source->quantiles.p50_us;
-  service->p99_us = source->quantiles.p99_us;
   service->completed = source->completed;
   service->healthy = source->service_healthy;
-  if (source->quantiles.newest_us != 0)
-    service->measured_ago_us = source->now_us - source->quantiles.newest_us;
+  if (source->quantiles.newest_us != 0 && !is_idle (source))
+    {
+      service->p99_us = source->quantiles.p99_us;
+      service->measured_ago_us = source->now_us - source->quantiles.newest_us;
+    }
   announce->services[0] = service;
   announce->message.services = announce->services;
   announce->message.n_services = 1;
--- a/tests/agent/test_agent.c
+++ b/tests/agent/test_agent.c
@@ -99,6 +99,63 @@
   return tasks;
 }
 
+static void
+clear_source (AgentAnnounceSource *source)
+{
+  agent_queue_free ((AgentQueue *) source->queue);
+  agent_leases_free ((AgentLeases *) source->leases);
+  agent_admission_free ((AgentAdmission *) source->admission);
+  lab_free ((LabSet *) source->labels);
+}
+
+/* What it says of a service's tail and its age, after @p idle_us without a request's end. */
+static void
+read_service (int64_t idle_us, gboolean is_running, int64_t *p99_us, int64_t *measured_ago_us)
+{
+  AgentAnnounceSource source = make_source (CLK_US_PER_S * 1000000);
+  AgentTasks *tasks = make_tasks (&source);
+  AgentQueue *queue = (AgentQueue *) source.queue;
+  gboolean is_expired = FALSE;
+  ErrKind kind;
+
+  source.tasks = tasks;
+  source.quantiles.newest_us = source.now_us - idle_us;
+  if (is_running)
+    {
+      assert_true (agent_queue_add (queue, &source, G_MAXINT64, source.now_us, &kind));
+      assert_non_null (agent_queue_take (queue, source.now_us, &is_expired));
+    }
+  AgentAnnounce *announce = agent_announce_new (&source);
+  const Wire__ServiceStatus *status = agent_announce_envelope (announce)->announce->services[0];
+  *p99_us = status->p99_us;
+  *measured_ago_us = status->measured_ago_us;
+  agent_announce_free (announce);
+  if (is_running)
+    agent_queue_done (queue);
+  agent_tasks_free (tasks);
+  clear_source (&source);
+}
+
+/* An endpoint without requests has no tail, which is known now; a stalled one's is as old as it is.
+ */
+static void
+idle_service_is_no_old_report (void **state)
+{
+  int64_t p99_us = -1;
+  int64_t ago_us = -1;
+
+  (void) state;
+  read_service (5 * CLK_US_PER_S, FALSE, &p99_us, &ago_us);
+  assert_int_equal (p99_us, 0);
+  assert_int_equal (ago_us, 0);
+  read_service (5 * CLK_US_PER_S, TRUE, &p99_us, &ago_us);
+  assert_int_equal (p99_us, 90000);
+  assert_int_equal (ago_us, 5 * CLK_US_PER_S);
+  read_service (1000, FALSE, &p99_us, &ago_us);
+  assert_int_equal (p99_us, 90000);
+  assert_int_equal (ago_us, 1000);
+}
+
 static void
 heartbeat_is_within_the_control_budget (void **state)
 {
@@ -114,10 +171,7 @@
   assert_true (per_s <= CONTROL_BYTES_PER_S);
   agent_announce_free (announce);
   agent_tasks_free (tasks);
-  agent_queue_free ((AgentQueue *) source.queue);
-  agent_leases_free ((AgentLeases *) source.leases);
-  agent_admission_free ((AgentAdmission *) source.admission);
-  lab_free ((LabSet *) source.labels);
+  clear_source (&source);
 }
 
 /** One state of a leaving agent. */
@@ -239,6 +293,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (margin_is_at_most_a_quarter_of_the_lease),
+    cmocka_unit_test (idle_service_is_no_old_report),
     cmocka_unit_test (heartbeat_is_within_the_control_budget),
     cmocka_unit_test (drain_waits_for_what_is_left),
     cmocka_unit_test (drain_waits_for_receipts_within_a_bound),
