--- a/programs/ctl/main.c
+++ b/programs/ctl/main.c
@@ -8,9 +8,9 @@
 #include <stdlib.h>
 
 #include "cmd.h"
+#include "common/opt.h"
 #include "common/set.h"
 
-#define CTL_VERSION "0.1.0"
 #define CTL_ENTRIES_MAX 64
 #define CTL_TIMEOUT_MS_MAX 600000
 #define CTL_TEXT_MAX 256
@@ -42,13 +42,7 @@
   struct arg_str *note;
   struct arg_str *key;
   struct arg_str *author;
-  struct arg_file *config;
-  struct arg_lit *check_config;
-  struct arg_lit *print_example;
-  struct arg_lit *version;
-  struct arg_lit *help;
   struct arg_str *words;
-  struct arg_end *end;
 } CtlArguments;
 
 static void
@@ -56,8 +50,7 @@
 {
   enum
   {
-    WORDS_MAX = 2,
-    ERRORS_MAX = 8
+    WORDS_MAX = 2
   };
 
   arguments->entries = arg_strn (NULL, "entry", "URL", 0, CTL_ENTRIES_MAX,
@@ -68,49 +61,13 @@
   arguments->note = arg_str0 (NULL, "note", "TEXT", "apply: remark kept in the history");
   arguments->key = arg_str0 (NULL, "key", "KEY", "submit: idempotency key of the run");
   arguments->author = arg_str0 (NULL, "author", "NAME", "who publishes or submits");
-  arguments->config = arg_file0 (NULL, "config", "FILE", "settings file");
-  arguments->check_config = arg_lit0 (NULL, "check-config", "check the settings and leave");
-  arguments->print_example = arg_lit0 (NULL, "print-example", "print all settings and leave");
-  arguments->version = arg_lit0 (NULL, "version", "print the version and leave");
-  arguments->help = arg_lit0 (NULL, "help", "print this and leave");
   arguments->words = arg_strn (NULL, NULL, "COMMAND", 0, WORDS_MAX, "command and its argument");
-  arguments->end = arg_end (ERRORS_MAX);
 }
 
-static void
-print_help (CtlArguments *arguments)
+static char *
+print_example (void)
 {
-  g_autofree char *commands = cmd_help ();
-
-  (void) printf ("Usage: acaciactl");
-  arg_print_syntaxv (stdout, (void **) arguments, "\n\n");
-  (void) printf ("%s\nOptions:\n", commands);
-  arg_print_glossary (stdout, (void **) arguments, "  %-18s %s\n");
-  (void) printf ("\nExit codes: 0 done; 1 refused, failed or not reachable; 2 wrong command line,\n"
-                 "settings or document, nothing was sent.\n");
-}
-
-/* Handles the options that print something and leave; FALSE when there is none. */
-static gboolean
-print_and_leave (CtlArguments *arguments)
-{
-  if (arguments->help->count > 0)
-    {
-      print_help (arguments);
-      return TRUE;
-    }
-  if (arguments->version->count > 0)
-    {
-      (void) printf ("acaciactl %s\n", CTL_VERSION);
-      return TRUE;
-    }
-  if (arguments->print_example->count > 0)
-    {
-      g_autofree char *example = set_example (setting_keys, G_N_ELEMENTS (setting_keys));
-      (void) fputs (example, stdout);
-      return TRUE;
-    }
-  return FALSE;
+  return set_example (setting_keys, G_N_ELEMENTS (setting_keys));
 }
 
 static const char *
@@ -147,29 +104,23 @@
   return code;
 }
 
-static CmdExit
-run_with_settings (const CtlArguments *arguments)
+static OptExit
+run_with_settings (void *ctx, const char *config, gboolean check)
 {
-  const char *path = arguments->config->count > 0 ? arguments->config->filename[0] : NULL;
+  const CtlArguments *arguments = ctx;
   CtlSettings settings = { 0 };
   g_autoptr (GError) error = NULL;
+  OptExit code = OPT_EXIT_USAGE;
 
-  if (!set_load (setting_keys, G_N_ELEMENTS (setting_keys), path, &settings, &error)
+  if (!set_load (setting_keys, G_N_ELEMENTS (setting_keys), config, &settings, &error)
       || !cli_start (&error))
-    {
-      (void) fprintf (stderr, "acaciactl: %s\n", error->message);
-      return CMD_EXIT_USAGE;
-    }
-  CmdExit code = CMD_EXIT_OK;
-  if (arguments->check_config->count > 0)
-    (void) printf ("settings are valid\n");
+    return opt_refuse ("acaciactl", error);
+  if (check)
+    code = opt_checked ();
   else if (arguments->words->count == 0)
-    {
-      (void) fprintf (stderr, "acaciactl: expected a command; see --help\n");
-      code = CMD_EXIT_USAGE;
-    }
+    (void) fprintf (stderr, "acaciactl: expected a command; see --help\n");
   else
-    code = run_command (arguments, &settings);
+    code = (OptExit) run_command (arguments, &settings);
   set_clear (setting_keys, G_N_ELEMENTS (setting_keys), &settings);
   return code;
 }
@@ -178,19 +129,18 @@
 main (int argc, char **argv)
 {
   CtlArguments arguments;
-  CmdExit code = CMD_EXIT_OK;
+  g_autofree char *commands = cmd_help ();
+  const OptProgram program
+      = { .name = "acaciactl",
+          .about = commands,
+          .exit_codes = "Exit codes: 0 done; 1 refused, failed or not reachable; 2 wrong command "
+                        "line,\nsettings or document, nothing was sent.",
+          .own = (void *const *) &arguments,
+          .n_own = sizeof (arguments) / sizeof (void *),
+          .example = print_example,
+          .run = run_with_settings,
+          .ctx = &arguments };
 
   make_arguments (&arguments);
-  int errors = arg_parse (argc, argv, (void **) &arguments);
-  if (print_and_leave (&arguments))
-    code = CMD_EXIT_OK;
-  else if (errors > 0)
-    {
-      arg_print_errors (stderr, arguments.end, "acaciactl");
-      code = CMD_EXIT_USAGE;
-    }
-  else
-    code = run_with_settings (&arguments);
-  arg_freetable ((void **) &arguments, sizeof arguments / sizeof (void *));
-  return (int) code;
+  return opt_main (argc, argv, &program);
 }
--- a/programs/entry/main.c
+++ b/programs/entry/main.c
@@ -2,74 +2,16 @@
  * @file main.c
  * acacia-entry: takes requests of callers and operators, routes them, owns shards of tasks.
  */
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "common/jnl.h"
+#include "common/opt.h"
 #include "entry/settings.h"
 #include "entry/http.h"
 #include "loop.h"
 
-#define VERSION "0.1.0"
-
-enum
-{
-  EXIT_GOOD,
-  EXIT_RUNTIME,
-  EXIT_USAGE,
-};
-
-/* What the command line says. */
-typedef struct
-{
-  gboolean help;
-  gboolean version;
-  gboolean check;
-  gboolean example;
-  char *config; /**< NULL for none */
-} Arguments;
-
-static void
-print_help (void **table)
-{
-  printf ("Usage: acacia-entry");
-  arg_print_syntax (stdout, table, "\n");
-  printf ("Takes requests of callers and operators, routes them and owns shards of tasks.\n\n");
-  arg_print_glossary (stdout, table, "  %-20s %s\n");
-  printf ("\nExit codes: 0 done, 1 failure while running, 2 bad usage or settings.\n");
-}
-
-static gboolean
-read_arguments (int argc, char **argv, Arguments *arguments)
-{
-  struct arg_lit *help = arg_lit0 (NULL, "help", "print this help and exit");
-  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version and exit");
-  struct arg_file *config = arg_file0 (NULL, "config", "FILE", "settings file");
-  struct arg_lit *check = arg_lit0 (NULL, "check-config", "check the settings and exit");
-  struct arg_lit *example = arg_lit0 (NULL, "print-example", "print all settings and exit");
-  struct arg_end *end = arg_end (8);
-  void *table[] = { help, version, config, check, example, end };
-  gboolean ok = arg_nullcheck (table) == 0 && arg_parse (argc, argv, table) == 0;
-
-  if (ok)
-    {
-      arguments->help = help->count > 0;
-      arguments->version = version->count > 0;
-      arguments->check = check->count > 0;
-      arguments->example = example->count > 0;
-      if (config->count > 0)
-        arguments->config = g_strdup (config->filename[0]);
-      if (arguments->help)
-        print_help (table);
-    }
-  else
-    arg_print_errors (stderr, end, "acacia-entry");
-  arg_freetable (table, G_N_ELEMENTS (table));
-  return ok;
-}
-
 static gboolean
 submit (void *ctx, HttpRequest *request)
 {
@@ -108,7 +50,7 @@
   signal (SIGPIPE, SIG_IGN);
 }
 
-static int
+static OptExit
 serve (const EntrySettings *settings, const sigset_t *signals, GError **error)
 {
   MetRegistry *metrics = met_new ();
@@ -130,10 +72,10 @@
   http_free (http);
   view_board_free (board);
   met_free (metrics);
-  return http != NULL ? EXIT_GOOD : EXIT_RUNTIME;
+  return http != NULL ? OPT_EXIT_DONE : OPT_EXIT_FAILED;
 }
 
-static int
+static OptExit
 run (const EntrySettings *settings)
 {
   JnlLevel level = JNL_INFO;
@@ -144,10 +86,10 @@
   if (!jnl_open (level, &error))
     {
       fprintf (stderr, "acacia-entry: %s\n", error->message);
-      return EXIT_RUNTIME;
+      return OPT_EXIT_FAILED;
     }
   block_signals (&signals);
-  int status = serve (settings, &signals, &error);
+  OptExit status = serve (settings, &signals, &error);
   if (error != NULL)
     {
       jnl_event (JNL_ERROR, "main", "failed", "kind=%s message=\"%s\"", err_name (err_kind (error)),
@@ -158,22 +100,16 @@
   return status;
 }
 
-static int
-run_with_settings (const Arguments *arguments)
+static OptExit
+run_with_settings (void *ctx, const char *config, gboolean check)
 {
   EntrySettings settings = { 0 };
   g_autoptr (GError) error = NULL;
 
-  if (!settings_load (arguments->config, &settings, &error))
-    {
-      fprintf (stderr, "acacia-entry: %s\n", error->message);
-      return EXIT_USAGE;
-    }
-  int status = EXIT_GOOD;
-  if (arguments->check)
-    printf ("settings are good\n");
-  else
-    status = run (&settings);
+  (void) ctx;
+  if (!settings_load (config, &settings, &error))
+    return opt_refuse ("acacia-entry", error);
+  OptExit status = check ? opt_checked () : run (&settings);
   settings_clear (&settings);
   return status;
 }
@@ -181,20 +117,12 @@
 int
 main (int argc, char **argv)
 {
-  Arguments arguments = { 0 };
-  int status = EXIT_GOOD;
-
-  if (!read_arguments (argc, argv, &arguments))
-    return EXIT_USAGE;
-  if (arguments.version)
-    printf ("acacia-entry " VERSION "\n");
-  else if (arguments.example)
-    {
-      g_autofree char *text = settings_example ();
-      printf ("%s", text);
-    }
-  else if (!arguments.help)
-    status = run_with_settings (&arguments);
-  g_free (arguments.config);
-  return status;
+  const OptProgram program
+      = { .name = "acacia-entry",
+          .about = "Takes requests of callers and operators, routes them and owns shards of tasks.",
+          .exit_codes = "Exit codes: 0 done, 1 failure while running, 2 bad usage or settings.",
+          .example = settings_example,
+          .run = run_with_settings };
+
+  return opt_main (argc, argv, &program);
 }
--- a/programs/load/main.c
+++ b/programs/load/main.c
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdio.h>
 
+#include "common/opt.h"
 #include "common/set.h"
 #include "link.h"
 #include "load.h"
@@ -13,18 +14,10 @@
 #include "report.h"
 #include "run.h"
 
-#define MAIN_VERSION "0.1.0"
 #define MAIN_ENTRIES_MAX 64
 #define MAIN_TEXT_MAX 255
 #define MAIN_TIMEOUT_MS_MAX 600000
 
-typedef enum
-{
-  EXIT_DONE = 0,
-  EXIT_NO_ANSWER = 1, /**< nothing was answered at all, or an answer was not the request's own */
-  EXIT_USAGE = 2,
-} MainExit;
-
 typedef struct
 {
   char **entries;
@@ -93,22 +86,11 @@
   struct arg_int *job_wait;
   struct arg_lit *own_cost;
   struct arg_lit *json;
-  struct arg_file *config;
-  struct arg_lit *check_config;
-  struct arg_lit *print_example;
-  struct arg_lit *version;
-  struct arg_lit *help;
-  struct arg_end *end;
 } MainArguments;
 
 static void
 make_arguments (MainArguments *arguments)
 {
-  enum
-  {
-    ERRORS_MAX = 8
-  };
-
   arguments->entries = arg_strn (NULL, "entry", "URL", 0, MAIN_ENTRIES_MAX, "entries, in turn");
   arguments->direct = arg_str0 (NULL, "direct", "URL", "back end for direct calls in the same run");
   arguments->service = arg_str0 (NULL, "service", "NAME", "service to call");
@@ -127,39 +109,12 @@
   arguments->own_cost
       = arg_lit0 (NULL, "own-cost", "send nothing: measure how late the tool itself is");
   arguments->json = arg_lit0 (NULL, "json", "print JSON");
-  arguments->config = arg_file0 (NULL, "config", "FILE", "settings file");
-  arguments->check_config = arg_lit0 (NULL, "check-config", "check the settings and leave");
-  arguments->print_example = arg_lit0 (NULL, "print-example", "print all settings and leave");
-  arguments->version = arg_lit0 (NULL, "version", "print the version and leave");
-  arguments->help = arg_lit0 (NULL, "help", "print this and leave");
-  arguments->end = arg_end (ERRORS_MAX);
 }
 
-static gboolean
-print_and_leave (MainArguments *arguments)
+static char *
+print_example (void)
 {
-  if (arguments->help->count > 0)
-    {
-      (void) printf ("Usage: acacia-load");
-      arg_print_syntaxv (stdout, (void **) arguments, "\n\n");
-      arg_print_glossary (stdout, (void **) arguments, "  %-24s %s\n");
-      (void) printf ("\nThe command line goes before the settings file. Exit codes: 0 done; 1 "
-                     "nothing was answered,\nor an answer was not the request's own; 2 wrong "
-                     "command line or settings.\n");
-      return TRUE;
-    }
-  if (arguments->version->count > 0)
-    {
-      (void) printf ("acacia-load %s\n", MAIN_VERSION);
-      return TRUE;
-    }
-  if (arguments->print_example->count > 0)
-    {
-      g_autofree char *example = set_example (setting_keys, G_N_ELEMENTS (setting_keys));
-      (void) fputs (example, stdout);
-      return TRUE;
-    }
-  return FALSE;
+  return set_example (setting_keys, G_N_ELEMENTS (setting_keys));
 }
 
 static const char *
@@ -253,7 +208,7 @@
     options->job = NULL;
 }
 
-static MainExit
+static OptExit
 judge (const LoadResult *result)
 {
   gboolean any = FALSE;
@@ -263,19 +218,19 @@
       const LoadTally *tally = &result->tallies[class];
       any = any || tally->samples->len > 0;
       if (tally->mismatched > 0)
-        return EXIT_NO_ANSWER;
+        return OPT_EXIT_FAILED;
     }
-  return any ? EXIT_DONE : EXIT_NO_ANSWER;
+  return any ? OPT_EXIT_DONE : OPT_EXIT_FAILED;
 }
 
-static MainExit
+static OptExit
 run_options (const MainArguments *arguments, const LoadOptions *options)
 {
   g_autoptr (GError) error = NULL;
   LoadResult result;
 
   gboolean ok = run_load (options, &result, &error);
-  MainExit code = EXIT_USAGE;
+  OptExit code = OPT_EXIT_USAGE;
   if (ok)
     {
       report_print (options, &result, arguments->json->count > 0);
@@ -287,20 +242,20 @@
   return code;
 }
 
-static MainExit
-run_with_settings (const MainArguments *arguments)
+static OptExit
+run_with_settings (void *ctx, const char *config, gboolean check)
 {
-  const char *path = arguments->config->count > 0 ? arguments->config->filename[0] : NULL;
+  const MainArguments *arguments = ctx;
   MainSettings settings = { 0 };
   LoadOptions options;
   g_autoptr (GError) error = NULL;
   GPtrArray *entries = g_ptr_array_new ();
-  MainExit code = EXIT_USAGE;
+  OptExit code = OPT_EXIT_USAGE;
 
   for (int i = 0; i < arguments->entries->count; i++)
     g_ptr_array_add (entries, (gpointer) arguments->entries->sval[i]);
   g_ptr_array_add (entries, NULL);
-  gboolean ok = set_load (setting_keys, G_N_ELEMENTS (setting_keys), path, &settings, &error)
+  gboolean ok = set_load (setting_keys, G_N_ELEMENTS (setting_keys), config, &settings, &error)
                 && link_start (&error);
   if (ok)
     {
@@ -311,12 +266,9 @@
       ok = read_numbers (arguments, &options, &error);
     }
   if (!ok)
-    (void) fprintf (stderr, "acacia-load: %s\n", error->message);
-  else if (arguments->check_config->count > 0)
-    {
-      (void) printf ("settings are valid\n");
-      code = EXIT_DONE;
-    }
+    code = opt_refuse ("acacia-load", error);
+  else if (check)
+    code = opt_checked ();
   else
     code = run_options (arguments, &options);
   set_clear (setting_keys, G_N_ELEMENTS (setting_keys), &settings);
@@ -328,19 +280,18 @@
 main (int argc, char **argv)
 {
   MainArguments arguments;
-  MainExit code = EXIT_DONE;
+  const OptProgram program
+      = { .name = "acacia-load",
+          .about = "Drives requests and jobs at a rate and prints what callers saw.",
+          .exit_codes = "The command line goes before the settings file. Exit codes: 0 done; 1 "
+                        "nothing was answered,\nor an answer was not the request's own; 2 wrong "
+                        "command line or settings.",
+          .own = (void *const *) &arguments,
+          .n_own = sizeof (arguments) / sizeof (void *),
+          .example = print_example,
+          .run = run_with_settings,
+          .ctx = &arguments };
 
   make_arguments (&arguments);
-  int errors = arg_parse (argc, argv, (void **) &arguments);
-  if (print_and_leave (&arguments))
-    code = EXIT_DONE;
-  else if (errors > 0)
-    {
-      arg_print_errors (stderr, arguments.end, "acacia-load");
-      code = EXIT_USAGE;
-    }
-  else
-    code = run_with_settings (&arguments);
-  arg_freetable ((void **) &arguments, sizeof arguments / sizeof (void *));
-  return (int) code;
+  return opt_main (argc, argv, &program);
 }
