--- a/tests/bench/fake.c
+++ b/tests/bench/fake.c
@@ -1,4 +1,4 @@
-#include "bench/fake.h"
+#include "bench/fake_private.h"
 
 #include <math.h>
 #include <string.h>
@@ -9,71 +9,12 @@
 #define FAKE_REPORT_MS INT64_C (5000)
 #define FAKE_LAG_MIN_MS 2000
 #define FAKE_LAG_MAX_MS 30000
-#define FAKE_START_MS INT64_C (200)
-#define FAKE_STOP_MS INT64_C (300)
 #define FAKE_LEASE_MS INT64_C (10000)
 #define FAKE_SILENCE_MS INT64_C (60000)
 #define FAKE_CHECKPOINT_COST_MS INT64_C (1000)
 #define FAKE_FAIL_MS INT64_C (1000)
 #define FAKE_CPU_PRESSURE 2.0
 
-typedef enum
-{
-  FAKE_RUNS,
-  FAKE_STOPS,
-} FakeState;
-
-/** One running attempt. */
-typedef struct
-{
-  CoreTaskKey key;
-  uint32_t attempt;
-  uint32_t worker;
-  FakeState state;
-  CoreCommandType stop_with;
-  int64_t due_ms; /**< when it starts to run, or has stopped */
-  int64_t began_ms;
-  double left_ms; /**< run time still to go */
-  double saved_left_ms;
-  uint32_t throttle;
-  DocSize reserved;
-  gboolean is_running;
-} FakeTask;
-
-typedef struct
-{
-  char id[16];
-  char rack[16];
-  gboolean is_dead;
-  int64_t lost_at_ms;
-  int64_t next_report_ms;
-  int64_t lag_ms;
-  double p99_us;
-} FakeWorker;
-
-/** A report on its way. */
-typedef struct
-{
-  int64_t at_ms;
-  CoreInput input;
-} FakeReport;
-
-struct Fake
-{
-  const BenchCase *bench;
-  const BenchDeployment *deployment;
-  GRand *rand;
-  uint32_t seed;
-  int64_t now_ms;
-  FakeWorker workers[FAKE_WORKERS];
-  GArray *tasks;    /**< FakeTask */
-  GArray *reports;  /**< FakeReport */
-  GHashTable *left; /**< run time left by task, of tasks that ran before; double */
-  GArray *done;     /**< CoreTaskKey */
-  double hidden[8]; /**< factor on each kind's growth */
-  FakeMeasures measures;
-};
-
 static const FakeKind *
 kind_of (CoreTaskKey key)
 {
@@ -205,8 +146,8 @@
   return key.job * 1000 + key.index;
 }
 
-static double
-left_of (const Fake *fake, CoreTaskKey key)
+double
+fake_left_of (const Fake *fake, CoreTaskKey key)
 {
   uint64_t id = left_key (key);
   const double *left = g_hash_table_lookup (fake->left, &id);
@@ -340,7 +281,7 @@
   if (task->state == FAKE_STOPS && fake->now_ms >= task->due_ms)
     {
       gboolean is_saved = task->stop_with == CORE_DO_CHECKPOINT && kind->checkpoint_ms > 0;
-      double all = left_of (fake, task->key);
+      double all = fake_left_of (fake, task->key);
       double lost_ms = is_saved ? FAKE_CHECKPOINT_COST_MS : all - task->left_ms;
       if (is_saved)
         set_left (fake, task->key, MIN (task->left_ms + lost_ms, all));
@@ -419,78 +360,6 @@
   deliver (fake, inputs);
 }
 
-static FakeTask *
-find_task (Fake *fake, const CoreCommand *command)
-{
-  for (guint i = 0; i < fake->tasks->len; i++)
-    {
-      FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
-      if (task->key.job == command->task.job && task->key.index == command->task.index)
-        return task;
-    }
-  return NULL;
-}
-
-static uint32_t
-find_worker (const Fake *fake, const char *id)
-{
-  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
-    {
-      if (strcmp (fake->workers[i].id, id) == 0)
-        return i;
-    }
-  g_assert_not_reached ();
-}
-
-static void
-begin (Fake *fake, const CoreCommand *command)
-{
-  FakeTask task = { .key = command->task, .attempt = command->attempt };
-
-  if (find_task (fake, command) != NULL)
-    fake->measures.doubles++;
-  task.worker = find_worker (fake, command->worker);
-  task.reserved = command->reserved;
-  task.throttle = 1000;
-  task.due_ms = fake->now_ms + FAKE_START_MS;
-  task.began_ms = task.due_ms;
-  task.left_ms = left_of (fake, task.key);
-  task.saved_left_ms = task.left_ms;
-  if (!fake->workers[task.worker].is_dead)
-    g_array_append_val (fake->tasks, task);
-}
-
-static gboolean
-is_eviction (CoreWhy why)
-{
-  return why == CORE_WHY_TAIL_OVER || why == CORE_WHY_MAKE_ROOM || why == CORE_WHY_RULE
-         || why == CORE_WHY_LEAVING;
-}
-
-void
-fake_obey (Fake *fake, const GArray *commands)
-{
-  for (guint i = 0; i < commands->len; i++)
-    {
-      const CoreCommand *command = &g_array_index (commands, CoreCommand, i);
-      FakeTask *task = find_task (fake, command);
-      if (command->type == CORE_DO_START)
-        begin (fake, command);
-      if (task == NULL || task->attempt != command->attempt)
-        continue;
-      if (command->type == CORE_DO_THROTTLE)
-        task->throttle = command->throttle_permille;
-      if ((command->type != CORE_DO_CHECKPOINT && command->type != CORE_DO_STOP)
-          || task->state == FAKE_STOPS)
-        continue;
-      task->state = FAKE_STOPS;
-      task->stop_with = command->type;
-      task->due_ms = fake->now_ms + FAKE_STOP_MS;
-      if (is_eviction (command->why))
-        fake->measures.evictions++;
-    }
-}
-
 void
 fake_kill (Fake *fake, uint32_t row)
 {
--- /dev/null
+++ b/tests/bench/fake_obey.c
@@ -0,0 +1,78 @@
+#include "bench/fake_private.h"
+
+#include <string.h>
+
+#define FAKE_START_MS INT64_C (200)
+#define FAKE_STOP_MS INT64_C (300)
+
+static FakeTask *
+find_task (Fake *fake, const CoreCommand *command)
+{
+  for (guint i = 0; i < fake->tasks->len; i++)
+    {
+      FakeTask *task = &g_array_index (fake->tasks, FakeTask, i);
+      if (task->key.job == command->task.job && task->key.index == command->task.index)
+        return task;
+    }
+  return NULL;
+}
+
+static uint32_t
+find_worker (const Fake *fake, const char *id)
+{
+  for (uint32_t i = 0; i < FAKE_WORKERS; i++)
+    {
+      if (strcmp (fake->workers[i].id, id) == 0)
+        return i;
+    }
+  g_assert_not_reached ();
+}
+
+static void
+begin (Fake *fake, const CoreCommand *command)
+{
+  FakeTask task = { .key = command->task, .attempt = command->attempt };
+
+  if (find_task (fake, command) != NULL)
+    fake->measures.doubles++;
+  task.worker = find_worker (fake, command->worker);
+  task.reserved = command->reserved;
+  task.throttle = 1000;
+  task.due_ms = fake->now_ms + FAKE_START_MS;
+  task.began_ms = task.due_ms;
+  task.left_ms = fake_left_of (fake, task.key);
+  task.saved_left_ms = task.left_ms;
+  if (!fake->workers[task.worker].is_dead)
+    g_array_append_val (fake->tasks, task);
+}
+
+static gboolean
+is_eviction (CoreWhy why)
+{
+  return why == CORE_WHY_TAIL_OVER || why == CORE_WHY_MAKE_ROOM || why == CORE_WHY_RULE
+         || why == CORE_WHY_LEAVING;
+}
+
+void
+fake_obey (Fake *fake, const GArray *commands)
+{
+  for (guint i = 0; i < commands->len; i++)
+    {
+      const CoreCommand *command = &g_array_index (commands, CoreCommand, i);
+      FakeTask *task = find_task (fake, command);
+      if (command->type == CORE_DO_START)
+        begin (fake, command);
+      if (task == NULL || task->attempt != command->attempt)
+        continue;
+      if (command->type == CORE_DO_THROTTLE)
+        task->throttle = command->throttle_permille;
+      if ((command->type != CORE_DO_CHECKPOINT && command->type != CORE_DO_STOP)
+          || task->state == FAKE_STOPS)
+        continue;
+      task->state = FAKE_STOPS;
+      task->stop_with = command->type;
+      task->due_ms = fake->now_ms + FAKE_STOP_MS;
+      if (is_eviction (command->why))
+        fake->measures.evictions++;
+    }
+}
