--- a/tests/agent/test_agent_props.cc
+++ b/tests/agent/test_agent_props.cc
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr int schedules = 4000;
+constexpr int schedules = 10000;
 constexpr int64_t margin_ms = 20;
 constexpr int64_t keep_us = 2000 * CLK_US_PER_MS;
 
--- a/tests/state/test_fold_props.cc
+++ b/tests/state/test_fold_props.cc
@@ -355,7 +355,7 @@
   const char *given = getenv ("RC_PARAMS");
   std::string params = given != nullptr ? given : "seed=1";
   if (params.find ("max_success") == std::string::npos)
-    params += " max_success=4000";
+    params += " max_success=10000";
   if (params.find ("max_size") == std::string::npos)
     params += " max_size=120";
   setenv ("RC_PARAMS", params.c_str (), 1);
