Public functions that nothing called are gone; two that one file calls are its own

Cause: a read of the whole change found a clock type with a callback that no module took, and three functions of the agent, members and reports without a caller. Ruled out: functions that tests call; they stay. Behaviour is the same.

--- a/lib/agent/agent_admission.c
+++ b/lib/agent/agent_admission.c
@@ -109,13 +109,3 @@
   return (DocSize){ tasks->cpu_milli + service->cpu_milli, tasks->memory_mb + service->memory_mb,
                     tasks->accelerators + service->accelerators };
 }
-
-gboolean
-agent_admission_service_fits (const AgentAdmission *admission)
-{
-  const DocSize *wanted = &admission->wanted;
-  const DocSize *service = &admission->service;
-
-  return service->cpu_milli == wanted->cpu_milli && service->memory_mb == wanted->memory_mb
-         && service->accelerators == wanted->accelerators;
-}
--- a/lib/agent/agent_admission.h
+++ b/lib/agent/agent_admission.h
@@ -36,7 +36,4 @@
 /** Sum of the service's and all tasks' reservations. */
 DocSize agent_admission_reserved (const AgentAdmission *admission);
 
-/** Whether the service has all that it needs. */
-gboolean agent_admission_service_fits (const AgentAdmission *admission);
-
 G_END_DECLS
--- a/lib/agent/agent_announce.c
+++ b/lib/agent/agent_announce.c
@@ -27,8 +27,8 @@
   TaskRow *tasks;
 };
 
-Wire__Size
-agent_announce_size (const DocSize *size)
+static Wire__Size
+to_wire_size (const DocSize *size)
 {
   Wire__Size message = WIRE__SIZE__INIT;
 
@@ -73,12 +73,12 @@
   status->progress_ms = task->progress_ms;
   if (full)
     {
-      *reserved = agent_announce_size (&task->reserved);
+      *reserved = to_wire_size (&task->reserved);
       status->reserved = reserved;
     }
   if (task->measured_us != 0 && task->measured_us >= previous_us)
     {
-      *used = agent_announce_size (&task->used);
+      *used = to_wire_size (&task->used);
       status->used = used;
       status->measured_ago_us = MAX (now_us - task->measured_us, 0);
     }
@@ -197,9 +197,9 @@
   message->rack = (char *) source->rack;
   message->leaving = source->leaving;
   message->config_version = source->config_version;
-  announce->capacity = agent_announce_size (&capacity);
+  announce->capacity = to_wire_size (&capacity);
   message->capacity = &announce->capacity;
-  announce->reserved = agent_announce_size (&reserved);
+  announce->reserved = to_wire_size (&reserved);
   message->reserved = &announce->reserved;
   add_labels (announce, source->labels);
   add_service (announce, source);
--- a/lib/agent/agent_announce.h
+++ b/lib/agent/agent_announce.h
@@ -63,6 +63,4 @@
                           Wire__Size *used,
                           Wire__Size *reserved);
 
-Wire__Size agent_announce_size (const DocSize *size);
-
 G_END_DECLS
--- a/lib/common/clk.c
+++ b/lib/common/clk.c
@@ -23,24 +23,3 @@
 {
   return read_clock_us (CLOCK_REALTIME) / CLK_US_PER_MS;
 }
-
-static int64_t
-system_now_us (void *ctx)
-{
-  (void) ctx;
-  return clk_now_us ();
-}
-
-ClkClock
-clk_system (void)
-{
-  ClkClock clock = { system_now_us, NULL };
-
-  return clock;
-}
-
-int64_t
-clk_read_us (const ClkClock *clock)
-{
-  return clock->now_us (clock->ctx);
-}
--- a/lib/common/clk.h
+++ b/lib/common/clk.h
@@ -14,23 +14,10 @@
 #define CLK_US_PER_S INT64_C (1000000)
 #define CLK_MS_PER_S INT64_C (1000)
 
-/** A source of time that tests replace; @p ctx belongs to the caller. */
-typedef struct
-{
-  int64_t (*now_us) (void *ctx); /**< monotonic time in microseconds */
-  void *ctx;
-} ClkClock;
-
 /** Monotonic microseconds since an arbitrary start, counting time spent suspended. */
 int64_t clk_now_us (void);
 
 /** Wall time in milliseconds since 1970-01-01 UTC. */
 int64_t clk_wall_ms (void);
 
-/** Returns the system clock as a #ClkClock. */
-ClkClock clk_system (void);
-
-/** Reads @p clock. */
-int64_t clk_read_us (const ClkClock *clock);
-
 G_END_DECLS
--- a/lib/entry/members.c
+++ b/lib/entry/members.c
@@ -340,12 +340,6 @@
   return members->agents;
 }
 
-const GPtrArray *
-members_entries (const Members *members)
-{
-  return members->entries;
-}
-
 const GPtrArray *
 members_endpoints (const Members *members, const char *service)
 {
--- a/lib/entry/members.h
+++ b/lib/entry/members.h
@@ -115,10 +115,8 @@
 /** Newest epoch of @p shard that @p agent accepted; 0 for none. */
 uint64_t members_epoch (const MembersAgent *agent, uint32_t shard);
 
-/** Known agents (MembersAgent) and entries (MembersEntry), owned by @p members. */
+/** Known agents (MembersAgent), owned by @p members. */
 const GPtrArray *members_agents (const Members *members);
-const GPtrArray *members_entries (const Members *members);
-
 /** Endpoints (MembersEndpoint) of @p service, or NULL; valid until the next announcement. */
 const GPtrArray *members_endpoints (const Members *members, const char *service);
 
--- a/lib/entry/reports.c
+++ b/lib/entry/reports.c
@@ -365,9 +365,3 @@
 
   return row != NULL && row->state == ROW_LOGGED;
 }
-
-uint32_t
-reports_waiting (const Reports *reports)
-{
-  return reports->waiting->length + reports->sent->len;
-}
--- a/lib/entry/reports.h
+++ b/lib/entry/reports.h
@@ -60,7 +60,4 @@
 /** Whether the outcome that @p status repeats is on the log, or needs no record. */
 gboolean reports_may_ack (const Reports *reports, const Wire__TaskStatus *status);
 
-/** Outcomes not yet on the log. */
-uint32_t reports_waiting (const Reports *reports);
-
 G_END_DECLS
--- a/lib/state/fold_private.h
+++ b/lib/state/fold_private.h
@@ -87,9 +87,6 @@
 gboolean fold_load_job (Fold *fold, const Record__SnapshotJob *row);
 gboolean fold_load_intent (Fold *fold, const Record__SnapshotIntent *row);
 
-/** Puts the loaded jobs and bodies into the order of their ends. */
-void fold_load_order (Fold *fold);
-
 /** Set up and clear the parts of a fold. */
 void fold_init_members (Fold *fold);
 void fold_clear_members (Fold *fold);
--- a/lib/state/fold_snapshot.c
+++ b/lib/state/fold_snapshot.c
@@ -285,8 +285,9 @@
   return (left->ended > right->ended) - (left->ended < right->ended);
 }
 
-void
-fold_load_order (Fold *fold)
+/* Puts the loaded jobs and bodies into the order of their ends. */
+static void
+load_order (Fold *fold)
 {
   g_queue_sort (&fold->ended_jobs, compare_ended_jobs, NULL);
   g_queue_sort (&fold->bodies, compare_bodies, NULL);
@@ -304,7 +305,7 @@
   if (!fold_ids_load (fold->ids, snapshot->ids.data, snapshot->ids.len)
       || !load_rows (fold, snapshot))
     return FALSE;
-  fold_load_order (fold);
+  load_order (fold);
   return TRUE;
 }
 
