--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test and measure acaciadale. Every target writes below $(BUILD) only.
 #
 # Sources are found by folder, so a new file needs no line here:
-#   lib/<module>/*.c *.cc             -> one static archive
+#   lib/<module>/*.c *.cc, platform/*.c -> one static archive
 #   programs/<name>/*.c               -> $(BUILD)/bin/acacia-<name> (ctl: acaciactl)
 #   tests/standin/<name>/*.c          -> $(BUILD)/bin/standin-<name>
 #   tests/support/*.c *.cc            -> linked into every test and stand-in
@@ -16,17 +16,17 @@
 CC := gcc
 CXX := g++
 SANITIZE ?=
-PKGS := glib-2.0 libzmq liburcu libmicrohttpd neon argtable2 libprotobuf-c jansson libxxhash
+PKGS := glib-2.0 libzmq liburcu libmicrohttpd neon argtable2 libprotobuf-c jansson libxxhash libcurl
 WARN := -Wall -Wextra -Werror
 OPT ?= -O2 -g
-COMMON_FLAGS := $(OPT) $(WARN) -D_GNU_SOURCE -Ilib -Itests $(shell pkg-config --cflags $(PKGS)) \
+COMMON_FLAGS := $(OPT) $(WARN) -D_GNU_SOURCE -Ilib -I. -Itests $(shell pkg-config --cflags $(PKGS)) \
                 $(SANITIZE)
 CFLAGS := -std=gnu11 -Wmissing-prototypes -Wstrict-prototypes $(COMMON_FLAGS)
 CXXFLAGS := -std=c++17 $(COMMON_FLAGS)
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -llog4c -lm -lpthread
 TEST_LDLIBS := -lcmocka -lrapidcheck
 
-LIB_SRC := $(wildcard lib/*/*.c) $(wildcard lib/*/*.cc)
+LIB_SRC := $(wildcard lib/*/*.c) $(wildcard lib/*/*.cc) $(wildcard platform/*.c)
 LIB_OBJ := $(patsubst %,$(BUILD)/obj/%.o,$(LIB_SRC))
 LIB := $(BUILD)/libacacia.a
 
@@ -44,16 +44,20 @@
 FUZZERS := $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c))
 
 # Files the formatter and the linter read; generated code is left out.
-OWN_SRC := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard lib/*/*.[ch] lib/*/*.cc programs/*/*.[ch] \
+OWN_SRC := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard lib/*/*.[ch] lib/*/*.cc platform/*.[ch] \
+             programs/*/*.[ch] \
              tests/*/*.[ch] tests/*/*.cc tests/standin/*/*.[ch] examples/*/*.[ch]))
 LINT_SRC := $(filter %.c,$(OWN_SRC))
 
-.PHONY: all check check-unit bench bench-full slopes lint format format-check demo fuzz soak docs \
+.PHONY: all programs check check-unit bench bench-full slopes lint format format-check demo fuzz soak docs \
         proto mutants clean
 .SECONDARY:
 
 all: $(PROGRAMS) $(STANDINS) $(MEASURES)
 
+# What an installation runs.
+programs: $(PROGRAMS)
+
 $(BUILD)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
 	$(if $(V),,@echo "  CC   $<")
@@ -142,7 +146,7 @@
 
 # Regenerates the committed protobuf code; the build itself needs no generator.
 proto:
-	cd lib && protoc-c --c_out=. wire/message.proto state/record.proto
+	cd lib && protoc-c --c_out=. wire/message.proto state/record.proto batch/ledger.proto
 
 $(BUILD)/fuzz/fuzz_%: tests/fuzz/fuzz_%.c $(LIB_SRC)
 	@mkdir -p $(@D)
--- /dev/null
+++ b/lib/batch/queues.c
@@ -0,0 +1,117 @@
+#include "batch/queues.h"
+
+#include <string.h>
+
+static void
+queue_free (gpointer data)
+{
+  Queue *queue = data;
+
+  g_free (queue->name);
+  g_free (queue->host);
+  g_free (queue->prefix);
+  g_free (queue->service);
+  g_free (queue);
+}
+
+static void
+service_free (gpointer data)
+{
+  QueueService *service = data;
+
+  g_free (service->name);
+  g_free (service);
+}
+
+QueueConfig *
+queue_config_new (int64_t version)
+{
+  QueueConfig *config = g_new0 (QueueConfig, 1);
+
+  config->version = version;
+  config->queues = g_ptr_array_new_with_free_func (queue_free);
+  config->services = g_ptr_array_new_with_free_func (service_free);
+  config->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  config->by_place = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return config;
+}
+
+void
+queue_config_free (QueueConfig *config)
+{
+  if (config == NULL)
+    return;
+  g_hash_table_destroy (config->by_place);
+  g_hash_table_destroy (config->by_name);
+  g_ptr_array_unref (config->services);
+  g_ptr_array_unref (config->queues);
+  g_free (config);
+}
+
+static char *
+place_key (const char *host, const char *path, size_t path_size)
+{
+  g_autofree char *lower = g_ascii_strdown (host, -1);
+
+  return g_strdup_printf ("%s %.*s", lower, (int) path_size, path);
+}
+
+void
+queue_config_add (QueueConfig *config, Queue *queue)
+{
+  g_ptr_array_add (config->queues, queue);
+  g_hash_table_replace (config->by_name, queue->name, queue);
+  g_hash_table_replace (config->by_place,
+                        place_key (queue->host, queue->prefix, strlen (queue->prefix)), queue);
+}
+
+QueueService *
+queue_config_add_service (QueueConfig *config, const char *name)
+{
+  QueueService *service = g_new0 (QueueService, 1);
+
+  service->name = g_strdup (name);
+  g_ptr_array_add (config->services, service);
+  return service;
+}
+
+static const Queue *
+lookup_place (const QueueConfig *config, const char *host, const char *path, size_t size)
+{
+  g_autofree char *key = place_key (host, path, size);
+
+  return g_hash_table_lookup (config->by_place, key);
+}
+
+const Queue *
+queue_config_route (const QueueConfig *config, const char *host, const char *path)
+{
+  const char *colon = strchr (host, ':');
+  g_autofree char *name = colon != NULL ? g_strndup (host, (gsize) (colon - host)) : g_strdup (host);
+
+  for (size_t size = strlen (path); size > 0; size--)
+    {
+      const Queue *queue = lookup_place (config, name, path, size);
+      if (queue != NULL)
+        return queue;
+    }
+  return NULL;
+}
+
+const Queue *
+queue_config_find (const QueueConfig *config, const char *name)
+{
+  return g_hash_table_lookup (config->by_name, name);
+}
+
+const QueueService *
+queue_config_service (const QueueConfig *config, const char *name)
+{
+  for (guint i = 0; i < config->services->len; i++)
+    {
+      const QueueService *service = g_ptr_array_index (config->services, i);
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/lib/batch/sched.c
@@ -0,0 +1,333 @@
+#include "batch/sched.h"
+
+#include <string.h>
+
+#include "batch/sched_tables.h"
+
+struct SchedFlush
+{
+  GPtrArray *changes;  /**< SchedChange */
+  GHashTable *jobs;    /**< SchedJob of the changes, as a set */
+  GHashTable *ends;    /**< agent name -> EndMark */
+};
+
+typedef struct
+{
+  uint64_t life;
+  int64_t ends_taken;
+} EndMark;
+
+static void
+change_free (gpointer data)
+{
+  SchedChange *change = data;
+
+  g_free (change->job);
+  g_bytes_unref (change->progress);
+  g_free (change);
+}
+
+Sched *
+sched_new (const SchedOptions *options)
+{
+  Sched *sched = g_new0 (Sched, 1);
+
+  sched->options = *options;
+  sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_job_free);
+  sched->open = g_hash_table_new (NULL, NULL);
+  sched->dirty = g_hash_table_new (NULL, NULL);
+  sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
+  sched->loads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return sched;
+}
+
+void
+sched_free (Sched *sched)
+{
+  if (sched == NULL)
+    return;
+  g_hash_table_destroy (sched->loads);
+  g_hash_table_destroy (sched->workers);
+  g_hash_table_destroy (sched->dirty);
+  g_hash_table_destroy (sched->open);
+  g_hash_table_destroy (sched->jobs);
+  g_free (sched);
+}
+
+void
+sched_note (Sched *sched, const char *event, const char *job, const char *format, ...)
+{
+  va_list args;
+
+  if (sched->options.note == NULL)
+    return;
+  va_start (args, format);
+  g_autofree char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  sched->options.note (sched->options.ctx, event, job, text);
+}
+
+void
+sched_set_config (Sched *sched, const QueueConfig *config)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  sched->config = config;
+  g_hash_table_iter_init (&iter, sched->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SchedJob *job = value;
+      job->queue = config != NULL ? queue_config_find (config, job->queue_name) : NULL;
+    }
+}
+
+void
+sched_begin_term (Sched *sched, uint64_t term, int64_t settled_us)
+{
+  sched->term = term;
+  sched->settled_us = settled_us;
+}
+
+void
+sched_add_agent (Sched *sched, const char *name)
+{
+  if (g_hash_table_contains (sched->workers, name))
+    return;
+  SchedWorker *worker = sched_worker_new (name);
+  g_hash_table_insert (sched->workers, worker->name, worker);
+}
+
+uint32_t
+sched_open_jobs (const Sched *sched)
+{
+  return g_hash_table_size (sched->open);
+}
+
+static void
+lapse_workers (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SchedWorker *worker = value;
+      if (worker->report_us != 0
+          && sched->now_us - worker->report_us > sched->options.lapse_ms * 1000)
+        sched_lose_worker (sched, worker, "silent");
+    }
+}
+
+static gboolean
+all_reported (const Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (((SchedWorker *) value)->report_us == 0)
+        return FALSE;
+    }
+  return g_hash_table_size (sched->workers) > 0;
+}
+
+static void
+settle_part (SchedPart *part)
+{
+  for (uint32_t i = 0; i < part->step->n_tasks; i++)
+    {
+      SchedTask *task = &part->tasks[i];
+      if (task->state != TASK_UNSURE)
+        continue;
+      task->state = TASK_WAITING;
+      part->n_waiting++;
+    }
+}
+
+/* What an earlier owner started is known now, or has lapsed. */
+static void
+settle (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  if (sched->settled_us == 0 || (sched->now_us < sched->settled_us && !all_reported (sched)))
+    return;
+  sched->settled_us = 0;
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      SchedJob *job = key;
+      job->is_old = FALSE;
+      for (guint i = 0; i < job->parts->len; i++)
+        settle_part (g_ptr_array_index (job->parts, i));
+    }
+  sched_note (sched, "settled", "-", "term=%" G_GUINT64_FORMAT " open_jobs=%u", sched->term,
+              g_hash_table_size (sched->open));
+}
+
+static SchedLoad *
+load_of (Sched *sched, const char *queue)
+{
+  SchedLoad *load = g_hash_table_lookup (sched->loads, queue);
+
+  if (load == NULL)
+    {
+      load = g_new0 (SchedLoad, 1);
+      g_hash_table_insert (sched->loads, g_strdup (queue), load);
+    }
+  return load;
+}
+
+static void
+update_jobs (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_remove_all (sched->loads);
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      SchedJob *job = key;
+      sched_make_occurrences (sched, job);
+      if (!job->has_begun)
+        load_of (sched, job->queue_name)->n_pending++;
+    }
+}
+
+void
+sched_tick (Sched *sched, int64_t now_us, int64_t wall_ms)
+{
+  sched->now_us = now_us;
+  sched->wall_ms = wall_ms;
+  lapse_workers (sched);
+  settle (sched);
+  update_jobs (sched);
+  sched_care (sched);
+  sched_place (sched);
+}
+
+gboolean
+sched_orders (Sched *sched, const char *agent, Batch__Orders *orders)
+{
+  SchedWorker *worker = g_hash_table_lookup (sched->workers, agent);
+
+  if (worker == NULL || !worker->has_news)
+    return FALSE;
+  worker->has_news = FALSE;
+  orders->agent_boot = worker->boot;
+  orders->echo_us = worker->clock_us;
+  orders->life = worker->life;
+  orders->ends_kept = worker->ends_kept;
+  orders->n_orders = worker->orders->len;
+  orders->orders = (Batch__Order **) worker->orders->pdata;
+  return TRUE;
+}
+
+SchedLoad
+sched_load (const Sched *sched, const char *queue)
+{
+  const SchedLoad *load = g_hash_table_lookup (sched->loads, queue);
+
+  return load != NULL ? *load : (SchedLoad){ 0, 0 };
+}
+
+static void
+mark_ends (SchedFlush *flush, Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->ends_taken <= worker->ends_kept)
+        continue;
+      EndMark *mark = g_new (EndMark, 1);
+      *mark = (EndMark){ worker->life, worker->ends_taken };
+      g_hash_table_insert (flush->ends, worker->name, mark);
+    }
+}
+
+SchedFlush *
+sched_flush_begin (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  if (g_hash_table_size (sched->dirty) == 0 && !sched->has_new_ends)
+    return NULL;
+  SchedFlush *flush = g_new0 (SchedFlush, 1);
+  flush->changes = g_ptr_array_new_with_free_func (change_free);
+  flush->jobs = g_hash_table_new (NULL, NULL);
+  flush->ends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  g_hash_table_iter_init (&iter, sched->dirty);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      SchedChange *change = g_new (SchedChange, 1);
+      change->job = g_strdup (((SchedJob *) key)->id);
+      change->progress = sched_encode_progress (key);
+      g_ptr_array_add (flush->changes, change);
+      (void) g_hash_table_add (flush->jobs, key);
+    }
+  g_hash_table_remove_all (sched->dirty);
+  mark_ends (flush, sched);
+  sched->has_new_ends = FALSE;
+  return flush;
+}
+
+const GPtrArray *
+sched_flush_changes (const SchedFlush *flush)
+{
+  return flush->changes;
+}
+
+static void
+acknowledge_ends (Sched *sched, const SchedFlush *flush)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, flush->ends);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      SchedWorker *worker = g_hash_table_lookup (sched->workers, key);
+      const EndMark *mark = value;
+      if (worker == NULL || worker->life != mark->life)
+        continue;
+      worker->ends_kept = MAX (worker->ends_kept, mark->ends_taken);
+      worker->has_news = TRUE;
+    }
+}
+
+static void
+redo (Sched *sched, const SchedFlush *flush)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, flush->jobs);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    sched_mark_dirty (sched, key);
+  sched->has_new_ends |= g_hash_table_size (flush->ends) > 0;
+}
+
+void
+sched_flush_end (Sched *sched, SchedFlush *flush, gboolean is_written)
+{
+  if (is_written)
+    acknowledge_ends (sched, flush);
+  else
+    redo (sched, flush);
+  g_ptr_array_unref (flush->changes);
+  g_hash_table_destroy (flush->jobs);
+  g_hash_table_destroy (flush->ends);
+  g_free (flush);
+}
--- /dev/null
+++ b/lib/batch/sched.h
@@ -0,0 +1,118 @@
+/**
+ * @file sched.h
+ * The scheduler of jobs: which task starts where, what is stopped, what is slowed down.
+ *
+ * A context of the one process that owns the jobs. No I/O, no threads, no clock of its own: reports
+ * of agents and changes of jobs go in, orders for agents and progress for the ledger come out.
+ */
+#pragma once
+
+#include "batch/job.h"
+#include "batch/ledger.pb-c.h"
+#include "batch/queues.h"
+#include "batch/worker.h"
+
+G_BEGIN_DECLS
+
+typedef struct Sched Sched;
+
+/** State of a job; the numbers are those of Batch__Progress.state. */
+typedef enum
+{
+  SCHED_QUEUED,
+  SCHED_RUNNING,
+  SCHED_COMPLETED,
+  SCHED_FAILED,
+  SCHED_CANCELLED,
+} SchedJobState;
+
+typedef struct
+{
+  int64_t fresh_ms;      /**< starts go only to agents that reported within this time */
+  int64_t lapse_ms;      /**< after an agent's newest report: what its worker ran has lapsed */
+  int64_t stop_grace_ms; /**< a worker needs up to this long to stop a task */
+  int64_t gang_timeout_ms; /**< members of a gang wait this long for each other */
+  int64_t early_ms;      /**< an occurrence may start this much before its time */
+  int64_t harm_ms;       /**< a serving task may be over its target for this long */
+  double remote_factor;  /**< a task takes this many times as long away from its data */
+  /** Notes a decision for the log; @p text is "key=value ..." of the inputs. */
+  void (*note) (void *ctx, const char *event, const char *job, const char *text);
+  void *ctx;
+} SchedOptions;
+
+/** Makes a scheduler without jobs and agents; free with sched_free(). */
+Sched *sched_new (const SchedOptions *options);
+
+/** NULL is allowed. */
+void sched_free (Sched *sched);
+
+/** Takes a configuration, which must live until the next one is set. */
+void sched_set_config (Sched *sched, const QueueConfig *config);
+
+/**
+ * Begins a term. What earlier owners started may run at agents that have not reported until
+ * @p settled_us; tasks of jobs added as old wait until then, or until all agents have reported.
+ */
+void sched_begin_term (Sched *sched, uint64_t term, int64_t settled_us);
+
+typedef struct
+{
+  const char *id;
+  const char *queue;
+  int64_t accepted_wall_ms;
+  JobSpec *spec;                  /**< taken */
+  const Batch__Progress *progress; /**< NULL for none */
+  gboolean is_old;                /**< an earlier owner may have started it */
+} SchedNewJob;
+
+/** Adds a job; one that is known already only frees the spec. */
+void sched_add_job (Sched *sched, const SchedNewJob *job);
+
+/** Cancels a job; unknown and ended ones are left. */
+void sched_cancel_job (Sched *sched, const char *id);
+
+/** An agent that may report. Adding it twice changes nothing. */
+void sched_add_agent (Sched *sched, const char *name);
+
+/** Takes what an agent says of its worker. */
+void sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us);
+
+/** Decides; call it after inputs and about every 100 ms. */
+void sched_tick (Sched *sched, int64_t now_us, int64_t wall_ms);
+
+/**
+ * Fills @p orders with what @p agent has to be told; pointers are owned by the scheduler and valid
+ * until its next call. FALSE if nothing new has to be said.
+ */
+gboolean sched_orders (Sched *sched, const char *agent, Batch__Orders *orders);
+
+/** Progress to be written to the ledger in one append. */
+typedef struct
+{
+  char *job;
+  GBytes *progress;
+} SchedChange;
+
+typedef struct SchedFlush SchedFlush;
+
+/** What changed since the last flush; NULL if nothing did. One flush at a time. */
+SchedFlush *sched_flush_begin (Sched *sched);
+/** SchedChange, owned by @p flush; may be empty when only ends have to be acknowledged. */
+const GPtrArray *sched_flush_changes (const SchedFlush *flush);
+/** Ends a flush: with @p is_written the ends behind it are acknowledged, else it is due again. */
+void sched_flush_end (Sched *sched, SchedFlush *flush, gboolean is_written);
+
+/** State of one queue, for the other entries. */
+typedef struct
+{
+  uint32_t n_pending;      /**< jobs of which no task has started */
+  uint32_t retry_after_ms; /**< when a caller should come back; 0: jobs are accepted */
+} SchedLoad;
+
+/** The load of @p queue as of the last tick. */
+SchedLoad sched_load (const Sched *sched, const char *queue);
+
+/** Jobs that are neither ended nor cancelled. */
+uint32_t sched_open_jobs (const Sched *sched);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/batch/sched_place.c
@@ -0,0 +1,308 @@
+#include <string.h>
+
+#include "batch/sched_tables.h"
+
+/** What a choice costs, in thousandths of a core; the least costly worker is taken. */
+#define COST_FAR 20000
+#define COST_FILL_BESIDE_SERVING 100000
+#define COST_SERVING_BESIDE_FILL 8000
+#define COST_SERVING_BESIDE_SERVING 4000
+#define COST_AVOIDED 50000
+/** Runs of one term; a later term's runs are higher than all of an earlier one. */
+#define RUNS_PER_TERM 1000
+/** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
+#define RESERVE_DIVISOR 16
+
+typedef struct
+{
+  SchedPart *part;
+  uint32_t priority;
+  gboolean is_late;
+  int64_t deadline_ms;
+} Turn;
+
+static int64_t
+step_ms (const JobStep *step)
+{
+  return MAX (step->estimate_ms, 1);
+}
+
+/* Longest chain of estimated work; of what is left only, if @p is_left. */
+static int64_t
+chain_ms (const SchedJob *job, uint32_t occurrence, gboolean is_left)
+{
+  uint32_t n_steps = job->spec->steps->len;
+  g_autofree int64_t *ends = g_new0 (int64_t, n_steps);
+  int64_t longest = 0;
+
+  for (uint32_t i = 0; i < n_steps; i++)
+    {
+      const JobStep *step = g_ptr_array_index (job->spec->steps, i);
+      const SchedPart *part = sched_find_part (job, occurrence, i);
+      int64_t begin = 0;
+      for (guint k = 0; k < step->after->len; k++)
+        begin = MAX (begin, ends[g_array_index (step->after, uint32_t, k)]);
+      gboolean is_done = part != NULL && part->n_done == step->n_tasks;
+      ends[i] = begin + (is_left && is_done ? 0 : step_ms (step));
+      longest = MAX (longest, ends[i]);
+    }
+  return longest;
+}
+
+static int64_t
+origin_wall_ms (const SchedPart *part)
+{
+  const SchedJob *job = part->job;
+
+  if (job->spec->n_repeats == 0)
+    return job->accepted_wall_ms;
+  return job->spec->start_wall_ms + (int64_t) part->occurrence * job->spec->interval_ms;
+}
+
+static Turn
+turn_of (const Sched *sched, SchedPart *part)
+{
+  const SchedJob *job = part->job;
+  Turn turn = { .part = part, .priority = job->queue->priority };
+
+  turn.deadline_ms
+      = origin_wall_ms (part) + job->queue->target_ms
+        + (int64_t) (job->queue->stretch * (double) chain_ms (job, part->occurrence, FALSE));
+  turn.is_late = !part->step->lasts
+                 && sched->wall_ms + chain_ms (job, part->occurrence, TRUE) > turn.deadline_ms;
+  return turn;
+}
+
+static gint
+compare_turns (gconstpointer a, gconstpointer b)
+{
+  const Turn *left = a;
+  const Turn *right = b;
+
+  if (left->priority != right->priority)
+    return left->priority < right->priority ? -1 : 1;
+  if (left->is_late != right->is_late)
+    return left->is_late ? 1 : -1;
+  if (left->deadline_ms != right->deadline_ms)
+    return left->deadline_ms < right->deadline_ms ? -1 : 1;
+  return strcmp (left->part->job->id, right->part->job->id);
+}
+
+static void
+add_turns (const Sched *sched, GArray *turns, const SchedJob *job)
+{
+  if (job->queue == NULL)
+    return;
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      SchedPart *part = g_ptr_array_index (job->parts, i);
+      if (part->n_waiting == 0 || !sched_part_is_ready (part))
+        continue;
+      Turn turn = turn_of (sched, part);
+      g_array_append_val (turns, turn);
+    }
+}
+
+static gboolean
+has_label (const WorkerInfo *info, const char *label)
+{
+  return g_strv_contains ((const char *const *) info->labels, label);
+}
+
+static uint32_t
+count_of_part (const SchedWorker *worker, const SchedPart *part)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    count += ((SchedTask *) g_ptr_array_index (worker->tasks, i))->part == part;
+  return count;
+}
+
+static gboolean
+is_open (const Sched *sched, const SchedWorker *worker)
+{
+  return worker->report_us != 0 && !worker->info->is_draining && !worker->is_leaving
+         && worker->n_strays == 0 && sched->now_us >= worker->shun_until_us
+         && sched->now_us - worker->report_us <= sched->options.fresh_ms * 1000;
+}
+
+static gboolean
+may_run (const SchedWorker *worker, const SchedPart *part)
+{
+  const JobStep *step = part->step;
+
+  return strcmp (worker->info->service, part->job->queue->service) == 0
+         && (step->label == NULL || has_label (worker->info, step->label))
+         && (step->per_worker_max == 0 || count_of_part (worker, part) < step->per_worker_max);
+}
+
+static gboolean
+has_room (const SchedWorker *worker, const SchedPart *part)
+{
+  const JobSize *size = &part->step->size;
+  const JobSize *capacity = &worker->info->capacity;
+  int64_t cpu_m = capacity->cpu_m - worker->used.cpu_m;
+
+  if (part->job->queue->priority > 0)
+    cpu_m -= capacity->cpu_m / RESERVE_DIVISOR;
+  return (part->step->fills || size->cpu_m <= cpu_m)
+         && size->mem_mb <= capacity->mem_mb - worker->used.mem_mb
+         && size->gpus <= capacity->gpus - worker->used.gpus;
+}
+
+static int64_t
+cost_of (const SchedWorker *worker, const SchedTask *task)
+{
+  const JobStep *step = task->part->step;
+  int64_t cost = 0;
+
+  if (step->rack != NULL && !has_label (worker->info, step->rack))
+    cost += COST_FAR;
+  if (task->avoid == worker)
+    cost += COST_AVOIDED;
+  if (step->fills)
+    {
+      cost += worker->used.cpu_m + worker->fill_cpu_m - worker->info->capacity.cpu_m;
+      cost += worker->n_serving > 0 ? COST_FILL_BESIDE_SERVING : 0;
+    }
+  else if (step->lasts)
+    {
+      cost += worker->fill_cpu_m > 0 ? COST_SERVING_BESIDE_FILL : 0;
+      cost += (int64_t) worker->n_serving * COST_SERVING_BESIDE_SERVING;
+      cost += worker->used.cpu_m / 4;
+    }
+  else
+    {
+      cost += worker->used.cpu_m + worker->fill_cpu_m;
+      cost -= worker->n_serving > 0 ? COST_SERVING_BESIDE_SERVING : 0;
+    }
+  return cost;
+}
+
+static SchedWorker *
+choose (const Sched *sched, const GPtrArray *workers, const SchedTask *task)
+{
+  SchedWorker *best = NULL;
+  int64_t best_cost = 0;
+
+  for (guint i = 0; i < workers->len; i++)
+    {
+      SchedWorker *worker = g_ptr_array_index (workers, i);
+      (void) sched;
+      if (!may_run (worker, task->part) || !has_room (worker, task->part))
+        continue;
+      int64_t cost = cost_of (worker, task);
+      if (best == NULL || cost < best_cost)
+        {
+          best = worker;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+static int64_t
+next_run (const Sched *sched, const SchedTask *task)
+{
+  int64_t first = (int64_t) (sched->term - 1) * RUNS_PER_TERM + 1;
+
+  return MAX (task->run + 1, first);
+}
+
+static void
+place_part (Sched *sched, const GPtrArray *workers, SchedPart *part)
+{
+  for (uint32_t i = 0; i < part->step->n_tasks && part->n_waiting > 0; i++)
+    {
+      SchedTask *task = &part->tasks[i];
+      if (task->state != TASK_WAITING)
+        continue;
+      SchedWorker *worker = choose (sched, workers, task);
+      if (worker == NULL)
+        return;
+      task->run = next_run (sched, task);
+      sched_order_start (sched, worker, task);
+    }
+}
+
+static void
+undo_gang (SchedPart *part)
+{
+  for (uint32_t i = 0; i < part->step->n_tasks; i++)
+    {
+      if (part->tasks[i].state == TASK_PLACED)
+        sched_detach (&part->tasks[i], TASK_WAITING);
+    }
+}
+
+/* All members or none; they get one run and one checkpoint. */
+static void
+place_gang (Sched *sched, const GPtrArray *workers, SchedPart *part)
+{
+  uint32_t n_tasks = part->step->n_tasks;
+  g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
+  int64_t run = 0;
+
+  if (part->n_waiting < n_tasks)
+    return;
+  for (uint32_t i = 0; i < n_tasks; i++)
+    {
+      SchedWorker *worker = choose (sched, workers, &part->tasks[i]);
+      if (worker == NULL)
+        {
+          undo_gang (part);
+          return;
+        }
+      run = MAX (run, next_run (sched, &part->tasks[i]));
+      sched_attach (worker, &part->tasks[i], sched->now_us);
+      g_ptr_array_add (chosen, worker);
+    }
+  undo_gang (part);
+  for (uint32_t i = 0; i < n_tasks; i++)
+    {
+      SchedTask *task = &part->tasks[i];
+      task->run = run;
+      g_free (task->saved);
+      task->saved = g_strdup (part->tasks[0].saved);
+      sched_order_start (sched, g_ptr_array_index (chosen, i), task);
+    }
+}
+
+static GPtrArray *
+open_workers (Sched *sched)
+{
+  GPtrArray *workers = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (is_open (sched, value))
+        g_ptr_array_add (workers, value);
+    }
+  return workers;
+}
+
+void
+sched_place (Sched *sched)
+{
+  g_autoptr (GArray) turns = g_array_new (FALSE, FALSE, sizeof (Turn));
+  g_autoptr (GPtrArray) workers = open_workers (sched);
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    add_turns (sched, turns, key);
+  g_array_sort (turns, compare_turns);
+  for (guint i = 0; i < turns->len; i++)
+    {
+      SchedPart *part = g_array_index (turns, Turn, i).part;
+      if (part->step->is_gang)
+        place_gang (sched, workers, part);
+      else
+        place_part (sched, workers, part);
+    }
+}
--- /dev/null
+++ b/lib/batch/sched_reports.c
@@ -0,0 +1,251 @@
+#include <string.h>
+
+#include "batch/sched_tables.h"
+
+/** Failures on end after which a worker is left alone for a while. */
+#define FAIL_STREAK_MAX 2
+
+static WorkerInfo *
+to_info (const Batch__Worker *row)
+{
+  WorkerInfo *info = g_new0 (WorkerInfo, 1);
+
+  info->id = g_strdup (row->id);
+  info->born_wall_ms = row->born_wall_ms;
+  info->service = g_strdup (row->service);
+  info->data_centre = g_strdup (row->data_centre);
+  info->instance = g_strdup (row->instance);
+  info->labels = g_new0 (char *, row->n_labels + 1);
+  for (size_t i = 0; i < row->n_labels; i++)
+    info->labels[i] = g_strdup (row->labels[i]);
+  info->capacity = (JobSize){ row->cpu_m, row->mem_mb, row->gpus };
+  info->is_draining = row->is_draining;
+  info->remaining_ms = row->remaining_ms;
+  return info;
+}
+
+static void
+keep_checkpoint (SchedTask *task, const char *saved)
+{
+  if (*saved == '\0' || strcmp (task->saved, saved) == 0)
+    return;
+  g_free (task->saved);
+  task->saved = g_strdup (saved);
+}
+
+static gboolean
+is_placed_as (const SchedTask *task, const SchedWorker *worker, int64_t run)
+{
+  return task->state == TASK_PLACED && task->worker == worker && task->run == run;
+}
+
+static void
+note_end (Sched *sched, const SchedWorker *worker, const Batch__Ended *end)
+{
+  char job[JOB_ID_CHARS + 1];
+
+  (void) g_strlcpy (job, end->task, sizeof job);
+  sched_note (sched, "end", job, "task=%s run=%" G_GINT64_FORMAT " worker=%s how=%s", end->task,
+              end->run, worker->name,
+              end->how < WORKER_END_COUNT ? worker_end_name ((WorkerEndHow) end->how) : "unknown");
+}
+
+static void
+take_failure (Sched *sched, SchedWorker *worker, SchedTask *task, int64_t run)
+{
+  task->avoid = worker;
+  worker->fail_streak++;
+  if (worker->fail_streak >= FAIL_STREAK_MAX && sched->now_us >= worker->shun_until_us)
+    sched_shun (sched, worker, "failures");
+  sched_task_failed (sched, task, run);
+}
+
+static void
+take_end (Sched *sched, SchedWorker *worker, const Batch__Ended *end)
+{
+  SchedTask *task = sched_find_task (sched, end->task);
+
+  note_end (sched, worker, end);
+  if (task == NULL || task->state == TASK_DONE)
+    return;
+  gboolean is_ours = is_placed_as (task, worker, end->run);
+  task->run = MAX (task->run, end->run);
+  if (end->how == WORKER_END_DONE && !task->part->step->lasts)
+    {
+      if (task->state == TASK_PLACED && !is_ours)
+        sched_order_stop (sched, task, "done_elsewhere");
+      worker->fail_streak = 0;
+      worker->shun_ms = 0;
+      sched_task_done (sched, task);
+      return;
+    }
+  if (end->how == WORKER_END_STOPPED || end->how == WORKER_END_LAPSED)
+    keep_checkpoint (task, end->saved);
+  if (is_ours)
+    sched_detach (task, TASK_WAITING);
+  if (end->how == WORKER_END_FAILED)
+    take_failure (sched, worker, task, end->run);
+}
+
+static gboolean
+may_adopt (const SchedTask *task, int64_t run)
+{
+  return (task->state == TASK_UNSURE || task->state == TASK_WAITING) && run >= task->run
+         && sched_job_is_open (task->part->job);
+}
+
+static void
+adopt (Sched *sched, SchedWorker *worker, SchedTask *task, const Batch__Running *row)
+{
+  task->run = row->run;
+  sched_attach (worker, task, sched->now_us);
+  task->part->job->has_begun = TRUE;
+  sched_note (sched, "adopt", task->part->job->id, "task=%s run=%" G_GINT64_FORMAT " worker=%s",
+              row->task, row->run, worker->name);
+}
+
+/* A task that runs here and should not is stopped, again and again until it is gone. */
+static void
+take_stray (SchedWorker *worker, const Batch__Running *row)
+{
+  worker->n_strays++;
+  for (guint i = 0; i < worker->orders->len; i++)
+    {
+      const Batch__Order *order = g_ptr_array_index (worker->orders, i);
+      if (order->what_case == BATCH__ORDER__WHAT_STOP && order->stop->run == row->run
+          && strcmp (order->stop->task, row->task) == 0)
+        return;
+    }
+  sched_order_stop_run (worker, row->task, row->run);
+}
+
+static void
+take_running (Sched *sched, SchedWorker *worker, const Batch__Running *row)
+{
+  SchedTask *task = sched_find_task (sched, row->task);
+
+  if (task != NULL && !is_placed_as (task, worker, row->run) && may_adopt (task, row->run))
+    adopt (sched, worker, task, row);
+  if (task == NULL || !is_placed_as (task, worker, row->run))
+    {
+      take_stray (worker, row);
+      return;
+    }
+  task->is_listed = TRUE;
+  task->is_starting = row->is_starting;
+  task->figure = row->figure;
+  keep_checkpoint (task, row->saved);
+  if (task->percent != row->percent || row->is_starting)
+    task->percent_us = sched->now_us;
+  task->percent = row->percent;
+  if (!sched_job_is_open (task->part->job))
+    sched_order_stop (sched, task, "job_ended");
+}
+
+static void
+note_refusals (Sched *sched, const SchedWorker *worker, const Batch__Report *report)
+{
+  for (size_t i = 0; i < report->n_refused; i++)
+    {
+      const Batch__Refused *row = report->refused[i];
+      SchedTask *task = sched_find_task (sched, row->task);
+      if (task == NULL || task->run != row->run || task->worker != worker)
+        continue;
+      task->avoid = task->worker;
+      sched_note (sched, "refused", task->part->job->id,
+                  "task=%s run=%" G_GINT64_FORMAT " worker=%s outcome=%u", row->task, row->run,
+                  worker->name, row->outcome);
+    }
+}
+
+static void
+drop_unlisted (SchedWorker *worker)
+{
+  for (guint i = worker->tasks->len; i-- > 0;)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      gboolean is_listed = task->is_listed;
+      task->is_listed = FALSE;
+      if (!is_listed && task->order_number <= worker->done_number)
+        sched_detach (task, TASK_WAITING);
+    }
+}
+
+static void
+begin_life (Sched *sched, SchedWorker *worker, const Batch__Report *report)
+{
+  worker->boot = report->boot;
+  worker->life = report->life;
+  worker->ends_taken = 0;
+  worker->ends_kept = 0;
+  worker->fail_streak = 0;
+  worker->has_news = TRUE;
+  g_ptr_array_set_size (worker->orders, 0);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      task->order_number = 0;
+      /* The order went with the old life; the stop is given again if the task still runs. */
+      task->is_stopping = FALSE;
+    }
+  sched_note (sched, "worker_found", "-", "worker=%s boot=%" G_GUINT64_FORMAT " life=%"
+              G_GUINT64_FORMAT " running=%zu ended=%zu", worker->name, report->boot, report->life,
+              report->n_running, report->n_ended);
+}
+
+static void
+drop_done_orders (SchedWorker *worker)
+{
+  while (worker->orders->len > 0)
+    {
+      const Batch__Order *first = g_ptr_array_index (worker->orders, 0);
+      if (first->number > worker->done_number)
+        return;
+      g_ptr_array_remove_index (worker->orders, 0);
+    }
+}
+
+static void
+note_draining (Sched *sched, SchedWorker *worker, gboolean was_draining)
+{
+  if (!was_draining && worker->info->is_draining)
+    sched_note (sched, "worker_drains", "-", "worker=%s remaining_ms=%" G_GINT64_FORMAT,
+                worker->name, worker->info->remaining_ms);
+}
+
+void
+sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us)
+{
+  SchedWorker *worker = g_hash_table_lookup (sched->workers, agent);
+
+  sched->now_us = now_us;
+  if (worker == NULL || report->life == 0 || report->worker == NULL)
+    return;
+  if (worker->boot == report->boot && report->clock_us < worker->clock_us)
+    return;
+  gboolean was_draining = worker->info != NULL && worker->info->is_draining;
+  worker_info_free (worker->info);
+  worker->info = to_info (report->worker);
+  worker->clock_us = report->clock_us;
+  worker->is_leaving = report->is_leaving;
+  if (worker->boot != report->boot || worker->life != report->life)
+    begin_life (sched, worker, report);
+  worker->done_number = report->done_number;
+  worker->report_us = now_us;
+  worker->has_news = TRUE;
+  drop_done_orders (worker);
+  note_refusals (sched, worker, report);
+  note_draining (sched, worker, was_draining);
+  for (size_t i = 0; i < report->n_ended; i++)
+    {
+      if (report->ended[i]->number > worker->ends_taken)
+        take_end (sched, worker, report->ended[i]);
+    }
+  for (size_t i = 0; i < report->n_ended; i++)
+    worker->ends_taken = MAX (worker->ends_taken, report->ended[i]->number);
+  sched->has_new_ends |= worker->ends_taken > worker->ends_kept;
+  worker->n_strays = 0;
+  for (size_t i = 0; i < report->n_running; i++)
+    take_running (sched, worker, report->running[i]);
+  drop_unlisted (worker);
+}
--- /dev/null
+++ b/lib/batch/sched_tables.h
@@ -0,0 +1,158 @@
+/**
+ * @file sched_tables.h
+ * The scheduler's tables. Internal to lib/batch.
+ */
+#pragma once
+
+#include "batch/sched.h"
+
+G_BEGIN_DECLS
+
+typedef struct SchedJob SchedJob;
+typedef struct SchedPart SchedPart;
+typedef struct SchedTask SchedTask;
+typedef struct SchedWorker SchedWorker;
+
+typedef enum
+{
+  TASK_WAITING,
+  TASK_UNSURE, /**< an earlier owner may have started it at an agent that has not reported */
+  TASK_PLACED, /**< ordered to a worker, or running there */
+  TASK_DONE,
+} TaskState;
+
+struct SchedTask
+{
+  SchedPart *part;
+  uint32_t index;
+  TaskState state;
+  int64_t run;          /**< highest that was used */
+  uint32_t n_failed;
+  SchedWorker *worker;  /**< of a placed task */
+  uint64_t order_number; /**< of its start; 0 for one that was found running */
+  int64_t placed_us;
+  int64_t percent;
+  int64_t percent_us;   /**< when the percent last changed */
+  int64_t figure;
+  uint32_t pace;        /**< percent that it may work at */
+  gboolean is_starting;
+  gboolean is_stopping;
+  gboolean is_listed;   /**< scratch of one report */
+  char *saved;
+  SchedWorker *avoid;   /**< where it last failed or stood still */
+};
+
+/** One step of one occurrence. */
+struct SchedPart
+{
+  SchedJob *job;
+  const JobStep *step;
+  uint32_t occurrence;
+  uint32_t step_index;
+  uint32_t n_done;
+  uint32_t n_waiting;  /**< tasks in TASK_WAITING */
+  SchedTask *tasks;    /**< step->n_tasks of them */
+  GArray *failed;      /**< FailedRow */
+  int64_t ready_us;    /**< when its turn came; 0 before */
+};
+
+typedef struct
+{
+  uint32_t index;
+  int64_t run;
+} FailedRow;
+
+struct SchedJob
+{
+  char *id;
+  char *queue_name;
+  const Queue *queue; /**< NULL while no configuration has it */
+  int64_t accepted_wall_ms;
+  JobSpec *spec;
+  SchedJobState state;
+  gboolean is_old;
+  gboolean has_begun;
+  GPtrArray *parts;          /**< SchedPart of the occurrences under way, by occurrence and step */
+  uint32_t occurrences_done; /**< all before this one */
+  uint32_t occurrences_made;
+};
+
+struct SchedWorker
+{
+  char *name;         /**< of its agent */
+  WorkerInfo *info;   /**< NULL before its first report */
+  uint64_t boot;
+  uint64_t life;      /**< 0: not known */
+  int64_t report_us;  /**< when the newest report came; 0: none in this term */
+  int64_t clock_us;   /**< of the agent in that report */
+  uint64_t done_number;
+  uint64_t next_number;
+  GPtrArray *orders;  /**< Batch__Order not carried out yet, owned */
+  gboolean has_news;  /**< something has to be said */
+  int64_t ends_taken;
+  int64_t ends_kept;
+  gboolean is_leaving;
+  GPtrArray *tasks;   /**< SchedTask placed here */
+  uint32_t n_strays;  /**< tasks that run here and should not */
+  JobSize used;       /**< processors without those of tasks that fill */
+  int64_t fill_cpu_m; /**< wanted by tasks that fill */
+  uint32_t n_serving;
+  int64_t over_since_us; /**< a serving task is over its target; 0: none */
+  int64_t calm_since_us; /**< all serving tasks are well under theirs; 0: not so */
+  uint32_t fail_streak;
+  int64_t shun_until_us; /**< nothing new before */
+  int64_t shun_ms;       /**< length of the last shunning */
+};
+
+struct Sched
+{
+  SchedOptions options;
+  const QueueConfig *config;
+  uint64_t term;
+  int64_t settled_us;
+  GHashTable *jobs;    /**< id -> SchedJob */
+  GHashTable *open;    /**< SchedJob, as a set */
+  GHashTable *workers; /**< agent name -> SchedWorker */
+  GHashTable *dirty;   /**< SchedJob whose progress has to be written */
+  gboolean has_new_ends;
+  GHashTable *loads;   /**< queue name -> SchedLoad */
+  int64_t now_us;
+  int64_t wall_ms;
+};
+
+/* sched_jobs.c */
+void sched_job_free (gpointer data);
+SchedTask *sched_find_task (Sched *sched, const char *name);
+char *sched_task_name (const SchedTask *task);
+void sched_mark_dirty (Sched *sched, SchedJob *job);
+void sched_make_occurrences (Sched *sched, SchedJob *job);
+gboolean sched_part_is_ready (const SchedPart *part);
+SchedPart *sched_find_part (const SchedJob *job, uint32_t occurrence, uint32_t step);
+void sched_end_job (Sched *sched, SchedJob *job, SchedJobState state);
+void sched_task_done (Sched *sched, SchedTask *task);
+void sched_task_failed (Sched *sched, SchedTask *task, int64_t run);
+gboolean sched_job_is_open (const SchedJob *job);
+GBytes *sched_encode_progress (const SchedJob *job);
+
+/* sched_workers.c */
+SchedWorker *sched_worker_new (const char *name);
+void sched_worker_free (gpointer data);
+void sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task);
+void sched_order_stop (Sched *sched, SchedTask *task, const char *reason);
+void sched_order_stop_run (SchedWorker *worker, const char *task, int64_t run);
+void sched_order_pace (Sched *sched, SchedTask *task, uint32_t percent);
+void sched_attach (SchedWorker *worker, SchedTask *task, int64_t now_us);
+void sched_detach (SchedTask *task, TaskState state);
+void sched_lose_worker (Sched *sched, SchedWorker *worker, const char *reason);
+void sched_shun (Sched *sched, SchedWorker *worker, const char *reason);
+
+/* sched_place.c */
+void sched_place (Sched *sched);
+
+/* sched_care.c */
+void sched_care (Sched *sched);
+
+void sched_note (Sched *sched, const char *event, const char *job, const char *format, ...)
+    G_GNUC_PRINTF (4, 5);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/batch/sched_workers.c
@@ -0,0 +1,211 @@
+#include <string.h>
+
+#include "batch/sched_tables.h"
+
+/** First and longest time for which a worker that failed gets nothing new. */
+#define SHUN_FIRST_MS 2000
+#define SHUN_MAX_MS 16000
+
+static void
+order_free (gpointer data)
+{
+  batch__order__free_unpacked (data, NULL);
+}
+
+SchedWorker *
+sched_worker_new (const char *name)
+{
+  SchedWorker *worker = g_new0 (SchedWorker, 1);
+
+  worker->name = g_strdup (name);
+  worker->orders = g_ptr_array_new_with_free_func (order_free);
+  worker->tasks = g_ptr_array_new ();
+  worker->next_number = 1;
+  return worker;
+}
+
+void
+sched_worker_free (gpointer data)
+{
+  SchedWorker *worker = data;
+
+  g_ptr_array_unref (worker->tasks);
+  g_ptr_array_unref (worker->orders);
+  worker_info_free (worker->info);
+  g_free (worker->name);
+  g_free (worker);
+}
+
+/* The library frees messages with free(), so their parts are made with malloc(). */
+static void *
+message_part (size_t size)
+{
+  void *part = calloc (1, size);
+
+  g_assert (part != NULL);
+  return part;
+}
+
+static char *
+message_text (const char *text)
+{
+  char *copy = strdup (text);
+
+  g_assert (copy != NULL);
+  return copy;
+}
+
+static Batch__Order *
+add_order (SchedWorker *worker)
+{
+  Batch__Order *order = message_part (sizeof *order);
+
+  batch__order__init (order);
+  order->number = worker->next_number++;
+  g_ptr_array_add (worker->orders, order);
+  worker->has_news = TRUE;
+  return order;
+}
+
+static void
+account (SchedWorker *worker, const SchedTask *task, int64_t sign)
+{
+  const JobStep *step = task->part->step;
+
+  if (step->fills)
+    worker->fill_cpu_m += sign * step->size.cpu_m;
+  else
+    worker->used.cpu_m += sign * step->size.cpu_m;
+  worker->used.mem_mb += sign * step->size.mem_mb;
+  worker->used.gpus += sign * step->size.gpus;
+  if (step->lasts && step->tail_target_ms > 0)
+    worker->n_serving += (uint32_t) sign;
+}
+
+void
+sched_attach (SchedWorker *worker, SchedTask *task, int64_t now_us)
+{
+  if (task->state == TASK_WAITING)
+    task->part->n_waiting--;
+  task->state = TASK_PLACED;
+  task->worker = worker;
+  task->placed_us = now_us;
+  task->percent = 0;
+  task->percent_us = now_us;
+  task->figure = 0;
+  task->pace = 100;
+  task->is_starting = TRUE;
+  task->is_stopping = FALSE;
+  g_ptr_array_add (worker->tasks, task);
+  account (worker, task, 1);
+}
+
+void
+sched_detach (SchedTask *task, TaskState state)
+{
+  account (task->worker, task, -1);
+  (void) g_ptr_array_remove_fast (task->worker->tasks, task);
+  task->worker = NULL;
+  task->state = state;
+  task->order_number = 0;
+  task->is_stopping = FALSE;
+  if (state == TASK_WAITING)
+    task->part->n_waiting++;
+}
+
+void
+sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task)
+{
+  SchedJob *job = task->part->job;
+  Batch__Order *order = add_order (worker);
+  g_autofree char *name = sched_task_name (task);
+
+  order->what_case = BATCH__ORDER__WHAT_START;
+  order->start = message_part (sizeof *order->start);
+  batch__start__init (order->start);
+  order->start->task = message_text (name);
+  order->start->run = task->run;
+  order->start->spec = message_text (job->spec->spec);
+  order->start->saved = message_text (task->saved);
+  order->start->ticket = message_text ("");
+  sched_attach (worker, task, sched->now_us);
+  task->order_number = order->number;
+  sched_note (sched, "start", job->id,
+              "task=%s run=%" G_GINT64_FORMAT " worker=%s used_cpu_m=%" G_GINT64_FORMAT
+              " report_age_ms=%" G_GINT64_FORMAT,
+              name, task->run, worker->name, worker->used.cpu_m,
+              (sched->now_us - worker->report_us) / 1000);
+  if (job->has_begun)
+    return;
+  job->has_begun = TRUE;
+  sched_mark_dirty (sched, job);
+}
+
+void
+sched_order_stop_run (SchedWorker *worker, const char *task, int64_t run)
+{
+  Batch__Order *order = add_order (worker);
+
+  order->what_case = BATCH__ORDER__WHAT_STOP;
+  order->stop = message_part (sizeof *order->stop);
+  batch__stop__init (order->stop);
+  order->stop->task = message_text (task);
+  order->stop->run = run;
+}
+
+void
+sched_order_stop (Sched *sched, SchedTask *task, const char *reason)
+{
+  g_autofree char *name = sched_task_name (task);
+
+  if (task->is_stopping)
+    return;
+  task->is_stopping = TRUE;
+  sched_order_stop_run (task->worker, name, task->run);
+  sched_note (sched, "stop", task->part->job->id,
+              "task=%s run=%" G_GINT64_FORMAT " worker=%s reason=%s percent=%" G_GINT64_FORMAT,
+              name, task->run, task->worker->name, reason, task->percent);
+}
+
+void
+sched_order_pace (Sched *sched, SchedTask *task, uint32_t percent)
+{
+  g_autofree char *name = sched_task_name (task);
+
+  if (task->pace == percent)
+    return;
+  Batch__Order *order = add_order (task->worker);
+  order->what_case = BATCH__ORDER__WHAT_PACE;
+  order->pace = message_part (sizeof *order->pace);
+  batch__pace__init (order->pace);
+  order->pace->task = message_text (name);
+  order->pace->run = task->run;
+  order->pace->percent = percent;
+  task->pace = percent;
+  sched_note (sched, "pace", task->part->job->id, "task=%s worker=%s percent=%u", name,
+              task->worker->name, percent);
+}
+
+void
+sched_lose_worker (Sched *sched, SchedWorker *worker, const char *reason)
+{
+  sched_note (sched, "worker_lost", "-", "worker=%s reason=%s tasks=%u report_age_ms=%"
+              G_GINT64_FORMAT, worker->name, reason, worker->tasks->len,
+              (sched->now_us - worker->report_us) / 1000);
+  while (worker->tasks->len > 0)
+    sched_detach (g_ptr_array_index (worker->tasks, 0), TASK_WAITING);
+  g_ptr_array_set_size (worker->orders, 0);
+  worker->boot = 0;
+  worker->life = 0;
+  worker->report_us = 0;
+  worker->n_strays = 0;
+}
+
+void
+sched_shun (Sched *sched, SchedWorker *worker, const char *reason)
+{
+  worker->shun_ms = CLAMP (worker->shun_ms * 2, SHUN_FIRST_MS, SHUN_MAX_MS);
+  worker->shun_until_us = sched->now_us + worker->shun_ms * 1000;
+  sched_note (sched, "worker_shunned", "-", "worker=%s reason=%s for_ms=%" G_GINT64_FORMAT
+              " failures=%u", worker->name, reason, worker->shun_ms, worker->fail_streak);
+}
--- /dev/null
+++ b/lib/batch/worker.c
@@ -0,0 +1,63 @@
+#include "batch/worker.h"
+
+#include <string.h>
+
+void
+worker_info_free (WorkerInfo *info)
+{
+  if (info == NULL)
+    return;
+  g_free (info->id);
+  g_free (info->service);
+  g_free (info->data_centre);
+  g_free (info->instance);
+  g_strfreev (info->labels);
+  g_free (info);
+}
+
+gboolean
+worker_info_same_life (const WorkerInfo *a, const WorkerInfo *b)
+{
+  return strcmp (a->id, b->id) == 0 && a->born_wall_ms == b->born_wall_ms;
+}
+
+const char *
+worker_end_name (WorkerEndHow how)
+{
+  static const char *const names[WORKER_END_COUNT]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+  return names[how];
+}
+
+void
+worker_task_clear (WorkerTask *task)
+{
+  g_free (task->task);
+  g_free (task->saved);
+}
+
+void
+worker_end_clear (WorkerEnd *end)
+{
+  g_free (end->task);
+  g_free (end->saved);
+}
+
+GArray *
+worker_tasks_new (void)
+{
+  GArray *tasks = g_array_new (FALSE, TRUE, sizeof (WorkerTask));
+
+  g_array_set_clear_func (tasks, (GDestroyNotify) worker_task_clear);
+  return tasks;
+}
+
+GArray *
+worker_ends_new (void)
+{
+  GArray *ends = g_array_new (FALSE, TRUE, sizeof (WorkerEnd));
+
+  g_array_set_clear_func (ends, (GDestroyNotify) worker_end_clear);
+  return ends;
+}
--- /dev/null
+++ b/lib/ledger/feed.c
@@ -0,0 +1,269 @@
+#include "ledger/feed.h"
+
+#include <string.h>
+
+#include "common/clk.h"
+#include "common/line.h"
+
+/** On top of the time that the store may wait: it answers in a few ms, slow in some hundreds. */
+#define TIMEOUT_MS 900
+/** Pause after a failed read. */
+#define AGAIN_MS 150
+
+struct Feed
+{
+  FeedOptions options;
+  gboolean is_loaded;
+  gboolean is_loading;  /**< pages of the newest records are being read */
+  int64_t load_end;     /**< end of the topic when the load began; -1 before its first page */
+  char *after_key;
+  int64_t next;
+  int64_t fresh_us;
+  int64_t heard_us;
+  int64_t steady_us;
+  int64_t sent_us;
+  gboolean is_failing;
+  guint timer;
+};
+
+static void read_on (Feed *feed);
+
+static gboolean
+on_timer (gpointer data)
+{
+  Feed *feed = data;
+
+  feed->timer = 0;
+  read_on (feed);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+read_after (Feed *feed, int64_t pause_ms)
+{
+  if (feed->timer == 0)
+    feed->timer = g_timeout_add ((guint) pause_ms, on_timer, feed);
+}
+
+static void
+take_success (Feed *feed, int64_t sent_us)
+{
+  int64_t now = clk_now_us ();
+
+  if (feed->is_failing)
+    line_add ("store", "regained", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic,
+              feed->next);
+  feed->is_failing = FALSE;
+  if (feed->steady_us == 0 || now - feed->heard_us > FEED_GAP_MS * 1000)
+    feed->steady_us = now;
+  feed->heard_us = now;
+  feed->fresh_us = MAX (feed->fresh_us, sent_us);
+}
+
+static void
+take_failure (Feed *feed, const StoreAnswer *answer)
+{
+  if (!feed->is_failing)
+    line_add ("store", "lost", "topic=%s outcome=%s", feed->options.topic,
+              store_outcome_name (answer->outcome));
+  feed->is_failing = TRUE;
+}
+
+static void
+hand_on (Feed *feed, const StoreAnswer *answer)
+{
+  for (guint i = 0; i < answer->records->len; i++)
+    feed->options.on_record (feed->options.ctx, &g_array_index (answer->records, StoreRecord, i));
+}
+
+static void
+end_batch (Feed *feed)
+{
+  if (feed->options.on_batch != NULL)
+    feed->options.on_batch (feed->options.ctx);
+}
+
+static void
+on_page (void *ctx, const StoreAnswer *answer)
+{
+  Feed *feed = ctx;
+
+  if (answer->outcome != STORE_OK)
+    {
+      take_failure (feed, answer);
+      read_after (feed, AGAIN_MS);
+      return;
+    }
+  take_success (feed, 0);
+  hand_on (feed, answer);
+  if (feed->load_end < 0)
+    feed->load_end = answer->end_offset;
+  g_free (feed->after_key);
+  feed->after_key = NULL;
+  if (answer->has_more && answer->records->len > 0)
+    {
+      const StoreRecord *last
+          = &g_array_index (answer->records, StoreRecord, answer->records->len - 1);
+      feed->after_key = g_strndup (last->key, last->key_size);
+      read_on (feed);
+      return;
+    }
+  /* Pages are no snapshot: what was appended meanwhile is read again from here. */
+  feed->next = feed->load_end;
+  feed->is_loading = FALSE;
+  feed->is_loaded = TRUE;
+  line_add ("feed", "loaded", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic, feed->next);
+  end_batch (feed);
+  read_on (feed);
+}
+
+static void
+begin_load (Feed *feed)
+{
+  feed->is_loading = TRUE;
+  feed->load_end = -1;
+  g_clear_pointer (&feed->after_key, g_free);
+}
+
+/* Returns whether the answer was good. */
+static gboolean
+take_read (Feed *feed, const StoreAnswer *answer, int64_t sent_us)
+{
+  if (answer->outcome == STORE_EXPIRED)
+    {
+      line_add ("feed", "expired", "topic=%s next=%" G_GINT64_FORMAT, feed->options.topic,
+                feed->next);
+      begin_load (feed);
+      return FALSE;
+    }
+  if (answer->outcome != STORE_OK)
+    {
+      take_failure (feed, answer);
+      return FALSE;
+    }
+  hand_on (feed, answer);
+  if (answer->records->len > 0)
+    feed->next = MAX (feed->next, g_array_index (answer->records, StoreRecord,
+                                                 answer->records->len - 1).offset + 1);
+  take_success (feed, feed->next >= answer->end_offset ? sent_us : 0);
+  end_batch (feed);
+  return TRUE;
+}
+
+static void
+on_read (void *ctx, const StoreAnswer *answer)
+{
+  Feed *feed = ctx;
+  gboolean is_good = take_read (feed, answer, feed->sent_us);
+  gboolean is_behind = is_good && feed->next < answer->end_offset;
+
+  if (is_behind || feed->is_loading)
+    read_on (feed);
+  else
+    read_after (feed, is_good ? feed->options.pause_ms : AGAIN_MS);
+}
+
+static void
+read_on (Feed *feed)
+{
+  const StoreRead read = { .topic = feed->options.topic,
+                           .from = feed->next,
+                           .wait_ms = feed->options.wait_ms,
+                           .timeout_ms = feed->options.wait_ms + TIMEOUT_MS };
+
+  feed->sent_us = clk_now_us ();
+  if (feed->is_loading)
+    store_newest (feed->options.store, feed->options.topic, feed->after_key, TIMEOUT_MS, on_page,
+                  feed);
+  else
+    store_read (feed->options.store, &read, on_read, feed);
+}
+
+Feed *
+feed_new (const FeedOptions *options)
+{
+  Feed *feed = g_new0 (Feed, 1);
+
+  feed->options = *options;
+  begin_load (feed);
+  read_on (feed);
+  return feed;
+}
+
+void
+feed_free (Feed *feed)
+{
+  if (feed == NULL)
+    return;
+  if (feed->timer != 0)
+    g_source_remove (feed->timer);
+  g_free (feed->after_key);
+  g_free (feed);
+}
+
+gboolean
+feed_is_loaded (const Feed *feed)
+{
+  return feed->is_loaded;
+}
+
+int64_t
+feed_end (const Feed *feed)
+{
+  return feed->next;
+}
+
+int64_t
+feed_fresh_us (const Feed *feed)
+{
+  return feed->fresh_us;
+}
+
+int64_t
+feed_steady_since_us (const Feed *feed)
+{
+  if (feed->steady_us == 0 || clk_now_us () - feed->heard_us > FEED_GAP_MS * 1000)
+    return 0;
+  return feed->steady_us;
+}
+
+void
+feed_set_pause (Feed *feed, int64_t pause_ms)
+{
+  feed->options.pause_ms = pause_ms;
+}
+
+typedef struct
+{
+  Feed *feed;
+  int64_t sent_us;
+  void (*done) (void *ctx, gboolean is_fresh);
+  void *ctx;
+} Refresh;
+
+static void
+on_refreshed (void *ctx, const StoreAnswer *answer)
+{
+  Refresh *refresh = ctx;
+  Feed *feed = refresh->feed;
+  gboolean is_fresh = FALSE;
+
+  if (answer->outcome == STORE_OK)
+    {
+      (void) take_read (feed, answer, refresh->sent_us);
+      is_fresh = feed->next >= answer->end_offset;
+    }
+  refresh->done (refresh->ctx, is_fresh);
+  g_free (refresh);
+}
+
+void
+feed_refresh (Feed *feed, void (*done) (void *ctx, gboolean is_fresh), void *ctx)
+{
+  const StoreRead read
+      = { .topic = feed->options.topic, .from = feed->next, .timeout_ms = TIMEOUT_MS };
+  Refresh *refresh = g_new0 (Refresh, 1);
+
+  *refresh = (Refresh){ feed, clk_now_us (), done, ctx };
+  store_read (feed->options.store, &read, on_refreshed, refresh);
+}
--- /dev/null
+++ b/lib/ledger/ledger.c
@@ -0,0 +1,291 @@
+#include "ledger/ledger.h"
+
+#include <string.h>
+
+/** Longest id or name in a key. */
+#define NAME_MAX_CHARS 200
+
+struct Ledger
+{
+  LedgerEvents events;
+  GHashTable *jobs;   /**< id -> LedgerJob */
+  GHashTable *agents; /**< name -> LedgerAgent */
+  LedgerOwner owner;
+};
+
+static void
+job_free (gpointer data)
+{
+  LedgerJob *job = data;
+
+  if (job->submission != NULL)
+    batch__submission__free_unpacked (job->submission, NULL);
+  if (job->progress != NULL)
+    batch__progress__free_unpacked (job->progress, NULL);
+  g_free (job->id);
+  g_free (job);
+}
+
+static void
+agent_free (gpointer data)
+{
+  LedgerAgent *agent = data;
+
+  g_free (agent->name);
+  g_free (agent->address);
+  g_free (agent);
+}
+
+static void
+load_free (gpointer data)
+{
+  LedgerLoad *load = data;
+
+  g_free (load->queue);
+  g_free (load);
+}
+
+Ledger *
+ledger_new (const LedgerEvents *events)
+{
+  Ledger *ledger = g_new0 (Ledger, 1);
+
+  ledger->events = *events;
+  ledger->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
+  ledger->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, agent_free);
+  ledger->owner.loads = g_ptr_array_new_with_free_func (load_free);
+  return ledger;
+}
+
+void
+ledger_free (Ledger *ledger)
+{
+  if (ledger == NULL)
+    return;
+  g_hash_table_destroy (ledger->jobs);
+  g_hash_table_destroy (ledger->agents);
+  g_ptr_array_unref (ledger->owner.loads);
+  g_free (ledger->owner.name);
+  g_free (ledger);
+}
+
+static LedgerJob *
+job_of (Ledger *ledger, const char *id)
+{
+  LedgerJob *job = g_hash_table_lookup (ledger->jobs, id);
+
+  if (job == NULL)
+    {
+      job = g_new0 (LedgerJob, 1);
+      job->id = g_strdup (id);
+      g_hash_table_insert (ledger->jobs, job->id, job);
+    }
+  return job;
+}
+
+static gboolean
+apply_job (Ledger *ledger, const char *id, int64_t offset, const uint8_t *value, size_t size)
+{
+  Batch__Submission *submission = batch__submission__unpack (NULL, size, value);
+
+  if (submission == NULL || !job_id_is_valid (id))
+    {
+      if (submission != NULL)
+        batch__submission__free_unpacked (submission, NULL);
+      return FALSE;
+    }
+  LedgerJob *job = job_of (ledger, id);
+  if (job->submission != NULL)
+    {
+      /* Submitted again: the first one holds. */
+      batch__submission__free_unpacked (submission, NULL);
+      return TRUE;
+    }
+  job->submission = submission;
+  job->offset = offset;
+  if (ledger->events.on_job != NULL)
+    ledger->events.on_job (ledger->events.ctx, job);
+  return TRUE;
+}
+
+static gboolean
+apply_run (Ledger *ledger, const char *id, const uint8_t *value, size_t size)
+{
+  Batch__Progress *progress = batch__progress__unpack (NULL, size, value);
+
+  if (progress == NULL)
+    return FALSE;
+  LedgerJob *job = job_of (ledger, id);
+  if (job->progress != NULL)
+    batch__progress__free_unpacked (job->progress, NULL);
+  job->progress = progress;
+  return TRUE;
+}
+
+static gboolean
+apply_cancel (Ledger *ledger, const char *id)
+{
+  LedgerJob *job = job_of (ledger, id);
+
+  if (job->is_cancelled)
+    return TRUE;
+  job->is_cancelled = TRUE;
+  if (ledger->events.on_cancel != NULL)
+    ledger->events.on_cancel (ledger->events.ctx, job);
+  return TRUE;
+}
+
+static gboolean
+apply_agent (Ledger *ledger, const char *name, const uint8_t *value, size_t size)
+{
+  Batch__Member *member = size > 0 ? batch__member__unpack (NULL, size, value) : NULL;
+
+  if (member == NULL)
+    return FALSE;
+  LedgerAgent *agent = g_new0 (LedgerAgent, 1);
+  agent->name = g_strdup (name);
+  agent->address = g_strdup (member->address);
+  agent->boot = member->boot;
+  batch__member__free_unpacked (member, NULL);
+  g_hash_table_replace (ledger->agents, agent->name, agent);
+  if (ledger->events.on_agent != NULL)
+    ledger->events.on_agent (ledger->events.ctx, agent);
+  return TRUE;
+}
+
+static void
+take_loads (LedgerOwner *owner, const Batch__Owner *message)
+{
+  g_ptr_array_set_size (owner->loads, 0);
+  for (size_t i = 0; i < message->n_loads; i++)
+    {
+      LedgerLoad *load = g_new0 (LedgerLoad, 1);
+      load->queue = g_strdup (message->loads[i]->queue);
+      load->load.n_pending = message->loads[i]->pending;
+      load->load.retry_after_ms = message->loads[i]->retry_after_ms;
+      g_ptr_array_add (owner->loads, load);
+    }
+}
+
+static gboolean
+apply_owner (Ledger *ledger, int64_t offset, const uint8_t *value, size_t size)
+{
+  Batch__Owner *message = batch__owner__unpack (NULL, size, value);
+  LedgerOwner *owner = &ledger->owner;
+
+  if (message == NULL)
+    return FALSE;
+  if (owner->term == 0 || offset > owner->offset)
+    {
+      g_free (owner->name);
+      owner->term = message->term;
+      owner->name = g_strdup (message->name);
+      owner->boot = message->boot;
+      owner->offset = offset;
+      take_loads (owner, message);
+      if (ledger->events.on_owner != NULL)
+        ledger->events.on_owner (ledger->events.ctx, owner);
+    }
+  batch__owner__free_unpacked (message, NULL);
+  return TRUE;
+}
+
+gboolean
+ledger_apply (Ledger *ledger,
+              int64_t offset,
+              const char *key,
+              size_t key_size,
+              const uint8_t *value,
+              size_t value_size)
+{
+  if (key_size == 0 || key_size > NAME_MAX_CHARS)
+    return FALSE;
+  g_autofree char *text = g_strndup (key, key_size);
+  if (strcmp (text, LEDGER_OWNER_KEY) == 0)
+    return apply_owner (ledger, offset, value, value_size);
+  if (g_str_has_prefix (text, LEDGER_JOB_PREFIX))
+    return apply_job (ledger, text + strlen (LEDGER_JOB_PREFIX), offset, value, value_size);
+  if (g_str_has_prefix (text, LEDGER_RUN_PREFIX))
+    return apply_run (ledger, text + strlen (LEDGER_RUN_PREFIX), value, value_size);
+  if (g_str_has_prefix (text, LEDGER_CANCEL_PREFIX))
+    return apply_cancel (ledger, text + strlen (LEDGER_CANCEL_PREFIX));
+  if (g_str_has_prefix (text, LEDGER_AGENT_PREFIX))
+    return apply_agent (ledger, text + strlen (LEDGER_AGENT_PREFIX), value, value_size);
+  return FALSE;
+}
+
+const LedgerJob *
+ledger_job (const Ledger *ledger, const char *id)
+{
+  return g_hash_table_lookup (ledger->jobs, id);
+}
+
+gboolean
+ledger_job_state (const LedgerJob *job, SchedJobState *state)
+{
+  if (job == NULL || job->submission == NULL)
+    return FALSE;
+  *state = job->progress != NULL ? (SchedJobState) MIN (job->progress->state, SCHED_CANCELLED)
+                                 : SCHED_QUEUED;
+  if (job->is_cancelled && (*state == SCHED_QUEUED || *state == SCHED_RUNNING))
+    *state = SCHED_CANCELLED;
+  return TRUE;
+}
+
+const LedgerOwner *
+ledger_owner (const Ledger *ledger)
+{
+  return &ledger->owner;
+}
+
+static gint
+compare_jobs (gconstpointer a, gconstpointer b)
+{
+  const LedgerJob *left = *(const LedgerJob *const *) a;
+  const LedgerJob *right = *(const LedgerJob *const *) b;
+
+  return left->offset < right->offset ? -1 : left->offset > right->offset;
+}
+
+void
+ledger_each_job (const Ledger *ledger, void (*each) (void *ctx, const LedgerJob *job), void *ctx)
+{
+  g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, ledger->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (((LedgerJob *) value)->submission != NULL)
+        g_ptr_array_add (jobs, value);
+    }
+  g_ptr_array_sort (jobs, compare_jobs);
+  for (guint i = 0; i < jobs->len; i++)
+    each (ctx, g_ptr_array_index (jobs, i));
+}
+
+void
+ledger_each_agent (const Ledger *ledger,
+                   void (*each) (void *ctx, const LedgerAgent *agent),
+                   void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, ledger->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    each (ctx, value);
+}
+
+SchedLoad
+ledger_load (const Ledger *ledger, const char *queue)
+{
+  for (guint i = 0; i < ledger->owner.loads->len; i++)
+    {
+      const LedgerLoad *load = g_ptr_array_index (ledger->owner.loads, i);
+      if (strcmp (load->queue, queue) == 0)
+        return load->load;
+    }
+  return (SchedLoad){ 0, 0 };
+}
--- /dev/null
+++ b/lib/ledger/ledger.h
@@ -0,0 +1,91 @@
+/**
+ * @file ledger.h
+ * The fold of the ledger: what every entry knows of jobs, the owner and the agents.
+ *
+ * Records of a keyed topic go in, in order of their offsets; a record that comes again changes
+ * nothing.
+ */
+#pragma once
+
+#include "batch/ledger.pb-c.h"
+#include "batch/sched.h"
+
+G_BEGIN_DECLS
+
+/** Topic of the store that holds the ledger. */
+#define LEDGER_TOPIC "keyed.acaciadale"
+/** Prefixes of keys, and the owner's key. */
+#define LEDGER_JOB_PREFIX "job."
+#define LEDGER_RUN_PREFIX "run."
+#define LEDGER_CANCEL_PREFIX "cancel."
+#define LEDGER_AGENT_PREFIX "agent."
+#define LEDGER_OWNER_KEY "owner"
+
+typedef struct
+{
+  char *id;
+  Batch__Submission *submission; /**< NULL when only progress or a cancel is known */
+  Batch__Progress *progress;     /**< NULL before the owner wrote any */
+  gboolean is_cancelled;
+  int64_t offset; /**< of the submission */
+} LedgerJob;
+
+typedef struct
+{
+  char *name;
+  char *address;
+  uint64_t boot;
+} LedgerAgent;
+
+typedef struct
+{
+  uint64_t term;  /**< 0: there never was an owner */
+  char *name;
+  uint64_t boot;  /**< 0: the last owner has left */
+  int64_t offset; /**< of the newest record */
+  GPtrArray *loads; /**< LedgerLoad */
+} LedgerOwner;
+
+typedef struct
+{
+  char *queue;
+  SchedLoad load;
+} LedgerLoad;
+
+typedef struct Ledger Ledger;
+
+/** Called after a record changed something. Any may be NULL. */
+typedef struct
+{
+  void (*on_job) (void *ctx, const LedgerJob *job);
+  void (*on_cancel) (void *ctx, const LedgerJob *job);
+  void (*on_agent) (void *ctx, const LedgerAgent *agent);
+  void (*on_owner) (void *ctx, const LedgerOwner *owner);
+  void *ctx;
+} LedgerEvents;
+
+Ledger *ledger_new (const LedgerEvents *events);
+/** NULL is allowed. */
+void ledger_free (Ledger *ledger);
+
+/** Folds one record; FALSE if its key is unknown or its value is malformed: nothing changed. */
+gboolean ledger_apply (Ledger *ledger,
+                       int64_t offset,
+                       const char *key,
+                       size_t key_size,
+                       const uint8_t *value,
+                       size_t value_size);
+
+/** The job called @p id, or NULL. */
+const LedgerJob *ledger_job (const Ledger *ledger, const char *id);
+/** State as callers see it; FALSE for a job that was never submitted. */
+gboolean ledger_job_state (const LedgerJob *job, SchedJobState *state);
+const LedgerOwner *ledger_owner (const Ledger *ledger);
+/** Calls @p each for all jobs that were submitted, oldest first. */
+void ledger_each_job (const Ledger *ledger, void (*each) (void *ctx, const LedgerJob *job), void *ctx);
+void
+ledger_each_agent (const Ledger *ledger, void (*each) (void *ctx, const LedgerAgent *agent), void *ctx);
+/** Load of a queue as the owner last told it. */
+SchedLoad ledger_load (const Ledger *ledger, const char *queue);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/net/net_client.c
@@ -0,0 +1,257 @@
+#include "net/net_client.h"
+
+#include <curl/curl.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/** Time to make a connection: a lost opening packet is sent again after a second. */
+#define CONNECT_TIMEOUT_MS 1200L
+/** Idle connections kept. */
+#define CONNECTIONS_MAX 64L
+
+struct NetClient
+{
+  CURLM *multi;
+  guint timer;
+  GHashTable *calls;   /**< Call, as a set */
+  GHashTable *sources; /**< socket -> source id */
+};
+
+typedef struct
+{
+  NetClient *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  GByteArray *body;   /**< of the call */
+  GByteArray *answer; /**< of the answer */
+  NetDone done;
+  void *ctx;
+} Call;
+
+static void
+call_free (gpointer data)
+{
+  Call *call = data;
+
+  (void) curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  g_byte_array_unref (call->body);
+  g_byte_array_unref (call->answer);
+  g_free (call);
+}
+
+static gboolean
+is_never_sent (CURLcode code, CURL *easy)
+{
+  long sent = 0;
+
+  if (code == CURLE_COULDNT_CONNECT)
+    return TRUE;
+  (void) curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &sent);
+  return sent == 0;
+}
+
+static void
+finish (Call *call, CURLcode code)
+{
+  long status = 0;
+  NetAnswer answer = { 0 };
+
+  if (code == CURLE_OK)
+    {
+      (void) curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      answer.status = (uint32_t) status;
+    }
+  else
+    {
+      answer.may_have_run = !is_never_sent (code, call->easy);
+      answer.reason = curl_easy_strerror (code);
+    }
+  const guint8 zero = 0;
+  answer.size = call->answer->len;
+  g_byte_array_append (call->answer, &zero, 1);
+  answer.body = (const char *) call->answer->data;
+  g_hash_table_steal (call->client->calls, call);
+  call->done (call->ctx, &answer);
+  call_free (call);
+}
+
+static void
+collect (NetClient *client)
+{
+  CURLMsg *message;
+  int left = 0;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      Call *call = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      CURLcode code = message->data.result;
+      (void) curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      finish (call, code);
+    }
+}
+
+static gboolean
+on_socket_ready (gint fd, GIOCondition condition, gpointer data)
+{
+  NetClient *client = data;
+  int running = 0;
+  int bits = 0;
+
+  if ((condition & G_IO_IN) != 0)
+    bits |= CURL_CSELECT_IN;
+  if ((condition & G_IO_OUT) != 0)
+    bits |= CURL_CSELECT_OUT;
+  if ((condition & (G_IO_ERR | G_IO_HUP)) != 0)
+    bits |= CURL_CSELECT_ERR;
+  (void) curl_multi_socket_action (client->multi, fd, bits, &running);
+  collect (client);
+  return G_SOURCE_CONTINUE;
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  NetClient *client = data;
+  gpointer key = GINT_TO_POINTER (fd);
+  guint source = GPOINTER_TO_UINT (g_hash_table_lookup (client->sources, key));
+  int condition = G_IO_ERR | G_IO_HUP;
+
+  (void) easy;
+  (void) socket_data;
+  if (source != 0)
+    g_source_remove (source);
+  g_hash_table_remove (client->sources, key);
+  if (what == CURL_POLL_REMOVE)
+    return 0;
+  if ((what & CURL_POLL_IN) != 0)
+    condition |= G_IO_IN;
+  if ((what & CURL_POLL_OUT) != 0)
+    condition |= G_IO_OUT;
+  source = g_unix_fd_add (fd, (GIOCondition) condition, on_socket_ready, client);
+  g_hash_table_insert (client->sources, key, GUINT_TO_POINTER (source));
+  return 0;
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  NetClient *client = data;
+  int running = 0;
+
+  client->timer = 0;
+  (void) curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  collect (client);
+  return G_SOURCE_REMOVE;
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  NetClient *client = data;
+
+  (void) multi;
+  if (client->timer != 0)
+    g_source_remove (client->timer);
+  client->timer = 0;
+  if (timeout_ms >= 0)
+    client->timer = g_timeout_add ((guint) timeout_ms, on_timer, client);
+  return 0;
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *user)
+{
+  Call *call = user;
+
+  g_byte_array_append (call->answer, (const guint8 *) data, (guint) (size * count));
+  return size * count;
+}
+
+NetClient *
+net_client_new (void)
+{
+  NetClient *client = g_new0 (NetClient, 1);
+
+  (void) curl_global_init (CURL_GLOBAL_NOTHING);
+  client->multi = curl_multi_init ();
+  client->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
+  client->sources = g_hash_table_new (NULL, NULL);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
+  return client;
+}
+
+void
+net_client_free (NetClient *client)
+{
+  if (client == NULL)
+    return;
+  g_hash_table_destroy (client->calls);
+  (void) curl_multi_cleanup (client->multi);
+  if (client->timer != 0)
+    g_source_remove (client->timer);
+  g_hash_table_destroy (client->sources);
+  g_free (client);
+}
+
+static void
+set_headers (Call *call, const NetCall *wanted)
+{
+  /* Without this libcurl would wait for "100 Continue" before a larger body. */
+  call->headers = curl_slist_append (NULL, "Expect:");
+  if (wanted->content_type != NULL)
+    {
+      g_autofree char *type = g_strdup_printf ("Content-Type: %s", wanted->content_type);
+      call->headers = curl_slist_append (call->headers, type);
+    }
+  for (const char *const *header = wanted->headers; header != NULL && *header != NULL; header++)
+    call->headers = curl_slist_append (call->headers, *header);
+  (void) curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+void
+net_client_call (NetClient *client, const NetCall *wanted, NetDone done, void *ctx)
+{
+  Call *call = g_new0 (Call, 1);
+  CURL *easy = curl_easy_init ();
+
+  call->client = client;
+  call->easy = easy;
+  call->done = done;
+  call->ctx = ctx;
+  call->body = g_byte_array_new ();
+  call->answer = g_byte_array_new ();
+  if (wanted->size > 0)
+    g_byte_array_append (call->body, wanted->body, (guint) wanted->size);
+  (void) curl_easy_setopt (easy, CURLOPT_URL, wanted->url);
+  (void) curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  (void) curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  (void) curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  (void) curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  (void) curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) wanted->timeout_ms);
+  (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  (void) curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  if (strcmp (wanted->method, "GET") != 0)
+    {
+      (void) curl_easy_setopt (easy, CURLOPT_POST, 1L);
+      (void) curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, wanted->method);
+      (void) curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long) call->body->len);
+      (void) curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                               call->body->len > 0 ? (const char *) call->body->data : "");
+    }
+  set_headers (call, wanted);
+  g_hash_table_add (client->calls, call);
+  (void) curl_multi_add_handle (client->multi, easy);
+}
--- /dev/null
+++ b/lib/net/net_link.c
@@ -0,0 +1,232 @@
+#include "net/net_link.h"
+
+#include <errno.h>
+#include <zmq.h>
+
+#include "common/err.h"
+
+/** Two heartbeats fit into the time of silence. */
+#define HEARTBEAT_MS 500
+/** Messages waiting for one peer. */
+#define QUEUE_MAX 1000
+/** Pause before a connection is tried again, and the longest such pause. */
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 500
+/** Messages taken in one turn of the loop. */
+#define BATCH_MAX 64
+
+struct NetLinks
+{
+  void *context;
+};
+
+struct NetLink
+{
+  void *socket;
+  GSource *source;
+  gboolean is_listening;
+  NetLinkMessage on_message;
+  void *ctx;
+};
+
+typedef struct
+{
+  GSource base;
+  NetLink *link;
+} LinkSource;
+
+static gboolean
+is_readable (const NetLink *link)
+{
+  int events = 0;
+  size_t size = sizeof events;
+
+  (void) zmq_getsockopt (link->socket, ZMQ_EVENTS, &events, &size);
+  return (events & ZMQ_POLLIN) != 0;
+}
+
+/* The descriptor signals changes only, so the state itself is asked in every turn. */
+static gboolean
+source_prepare (GSource *source, gint *timeout)
+{
+  *timeout = -1;
+  return is_readable (((LinkSource *) source)->link);
+}
+
+static gboolean
+source_check (GSource *source)
+{
+  return is_readable (((LinkSource *) source)->link);
+}
+
+static GBytes *
+receive_peer (NetLink *link)
+{
+  zmq_msg_t frame;
+  GBytes *peer = NULL;
+
+  (void) zmq_msg_init (&frame);
+  if (zmq_msg_recv (&frame, link->socket, ZMQ_DONTWAIT) >= 0)
+    peer = g_bytes_new (zmq_msg_data (&frame), zmq_msg_size (&frame));
+  (void) zmq_msg_close (&frame);
+  return peer;
+}
+
+/* FALSE when nothing waits. */
+static gboolean
+receive_one (NetLink *link)
+{
+  g_autoptr (GBytes) peer = link->is_listening ? receive_peer (link) : NULL;
+  zmq_msg_t frame;
+
+  if (link->is_listening && peer == NULL)
+    return FALSE;
+  (void) zmq_msg_init (&frame);
+  gboolean has_frame = zmq_msg_recv (&frame, link->socket, ZMQ_DONTWAIT) >= 0;
+  if (has_frame)
+    link->on_message (link->ctx, peer, zmq_msg_data (&frame), zmq_msg_size (&frame));
+  (void) zmq_msg_close (&frame);
+  return has_frame;
+}
+
+static gboolean
+source_dispatch (GSource *source, GSourceFunc callback, gpointer data)
+{
+  NetLink *link = ((LinkSource *) source)->link;
+
+  (void) callback;
+  (void) data;
+  g_source_ref (source);
+  for (uint32_t i = 0; i < BATCH_MAX && !g_source_is_destroyed (source); i++)
+    {
+      if (!receive_one (link))
+        break;
+    }
+  g_source_unref (source);
+  return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs source_functions
+    = { source_prepare, source_check, source_dispatch, NULL, NULL, NULL };
+
+static void
+set_option (void *socket, int option, int value)
+{
+  (void) zmq_setsockopt (socket, option, &value, sizeof value);
+}
+
+static NetLink *
+link_new (NetLinks *links, int type, NetLinkMessage on_message, void *ctx)
+{
+  NetLink *link = g_new0 (NetLink, 1);
+  int64_t message_max = NET_LINK_MESSAGE_MAX;
+
+  link->socket = zmq_socket (links->context, type);
+  link->is_listening = type == ZMQ_ROUTER;
+  link->on_message = on_message;
+  link->ctx = ctx;
+  set_option (link->socket, ZMQ_LINGER, 0);
+  set_option (link->socket, ZMQ_SNDHWM, QUEUE_MAX);
+  set_option (link->socket, ZMQ_RCVHWM, QUEUE_MAX);
+  set_option (link->socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+  set_option (link->socket, ZMQ_HEARTBEAT_TIMEOUT, NET_LINK_SILENCE_MS);
+  set_option (link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+  set_option (link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  set_option (link->socket, ZMQ_CONNECT_TIMEOUT, NET_LINK_SILENCE_MS);
+  set_option (link->socket, ZMQ_TCP_MAXRT, NET_LINK_SILENCE_MS);
+  /* Nothing is queued for a peer that isn't connected: it would arrive stale. */
+  set_option (link->socket, ZMQ_IMMEDIATE, 1);
+  (void) zmq_setsockopt (link->socket, ZMQ_MAXMSGSIZE, &message_max, sizeof message_max);
+  return link;
+}
+
+static void
+link_attach (NetLink *link)
+{
+  int fd = -1;
+  size_t size = sizeof fd;
+
+  (void) zmq_getsockopt (link->socket, ZMQ_FD, &fd, &size);
+  link->source = g_source_new (&source_functions, sizeof (LinkSource));
+  ((LinkSource *) link->source)->link = link;
+  (void) g_source_add_unix_fd (link->source, fd, G_IO_IN);
+  (void) g_source_attach (link->source, NULL);
+}
+
+NetLinks *
+net_links_new (void)
+{
+  NetLinks *links = g_new0 (NetLinks, 1);
+
+  links->context = zmq_ctx_new ();
+  return links;
+}
+
+void
+net_links_free (NetLinks *links)
+{
+  if (links == NULL)
+    return;
+  (void) zmq_ctx_term (links->context);
+  g_free (links);
+}
+
+NetLink *
+net_link_listen (
+    NetLinks *links, const char *address, NetLinkMessage on_message, void *ctx, GError **error)
+{
+  NetLink *link = link_new (links, ZMQ_ROUTER, on_message, ctx);
+  g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
+
+  if (zmq_bind (link->socket, endpoint) != 0)
+    {
+      err_set (error, ERR_REFUSED, "cannot listen on %s: %s", address, zmq_strerror (errno));
+      (void) zmq_close (link->socket);
+      g_free (link);
+      return NULL;
+    }
+  link_attach (link);
+  return link;
+}
+
+NetLink *
+net_link_connect (
+    NetLinks *links, const char *address, NetLinkMessage on_message, void *ctx, GError **error)
+{
+  NetLink *link = link_new (links, ZMQ_DEALER, on_message, ctx);
+  g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
+
+  if (zmq_connect (link->socket, endpoint) != 0)
+    {
+      err_set (error, ERR_BAD_CONFIG, "cannot connect to %s: %s", address, zmq_strerror (errno));
+      (void) zmq_close (link->socket);
+      g_free (link);
+      return NULL;
+    }
+  link_attach (link);
+  return link;
+}
+
+void
+net_link_free (NetLink *link)
+{
+  if (link == NULL)
+    return;
+  g_source_destroy (link->source);
+  g_source_unref (link->source);
+  (void) zmq_close (link->socket);
+  g_free (link);
+}
+
+gboolean
+net_link_send (NetLink *link, GBytes *peer, const void *data, size_t size)
+{
+  if (link->is_listening)
+    {
+      size_t peer_size = 0;
+      const void *id = g_bytes_get_data (peer, &peer_size);
+      if (zmq_send (link->socket, id, peer_size, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+        return FALSE;
+    }
+  return zmq_send (link->socket, data, size, ZMQ_DONTWAIT) >= 0;
+}
--- /dev/null
+++ b/lib/net/net_server.c
@@ -0,0 +1,320 @@
+#include "net/net_server.h"
+
+#include <arpa/inet.h>
+#include <glib-unix.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clk.h"
+#include "common/err.h"
+
+/** Idle connections are looked at this often; the library needs a call to time them out. */
+#define IDLE_CHECK_MS 1000
+
+struct NetServer
+{
+  NetServerOptions options;
+  struct MHD_Daemon *daemon;
+  guint source;
+  guint timer;
+  guint again;
+  uint32_t open;
+  gboolean is_quiesced;
+  gboolean is_running; /**< inside MHD_run() */
+};
+
+struct NetRequest
+{
+  NetServer *server;
+  struct MHD_Connection *connection;
+  char *method;
+  char *path;
+  GByteArray *body;
+  int64_t read_us;
+  struct MHD_Response *response;
+  uint32_t status;
+  gboolean is_too_large;
+  gboolean is_handled;
+  gboolean is_in_handler;
+  gboolean is_suspended;
+};
+
+static void
+drive (NetServer *server)
+{
+  MHD_UNSIGNED_LONG_LONG left = 1;
+
+  server->is_running = TRUE;
+  do
+    (void) MHD_run (server->daemon);
+  while (MHD_get_timeout (server->daemon, &left) == MHD_YES && left == 0);
+  server->is_running = FALSE;
+}
+
+static gboolean
+on_ready (gint fd, GIOCondition condition, gpointer data)
+{
+  (void) fd;
+  (void) condition;
+  drive (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_idle_check (gpointer data)
+{
+  drive (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_again (gpointer data)
+{
+  NetServer *server = data;
+
+  server->again = 0;
+  drive (server);
+  return G_SOURCE_REMOVE;
+}
+
+static NetRequest *
+request_new (NetServer *server, struct MHD_Connection *connection, const char *method,
+             const char *path)
+{
+  NetRequest *request = g_new0 (NetRequest, 1);
+
+  request->server = server;
+  request->connection = connection;
+  request->method = g_strdup (method);
+  request->path = g_strdup (path);
+  request->body = g_byte_array_new ();
+  return request;
+}
+
+static enum MHD_Result
+send_response (NetRequest *request)
+{
+  enum MHD_Result result
+      = MHD_queue_response (request->connection, request->status, request->response);
+
+  MHD_destroy_response (request->response);
+  request->response = NULL;
+  return result;
+}
+
+static void
+take_body (NetRequest *request, const char *data, size_t size)
+{
+  if (request->body->len + size > request->server->options.body_bytes_max)
+    request->is_too_large = TRUE;
+  else
+    g_byte_array_append (request->body, (const guint8 *) data, (guint) size);
+}
+
+static void
+handle (NetRequest *request)
+{
+  const guint8 zero = 0;
+  const NetReply too_large = { .status = 413 };
+
+  g_byte_array_append (request->body, &zero, 1);
+  request->read_us = clk_now_us ();
+  request->is_handled = TRUE;
+  request->is_in_handler = TRUE;
+  request->server->open++;
+  if (request->is_too_large)
+    net_request_reply (request, &too_large);
+  else
+    request->server->options.handler (request->server->options.ctx, request);
+  request->is_in_handler = FALSE;
+}
+
+static enum MHD_Result
+on_access (void *ctx,
+           struct MHD_Connection *connection,
+           const char *path,
+           const char *method,
+           const char *version,
+           const char *upload,
+           size_t *upload_size,
+           void **slot)
+{
+  NetRequest *request = *slot;
+
+  (void) version;
+  if (request == NULL)
+    {
+      *slot = request_new (ctx, connection, method, path);
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      take_body (request, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (!request->is_handled)
+    handle (request);
+  if (request->response != NULL)
+    return send_response (request);
+  request->is_suspended = TRUE;
+  MHD_suspend_connection (connection);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *ctx,
+              struct MHD_Connection *connection,
+              void **slot,
+              enum MHD_RequestTerminationCode code)
+{
+  NetRequest *request = *slot;
+
+  (void) ctx;
+  (void) connection;
+  (void) code;
+  if (request == NULL)
+    return;
+  if (request->response != NULL)
+    MHD_destroy_response (request->response);
+  g_byte_array_unref (request->body);
+  g_free (request->method);
+  g_free (request->path);
+  g_free (request);
+  *slot = NULL;
+}
+
+static gboolean
+parse_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  guint64 port = 0;
+
+  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &port, NULL))
+    return FALSE;
+  g_autofree char *host = g_strndup (text, (gsize) (colon - text));
+  *address = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons ((uint16_t) port) };
+  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
+}
+
+NetServer *
+net_server_new (const NetServerOptions *options, GError **error)
+{
+  struct sockaddr_in address;
+
+  if (!parse_address (options->address, &address))
+    {
+      err_set (error, ERR_BAD_CONFIG, "\"%s\" is not an IP address with a port", options->address);
+      return NULL;
+    }
+  NetServer *server = g_new0 (NetServer, 1);
+  server->options = *options;
+  server->options.address = NULL;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
+      MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
+      MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    {
+      err_set (error, ERR_REFUSED, "cannot listen on %s", options->address);
+      g_free (server);
+      return NULL;
+    }
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  server->source = g_unix_fd_add (info->epoll_fd, G_IO_IN, on_ready, server);
+  server->timer = g_timeout_add (IDLE_CHECK_MS, on_idle_check, server);
+  return server;
+}
+
+void
+net_server_quiesce (NetServer *server)
+{
+  if (server->is_quiesced)
+    return;
+  server->is_quiesced = TRUE;
+  MHD_socket listener = MHD_quiesce_daemon (server->daemon);
+  if (listener != MHD_INVALID_SOCKET)
+    (void) close (listener);
+}
+
+void
+net_server_free (NetServer *server)
+{
+  if (server == NULL)
+    return;
+  g_source_remove (server->source);
+  g_source_remove (server->timer);
+  if (server->again != 0)
+    g_source_remove (server->again);
+  MHD_stop_daemon (server->daemon);
+  g_free (server);
+}
+
+uint32_t
+net_server_open_requests (const NetServer *server)
+{
+  return server->open;
+}
+
+const char *
+net_request_method (const NetRequest *request)
+{
+  return request->method;
+}
+
+const char *
+net_request_path (const NetRequest *request)
+{
+  return request->path;
+}
+
+const char *
+net_request_header (const NetRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+net_request_body (const NetRequest *request, size_t *size)
+{
+  if (size != NULL)
+    *size = request->body->len - 1;
+  return (const char *) request->body->data;
+}
+
+int64_t
+net_request_read_us (const NetRequest *request)
+{
+  return request->read_us;
+}
+
+void
+net_request_reply (NetRequest *request, const NetReply *reply)
+{
+  NetServer *server = request->server;
+  const char *body = reply->body != NULL ? reply->body : "";
+
+  server->open--;
+  request->status = reply->status;
+  request->response = MHD_create_response_from_buffer (strlen (body), (void *) body,
+                                                       MHD_RESPMEM_MUST_COPY);
+  if (reply->content_type != NULL)
+    (void) MHD_add_response_header (request->response, "Content-Type", reply->content_type);
+  if (reply->retry_after_s > 0)
+    {
+      char text[16];
+      (void) g_snprintf (text, sizeof text, "%u", reply->retry_after_s);
+      (void) MHD_add_response_header (request->response, "Retry-After", text);
+    }
+  if (server->is_quiesced)
+    (void) MHD_add_response_header (request->response, "Connection", "close");
+  if (!request->is_suspended)
+    return;
+  request->is_suspended = FALSE;
+  MHD_resume_connection (request->connection);
+  if (server->again == 0)
+    server->again = g_idle_add_full (G_PRIORITY_DEFAULT, on_again, server, NULL);
+}
--- /dev/null
+++ b/lib/node/node.c
@@ -0,0 +1,152 @@
+#include "node/node.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+
+#include "common/ids.h"
+#include "common/line.h"
+#include "net/net_server.h"
+
+/** Lines wait at most this long. */
+#define FLUSH_MS 200
+#define METRICS_CONNECTIONS 8
+#define METRICS_IDLE_S 20
+#define METRICS_BODY_MAX 1024
+
+struct Node
+{
+  NodeOptions options;
+  GMainLoop *loop;
+  MetRegistry *metrics;
+  NetClient *client;
+  NetServer *server;
+  uint64_t boot;
+  guint sources[4];
+  gboolean is_leaving;
+};
+
+static void
+serve_metrics (void *ctx, NetRequest *request)
+{
+  Node *node = ctx;
+  g_autofree char *text = met_render (node->metrics);
+  const NetReply reply = { .status = 200, .content_type = "text/plain", .body = text };
+
+  net_request_reply (request, &reply);
+}
+
+static gboolean
+on_flush (gpointer data)
+{
+  (void) data;
+  line_flush ();
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_term (gpointer data)
+{
+  Node *node = data;
+
+  if (node->is_leaving)
+    return G_SOURCE_CONTINUE;
+  node->is_leaving = TRUE;
+  line_add ("node", "leaving", "name=%s", node->options.settings->name);
+  node->options.on_leave (node->options.ctx);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_hup (gpointer data)
+{
+  Node *node = data;
+
+  line_add ("node", "reload", "name=%s", node->options.settings->name);
+  if (node->options.on_reload != NULL)
+    node->options.on_reload (node->options.ctx);
+  return G_SOURCE_CONTINUE;
+}
+
+Node *
+node_new (const NodeOptions *options, GError **error)
+{
+  Node *node = g_new0 (Node, 1);
+  g_autofree char *address = g_strdup_printf ("%s:%d", options->settings->ip,
+                                              (int) options->settings->metrics_port);
+  const NetServerOptions server = { .address = address,
+                                    .connections_max = METRICS_CONNECTIONS,
+                                    .idle_s = METRICS_IDLE_S,
+                                    .body_bytes_max = METRICS_BODY_MAX,
+                                    .handler = serve_metrics,
+                                    .ctx = node };
+
+  (void) signal (SIGPIPE, SIG_IGN);
+  node->options = *options;
+  node->boot = ids_new ().low | 1U;
+  node->loop = g_main_loop_new (NULL, FALSE);
+  node->metrics = met_new ();
+  node->client = net_client_new ();
+  node->server = net_server_new (&server, error);
+  if (node->server == NULL)
+    {
+      node_free (node);
+      return NULL;
+    }
+  node->sources[0] = g_unix_signal_add (SIGTERM, on_term, node);
+  node->sources[1] = g_unix_signal_add (SIGINT, on_term, node);
+  node->sources[2] = g_unix_signal_add (SIGHUP, on_hup, node);
+  node->sources[3] = g_timeout_add (FLUSH_MS, on_flush, NULL);
+  return node;
+}
+
+void
+node_free (Node *node)
+{
+  if (node == NULL)
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (node->sources); i++)
+    {
+      if (node->sources[i] != 0)
+        g_source_remove (node->sources[i]);
+    }
+  net_server_free (node->server);
+  net_client_free (node->client);
+  met_free (node->metrics);
+  g_main_loop_unref (node->loop);
+  g_free (node);
+}
+
+MetRegistry *
+node_metrics (Node *node)
+{
+  return node->metrics;
+}
+
+NetClient *
+node_client (Node *node)
+{
+  return node->client;
+}
+
+void
+node_run (Node *node)
+{
+  line_add ("node", "started", "name=%s boot=%" G_GUINT64_FORMAT, node->options.settings->name,
+            node->boot);
+  line_flush ();
+  g_main_loop_run (node->loop);
+  line_add ("node", "stopped", "name=%s", node->options.settings->name);
+  line_flush ();
+}
+
+void
+node_quit (Node *node)
+{
+  g_main_loop_quit (node->loop);
+}
+
+uint64_t
+node_boot (const Node *node)
+{
+  return node->boot;
+}
--- /dev/null
+++ b/lib/node/node.h
@@ -0,0 +1,44 @@
+/**
+ * @file node.h
+ * The frame of a program on the users' instances: main loop, signals, metrics, decision lines.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "common/met.h"
+#include "net/net_client.h"
+#include "node/node_settings.h"
+
+G_BEGIN_DECLS
+
+typedef struct Node Node;
+
+typedef struct
+{
+  const char *program;
+  const NodeSettings *settings;
+  /** Called once on SIGTERM or SIGINT; the program calls node_quit() when it may end. */
+  void (*on_leave) (void *ctx);
+  /** Called on SIGHUP. May be NULL. */
+  void (*on_reload) (void *ctx);
+  void *ctx;
+} NodeOptions;
+
+/** Opens metrics and signals; NULL when the metrics address is taken. */
+Node *node_new (const NodeOptions *options, GError **error);
+/** NULL is allowed. */
+void node_free (Node *node);
+
+MetRegistry *node_metrics (Node *node);
+NetClient *node_client (Node *node);
+
+/** Runs the main loop until node_quit(). */
+void node_run (Node *node);
+void node_quit (Node *node);
+
+/** Random number that names this process; never 0. */
+uint64_t node_boot (const Node *node);
+
+G_END_DECLS
--- /dev/null
+++ b/lib/node/node_settings.c
@@ -0,0 +1,81 @@
+#include "node/node_settings.h"
+
+#include "common/set.h"
+
+/** Most that a grant lasts: tasks of a lost worker start elsewhere after it. */
+#define GRANT_MAX_MS 3000
+/** Share of the worker's longest lease that a grant may take, as a divisor. */
+#define GRANT_DIVISOR 2
+
+#define FIELD(name) offsetof (NodeSettings, name)
+
+static const SetKey keys[] = {
+  { "name", SET_TEXT, FIELD (name), 1, 200, NULL, "Name of this instance." },
+  { "data_centre", SET_TEXT, FIELD (data_centre), 0, 200, "", "Data centre." },
+  { "ip", SET_TEXT, FIELD (ip), 1, 64, NULL, "Address of this instance." },
+  { "internal.port", SET_INTEGER, FIELD (internal_port), 1, 65535, "7720",
+    "Port for messages between processes." },
+  { "internal.metrics_port", SET_INTEGER, FIELD (metrics_port), 1, 65535, "7721",
+    "Port of the metrics." },
+  { "callers.listen", SET_TEXT, FIELD (caller_address), 0, 64, "",
+    "IP:PORT for callers; empty for none." },
+  { "callers.ready", SET_TEXT, FIELD (ready_address), 0, 64, "",
+    "IP:PORT of the readiness probe." },
+  { "worker.listen", SET_TEXT, FIELD (worker_address), 0, 64, "",
+    "IP:PORT where the worker reports; empty for none." },
+  { "worker.call", SET_TEXT, FIELD (worker_call_address), 0, 64, "",
+    "IP:PORT where the worker takes orders." },
+  { "worker.lease_max_ms", SET_INTEGER, FIELD (lease_max_ms), 1000, 600000, "10000",
+    "Longest lease that a worker takes." },
+  { "worker.stop_grace_ms", SET_INTEGER, FIELD (stop_grace_ms), 0, 60000, "1000",
+    "Time that a worker may take to stop a task." },
+  { "worker.gang_timeout_ms", SET_INTEGER, FIELD (gang_timeout_ms), 0, 60000, "3000",
+    "Time that members of a gang wait for each other." },
+  { "worker.remote_factor", SET_TEXT, FIELD (remote_factor), 1, 20, "1.5",
+    "How much longer a task takes away from its data." },
+  { "jobs.early_ms", SET_INTEGER, FIELD (early_ms), 0, 60000, "250",
+    "How much before its time an occurrence may start." },
+  { "jobs.harm_ms", SET_INTEGER, FIELD (harm_ms), 100, 60000, "4000",
+    "How long a serving task may be over its target." },
+  { "store.address", SET_TEXT, FIELD (store_address), 1, 64, NULL,
+    "IP:PORT of the platform's store." },
+  { "limits.cpu_share", SET_TEXT, FIELD (cpu_share), 1, 20, "1.0",
+    "Share of a core that this instance has." },
+  { "limits.leave_s", SET_TEXT, FIELD (leave_s), 1, 20, "6",
+    "Seconds between SIGTERM and SIGKILL, a fraction." },
+  { "log.lines_per_s", SET_INTEGER, FIELD (log_lines_per_s), 1, 100000, "500",
+    "Most decision lines a second; the rest are counted." },
+};
+
+gboolean
+node_settings_load (const char *path, NodeSettings *settings, GError **error)
+{
+  return set_load (keys, G_N_ELEMENTS (keys), path, settings, error);
+}
+
+void
+node_settings_clear (NodeSettings *settings)
+{
+  set_clear (keys, G_N_ELEMENTS (keys), settings);
+}
+
+char *
+node_settings_example (void)
+{
+  return set_example (keys, G_N_ELEMENTS (keys));
+}
+
+double
+node_settings_fraction (const char *text, double fallback)
+{
+  char *end = NULL;
+  double value = g_ascii_strtod (text, &end);
+
+  return end != text && *end == '\0' ? value : fallback;
+}
+
+int64_t
+node_settings_grant_ms (const NodeSettings *settings)
+{
+  return MIN (GRANT_MAX_MS, settings->lease_max_ms / GRANT_DIVISOR);
+}
--- /dev/null
+++ b/programs/scheduler/entry.c
@@ -0,0 +1,203 @@
+#include <string.h>
+
+#include "common/clk.h"
+#include "common/line.h"
+#include "entry_private.h"
+#include "platform/operator.h"
+
+/** A long poll returns at a record; without one it returns in time to notice a silent store. */
+#define LEDGER_WAIT_MS 500
+#define CONFIG_WAIT_MS 600
+/** Entries that are not the owner need not follow each record at once. */
+#define LEDGER_PAUSE_MS 150
+#define CONFIG_PAUSE_MS 20
+/** While leaving: the balancer needs two failed probes, a second apart. */
+#define LEAVE_QUIESCE_MS 2600
+#define LEAVE_CHECK_MS 50
+/** Kept back of the time until SIGKILL. */
+#define LEAVE_RESERVE_MS 700
+
+gboolean
+entry_is_fresh (const Entry *entry, int64_t age_ms)
+{
+  int64_t fresh_us = feed_fresh_us (entry->ledger_feed);
+
+  return fresh_us != 0 && clk_now_us () - fresh_us <= age_ms * 1000;
+}
+
+static void
+on_ledger_record (void *ctx, const StoreRecord *record)
+{
+  Entry *entry = ctx;
+
+  if (!ledger_apply (entry->ledger, record->offset, record->key, record->key_size, record->value,
+                     record->value_size))
+    line_add ("ledger", "record_ignored", "offset=%" G_GINT64_FORMAT " key_bytes=%zu bytes=%zu",
+              record->offset, record->key_size, record->value_size);
+}
+
+static void
+on_job (void *ctx, const LedgerJob *job)
+{
+  owner_take_job (((Entry *) ctx)->owner, job);
+}
+
+static void
+on_cancel (void *ctx, const LedgerJob *job)
+{
+  owner_take_cancel (((Entry *) ctx)->owner, job);
+}
+
+static void
+on_agent (void *ctx, const LedgerAgent *agent)
+{
+  owner_take_agent (((Entry *) ctx)->owner, agent);
+}
+
+static void
+on_owner (void *ctx, const LedgerOwner *claim)
+{
+  owner_take_claim (((Entry *) ctx)->owner, claim);
+}
+
+static gboolean
+is_config_key (const StoreRecord *record)
+{
+  return record->key_size == strlen (OPERATOR_CONFIG_KEY)
+         && memcmp (record->key, OPERATOR_CONFIG_KEY, record->key_size) == 0;
+}
+
+/* Versions never go back, whatever order records are read in. */
+static void
+on_operator_record (void *ctx, const StoreRecord *record)
+{
+  Entry *entry = ctx;
+  g_autoptr (GError) error = NULL;
+
+  if (!is_config_key (record) || record->value_size == 0)
+    return;
+  g_autoptr (QueueConfig) config
+      = operator_decode_config ((const char *) record->value, record->value_size, &error);
+  if (config == NULL)
+    {
+      line_add ("config", "malformed", "offset=%" G_GINT64_FORMAT " error=\"%s\"", record->offset,
+                error->message);
+      return;
+    }
+  if (entry->config != NULL && config->version <= entry->config->version)
+    return;
+  line_add ("config", "applied", "version=%" G_GINT64_FORMAT " routes=%u services=%u",
+            config->version, config->queues->len, config->services->len);
+  owner_take_config (entry->owner, config);
+  queue_config_free (entry->config);
+  entry->config = g_steal_pointer (&config);
+}
+
+static gboolean
+on_leave_check (gpointer data)
+{
+  Entry *entry = data;
+  int64_t since_ms = (clk_now_us () - entry->leave_us) / 1000;
+  int64_t end_ms
+      = (int64_t) (node_settings_fraction (entry->settings->leave_s, 1.0) * 1000.0)
+        - LEAVE_RESERVE_MS;
+
+  if (since_ms < MIN (LEAVE_QUIESCE_MS, end_ms / 2))
+    return G_SOURCE_CONTINUE;
+  front_quiesce (entry->front);
+  if (since_ms < end_ms
+      && (front_open_requests (entry->front) > 0 || !owner_is_idle (entry->owner)))
+    return G_SOURCE_CONTINUE;
+  entry->leave_timer = 0;
+  node_quit (entry->node);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_leave (void *ctx)
+{
+  Entry *entry = ctx;
+
+  entry->is_leaving = TRUE;
+  entry->leave_us = clk_now_us ();
+  owner_leave (entry->owner);
+  entry->leave_timer = g_timeout_add (LEAVE_CHECK_MS, on_leave_check, entry);
+}
+
+static void
+open_feeds (Entry *entry)
+{
+  const FeedOptions ledger = { .store = entry->store,
+                               .topic = LEDGER_TOPIC,
+                               .wait_ms = LEDGER_WAIT_MS,
+                               .pause_ms = LEDGER_PAUSE_MS,
+                               .on_record = on_ledger_record,
+                               .ctx = entry };
+  const FeedOptions config = { .store = entry->store,
+                               .topic = OPERATOR_TOPIC,
+                               .wait_ms = CONFIG_WAIT_MS,
+                               .pause_ms = CONFIG_PAUSE_MS,
+                               .on_record = on_operator_record,
+                               .ctx = entry };
+
+  entry->ledger_feed = feed_new (&ledger);
+  entry->config_feed = feed_new (&config);
+}
+
+Entry *
+entry_new (const NodeSettings *settings, GError **error)
+{
+  Entry *entry = g_new0 (Entry, 1);
+  const NodeOptions node = { .program = "acacia-scheduler",
+                             .settings = settings,
+                             .on_leave = on_leave,
+                             .ctx = entry };
+  const LedgerEvents events = { .on_job = on_job,
+                                .on_cancel = on_cancel,
+                                .on_agent = on_agent,
+                                .on_owner = on_owner,
+                                .ctx = entry };
+
+  entry->settings = settings;
+  entry->node = node_new (&node, error);
+  if (entry->node == NULL)
+    {
+      entry_free (entry);
+      return NULL;
+    }
+  entry->store = store_new (node_client (entry->node), settings->store_address);
+  entry->ledger = ledger_new (&events);
+  entry->outbox = outbox_new (entry->store, LEDGER_TOPIC);
+  entry->owner = owner_new (entry);
+  entry->front = front_new (entry, error);
+  if (entry->front == NULL)
+    {
+      entry_free (entry);
+      return NULL;
+    }
+  open_feeds (entry);
+  return entry;
+}
+
+void
+entry_run (Entry *entry)
+{
+  node_run (entry->node);
+}
+
+void
+entry_free (Entry *entry)
+{
+  if (entry->leave_timer != 0)
+    g_source_remove (entry->leave_timer);
+  front_free (entry->front);
+  node_free (entry->node);
+  owner_free (entry->owner);
+  feed_free (entry->ledger_feed);
+  feed_free (entry->config_feed);
+  outbox_free (entry->outbox);
+  ledger_free (entry->ledger);
+  store_free (entry->store);
+  queue_config_free (entry->config);
+  g_free (entry);
+}
--- /dev/null
+++ b/programs/scheduler/entry_private.h
@@ -0,0 +1,59 @@
+/**
+ * @file entry_private.h
+ * The state that the parts of an entry share. All of it belongs to the main loop.
+ */
+#pragma once
+
+#include "batch/queues.h"
+#include "entry.h"
+#include "ledger/feed.h"
+#include "ledger/ledger.h"
+#include "ledger/outbox.h"
+#include "net/net_server.h"
+
+G_BEGIN_DECLS
+
+typedef struct Owner Owner;
+typedef struct Front Front;
+
+struct Entry
+{
+  const NodeSettings *settings;
+  Node *node;
+  Store *store;
+  Ledger *ledger;
+  Feed *ledger_feed;
+  Feed *config_feed;
+  QueueConfig *config; /**< NULL before the first one was read */
+  Outbox *outbox;
+  Owner *owner;
+  Front *front;
+  gboolean is_leaving;
+  guint leave_timer;
+  int64_t leave_us;
+};
+
+/** Whether all that was acknowledged up to @p age_ms ago is in the ledger here. */
+gboolean entry_is_fresh (const Entry *entry, int64_t age_ms);
+
+/* owner.c: whether this entry owns the jobs, and what it does while it does. */
+Owner *owner_new (Entry *entry);
+void owner_free (Owner *owner);
+void owner_take_job (Owner *owner, const LedgerJob *job);
+void owner_take_cancel (Owner *owner, const LedgerJob *job);
+void owner_take_agent (Owner *owner, const LedgerAgent *agent);
+/** The ledger names an owner: this entry, another one, or none. */
+void owner_take_claim (Owner *owner, const LedgerOwner *claim);
+void owner_take_config (Owner *owner, const QueueConfig *config);
+/** Gives the jobs up, so that another entry takes them at once. */
+void owner_leave (Owner *owner);
+/** Whether nothing of the owner's is under way any more. */
+gboolean owner_is_idle (const Owner *owner);
+
+/* front.c: callers' requests. */
+Front *front_new (Entry *entry, GError **error);
+void front_free (Front *front);
+void front_quiesce (Front *front);
+uint32_t front_open_requests (const Front *front);
+
+G_END_DECLS
--- /dev/null
+++ b/programs/scheduler/front.c
@@ -0,0 +1,408 @@
+#include <string.h>
+
+#include "common/clk.h"
+#include "common/line.h"
+#include "entry_private.h"
+#include "platform/caller.h"
+
+#define CONNECTIONS_MAX 2000
+/** Longer than callers keep a connection idle. */
+#define IDLE_S 60
+#define BODY_MAX (256 * 1024)
+#define READY_CONNECTIONS_MAX 16
+/** A view of the ledger older than this can't say that a job does not exist. */
+#define VIEW_AGE_MAX_MS 1500
+/** Without a good answer of the store for this long, nothing can be accepted. */
+#define STORE_AGE_MAX_MS 2500
+/** Time kept back of a caller's deadline for the answer's way. */
+#define DEADLINE_RESERVE_MS 150
+#define DEADLINE_DEFAULT_MS 3000
+/** When a caller should come back if this entry can't reach the store. */
+#define RETRY_AFTER_S 1
+
+struct Front
+{
+  Entry *entry;
+  NetServer *callers;
+  NetServer *ready;
+  MetSeries *accepted;
+  MetSeries *known;
+  MetSeries *cancels;
+  MetSeries *in_doubt;
+  MetHistogram *accept_us;
+};
+
+/** One request that waits for the store. */
+typedef struct
+{
+  Front *front;
+  NetRequest *request;
+  char *id;
+  char *queue;
+  gboolean is_cancel;
+} Wait;
+
+static Wait *
+wait_new (Front *front, NetRequest *request, const char *id, const char *queue)
+{
+  Wait *wait = g_new0 (Wait, 1);
+
+  wait->front = front;
+  wait->request = request;
+  wait->id = g_strdup (id);
+  wait->queue = g_strdup (queue);
+  return wait;
+}
+
+static void
+wait_free (Wait *wait)
+{
+  g_free (wait->id);
+  g_free (wait->queue);
+  g_free (wait);
+}
+
+static void
+reply_status (NetRequest *request, uint32_t status)
+{
+  const NetReply reply = { .status = status };
+
+  net_request_reply (request, &reply);
+}
+
+static void
+reply_body (NetRequest *request, const char *body)
+{
+  const NetReply reply = { .status = 200, .content_type = CALLER_CONTENT_TYPE, .body = body };
+
+  net_request_reply (request, &reply);
+}
+
+/* Refuses what certainly did not run, and says when to come back. */
+static void
+refuse (Front *front, NetRequest *request, const char *id, uint32_t status, const char *reason,
+        uint32_t retry_after_s)
+{
+  const NetReply reply = { .status = status, .retry_after_s = retry_after_s };
+  g_autofree char *label = g_strdup_printf ("reason=\"%s\"", reason);
+
+  met_add (met_counter (node_metrics (front->entry->node), "acacia_refused_total", label,
+                        "Refused requests by reason"),
+           1);
+  line_add ("front", "refused", "job=%s method=%s status=%u reason=%s retry_after_s=%u", id,
+            net_request_method (request), status, reason, retry_after_s);
+  net_request_reply (request, &reply);
+}
+
+static int64_t
+deadline_us (const NetRequest *request)
+{
+  const char *text = net_request_header (request, CALLER_DEADLINE_HEADER);
+  guint64 wait_ms = DEADLINE_DEFAULT_MS;
+
+  if (text != NULL && !g_ascii_string_to_unsigned (text, 10, 1, G_MAXINT32, &wait_ms, NULL))
+    wait_ms = DEADLINE_DEFAULT_MS;
+  int64_t left_ms = MAX ((int64_t) wait_ms - DEADLINE_RESERVE_MS, (int64_t) wait_ms / 2);
+  return net_request_read_us (request) + left_ms * 1000;
+}
+
+static void
+on_written (void *ctx, OutboxResult result, int64_t offset)
+{
+  Wait *wait = ctx;
+  Front *front = wait->front;
+  int64_t took_us = clk_now_us () - net_request_read_us (wait->request);
+
+  switch (result)
+    {
+    case OUTBOX_WRITTEN:
+      met_add (wait->is_cancel ? front->cancels : front->accepted, 1);
+      met_observe (front->accept_us, took_us);
+      line_add ("front", wait->is_cancel ? "cancelled" : "accepted",
+                "job=%s queue=%s offset=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT, wait->id,
+                wait->queue, offset, took_us / 1000);
+      reply_status (wait->request, 200);
+      break;
+    case OUTBOX_REFUSED:
+      refuse (front, wait->request, wait->id, 503, "store_refused", RETRY_AFTER_S);
+      break;
+    case OUTBOX_IN_DOUBT:
+    default:
+      met_add (front->in_doubt, 1);
+      line_add ("front", "in_doubt", "job=%s queue=%s took_ms=%" G_GINT64_FORMAT, wait->id,
+                wait->queue, took_us / 1000);
+      reply_status (wait->request, 504);
+      break;
+    }
+  wait_free (wait);
+}
+
+static void
+write_submission (Front *front, NetRequest *request, const char *id, const Queue *queue)
+{
+  Batch__Submission message = BATCH__SUBMISSION__INIT;
+  g_autofree char *key = g_strconcat (LEDGER_JOB_PREFIX, id, NULL);
+
+  message.queue = queue->name;
+  message.accepted_wall_ms = clk_wall_ms ();
+  message.body.data = (uint8_t *) net_request_body (request, &message.body.len);
+  size_t size = batch__submission__get_packed_size (&message);
+  g_autofree uint8_t *bytes = g_malloc (size);
+  (void) batch__submission__pack (&message, bytes);
+  outbox_add (front->entry->outbox, key, bytes, size, deadline_us (request), on_written,
+              wait_new (front, request, id, queue->name));
+}
+
+static void
+submit (Front *front, NetRequest *request, const char *id, const Queue *queue)
+{
+  const LedgerJob *job = ledger_job (front->entry->ledger, id);
+  g_autoptr (GError) error = NULL;
+  SchedJobState state = SCHED_QUEUED;
+  size_t size = 0;
+  const char *body = net_request_body (request, &size);
+
+  if (ledger_job_state (job, &state))
+    {
+      met_add (front->known, 1);
+      reply_status (request, 200);
+      return;
+    }
+  if (!entry_is_fresh (front->entry, STORE_AGE_MAX_MS))
+    {
+      refuse (front, request, id, 503, "store_lost", RETRY_AFTER_S);
+      return;
+    }
+  g_autoptr (JobSpec) spec = caller_decode_job (body, size, &error);
+  if (spec == NULL)
+    {
+      line_add ("front", "malformed", "job=%s error=\"%s\"", id, error->message);
+      refuse (front, request, id, 400, "malformed", 0);
+      return;
+    }
+  SchedLoad load = ledger_load (front->entry->ledger, queue->name);
+  if (load.retry_after_ms > 0)
+    {
+      refuse (front, request, id, 429, "overload", (load.retry_after_ms + 999) / 1000);
+      return;
+    }
+  write_submission (front, request, id, queue);
+}
+
+static void
+reply_state (Front *front, NetRequest *request, const char *id)
+{
+  SchedJobState state = SCHED_QUEUED;
+
+  if (!ledger_job_state (ledger_job (front->entry->ledger, id), &state))
+    {
+      line_add ("front", "unknown_job", "job=%s method=%s", id, net_request_method (request));
+      reply_status (request, 410);
+      return;
+    }
+  g_autofree char *body = caller_encode_state ((CallerState) state);
+  reply_body (request, body);
+}
+
+static void
+on_state_refreshed (void *ctx, gboolean is_fresh)
+{
+  Wait *wait = ctx;
+
+  if (is_fresh || ledger_job (wait->front->entry->ledger, wait->id) != NULL)
+    reply_state (wait->front, wait->request, wait->id);
+  else
+    refuse (wait->front, wait->request, wait->id, 503, "view_stale", RETRY_AFTER_S);
+  wait_free (wait);
+}
+
+static void
+ask_state (Front *front, NetRequest *request, const char *id)
+{
+  SchedJobState state = SCHED_QUEUED;
+
+  if (ledger_job_state (ledger_job (front->entry->ledger, id), &state))
+    reply_state (front, request, id);
+  else
+    feed_refresh (front->entry->ledger_feed, on_state_refreshed,
+                  wait_new (front, request, id, ""));
+}
+
+static void
+write_cancel (Front *front, Wait *wait)
+{
+  Batch__Cancel message = BATCH__CANCEL__INIT;
+  g_autofree char *key = g_strconcat (LEDGER_CANCEL_PREFIX, wait->id, NULL);
+  uint8_t bytes[64];
+
+  message.wall_ms = clk_wall_ms ();
+  wait->is_cancel = TRUE;
+  size_t size = batch__cancel__pack (&message, bytes);
+  outbox_add (front->entry->outbox, key, bytes, size, deadline_us (wait->request), on_written,
+              wait);
+}
+
+static void
+on_cancel_refreshed (void *ctx, gboolean is_fresh)
+{
+  Wait *wait = ctx;
+  Front *front = wait->front;
+  SchedJobState state = SCHED_QUEUED;
+
+  if (ledger_job_state (ledger_job (front->entry->ledger, wait->id), &state))
+    {
+      write_cancel (front, wait);
+      return;
+    }
+  if (is_fresh)
+    reply_state (front, wait->request, wait->id);
+  else
+    refuse (front, wait->request, wait->id, 503, "view_stale", RETRY_AFTER_S);
+  wait_free (wait);
+}
+
+static void
+cancel (Front *front, NetRequest *request, const char *id)
+{
+  const LedgerJob *job = ledger_job (front->entry->ledger, id);
+  SchedJobState state = SCHED_QUEUED;
+  Wait *wait = NULL;
+
+  if (ledger_job_state (job, &state) && (job->is_cancelled || state > SCHED_RUNNING))
+    {
+      reply_status (request, 200);
+      return;
+    }
+  wait = wait_new (front, request, id, "");
+  if (job != NULL && job->submission != NULL)
+    write_cancel (front, wait);
+  else
+    feed_refresh (front->entry->ledger_feed, on_cancel_refreshed, wait);
+}
+
+static void
+ask_pending (Front *front, NetRequest *request, const Queue *queue)
+{
+  g_autofree char *body
+      = caller_encode_pending (ledger_load (front->entry->ledger, queue->name).n_pending);
+
+  reply_body (request, body);
+}
+
+static void
+route (Front *front, NetRequest *request, const Queue *queue)
+{
+  const char *method = net_request_method (request);
+  g_autofree char *id = g_strdup (net_request_path (request) + strlen (queue->prefix));
+
+  if (*id == '\0' && strcmp (method, "GET") == 0)
+    ask_pending (front, request, queue);
+  else if (!job_id_is_valid (id))
+    refuse (front, request, id, 404, "no_such_path", 0);
+  else if (strcmp (method, "POST") == 0)
+    submit (front, request, id, queue);
+  else if (strcmp (method, "GET") == 0)
+    ask_state (front, request, id);
+  else if (strcmp (method, "DELETE") == 0)
+    cancel (front, request, id);
+  else
+    refuse (front, request, id, 405, "method", 0);
+}
+
+static void
+on_caller (void *ctx, NetRequest *request)
+{
+  Front *front = ctx;
+  const char *host = net_request_header (request, "Host");
+
+  if (front->entry->config == NULL)
+    {
+      refuse (front, request, net_request_path (request), 503, "no_config", RETRY_AFTER_S);
+      return;
+    }
+  const Queue *queue = queue_config_route (front->entry->config, host != NULL ? host : "",
+                                           net_request_path (request));
+  if (queue == NULL)
+    refuse (front, request, net_request_path (request), 404, "no_such_queue", 0);
+  else
+    route (front, request, queue);
+}
+
+static gboolean
+is_ready (const Front *front)
+{
+  const Entry *entry = front->entry;
+
+  return !entry->is_leaving && entry->config != NULL && feed_is_loaded (entry->ledger_feed)
+         && entry_is_fresh (entry, STORE_AGE_MAX_MS);
+}
+
+static void
+on_ready (void *ctx, NetRequest *request)
+{
+  reply_status (request, is_ready (ctx) ? 200 : 503);
+}
+
+static void
+open_metrics (Front *front)
+{
+  MetRegistry *metrics = node_metrics (front->entry->node);
+
+  front->accepted = met_counter (metrics, "acacia_accepted_total", NULL, "Jobs accepted");
+  front->known = met_counter (metrics, "acacia_repeated_total", NULL,
+                              "Submissions of jobs that were accepted before");
+  front->cancels = met_counter (metrics, "acacia_cancelled_total", NULL, "Jobs cancelled");
+  front->in_doubt = met_counter (metrics, "acacia_in_doubt_total", NULL,
+                                 "Requests whose record may or may not be written");
+  front->accept_us = met_histogram (metrics, "acacia_accept_us", NULL,
+                                    "Time from a request to its record in the ledger");
+}
+
+Front *
+front_new (Entry *entry, GError **error)
+{
+  Front *front = g_new0 (Front, 1);
+  const NetServerOptions callers = { .address = entry->settings->caller_address,
+                                     .connections_max = CONNECTIONS_MAX,
+                                     .idle_s = IDLE_S,
+                                     .body_bytes_max = BODY_MAX,
+                                     .handler = on_caller,
+                                     .ctx = front };
+  const NetServerOptions ready = { .address = entry->settings->ready_address,
+                                   .connections_max = READY_CONNECTIONS_MAX,
+                                   .idle_s = IDLE_S,
+                                   .body_bytes_max = BODY_MAX,
+                                   .handler = on_ready,
+                                   .ctx = front };
+
+  front->entry = entry;
+  open_metrics (front);
+  front->callers = net_server_new (&callers, error);
+  front->ready = front->callers != NULL ? net_server_new (&ready, error) : NULL;
+  if (front->ready != NULL)
+    return front;
+  front_free (front);
+  return NULL;
+}
+
+void
+front_free (Front *front)
+{
+  if (front == NULL)
+    return;
+  net_server_free (front->callers);
+  net_server_free (front->ready);
+  g_free (front);
+}
+
+void
+front_quiesce (Front *front)
+{
+  net_server_quiesce (front->callers);
+}
+
+uint32_t
+front_open_requests (const Front *front)
+{
+  return net_server_open_requests (front->callers);
+}
--- /dev/null
+++ b/programs/worker/agent.c
@@ -0,0 +1,422 @@
+#include "agent.h"
+
+#include <string.h>
+
+#include "common/clk.h"
+#include "common/line.h"
+#include "keeper/keeper.h"
+#include "ledger/ledger.h"
+#include "net/net_link.h"
+#include "net/net_server.h"
+#include "platform/store.h"
+
+/** The owner hears of the worker at least this often. */
+#define REPORT_MS 400
+/** Changes within this time go out in one report. */
+#define REPORT_SOON_MS 8
+#define TICK_MS 100
+#define LOOK_WAIT_MS 400
+/** A worker on the same instance answers in a few ms; orders without an answer are settled. */
+#define CALL_TIMEOUT_MS 600
+#define STORE_TIMEOUT_MS 1500
+#define REGISTER_AGAIN_MS 300
+/** Left to send the last report. */
+#define LEAVE_MS 60
+#define CONNECTIONS_MAX 64
+#define IDLE_S 60
+#define BODY_MAX (1024 * 1024)
+
+struct Agent
+{
+  const NodeSettings *settings;
+  Node *node;
+  NetServer *server;
+  NetLinks *links;
+  NetLink *link;
+  GBytes *owner; /**< peer of the newest owner; NULL before one wrote */
+  Store *store;
+  Keeper *keeper;
+  guint report_timer;
+  guint soon_timer;
+  guint tick_timer;
+  MetSeries *reports_in;
+  MetSeries *reports_bad;
+  MetSeries *orders_in;
+  MetSeries *orders_old;
+  MetSeries *reports_out;
+};
+
+static int64_t
+read_clock (void *ctx)
+{
+  (void) ctx;
+  return clk_now_us ();
+}
+
+static RunnerTarget
+full_target (const Agent *agent, const RunnerTarget *target)
+{
+  RunnerTarget full = *target;
+
+  full.client = node_client (agent->node);
+  full.address = agent->settings->worker_call_address;
+  return full;
+}
+
+static void
+call_start (void *ctx, const RunnerTarget *target, const RunnerStart *start, RunnerDone done,
+            void *done_ctx)
+{
+  RunnerTarget full = full_target (ctx, target);
+
+  line_add ("agent", "start", "task=%s run=%" G_GINT64_FORMAT " until_ms=%" G_GINT64_FORMAT,
+            start->task, start->run, start->until_ms);
+  runner_start (&full, start, done, done_ctx);
+}
+
+static void
+call_stop (void *ctx, const RunnerTarget *target, const char *task, int64_t run, RunnerDone done,
+           void *done_ctx)
+{
+  RunnerTarget full = full_target (ctx, target);
+
+  line_add ("agent", "stop", "task=%s run=%" G_GINT64_FORMAT, task, run);
+  runner_stop (&full, task, run, done, done_ctx);
+}
+
+static void
+call_pace (void *ctx, const RunnerTarget *target, const char *task, int64_t run, int64_t percent,
+           RunnerDone done, void *done_ctx)
+{
+  RunnerTarget full = full_target (ctx, target);
+
+  line_add ("agent", "pace", "task=%s run=%" G_GINT64_FORMAT " percent=%" G_GINT64_FORMAT, task,
+            run, percent);
+  runner_pace (&full, task, run, percent, done, done_ctx);
+}
+
+static void
+call_look (void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done,
+           void *done_ctx)
+{
+  RunnerTarget full = full_target (ctx, target);
+
+  runner_look (&full, look, done, done_ctx);
+}
+
+static void
+note_keeper (void *ctx, const char *event, const char *text)
+{
+  (void) ctx;
+  line_add ("keeper", event, "%s", text);
+}
+
+static void
+send_report (Agent *agent)
+{
+  if (agent->owner == NULL)
+    return;
+  Batch__Report *report = keeper_report (agent->keeper);
+  if (report == NULL)
+    return;
+  size_t size = batch__report__get_packed_size (report);
+  g_autofree uint8_t *bytes = g_malloc (size);
+  (void) batch__report__pack (report, bytes);
+  batch__report__free_unpacked (report, NULL);
+  (void) net_link_send (agent->link, agent->owner, bytes, size);
+  met_add (agent->reports_out, 1);
+}
+
+static gboolean
+on_report_due (gpointer data)
+{
+  send_report (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_report_soon (gpointer data)
+{
+  Agent *agent = data;
+
+  agent->soon_timer = 0;
+  send_report (agent);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+report_soon (void *ctx)
+{
+  Agent *agent = ctx;
+
+  if (agent->soon_timer == 0)
+    agent->soon_timer = g_timeout_add (REPORT_SOON_MS, on_report_soon, agent);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  Agent *agent = data;
+
+  keeper_tick (agent->keeper);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_orders (void *ctx, GBytes *peer, const uint8_t *data, size_t size)
+{
+  Agent *agent = ctx;
+  Batch__Orders *orders = batch__orders__unpack (NULL, size, data);
+
+  if (orders == NULL)
+    {
+      line_add ("agent", "orders_malformed", "bytes=%zu", size);
+      return;
+    }
+  met_add (agent->orders_in, 1);
+  if (keeper_take_orders (agent->keeper, orders))
+    {
+      if (agent->owner == NULL || !g_bytes_equal (agent->owner, peer))
+        {
+          g_clear_pointer (&agent->owner, g_bytes_unref);
+          agent->owner = g_bytes_ref (peer);
+          report_soon (agent);
+        }
+    }
+  else
+    met_add (agent->orders_old, 1);
+  batch__orders__free_unpacked (orders, NULL);
+}
+
+static void
+reply_status (NetRequest *request, uint32_t status, gboolean has_body)
+{
+  const NetReply reply = { .status = status,
+                           .content_type = has_body ? "application/json" : NULL,
+                           .body = has_body ? "{}" : NULL };
+
+  net_request_reply (request, &reply);
+}
+
+static void
+take_info (Agent *agent, NetRequest *request, const char *id)
+{
+  size_t size = 0;
+  const char *body = net_request_body (request, &size);
+  g_autoptr (GError) error = NULL;
+  WorkerInfo *info = runner_decode_report (id, body, size, &error);
+
+  met_add (agent->reports_in, 1);
+  if (info == NULL)
+    {
+      met_add (agent->reports_bad, 1);
+      line_add ("agent", "worker_report_malformed", "id=%s error=\"%s\"", id, error->message);
+      reply_status (request, 400, FALSE);
+      return;
+    }
+  reply_status (request, 200, TRUE);
+  keeper_take_info (agent->keeper, info);
+}
+
+static void
+on_request (void *ctx, NetRequest *request)
+{
+  Agent *agent = ctx;
+  const char *path = net_request_path (request);
+  const char *method = net_request_method (request);
+
+  if (!g_str_has_prefix (path, RUNNER_REPORT_PREFIX))
+    {
+      reply_status (request, 404, FALSE);
+      return;
+    }
+  g_autofree char *id = g_strdup (path + strlen (RUNNER_REPORT_PREFIX));
+  if (strcmp (method, "PUT") == 0)
+    take_info (agent, request, id);
+  else if (strcmp (method, "DELETE") == 0)
+    {
+      reply_status (request, 200, TRUE);
+      keeper_worker_left (agent->keeper, id);
+    }
+  else
+    reply_status (request, 405, FALSE);
+}
+
+static void register_agent (Agent *agent);
+
+static gboolean
+on_register_again (gpointer data)
+{
+  register_agent (data);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_registered (void *ctx, const StoreAnswer *answer)
+{
+  Agent *agent = ctx;
+
+  if (answer->outcome == STORE_OK)
+    {
+      line_add ("agent", "registered", "offset=%" G_GINT64_FORMAT, answer->offset);
+      return;
+    }
+  line_add ("agent", "register_failed", "outcome=%s", store_outcome_name (answer->outcome));
+  (void) g_timeout_add (REGISTER_AGAIN_MS, on_register_again, agent);
+}
+
+/* Owners find the agent by this record; it stands until another process of the name replaces it. */
+static void
+register_agent (Agent *agent)
+{
+  g_autofree char *address = g_strdup_printf ("%s:%d", agent->settings->ip,
+                                              (int) agent->settings->internal_port);
+  g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, agent->settings->name, NULL);
+  g_autoptr (GByteArray) records = g_byte_array_new ();
+  Batch__Member member = BATCH__MEMBER__INIT;
+
+  member.name = agent->settings->name;
+  member.address = address;
+  member.boot = node_boot (agent->node);
+  size_t size = batch__member__get_packed_size (&member);
+  g_autofree uint8_t *bytes = g_malloc (size);
+  (void) batch__member__pack (&member, bytes);
+  store_add_record (records, key, bytes, size);
+  const StoreAppend append = { .topic = LEDGER_TOPIC,
+                               .records = records,
+                               .at = -1,
+                               .timeout_ms = STORE_TIMEOUT_MS };
+  store_append (agent->store, &append, on_registered, agent);
+}
+
+static gboolean
+on_left (gpointer data)
+{
+  Agent *agent = data;
+
+  node_quit (agent->node);
+  return G_SOURCE_REMOVE;
+}
+
+/* What runs keeps its lease, so that the next process of this instance finds it running. */
+static void
+on_leave (void *ctx)
+{
+  Agent *agent = ctx;
+
+  keeper_leave (agent->keeper);
+  send_report (agent);
+  (void) g_timeout_add (LEAVE_MS, on_left, agent);
+}
+
+static void
+open_metrics (Agent *agent)
+{
+  MetRegistry *metrics = node_metrics (agent->node);
+
+  agent->reports_in = met_counter (metrics, "acacia_worker_reports_total", NULL,
+                                   "Reports of the worker about itself");
+  agent->reports_bad = met_counter (metrics, "acacia_worker_reports_malformed_total", NULL,
+                                    "Reports that could not be read");
+  agent->orders_in = met_counter (metrics, "acacia_orders_total", NULL, "Messages with orders");
+  agent->orders_old = met_counter (metrics, "acacia_orders_stale_total", NULL,
+                                   "Messages with orders of a replaced owner");
+  agent->reports_out
+      = met_counter (metrics, "acacia_reports_sent_total", NULL, "Reports to the owner");
+}
+
+static Keeper *
+open_keeper (Agent *agent)
+{
+  const KeeperOptions options = { .boot = node_boot (agent->node),
+                                  .token = clk_wall_ms (),
+                                  .grant_ms = node_settings_grant_ms (agent->settings),
+                                  .look_wait_ms = LOOK_WAIT_MS,
+                                  .call_timeout_ms = CALL_TIMEOUT_MS,
+                                  .now_us = read_clock,
+                                  .start = call_start,
+                                  .stop = call_stop,
+                                  .pace = call_pace,
+                                  .look = call_look,
+                                  .changed = report_soon,
+                                  .note = note_keeper,
+                                  .ctx = agent };
+
+  return keeper_new (&options);
+}
+
+static gboolean
+open_sockets (Agent *agent, GError **error)
+{
+  g_autofree char *address = g_strdup_printf ("%s:%d", agent->settings->ip,
+                                              (int) agent->settings->internal_port);
+  const NetServerOptions server = { .address = agent->settings->worker_address,
+                                    .connections_max = CONNECTIONS_MAX,
+                                    .idle_s = IDLE_S,
+                                    .body_bytes_max = BODY_MAX,
+                                    .handler = on_request,
+                                    .ctx = agent };
+
+  agent->server = net_server_new (&server, error);
+  if (agent->server == NULL)
+    return FALSE;
+  agent->links = net_links_new ();
+  agent->link = net_link_listen (agent->links, address, on_orders, agent, error);
+  return agent->link != NULL;
+}
+
+Agent *
+agent_new (const NodeSettings *settings, GError **error)
+{
+  Agent *agent = g_new0 (Agent, 1);
+  const NodeOptions options = { .program = "acacia-worker",
+                                .settings = settings,
+                                .on_leave = on_leave,
+                                .ctx = agent };
+
+  agent->settings = settings;
+  agent->node = node_new (&options, error);
+  if (agent->node == NULL || !open_sockets (agent, error))
+    {
+      agent_free (agent);
+      return NULL;
+    }
+  open_metrics (agent);
+  agent->keeper = open_keeper (agent);
+  agent->store = store_new (node_client (agent->node), settings->store_address);
+  agent->report_timer = g_timeout_add (REPORT_MS, on_report_due, agent);
+  agent->tick_timer = g_timeout_add (TICK_MS, on_tick, agent);
+  register_agent (agent);
+  return agent;
+}
+
+void
+agent_run (Agent *agent)
+{
+  node_run (agent->node);
+}
+
+static void
+remove_timer (guint *timer)
+{
+  if (*timer != 0)
+    g_source_remove (*timer);
+  *timer = 0;
+}
+
+void
+agent_free (Agent *agent)
+{
+  remove_timer (&agent->report_timer);
+  remove_timer (&agent->soon_timer);
+  remove_timer (&agent->tick_timer);
+  net_server_free (agent->server);
+  net_link_free (agent->link);
+  net_links_free (agent->links);
+  node_free (agent->node);
+  keeper_free (agent->keeper);
+  store_free (agent->store);
+  if (agent->owner != NULL)
+    g_bytes_unref (agent->owner);
+  g_free (agent);
+}
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -7,7 +7,7 @@
   gcc g++ make pkg-config git curl jq
   clang clang-format clang-tidy libclang-rt-14-dev doxygen gnuplot-nox
   libglib2.0-dev libzmq3-dev liburcu-dev libmicrohttpd-dev
-  libneon27-gnutls-dev libargtable2-dev liblog4c-dev libcmocka-dev
+  libneon27-gnutls-dev libcurl4-gnutls-dev libargtable2-dev liblog4c-dev libcmocka-dev
   libtomlplusplus-dev librapidcheck-dev
   libprotobuf-c-dev protobuf-c-compiler libjansson-dev libxxhash-dev
 )
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,9 +2,9 @@
 # Runs clang-tidy over the given C files, several at a time; any finding fails.
 set -euo pipefail
 
-packages="glib-2.0 libzmq liburcu libmicrohttpd neon argtable2 libprotobuf-c jansson libxxhash"
+packages="glib-2.0 libzmq liburcu libmicrohttpd neon argtable2 libprotobuf-c jansson libxxhash libcurl"
 # shellcheck disable=SC2086
-LINT_FLAGS="-std=gnu11 -D_GNU_SOURCE -Ilib -Itests $(pkg-config --cflags $packages)"
+LINT_FLAGS="-std=gnu11 -D_GNU_SOURCE -Ilib -I. -Itests $(pkg-config --cflags $packages)"
 export LINT_FLAGS
 
 status=0
