--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -4,8 +4,17 @@
 #define STALL_MS 2500
 /** One that shares processors with others may be slow for longer. */
 #define STALL_FILL_MS 6000
-/** A stop that was not obeyed is given again after this long. */
-#define STOP_AGAIN_MS 3000
+/** First step down, and each step up, in percent of a task's share. */
+#define PACE_LOW 30
+/** Between two steps: tails are measured over half a second and told half a second later. */
+#define PACE_DOWN_MS 900
+#define PACE_UP_MS 1500
+/** Tasks that fill get more once the worst tail is below this percent of its target. */
+#define PACE_UP_PERCENT 60
+/** After a harm no task that fills starts beside those serving tasks for this long. */
+#define FILL_PAUSE_MS 8000
+/** A task without checkpoints is stopped only before this percent of its work. */
+#define WASTE_PERCENT 25
 
 static gboolean
 stands_still (const Sched *sched, const SchedTask *task)
@@ -53,34 +62,75 @@
     }
 }
 
-static gboolean
-is_over_target (const SchedWorker *worker)
+static int64_t
+worst_tail_percent (const SchedWorker *worker)
 {
+  int64_t worst = 0;
+
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
       const JobStep *step = task->part->step;
-      if (step->lasts && step->tail_target_ms > 0 && task->percent >= 100
-          && task->figure > step->tail_target_ms)
-        return TRUE;
+      if (step->lasts && step->tail_target_ms > 0 && task->percent >= 100)
+        worst = MAX (worst, task->figure * 100 / step->tail_target_ms);
     }
-  return FALSE;
+  return worst;
 }
 
-/* Tasks that fill make way at once: slowing them halves a harm that stopping them would end. */
 static void
-protect_serving (Sched *sched, SchedWorker *worker)
+pace_fills (Sched *sched, SchedWorker *worker, uint32_t percent)
+{
+  worker->fill_pace = percent;
+  worker->pace_us = sched->now_us;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->part->step->fills && !task->is_stopping)
+        sched_order_pace (sched, task, percent);
+    }
+}
+
+/* Tasks that can go on elsewhere from a checkpoint need not wait here. */
+static void
+stop_paced (Sched *sched, SchedWorker *worker)
 {
-  if (worker->n_serving == 0 || worker->fill_cpu_m == 0 || !is_over_target (worker))
-    return;
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (task->part->step->fills)
+      if (task->part->step->fills && (task->part->step->saves || task->percent < WASTE_PERCENT))
         sched_order_stop (sched, task, "tail_over_target");
     }
 }
 
+/* Tasks that fill are slowed down while a serving task is over its target, and get their share
+ * back step by step. */
+static void
+protect_serving (Sched *sched, SchedWorker *worker)
+{
+  int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
+
+  worker->worst_tail_percent = worst_tail_percent (worker);
+  if (worker->n_serving == 0 || worker->fill_cpu_m == 0)
+    {
+      if (worker->fill_pace < 100 && worker->n_serving == 0)
+        pace_fills (sched, worker, 100);
+      else if (worker->fill_cpu_m == 0)
+        worker->fill_pace = 100;
+      return;
+    }
+  if (worker->worst_tail_percent > 100 && since_ms >= PACE_DOWN_MS)
+    {
+      worker->fill_after_us = sched->now_us + FILL_PAUSE_MS * 1000;
+      if (worker->fill_pace == 0)
+        stop_paced (sched, worker);
+      else
+        pace_fills (sched, worker, worker->fill_pace > PACE_LOW ? PACE_LOW : 0);
+    }
+  else if (worker->worst_tail_percent < PACE_UP_PERCENT && since_ms >= PACE_UP_MS
+           && worker->fill_pace < 100)
+    pace_fills (sched, worker, MIN (worker->fill_pace + PACE_LOW, 100));
+}
+
 void
 sched_care (Sched *sched)
 {
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -6,12 +6,17 @@
 #define COST_FAR 20000
 #define COST_FILL_BESIDE_SERVING 100000
 #define COST_SERVING_BESIDE_FILL 8000
-#define COST_SERVING_BESIDE_SERVING 4000
+#define COST_SERVING_ALONE 40000
 #define COST_AVOIDED 50000
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
+/** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
+#define FILL_PERCENT_MAX 115
+/** A worker whose serving tasks' tails are below this share of their targets, in percent, bears
+ * tasks that fill. */
+#define CALM_PERCENT 50
 
 typedef struct
 {
@@ -137,8 +142,21 @@
          && (step->per_worker_max == 0 || count_of_part (worker, part) < step->per_worker_max);
 }
 
+/* Tasks that fill share what the others leave; too many of them would all be late. */
 static gboolean
-has_room (const SchedWorker *worker, const SchedPart *part)
+has_room_to_fill (const Sched *sched, const SchedWorker *worker, const JobSize *size)
+{
+  int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m;
+
+  if (worker->fill_cpu_m + size->cpu_m > left_m * FILL_PERCENT_MAX / 100)
+    return FALSE;
+  return worker->n_serving == 0
+         || (worker->worst_tail_percent < CALM_PERCENT
+             && sched->now_us >= worker->fill_after_us);
+}
+
+static gboolean
+has_room (const Sched *sched, const SchedWorker *worker, const SchedPart *part)
 {
   const JobSize *size = &part->step->size;
   const JobSize *capacity = &worker->info->capacity;
@@ -146,7 +164,7 @@
 
   if (part->job->queue->priority > 0)
     cpu_m -= capacity->cpu_m / RESERVE_DIVISOR;
-  return (part->step->fills || size->cpu_m <= cpu_m)
+  return (part->step->fills ? has_room_to_fill (sched, worker, size) : size->cpu_m <= cpu_m)
          && size->mem_mb <= capacity->mem_mb - worker->used.mem_mb
          && size->gpus <= capacity->gpus - worker->used.gpus;
 }
@@ -168,14 +186,15 @@
     }
   else if (step->lasts)
     {
-      cost += worker->fill_cpu_m > 0 ? COST_SERVING_BESIDE_FILL : 0;
-      cost += (int64_t) worker->n_serving * COST_SERVING_BESIDE_SERVING;
+      /* Serving tasks keep together, so that other workers are left to tasks that fill. */
+      cost += worker->fill_cpu_m > 0 ? COST_SERVING_BESIDE_FILL + worker->fill_cpu_m : 0;
+      cost += worker->n_serving == 0 ? COST_SERVING_ALONE : 0;
       cost += worker->used.cpu_m / 4;
     }
   else
     {
       cost += worker->used.cpu_m + worker->fill_cpu_m;
-      cost -= worker->n_serving > 0 ? COST_SERVING_BESIDE_SERVING : 0;
+      cost -= worker->n_serving > 0 ? COST_SERVING_BESIDE_FILL : 0;
     }
   return cost;
 }
@@ -189,8 +208,7 @@
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      (void) sched;
-      if (!may_run (worker, task->part) || !has_room (worker, task->part))
+      if (!may_run (worker, task->part) || !has_room (sched, worker, task->part))
         continue;
       int64_t cost = cost_of (worker, task);
       if (best == NULL || cost < best_cost)
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -97,8 +97,10 @@
   JobSize used;       /**< processors without those of tasks that fill */
   int64_t fill_cpu_m; /**< wanted by tasks that fill */
   uint32_t n_serving;
-  int64_t over_since_us; /**< a serving task is over its target; 0: none */
-  int64_t calm_since_us; /**< all serving tasks are well under theirs; 0: not so */
+  int64_t worst_tail_percent; /**< largest tail of a serving task, of its target */
+  int64_t pace_us;       /**< when tasks that fill were last paced */
+  uint32_t fill_pace;    /**< percent at which tasks that fill may work here */
+  int64_t fill_after_us; /**< no task that fills starts beside the serving ones before */
   uint32_t fail_streak;
   int64_t shun_until_us; /**< nothing new before */
   int64_t shun_ms;       /**< length of the last shunning */
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -21,6 +21,7 @@
   worker->orders = g_ptr_array_new_with_free_func (order_free);
   worker->tasks = g_ptr_array_new ();
   worker->next_number = 1;
+  worker->fill_pace = 100;
   return worker;
 }
 
