--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -4,6 +4,9 @@
 
 #include "batch/sched_tables.h"
 
+/** Between two lines on how full the workers are. */
+#define ROOM_NOTE_MS 1000
+
 struct SchedFlush
 {
   GPtrArray *changes;  /**< SchedChange */
@@ -37,6 +40,7 @@
   sched->open = g_hash_table_new (NULL, NULL);
   sched->dirty = g_hash_table_new (NULL, NULL);
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
+  sched->pairs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->loads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return sched;
 }
@@ -47,6 +51,7 @@
   if (sched == NULL)
     return;
   g_hash_table_destroy (sched->loads);
+  g_hash_table_destroy (sched->pairs);
   g_hash_table_destroy (sched->workers);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
@@ -200,6 +205,40 @@
     }
 }
 
+/* One line a second on how full the workers are. */
+static void
+note_room (Sched *sched, uint32_t n_waiting)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  JobSize capacity = { 0 };
+  int64_t used_m = 0;
+  int64_t fill_m = 0;
+  int64_t left_m = 0;
+  uint32_t n_workers = 0;
+
+  if (sched->now_us - sched->room_noted_us < ROOM_NOTE_MS * 1000)
+    return;
+  sched->room_noted_us = sched->now_us;
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->report_us == 0)
+        continue;
+      n_workers++;
+      capacity.cpu_m += worker->info->capacity.cpu_m;
+      used_m += worker->used.cpu_m;
+      fill_m += worker->fill_cpu_m;
+      if (worker->n_serving == 0)
+        left_m += worker->info->capacity.cpu_m - worker->used.cpu_m - worker->fill_cpu_m;
+    }
+  sched_note (sched, "room", "-", "workers=%u cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
+              " fill_m=%" G_GINT64_FORMAT " left_without_serving_m=%" G_GINT64_FORMAT
+              " open_jobs=%u ready_tasks=%u", n_workers, capacity.cpu_m, used_m, fill_m, left_m,
+              g_hash_table_size (sched->open), n_waiting);
+}
+
 void
 sched_tick (Sched *sched, int64_t now_us, int64_t wall_ms)
 {
@@ -209,7 +248,7 @@
   settle (sched);
   update_jobs (sched);
   sched_care (sched);
-  sched_place (sched);
+  note_room (sched, sched_place (sched));
 }
 
 gboolean
--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -11,8 +11,10 @@
 #define PACE_UP_MS 1500
 /** Tasks that fill get more once the worst tail is below this percent of its target. */
 #define PACE_UP_PERCENT 60
-/** After a harm no task that fills starts beside those serving tasks for this long. */
-#define FILL_PAUSE_MS 8000
+/** Budget of tasks that fill beside serving ones: its first size as a share of the worker, and
+ * the time between two changes. */
+#define BUDGET_FIRST_DIVISOR 5
+#define BUDGET_STEP_MS 500
 /** A task without checkpoints is stopped only before this percent of its work. */
 #define WASTE_PERCENT 25
 
@@ -62,8 +64,9 @@
     }
 }
 
+/* Returns the largest tail in percent of its target, and blames what fills for each above it. */
 static int64_t
-worst_tail_percent (const SchedWorker *worker)
+look_at_tails (Sched *sched, const SchedWorker *worker)
 {
   int64_t worst = 0;
 
@@ -71,12 +74,36 @@
     {
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
       const JobStep *step = task->part->step;
-      if (step->lasts && step->tail_target_ms > 0 && task->percent >= 100)
-        worst = MAX (worst, task->figure * 100 / step->tail_target_ms);
+      if (!step->lasts || step->tail_target_ms <= 0 || task->percent < 100)
+        continue;
+      int64_t percent = task->figure * 100 / step->tail_target_ms;
+      worst = MAX (worst, percent);
+      if (percent > 100 && worker->fill_pace > 0
+          && sched->now_us - worker->pace_us >= PACE_DOWN_MS * 1000)
+        sched_pairs_blame (sched, worker, task);
     }
   return worst;
 }
 
+/* Beside serving tasks more may fill while all tails are well under their targets. */
+static void
+adjust_budget (Sched *sched, SchedWorker *worker)
+{
+  int64_t most_m = worker->info->capacity.cpu_m;
+  int64_t least_m = most_m / BUDGET_FIRST_DIVISOR;
+
+  if (worker->fill_budget_m == 0)
+    worker->fill_budget_m = least_m;
+  if (sched->now_us - worker->budget_us < BUDGET_STEP_MS * 1000)
+    return;
+  worker->budget_us = sched->now_us;
+  if (worker->worst_tail_percent > 100)
+    worker->fill_budget_m = MAX (worker->fill_budget_m / 2, least_m);
+  else if (worker->worst_tail_percent < PACE_UP_PERCENT
+           && worker->fill_cpu_m * 2 > worker->fill_budget_m)
+    worker->fill_budget_m = MIN (worker->fill_budget_m + least_m / 2, most_m);
+}
+
 static void
 pace_fills (Sched *sched, SchedWorker *worker, uint32_t percent)
 {
@@ -109,7 +136,8 @@
 {
   int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
 
-  worker->worst_tail_percent = worst_tail_percent (worker);
+  worker->worst_tail_percent = look_at_tails (sched, worker);
+  adjust_budget (sched, worker);
   if (worker->n_serving == 0 || worker->fill_cpu_m == 0)
     {
       if (worker->fill_pace < 100 && worker->n_serving == 0)
@@ -120,7 +148,6 @@
     }
   if (worker->worst_tail_percent > 100 && since_ms >= PACE_DOWN_MS)
     {
-      worker->fill_after_us = sched->now_us + FILL_PAUSE_MS * 1000;
       if (worker->fill_pace == 0)
         stop_paced (sched, worker);
       else
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -16,7 +16,9 @@
 #define FILL_PERCENT_MAX 115
 /** A worker whose serving tasks' tails are below this share of their targets, in percent, bears
  * tasks that fill. */
-#define CALM_PERCENT 50
+#define CALM_PERCENT 65
+/** Share of their reservation that serving tasks leave unused on average, in percent. */
+#define SERVING_IDLE_PERCENT 40
 
 typedef struct
 {
@@ -144,15 +146,18 @@
 
 /* Tasks that fill share what the others leave; too many of them would all be late. */
 static gboolean
-has_room_to_fill (const Sched *sched, const SchedWorker *worker, const JobSize *size)
+has_room_to_fill (const Sched *sched, const SchedWorker *worker, const SchedPart *part)
 {
-  int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m;
+  int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
+                   + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
+  int64_t wanted_m = worker->fill_cpu_m + part->step->size.cpu_m;
 
-  if (worker->fill_cpu_m + size->cpu_m > left_m * FILL_PERCENT_MAX / 100)
+  if (wanted_m > left_m * FILL_PERCENT_MAX / 100)
     return FALSE;
-  return worker->n_serving == 0
-         || (worker->worst_tail_percent < CALM_PERCENT
-             && sched->now_us >= worker->fill_after_us);
+  if (worker->n_serving == 0)
+    return TRUE;
+  return wanted_m <= worker->fill_budget_m && worker->fill_pace == 100
+         && worker->worst_tail_percent < CALM_PERCENT && !sched_pairs_harm (sched, worker, part);
 }
 
 static gboolean
@@ -164,7 +169,7 @@
 
   if (part->job->queue->priority > 0)
     cpu_m -= capacity->cpu_m / RESERVE_DIVISOR;
-  return (part->step->fills ? has_room_to_fill (sched, worker, size) : size->cpu_m <= cpu_m)
+  return (part->step->fills ? has_room_to_fill (sched, worker, part) : size->cpu_m <= cpu_m)
          && size->mem_mb <= capacity->mem_mb - worker->used.mem_mb
          && size->gpus <= capacity->gpus - worker->used.gpus;
 }
@@ -303,9 +308,10 @@
   return workers;
 }
 
-void
+uint32_t
 sched_place (Sched *sched)
 {
+  uint32_t n_left = 0;
   g_autoptr (GArray) turns = g_array_new (FALSE, FALSE, sizeof (Turn));
   g_autoptr (GPtrArray) workers = open_workers (sched);
   GHashTableIter iter;
@@ -322,5 +328,7 @@
         place_gang (sched, workers, part);
       else
         place_part (sched, workers, part);
+      n_left += part->n_waiting;
     }
+  return n_left;
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -100,7 +100,9 @@
   int64_t worst_tail_percent; /**< largest tail of a serving task, of its target */
   int64_t pace_us;       /**< when tasks that fill were last paced */
   uint32_t fill_pace;    /**< percent at which tasks that fill may work here */
-  int64_t fill_after_us; /**< no task that fills starts beside the serving ones before */
+  int64_t serving_cpu_m; /**< reserved for serving tasks, part of used */
+  int64_t fill_budget_m; /**< processors that tasks that fill may want beside serving ones */
+  int64_t budget_us;     /**< when the budget was last changed */
   uint32_t fail_streak;
   int64_t shun_until_us; /**< nothing new before */
   int64_t shun_ms;       /**< length of the last shunning */
@@ -120,8 +122,17 @@
   GHashTable *loads;   /**< queue name -> SchedLoad */
   int64_t now_us;
   int64_t wall_ms;
+  int64_t room_noted_us;
+  GHashTable *pairs; /**< "serving image/filling image" -> PairHarm */
 };
 
+/** What is remembered of a serving image beside a filling one. */
+typedef struct
+{
+  double score; /**< harms by this pair alone, fading */
+  int64_t at_us;
+} PairHarm;
+
 /* sched_jobs.c */
 void sched_job_free (gpointer data);
 SchedTask *sched_find_task (Sched *sched, const char *name);
@@ -149,11 +160,18 @@
 void sched_shun (Sched *sched, SchedWorker *worker, const char *reason);
 
 /* sched_place.c */
-void sched_place (Sched *sched);
+/* Returns how many tasks whose turn has come found no room. */
+uint32_t sched_place (Sched *sched);
 
 /* sched_care.c */
 void sched_care (Sched *sched);
 
+/* sched_pairs.c */
+/* A serving task of the worker was over its target beside those that fill there. */
+void sched_pairs_blame (Sched *sched, const SchedWorker *worker, const SchedTask *serving);
+/* Whether tasks of the part would harm what serves at the worker. */
+gboolean sched_pairs_harm (const Sched *sched, const SchedWorker *worker, const SchedPart *part);
+
 void sched_note (Sched *sched, const char *event, const char *job, const char *format, ...)
     G_GNUC_PRINTF (4, 5);
 
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -80,7 +80,10 @@
   worker->used.mem_mb += sign * step->size.mem_mb;
   worker->used.gpus += sign * step->size.gpus;
   if (step->lasts && step->tail_target_ms > 0)
-    worker->n_serving += (uint32_t) sign;
+    {
+      worker->n_serving += (uint32_t) sign;
+      worker->serving_cpu_m += sign * step->size.cpu_m;
+    }
 }
 
 void
