--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -19,6 +19,12 @@
 #define CALM_PERCENT 65
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 40
+/** A step whose turn came this long ago always has tasks at work, if less than this share of the
+ * processors is reserved, in percent: it would otherwise wait for others' benefit without end. */
+#define STARVED_MS 1000
+#define STARVED_USED_PERCENT 60
+/** Tasks that such a step has at work: with one alone there would be gaps between two. */
+#define STARVED_TASKS 2
 
 typedef struct
 {
@@ -167,7 +173,7 @@
   const JobSize *capacity = &worker->info->capacity;
   int64_t cpu_m = capacity->cpu_m - worker->used.cpu_m;
 
-  if (part->job->queue->priority > 0)
+  if (part->job->queue->priority > 0 && !part->step->lasts)
     cpu_m -= capacity->cpu_m / RESERVE_DIVISOR;
   return (part->step->fills ? has_room_to_fill (sched, worker, part) : size->cpu_m <= cpu_m)
          && size->mem_mb <= capacity->mem_mb - worker->used.mem_mb
@@ -292,6 +298,88 @@
     }
 }
 
+static uint32_t
+count_at_work (const SchedPart *part)
+{
+  uint32_t n_placed = 0;
+
+  for (uint32_t i = 0; i < part->step->n_tasks; i++)
+    n_placed += part->tasks[i].state == TASK_PLACED && !part->tasks[i].is_stopping;
+  return n_placed;
+}
+
+/* Whether the processors of a service are mostly unreserved. */
+static gboolean
+is_mostly_free (const GPtrArray *workers, const char *service)
+{
+  int64_t used_m = 0;
+  int64_t capacity_m = 0;
+
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const SchedWorker *worker = g_ptr_array_index (workers, i);
+      if (strcmp (worker->info->service, service) != 0)
+        continue;
+      used_m += worker->used.cpu_m;
+      capacity_m += worker->info->capacity.cpu_m;
+    }
+  return used_m * 100 < capacity_m * STARVED_USED_PERCENT;
+}
+
+static gboolean
+fits_plainly (const SchedWorker *worker, const JobStep *step)
+{
+  const JobSize *capacity = &worker->info->capacity;
+
+  return (step->fills || step->size.cpu_m <= capacity->cpu_m - worker->used.cpu_m)
+         && step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb
+         && step->size.gpus <= capacity->gpus - worker->used.gpus;
+}
+
+static void
+feed_starved (Sched *sched, const GPtrArray *workers, SchedPart *part)
+{
+  SchedWorker *best = NULL;
+  int64_t best_cost = 0;
+  uint32_t index = 0;
+
+  while (part->tasks[index].state != TASK_WAITING)
+    index++;
+  SchedTask *task = &part->tasks[index];
+  for (guint i = 0; i < workers->len; i++)
+    {
+      SchedWorker *worker = g_ptr_array_index (workers, i);
+      if (!may_run (worker, part) || !fits_plainly (worker, part->step))
+        continue;
+      int64_t cost = cost_of (worker, task)
+                     + (sched_pairs_harm (sched, worker, part) ? COST_FILL_BESIDE_SERVING : 0)
+                     + (worker->fill_pace < 100 ? COST_FILL_BESIDE_SERVING : 0);
+      if (best == NULL || cost < best_cost)
+        {
+          best = worker;
+          best_cost = cost;
+        }
+    }
+  if (best == NULL)
+    return;
+  task->run = next_run (sched, task);
+  sched_note (sched, "starved", part->job->id, "ready_ms=%" G_GINT64_FORMAT,
+              (sched->now_us - part->ready_us) / 1000);
+  sched_order_start (sched, best, task);
+}
+
+static void
+care_for_starved (Sched *sched, const GPtrArray *workers, SchedPart *part)
+{
+  if (part->ready_us == 0)
+    part->ready_us = sched->now_us;
+  if (part->n_waiting == 0 || part->step->is_gang || count_at_work (part) >= STARVED_TASKS)
+    return;
+  if (sched->now_us - part->ready_us >= STARVED_MS * 1000
+      && is_mostly_free (workers, part->job->queue->service))
+    feed_starved (sched, workers, part);
+}
+
 static GPtrArray *
 open_workers (Sched *sched)
 {
@@ -328,6 +416,7 @@
         place_gang (sched, workers, part);
       else
         place_part (sched, workers, part);
+      care_for_starved (sched, workers, part);
       n_left += part->n_waiting;
     }
   return n_left;
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -53,7 +53,7 @@
   uint32_t n_waiting;  /**< tasks in TASK_WAITING */
   SchedTask *tasks;    /**< step->n_tasks of them */
   GArray *failed;      /**< FailedRow */
-  int64_t ready_us;    /**< when its turn came; 0 before */
+  int64_t ready_us;    /**< when its turn was first seen to have come; 0: not yet */
 };
 
 typedef struct
