--- a/lib/batch/job.h
+++ b/lib/batch/job.h
@@ -29,27 +29,27 @@
 {
   uint32_t n_tasks;
   JobSize size;
-  int64_t estimate_ms; /**< rough duration of one task */
-  GArray *after;       /**< uint32_t: earlier steps that must be done first */
-  char *label;         /**< a label that the worker must have; NULL for any */
-  char *rack;          /**< rack of the step's data; NULL for none */
-  char *image;         /**< tasks of one image behave alike; NULL if not named */
+  int64_t estimate_ms;     /**< rough duration of one task */
+  GArray *after;           /**< uint32_t: earlier steps that must be done first */
+  char *label;             /**< a label that the worker must have; NULL for any */
+  char *rack;              /**< rack of the step's data; NULL for none */
+  char *image;             /**< tasks of one image behave alike; NULL if not named */
   uint32_t per_worker_max; /**< tasks of one occurrence on one worker; 0 for no limit */
   uint32_t may_miss;       /**< tasks that may be away at once through our doing; 0 for no rule */
   int64_t tail_target_ms;  /**< bound on the tail latency of a serving task; 0 for none */
   gboolean has_miss_rule;
-  gboolean saves;      /**< checkpoints its progress */
-  gboolean is_gang;    /**< the tasks work only together */
-  gboolean same_rack;  /**< a gang that is slower across racks */
-  gboolean may_race;   /**< copies of a task may run side by side */
-  gboolean lasts;      /**< runs until the job is cancelled */
-  gboolean fills;      /**< its processor share isn't reserved: it takes what others leave */
+  gboolean saves;     /**< checkpoints its progress */
+  gboolean is_gang;   /**< the tasks work only together */
+  gboolean same_rack; /**< a gang that is slower across racks */
+  gboolean may_race;  /**< copies of a task may run side by side */
+  gboolean lasts;     /**< runs until the job is cancelled */
+  gboolean fills;     /**< its processor share isn't reserved: it takes what others leave */
 } JobStep;
 
 typedef struct
 {
   char *spec;
-  GPtrArray *steps;  /**< JobStep, owned */
+  GPtrArray *steps;   /**< JobStep, owned */
   uint32_t n_repeats; /**< 0: runs once, at once */
   int64_t start_wall_ms;
   int64_t interval_ms;
--- a/lib/batch/queues.c
+++ b/lib/batch/queues.c
@@ -87,7 +87,8 @@
 queue_config_route (const QueueConfig *config, const char *host, const char *path)
 {
   const char *colon = strchr (host, ':');
-  g_autofree char *name = colon != NULL ? g_strndup (host, (gsize) (colon - host)) : g_strdup (host);
+  g_autofree char *name
+      = colon != NULL ? g_strndup (host, (gsize) (colon - host)) : g_strdup (host);
 
   for (size_t size = strlen (path); size > 0; size--)
     {
--- a/lib/batch/queues.h
+++ b/lib/batch/queues.h
@@ -21,11 +21,11 @@
 {
   char *name;
   char *host;
-  char *prefix;  /**< paths of its jobs begin with it */
-  char *service; /**< whose workers run the tasks */
+  char *prefix;      /**< paths of its jobs begin with it */
+  char *service;     /**< whose workers run the tasks */
   uint32_t priority; /**< 0 comes first */
   uint32_t attempts_max;
-  double stretch;    /**< objective: this many times the chain of work, and target_ms */
+  double stretch; /**< objective: this many times the chain of work, and target_ms */
   int64_t target_ms;
   int64_t timeout_ms;
   gboolean has_advice;
@@ -42,9 +42,9 @@
 typedef struct
 {
   int64_t version;
-  GPtrArray *queues;   /**< Queue, owned */
-  GPtrArray *services; /**< QueueService, owned */
-  GHashTable *by_name; /**< name -> Queue */
+  GPtrArray *queues;    /**< Queue, owned */
+  GPtrArray *services;  /**< QueueService, owned */
+  GHashTable *by_name;  /**< name -> Queue */
   GHashTable *by_place; /**< "host prefix" -> Queue */
 } QueueConfig;
 
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -9,9 +9,9 @@
 
 struct SchedFlush
 {
-  GPtrArray *changes;  /**< SchedChange */
-  GHashTable *jobs;    /**< SchedJob of the changes, as a set */
-  GHashTable *ends;    /**< agent name -> EndMark */
+  GPtrArray *changes; /**< SchedChange */
+  GHashTable *jobs;   /**< SchedJob of the changes, as a set */
+  GHashTable *ends;   /**< agent name -> EndMark */
 };
 
 typedef struct
@@ -40,7 +40,8 @@
   sched->open = g_hash_table_new (NULL, NULL);
   sched->dirty = g_hash_table_new (NULL, NULL);
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
-  sched->pairs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched->increases = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->loads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return sched;
 }
@@ -51,7 +52,8 @@
   if (sched == NULL)
     return;
   g_hash_table_destroy (sched->loads);
-  g_hash_table_destroy (sched->pairs);
+  g_hash_table_destroy (sched->increases);
+  g_hash_table_destroy (sched->durations);
   g_hash_table_destroy (sched->workers);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
@@ -233,10 +235,12 @@
       if (worker->n_serving == 0)
         left_m += worker->info->capacity.cpu_m - worker->used.cpu_m - worker->fill_cpu_m;
     }
-  sched_note (sched, "room", "-", "workers=%u cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
+  sched_note (sched, "room", "-",
+              "workers=%u cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
               " fill_m=%" G_GINT64_FORMAT " left_without_serving_m=%" G_GINT64_FORMAT
-              " open_jobs=%u ready_tasks=%u", n_workers, capacity.cpu_m, used_m, fill_m, left_m,
-              g_hash_table_size (sched->open), n_waiting);
+              " open_jobs=%u ready_tasks=%u",
+              n_workers, capacity.cpu_m, used_m, fill_m, left_m, g_hash_table_size (sched->open),
+              n_waiting);
 }
 
 void
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -28,13 +28,13 @@
 
 typedef struct
 {
-  int64_t fresh_ms;      /**< starts go only to agents that reported within this time */
-  int64_t lapse_ms;      /**< after an agent's newest report: what its worker ran has lapsed */
-  int64_t stop_grace_ms; /**< a worker needs up to this long to stop a task */
+  int64_t fresh_ms;        /**< starts go only to agents that reported within this time */
+  int64_t lapse_ms;        /**< after an agent's newest report: what its worker ran has lapsed */
+  int64_t stop_grace_ms;   /**< a worker needs up to this long to stop a task */
   int64_t gang_timeout_ms; /**< members of a gang wait this long for each other */
-  int64_t early_ms;      /**< an occurrence may start this much before its time */
-  int64_t harm_ms;       /**< a serving task may be over its target for this long */
-  double remote_factor;  /**< a task takes this many times as long away from its data */
+  int64_t early_ms;        /**< an occurrence may start this much before its time */
+  int64_t harm_ms;         /**< a serving task may be over its target for this long */
+  double remote_factor;    /**< a task takes this many times as long away from its data */
   /** Notes a decision for the log; @p text is "key=value ..." of the inputs. */
   void (*note) (void *ctx, const char *event, const char *job, const char *text);
   void *ctx;
@@ -60,9 +60,9 @@
   const char *id;
   const char *queue;
   int64_t accepted_wall_ms;
-  JobSpec *spec;                  /**< taken */
+  JobSpec *spec;                   /**< taken */
   const Batch__Progress *progress; /**< NULL for none */
-  gboolean is_old;                /**< an earlier owner may have started it */
+  gboolean is_old;                 /**< an earlier owner may have started it */
 } SchedNewJob;
 
 /** Adds a job; one that is known already only frees the spec. */
@@ -75,7 +75,8 @@
 void sched_add_agent (Sched *sched, const char *name);
 
 /** Takes what an agent says of its worker. */
-void sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us);
+void
+sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us);
 
 /** Decides; call it after inputs and about every 100 ms. */
 void sched_tick (Sched *sched, int64_t now_us, int64_t wall_ms);
--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -8,13 +8,13 @@
 #define PACE_LOW 30
 /** Between two steps: tails are measured over half a second and told half a second later. */
 #define PACE_DOWN_MS 900
-#define PACE_UP_MS 1500
-/** Tasks that fill get more once the worst tail is below this percent of its target. */
-#define PACE_UP_PERCENT 60
-/** Budget of tasks that fill beside serving ones: its first size as a share of the worker, and
- * the time between two changes. */
-#define BUDGET_FIRST_DIVISOR 5
-#define BUDGET_STEP_MS 500
+#define PACE_UP_MS 1000
+/** Tasks that fill get more once the worst tail is below this percent of its target, and are slowed
+ * down to this one. */
+#define PACE_UP_PERCENT 65
+#define PACE_GOAL_PERCENT 80.0
+/** Tasks that fill are not the cause of a tail to which they add less than this, in percent. */
+#define BLAME_PERCENT 6.0
 /** A task without checkpoints is stopped only before this percent of its work. */
 #define WASTE_PERCENT 25
 
@@ -64,98 +64,122 @@
     }
 }
 
-/* Returns the largest tail in percent of its target, and blames what fills for each above it. */
-static int64_t
-look_at_tails (Sched *sched, const SchedWorker *worker)
+/* The serving task that is furthest over its target through tasks that fill, or NULL. */
+static SchedTask *
+worst_harmed (Sched *sched, const SchedWorker *worker)
 {
-  int64_t worst = 0;
+  SchedTask *worst = NULL;
 
   for (guint i = 0; i < worker->tasks->len; i++)
     {
-      const SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      const JobStep *step = task->part->step;
-      if (!step->lasts || step->tail_target_ms <= 0 || task->percent < 100)
-        continue;
-      int64_t percent = task->figure * 100 / step->tail_target_ms;
-      worst = MAX (worst, percent);
-      if (percent > 100 && worker->fill_pace > 0
-          && sched->now_us - worker->pace_us >= PACE_DOWN_MS * 1000)
-        sched_pairs_blame (sched, worker, task);
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (sched_is_serving (task) && sched_tail_percent (task) > 100
+          && sched_tails_shares (sched, worker, task) >= BLAME_PERCENT
+          && (worst == NULL || sched_tail_percent (task) > sched_tail_percent (worst)))
+        worst = task;
     }
   return worst;
 }
 
-/* Beside serving tasks more may fill while all tails are well under their targets. */
-static void
-adjust_budget (Sched *sched, SchedWorker *worker)
+static SchedTask *
+largest_share (Sched *sched, const SchedWorker *worker, const SchedTask *serving)
 {
-  int64_t most_m = worker->info->capacity.cpu_m;
-  int64_t least_m = most_m / BUDGET_FIRST_DIVISOR;
+  SchedTask *largest = NULL;
+  double most = 0;
 
-  if (worker->fill_budget_m == 0)
-    worker->fill_budget_m = least_m;
-  if (sched->now_us - worker->budget_us < BUDGET_STEP_MS * 1000)
-    return;
-  worker->budget_us = sched->now_us;
-  if (worker->worst_tail_percent > 100)
-    worker->fill_budget_m = MAX (worker->fill_budget_m / 2, least_m);
-  else if (worker->worst_tail_percent < PACE_UP_PERCENT
-           && worker->fill_cpu_m * 2 > worker->fill_budget_m)
-    worker->fill_budget_m = MIN (worker->fill_budget_m + least_m / 2, most_m);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (!task->part->step->fills || task->is_stopping || task->pace == 0)
+        continue;
+      double share = sched_tail_share (sched, serving, task);
+      if (largest == NULL || share > most)
+        {
+          largest = task;
+          most = share;
+        }
+    }
+  return largest;
 }
 
+/* Slows the tasks that add most to a tail, until the rest should be below the target. */
 static void
-pace_fills (Sched *sched, SchedWorker *worker, uint32_t percent)
+slow_fills (Sched *sched, SchedWorker *worker, const SchedTask *serving)
 {
-  worker->fill_pace = percent;
+  double excess = (double) sched_tail_percent (serving) - PACE_GOAL_PERCENT;
+  SchedTask *task = NULL;
+
   worker->pace_us = sched->now_us;
-  for (guint i = 0; i < worker->tasks->len; i++)
+  while (excess > 0 && (task = largest_share (sched, worker, serving)) != NULL)
     {
-      SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (task->part->step->fills && !task->is_stopping)
-        sched_order_pace (sched, task, percent);
+      double before = sched_tail_share (sched, serving, task);
+      sched_order_pace (sched, task, task->pace > PACE_LOW ? PACE_LOW : 0);
+      excess -= MAX (before - sched_tail_share (sched, serving, task), 1.0);
     }
 }
 
-/* Tasks that can go on elsewhere from a checkpoint need not wait here. */
+/* A task that stands still here goes on elsewhere, if little of it is lost. */
 static void
 stop_paced (Sched *sched, SchedWorker *worker)
 {
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (task->part->step->fills && (task->part->step->saves || task->percent < WASTE_PERCENT))
+      if (task->part->step->fills && task->pace == 0
+          && sched->now_us - task->pace_us >= PACE_UP_MS * 1000
+          && (task->part->step->saves || task->percent < WASTE_PERCENT)
+          && sched_has_place (sched, task))
         sched_order_stop (sched, task, "tail_over_target");
     }
 }
 
-/* Tasks that fill are slowed down while a serving task is over its target, and get their share
- * back step by step. */
+/* Gives one slowed task a larger share again. */
 static void
-protect_serving (Sched *sched, SchedWorker *worker)
+restore_pace (Sched *sched, SchedWorker *worker)
 {
-  int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
+  SchedTask *slowest = NULL;
 
-  worker->worst_tail_percent = look_at_tails (sched, worker);
-  adjust_budget (sched, worker);
-  if (worker->n_serving == 0 || worker->fill_cpu_m == 0)
+  for (guint i = 0; i < worker->tasks->len; i++)
     {
-      if (worker->fill_pace < 100 && worker->n_serving == 0)
-        pace_fills (sched, worker, 100);
-      else if (worker->fill_cpu_m == 0)
-        worker->fill_pace = 100;
-      return;
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->part->step->fills && !task->is_stopping && task->pace < 100
+          && (slowest == NULL || task->pace < slowest->pace))
+        slowest = task;
     }
-  if (worker->worst_tail_percent > 100 && since_ms >= PACE_DOWN_MS)
+  if (slowest == NULL)
+    return;
+  worker->pace_us = sched->now_us;
+  sched_order_pace (sched, slowest, MIN (slowest->pace + PACE_LOW * 2, 100));
+}
+
+static int64_t
+worst_tail (const SchedWorker *worker)
+{
+  int64_t worst = 0;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
     {
-      if (worker->fill_pace == 0)
-        stop_paced (sched, worker);
-      else
-        pace_fills (sched, worker, worker->fill_pace > PACE_LOW ? PACE_LOW : 0);
+      const SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (sched_is_serving (task))
+        worst = MAX (worst, sched_tail_percent (task));
     }
-  else if (worker->worst_tail_percent < PACE_UP_PERCENT && since_ms >= PACE_UP_MS
-           && worker->fill_pace < 100)
-    pace_fills (sched, worker, MIN (worker->fill_pace + PACE_LOW, 100));
+  return worst;
+}
+
+static void
+protect_serving (Sched *sched, SchedWorker *worker)
+{
+  int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
+  SchedTask *harmed = NULL;
+
+  if (worker->fill_cpu_m == 0)
+    return;
+  harmed = worst_harmed (sched, worker);
+  if (harmed != NULL && since_ms >= PACE_DOWN_MS)
+    slow_fills (sched, worker, harmed);
+  else if (harmed == NULL && since_ms >= PACE_UP_MS && worst_tail (worker) < PACE_UP_PERCENT)
+    restore_pace (sched, worker);
+  stop_paced (sched, worker);
 }
 
 void
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -120,8 +120,7 @@
 
   while (job->occurrences_made < n_occurrences)
     {
-      if (job->spec->n_repeats > 0
-          && due_wall_ms (job, job->occurrences_made) > sched->wall_ms)
+      if (job->spec->n_repeats > 0 && due_wall_ms (job, job->occurrences_made) > sched->wall_ms)
         return;
       make_occurrence (job);
     }
@@ -272,9 +271,9 @@
   sched_mark_dirty (sched, job);
   if (sched_job_is_open (job) && job->queue != NULL && task->n_failed >= job->queue->attempts_max)
     {
-      sched_note (sched, "attempts_spent", job->id, "task=%u.%u.%u run=%" G_GINT64_FORMAT
-                  " failures=%u", task->part->occurrence, task->part->step_index, task->index,
-                  run, task->n_failed);
+      sched_note (sched, "attempts_spent", job->id,
+                  "task=%u.%u.%u run=%" G_GINT64_FORMAT " failures=%u", task->part->occurrence,
+                  task->part->step_index, task->index, run, task->n_failed);
       sched_end_job (sched, job, SCHED_FAILED);
     }
 }
--- /dev/null
+++ b/lib/batch/sched_learn.c
@@ -0,0 +1,74 @@
+/*
+ * Durations of tasks. Declared estimates may be far off, so each queue learns how far: what is used
+ * is the corrected estimate or the queue's usual duration, whichever came closer so far.
+ */
+#include <math.h>
+
+#include "batch/sched_tables.h"
+
+/** Weight of a new duration. */
+#define RATE 0.08
+/** A task without an estimate counts as this long. */
+#define DEFAULT_MS 1000.0
+/** Durations below this are noise of reports. */
+#define LEAST_MS 20.0
+
+static SchedDurations *
+durations_of (const Sched *sched, const char *queue)
+{
+  SchedDurations *row = g_hash_table_lookup (sched->durations, queue);
+
+  if (row == NULL)
+    {
+      row = g_new0 (SchedDurations, 1);
+      g_hash_table_insert (sched->durations, g_strdup (queue), row);
+    }
+  return row;
+}
+
+static double
+declared_ms (const JobStep *step)
+{
+  return step->estimate_ms > 0 ? (double) step->estimate_ms : DEFAULT_MS;
+}
+
+void
+sched_learn_duration (const Sched *sched, SchedTask *task, int64_t took_ms)
+{
+  SchedPart *part = task->part;
+  SchedDurations *row = durations_of (sched, part->job->queue_name);
+  double log_ms = log (MAX ((double) took_ms, LEAST_MS));
+  double log_ratio = log_ms - log (declared_ms (part->step));
+
+  part->n_timed++;
+  part->timed_ms += took_ms;
+  if (row->count == 0)
+    {
+      row->log_ms = log_ms;
+      row->log_ratio = log_ratio;
+    }
+  row->count++;
+  row->ms_error += RATE * (fabs (log_ms - row->log_ms) - row->ms_error);
+  row->ratio_error += RATE * (fabs (log_ratio - row->log_ratio) - row->ratio_error);
+  row->log_ms += RATE * (log_ms - row->log_ms);
+  row->log_ratio += RATE * (log_ratio - row->log_ratio);
+}
+
+int64_t
+sched_expected_ms (const Sched *sched,
+                   const SchedJob *job,
+                   uint32_t occurrence,
+                   uint32_t step_index)
+{
+  const JobStep *step = g_ptr_array_index (job->spec->steps, step_index);
+  const SchedPart *part = sched_find_part (job, occurrence, step_index);
+  const SchedDurations *row = g_hash_table_lookup (sched->durations, job->queue_name);
+
+  if (part != NULL && part->n_timed > 0)
+    return part->timed_ms / part->n_timed;
+  if (row == NULL)
+    return (int64_t) declared_ms (step);
+  if (row->ratio_error <= row->ms_error)
+    return (int64_t) (declared_ms (step) * exp (row->log_ratio));
+  return (int64_t) exp (row->log_ms);
+}
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -8,15 +8,15 @@
 #define COST_SERVING_BESIDE_FILL 8000
 #define COST_SERVING_ALONE 40000
 #define COST_AVOIDED 50000
+#define COST_TAIL_PERCENT 1000
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
 #define FILL_PERCENT_MAX 115
-/** A worker whose serving tasks' tails are below this share of their targets, in percent, bears
- * tasks that fill. */
-#define CALM_PERCENT 65
+/** Tasks that fill start beside serving ones only if tails stay below this percent of targets. */
+#define TAIL_PERCENT_MAX 80
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 40
 /** A step whose turn came this long ago always has tasks at work, if less than this share of the
@@ -34,18 +34,12 @@
   int64_t deadline_ms;
 } Turn;
 
-static int64_t
-step_ms (const JobStep *step)
-{
-  return MAX (step->estimate_ms, 1);
-}
-
 /* Longest chain of estimated work; of what is left only, if @p is_left. */
 static int64_t
-chain_ms (const SchedJob *job, uint32_t occurrence, gboolean is_left)
+chain_ms (const Sched *sched, const SchedJob *job, uint32_t occurrence, gboolean is_left)
 {
   uint32_t n_steps = job->spec->steps->len;
-  g_autofree int64_t *ends = g_new0 (int64_t, n_steps);
+  int64_t ends[JOB_STEPS_MAX] = { 0 };
   int64_t longest = 0;
 
   for (uint32_t i = 0; i < n_steps; i++)
@@ -56,7 +50,7 @@
       for (guint k = 0; k < step->after->len; k++)
         begin = MAX (begin, ends[g_array_index (step->after, uint32_t, k)]);
       gboolean is_done = part != NULL && part->n_done == step->n_tasks;
-      ends[i] = begin + (is_left && is_done ? 0 : step_ms (step));
+      ends[i] = begin + (is_left && is_done ? 0 : sched_expected_ms (sched, job, occurrence, i));
       longest = MAX (longest, ends[i]);
     }
   return longest;
@@ -80,9 +74,10 @@
 
   turn.deadline_ms
       = origin_wall_ms (part) + job->queue->target_ms
-        + (int64_t) (job->queue->stretch * (double) chain_ms (job, part->occurrence, FALSE));
-  turn.is_late = !part->step->lasts
-                 && sched->wall_ms + chain_ms (job, part->occurrence, TRUE) > turn.deadline_ms;
+        + (int64_t) (job->queue->stretch * (double) chain_ms (sched, job, part->occurrence, FALSE));
+  turn.is_late
+      = !part->step->lasts
+        && sched->wall_ms + chain_ms (sched, job, part->occurrence, TRUE) > turn.deadline_ms;
   return turn;
 }
 
@@ -152,30 +147,28 @@
 
 /* Tasks that fill share what the others leave; too many of them would all be late. */
 static gboolean
-has_room_to_fill (const Sched *sched, const SchedWorker *worker, const SchedPart *part)
+has_room_to_fill (Sched *sched, const SchedWorker *worker, const SchedTask *task)
 {
   int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
                    + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
-  int64_t wanted_m = worker->fill_cpu_m + part->step->size.cpu_m;
-
-  if (wanted_m > left_m * FILL_PERCENT_MAX / 100)
-    return FALSE;
-  if (worker->n_serving == 0)
-    return TRUE;
-  return wanted_m <= worker->fill_budget_m && worker->fill_pace == 100
-         && worker->worst_tail_percent < CALM_PERCENT && !sched_pairs_harm (sched, worker, part);
+  int64_t wanted_m = worker->fill_cpu_m + task->part->step->size.cpu_m;
+
+  return wanted_m <= left_m * FILL_PERCENT_MAX / 100
+         && (worker->n_serving == 0
+             || sched_tails_expected (sched, worker, task) <= TAIL_PERCENT_MAX);
 }
 
 static gboolean
-has_room (const Sched *sched, const SchedWorker *worker, const SchedPart *part)
+has_room (Sched *sched, const SchedWorker *worker, const SchedTask *task)
 {
+  const SchedPart *part = task->part;
   const JobSize *size = &part->step->size;
   const JobSize *capacity = &worker->info->capacity;
   int64_t cpu_m = capacity->cpu_m - worker->used.cpu_m;
 
   if (part->job->queue->priority > 0 && !part->step->lasts)
     cpu_m -= capacity->cpu_m / RESERVE_DIVISOR;
-  return (part->step->fills ? has_room_to_fill (sched, worker, part) : size->cpu_m <= cpu_m)
+  return (part->step->fills ? has_room_to_fill (sched, worker, task) : size->cpu_m <= cpu_m)
          && size->mem_mb <= capacity->mem_mb - worker->used.mem_mb
          && size->gpus <= capacity->gpus - worker->used.gpus;
 }
@@ -211,7 +204,7 @@
 }
 
 static SchedWorker *
-choose (const Sched *sched, const GPtrArray *workers, const SchedTask *task)
+choose (Sched *sched, const GPtrArray *workers, const SchedTask *task)
 {
   SchedWorker *best = NULL;
   int64_t best_cost = 0;
@@ -219,7 +212,7 @@
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!may_run (worker, task->part) || !has_room (sched, worker, task->part))
+      if (!may_run (worker, task->part) || !has_room (sched, worker, task))
         continue;
       int64_t cost = cost_of (worker, task);
       if (best == NULL || cost < best_cost)
@@ -351,9 +344,9 @@
       SchedWorker *worker = g_ptr_array_index (workers, i);
       if (!may_run (worker, part) || !fits_plainly (worker, part->step))
         continue;
-      int64_t cost = cost_of (worker, task)
-                     + (sched_pairs_harm (sched, worker, part) ? COST_FILL_BESIDE_SERVING : 0)
-                     + (worker->fill_pace < 100 ? COST_FILL_BESIDE_SERVING : 0);
+      int64_t cost = cost_of (worker, task);
+      if (part->step->fills)
+        cost += (int64_t) sched_tails_expected (sched, worker, task) * COST_TAIL_PERCENT;
       if (best == NULL || cost < best_cost)
         {
           best = worker;
@@ -396,6 +389,15 @@
   return workers;
 }
 
+gboolean
+sched_has_place (Sched *sched, const SchedTask *task)
+{
+  g_autoptr (GPtrArray) workers = open_workers (sched);
+
+  (void) g_ptr_array_remove_fast (workers, task->worker);
+  return choose (sched, workers, task) != NULL;
+}
+
 uint32_t
 sched_place (Sched *sched)
 {
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -76,6 +76,8 @@
         sched_order_stop (sched, task, "done_elsewhere");
       worker->fail_streak = 0;
       worker->shun_ms = 0;
+      if (is_ours && task->order_number != 0 && task->pace_us == 0 && *task->saved == '\0')
+        sched_learn_duration (sched, task, (sched->now_us - task->placed_us) / 1000);
       sched_task_done (sched, task);
       return;
     }
@@ -188,9 +190,10 @@
       /* The order went with the old life; the stop is given again if the task still runs. */
       task->is_stopping = FALSE;
     }
-  sched_note (sched, "worker_found", "-", "worker=%s boot=%" G_GUINT64_FORMAT " life=%"
-              G_GUINT64_FORMAT " running=%zu ended=%zu", worker->name, report->boot, report->life,
-              report->n_running, report->n_ended);
+  sched_note (sched, "worker_found", "-",
+              "worker=%s boot=%" G_GUINT64_FORMAT " life=%" G_GUINT64_FORMAT
+              " running=%zu ended=%zu",
+              worker->name, report->boot, report->life, report->n_running, report->n_ended);
 }
 
 static void
@@ -248,4 +251,5 @@
   for (size_t i = 0; i < report->n_running; i++)
     take_running (sched, worker, report->running[i]);
   drop_unlisted (worker);
+  sched_tails_learn (sched, worker);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -26,20 +26,22 @@
   SchedPart *part;
   uint32_t index;
   TaskState state;
-  int64_t run;          /**< highest that was used */
+  int64_t run; /**< highest that was used */
   uint32_t n_failed;
-  SchedWorker *worker;  /**< of a placed task */
+  SchedWorker *worker;   /**< of a placed task */
   uint64_t order_number; /**< of its start; 0 for one that was found running */
   int64_t placed_us;
   int64_t percent;
-  int64_t percent_us;   /**< when the percent last changed */
+  int64_t percent_us; /**< when the percent last changed */
   int64_t figure;
-  uint32_t pace;        /**< percent that it may work at */
+  uint32_t pace;    /**< percent that it may work at */
+  int64_t pace_us;  /**< when that was last changed; 0: never */
+  double base_tail; /**< of a serving task: tail without neighbours, percent of its target */
   gboolean is_starting;
   gboolean is_stopping;
-  gboolean is_listed;   /**< scratch of one report */
+  gboolean is_listed; /**< scratch of one report */
   char *saved;
-  SchedWorker *avoid;   /**< where it last failed or stood still */
+  SchedWorker *avoid; /**< where it last failed or stood still */
 };
 
 /** One step of one occurrence. */
@@ -50,10 +52,12 @@
   uint32_t occurrence;
   uint32_t step_index;
   uint32_t n_done;
-  uint32_t n_waiting;  /**< tasks in TASK_WAITING */
-  SchedTask *tasks;    /**< step->n_tasks of them */
-  GArray *failed;      /**< FailedRow */
-  int64_t ready_us;    /**< when its turn was first seen to have come; 0: not yet */
+  uint32_t n_waiting; /**< tasks in TASK_WAITING */
+  SchedTask *tasks;   /**< step->n_tasks of them */
+  GArray *failed;     /**< FailedRow */
+  uint32_t n_timed;   /**< tasks that ran through at full pace */
+  int64_t timed_ms;   /**< sum of their durations */
+  int64_t ready_us;   /**< when its turn was first seen to have come; 0: not yet */
 };
 
 typedef struct
@@ -62,6 +66,16 @@
   int64_t run;
 } FailedRow;
 
+/** What a queue's tasks took, against what was declared; see sched_learn.c. */
+typedef struct
+{
+  uint32_t count;
+  double log_ms;
+  double log_ratio;
+  double ms_error;
+  double ratio_error;
+} SchedDurations;
+
 struct SchedJob
 {
   char *id;
@@ -79,16 +93,16 @@
 
 struct SchedWorker
 {
-  char *name;         /**< of its agent */
-  WorkerInfo *info;   /**< NULL before its first report */
+  char *name;       /**< of its agent */
+  WorkerInfo *info; /**< NULL before its first report */
   uint64_t boot;
-  uint64_t life;      /**< 0: not known */
-  int64_t report_us;  /**< when the newest report came; 0: none in this term */
-  int64_t clock_us;   /**< of the agent in that report */
+  uint64_t life;     /**< 0: not known */
+  int64_t report_us; /**< when the newest report came; 0: none in this term */
+  int64_t clock_us;  /**< of the agent in that report */
   uint64_t done_number;
   uint64_t next_number;
-  GPtrArray *orders;  /**< Batch__Order not carried out yet, owned */
-  gboolean has_news;  /**< something has to be said */
+  GPtrArray *orders; /**< Batch__Order not carried out yet, owned */
+  gboolean has_news; /**< something has to be said */
   int64_t ends_taken;
   int64_t ends_kept;
   gboolean is_leaving;
@@ -97,12 +111,8 @@
   JobSize used;       /**< processors without those of tasks that fill */
   int64_t fill_cpu_m; /**< wanted by tasks that fill */
   uint32_t n_serving;
-  int64_t worst_tail_percent; /**< largest tail of a serving task, of its target */
-  int64_t pace_us;       /**< when tasks that fill were last paced */
-  uint32_t fill_pace;    /**< percent at which tasks that fill may work here */
   int64_t serving_cpu_m; /**< reserved for serving tasks, part of used */
-  int64_t fill_budget_m; /**< processors that tasks that fill may want beside serving ones */
-  int64_t budget_us;     /**< when the budget was last changed */
+  int64_t pace_us;       /**< when tasks that fill were last paced */
   uint32_t fail_streak;
   int64_t shun_until_us; /**< nothing new before */
   int64_t shun_ms;       /**< length of the last shunning */
@@ -119,20 +129,14 @@
   GHashTable *workers; /**< agent name -> SchedWorker */
   GHashTable *dirty;   /**< SchedJob whose progress has to be written */
   gboolean has_new_ends;
-  GHashTable *loads;   /**< queue name -> SchedLoad */
+  GHashTable *loads;     /**< queue name -> SchedLoad */
+  GHashTable *durations; /**< queue name -> SchedDurations */
   int64_t now_us;
   int64_t wall_ms;
   int64_t room_noted_us;
-  GHashTable *pairs; /**< "serving image/filling image" -> PairHarm */
+  GHashTable *increases; /**< "serving image/filling image" -> double, see sched_tails.c */
 };
 
-/** What is remembered of a serving image beside a filling one. */
-typedef struct
-{
-  double score; /**< harms by this pair alone, fading */
-  int64_t at_us;
-} PairHarm;
-
 /* sched_jobs.c */
 void sched_job_free (gpointer data);
 SchedTask *sched_find_task (Sched *sched, const char *name);
@@ -163,14 +167,33 @@
 /* Returns how many tasks whose turn has come found no room. */
 uint32_t sched_place (Sched *sched);
 
+/* Whether another worker than its own would take the task now. */
+gboolean sched_has_place (Sched *sched, const SchedTask *task);
+
 /* sched_care.c */
 void sched_care (Sched *sched);
 
-/* sched_pairs.c */
-/* A serving task of the worker was over its target beside those that fill there. */
-void sched_pairs_blame (Sched *sched, const SchedWorker *worker, const SchedTask *serving);
-/* Whether tasks of the part would harm what serves at the worker. */
-gboolean sched_pairs_harm (const Sched *sched, const SchedWorker *worker, const SchedPart *part);
+/* sched_learn.c */
+/* A task ran through in one run at full pace. */
+void sched_learn_duration (const Sched *sched, SchedTask *task, int64_t took_ms);
+/* What one task of the step takes, by what was learned. */
+int64_t sched_expected_ms (const Sched *sched,
+                           const SchedJob *job,
+                           uint32_t occurrence,
+                           uint32_t step_index);
+
+/* sched_tails.c */
+gboolean sched_is_serving (const SchedTask *task);
+/* Reported tail in percent of its target; 0 while none is known. */
+int64_t sched_tail_percent (const SchedTask *serving);
+/* Learns from the newest report of the worker. */
+void sched_tails_learn (Sched *sched, const SchedWorker *worker);
+/* What a task that fills adds to a serving task's tail, in percent of its target. */
+double sched_tail_share (Sched *sched, const SchedTask *serving, const SchedTask *fill);
+/* Sum of those shares of all that fill at the worker. */
+double sched_tails_shares (Sched *sched, const SchedWorker *worker, const SchedTask *serving);
+/* Largest tail at the worker that one more task that fills would increase, with that increase. */
+double sched_tails_expected (Sched *sched, const SchedWorker *worker, const SchedTask *added);
 
 void sched_note (Sched *sched, const char *event, const char *job, const char *format, ...)
     G_GNUC_PRINTF (4, 5);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -21,7 +21,6 @@
   worker->orders = g_ptr_array_new_with_free_func (order_free);
   worker->tasks = g_ptr_array_new ();
   worker->next_number = 1;
-  worker->fill_pace = 100;
   return worker;
 }
 
@@ -79,7 +78,7 @@
     worker->used.cpu_m += sign * step->size.cpu_m;
   worker->used.mem_mb += sign * step->size.mem_mb;
   worker->used.gpus += sign * step->size.gpus;
-  if (step->lasts && step->tail_target_ms > 0)
+  if (sched_is_serving (task))
     {
       worker->n_serving += (uint32_t) sign;
       worker->serving_cpu_m += sign * step->size.cpu_m;
@@ -98,6 +97,8 @@
   task->percent_us = now_us;
   task->figure = 0;
   task->pace = 100;
+  task->pace_us = 0;
+  task->base_tail = 0;
   task->is_starting = TRUE;
   task->is_stopping = FALSE;
   g_ptr_array_add (worker->tasks, task);
@@ -107,8 +108,11 @@
 void
 sched_detach (SchedTask *task, TaskState state)
 {
-  account (task->worker, task, -1);
-  (void) g_ptr_array_remove_fast (task->worker->tasks, task);
+  SchedWorker *worker = task->worker;
+
+  g_assert (worker != NULL);
+  account (worker, task, -1);
+  (void) g_ptr_array_remove_fast (worker->tasks, task);
   task->worker = NULL;
   task->state = state;
   task->order_number = 0;
@@ -162,7 +166,7 @@
 {
   g_autofree char *name = sched_task_name (task);
 
-  if (task->is_stopping)
+  if (task->is_stopping || task->worker == NULL)
     return;
   task->is_stopping = TRUE;
   sched_order_stop_run (task->worker, name, task->run);
@@ -186,6 +190,7 @@
   order->pace->run = task->run;
   order->pace->percent = percent;
   task->pace = percent;
+  task->pace_us = sched->now_us;
   sched_note (sched, "pace", task->part->job->id, "task=%s worker=%s percent=%u", name,
               task->worker->name, percent);
 }
@@ -193,9 +198,9 @@
 void
 sched_lose_worker (Sched *sched, SchedWorker *worker, const char *reason)
 {
-  sched_note (sched, "worker_lost", "-", "worker=%s reason=%s tasks=%u report_age_ms=%"
-              G_GINT64_FORMAT, worker->name, reason, worker->tasks->len,
-              (sched->now_us - worker->report_us) / 1000);
+  sched_note (sched, "worker_lost", "-",
+              "worker=%s reason=%s tasks=%u report_age_ms=%" G_GINT64_FORMAT, worker->name, reason,
+              worker->tasks->len, (sched->now_us - worker->report_us) / 1000);
   while (worker->tasks->len > 0)
     sched_detach (g_ptr_array_index (worker->tasks, 0), TASK_WAITING);
   g_ptr_array_set_size (worker->orders, 0);
@@ -210,6 +215,7 @@
 {
   worker->shun_ms = CLAMP (worker->shun_ms * 2, SHUN_FIRST_MS, SHUN_MAX_MS);
   worker->shun_until_us = sched->now_us + worker->shun_ms * 1000;
-  sched_note (sched, "worker_shunned", "-", "worker=%s reason=%s for_ms=%" G_GINT64_FORMAT
-              " failures=%u", worker->name, reason, worker->shun_ms, worker->fail_streak);
+  sched_note (sched, "worker_shunned", "-",
+              "worker=%s reason=%s for_ms=%" G_GINT64_FORMAT " failures=%u", worker->name, reason,
+              worker->shun_ms, worker->fail_streak);
 }
--- a/lib/batch/worker.h
+++ b/lib/batch/worker.h
@@ -14,8 +14,8 @@
   int64_t born_wall_ms; /**< start of this life of the worker; 0 if it doesn't say */
   char *service;
   char *data_centre;
-  char *instance;       /**< the instance that it is a life of; may be empty */
-  char **labels;        /**< NULL-terminated: kind, rack */
+  char *instance; /**< the instance that it is a life of; may be empty */
+  char **labels;  /**< NULL-terminated: kind, rack */
   JobSize capacity;
   gboolean is_draining;
   int64_t remaining_ms; /**< while draining: time that is left at least */
--- a/lib/common/line.h
+++ b/lib/common/line.h
@@ -20,8 +20,7 @@
 void line_open (const char *program, uint32_t lines_per_s_max);
 
 /** Adds a line. @p format gives the key=value pairs. */
-void line_add (const char *module, const char *event, const char *format, ...)
-    G_GNUC_PRINTF (3, 4);
+void line_add (const char *module, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
 
 /** Writes what waits, as far as the reader takes it. */
 void line_flush (void);
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -31,13 +31,13 @@
   char *task;
   int64_t run;
   RowState state;
-  int64_t settled_us;   /**< when the newest call for it was answered */
+  int64_t settled_us; /**< when the newest call for it was answered */
   gboolean stop_wanted;
   gboolean is_stopping; /**< a stop is under way */
   gboolean stop_answered;
   int64_t stop_again_us;
-  gboolean is_listed;   /**< runs by the newest look */
-  WorkerTask seen;      /**< of the newest look; texts owned */
+  gboolean is_listed; /**< runs by the newest look */
+  WorkerTask seen;    /**< of the newest look; texts owned */
 } Row;
 
 struct Keeper
@@ -51,18 +51,18 @@
   uint64_t epoch;
   uint64_t done_number;
   int64_t lease_end_us;
-  int64_t clock_ms;    /**< of the worker, at clock_us; -1: not known */
+  int64_t clock_ms; /**< of the worker, at clock_us; -1: not known */
   int64_t clock_us;
-  int64_t heard_us;    /**< when the newest look was answered */
-  GHashTable *rows;    /**< "task run" -> Row */
-  GArray *ended;       /**< WorkerEnd not forgotten yet */
-  int64_t seen;        /**< ends up to this one may be forgotten */
-  GArray *refused;     /**< RefusedRow */
+  int64_t heard_us; /**< when the newest look was answered */
+  GHashTable *rows; /**< "task run" -> Row */
+  GArray *ended;    /**< WorkerEnd not forgotten yet */
+  int64_t seen;     /**< ends up to this one may be forgotten */
+  GArray *refused;  /**< RefusedRow */
   gboolean is_looking;
   int64_t look_sent_us;
   int64_t look_again_us;
   gboolean is_leaving;
-  gboolean is_gone;    /**< the worker said that it ends */
+  gboolean is_gone; /**< the worker said that it ends */
 };
 
 typedef struct
@@ -134,8 +134,8 @@
   return keeper->options.now_us (keeper->options.ctx);
 }
 
-static void
-note (const Keeper *keeper, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
+static void note (const Keeper *keeper, const char *event, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
 
 static void
 note (const Keeper *keeper, const char *event, const char *format, ...)
@@ -682,8 +682,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Row *row = value;
-      if (row->stop_wanted && !row->is_stopping && !row->stop_answered
-          && row->state != ROW_STARTING && now >= row->stop_again_us)
+      if (row->stop_wanted && !row->is_stopping && !row->stop_answered && row->state != ROW_STARTING
+          && now >= row->stop_again_us)
         send_stop (keeper, row);
     }
 }
@@ -818,8 +818,7 @@
     report->running[report->n_running++] = report_running (value);
   report->ended = message_part (keeper->ended->len * sizeof *report->ended);
   for (guint i = 0; i < keeper->ended->len; i++)
-    report->ended[report->n_ended++]
-        = report_ended (&g_array_index (keeper->ended, WorkerEnd, i));
+    report->ended[report->n_ended++] = report_ended (&g_array_index (keeper->ended, WorkerEnd, i));
   report_refused (keeper, report);
   return report;
 }
--- a/lib/keeper/keeper.h
+++ b/lib/keeper/keeper.h
@@ -17,19 +17,34 @@
 
 typedef struct
 {
-  uint64_t boot;         /**< random for each process */
-  int64_t token;         /**< first fencing token; higher than those of earlier processes */
-  int64_t grant_ms;      /**< a grant lasts this long from the report that it echoes */
-  int64_t look_wait_ms;  /**< a look waits this long for an end */
+  uint64_t boot;           /**< random for each process */
+  int64_t token;           /**< first fencing token; higher than those of earlier processes */
+  int64_t grant_ms;        /**< a grant lasts this long from the report that it echoes */
+  int64_t look_wait_ms;    /**< a look waits this long for an end */
   int64_t call_timeout_ms; /**< of a call to the worker */
   int64_t (*now_us) (void *ctx);
-  void (*start) (void *ctx, const RunnerTarget *target, const RunnerStart *start, RunnerDone done,
+  void (*start) (void *ctx,
+                 const RunnerTarget *target,
+                 const RunnerStart *start,
+                 RunnerDone done,
                  void *done_ctx);
-  void (*stop) (void *ctx, const RunnerTarget *target, const char *task, int64_t run,
-                RunnerDone done, void *done_ctx);
-  void (*pace) (void *ctx, const RunnerTarget *target, const char *task, int64_t run,
-                int64_t percent, RunnerDone done, void *done_ctx);
-  void (*look) (void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done,
+  void (*stop) (void *ctx,
+                const RunnerTarget *target,
+                const char *task,
+                int64_t run,
+                RunnerDone done,
+                void *done_ctx);
+  void (*pace) (void *ctx,
+                const RunnerTarget *target,
+                const char *task,
+                int64_t run,
+                int64_t percent,
+                RunnerDone done,
+                void *done_ctx);
+  void (*look) (void *ctx,
+                const RunnerTarget *target,
+                const RunnerLook *look,
+                RunnerDone done,
                 void *done_ctx);
   /** Something changed that the owner should hear of. */
   void (*changed) (void *ctx);
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -14,8 +14,8 @@
 {
   FeedOptions options;
   gboolean is_loaded;
-  gboolean is_loading;  /**< pages of the newest records are being read */
-  int64_t load_end;     /**< end of the topic when the load began; -1 before its first page */
+  gboolean is_loading; /**< pages of the newest records are being read */
+  int64_t load_end;    /**< end of the topic when the load began; -1 before its first page */
   char *after_key;
   int64_t next;
   int64_t fresh_us;
@@ -143,8 +143,9 @@
     }
   hand_on (feed, answer);
   if (answer->records->len > 0)
-    feed->next = MAX (feed->next, g_array_index (answer->records, StoreRecord,
-                                                 answer->records->len - 1).offset + 1);
+    feed->next
+        = MAX (feed->next,
+               g_array_index (answer->records, StoreRecord, answer->records->len - 1).offset + 1);
   take_success (feed, feed->next >= answer->end_offset ? sent_us : 0);
   end_batch (feed);
   return TRUE;
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -39,10 +39,10 @@
 
 typedef struct
 {
-  uint64_t term;  /**< 0: there never was an owner */
+  uint64_t term; /**< 0: there never was an owner */
   char *name;
-  uint64_t boot;  /**< 0: the last owner has left */
-  int64_t offset; /**< of the newest record */
+  uint64_t boot;    /**< 0: the last owner has left */
+  int64_t offset;   /**< of the newest record */
   GPtrArray *loads; /**< LedgerLoad */
 } LedgerOwner;
 
@@ -82,9 +82,11 @@
 gboolean ledger_job_state (const LedgerJob *job, SchedJobState *state);
 const LedgerOwner *ledger_owner (const Ledger *ledger);
 /** Calls @p each for all jobs that were submitted, oldest first. */
-void ledger_each_job (const Ledger *ledger, void (*each) (void *ctx, const LedgerJob *job), void *ctx);
 void
-ledger_each_agent (const Ledger *ledger, void (*each) (void *ctx, const LedgerAgent *agent), void *ctx);
+ledger_each_job (const Ledger *ledger, void (*each) (void *ctx, const LedgerJob *job), void *ctx);
+void ledger_each_agent (const Ledger *ledger,
+                        void (*each) (void *ctx, const LedgerAgent *agent),
+                        void *ctx);
 /** Load of a queue as the owner last told it. */
 SchedLoad ledger_load (const Ledger *ledger, const char *queue);
 
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -26,7 +26,7 @@
 {
   char *key;
   GBytes *value;
-  GArray *waiters;      /**< Waiter */
+  GArray *waiters;       /**< Waiter */
   gboolean may_be_there; /**< an append of it had no answer */
   gboolean is_sent;      /**< in the append under way */
 } Item;
@@ -170,10 +170,8 @@
       item->is_sent = TRUE;
     }
   outbox->is_busy = TRUE;
-  const StoreAppend append = { .topic = outbox->topic,
-                               .records = records,
-                               .at = -1,
-                               .timeout_ms = TIMEOUT_MS };
+  const StoreAppend append
+      = { .topic = outbox->topic, .records = records, .at = -1, .timeout_ms = TIMEOUT_MS };
   store_append (outbox->store, &append, on_appended, outbox);
 }
 
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -29,11 +29,11 @@
 /** What came back. The body is valid during the callback only, and ends with a zero byte. */
 typedef struct
 {
-  uint32_t status;        /**< HTTP status; 0 when no whole answer came */
-  gboolean may_have_run;  /**< without an answer: the peer may have received the call */
+  uint32_t status;       /**< HTTP status; 0 when no whole answer came */
+  gboolean may_have_run; /**< without an answer: the peer may have received the call */
   const char *body;
   size_t size;
-  const char *reason;     /**< of a call without an answer; static storage */
+  const char *reason; /**< of a call without an answer; static storage */
 } NetAnswer;
 
 typedef void (*NetDone) (void *ctx, const NetAnswer *answer);
--- a/lib/net/net_link.h
+++ b/lib/net/net_link.h
@@ -3,8 +3,8 @@
  * Messages between our processes: ZeroMQ sockets on the default GLib main context.
  *
  * One side listens and answers whoever wrote to it, the other connects. A connection that is silent
- * for #NET_LINK_SILENCE_MS is made anew. Messages may be lost at a reconnect; what is sent has to be
- * safe to repeat.
+ * for #NET_LINK_SILENCE_MS is made anew. Messages may be lost at a reconnect; what is sent has to
+ * be safe to repeat.
  */
 #pragma once
 
--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -79,7 +79,9 @@
 }
 
 static NetRequest *
-request_new (NetServer *server, struct MHD_Connection *connection, const char *method,
+request_new (NetServer *server,
+             struct MHD_Connection *connection,
+             const char *method,
              const char *path)
 {
   NetRequest *request = g_new0 (NetRequest, 1);
@@ -222,8 +224,7 @@
       g_free (server);
       return NULL;
     }
-  const union MHD_DaemonInfo *info
-      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   server->source = g_unix_fd_add (info->epoll_fd, G_IO_IN, on_ready, server);
   server->timer = g_timeout_add (IDLE_CHECK_MS, on_idle_check, server);
   return server;
@@ -299,8 +300,8 @@
 
   server->open--;
   request->status = reply->status;
-  request->response = MHD_create_response_from_buffer (strlen (body), (void *) body,
-                                                       MHD_RESPMEM_MUST_COPY);
+  request->response
+      = MHD_create_response_from_buffer (strlen (body), (void *) body, MHD_RESPMEM_MUST_COPY);
   if (reply->content_type != NULL)
     (void) MHD_add_response_header (request->response, "Content-Type", reply->content_type);
   if (reply->retry_after_s > 0)
--- a/lib/net/net_server.h
+++ b/lib/net/net_server.h
@@ -19,7 +19,7 @@
 
 typedef struct
 {
-  const char *address;     /**< "IP:PORT" */
+  const char *address; /**< "IP:PORT" */
   uint32_t connections_max;
   uint32_t idle_s;         /**< a connection without a request is closed after this long */
   uint32_t body_bytes_max; /**< a longer body is refused with 413 */
@@ -52,9 +52,9 @@
 typedef struct
 {
   uint32_t status;
-  const char *content_type;   /**< NULL without a body */
-  const char *body;           /**< NULL for none */
-  uint32_t retry_after_s;     /**< 0: no Retry-After */
+  const char *content_type; /**< NULL without a body */
+  const char *body;         /**< NULL for none */
+  uint32_t retry_after_s;   /**< 0: no Retry-After */
 } NetReply;
 
 /** Answers once; the request is gone afterwards. */
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -71,8 +71,8 @@
 node_new (const NodeOptions *options, GError **error)
 {
   Node *node = g_new0 (Node, 1);
-  g_autofree char *address = g_strdup_printf ("%s:%d", options->settings->ip,
-                                              (int) options->settings->metrics_port);
+  g_autofree char *address
+      = g_strdup_printf ("%s:%d", options->settings->ip, (int) options->settings->metrics_port);
   const NetServerOptions server = { .address = address,
                                     .connections_max = METRICS_CONNECTIONS,
                                     .idle_s = METRICS_IDLE_S,
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -11,24 +11,24 @@
 
 typedef struct
 {
-  char *name;        /**< of this instance */
+  char *name; /**< of this instance */
   char *data_centre;
   char *ip;
-  int64_t internal_port;  /**< first of those for messages between our processes */
+  int64_t internal_port; /**< first of those for messages between our processes */
   int64_t metrics_port;
-  char *caller_address;   /**< "IP:PORT" where callers connect; "" if none do */
-  char *ready_address;    /**< "IP:PORT" of the readiness probe */
-  char *worker_address;   /**< "IP:PORT" where the worker reports; "" if none does */
+  char *caller_address;      /**< "IP:PORT" where callers connect; "" if none do */
+  char *ready_address;       /**< "IP:PORT" of the readiness probe */
+  char *worker_address;      /**< "IP:PORT" where the worker reports; "" if none does */
   char *worker_call_address; /**< "IP:PORT" of the worker's interface for orders */
   char *store_address;
-  char *cpu_share;        /**< share of a core, a fraction */
-  char *remote_factor;    /**< a fraction */
-  int64_t lease_max_ms;   /**< longest lease that a worker takes */
+  char *cpu_share;      /**< share of a core, a fraction */
+  char *remote_factor;  /**< a fraction */
+  int64_t lease_max_ms; /**< longest lease that a worker takes */
   int64_t stop_grace_ms;
   int64_t gang_timeout_ms;
   int64_t early_ms;
   int64_t harm_ms;
-  char *leave_s;          /**< time between SIGTERM and SIGKILL, a fraction */
+  char *leave_s; /**< time between SIGTERM and SIGKILL, a fraction */
   int64_t log_lines_per_s;
 } NodeSettings;
 
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -98,9 +98,8 @@
 {
   Entry *entry = data;
   int64_t since_ms = (clk_now_us () - entry->leave_us) / 1000;
-  int64_t end_ms
-      = (int64_t) (node_settings_fraction (entry->settings->leave_s, 1.0) * 1000.0)
-        - LEAVE_RESERVE_MS;
+  int64_t end_ms = (int64_t) (node_settings_fraction (entry->settings->leave_s, 1.0) * 1000.0)
+                   - LEAVE_RESERVE_MS;
 
   if (since_ms < MIN (LEAVE_QUIESCE_MS, end_ms / 2))
     return G_SOURCE_CONTINUE;
@@ -148,10 +147,8 @@
 entry_new (const NodeSettings *settings, GError **error)
 {
   Entry *entry = g_new0 (Entry, 1);
-  const NodeOptions node = { .program = "acacia-scheduler",
-                             .settings = settings,
-                             .on_leave = on_leave,
-                             .ctx = entry };
+  const NodeOptions node
+      = { .program = "acacia-scheduler", .settings = settings, .on_leave = on_leave, .ctx = entry };
   const LedgerEvents events = { .on_job = on_job,
                                 .on_cancel = on_cancel,
                                 .on_agent = on_agent,
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -80,7 +80,11 @@
 
 /* Refuses what certainly did not run, and says when to come back. */
 static void
-refuse (Front *front, NetRequest *request, const char *id, uint32_t status, const char *reason,
+refuse (Front *front,
+        NetRequest *request,
+        const char *id,
+        uint32_t status,
+        const char *reason,
         uint32_t retry_after_s)
 {
   const NetReply reply = { .status = status, .retry_after_s = retry_after_s };
@@ -224,8 +228,7 @@
   if (ledger_job_state (ledger_job (front->entry->ledger, id), &state))
     reply_state (front, request, id);
   else
-    feed_refresh (front->entry->ledger_feed, on_state_refreshed,
-                  wait_new (front, request, id, ""));
+    feed_refresh (front->entry->ledger_feed, on_state_refreshed, wait_new (front, request, id, ""));
 }
 
 static void
--- a/programs/scheduler/main.c
+++ b/programs/scheduler/main.c
@@ -1,6 +1,7 @@
 /**
  * @file main.c
- * acacia-scheduler: takes callers' jobs on an entry instance, and schedules them while it owns them.
+ * acacia-scheduler: takes callers' jobs on an entry instance, and schedules them while it owns
+ * them.
  */
 #include <stdio.h>
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -44,7 +44,7 @@
 {
   Entry *entry;
   OwnerPhase phase;
-  int64_t claim_us;      /**< when the claim was sent */
+  int64_t claim_us;       /**< when the claim was sent */
   int64_t claim_after_us; /**< no claim before */
   uint64_t term;
   int64_t epoch;
@@ -52,15 +52,15 @@
   int64_t authority_us;  /**< sending time of the newest acknowledged append */
   int64_t owner_seen_us; /**< when the newest record of an owner was read */
   gboolean is_leaving;
-  Sched *sched;          /**< NULL unless active */
+  Sched *sched; /**< NULL unless active */
   NetLinks *links;
-  GHashTable *peers;     /**< agent name -> Peer */
-  SchedFlush *flush;     /**< in the append under way; NULL for none */
-  GByteArray *records;   /**< of the append under way or in doubt; NULL for none */
+  GHashTable *peers;   /**< agent name -> Peer */
+  SchedFlush *flush;   /**< in the append under way; NULL for none */
+  GByteArray *records; /**< of the append under way or in doubt; NULL for none */
   gboolean is_appending;
-  gboolean is_in_doubt;  /**< it is repeated as it was */
-  int64_t append_us;     /**< when it was sent */
-  int64_t renew_us;      /**< when the next sign of life is due */
+  gboolean is_in_doubt; /**< it is repeated as it was */
+  int64_t append_us;    /**< when it was sent */
+  int64_t renew_us;     /**< when the next sign of life is due */
   guint check_timer;
   guint tick_timer;
   guint soon_timer;
@@ -405,9 +405,11 @@
       take_written (owner);
       return;
     }
-  line_add ("owner", "append_failed", "term=%" G_GUINT64_FORMAT " outcome=%s sequence=%"
-            G_GINT64_FORMAT " expected=%" G_GINT64_FORMAT, owner->term,
-            store_outcome_name (answer->outcome), owner->sequence, answer->expected_sequence);
+  line_add ("owner", "append_failed",
+            "term=%" G_GUINT64_FORMAT " outcome=%s sequence=%" G_GINT64_FORMAT
+            " expected=%" G_GINT64_FORMAT,
+            owner->term, store_outcome_name (answer->outcome), owner->sequence,
+            answer->expected_sequence);
   if (answer->outcome == STORE_FENCED)
     resign (owner, "fenced");
   else if (answer->outcome == STORE_IN_DOUBT)
@@ -456,9 +458,10 @@
                                .epoch = owner->epoch,
                                .sequence = owner->sequence,
                                .timeout_ms = TIMEOUT_MS };
-  line_add ("owner", "claim", "term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT
-            " last_owner=%s quiet_ms=%" G_GINT64_FORMAT, owner->term, end,
-            last->name != NULL ? last->name : "-",
+  line_add ("owner", "claim",
+            "term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT
+            " last_owner=%s quiet_ms=%" G_GINT64_FORMAT,
+            owner->term, end, last->name != NULL ? last->name : "-",
             (owner->claim_us - owner->owner_seen_us) / 1000);
   owner->is_appending = TRUE;
   store_append (owner->entry->store, &append, on_claimed, owner);
@@ -507,8 +510,7 @@
 {
   Owner *owner = data;
 
-  if (owner->phase == OWNER_CLAIMING
-      && clk_now_us () - owner->claim_us > QUIET_MS * 1000)
+  if (owner->phase == OWNER_CLAIMING && clk_now_us () - owner->claim_us > QUIET_MS * 1000)
     {
       line_add ("owner", "claim_given_up", "term=%" G_GUINT64_FORMAT, owner->term);
       owner->phase = OWNER_NONE;
@@ -562,8 +564,7 @@
   peer->link = net_link_connect (owner->links, agent->address, on_report, peer, &error);
   if (peer->link == NULL)
     {
-      line_add ("owner", "agent_unreachable", "agent=%s error=\"%s\"", agent->name,
-                error->message);
+      line_add ("owner", "agent_unreachable", "agent=%s error=\"%s\"", agent->name, error->message);
       peer_free (peer);
       return;
     }
@@ -593,8 +594,7 @@
 take_over (Owner *owner)
 {
   const SchedOptions options = sched_options (owner);
-  int64_t settled_us
-      = owner->term == 1 ? clk_now_us () : clk_now_us () + options.lapse_ms * 1000;
+  int64_t settled_us = owner->term == 1 ? clk_now_us () : clk_now_us () + options.lapse_ms * 1000;
 
   owner->phase = OWNER_ACTIVE;
   owner->authority_us = owner->claim_us;
@@ -608,8 +608,9 @@
   feed_set_pause (owner->entry->ledger_feed, OWNER_PAUSE_MS);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
   met_add (owner->terms, 1);
-  line_add ("owner", "took_over", "term=%" G_GUINT64_FORMAT " epoch=%" G_GINT64_FORMAT
-            " open_jobs=%u agents=%u", owner->term, owner->epoch, sched_open_jobs (owner->sched),
+  line_add ("owner", "took_over",
+            "term=%" G_GUINT64_FORMAT " epoch=%" G_GINT64_FORMAT " open_jobs=%u agents=%u",
+            owner->term, owner->epoch, sched_open_jobs (owner->sched),
             g_hash_table_size (owner->peers));
   decide (owner);
 }
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -64,7 +64,10 @@
 }
 
 static void
-call_start (void *ctx, const RunnerTarget *target, const RunnerStart *start, RunnerDone done,
+call_start (void *ctx,
+            const RunnerTarget *target,
+            const RunnerStart *start,
+            RunnerDone done,
             void *done_ctx)
 {
   RunnerTarget full = full_target (ctx, target);
@@ -75,7 +78,11 @@
 }
 
 static void
-call_stop (void *ctx, const RunnerTarget *target, const char *task, int64_t run, RunnerDone done,
+call_stop (void *ctx,
+           const RunnerTarget *target,
+           const char *task,
+           int64_t run,
+           RunnerDone done,
            void *done_ctx)
 {
   RunnerTarget full = full_target (ctx, target);
@@ -85,8 +92,13 @@
 }
 
 static void
-call_pace (void *ctx, const RunnerTarget *target, const char *task, int64_t run, int64_t percent,
-           RunnerDone done, void *done_ctx)
+call_pace (void *ctx,
+           const RunnerTarget *target,
+           const char *task,
+           int64_t run,
+           int64_t percent,
+           RunnerDone done,
+           void *done_ctx)
 {
   RunnerTarget full = full_target (ctx, target);
 
@@ -96,8 +108,8 @@
 }
 
 static void
-call_look (void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done,
-           void *done_ctx)
+call_look (
+    void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done, void *done_ctx)
 {
   RunnerTarget full = full_target (ctx, target);
 
@@ -269,8 +281,8 @@
 static void
 register_agent (Agent *agent)
 {
-  g_autofree char *address = g_strdup_printf ("%s:%d", agent->settings->ip,
-                                              (int) agent->settings->internal_port);
+  g_autofree char *address
+      = g_strdup_printf ("%s:%d", agent->settings->ip, (int) agent->settings->internal_port);
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, agent->settings->name, NULL);
   g_autoptr (GByteArray) records = g_byte_array_new ();
   Batch__Member member = BATCH__MEMBER__INIT;
@@ -282,10 +294,8 @@
   g_autofree uint8_t *bytes = g_malloc (size);
   (void) batch__member__pack (&member, bytes);
   store_add_record (records, key, bytes, size);
-  const StoreAppend append = { .topic = LEDGER_TOPIC,
-                               .records = records,
-                               .at = -1,
-                               .timeout_ms = STORE_TIMEOUT_MS };
+  const StoreAppend append
+      = { .topic = LEDGER_TOPIC, .records = records, .at = -1, .timeout_ms = STORE_TIMEOUT_MS };
   store_append (agent->store, &append, on_registered, agent);
 }
 
@@ -348,8 +358,8 @@
 static gboolean
 open_sockets (Agent *agent, GError **error)
 {
-  g_autofree char *address = g_strdup_printf ("%s:%d", agent->settings->ip,
-                                              (int) agent->settings->internal_port);
+  g_autofree char *address
+      = g_strdup_printf ("%s:%d", agent->settings->ip, (int) agent->settings->internal_port);
   const NetServerOptions server = { .address = agent->settings->worker_address,
                                     .connections_max = CONNECTIONS_MAX,
                                     .idle_s = IDLE_S,
@@ -369,10 +379,8 @@
 agent_new (const NodeSettings *settings, GError **error)
 {
   Agent *agent = g_new0 (Agent, 1);
-  const NodeOptions options = { .program = "acacia-worker",
-                                .settings = settings,
-                                .on_leave = on_leave,
-                                .ctx = agent };
+  const NodeOptions options
+      = { .program = "acacia-worker", .settings = settings, .on_leave = on_leave, .ctx = agent };
 
   agent->settings = settings;
   agent->node = node_new (&options, error);
--- /dev/null
+++ b/tests/batch/rig.h
@@ -0,0 +1,302 @@
+/**
+ * @file rig.h
+ * A scheduler with workers in memory: orders are carried out at once, time is a number.
+ */
+#pragma once
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "batch/sched.h"
+#include "platform/caller.h"
+
+#define RIG_WORKERS_MAX 8
+#define RIG_TASKS_MAX 512
+#define RIG_CPU_M 16000
+#define RIG_MEM_MB 64000
+#define RIG_GRANT_MS 3000
+#define RIG_LAPSE_MS 3300
+
+typedef struct
+{
+  char name[40];
+  int64_t run;
+  int64_t percent;
+  int64_t figure;
+  uint32_t pace;
+} RigTask;
+
+typedef struct
+{
+  int64_t number;
+  char name[40];
+  int64_t run;
+  WorkerEndHow how;
+} RigEnd;
+
+typedef struct
+{
+  char name[16];
+  char service[16];
+  char rack[16];
+  uint64_t boot;
+  uint64_t life;
+  uint64_t done_number;
+  int64_t next_end;
+  int64_t ends_kept;
+  gboolean is_silent;
+  gboolean is_draining;
+  RigTask tasks[RIG_TASKS_MAX];
+  uint32_t n_tasks;
+  RigEnd ends[RIG_TASKS_MAX];
+  uint32_t n_ends;
+} RigWorker;
+
+typedef struct
+{
+  Sched *sched;
+  QueueConfig *config;
+  int64_t now_us;
+  RigWorker workers[RIG_WORKERS_MAX];
+  uint32_t n_workers;
+  uint32_t n_starts;
+  uint32_t n_stops;
+  gboolean is_stalled; /**< tasks do not advance */
+} Rig;
+
+static inline void
+rig_add_queue (Rig *rig, const char *name, uint32_t priority, uint32_t attempts_max)
+{
+  Queue *queue = g_new0 (Queue, 1);
+
+  queue->name = g_strdup (name);
+  queue->host = g_strdup ("host.example");
+  queue->prefix = g_strdup_printf ("/%s/", name);
+  queue->service = g_strdup ("service");
+  queue->priority = priority;
+  queue->attempts_max = attempts_max;
+  queue->stretch = 2.0;
+  queue->target_ms = 1000;
+  queue_config_add (rig->config, queue);
+}
+
+static inline void
+rig_add_worker (Rig *rig)
+{
+  RigWorker *worker = &rig->workers[rig->n_workers];
+
+  (void) g_snprintf (worker->name, sizeof worker->name, "w%u", rig->n_workers);
+  (void) g_strlcpy (worker->service, "service", sizeof worker->service);
+  (void) g_snprintf (worker->rack, sizeof worker->rack, "r%u", rig->n_workers / 2);
+  worker->boot = 100 + rig->n_workers;
+  worker->life = 1;
+  rig->n_workers++;
+  sched_add_agent (rig->sched, worker->name);
+}
+
+static inline Rig *
+rig_new (uint32_t n_workers)
+{
+  Rig *rig = g_new0 (Rig, 1);
+  const SchedOptions options = { .fresh_ms = 1300,
+                                 .lapse_ms = RIG_LAPSE_MS,
+                                 .stop_grace_ms = 900,
+                                 .gang_timeout_ms = 3000,
+                                 .early_ms = 250,
+                                 .harm_ms = 4000,
+                                 .remote_factor = 1.5 };
+
+  rig->sched = sched_new (&options);
+  rig->config = queue_config_new (1);
+  (void) queue_config_add_service (rig->config, "service");
+  rig_add_queue (rig, "urgent", 0, 2);
+  rig_add_queue (rig, "bulk", 2, 2);
+  rig->now_us = 1000 * 1000;
+  sched_set_config (rig->sched, rig->config);
+  sched_begin_term (rig->sched, 1, rig->now_us);
+  for (uint32_t i = 0; i < n_workers; i++)
+    rig_add_worker (rig);
+  return rig;
+}
+
+static inline void
+rig_free (Rig *rig)
+{
+  sched_free (rig->sched);
+  queue_config_free (rig->config);
+  g_free (rig);
+}
+
+/** Adds a job of JSON steps, as an earlier owner's if @p is_old. */
+static inline void
+rig_add_job_as (Rig *rig, const char *id, const char *queue, const char *steps, gboolean is_old)
+{
+  g_autofree char *body = g_strdup_printf ("{\"spec\":\"s\",\"steps\":[%s]}", steps);
+  JobSpec *spec = caller_decode_job (body, strlen (body), NULL);
+
+  assert_non_null (spec);
+  const SchedNewJob job = {
+    .id = id, .queue = queue, .accepted_wall_ms = rig->now_us / 1000, .spec = spec, .is_old = is_old
+  };
+  sched_add_job (rig->sched, &job);
+}
+
+static inline void
+rig_add_job (Rig *rig, const char *id, const char *queue, const char *steps)
+{
+  rig_add_job_as (rig, id, queue, steps, FALSE);
+}
+
+static inline RigTask *
+rig_find (RigWorker *worker, const char *name)
+{
+  for (uint32_t i = 0; i < worker->n_tasks; i++)
+    {
+      if (strcmp (worker->tasks[i].name, name) == 0)
+        return &worker->tasks[i];
+    }
+  return NULL;
+}
+
+/** Ends a running task; what happens to it is told in the next report. */
+static inline void
+rig_end (RigWorker *worker, const char *name, WorkerEndHow how)
+{
+  RigTask *task = rig_find (worker, name);
+  RigEnd *end = &worker->ends[worker->n_ends++];
+
+  assert_non_null (task);
+  end->number = ++worker->next_end;
+  (void) g_strlcpy (end->name, name, sizeof end->name);
+  end->run = task->run;
+  end->how = how;
+  *task = worker->tasks[--worker->n_tasks];
+}
+
+static inline void
+rig_obey (Rig *rig, RigWorker *worker, const Batch__Order *order)
+{
+  if (order->number <= worker->done_number)
+    return;
+  worker->done_number = order->number;
+  if (order->what_case == BATCH__ORDER__WHAT_START)
+    {
+      RigTask *task = &worker->tasks[worker->n_tasks++];
+      memset (task, 0, sizeof *task);
+      (void) g_strlcpy (task->name, order->start->task, sizeof task->name);
+      task->run = order->start->run;
+      task->pace = 100;
+      rig->n_starts++;
+    }
+  else if (order->what_case == BATCH__ORDER__WHAT_STOP)
+    {
+      rig->n_stops++;
+      if (rig_find (worker, order->stop->task) != NULL)
+        rig_end (worker, order->stop->task, WORKER_END_STOPPED);
+    }
+  else if (rig_find (worker, order->pace->task) != NULL)
+    rig_find (worker, order->pace->task)->pace = order->pace->percent;
+}
+
+static inline void
+rig_tell (Rig *rig, RigWorker *worker)
+{
+  Batch__Report report = BATCH__REPORT__INIT;
+  Batch__Worker info = BATCH__WORKER__INIT;
+  Batch__Running running[RIG_TASKS_MAX];
+  Batch__Running *running_rows[RIG_TASKS_MAX];
+  Batch__Ended ended[RIG_TASKS_MAX];
+  Batch__Ended *ended_rows[RIG_TASKS_MAX];
+  char *labels[] = { "a", worker->rack };
+
+  info.id = worker->name;
+  info.service = worker->service;
+  info.labels = labels;
+  info.n_labels = 2;
+  info.cpu_m = RIG_CPU_M;
+  info.mem_mb = RIG_MEM_MB;
+  info.is_draining = worker->is_draining;
+  report.worker = &info;
+  report.boot = worker->boot;
+  report.life = worker->life;
+  report.clock_us = rig->now_us;
+  report.done_number = worker->done_number;
+  report.running = running_rows;
+  report.ended = ended_rows;
+  for (uint32_t i = 0; i < worker->n_tasks; i++)
+    {
+      if (!rig->is_stalled && worker->tasks[i].percent < 100)
+        worker->tasks[i].percent++;
+      batch__running__init (&running[i]);
+      running[i].task = worker->tasks[i].name;
+      running[i].run = worker->tasks[i].run;
+      running[i].percent = (int32_t) worker->tasks[i].percent;
+      running[i].figure = worker->tasks[i].figure;
+      running_rows[report.n_running++] = &running[i];
+    }
+  for (uint32_t i = 0; i < worker->n_ends; i++)
+    {
+      if (worker->ends[i].number <= worker->ends_kept)
+        continue;
+      batch__ended__init (&ended[i]);
+      ended[i].number = worker->ends[i].number;
+      ended[i].task = worker->ends[i].name;
+      ended[i].run = worker->ends[i].run;
+      ended[i].how = (uint32_t) worker->ends[i].how;
+      ended_rows[report.n_ended++] = &ended[i];
+    }
+  sched_take_report (rig->sched, worker->name, &report, rig->now_us);
+}
+
+/** One round of @p ms: reports, decisions, orders carried out. Written progress as @p is_written.
+ */
+static inline void
+rig_round (Rig *rig, int64_t ms, gboolean is_written)
+{
+  rig->now_us += ms * 1000;
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      if (!rig->workers[i].is_silent)
+        rig_tell (rig, &rig->workers[i]);
+    }
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  SchedFlush *flush = sched_flush_begin (rig->sched);
+  if (flush != NULL)
+    sched_flush_end (rig->sched, flush, is_written);
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      Batch__Orders orders = BATCH__ORDERS__INIT;
+      RigWorker *worker = &rig->workers[i];
+      if (!sched_orders (rig->sched, worker->name, &orders) || worker->is_silent)
+        continue;
+      worker->ends_kept = MAX (worker->ends_kept, orders.ends_kept);
+      for (size_t k = 0; k < orders.n_orders; k++)
+        rig_obey (rig, worker, orders.orders[k]);
+    }
+}
+
+static inline uint32_t
+rig_running (const Rig *rig)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    count += rig->workers[i].n_tasks;
+  return count;
+}
+
+/** Worker where a task runs, or NULL. */
+static inline RigWorker *
+rig_where (Rig *rig, const char *name)
+{
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      if (rig_find (&rig->workers[i], name) != NULL)
+        return &rig->workers[i];
+    }
+  return NULL;
+}
--- /dev/null
+++ b/tests/batch/test_sched.c
@@ -0,0 +1,416 @@
+#include "rig.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+
+static void
+steps_wait_for_each_other (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":2,\"cpu\":1000},{\"count\":1,\"cpu\":1000,\"after\":[0]}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 2);
+  rig_end (rig_where (rig, JOB_A ".0.0.0"), JOB_A ".0.0.0", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  assert_null (rig_where (rig, JOB_A ".0.1.0"));
+  rig_end (rig_where (rig, JOB_A ".0.0.1"), JOB_A ".0.0.1", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  assert_non_null (rig_where (rig, JOB_A ".0.1.0"));
+  rig_end (rig_where (rig, JOB_A ".0.1.0"), JOB_A ".0.1.0", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (sched_open_jobs (rig->sched), 0);
+  rig_free (rig);
+}
+
+static void
+capacity_is_never_exceeded (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":9,\"cpu\":4000,\"mem_mb\":1000}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 4);
+  rig_free (rig);
+}
+
+static void
+memory_of_tasks_that_fill_counts (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":9,\"cpu\":1000,\"mem_mb\":20000,\"fills\":true}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 3);
+  rig_free (rig);
+}
+
+/* What is being stopped holds its room until its end is told. */
+static void
+stopping_tasks_hold_their_room (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":16000}");
+  rig_round (rig, 100, TRUE);
+  rig->workers[0].is_silent = TRUE;
+  sched_cancel_job (rig->sched, JOB_A);
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":1,\"cpu\":16000}");
+  rig_round (rig, 100, TRUE);
+  rig->workers[0].is_silent = FALSE;
+  assert_null (rig_where (rig, JOB_B ".0.0.0"));
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  assert_null (rig_where (rig, JOB_A ".0.0.0"));
+  assert_non_null (rig_where (rig, JOB_B ".0.0.0"));
+  rig_free (rig);
+}
+
+static void
+failures_count_once_and_end_the_job (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig_end (rig_where (rig, JOB_A ".0.0.0"), JOB_A ".0.0.0", WORKER_END_FAILED);
+  /* Its end is told again and again while it isn't written. */
+  for (int i = 0; i < 3; i++)
+    rig_round (rig, 100, FALSE);
+  assert_int_equal (sched_open_jobs (rig->sched), 1);
+  assert_int_equal (rig->n_starts, 2);
+  rig_end (rig_where (rig, JOB_A ".0.0.0"), JOB_A ".0.0.0", WORKER_END_FAILED);
+  for (int i = 0; i < 3; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (sched_open_jobs (rig->sched), 0);
+  assert_int_equal (rig->n_starts, 2);
+  rig_free (rig);
+}
+
+static void
+tasks_that_last_come_back (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000,\"long_running\":true}");
+  rig_round (rig, 100, TRUE);
+  for (int i = 0; i < 5; i++)
+    {
+      rig_end (rig_where (rig, JOB_A ".0.0.0"), JOB_A ".0.0.0",
+               i % 2 == 0 ? WORKER_END_FAILED : WORKER_END_DONE);
+      for (int k = 0; k < 200 && rig_where (rig, JOB_A ".0.0.0") == NULL; k++)
+        rig_round (rig, 100, TRUE);
+      assert_non_null (rig_where (rig, JOB_A ".0.0.0"));
+    }
+  assert_int_equal (sched_open_jobs (rig->sched), 1);
+  rig_free (rig);
+}
+
+/* A worker that nobody hears may run its tasks until its lease has lapsed. */
+static void
+silent_worker_keeps_its_tasks_until_they_lapsed (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  RigWorker *first = rig_where (rig, JOB_A ".0.0.0");
+  first->is_silent = TRUE;
+  for (int64_t ms = 0; ms < RIG_LAPSE_MS; ms += 100)
+    {
+      rig_round (rig, 100, TRUE);
+      assert_int_equal (rig->n_starts, 1);
+    }
+  rig_round (rig, 200, TRUE);
+  assert_int_equal (rig->n_starts, 2);
+  rig_free (rig);
+}
+
+static void
+drained_worker_gets_nothing (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig->workers[0].is_draining = TRUE;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 0);
+  rig_free (rig);
+}
+
+static void
+other_services_and_labels_are_left_alone (void **state)
+{
+  Rig *rig = rig_new (3);
+
+  (void) state;
+  (void) g_strlcpy (rig->workers[0].service, "other", sizeof rig->workers[0].service);
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":8,\"cpu\":100,\"required_label\":\"r1\"}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->workers[0].n_tasks, 0);
+  assert_int_equal (rig->workers[1].n_tasks, 0);
+  assert_int_equal (rig->workers[2].n_tasks, 8);
+  rig_free (rig);
+}
+
+static void
+tasks_of_a_step_spread_as_told (void **state)
+{
+  Rig *rig = rig_new (3);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":9,\"cpu\":100,\"max_per_server\":2}");
+  rig_round (rig, 100, TRUE);
+  for (uint32_t i = 0; i < 3; i++)
+    assert_int_equal (rig->workers[i].n_tasks, 2);
+  rig_free (rig);
+}
+
+static void
+gang_starts_whole_or_not (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":5,\"cpu\":8000,\"gang\":true}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 0);
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":4,\"cpu\":8000,\"gang\":true}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 4);
+  int64_t run = rig->workers[0].tasks[0].run;
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      for (uint32_t k = 0; k < rig->workers[i].n_tasks; k++)
+        assert_int_equal (rig->workers[i].tasks[k].run, run);
+    }
+  /* One end stands for all members. */
+  rig_end (rig_where (rig, JOB_B ".0.0.0"), JOB_B ".0.0.0", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (sched_open_jobs (rig->sched), 1);
+  rig_free (rig);
+}
+
+/* The new owner starts nothing that the old one may have started at an agent it hasn't heard. */
+static void
+new_owner_waits_for_agents_it_has_not_heard (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  sched_begin_term (rig->sched, 2, rig->now_us + RIG_LAPSE_MS * 1000);
+  rig->workers[1].is_silent = TRUE;
+  rig_add_job_as (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100}", TRUE);
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":1,\"cpu\":100}");
+  rig_round (rig, 100, TRUE);
+  assert_null (rig_where (rig, JOB_A ".0.0.0"));
+  assert_non_null (rig_where (rig, JOB_B ".0.0.0"));
+  for (int64_t ms = 0; ms < RIG_LAPSE_MS; ms += 100)
+    rig_round (rig, 100, TRUE);
+  assert_non_null (rig_where (rig, JOB_A ".0.0.0"));
+  assert_true (rig_find (rig_where (rig, JOB_A ".0.0.0"), JOB_A ".0.0.0")->run > 1000);
+  rig_free (rig);
+}
+
+static void
+new_owner_takes_over_what_runs (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  sched_begin_term (rig->sched, 2, rig->now_us + RIG_LAPSE_MS * 1000);
+  RigTask *task = &rig->workers[1].tasks[rig->workers[1].n_tasks++];
+  (void) g_strlcpy (task->name, JOB_A ".0.0.0", sizeof task->name);
+  task->run = 7;
+  rig_add_job_as (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100}", TRUE);
+  for (int i = 0; i < 50; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 0);
+  assert_int_equal (rig->n_stops, 0);
+  rig_end (&rig->workers[1], JOB_A ".0.0.0", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (sched_open_jobs (rig->sched), 0);
+  rig_free (rig);
+}
+
+static void
+task_of_an_unknown_job_is_stopped (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  RigTask *task = &rig->workers[0].tasks[rig->workers[0].n_tasks++];
+  (void) g_strlcpy (task->name, JOB_A ".0.0.0", sizeof task->name);
+  task->run = 1;
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->workers[0].n_tasks, 0);
+  rig_free (rig);
+}
+
+static void
+end_is_acknowledged_only_once_written (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100}");
+  rig_round (rig, 100, TRUE);
+  rig_end (&rig->workers[0], JOB_A ".0.0.0", WORKER_END_DONE);
+  rig_round (rig, 100, FALSE);
+  rig_round (rig, 100, FALSE);
+  assert_int_equal (rig->workers[0].ends_kept, 0);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->workers[0].ends_kept, 1);
+  rig_free (rig);
+}
+
+static void
+task_that_stands_still_goes_elsewhere (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100}");
+  rig_round (rig, 100, TRUE);
+  RigWorker *first = rig_where (rig, JOB_A ".0.0.0");
+  rig->is_stalled = TRUE;
+  for (int i = 0; i < 60 && rig->n_starts < 2; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 2);
+  assert_ptr_not_equal (rig_where (rig, JOB_A ".0.0.0"), first);
+  rig_free (rig);
+}
+
+/* Load: more tasks that fill than there is room for, while few processors are reserved. */
+static void
+no_step_starves_beside_idle_processors (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  for (int i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016d", i);
+      rig_add_job (rig, id, "bulk", "{\"count\":8,\"cpu\":4000,\"mem_mb\":100,\"fills\":true}");
+    }
+  for (int i = 0; i < 15; i++)
+    rig_round (rig, 100, TRUE);
+  for (int i = 0; i < 6; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("%016d.0.0.0", i);
+      assert_non_null (rig_where (rig, name));
+    }
+  rig_free (rig);
+}
+
+static void
+set_tails (Rig *rig, int64_t tail_ms)
+{
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      for (uint32_t k = 0; k < rig->workers[i].n_tasks; k++)
+        {
+          RigTask *task = &rig->workers[i].tasks[k];
+          if (strncmp (task->name, JOB_A, JOB_ID_CHARS) != 0)
+            continue;
+          task->percent = 100;
+          task->figure = tail_ms;
+        }
+    }
+}
+
+/* Load: tasks that fill beside a serving one, whose tail goes over its target and comes back. */
+static void
+tasks_that_fill_make_way_for_a_tail (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":1,\"cpu\":4000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\"}");
+  rig_add_job (rig, JOB_B, "bulk", "{\"count\":2,\"cpu\":2000,\"fills\":true,\"image\":\"f\"}");
+  rig_round (rig, 100, TRUE);
+  set_tails (rig, 10);
+  for (int i = 0; i < 10; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 3);
+  for (int i = 0; i < 30; i++)
+    {
+      set_tails (rig, 80);
+      rig_round (rig, 100, TRUE);
+    }
+  uint32_t pace = 0;
+  for (uint32_t k = 0; k < rig->workers[0].n_tasks; k++)
+    {
+      if (strncmp (rig->workers[0].tasks[k].name, JOB_B, JOB_ID_CHARS) == 0)
+        pace += rig->workers[0].tasks[k].pace;
+    }
+  assert_int_equal (pace, 0);
+  assert_non_null (rig_where (rig, JOB_A ".0.0.0"));
+  rig_free (rig);
+}
+
+static void
+progress_survives_a_new_owner (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":3,\"cpu\":100}");
+  rig_round (rig, 100, TRUE);
+  rig_end (&rig->workers[0], JOB_A ".0.0.1", WORKER_END_DONE);
+  rig_end (&rig->workers[0], JOB_A ".0.0.2", WORKER_END_FAILED);
+  rig_tell (rig, &rig->workers[0]);
+  SchedFlush *flush = sched_flush_begin (rig->sched);
+  const GPtrArray *changes = sched_flush_changes (flush);
+  assert_int_equal (changes->len, 1);
+  const SchedChange *change = g_ptr_array_index (changes, 0);
+  size_t size = 0;
+  const uint8_t *bytes = g_bytes_get_data (change->progress, &size);
+  Batch__Progress *progress = batch__progress__unpack (NULL, size, bytes);
+  assert_non_null (progress);
+  assert_int_equal (progress->n_parts, 1);
+  assert_int_equal (progress->parts[0]->done.data[0], 2);
+  assert_int_equal (progress->parts[0]->n_failed, 1);
+  assert_int_equal (progress->parts[0]->failed[0]->index, 2);
+  batch__progress__free_unpacked (progress, NULL);
+  sched_flush_end (rig->sched, flush, TRUE);
+  rig_free (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (steps_wait_for_each_other),
+    cmocka_unit_test (capacity_is_never_exceeded),
+    cmocka_unit_test (memory_of_tasks_that_fill_counts),
+    cmocka_unit_test (stopping_tasks_hold_their_room),
+    cmocka_unit_test (failures_count_once_and_end_the_job),
+    cmocka_unit_test (tasks_that_last_come_back),
+    cmocka_unit_test (silent_worker_keeps_its_tasks_until_they_lapsed),
+    cmocka_unit_test (drained_worker_gets_nothing),
+    cmocka_unit_test (other_services_and_labels_are_left_alone),
+    cmocka_unit_test (tasks_of_a_step_spread_as_told),
+    cmocka_unit_test (gang_starts_whole_or_not),
+    cmocka_unit_test (new_owner_waits_for_agents_it_has_not_heard),
+    cmocka_unit_test (new_owner_takes_over_what_runs),
+    cmocka_unit_test (task_of_an_unknown_job_is_stopped),
+    cmocka_unit_test (end_is_acknowledged_only_once_written),
+    cmocka_unit_test (task_that_stands_still_goes_elsewhere),
+    cmocka_unit_test (no_step_starves_beside_idle_processors),
+    cmocka_unit_test (tasks_that_fill_make_way_for_a_tail),
+    cmocka_unit_test (progress_survives_a_new_owner),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
