--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -108,7 +108,9 @@
                                  .gang_timeout_ms = 3000,
                                  .early_ms = 250,
                                  .harm_ms = 4000,
-                                 .remote_factor = 1.5 };
+                                 .remote_factor = 1.5,
+                                 .note = NULL,
+                                 .ctx = NULL };
 
   rig->sched = sched_new (&options);
   rig->config = queue_config_new (1);
@@ -140,7 +142,7 @@
 
   assert_non_null (spec);
   const SchedNewJob job = {
-    .id = id, .queue = queue, .accepted_wall_ms = rig->now_us / 1000, .spec = spec, .is_old = is_old
+    .id = id, .queue = queue, .accepted_wall_ms = rig->now_us / 1000, .spec = spec, .progress = NULL, .is_old = is_old
   };
   sched_add_job (rig->sched, &job);
 }
@@ -211,7 +213,8 @@
   Batch__Running *running_rows[RIG_TASKS_MAX];
   Batch__Ended ended[RIG_TASKS_MAX];
   Batch__Ended *ended_rows[RIG_TASKS_MAX];
-  char *labels[] = { "a", worker->rack };
+  char kind[] = "a";
+  char *labels[] = { kind, worker->rack };
 
   info.id = worker->name;
   info.service = worker->service;
--- /dev/null
+++ b/tests/batch/test_sched_props.cc
@@ -0,0 +1,204 @@
+/**
+ * @file test_sched_props.cc
+ * Random schedules of jobs, ends, silence, failed writes and new owners against workers in memory:
+ * no task runs twice, no worker is over its capacity, nothing starts before its step's turn or
+ * after its end was acknowledged.
+ */
+#include <cstdlib>
+#include <map>
+#include <set>
+#include <string>
+
+#include <rapidcheck.h>
+
+extern "C"
+{
+#include "rig.h"
+}
+
+namespace
+{
+
+constexpr int64_t ROUND_MS = 200;
+constexpr uint32_t N_WORKERS = 4;
+
+struct World
+{
+  Rig *rig = nullptr;
+  int n_jobs = 0;
+  std::map<std::string, int64_t> silent_ms;
+  std::set<std::string> done;  /* ended so, whether anybody heard or not */
+  std::set<std::string> noted; /* and the owner acknowledged it before the lease lapsed */
+  std::set<std::string> lapsed; /* "worker number" of ends whose lease lapsed since */
+  std::set<std::string> seen;  /* "task run" */
+
+  World ()
+  {
+    rig = rig_new (N_WORKERS);
+  }
+  World (const World &) = delete;
+  World &operator= (const World &) = delete;
+  ~World ()
+  {
+    rig_free (rig);
+  }
+};
+
+std::string
+job_of (const char *task)
+{
+  return std::string (task, JOB_ID_CHARS);
+}
+
+/* What a silent worker runs lapses with its grant. */
+void
+lapse (World &world, RigWorker &worker)
+{
+  if (!worker.is_silent)
+    {
+      world.silent_ms[worker.name] = 0;
+      return;
+    }
+  world.silent_ms[worker.name] += ROUND_MS;
+  if (world.silent_ms[worker.name] < RIG_GRANT_MS)
+    return;
+  for (uint32_t i = 0; i < worker.n_ends; i++)
+    {
+      if (worker.ends[i].number > worker.ends_kept)
+        world.lapsed.insert (std::string (worker.name) + std::to_string (worker.ends[i].number));
+    }
+  while (worker.n_tasks > 0)
+    rig_end (&worker, worker.tasks[0].name, WORKER_END_LAPSED);
+}
+
+void
+note_ends (World &world, const RigWorker &worker)
+{
+  for (uint32_t i = 0; i < worker.n_ends; i++)
+    {
+      const RigEnd &end = worker.ends[i];
+      std::string key = std::string (worker.name) + std::to_string (end.number);
+      if (end.how == WORKER_END_DONE && end.number <= worker.ends_kept
+          && world.lapsed.count (key) == 0)
+        world.noted.insert (end.name);
+    }
+}
+
+/* Starts are compared with what was noted before this round. */
+void
+check_runs (World &world)
+{
+  std::set<std::string> running;
+
+  for (uint32_t i = 0; i < world.rig->n_workers; i++)
+    {
+      const RigWorker &worker = world.rig->workers[i];
+      int64_t cpu_m = 0;
+      for (uint32_t k = 0; k < worker.n_tasks; k++)
+        {
+          const RigTask &task = worker.tasks[k];
+          RC_ASSERT (running.insert (task.name).second);
+          if (world.seen.insert (std::string (task.name) + " " + std::to_string (task.run)).second)
+            RC_ASSERT (world.noted.count (task.name) == 0);
+          /* Tasks of steps 1 wait for both tasks of step 0. */
+          std::string name = task.name;
+          if (name.substr (JOB_ID_CHARS, 5) == ".0.1.")
+            {
+              RC_ASSERT (world.done.count (job_of (task.name) + ".0.0.0") == 1);
+              RC_ASSERT (world.done.count (job_of (task.name) + ".0.0.1") == 1);
+            }
+          cpu_m += 3000;
+        }
+      RC_ASSERT (cpu_m <= RIG_CPU_M);
+    }
+}
+
+void
+end_one (World &world, uint32_t pick)
+{
+  RigWorker &worker = world.rig->workers[pick % N_WORKERS];
+
+  if (worker.n_tasks == 0)
+    return;
+  const RigTask &task = worker.tasks[pick / 7 % worker.n_tasks];
+  std::string name = task.name;
+  bool is_done = pick % 5 != 0;
+  rig_end (&worker, name.c_str (), is_done ? WORKER_END_DONE : WORKER_END_FAILED);
+  if (is_done)
+    world.done.insert (name);
+}
+
+void
+act (World &world, uint32_t kind, uint32_t pick)
+{
+  Rig *rig = world.rig;
+  RigWorker &worker = rig->workers[pick % N_WORKERS];
+
+  switch (kind)
+    {
+    case 0:
+      {
+        std::string id = std::to_string (1000000000000000 + world.n_jobs++);
+        rig_add_job (rig, id.c_str (), pick % 2 == 0 ? "urgent" : "bulk",
+                     "{\"count\":2,\"cpu\":3000},{\"count\":3,\"cpu\":3000,\"after\":[0]}");
+        break;
+      }
+    case 1:
+    case 2:
+    case 3:
+      end_one (world, pick);
+      break;
+    case 4:
+      worker.is_silent = !worker.is_silent;
+      break;
+    case 5:
+      worker.is_draining = !worker.is_draining;
+      break;
+    case 6:
+      /* A new process beside the worker: what runs goes on, orders under way are gone. */
+      worker.boot++;
+      worker.life++;
+      break;
+    case 7:
+      if (world.n_jobs > 0)
+        sched_cancel_job (rig->sched, std::to_string (1000000000000000 + pick % world.n_jobs).c_str ());
+      break;
+    default:
+      break;
+    }
+}
+
+void
+play (const std::vector<std::pair<uint32_t, uint32_t>> &steps)
+{
+  World world;
+
+  for (const auto &[kind, pick] : steps)
+    {
+      act (world, kind % 9, pick);
+      for (uint32_t i = 0; i < N_WORKERS; i++)
+        lapse (world, world.rig->workers[i]);
+      rig_round (world.rig, ROUND_MS, pick % 3 != 0);
+      check_runs (world);
+      for (uint32_t i = 0; i < N_WORKERS; i++)
+        note_ends (world, world.rig->workers[i]);
+    }
+}
+
+} // namespace
+
+int
+main ()
+{
+  const char *given = getenv ("RC_PARAMS");
+  std::string params = std::string (given != nullptr ? given : "") + " max_success=10000";
+
+  if (params.find ("max_success") == params.rfind ("max_success"))
+    setenv ("RC_PARAMS", params.c_str (), 1);
+  bool is_good = rc::check ("no task runs twice, early, or beside too many others", [] {
+    const auto steps = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t>>> (
+        rc::gen::pair (rc::gen::inRange<uint32_t> (0, 9), rc::gen::inRange<uint32_t> (0, 100000)));
+    play (steps);
+  });
+  return is_good ? 0 : 1;
+}
--- /dev/null
+++ b/tests/keeper/test_keeper.c
@@ -0,0 +1,508 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "keeper/keeper.h"
+
+#define TASK "00000000000000aa.0.0.0"
+#define GRANT_MS 3000
+#define CALLS_MAX 64
+
+typedef enum
+{
+  CALL_START,
+  CALL_STOP,
+  CALL_PACE,
+  CALL_LOOK,
+} CallKind;
+
+typedef struct
+{
+  CallKind kind;
+  char task[40];
+  int64_t run;
+  int64_t until_ms;
+  int64_t seen;
+  int64_t token;
+  RunnerDone done;
+  void *done_ctx;
+} FakeCall;
+
+/* A worker whose answers the test gives one by one. */
+typedef struct
+{
+  Keeper *keeper;
+  int64_t now_us;
+  FakeCall calls[CALLS_MAX];
+  uint32_t n_calls;
+} Fake;
+
+static int64_t
+read_now (void *ctx)
+{
+  return ((Fake *) ctx)->now_us;
+}
+
+static FakeCall *
+add_call (Fake *fake, CallKind kind, const RunnerTarget *target, RunnerDone done, void *done_ctx)
+{
+  FakeCall *call = &fake->calls[fake->n_calls++];
+
+  assert_true (fake->n_calls < CALLS_MAX);
+  memset (call, 0, sizeof *call);
+  call->kind = kind;
+  call->token = target->token;
+  call->done = done;
+  call->done_ctx = done_ctx;
+  return call;
+}
+
+static void
+fake_start (void *ctx, const RunnerTarget *target, const RunnerStart *start, RunnerDone done,
+            void *done_ctx)
+{
+  FakeCall *call = add_call (ctx, CALL_START, target, done, done_ctx);
+
+  (void) g_strlcpy (call->task, start->task, sizeof call->task);
+  call->run = start->run;
+  call->until_ms = start->until_ms;
+}
+
+static void
+fake_stop (void *ctx, const RunnerTarget *target, const char *task, int64_t run, RunnerDone done,
+           void *done_ctx)
+{
+  FakeCall *call = add_call (ctx, CALL_STOP, target, done, done_ctx);
+
+  (void) g_strlcpy (call->task, task, sizeof call->task);
+  call->run = run;
+}
+
+static void
+fake_pace (void *ctx, const RunnerTarget *target, const char *task, int64_t run, int64_t percent,
+           RunnerDone done, void *done_ctx)
+{
+  (void) task;
+  (void) run;
+  (void) percent;
+  (void) add_call (ctx, CALL_PACE, target, done, done_ctx);
+}
+
+static void
+fake_look (void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done,
+           void *done_ctx)
+{
+  FakeCall *call = add_call (ctx, CALL_LOOK, target, done, done_ctx);
+
+  call->until_ms = look->until_ms;
+  call->seen = look->seen;
+}
+
+static void
+ignore_change (void *ctx)
+{
+  (void) ctx;
+}
+
+static void
+ignore_note (void *ctx, const char *event, const char *text)
+{
+  (void) ctx;
+  (void) event;
+  (void) text;
+}
+
+/* Takes the oldest call of a kind off the list; NULL if there is none. */
+static gboolean
+take_call (Fake *fake, CallKind kind, FakeCall *out)
+{
+  for (uint32_t i = 0; i < fake->n_calls; i++)
+    {
+      if (fake->calls[i].kind != kind)
+        continue;
+      *out = fake->calls[i];
+      fake->n_calls--;
+      memmove (&fake->calls[i], &fake->calls[i + 1], (fake->n_calls - i) * sizeof *fake->calls);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+answer (const FakeCall *call, RunnerOutcome outcome)
+{
+  const RunnerAnswer reply = { .outcome = outcome, .clock_ms = -1 };
+
+  call->done (call->done_ctx, &reply);
+}
+
+typedef struct
+{
+  const char *running; /**< task that runs with run 1, or NULL */
+  int64_t end_number;  /**< end of TASK run 1, 0 for none */
+} Lists;
+
+static void
+answer_look (Fake *fake, Lists lists)
+{
+  FakeCall call;
+  RunnerAnswer reply = { .outcome = RUNNER_OK, .clock_ms = fake->now_us / 1000 };
+
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  reply.running = worker_tasks_new ();
+  reply.ended = worker_ends_new ();
+  if (lists.running != NULL)
+    {
+      WorkerTask task = { g_strdup (lists.running), 1, g_strdup (""), 10, 0 };
+      g_array_append_val (reply.running, task);
+    }
+  if (lists.end_number != 0)
+    {
+      WorkerEnd end = { lists.end_number, g_strdup (TASK), 1, WORKER_END_DONE, g_strdup ("") };
+      g_array_append_val (reply.ended, end);
+    }
+  call.done (call.done_ctx, &reply);
+  g_array_unref (reply.running);
+  g_array_unref (reply.ended);
+}
+
+static WorkerInfo *
+info_of (const char *id, int64_t born, int64_t sequence)
+{
+  WorkerInfo *info = g_new0 (WorkerInfo, 1);
+
+  info->id = g_strdup (id);
+  info->born_wall_ms = born;
+  info->service = g_strdup ("s");
+  info->data_centre = g_strdup ("d");
+  info->instance = g_strdup ("");
+  info->labels = g_new0 (char *, 1);
+  info->capacity = (JobSize){ 16000, 64000, 0 };
+  info->sequence = sequence;
+  return info;
+}
+
+/* A keeper whose worker is known and whose first look was answered. */
+static Fake *
+fake_new (Lists first)
+{
+  Fake *fake = g_new0 (Fake, 1);
+  const KeeperOptions options = { .boot = 5,
+                                  .token = 1000,
+                                  .grant_ms = GRANT_MS,
+                                  .look_wait_ms = 400,
+                                  .call_timeout_ms = 600,
+                                  .now_us = read_now,
+                                  .start = fake_start,
+                                  .stop = fake_stop,
+                                  .pace = fake_pace,
+                                  .look = fake_look,
+                                  .changed = ignore_change,
+                                  .note = ignore_note,
+                                  .ctx = fake };
+
+  fake->now_us = 1000 * 1000000;
+  fake->keeper = keeper_new (&options);
+  keeper_take_info (fake->keeper, info_of ("i1", 1, 1));
+  answer_look (fake, first);
+  return fake;
+}
+
+/* Answers what is under way, since its contexts belong to the calls. */
+static void
+fake_free (Fake *fake)
+{
+  FakeCall call;
+
+  keeper_worker_left (fake->keeper, "i1");
+  keeper_worker_left (fake->keeper, "i2");
+  while (fake->n_calls > 0)
+    {
+      call = fake->calls[--fake->n_calls];
+      answer (&call, RUNNER_NOT_SENT);
+    }
+  keeper_free (fake->keeper);
+  g_free (fake);
+}
+
+static uint64_t
+life_of (const Fake *fake)
+{
+  Batch__Report *report = keeper_report (fake->keeper);
+
+  assert_non_null (report);
+  uint64_t life = report->life;
+  batch__report__free_unpacked (report, NULL);
+  return life;
+}
+
+typedef struct
+{
+  uint64_t epoch;
+  int64_t echo_us;
+  int64_t ends_kept;
+  uint64_t number; /**< of a start of TASK run 1; 0 for none */
+  uint64_t stop_number;
+} Told;
+
+static gboolean
+tell (Fake *fake, Told told)
+{
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+  Batch__Order order = BATCH__ORDER__INIT;
+  Batch__Order stop_order = BATCH__ORDER__INIT;
+  Batch__Start start = BATCH__START__INIT;
+  Batch__Stop stop = BATCH__STOP__INIT;
+  Batch__Order *rows[2];
+
+  orders.epoch = told.epoch;
+  orders.owner = "owner";
+  orders.agent_boot = 5;
+  orders.life = life_of (fake);
+  orders.echo_us = told.echo_us;
+  orders.ends_kept = told.ends_kept;
+  orders.orders = rows;
+  start.task = TASK;
+  start.run = 1;
+  order.number = told.number;
+  order.what_case = BATCH__ORDER__WHAT_START;
+  order.start = &start;
+  stop.task = TASK;
+  stop.run = 1;
+  stop_order.number = told.stop_number;
+  stop_order.what_case = BATCH__ORDER__WHAT_STOP;
+  stop_order.stop = &stop;
+  if (told.number != 0)
+    rows[orders.n_orders++] = &order;
+  if (told.stop_number != 0)
+    rows[orders.n_orders++] = &stop_order;
+  return keeper_take_orders (fake->keeper, &orders);
+}
+
+static void
+start_carries_the_granted_lease (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  /* The worker's clock may be 2 % slow. */
+  assert_true (call.until_ms <= fake->now_us / 1000 + GRANT_MS * 98 / 100);
+  assert_true (call.until_ms > fake->now_us / 1000 + GRANT_MS / 2);
+  answer (&call, RUNNER_OK);
+  /* The same order again changes nothing. */
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  fake_free (fake);
+}
+
+static void
+start_without_a_live_grant_is_refused (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, fake->now_us - GRANT_MS * 1000, 0, 1, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  Batch__Report *report = keeper_report (fake->keeper);
+  assert_int_equal (report->done_number, 1);
+  assert_int_equal (report->n_running, 0);
+  assert_int_equal (report->n_refused, 1);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+static void
+replaced_owner_is_ignored (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 2, fake->now_us, 0, 0, 0 }));
+  assert_false (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  fake_free (fake);
+}
+
+/* It may act seconds later, so it has to be stopped before it counts as gone. */
+static void
+start_without_an_answer_is_stopped_before_it_is_gone (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  answer_look (fake, (Lists){ NULL, 0 });
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  fake->now_us += 1000;
+  answer (&call, RUNNER_IN_DOUBT);
+  for (int i = 0; i < 2; i++)
+    {
+      fake->now_us += 1000;
+      answer_look (fake, (Lists){ NULL, 0 });
+    }
+  Batch__Report *report = keeper_report (fake->keeper);
+  assert_int_equal (report->n_running, 1);
+  batch__report__free_unpacked (report, NULL);
+  keeper_tick (fake->keeper);
+  assert_true (take_call (fake, CALL_STOP, &call));
+  fake->now_us += 1000;
+  answer (&call, RUNNER_OK);
+  for (int i = 0; i < 2; i++)
+    {
+      fake->now_us += 1000;
+      answer_look (fake, (Lists){ NULL, 0 });
+    }
+  report = keeper_report (fake->keeper);
+  assert_int_equal (report->n_running, 0);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+static void
+stop_is_repeated_until_answered (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 1 }));
+  for (int i = 0; i < 3; i++)
+    {
+      assert_true (take_call (fake, CALL_STOP, &call));
+      answer (&call, RUNNER_IN_DOUBT);
+      fake->now_us += 400 * 1000;
+      keeper_tick (fake->keeper);
+    }
+  assert_true (take_call (fake, CALL_STOP, &call));
+  answer (&call, RUNNER_OK);
+  fake->now_us += 400 * 1000;
+  keeper_tick (fake->keeper);
+  assert_false (take_call (fake, CALL_STOP, &call));
+  fake_free (fake);
+}
+
+static void
+end_is_forgotten_only_when_kept (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  answer_look (fake, (Lists){ NULL, 9 });
+  Batch__Report *report = keeper_report (fake->keeper);
+  assert_int_equal (report->n_ended, 1);
+  batch__report__free_unpacked (report, NULL);
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  assert_int_equal (call.seen, 0);
+  answer (&call, RUNNER_IN_DOUBT);
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 9, 0, 0 }));
+  fake->now_us += 400 * 1000;
+  keeper_tick (fake->keeper);
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  assert_int_equal (call.seen, 9);
+  answer (&call, RUNNER_IN_DOUBT);
+  fake_free (fake);
+}
+
+/* The same id with another start: nothing of before counts, and the token rises. */
+static void
+new_life_of_a_worker_forgets_the_old_one (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+  uint64_t life = life_of (fake);
+
+  (void) state;
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  int64_t token = call.token;
+  keeper_take_info (fake->keeper, info_of ("i1", 2, 1));
+  assert_null (keeper_report (fake->keeper));
+  answer (&call, RUNNER_OK);
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  assert_true (call.token > token);
+  fake->calls[fake->n_calls++] = call;
+  answer_look (fake, (Lists){ NULL, 0 });
+  assert_true (life_of (fake) > life);
+  /* A report of the old life that comes late changes nothing. */
+  life = life_of (fake);
+  keeper_take_info (fake->keeper, info_of ("i1", 1, 50));
+  assert_int_equal (life_of (fake), life);
+  fake_free (fake);
+}
+
+static void
+late_report_of_a_replaced_worker_is_ignored (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  keeper_take_info (fake->keeper, info_of ("i2", 1, 1));
+  FakeCall call;
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  answer (&call, RUNNER_OK);
+  answer_look (fake, (Lists){ NULL, 0 });
+  uint64_t life = life_of (fake);
+  keeper_take_info (fake->keeper, info_of ("i1", 1, 99));
+  assert_int_equal (life_of (fake), life);
+  fake_free (fake);
+}
+
+static void
+silent_worker_is_not_vouched_for (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+
+  (void) state;
+  Batch__Report *report = keeper_report (fake->keeper);
+  assert_non_null (report);
+  batch__report__free_unpacked (report, NULL);
+  fake->now_us += 2000 * 1000;
+  assert_null (keeper_report (fake->keeper));
+  fake_free (fake);
+}
+
+static void
+token_rises_above_a_higher_one (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  answer (&call, RUNNER_FENCED);
+  fake->now_us += 400 * 1000;
+  keeper_tick (fake->keeper);
+  FakeCall next;
+  assert_true (take_call (fake, CALL_LOOK, &next));
+  assert_true (next.token > call.token);
+  answer (&next, RUNNER_NOT_SENT);
+  fake_free (fake);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (start_carries_the_granted_lease),
+    cmocka_unit_test (start_without_a_live_grant_is_refused),
+    cmocka_unit_test (replaced_owner_is_ignored),
+    cmocka_unit_test (start_without_an_answer_is_stopped_before_it_is_gone),
+    cmocka_unit_test (stop_is_repeated_until_answered),
+    cmocka_unit_test (end_is_forgotten_only_when_kept),
+    cmocka_unit_test (new_life_of_a_worker_forgets_the_old_one),
+    cmocka_unit_test (late_report_of_a_replaced_worker_is_ignored),
+    cmocka_unit_test (silent_worker_is_not_vouched_for),
+    cmocka_unit_test (token_rises_above_a_higher_one),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/ledger/test_ledger.c
@@ -0,0 +1,162 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ledger/ledger.h"
+
+#define JOB "00000000000000aa"
+
+static Ledger *
+new_ledger (void)
+{
+  const LedgerEvents events = { 0 };
+
+  return ledger_new (&events);
+}
+
+static gboolean
+apply (Ledger *ledger, int64_t offset, const char *key, const uint8_t *value, size_t size)
+{
+  return ledger_apply (ledger, offset, key, strlen (key), value, size);
+}
+
+static void
+apply_submission (Ledger *ledger, int64_t offset, const char *queue)
+{
+  Batch__Submission message = BATCH__SUBMISSION__INIT;
+  uint8_t bytes[256];
+
+  message.queue = (char *) queue;
+  size_t size = batch__submission__pack (&message, bytes);
+  assert_true (apply (ledger, offset, "job." JOB, bytes, size));
+}
+
+static void
+apply_state (Ledger *ledger, int64_t offset, SchedJobState value)
+{
+  Batch__Progress message = BATCH__PROGRESS__INIT;
+  uint8_t bytes[64];
+
+  message.state = value;
+  size_t size = batch__progress__pack (&message, bytes);
+  assert_true (apply (ledger, offset, "run." JOB, bytes, size));
+}
+
+static void
+apply_owner (Ledger *ledger, int64_t offset, uint64_t term, const char *name)
+{
+  Batch__Owner message = BATCH__OWNER__INIT;
+  uint8_t bytes[256];
+
+  message.term = term;
+  message.name = (char *) name;
+  message.boot = term;
+  size_t size = batch__owner__pack (&message, bytes);
+  assert_true (apply (ledger, offset, LEDGER_OWNER_KEY, bytes, size));
+}
+
+static void
+job_that_comes_twice_is_one (void **state)
+{
+  Ledger *ledger = new_ledger ();
+
+  (void) state;
+  apply_submission (ledger, 3, "first");
+  apply_submission (ledger, 9, "second");
+  const LedgerJob *job = ledger_job (ledger, JOB);
+  assert_string_equal (job->submission->queue, "first");
+  assert_int_equal (job->offset, 3);
+  ledger_free (ledger);
+}
+
+static void
+progress_before_its_job_is_kept (void **state)
+{
+  Ledger *ledger = new_ledger ();
+  SchedJobState value = SCHED_QUEUED;
+
+  (void) state;
+  apply_state (ledger, 5, SCHED_COMPLETED);
+  assert_false (ledger_job_state (ledger_job (ledger, JOB), &value));
+  apply_submission (ledger, 6, "q");
+  assert_true (ledger_job_state (ledger_job (ledger, JOB), &value));
+  assert_int_equal (value, SCHED_COMPLETED);
+  ledger_free (ledger);
+}
+
+static void
+cancelled_job_that_was_done_stays_done (void **state)
+{
+  Ledger *ledger = new_ledger ();
+  SchedJobState value = SCHED_QUEUED;
+
+  (void) state;
+  apply_submission (ledger, 1, "q");
+  assert_true (apply (ledger, 2, "cancel." JOB, NULL, 0));
+  assert_true (ledger_job_state (ledger_job (ledger, JOB), &value));
+  assert_int_equal (value, SCHED_CANCELLED);
+  apply_state (ledger, 3, SCHED_COMPLETED);
+  assert_true (ledger_job_state (ledger_job (ledger, JOB), &value));
+  assert_int_equal (value, SCHED_COMPLETED);
+  ledger_free (ledger);
+}
+
+static void
+older_owner_record_changes_nothing (void **state)
+{
+  Ledger *ledger = new_ledger ();
+
+  (void) state;
+  apply_owner (ledger, 10, 2, "new");
+  apply_owner (ledger, 4, 1, "old");
+  assert_string_equal (ledger_owner (ledger)->name, "new");
+  assert_int_equal (ledger_owner (ledger)->term, 2);
+  ledger_free (ledger);
+}
+
+typedef struct
+{
+  const char *key;
+  const char *value;
+} BadRecord;
+
+static const BadRecord bad_records[] = {
+  { "", "" },
+  { "unknown", "" },
+  { "job.short", "" },
+  { "job." JOB, "\xff\xff\xff" },
+  { "run." JOB, "\xff\xff\xff" },
+  { "owner", "\xff" },
+  { "agent.a", "" },
+  { "agent.a", "\xff" },
+};
+
+static void
+malformed_records_change_nothing (void **state)
+{
+  Ledger *ledger = new_ledger ();
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (bad_records); i++)
+    assert_false (apply (ledger, (int64_t) i, bad_records[i].key,
+                         (const uint8_t *) bad_records[i].value, strlen (bad_records[i].value)));
+  assert_int_equal (ledger_owner (ledger)->term, 0);
+  ledger_free (ledger);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (job_that_comes_twice_is_one),
+    cmocka_unit_test (progress_before_its_job_is_kept),
+    cmocka_unit_test (cancelled_job_that_was_done_stays_done),
+    cmocka_unit_test (older_owner_record_changes_nothing),
+    cmocka_unit_test (malformed_records_change_nothing),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
