--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -11,6 +11,9 @@
 #define COST_TAIL_PERCENT 1000
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
+/** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
+ * down at times, and some runs fail. A job that won't be done in time goes behind those that can. */
+#define SLACK_PERCENT 130
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
@@ -31,6 +34,7 @@
   SchedPart *part;
   uint32_t priority;
   gboolean is_late;
+  gboolean has_begun;
   int64_t deadline_ms;
 } Turn;
 
@@ -75,9 +79,9 @@
   turn.deadline_ms
       = origin_wall_ms (part) + job->queue->target_ms
         + (int64_t) (job->queue->stretch * (double) chain_ms (sched, job, part->occurrence, FALSE));
-  turn.is_late
-      = !part->step->lasts
-        && sched->wall_ms + chain_ms (sched, job, part->occurrence, TRUE) > turn.deadline_ms;
+  int64_t left_ms = chain_ms (sched, job, part->occurrence, TRUE) * SLACK_PERCENT / 100;
+  turn.is_late = !part->step->lasts && sched->wall_ms + left_ms > turn.deadline_ms;
+  turn.has_begun = job->has_begun;
   return turn;
 }
 
@@ -91,6 +95,8 @@
     return left->priority < right->priority ? -1 : 1;
   if (left->is_late != right->is_late)
     return left->is_late ? 1 : -1;
+  if (left->has_begun != right->has_begun)
+    return left->has_begun ? -1 : 1;
   if (left->deadline_ms != right->deadline_ms)
     return left->deadline_ms < right->deadline_ms ? -1 : 1;
   return strcmp (left->part->job->id, right->part->job->id);
--- /dev/null
+++ b/tests/users/test_formats.c
@@ -0,0 +1,197 @@
+/* What the users' platform sends, well formed and not. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "common/err.h"
+#include "platform/caller.h"
+#include "platform/operator.h"
+#include "platform/runner.h"
+
+typedef struct
+{
+  const char *body;
+  const char *message; /**< NULL: it is good */
+} Case;
+
+static const Case jobs[] = {
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1}]}", NULL },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":2.0,\"cpu\":5}]}", NULL },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1,\"after\":[0]}],\"unknown\":7}", NULL },
+  { "", "malformed JSON: '[' or '{' expected near end of file" },
+  { "[]", "expected a JSON object" },
+  { "{\"steps\":[{\"count\":1}]}", "member \"spec\": expected a string" },
+  { "{\"spec\":\"x\"}", "member \"steps\": expected 1 to 256 steps" },
+  { "{\"spec\":\"x\",\"steps\":[]}", "member \"steps\": expected 1 to 256 steps" },
+  { "{\"spec\":\"x\",\"steps\":{}}", "member \"steps\": expected an array" },
+  { "{\"spec\":\"x\",\"steps\":[5]}", "a step is not an object" },
+  { "{\"spec\":\"x\",\"steps\":[{}]}", "member \"count\": expected a whole number" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":0}]}", "a number of a step is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1.5}]}", "member \"count\": expected a whole number" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-1}]}", "a number of a step is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+    "member \"after\": not an earlier step" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"gang\":1}]}",
+    "member \"gang\": expected true or false" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"repeat_count\":-1}",
+    "a time of the job is out of range" },
+};
+
+static void
+jobs_are_decoded_or_refused (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (jobs); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (JobSpec) spec = caller_decode_job (jobs[i].body, strlen (jobs[i].body), &error);
+      assert_int_equal (spec == NULL, jobs[i].message != NULL);
+      if (jobs[i].message != NULL)
+        assert_string_equal (error->message, jobs[i].message);
+    }
+}
+
+static void
+every_member_of_a_step_is_read (void **state)
+{
+  const char *body
+      = "{\"spec\":\"s\",\"repeat_count\":3,\"start_at_ms\":9,\"interval_ms\":4,\"steps\":[{\"count\":2},"
+        "{\"count\":4,\"cpu\":500,\"mem_mb\":256,\"gpu\":1,\"estimate_ms\":900,\"after\":[0],"
+        "\"checkpointing\":true,\"gang\":true,\"same_rack\":true,\"required_label\":\"a\","
+        "\"affinity\":\"r1-3\",\"max_per_server\":2,\"speculative\":true,\"long_running\":true,"
+        "\"image\":\"i\",\"target_ms\":50,\"fills\":true,\"may_miss\":1}]}";
+  g_autoptr (JobSpec) spec = caller_decode_job (body, strlen (body), NULL);
+
+  (void) state;
+  assert_non_null (spec);
+  assert_int_equal (spec->n_repeats, 3);
+  assert_int_equal (spec->start_wall_ms, 9);
+  assert_int_equal (spec->interval_ms, 4);
+  const JobStep *step = g_ptr_array_index (spec->steps, 1);
+  assert_int_equal (step->n_tasks, 4);
+  assert_int_equal (step->size.cpu_m, 500);
+  assert_int_equal (step->size.mem_mb, 256);
+  assert_int_equal (step->size.gpus, 1);
+  assert_int_equal (step->estimate_ms, 900);
+  assert_int_equal (g_array_index (step->after, uint32_t, 0), 0);
+  assert_true (step->saves && step->is_gang && step->same_rack && step->may_race && step->lasts
+               && step->fills && step->has_miss_rule);
+  assert_string_equal (step->label, "a");
+  assert_string_equal (step->rack, "r1-3");
+  assert_string_equal (step->image, "i");
+  assert_int_equal (step->per_worker_max, 2);
+  assert_int_equal (step->tail_target_ms, 50);
+  assert_int_equal (step->may_miss, 1);
+}
+
+#define CAPACITY "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}"
+
+static const Case reports[] = {
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4," CAPACITY
+    ",\"labels\":[\"a\",\"r1\"],\"new\":{}}",
+    NULL },
+  { "{\"zone\":\"z\",\"state\":\"ready\",\"seq\":4," CAPACITY "}",
+    "member \"service\": expected a string" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"odd\",\"seq\":4," CAPACITY "}",
+    "member \"state\": \"odd\" is not a state" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\"," CAPACITY "}",
+    "member \"seq\": expected a whole number" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4}",
+    "member \"capacity\": expected an object" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4," CAPACITY ",\"labels\":[1]}",
+    "member \"labels\": expected strings" },
+  { "\xff\xfe", "malformed JSON: '[' or '{' expected near '\\xff'" },
+};
+
+static void
+reports_are_decoded_or_name_no_worker (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (reports); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (WorkerInfo) info
+          = runner_decode_report ("i-1", reports[i].body, strlen (reports[i].body), &error);
+      assert_int_equal (info == NULL, reports[i].message != NULL);
+      if (i < G_N_ELEMENTS (reports) - 1 && reports[i].message != NULL)
+        assert_string_equal (error->message, reports[i].message);
+    }
+}
+
+static const Case configs[] = {
+  { "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/\",\"service\":\"s\","
+    "\"priority\":2,\"max_attempts\":3,\"stretch\":2.2,\"target_latency_ms\":250}],"
+    "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],\"limits\":{}}",
+    NULL },
+  { "{\"version\":7}", NULL },
+  { "{\"routes\":[]}", "member \"version\": expected a whole number" },
+  { "{\"version\":7,\"routes\":[{\"host\":\"h\"}]}", "member \"name\": expected a string" },
+  { "{\"version\":7,\"services\":[{}]}", "member \"name\": expected a string" },
+  { "{\"version\":7,\"services\":[{\"name\":\"s\",\"standby\":\"no\"}]}",
+    "member \"standby\": expected true or false" },
+};
+
+static void
+configurations_are_decoded_or_refused_whole (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (configs); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (QueueConfig) config
+          = operator_decode_config (configs[i].body, strlen (configs[i].body), &error);
+      assert_int_equal (config == NULL, configs[i].message != NULL);
+      if (configs[i].message != NULL)
+        assert_string_equal (error->message, configs[i].message);
+    }
+}
+
+static void
+longest_prefix_wins (void **state)
+{
+  const char *body
+      = "{\"version\":1,\"routes\":["
+        "{\"name\":\"short\",\"host\":\"H\",\"path_prefix\":\"/a/\",\"service\":\"s\"},"
+        "{\"name\":\"long\",\"host\":\"h\",\"path_prefix\":\"/a/b/\",\"service\":\"s\"}]}";
+  g_autoptr (QueueConfig) config = operator_decode_config (body, strlen (body), NULL);
+
+  (void) state;
+  assert_string_equal (queue_config_route (config, "h:80", "/a/b/1")->name, "long");
+  assert_string_equal (queue_config_route (config, "h", "/a/c")->name, "short");
+  assert_null (queue_config_route (config, "h", "/x"));
+  assert_null (queue_config_route (config, "other", "/a/b/1"));
+}
+
+static void
+task_names_go_both_ways (void **state)
+{
+  JobTaskName name;
+
+  (void) state;
+  assert_true (job_task_name_parse ("5c0e7a21d94b36f8.0.1.17", &name));
+  assert_int_equal (name.index, 17);
+  g_autofree char *text = job_task_name_format (&name);
+  assert_string_equal (text, "5c0e7a21d94b36f8.0.1.17");
+  assert_false (job_task_name_parse ("5c0e7a21d94b36f8.0.1", &name));
+  assert_false (job_task_name_parse ("5c0e7a21d94b36f8.0.1.x", &name));
+  assert_false (job_task_name_parse ("zz0e7a21d94b36f8.0.1.1", &name));
+  assert_false (job_task_name_parse ("", &name));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (jobs_are_decoded_or_refused),
+    cmocka_unit_test (every_member_of_a_step_is_read),
+    cmocka_unit_test (reports_are_decoded_or_name_no_worker),
+    cmocka_unit_test (configurations_are_decoded_or_refused_whole),
+    cmocka_unit_test (longest_prefix_wins),
+    cmocka_unit_test (task_names_go_both_ways),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/users/test_store.c
@@ -0,0 +1,296 @@
+/* The client of the store against a stand-in of it on the loopback, and what stands on the client. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ledger/feed.h"
+#include "ledger/outbox.h"
+#include "net/net_server.h"
+#include "platform/store.h"
+
+#define ADDRESS "127.0.0.1:28711"
+#define TOPIC "keyed.test"
+
+/* Answers as told, and remembers what was asked. */
+typedef struct
+{
+  NetServer *server;
+  NetClient *client;
+  Store *store;
+  uint32_t status;
+  char *body;
+  uint32_t n_calls;
+  uint32_t n_unanswered; /**< the next calls get no answer */
+  GPtrArray *held;
+  GByteArray *last_body;
+} World;
+
+static void
+on_request (void *ctx, NetRequest *request)
+{
+  World *world = ctx;
+  size_t size = 0;
+  const char *body = net_request_body (request, &size);
+  const NetReply reply = { .status = world->status,
+                           .content_type = "application/json",
+                           .body = world->body };
+
+  world->n_calls++;
+  g_byte_array_set_size (world->last_body, 0);
+  g_byte_array_append (world->last_body, (const guint8 *) body, (guint) size);
+  if (world->n_unanswered > 0)
+    {
+      world->n_unanswered--;
+      g_ptr_array_add (world->held, request);
+      return;
+    }
+  net_request_reply (request, &reply);
+}
+
+static World *
+world_new (void)
+{
+  World *world = g_new0 (World, 1);
+  const NetServerOptions options = { .address = ADDRESS,
+                                     .connections_max = 20,
+                                     .idle_s = 10,
+                                     .body_bytes_max = 100000,
+                                     .handler = on_request,
+                                     .ctx = world };
+
+  world->held = g_ptr_array_new ();
+  world->last_body = g_byte_array_new ();
+  world->status = 200;
+  world->server = net_server_new (&options, NULL);
+  assert_non_null (world->server);
+  world->client = net_client_new ();
+  world->store = store_new (world->client, ADDRESS);
+  return world;
+}
+
+static void
+world_free (World *world)
+{
+  const NetReply reply = { .status = 500 };
+
+  for (guint i = 0; i < world->held->len; i++)
+    net_request_reply (g_ptr_array_index (world->held, i), &reply);
+  for (int i = 0; i < 20; i++)
+    (void) g_main_context_iteration (NULL, FALSE);
+  net_client_free (world->client);
+  store_free (world->store);
+  net_server_free (world->server);
+  g_ptr_array_unref (world->held);
+  g_byte_array_unref (world->last_body);
+  g_free (world->body);
+  g_free (world);
+}
+
+static void
+set_answer (World *world, uint32_t status, const char *body)
+{
+  g_free (world->body);
+  world->body = g_strdup (body);
+  world->status = status;
+}
+
+typedef struct
+{
+  gboolean is_done;
+  StoreAnswer answer;
+  uint32_t n_records;
+} Result;
+
+static void
+on_result (void *ctx, const StoreAnswer *answer)
+{
+  Result *result = ctx;
+
+  result->answer = *answer;
+  result->n_records = answer->records != NULL ? answer->records->len : 0;
+  result->is_done = TRUE;
+}
+
+static void
+append_once (World *world, Result *result)
+{
+  g_autoptr (GByteArray) records = g_byte_array_new ();
+
+  store_add_record (records, "k", "v", 1);
+  const StoreAppend append = { .topic = TOPIC,
+                               .records = records,
+                               .at = -1,
+                               .producer = "p",
+                               .epoch = 4,
+                               .sequence = 8,
+                               .timeout_ms = 300 };
+  memset (result, 0, sizeof *result);
+  store_append (world->store, &append, on_result, result);
+  while (!result->is_done)
+    (void) g_main_context_iteration (NULL, TRUE);
+}
+
+typedef struct
+{
+  uint32_t status;
+  const char *body;
+  StoreOutcome outcome;
+} Answer;
+
+static const Answer answers[] = {
+  { 200, "{\"offset\":840,\"end_offset\":842}", STORE_OK },
+  { 412, "{\"end_offset\":9}", STORE_MOVED },
+  { 409, "{\"reason\":\"fenced\"}", STORE_FENCED },
+  { 409, "{\"reason\":\"seq\",\"expected\":9}", STORE_SEQUENCE },
+  { 429, "", STORE_REFUSED },
+  { 503, "", STORE_REFUSED },
+  { 507, "", STORE_REFUSED },
+  { 418, "", STORE_MALFORMED },
+};
+
+static void
+answers_are_told_apart (void **state)
+{
+  World *world = world_new ();
+  Result result;
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      set_answer (world, answers[i].status, answers[i].body);
+      append_once (world, &result);
+      assert_int_equal (result.answer.outcome, answers[i].outcome);
+    }
+  set_answer (world, 409, "{\"reason\":\"seq\",\"expected\":9}");
+  append_once (world, &result);
+  assert_int_equal (result.answer.expected_sequence, 9);
+  /* Length of the record, length of the key, key, value. */
+  assert_int_equal (world->last_body->len, 7);
+  assert_memory_equal (world->last_body->data, "\0\0\0\3\1kv", 7);
+  world_free (world);
+}
+
+static void
+silence_is_doubt_and_no_listener_is_not (void **state)
+{
+  World *world = world_new ();
+  Result result;
+
+  (void) state;
+  world->n_unanswered = 1;
+  append_once (world, &result);
+  assert_int_equal (result.answer.outcome, STORE_IN_DOUBT);
+  store_free (world->store);
+  world->store = store_new (world->client, "127.0.0.1:28799");
+  append_once (world, &result);
+  assert_int_equal (result.answer.outcome, STORE_REFUSED);
+  world_free (world);
+}
+
+typedef struct
+{
+  uint32_t n_done;
+  OutboxResult last;
+} Fate;
+
+static void
+on_fate (void *ctx, OutboxResult result, int64_t offset)
+{
+  Fate *fate = ctx;
+
+  (void) offset;
+  fate->n_done++;
+  fate->last = result;
+}
+
+static void
+wait_for (const Fate *fate)
+{
+  while (fate->n_done == 0)
+    (void) g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+refused_record_is_never_written (void **state)
+{
+  World *world = world_new ();
+  Outbox *outbox = outbox_new (world->store, TOPIC);
+  Fate fate = { 0 };
+
+  (void) state;
+  set_answer (world, 503, "");
+  outbox_add (outbox, "k", "v", 1, INT64_MAX, on_fate, &fate);
+  wait_for (&fate);
+  assert_int_equal (fate.last, OUTBOX_REFUSED);
+  assert_int_equal (outbox_waiting (outbox), 0);
+  outbox_free (outbox);
+  world_free (world);
+}
+
+/* An append without an answer may be there, so a refusal of its repeat says nothing. */
+static void
+record_in_doubt_is_repeated_until_written (void **state)
+{
+  World *world = world_new ();
+  Outbox *outbox = outbox_new (world->store, TOPIC);
+  Fate fate = { 0 };
+  Fate second = { 0 };
+
+  (void) state;
+  world->n_unanswered = 1;
+  set_answer (world, 503, "");
+  outbox_add (outbox, "k", "v", 1, INT64_MAX, on_fate, &fate);
+  while (world->n_calls < 3)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (fate.n_done, 0);
+  /* The same record asked for again shares its fate. */
+  outbox_add (outbox, "k", "v", 1, INT64_MAX, on_fate, &second);
+  assert_int_equal (outbox_waiting (outbox), 1);
+  set_answer (world, 200, "{\"offset\":1,\"end_offset\":2}");
+  wait_for (&fate);
+  assert_int_equal (fate.last, OUTBOX_WRITTEN);
+  assert_int_equal (second.last, OUTBOX_WRITTEN);
+  outbox_free (outbox);
+  world_free (world);
+}
+
+static void
+caller_is_told_of_the_doubt_in_time (void **state)
+{
+  World *world = world_new ();
+  Outbox *outbox = outbox_new (world->store, TOPIC);
+  Fate fate = { 0 };
+
+  (void) state;
+  world->n_unanswered = 100;
+  outbox_add (outbox, "k", "v", 1, 0, on_fate, &fate);
+  wait_for (&fate);
+  assert_int_equal (fate.last, OUTBOX_IN_DOUBT);
+  assert_int_equal (outbox_waiting (outbox), 1);
+  for (int i = 0; i < 20; i++)
+    (void) g_main_context_iteration (NULL, FALSE);
+  world->n_unanswered = 0;
+  set_answer (world, 200, "{\"offset\":1,\"end_offset\":2}");
+  while (outbox_waiting (outbox) > 0)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (fate.n_done, 1);
+  outbox_free (outbox);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (answers_are_told_apart),
+    cmocka_unit_test (silence_is_doubt_and_no_listener_is_not),
+    cmocka_unit_test (refused_record_is_never_written),
+    cmocka_unit_test (record_in_doubt_is_repeated_until_written),
+    cmocka_unit_test (caller_is_told_of_the_doubt_in_time),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
