--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -9,6 +9,8 @@
 /** Between two steps: tails are measured over half a second and told half a second later. */
 #define PACE_DOWN_MS 900
 #define PACE_UP_MS 1000
+/** Tasks that fill are slowed down once a tail is above this percent of its target. */
+#define PACE_FROM_PERCENT 100
 /** Tasks that fill get more once the worst tail is below this percent of its target, and are slowed
  * down to this one. */
 #define PACE_UP_PERCENT 65
@@ -73,7 +75,7 @@
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (sched_is_serving (task) && sched_tail_percent (task) > 100
+      if (sched_is_serving (task) && sched_tail_percent (task) > PACE_FROM_PERCENT
           && sched_tails_shares (sched, worker, task) >= BLAME_PERCENT
           && (worst == NULL || sched_tail_percent (task) > sched_tail_percent (worst)))
         worst = task;
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -34,7 +34,6 @@
   SchedPart *part;
   uint32_t priority;
   gboolean is_late;
-  gboolean has_begun;
   int64_t deadline_ms;
 } Turn;
 
@@ -81,7 +80,6 @@
         + (int64_t) (job->queue->stretch * (double) chain_ms (sched, job, part->occurrence, FALSE));
   int64_t left_ms = chain_ms (sched, job, part->occurrence, TRUE) * SLACK_PERCENT / 100;
   turn.is_late = !part->step->lasts && sched->wall_ms + left_ms > turn.deadline_ms;
-  turn.has_begun = job->has_begun;
   return turn;
 }
 
@@ -95,8 +93,6 @@
     return left->priority < right->priority ? -1 : 1;
   if (left->is_late != right->is_late)
     return left->is_late ? 1 : -1;
-  if (left->has_begun != right->has_begun)
-    return left->has_begun ? -1 : 1;
   if (left->deadline_ms != right->deadline_ms)
     return left->deadline_ms < right->deadline_ms ? -1 : 1;
   return strcmp (left->part->job->id, right->part->job->id);
--- a/tests/fuzz/fuzz_users.c
+++ b/tests/fuzz/fuzz_users.c
@@ -22,6 +22,8 @@
   g_autoptr (WorkerInfo) info = runner_decode_report ("i", body, size, NULL);
   g_autofree char *path = g_strndup (body, size);
 
+  if (spec != NULL)
+    g_assert (spec->steps->len > 0);
   if (config != NULL)
     (void) queue_config_route (config, "h", path);
   if (info != NULL)
