--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -12,7 +12,8 @@
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
 /** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
- * down at times, and some runs fail. A job that won't be done in time goes behind those that can. */
+ * down at times, and some runs fail. A job that won't be done in time goes behind those that can.
+ */
 #define SLACK_PERCENT 130
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
@@ -283,12 +284,13 @@
       g_ptr_array_add (chosen, worker);
     }
   undo_gang (part);
+  g_autofree char *saved = g_strdup (part->tasks[0].saved);
   for (uint32_t i = 0; i < n_tasks; i++)
     {
       SchedTask *task = &part->tasks[i];
       task->run = run;
       g_free (task->saved);
-      task->saved = g_strdup (part->tasks[0].saved);
+      task->saved = g_strdup (saved);
       sched_order_start (sched, g_ptr_array_index (chosen, i), task);
     }
 }
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -9,11 +9,12 @@
 
 #include "batch/ledger.pb-c.h"
 #include "batch/sched.h"
+#include "platform/store.h"
 
 G_BEGIN_DECLS
 
 /** Topic of the store that holds the ledger. */
-#define LEDGER_TOPIC "keyed.acaciadale"
+#define LEDGER_TOPIC STORE_KEYED_PREFIX "acaciadale"
 /** Prefixes of keys, and the owner's key. */
 #define LEDGER_JOB_PREFIX "job."
 #define LEDGER_RUN_PREFIX "run."
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -141,9 +141,12 @@
   JobSpec *spec = caller_decode_job (body, strlen (body), NULL);
 
   assert_non_null (spec);
-  const SchedNewJob job = {
-    .id = id, .queue = queue, .accepted_wall_ms = rig->now_us / 1000, .spec = spec, .progress = NULL, .is_old = is_old
-  };
+  const SchedNewJob job = { .id = id,
+                            .queue = queue,
+                            .accepted_wall_ms = rig->now_us / 1000,
+                            .spec = spec,
+                            .progress = NULL,
+                            .is_old = is_old };
   sched_add_job (rig->sched, &job);
 }
 
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -201,6 +201,27 @@
 }
 
 /* The new owner starts nothing that the old one may have started at an agent it hasn't heard. */
+/* Any member's checkpoint is good for all, and all start from the same one. */
+static void
+gang_goes_on_from_one_checkpoint (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":2,\"cpu\":8000,\"gang\":true,\"checkpointing\":true}");
+  rig_round (rig, 100, TRUE);
+  for (int i = 0; i < 2; i++)
+    {
+      g_autofree char *name = g_strdup_printf (JOB_A ".0.0.%d", i);
+      rig_end (rig_where (rig, name), name, WORKER_END_BROKEN);
+    }
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 2);
+  assert_int_equal (rig->n_starts, 4);
+  rig_free (rig);
+}
+
 static void
 new_owner_waits_for_agents_it_has_not_heard (void **state)
 {
@@ -402,6 +423,7 @@
     cmocka_unit_test (other_services_and_labels_are_left_alone),
     cmocka_unit_test (tasks_of_a_step_spread_as_told),
     cmocka_unit_test (gang_starts_whole_or_not),
+    cmocka_unit_test (gang_goes_on_from_one_checkpoint),
     cmocka_unit_test (new_owner_waits_for_agents_it_has_not_heard),
     cmocka_unit_test (new_owner_takes_over_what_runs),
     cmocka_unit_test (task_of_an_unknown_job_is_stopped),
--- a/tests/batch/test_sched_props.cc
+++ b/tests/batch/test_sched_props.cc
@@ -27,10 +27,10 @@
   Rig *rig = nullptr;
   int n_jobs = 0;
   std::map<std::string, int64_t> silent_ms;
-  std::set<std::string> done;  /* ended so, whether anybody heard or not */
-  std::set<std::string> noted; /* and the owner acknowledged it before the lease lapsed */
+  std::set<std::string> done;   /* ended so, whether anybody heard or not */
+  std::set<std::string> noted;  /* and the owner acknowledged it before the lease lapsed */
   std::set<std::string> lapsed; /* "worker number" of ends whose lease lapsed since */
-  std::set<std::string> seen;  /* "task run" */
+  std::set<std::string> seen;   /* "task run" */
 
   World ()
   {
@@ -161,7 +161,8 @@
       break;
     case 7:
       if (world.n_jobs > 0)
-        sched_cancel_job (rig->sched, std::to_string (1000000000000000 + pick % world.n_jobs).c_str ());
+        sched_cancel_job (rig->sched,
+                          std::to_string (1000000000000000 + pick % world.n_jobs).c_str ());
       break;
     default:
       break;
@@ -169,7 +170,7 @@
 }
 
 void
-play (const std::vector<std::pair<uint32_t, uint32_t>> &steps)
+play (const std::vector<std::pair<uint32_t, uint32_t> > &steps)
 {
   World world;
 
@@ -196,7 +197,7 @@
   if (params.find ("max_success") == params.rfind ("max_success"))
     setenv ("RC_PARAMS", params.c_str (), 1);
   bool is_good = rc::check ("no task runs twice, early, or beside too many others", [] {
-    const auto steps = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t>>> (
+    const auto steps = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t> > > (
         rc::gen::pair (rc::gen::inRange<uint32_t> (0, 9), rc::gen::inRange<uint32_t> (0, 100000)));
     play (steps);
   });
--- a/tests/keeper/test_keeper.c
+++ b/tests/keeper/test_keeper.c
@@ -61,7 +61,10 @@
 }
 
 static void
-fake_start (void *ctx, const RunnerTarget *target, const RunnerStart *start, RunnerDone done,
+fake_start (void *ctx,
+            const RunnerTarget *target,
+            const RunnerStart *start,
+            RunnerDone done,
             void *done_ctx)
 {
   FakeCall *call = add_call (ctx, CALL_START, target, done, done_ctx);
@@ -72,7 +75,11 @@
 }
 
 static void
-fake_stop (void *ctx, const RunnerTarget *target, const char *task, int64_t run, RunnerDone done,
+fake_stop (void *ctx,
+           const RunnerTarget *target,
+           const char *task,
+           int64_t run,
+           RunnerDone done,
            void *done_ctx)
 {
   FakeCall *call = add_call (ctx, CALL_STOP, target, done, done_ctx);
@@ -82,8 +89,13 @@
 }
 
 static void
-fake_pace (void *ctx, const RunnerTarget *target, const char *task, int64_t run, int64_t percent,
-           RunnerDone done, void *done_ctx)
+fake_pace (void *ctx,
+           const RunnerTarget *target,
+           const char *task,
+           int64_t run,
+           int64_t percent,
+           RunnerDone done,
+           void *done_ctx)
 {
   (void) task;
   (void) run;
@@ -92,8 +104,8 @@
 }
 
 static void
-fake_look (void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done,
-           void *done_ctx)
+fake_look (
+    void *ctx, const RunnerTarget *target, const RunnerLook *look, RunnerDone done, void *done_ctx)
 {
   FakeCall *call = add_call (ctx, CALL_LOOK, target, done, done_ctx);
 
--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -58,7 +58,8 @@
 every_member_of_a_step_is_read (void **state)
 {
   const char *body
-      = "{\"spec\":\"s\",\"repeat_count\":3,\"start_at_ms\":9,\"interval_ms\":4,\"steps\":[{\"count\":2},"
+      = "{\"spec\":\"s\",\"repeat_count\":3,\"start_at_ms\":9,\"interval_ms\":4,\"steps\":[{"
+        "\"count\":2},"
         "{\"count\":4,\"cpu\":500,\"mem_mb\":256,\"gpu\":1,\"estimate_ms\":900,\"after\":[0],"
         "\"checkpointing\":true,\"gang\":true,\"same_rack\":true,\"required_label\":\"a\","
         "\"affinity\":\"r1-3\",\"max_per_server\":2,\"speculative\":true,\"long_running\":true,"
@@ -122,7 +123,8 @@
 }
 
 static const Case configs[] = {
-  { "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/\",\"service\":\"s\","
+  { "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/"
+    "\",\"service\":\"s\","
     "\"priority\":2,\"max_attempts\":3,\"stretch\":2.2,\"target_latency_ms\":250}],"
     "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],\"limits\":{}}",
     NULL },
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -1,4 +1,5 @@
-/* The client of the store against a stand-in of it on the loopback, and what stands on the client. */
+/* The client of the store against a stand-in of it on the loopback, and what stands on the client.
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -34,9 +35,8 @@
   World *world = ctx;
   size_t size = 0;
   const char *body = net_request_body (request, &size);
-  const NetReply reply = { .status = world->status,
-                           .content_type = "application/json",
-                           .body = world->body };
+  const NetReply reply
+      = { .status = world->status, .content_type = "application/json", .body = world->body };
 
   world->n_calls++;
   g_byte_array_set_size (world->last_body, 0);
