An owner that leaves always writes its release; a claim that was too late is tried again at the topic's end

Its append under way at the signal was an ordinary one, and its answer ended the term without a release. Claims then lost 0.4 s to appends of other entries between a read and a claim. Ruled out: the balancer and the ledger's readers; all entries read on.

--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -278,6 +278,12 @@
   return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
 }
 
+const char *
+net_request_argument (const NetRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
 const char *
 net_request_body (const NetRequest *request, size_t *size)
 {
@@ -297,11 +303,11 @@
 {
   NetServer *server = request->server;
   const char *body = reply->body != NULL ? reply->body : "";
+  size_t size = reply->body_size > 0 ? reply->body_size : strlen (body);
 
   server->open--;
   request->status = reply->status;
-  request->response
-      = MHD_create_response_from_buffer (strlen (body), (void *) body, MHD_RESPMEM_MUST_COPY);
+  request->response = MHD_create_response_from_buffer (size, (void *) body, MHD_RESPMEM_MUST_COPY);
   if (reply->content_type != NULL)
     (void) MHD_add_response_header (request->response, "Content-Type", reply->content_type);
   if (reply->retry_after_s > 0)
--- a/lib/net/net_server.h
+++ b/lib/net/net_server.h
@@ -43,6 +43,8 @@
 const char *net_request_path (const NetRequest *request);
 /** Value of a header, or NULL; owned by @p request. */
 const char *net_request_header (const NetRequest *request, const char *name);
+/** Value of an argument of the query, or NULL; owned by @p request. */
+const char *net_request_argument (const NetRequest *request, const char *name);
 /** The body with a zero byte behind it; @p size may be NULL. Owned by @p request. */
 const char *net_request_body (const NetRequest *request, size_t *size);
 /** When the request was read whole, on clk_now_us(). */
@@ -54,6 +56,7 @@
   uint32_t status;
   const char *content_type; /**< NULL without a body */
   const char *body;         /**< NULL for none */
+  size_t body_size;         /**< 0: the body is a text */
   uint32_t retry_after_s;   /**< 0: no Retry-After */
 } NetReply;
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -59,6 +59,7 @@
   GByteArray *records; /**< of the append under way or in doubt; NULL for none */
   gboolean is_appending;
   gboolean is_in_doubt; /**< it is repeated as it was */
+  gboolean is_release;  /**< it gives the jobs up */
   int64_t append_us;    /**< when it was sent */
   int64_t renew_us;     /**< when the next sign of life is due */
   guint check_timer;
@@ -345,7 +346,8 @@
     return;
   owner->records = g_byte_array_new ();
   owner->renew_us = clk_now_us () + RENEW_MS * 1000;
-  add_owner_record (owner, owner->records, owner->is_leaving ? 0 : node_boot (owner->entry->node));
+  owner->is_release = owner->is_leaving;
+  add_owner_record (owner, owner->records, owner->is_release ? 0 : node_boot (owner->entry->node));
   if (owner->flush != NULL)
     add_changes (owner->records, owner->flush);
   send_append (owner);
@@ -385,8 +387,10 @@
   owner->authority_us = MAX (owner->authority_us, owner->append_us);
   owner->sequence++;
   end_append (owner, TRUE);
-  if (owner->is_leaving)
+  if (owner->is_release)
     resign (owner, "leaving");
+  else if (owner->is_leaving)
+    write_changes (owner);
   else
     decide (owner);
 }
@@ -420,6 +424,15 @@
 
 /* Claiming. */
 
+static void claim_if_due (Owner *owner);
+
+static void
+on_caught_up (void *ctx, gboolean is_fresh)
+{
+  if (is_fresh)
+    claim_if_due (ctx);
+}
+
 static void
 on_claimed (void *ctx, const StoreAnswer *answer)
 {
@@ -434,6 +447,8 @@
     return;
   /* The topic has moved on, or the store is busy: the claim is not there and never will be. */
   owner->phase = OWNER_NONE;
+  if (answer->outcome == STORE_MOVED)
+    feed_refresh (owner->entry->ledger_feed, on_caught_up, owner);
 }
 
 static void
@@ -505,6 +520,13 @@
   return quiet_us >= needed_us + claim_delay_us (owner);
 }
 
+static void
+claim_if_due (Owner *owner)
+{
+  if (owner->phase == OWNER_NONE && may_claim (owner))
+    claim (owner);
+}
+
 static gboolean
 on_check (gpointer data)
 {
@@ -515,8 +537,7 @@
       line_add ("owner", "claim_given_up", "term=%" G_GUINT64_FORMAT, owner->term);
       owner->phase = OWNER_NONE;
     }
-  if (owner->phase == OWNER_NONE && may_claim (owner))
-    claim (owner);
+  claim_if_due (owner);
   if (owner->phase == OWNER_ACTIVE)
     write_changes (owner);
   return G_SOURCE_CONTINUE;
--- /dev/null
+++ b/tests/standin/store/main.c
@@ -0,0 +1,327 @@
+/**
+ * @file main.c
+ * standin-store ADDRESS [APPEND_MS]: the users' metadata store in memory, as far as acaciadale uses
+ * it: keyed topics with conditional appends, producers, long polls and the newest record of each
+ * key.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "net/net_server.h"
+
+#define CONNECTIONS_MAX 500
+#define IDLE_S 60
+#define BODY_MAX (4 * 1024 * 1024)
+#define RECORD_HEAD 4
+
+typedef struct
+{
+  GPtrArray *records; /**< GBytes */
+  int64_t epoch;      /**< of the only producer */
+  int64_t sequence;
+  int64_t last_offset; /**< of that producer's last append */
+  GPtrArray *waiting;  /**< Waiting */
+} Topic;
+
+typedef struct
+{
+  NetRequest *request;
+  Topic *topic;
+  int64_t from;
+  guint timer;
+} Waiting;
+
+static GHashTable *topics;
+static guint append_ms; /* an append is answered this much later */
+
+static Topic *
+topic_of (const char *name)
+{
+  Topic *topic = g_hash_table_lookup (topics, name);
+
+  if (topic == NULL)
+    {
+      topic = g_new0 (Topic, 1);
+      topic->epoch = -1;
+      topic->records = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
+      topic->waiting = g_ptr_array_new ();
+      g_hash_table_insert (topics, g_strdup (name), topic);
+    }
+  return topic;
+}
+
+static int64_t
+argument (NetRequest *request, const char *name, int64_t fallback)
+{
+  const char *text = net_request_argument (request, name);
+
+  return text != NULL ? g_ascii_strtoll (text, NULL, 10) : fallback;
+}
+
+static void
+reply_json (NetRequest *request, uint32_t status, const char *body)
+{
+  const NetReply reply = { .status = status, .content_type = "application/json", .body = body };
+
+  net_request_reply (request, &reply);
+}
+
+static void
+add_be (GByteArray *bytes, uint64_t value, size_t size)
+{
+  uint64_t big = GUINT64_TO_BE (value);
+
+  g_byte_array_append (bytes, (const guint8 *) &big + (8 - size), (guint) size);
+}
+
+static void
+reply_records (NetRequest *request, const Topic *topic, int64_t from)
+{
+  g_autoptr (GByteArray) bytes = g_byte_array_new ();
+
+  add_be (bytes, topic->records->len, 8);
+  add_be (bytes, 0, 8);
+  for (int64_t i = from; i < (int64_t) topic->records->len; i++)
+    {
+      size_t size = 0;
+      const void *data = g_bytes_get_data (g_ptr_array_index (topic->records, (guint) i), &size);
+      add_be (bytes, size, RECORD_HEAD);
+      g_byte_array_append (bytes, data, (guint) size);
+    }
+  const NetReply reply = { .status = 200,
+                           .content_type = "application/octet-stream",
+                           .body = (const char *) bytes->data,
+                           .body_size = bytes->len };
+  net_request_reply (request, &reply);
+}
+
+static void
+end_wait (Waiting *waiting)
+{
+  if (waiting->timer != 0)
+    g_source_remove (waiting->timer);
+  reply_records (waiting->request, waiting->topic, waiting->from);
+  g_free (waiting);
+}
+
+static gboolean
+on_wait_over (gpointer data)
+{
+  Waiting *waiting = data;
+
+  waiting->timer = 0;
+  (void) g_ptr_array_remove (waiting->topic->waiting, waiting);
+  end_wait (waiting);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+read_records (NetRequest *request, Topic *topic)
+{
+  int64_t from = argument (request, "from", 0);
+  int64_t wait_ms = argument (request, "wait_ms", 0);
+
+  if (wait_ms == 0 || from < (int64_t) topic->records->len)
+    {
+      reply_records (request, topic, from);
+      return;
+    }
+  Waiting *waiting = g_new0 (Waiting, 1);
+  waiting->request = request;
+  waiting->topic = topic;
+  waiting->from = from;
+  waiting->timer = g_timeout_add ((guint) wait_ms, on_wait_over, waiting);
+  g_ptr_array_add (topic->waiting, waiting);
+}
+
+static void
+take_records (Topic *topic, const uint8_t *body, size_t size)
+{
+  for (size_t at = 0; at + RECORD_HEAD <= size;)
+    {
+      size_t length = (size_t) body[at] << 24 | (size_t) body[at + 1] << 16
+                      | (size_t) body[at + 2] << 8 | body[at + 3];
+      at += RECORD_HEAD;
+      if (length > size - at)
+        return;
+      g_ptr_array_add (topic->records, g_bytes_new (body + at, length));
+      at += length;
+    }
+}
+
+/* FALSE when the request was answered: the producer is fenced, out of sequence, or repeats. */
+static gboolean
+check_producer (NetRequest *request, Topic *topic)
+{
+  int64_t epoch = argument (request, "epoch", -1);
+  int64_t sequence = argument (request, "seq", -1);
+
+  if (epoch < 0)
+    return TRUE;
+  if (epoch < topic->epoch)
+    {
+      reply_json (request, 409, "{\"reason\":\"fenced\"}");
+      return FALSE;
+    }
+  if (epoch == topic->epoch && sequence == topic->sequence)
+    {
+      g_autofree char *text = g_strdup_printf ("{\"offset\":%d,\"end_offset\":%d}",
+                                               (int) topic->last_offset, (int) topic->records->len);
+      reply_json (request, 200, text);
+      return FALSE;
+    }
+  if (epoch == topic->epoch && sequence != topic->sequence + 1)
+    {
+      g_autofree char *text
+          = g_strdup_printf ("{\"reason\":\"seq\",\"expected\":%d}", (int) topic->sequence + 1);
+      reply_json (request, 409, text);
+      return FALSE;
+    }
+  return TRUE;
+}
+
+typedef struct
+{
+  NetRequest *request;
+  char *body;
+} Delayed;
+
+static gboolean
+on_delay_over (gpointer data)
+{
+  Delayed *delayed = data;
+
+  reply_json (delayed->request, 200, delayed->body);
+  g_free (delayed->body);
+  g_free (delayed);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+reply_appended (NetRequest *request, int64_t offset, const Topic *topic)
+{
+  Delayed *delayed = g_new (Delayed, 1);
+
+  delayed->request = request;
+  delayed->body = g_strdup_printf ("{\"offset\":%d,\"end_offset\":%d}", (int) offset,
+                                   (int) topic->records->len);
+  if (append_ms > 0)
+    (void) g_timeout_add (append_ms, on_delay_over, delayed);
+  else
+    (void) on_delay_over (delayed);
+}
+
+static void
+append_records (NetRequest *request, Topic *topic)
+{
+  int64_t at = argument (request, "at", -1);
+  int64_t offset = topic->records->len;
+  size_t size = 0;
+  const char *body = net_request_body (request, &size);
+
+  if (!check_producer (request, topic))
+    return;
+  if (at >= 0 && at != offset)
+    {
+      g_autofree char *moved = g_strdup_printf ("{\"end_offset\":%d}", (int) offset);
+      reply_json (request, 412, moved);
+      return;
+    }
+  if (argument (request, "epoch", -1) >= 0)
+    {
+      topic->epoch = argument (request, "epoch", -1);
+      topic->sequence = argument (request, "seq", -1);
+      topic->last_offset = offset;
+    }
+  take_records (topic, (const uint8_t *) body, size);
+  reply_appended (request, offset, topic);
+  while (topic->waiting->len > 0)
+    end_wait (g_ptr_array_steal_index (topic->waiting, 0));
+}
+
+/* Whether no later record has the same key. */
+static gboolean
+is_newest (const Topic *topic, guint index)
+{
+  size_t size = 0;
+  const uint8_t *record = g_bytes_get_data (g_ptr_array_index (topic->records, index), &size);
+
+  for (guint i = index + 1; i < topic->records->len; i++)
+    {
+      size_t other_size = 0;
+      const uint8_t *other = g_bytes_get_data (g_ptr_array_index (topic->records, i), &other_size);
+      if (other[0] == record[0] && memcmp (other + 1, record + 1, record[0]) == 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+reply_newest (NetRequest *request, const Topic *topic)
+{
+  g_autoptr (GString) text = g_string_new ("{\"items\":[");
+
+  for (guint i = 0; i < topic->records->len; i++)
+    {
+      size_t size = 0;
+      const uint8_t *record = g_bytes_get_data (g_ptr_array_index (topic->records, i), &size);
+      if (!is_newest (topic, i))
+        continue;
+      g_autofree char *value = g_base64_encode (record + 1 + record[0], size - 1 - record[0]);
+      if (text->str[text->len - 1] != '[')
+        g_string_append_c (text, ',');
+      g_string_append_printf (text, "{\"key\":\"%.*s\",\"value\":\"%s\",\"offset\":%u}", record[0],
+                              (const char *) record + 1, value, i);
+    }
+  g_string_append_printf (text, "],\"more\":false,\"end_offset\":%u}", topic->records->len);
+  reply_json (request, 200, text->str);
+}
+
+static void
+on_request (void *ctx, NetRequest *request)
+{
+  const char *path = net_request_path (request);
+  const char *name = net_request_argument (request, "topic");
+  const NetReply not_found = { .status = 404 };
+
+  (void) ctx;
+  if (name != NULL && strcmp (path, "/log-append") == 0)
+    append_records (request, topic_of (name));
+  else if (name != NULL && strcmp (path, "/log-read") == 0)
+    read_records (request, topic_of (name));
+  else if (name != NULL && strcmp (path, "/log-newest") == 0)
+    reply_newest (request, topic_of (name));
+  else
+    net_request_reply (request, &not_found);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
+
+  if (argc != 2 && argc != 3)
+    {
+      (void) fprintf (stderr, "Usage: standin-store IP:PORT [APPEND_MS]\n");
+      return 2;
+    }
+  const NetServerOptions options = { .address = argv[1],
+                                     .connections_max = CONNECTIONS_MAX,
+                                     .idle_s = IDLE_S,
+                                     .body_bytes_max = BODY_MAX,
+                                     .handler = on_request };
+  append_ms = argc == 3 ? (guint) g_ascii_strtoull (argv[2], NULL, 10) : 0;
+  topics = g_hash_table_new (g_str_hash, g_str_equal);
+  NetServer *server = net_server_new (&options, &error);
+  if (server == NULL)
+    {
+      (void) fprintf (stderr, "standin-store: %s\n", error->message);
+      return 1;
+    }
+  g_main_loop_run (loop);
+  net_server_free (server);
+  return 0;
+}
