--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -30,11 +30,7 @@
 {
   int64_t fresh_ms;        /**< starts go only to agents that reported within this time */
   int64_t lapse_ms;        /**< after an agent's newest report: what its worker ran has lapsed */
-  int64_t stop_grace_ms;   /**< a worker needs up to this long to stop a task */
   int64_t gang_timeout_ms; /**< members of a gang wait this long for each other */
-  int64_t early_ms;        /**< an occurrence may start this much before its time */
-  int64_t harm_ms;         /**< a serving task may be over its target for this long */
-  double remote_factor;    /**< a task takes this many times as long away from its data */
   /** Notes a decision for the log; @p text is "key=value ..." of the inputs. */
   void (*note) (void *ctx, const char *event, const char *job, const char *text);
   void *ctx;
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -22,12 +22,8 @@
   char *worker_call_address; /**< "IP:PORT" of the worker's interface for orders */
   char *store_address;
   char *cpu_share;      /**< share of a core, a fraction */
-  char *remote_factor;  /**< a fraction */
   int64_t lease_max_ms; /**< longest lease that a worker takes */
-  int64_t stop_grace_ms;
   int64_t gang_timeout_ms;
-  int64_t early_ms;
-  int64_t harm_ms;
   char *leave_s; /**< time between SIGTERM and SIGKILL, a fraction */
   int64_t log_lines_per_s;
 } NodeSettings;
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -616,11 +616,7 @@
   return (SchedOptions){
     .fresh_ms = FRESH_MS,
     .lapse_ms = (int64_t) (grant_ms * LAPSE_RATE) + LAPSE_SLACK_MS,
-    .stop_grace_ms = settings->stop_grace_ms,
     .gang_timeout_ms = settings->gang_timeout_ms,
-    .early_ms = settings->early_ms,
-    .harm_ms = settings->harm_ms,
-    .remote_factor = node_settings_fraction (settings->remote_factor, 1.0),
     .note = note_sched,
   };
 }
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -102,15 +102,9 @@
 rig_new (uint32_t n_workers)
 {
   Rig *rig = g_new0 (Rig, 1);
-  const SchedOptions options = { .fresh_ms = 1300,
-                                 .lapse_ms = RIG_LAPSE_MS,
-                                 .stop_grace_ms = 900,
-                                 .gang_timeout_ms = 3000,
-                                 .early_ms = 250,
-                                 .harm_ms = 4000,
-                                 .remote_factor = 1.5,
-                                 .note = NULL,
-                                 .ctx = NULL };
+  const SchedOptions options = {
+    .fresh_ms = 1300, .lapse_ms = RIG_LAPSE_MS, .gang_timeout_ms = 3000, .note = NULL, .ctx = NULL
+  };
 
   rig->sched = sched_new (&options);
   rig->config = queue_config_new (1);
