Contexts of calls under way are freed with their client

Found by fault/test_owner_roll under the address sanitizer: two contexts of reads under way were lost at the end of the process.

--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -61,6 +61,7 @@
   gboolean is_looking;
   int64_t look_sent_us;
   int64_t look_again_us;
+  GHashTable *calls; /**< Call under way, as a set */
   gboolean is_leaving;
   gboolean is_gone; /**< the worker said that it ends */
 };
@@ -79,8 +80,6 @@
   uint64_t lives;
   char *key;
   int64_t sent_us;
-  uint32_t tries;
-  int64_t percent;
 } Call;
 
 static void
@@ -99,6 +98,15 @@
   g_free (((RefusedRow *) data)->task);
 }
 
+static void
+call_destroy (gpointer data)
+{
+  Call *call = data;
+
+  g_free (call->key);
+  g_free (call);
+}
+
 Keeper *
 keeper_new (const KeeperOptions *options)
 {
@@ -112,6 +120,7 @@
   keeper->refused = g_array_new (FALSE, FALSE, sizeof (RefusedRow));
   g_array_set_clear_func (keeper->refused, refused_clear);
   keeper->replaced = g_ptr_array_new_with_free_func (g_free);
+  keeper->calls = g_hash_table_new_full (NULL, NULL, call_destroy, NULL);
   return keeper;
 }
 
@@ -125,6 +134,7 @@
   g_array_unref (keeper->ended);
   g_array_unref (keeper->refused);
   g_ptr_array_unref (keeper->replaced);
+  g_hash_table_destroy (keeper->calls);
   g_free (keeper);
 }
 
@@ -192,14 +202,14 @@
   call->lives = keeper->lives;
   call->key = g_strdup (key);
   call->sent_us = now_us (keeper);
+  g_hash_table_add (keeper->calls, call);
   return call;
 }
 
 static void
 call_free (Call *call)
 {
-  g_free (call->key);
-  g_free (call);
+  (void) g_hash_table_remove (call->keeper->calls, call);
 }
 
 /* The worker that ran everything is gone, or a new life of it began. */
--- a/lib/keeper/keeper.h
+++ b/lib/keeper/keeper.h
@@ -54,7 +54,7 @@
 } KeeperOptions;
 
 Keeper *keeper_new (const KeeperOptions *options);
-/** No call may be under way any more. NULL is allowed. */
+/** To be called after the client of its calls was freed. NULL is allowed. */
 void keeper_free (Keeper *keeper);
 
 /** A report of the worker about itself; takes @p info. */
--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -28,6 +28,7 @@
   GByteArray *body;   /**< of the call */
   GByteArray *answer; /**< of the answer */
   NetDone done;
+  GDestroyNotify drop; /**< of ctx, unless done is called; NULL for none */
   void *ctx;
 } Call;
 
@@ -36,6 +37,8 @@
 {
   Call *call = data;
 
+  if (call->drop != NULL)
+    call->drop (call->ctx);
   (void) curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -76,6 +79,7 @@
   g_byte_array_append (call->answer, &zero, 1);
   answer.body = (const char *) call->answer->data;
   g_hash_table_steal (call->client->calls, call);
+  call->drop = NULL;
   call->done (call->ctx, &answer);
   call_free (call);
 }
@@ -221,7 +225,8 @@
 }
 
 void
-net_client_call (NetClient *client, const NetCall *wanted, NetDone done, void *ctx)
+net_client_call (
+    NetClient *client, const NetCall *wanted, NetDone done, GDestroyNotify drop, void *ctx)
 {
   Call *call = g_new0 (Call, 1);
   CURL *easy = curl_easy_init ();
@@ -229,6 +234,7 @@
   call->client = client;
   call->easy = easy;
   call->done = done;
+  call->drop = drop;
   call->ctx = ctx;
   call->body = g_byte_array_new ();
   call->answer = g_byte_array_new ();
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -44,7 +44,11 @@
 /** Drops all calls under way without calling back. NULL is allowed. */
 void net_client_free (NetClient *client);
 
-/** Starts a call; @p done is called once, later, from the main loop. */
-void net_client_call (NetClient *client, const NetCall *call, NetDone done, void *ctx);
+/**
+ * Starts a call; @p done is called once, later, from the main loop. If the client is freed before,
+ * @p drop is called in its place to free @p ctx; NULL if it owns nothing.
+ */
+void net_client_call (
+    NetClient *client, const NetCall *call, NetDone done, GDestroyNotify drop, void *ctx);
 
 G_END_DECLS
