A task that gets its share back does not count as one that stood still

Cause: read in the diff: a task that was slowed for longer than the limit of a stall was taken for stalled at the tick after its share was given back, stopped, and its worker shunned.

--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -191,6 +191,7 @@
   order->pace->percent = percent;
   task->pace = percent;
   task->pace_us = sched->now_us;
+  task->percent_us = sched->now_us;
   sched_note (sched, "pace", task->part->job->id, "task=%s worker=%s percent=%u", name,
               task->worker->name, percent);
 }
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -404,6 +404,39 @@
   rig_free (rig);
 }
 
+/* Load: a tail that is over its target for long, then calm: what was slowed goes on where it is. */
+static void
+slowed_tasks_do_not_count_as_standing_still (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":1,\"cpu\":4000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\"}");
+  rig_add_job (rig, JOB_B, "bulk", "{\"count\":2,\"cpu\":2000,\"fills\":true,\"image\":\"f\"}");
+  for (int i = 0; i < 20; i++)
+    {
+      set_tails (rig, 10);
+      rig_round (rig, 100, TRUE);
+    }
+  rig->is_stalled = TRUE;
+  for (int i = 0; i < 150; i++)
+    {
+      set_tails (rig, 80);
+      rig_round (rig, 100, TRUE);
+    }
+  /* Its work is seen to advance only some reports after its share was given back. */
+  for (int i = 0; i < 60; i++)
+    {
+      rig->is_stalled = i < 35;
+      set_tails (rig, 10);
+      rig_round (rig, 100, TRUE);
+    }
+  assert_int_equal (rig->n_stops, 0);
+  assert_int_equal (rig_running (rig), 3);
+  rig_free (rig);
+}
+
 static void
 progress_survives_a_new_owner (void **state)
 {
@@ -456,6 +489,7 @@
     cmocka_unit_test (task_that_stands_still_goes_elsewhere),
     cmocka_unit_test (no_step_starves_beside_idle_processors),
     cmocka_unit_test (tasks_that_fill_make_way_for_a_tail),
+    cmocka_unit_test (slowed_tasks_do_not_count_as_standing_still),
     cmocka_unit_test (progress_survives_a_new_owner),
   };
 
