An owner that has sent its release orders nothing more, whatever became of the release

Cause: read in the diff: a release without an answer may be written, and another entry claims at once; the old owner kept its authority for up to 3 s. No test: it needs an answer lost at that very append.

--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -95,11 +95,11 @@
 static void tick_soon (Owner *owner);
 static void flush_soon (Owner *owner);
 
-/* Whether no other entry can be the owner now. */
+/* Whether no other entry can be the owner now. After a release was sent, one may be. */
 static gboolean
 has_authority (const Owner *owner)
 {
-  return owner->phase == OWNER_ACTIVE && owner->sched != NULL
+  return owner->phase == OWNER_ACTIVE && owner->sched != NULL && !owner->is_release
          && clk_now_us () - owner->authority_us < AUTHORITY_MS * 1000;
 }
 
@@ -628,6 +628,7 @@
   int64_t settled_us = owner->term == 1 ? clk_now_us () : clk_now_us () + options.lapse_ms * 1000;
 
   owner->phase = OWNER_ACTIVE;
+  owner->is_release = FALSE;
   owner->authority_us = owner->claim_us;
   owner->sequence++;
   owner->renew_us = clk_now_us () + RENEW_MS * 1000;
