A second run of a done task holds its room; a tail that stays over its target is put down to all that fill there

Cause of LIMIT: an owner that was frozen past its agents' leases came back, started their tasks again, and then read that they had ended done. The second runs were ordered to stop, and their room was given away at once. Cause of HARM: tasks that fill came and went too fast for their share in a tail to be learned, so none was blamed while three serving tasks were over their targets for 4 s. Ruled out: two owners (nobody else claimed), clock steps (none within 4 s of either). Tests, each seen red: batch/test_sched second_run_of_a_done_task_holds_its_room, short_tasks_that_fill_make_way_too.

--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -17,6 +17,9 @@
 #define PACE_GOAL_PERCENT 80.0
 /** Tasks that fill are not the cause of a tail to which they add less than this, in percent. */
 #define BLAME_PERCENT 6.0
+/** A tail that stays over its target for this long is put down to all that fill there, whatever was
+ * learned: half of the time for which it may be so, less two reports. */
+#define PATIENCE_MS 1200
 /** A task without checkpoints is stopped only before this percent of its work. */
 #define WASTE_PERCENT 25
 
@@ -66,6 +69,30 @@
     }
 }
 
+static gboolean
+is_long_over (const Sched *sched, const SchedTask *serving)
+{
+  return serving->over_us != 0 && sched->now_us - serving->over_us >= PATIENCE_MS * 1000;
+}
+
+/* Notes since when tails are over their targets. */
+static void
+watch_tails (Sched *sched, SchedWorker *worker)
+{
+  worker->is_harmed = FALSE;
+  for (guint i = 0; i < worker->tasks->len && worker->n_serving > 0; i++)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (!sched_is_serving (task))
+        continue;
+      if (sched_tail_percent (task) <= PACE_FROM_PERCENT)
+        task->over_us = 0;
+      else if (task->over_us == 0)
+        task->over_us = sched->now_us;
+      worker->is_harmed |= is_long_over (sched, task);
+    }
+}
+
 /* The serving task that is furthest over its target through tasks that fill, or NULL. */
 static SchedTask *
 worst_harmed (Sched *sched, const SchedWorker *worker)
@@ -76,7 +103,8 @@
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (sched_is_serving (task) && sched_tail_percent (task) > PACE_FROM_PERCENT
-          && sched_tails_shares (sched, worker, task) >= BLAME_PERCENT
+          && (is_long_over (sched, task)
+              || sched_tails_shares (sched, worker, task) >= BLAME_PERCENT)
           && (worst == NULL || sched_tail_percent (task) > sched_tail_percent (worst)))
         worst = task;
     }
@@ -154,6 +182,17 @@
   sched_order_pace (sched, slowest, MIN (slowest->pace + PACE_LOW * 2, 100));
 }
 
+static void
+stand_fills (Sched *sched, SchedWorker *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (task->part->step->fills && !task->is_stopping)
+        sched_order_pace (sched, task, 0);
+    }
+}
+
 static int64_t
 worst_tail (const SchedWorker *worker)
 {
@@ -174,10 +213,13 @@
   int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
   SchedTask *harmed = NULL;
 
+  watch_tails (sched, worker);
   if (worker->fill_cpu_m == 0)
     return;
   harmed = worst_harmed (sched, worker);
-  if (harmed != NULL && since_ms >= PACE_DOWN_MS)
+  if (worker->is_harmed)
+    stand_fills (sched, worker);
+  else if (harmed != NULL && since_ms >= PACE_DOWN_MS)
     slow_fills (sched, worker, harmed);
   else if (harmed == NULL && since_ms >= PACE_UP_MS && worst_tail (worker) < PACE_UP_PERCENT)
     restore_pace (sched, worker);
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -233,6 +233,13 @@
     drop_done_occurrences (job);
 }
 
+void
+sched_task_settle (Sched *sched, SchedTask *task)
+{
+  if (task->is_done_elsewhere && task->state == TASK_WAITING)
+    sched_task_done (sched, task);
+}
+
 static gboolean
 is_known_failure (const SchedPart *part, uint32_t index, int64_t run)
 {
@@ -296,9 +303,10 @@
   for (uint32_t i = 0; i < n_tasks; i++)
     {
       const SchedTask *task = &part->tasks[i];
-      if (task->state == TASK_DONE)
+      gboolean is_done = task->state == TASK_DONE || task->is_done_elsewhere;
+      if (is_done)
         row->done.data[i / 8] |= (uint8_t) (1U << (i % 8));
-      if (task->state == TASK_DONE || *task->saved == '\0')
+      if (is_done || *task->saved == '\0')
         continue;
       Batch__Checkpoint *saved = g_new (Batch__Checkpoint, 1);
       batch__checkpoint__init (saved);
@@ -321,6 +329,17 @@
     }
 }
 
+static gboolean
+has_done_elsewhere (const SchedPart *part)
+{
+  for (uint32_t i = 0; i < part->step->n_tasks; i++)
+    {
+      if (part->tasks[i].is_done_elsewhere)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 GBytes *
 sched_encode_progress (const SchedJob *job)
 {
@@ -336,7 +355,8 @@
       for (guint i = 0; i < job->parts->len; i++)
         {
           const SchedPart *part = g_ptr_array_index (job->parts, i);
-          if (part->n_done == 0 && part->failed->len == 0 && !part->step->saves)
+          if (part->n_done == 0 && part->failed->len == 0 && !part->step->saves
+              && !has_done_elsewhere (part))
             continue;
           Batch__Part *row = g_new (Batch__Part, 1);
           g_ptr_array_add (garbage, row);
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -156,7 +156,7 @@
                    + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
   int64_t wanted_m = worker->fill_cpu_m + task->part->step->size.cpu_m;
 
-  return wanted_m <= left_m * FILL_PERCENT_MAX / 100
+  return wanted_m <= left_m * FILL_PERCENT_MAX / 100 && !worker->is_harmed
          && (worker->n_serving == 0
              || sched_tails_expected (sched, worker, task) <= TAIL_PERCENT_MAX);
 }
@@ -346,7 +346,8 @@
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!may_run (worker, part) || !fits_plainly (worker, part->step))
+      if (!may_run (worker, part) || !fits_plainly (worker, part->step)
+          || (part->step->fills && worker->is_harmed))
         continue;
       int64_t cost = cost_of (worker, task);
       if (part->step->fills)
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -73,7 +73,12 @@
   if (end->how == WORKER_END_DONE && !task->part->step->lasts)
     {
       if (task->state == TASK_PLACED && !is_ours)
-        sched_order_stop (sched, task, "done_elsewhere");
+        {
+          sched_order_stop (sched, task, "done_elsewhere");
+          task->is_done_elsewhere = TRUE;
+          sched_mark_dirty (sched, task->part->job);
+          return;
+        }
       worker->fail_streak = 0;
       worker->shun_ms = 0;
       if (is_ours && task->order_number != 0 && task->pace_us == 0 && *task->saved == '\0')
@@ -84,7 +89,12 @@
   if (end->how == WORKER_END_STOPPED || end->how == WORKER_END_LAPSED)
     keep_checkpoint (task, end->saved);
   if (is_ours)
-    sched_detach (task, TASK_WAITING);
+    {
+      sched_detach (task, TASK_WAITING);
+      sched_task_settle (sched, task);
+    }
+  if (task->state == TASK_DONE)
+    return;
   if (end->how == WORKER_END_FAILED)
     take_failure (sched, worker, task, end->run);
 }
@@ -161,15 +171,20 @@
 }
 
 static void
-drop_unlisted (SchedWorker *worker)
+drop_unlisted (Sched *sched, SchedWorker *worker)
 {
   for (guint i = worker->tasks->len; i-- > 0;)
     {
+      /* The end of a gang takes several tasks off the list. */
+      if (i >= worker->tasks->len)
+        continue;
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       gboolean is_listed = task->is_listed;
       task->is_listed = FALSE;
-      if (!is_listed && task->order_number <= worker->done_number)
-        sched_detach (task, TASK_WAITING);
+      if (is_listed || task->order_number > worker->done_number)
+        continue;
+      sched_detach (task, TASK_WAITING);
+      sched_task_settle (sched, task);
     }
 }
 
@@ -251,6 +266,6 @@
   worker->n_strays = 0;
   for (size_t i = 0; i < report->n_running; i++)
     take_running (sched, worker, report->running[i]);
-  drop_unlisted (worker);
+  drop_unlisted (sched, worker);
   sched_tails_learn (sched, worker);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -36,10 +36,13 @@
   int64_t figure;
   uint32_t pace;    /**< percent that it may work at */
   int64_t pace_us;  /**< when that was last changed; 0: never */
+  int64_t over_us;  /**< of a serving task: since when it is over its target; 0: it is not */
   double base_tail; /**< of a serving task: tail without neighbours, percent of its target */
   gboolean is_starting;
   gboolean is_stopping;
-  gboolean is_listed; /**< scratch of one report */
+  gboolean
+      is_done_elsewhere; /**< another run ended done; this one holds its room until it is gone */
+  gboolean is_listed;    /**< scratch of one report */
   char *saved;
   SchedWorker *avoid; /**< where it last failed or stood still */
 };
@@ -114,6 +117,7 @@
   uint32_t n_serving;
   int64_t serving_cpu_m; /**< reserved for serving tasks, part of used */
   int64_t pace_us;       /**< when tasks that fill were last paced */
+  gboolean is_harmed; /**< a serving task has been over its target for too long */
   uint32_t fail_streak;
   int64_t shun_until_us; /**< nothing new before */
   int64_t shun_ms;       /**< length of the last shunning */
@@ -148,6 +152,8 @@
 SchedPart *sched_find_part (const SchedJob *job, uint32_t occurrence, uint32_t step);
 void sched_end_job (Sched *sched, SchedJob *job, SchedJobState state);
 void sched_task_done (Sched *sched, SchedTask *task);
+/* To be called after a detach: the task may have been done by another run. */
+void sched_task_settle (Sched *sched, SchedTask *task);
 void sched_task_failed (Sched *sched, SchedTask *task, int64_t run);
 gboolean sched_job_is_open (const SchedJob *job);
 GBytes *sched_encode_progress (const SchedJob *job);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -99,6 +99,7 @@
   task->pace = 100;
   task->pace_us = 0;
   task->base_tail = 0;
+  task->over_us = 0;
   task->is_starting = TRUE;
   task->is_stopping = FALSE;
   g_ptr_array_add (worker->tasks, task);
@@ -203,7 +204,11 @@
               "worker=%s reason=%s tasks=%u report_age_ms=%" G_GINT64_FORMAT, worker->name, reason,
               worker->tasks->len, (sched->now_us - worker->report_us) / 1000);
   while (worker->tasks->len > 0)
-    sched_detach (g_ptr_array_index (worker->tasks, 0), TASK_WAITING);
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, 0);
+      sched_detach (task, TASK_WAITING);
+      sched_task_settle (sched, task);
+    }
   g_ptr_array_set_size (worker->orders, 0);
   worker->boot = 0;
   worker->life = 0;
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -28,6 +28,7 @@
   int64_t percent;
   int64_t figure;
   uint32_t pace;
+  gboolean is_stopping;
 } RigTask;
 
 typedef struct
@@ -65,7 +66,8 @@
   uint32_t n_workers;
   uint32_t n_starts;
   uint32_t n_stops;
-  gboolean is_stalled; /**< tasks do not advance */
+  gboolean is_stalled;     /**< tasks do not advance */
+  gboolean has_slow_stops; /**< a stopped task ends in the next round */
 } Rig;
 
 static inline void
@@ -194,7 +196,10 @@
   else if (order->what_case == BATCH__ORDER__WHAT_STOP)
     {
       rig->n_stops++;
-      if (rig_find (worker, order->stop->task) != NULL)
+      RigTask *task = rig_find (worker, order->stop->task);
+      if (task != NULL && rig->has_slow_stops)
+        task->is_stopping = TRUE;
+      else if (task != NULL)
         rig_end (worker, order->stop->task, WORKER_END_STOPPED);
     }
   else if (rig_find (worker, order->pace->task) != NULL)
@@ -260,6 +265,12 @@
   rig->now_us += ms * 1000;
   for (uint32_t i = 0; i < rig->n_workers; i++)
     {
+      RigWorker *worker = &rig->workers[i];
+      for (uint32_t k = worker->n_tasks; k-- > 0;)
+        {
+          if (worker->tasks[k].is_stopping)
+            rig_end (worker, worker->tasks[k].name, WORKER_END_STOPPED);
+        }
       if (!rig->workers[i].is_silent)
         rig_tell (rig, &rig->workers[i]);
     }
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -134,6 +134,37 @@
   rig_free (rig);
 }
 
+/* A lost worker comes back with an end from before: the second run is stopped, and holds its room.
+ */
+static void
+second_run_of_a_done_task_holds_its_room (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig->has_slow_stops = TRUE;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":16000}");
+  rig_round (rig, 100, TRUE);
+  RigWorker *first = rig_where (rig, JOB_A ".0.0.0");
+  RigWorker *second = first == &rig->workers[0] ? &rig->workers[1] : &rig->workers[0];
+  first->is_silent = TRUE;
+  for (int64_t ms = 0; ms < RIG_LAPSE_MS + 200; ms += 100)
+    rig_round (rig, 100, TRUE);
+  assert_non_null (rig_find (second, JOB_A ".0.0.0"));
+  rig_end (first, JOB_A ".0.0.0", WORKER_END_DONE);
+  first->is_silent = FALSE;
+  first->is_draining = TRUE;
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":1,\"cpu\":16000}");
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_stops, 1);
+  assert_int_equal (second->n_tasks, 1);
+  assert_null (rig_find (second, JOB_B ".0.0.0"));
+  rig_round (rig, 100, TRUE);
+  assert_non_null (rig_find (second, JOB_B ".0.0.0"));
+  assert_int_equal (sched_open_jobs (rig->sched), 1);
+  rig_free (rig);
+}
+
 static void
 drained_worker_gets_nothing (void **state)
 {
@@ -404,6 +435,51 @@
   rig_free (rig);
 }
 
+/* Paces of the tasks that fill, of jobs whose ids begin with digits. */
+static uint32_t
+filling_pace (const Rig *rig)
+{
+  uint32_t pace = 0;
+
+  for (uint32_t k = 0; k < rig->workers[0].n_tasks; k++)
+    {
+      if (strncmp (rig->workers[0].tasks[k].name, JOB_A, JOB_ID_CHARS) != 0)
+        pace += rig->workers[0].tasks[k].pace;
+    }
+  return pace;
+}
+
+/* Load: short tasks that fill come and go beside a serving one, and were harmless so far. */
+static void
+short_tasks_that_fill_make_way_too (void **state)
+{
+  Rig *rig = rig_new (1);
+  int n_jobs = 0;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":1,\"cpu\":4000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\"}");
+  for (int i = 0; i < 140; i++)
+    {
+      if (i % 4 == 0)
+        {
+          g_autofree char *id = g_strdup_printf ("%016d", n_jobs++);
+          rig_add_job (rig, id, "bulk", "{\"count\":2,\"cpu\":500,\"fills\":true,\"image\":\"f\"}");
+        }
+      set_tails (rig, i < 100 ? 10 : 80);
+      rig_round (rig, 100, TRUE);
+      for (uint32_t k = rig->workers[0].n_tasks; k-- > 0;)
+        {
+          const RigTask *task = &rig->workers[0].tasks[k];
+          if (strncmp (task->name, JOB_A, JOB_ID_CHARS) != 0 && task->pace == 100
+              && task->percent >= 3)
+            rig_end (&rig->workers[0], task->name, WORKER_END_DONE);
+        }
+    }
+  assert_int_equal (filling_pace (rig), 0);
+  rig_free (rig);
+}
+
 /* Load: a tail that is over its target for long, then calm: what was slowed goes on where it is. */
 static void
 slowed_tasks_do_not_count_as_standing_still (void **state)
@@ -476,6 +552,7 @@
     cmocka_unit_test (failures_count_once_and_end_the_job),
     cmocka_unit_test (tasks_that_last_come_back),
     cmocka_unit_test (silent_worker_keeps_its_tasks_until_they_lapsed),
+    cmocka_unit_test (second_run_of_a_done_task_holds_its_room),
     cmocka_unit_test (drained_worker_gets_nothing),
     cmocka_unit_test (other_services_and_labels_are_left_alone),
     cmocka_unit_test (tasks_of_a_step_spread_as_told),
@@ -489,6 +566,7 @@
     cmocka_unit_test (task_that_stands_still_goes_elsewhere),
     cmocka_unit_test (no_step_starves_beside_idle_processors),
     cmocka_unit_test (tasks_that_fill_make_way_for_a_tail),
+    cmocka_unit_test (short_tasks_that_fill_make_way_too),
     cmocka_unit_test (slowed_tasks_do_not_count_as_standing_still),
     cmocka_unit_test (progress_survives_a_new_owner),
   };
