--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -117,7 +117,7 @@
   uint32_t n_serving;
   int64_t serving_cpu_m; /**< reserved for serving tasks, part of used */
   int64_t pace_us;       /**< when tasks that fill were last paced */
-  gboolean is_harmed; /**< a serving task has been over its target for too long */
+  gboolean is_harmed;    /**< a serving task has been over its target for too long */
   uint32_t fail_streak;
   int64_t shun_until_us; /**< nothing new before */
   int64_t shun_ms;       /**< length of the last shunning */
