--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -103,8 +103,7 @@
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (sched_is_serving (task) && sched_tail_percent (task) > PACE_FROM_PERCENT
-          && (is_long_over (sched, task)
-              || sched_tails_shares (sched, worker, task) >= BLAME_PERCENT)
+          && sched_tails_shares (sched, worker, task) >= BLAME_PERCENT
           && (worst == NULL || sched_tail_percent (task) > sched_tail_percent (worst)))
         worst = task;
     }
@@ -208,21 +207,27 @@
 }
 
 static void
-protect_serving (Sched *sched, SchedWorker *worker)
+adjust_paces (Sched *sched, SchedWorker *worker)
 {
   int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
-  SchedTask *harmed = NULL;
+  const SchedTask *harmed = worst_harmed (sched, worker);
+
+  if (harmed != NULL && since_ms >= PACE_DOWN_MS)
+    slow_fills (sched, worker, harmed);
+  else if (harmed == NULL && since_ms >= PACE_UP_MS && worst_tail (worker) < PACE_UP_PERCENT)
+    restore_pace (sched, worker);
+}
 
+static void
+protect_serving (Sched *sched, SchedWorker *worker)
+{
   watch_tails (sched, worker);
   if (worker->fill_cpu_m == 0)
     return;
-  harmed = worst_harmed (sched, worker);
   if (worker->is_harmed)
     stand_fills (sched, worker);
-  else if (harmed != NULL && since_ms >= PACE_DOWN_MS)
-    slow_fills (sched, worker, harmed);
-  else if (harmed == NULL && since_ms >= PACE_UP_MS && worst_tail (worker) < PACE_UP_PERCENT)
-    restore_pace (sched, worker);
+  else
+    adjust_paces (sched, worker);
   stop_paced (sched, worker);
 }
 
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -59,7 +59,6 @@
   int64_t seen;     /**< ends up to this one may be forgotten */
   GArray *refused;  /**< RefusedRow */
   gboolean is_looking;
-  int64_t look_sent_us;
   int64_t look_again_us;
   GHashTable *calls; /**< Call under way, as a set */
   gboolean is_leaving;
@@ -544,7 +543,7 @@
 }
 
 static void
-list_running (Keeper *keeper, const GArray *running, int64_t sent_us)
+list_running (Keeper *keeper, const GArray *running)
 {
   for (guint i = 0; i < running->len; i++)
     {
@@ -560,7 +559,6 @@
       row->seen.saved = g_strdup (task->saved);
       row->seen.percent = task->percent;
       row->seen.figure = task->figure;
-      (void) sent_us;
     }
 }
 
@@ -635,7 +633,7 @@
     }
   take_ended (keeper, answer->ended);
   clear_listed (keeper);
-  list_running (keeper, answer->running, sent_us);
+  list_running (keeper, answer->running);
   drop_over (keeper, sent_us);
   changed (keeper);
 }
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -63,21 +63,13 @@
   return outbox;
 }
 
-static void
-remove_source (guint *source)
-{
-  if (*source != 0)
-    g_source_remove (*source);
-  *source = 0;
-}
-
 void
 outbox_free (Outbox *outbox)
 {
   if (outbox == NULL)
     return;
-  remove_source (&outbox->again);
-  remove_source (&outbox->check);
+  g_clear_handle_id (&outbox->again, g_source_remove);
+  g_clear_handle_id (&outbox->check, g_source_remove);
   g_ptr_array_unref (outbox->items);
   g_free (outbox);
 }
--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -21,7 +21,6 @@
   guint again;
   uint32_t open;
   gboolean is_quiesced;
-  gboolean is_running; /**< inside MHD_run() */
 };
 
 struct NetRequest
@@ -36,7 +35,6 @@
   uint32_t status;
   gboolean is_too_large;
   gboolean is_handled;
-  gboolean is_in_handler;
   gboolean is_suspended;
 };
 
@@ -45,11 +43,9 @@
 {
   MHD_UNSIGNED_LONG_LONG left = 1;
 
-  server->is_running = TRUE;
   do
     (void) MHD_run (server->daemon);
   while (MHD_get_timeout (server->daemon, &left) == MHD_YES && left == 0);
-  server->is_running = FALSE;
 }
 
 static gboolean
@@ -123,13 +119,11 @@
   g_byte_array_append (request->body, &zero, 1);
   request->read_us = clk_now_us ();
   request->is_handled = TRUE;
-  request->is_in_handler = TRUE;
   request->server->open++;
   if (request->is_too_large)
     net_request_reply (request, &too_large);
   else
     request->server->options.handler (request->server->options.ctx, request);
-  request->is_in_handler = FALSE;
 }
 
 static enum MHD_Result
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -10,8 +10,6 @@
 #define IDLE_S 60
 #define BODY_MAX (256 * 1024)
 #define READY_CONNECTIONS_MAX 16
-/** A view of the ledger older than this can't say that a job does not exist. */
-#define VIEW_AGE_MAX_MS 1500
 /** Without a good answer of the store for this long, nothing can be accepted. */
 #define STORE_AGE_MAX_MS 2500
 /** Time kept back of a caller's deadline for the answer's way. */
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -44,8 +44,7 @@
 {
   Entry *entry;
   OwnerPhase phase;
-  int64_t claim_us;       /**< when the claim was sent */
-  int64_t claim_after_us; /**< no claim before */
+  int64_t claim_us; /**< when the claim was sent */
   uint64_t term;
   int64_t epoch;
   int64_t sequence;      /**< of the next append */
@@ -227,14 +226,6 @@
 
 /* Giving up: everything that belongs to the term goes. */
 
-static void
-remove_timer (guint *timer)
-{
-  if (*timer != 0)
-    g_source_remove (*timer);
-  *timer = 0;
-}
-
 static void
 resign (Owner *owner, const char *reason)
 {
@@ -242,9 +233,9 @@
     return;
   line_add ("owner", "resigned", "term=%" G_GUINT64_FORMAT " reason=%s", owner->term, reason);
   owner->phase = OWNER_NONE;
-  remove_timer (&owner->tick_timer);
-  remove_timer (&owner->soon_timer);
-  remove_timer (&owner->flush_timer);
+  g_clear_handle_id (&owner->tick_timer, g_source_remove);
+  g_clear_handle_id (&owner->soon_timer, g_source_remove);
+  g_clear_handle_id (&owner->flush_timer, g_source_remove);
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, FALSE);
   owner->flush = NULL;
@@ -740,10 +731,10 @@
 {
   if (owner == NULL)
     return;
-  remove_timer (&owner->check_timer);
-  remove_timer (&owner->tick_timer);
-  remove_timer (&owner->soon_timer);
-  remove_timer (&owner->flush_timer);
+  g_clear_handle_id (&owner->check_timer, g_source_remove);
+  g_clear_handle_id (&owner->tick_timer, g_source_remove);
+  g_clear_handle_id (&owner->soon_timer, g_source_remove);
+  g_clear_handle_id (&owner->flush_timer, g_source_remove);
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, FALSE);
   if (owner->records != NULL)
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -414,20 +414,12 @@
   node_run (agent->node);
 }
 
-static void
-remove_timer (guint *timer)
-{
-  if (*timer != 0)
-    g_source_remove (*timer);
-  *timer = 0;
-}
-
 void
 agent_free (Agent *agent)
 {
-  remove_timer (&agent->report_timer);
-  remove_timer (&agent->soon_timer);
-  remove_timer (&agent->tick_timer);
+  g_clear_handle_id (&agent->report_timer, g_source_remove);
+  g_clear_handle_id (&agent->soon_timer, g_source_remove);
+  g_clear_handle_id (&agent->tick_timer, g_source_remove);
   net_server_free (agent->server);
   net_link_free (agent->link);
   net_links_free (agent->links);
