One copy of message parts, of an occurrence's time, of the check of memory, and of a path's key

Read in the whole diff: sched_workers.c and keeper.c each built protobuf-c parts; the time of an occurrence stood in sched_jobs.c and sched_place.c; has_room and fits_plainly compared memory and accelerators; a route was looked up with a new lower-cased host and key for each prefix of the path.

--- /dev/null
+++ b/lib/batch/message.c
@@ -0,0 +1,22 @@
+#include "batch/message.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void *
+message_part (size_t size)
+{
+  void *part = calloc (1, MAX (size, 1));
+
+  g_assert (part != NULL);
+  return part;
+}
+
+char *
+message_text (const char *text)
+{
+  char *copy = strdup (text != NULL ? text : "");
+
+  g_assert (copy != NULL);
+  return copy;
+}
--- a/lib/batch/queues.c
+++ b/lib/batch/queues.c
@@ -75,24 +75,19 @@
   return service;
 }
 
-static const Queue *
-lookup_place (const QueueConfig *config, const char *host, const char *path, size_t size)
-{
-  g_autofree char *key = place_key (host, path, size);
-
-  return g_hash_table_lookup (config->by_place, key);
-}
-
 const Queue *
 queue_config_route (const QueueConfig *config, const char *host, const char *path)
 {
   const char *colon = strchr (host, ':');
   g_autofree char *name
       = colon != NULL ? g_strndup (host, (gsize) (colon - host)) : g_strdup (host);
+  g_autofree char *key = place_key (name, path, strlen (path));
+  size_t shortest = strlen (name) + 1;
 
-  for (size_t size = strlen (path); size > 0; size--)
+  for (size_t size = strlen (key); size > shortest; size--)
     {
-      const Queue *queue = lookup_place (config, name, path, size);
+      key[size] = '\0';
+      const Queue *queue = g_hash_table_lookup (config->by_place, key);
       if (queue != NULL)
         return queue;
     }
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -107,9 +107,11 @@
   job->occurrences_made++;
 }
 
-static int64_t
-due_wall_ms (const SchedJob *job, uint32_t occurrence)
+int64_t
+sched_due_wall_ms (const SchedJob *job, uint32_t occurrence)
 {
+  if (job->spec->n_repeats == 0)
+    return job->accepted_wall_ms;
   return job->spec->start_wall_ms + (int64_t) occurrence * job->spec->interval_ms;
 }
 
@@ -120,7 +122,8 @@
 
   while (job->occurrences_made < n_occurrences)
     {
-      if (job->spec->n_repeats > 0 && due_wall_ms (job, job->occurrences_made) > sched->wall_ms)
+      if (job->spec->n_repeats > 0
+          && sched_due_wall_ms (job, job->occurrences_made) > sched->wall_ms)
         return;
       make_occurrence (job);
     }
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -60,16 +60,6 @@
   return longest;
 }
 
-static int64_t
-origin_wall_ms (const SchedPart *part)
-{
-  const SchedJob *job = part->job;
-
-  if (job->spec->n_repeats == 0)
-    return job->accepted_wall_ms;
-  return job->spec->start_wall_ms + (int64_t) part->occurrence * job->spec->interval_ms;
-}
-
 static Turn
 turn_of (const Sched *sched, SchedPart *part)
 {
@@ -77,7 +67,7 @@
   Turn turn = { .part = part, .priority = job->queue->priority };
 
   turn.deadline_ms
-      = origin_wall_ms (part) + job->queue->target_ms
+      = sched_due_wall_ms (job, part->occurrence) + job->queue->target_ms
         + (int64_t) (job->queue->stretch * (double) chain_ms (sched, job, part->occurrence, FALSE));
   int64_t left_ms = chain_ms (sched, job, part->occurrence, TRUE) * SLACK_PERCENT / 100;
   turn.is_late = !part->step->lasts && sched->wall_ms + left_ms > turn.deadline_ms;
@@ -161,19 +151,27 @@
              || sched_tails_expected (sched, worker, task) <= TAIL_PERCENT_MAX);
 }
 
+static gboolean
+has_memory (const SchedWorker *worker, const JobStep *step)
+{
+  const JobSize *capacity = &worker->info->capacity;
+
+  return step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb
+         && step->size.gpus <= capacity->gpus - worker->used.gpus;
+}
+
 static gboolean
 has_room (Sched *sched, const SchedWorker *worker, const SchedTask *task)
 {
   const SchedPart *part = task->part;
-  const JobSize *size = &part->step->size;
-  const JobSize *capacity = &worker->info->capacity;
-  int64_t cpu_m = capacity->cpu_m - worker->used.cpu_m;
+  int64_t capacity_m = worker->info->capacity.cpu_m;
+  int64_t cpu_m = capacity_m - worker->used.cpu_m;
 
   if (part->job->queue->priority > 0 && !part->step->lasts)
-    cpu_m -= capacity->cpu_m / RESERVE_DIVISOR;
-  return (part->step->fills ? has_room_to_fill (sched, worker, task) : size->cpu_m <= cpu_m)
-         && size->mem_mb <= capacity->mem_mb - worker->used.mem_mb
-         && size->gpus <= capacity->gpus - worker->used.gpus;
+    cpu_m -= capacity_m / RESERVE_DIVISOR;
+  return (part->step->fills ? has_room_to_fill (sched, worker, task)
+                            : part->step->size.cpu_m <= cpu_m)
+         && has_memory (worker, part->step);
 }
 
 static int64_t
@@ -326,11 +324,8 @@
 static gboolean
 fits_plainly (const SchedWorker *worker, const JobStep *step)
 {
-  const JobSize *capacity = &worker->info->capacity;
-
-  return (step->fills || step->size.cpu_m <= capacity->cpu_m - worker->used.cpu_m)
-         && step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb
-         && step->size.gpus <= capacity->gpus - worker->used.gpus;
+  return (step->fills || step->size.cpu_m <= worker->info->capacity.cpu_m - worker->used.cpu_m)
+         && has_memory (worker, step);
 }
 
 static void
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -148,6 +148,8 @@
 char *sched_task_name (const SchedTask *task);
 void sched_mark_dirty (Sched *sched, SchedJob *job);
 void sched_make_occurrences (Sched *sched, SchedJob *job);
+/* When the occurrence was due; of a job without times, when it was accepted. */
+int64_t sched_due_wall_ms (const SchedJob *job, uint32_t occurrence);
 gboolean sched_part_is_ready (const SchedPart *part);
 SchedPart *sched_find_part (const SchedJob *job, uint32_t occurrence, uint32_t step);
 void sched_end_job (Sched *sched, SchedJob *job, SchedJobState state);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "batch/message.h"
 #include "batch/sched_tables.h"
 
 /** First and longest time for which a worker that failed gets nothing new. */
@@ -36,25 +37,6 @@
   g_free (worker);
 }
 
-/* The library frees messages with free(), so their parts are made with malloc(). */
-static void *
-message_part (size_t size)
-{
-  void *part = calloc (1, size);
-
-  g_assert (part != NULL);
-  return part;
-}
-
-static char *
-message_text (const char *text)
-{
-  char *copy = strdup (text);
-
-  g_assert (copy != NULL);
-  return copy;
-}
-
 static Batch__Order *
 add_order (SchedWorker *worker)
 {
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -1,8 +1,9 @@
 #include "keeper/keeper.h"
 
-#include <stdlib.h>
 #include <string.h>
 
+#include "batch/message.h"
+
 /** The worker's clock may be this much slower than ours. */
 #define CLOCK_RATE_MIN 0.98
 /** A start needs at least this much of the lease. */
@@ -713,26 +714,6 @@
   changed (keeper);
 }
 
-/* The library frees messages with free(), so their parts are made with malloc(). */
-
-static void *
-message_part (size_t size)
-{
-  void *part = calloc (1, MAX (size, 1));
-
-  g_assert (part != NULL);
-  return part;
-}
-
-static char *
-message_text (const char *text)
-{
-  char *copy = strdup (text != NULL ? text : "");
-
-  g_assert (copy != NULL);
-  return copy;
-}
-
 static Batch__Worker *
 report_worker (const WorkerInfo *info)
 {
