A late answer of the store no longer brings back older records

Found by reading the whole diff: an entry polls the ledger and, for a job that it doesn't know, reads on at the same time. If the read that saw less was answered last, its records were folded again after newer ones of the same keys, and a job could be shown as running for good at that entry. Test, seen red (5 records handed on in place of 3): users/test_store late_answer_does_not_go_back.

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -76,6 +76,21 @@
     feed->options.on_record (feed->options.ctx, &g_array_index (answer->records, StoreRecord, i));
 }
 
+/* A poll and a refresh may be under way at once: what the other one brought is passed over, since
+ * an older record after a newer one of its key would bring the old value back. */
+static void
+hand_on_new (Feed *feed, const StoreAnswer *answer)
+{
+  for (guint i = 0; i < answer->records->len; i++)
+    {
+      const StoreRecord *record = &g_array_index (answer->records, StoreRecord, i);
+      if (record->offset < feed->next)
+        continue;
+      feed->next = record->offset + 1;
+      feed->options.on_record (feed->options.ctx, record);
+    }
+}
+
 static void
 end_batch (Feed *feed)
 {
@@ -141,11 +156,7 @@
       take_failure (feed, answer);
       return FALSE;
     }
-  hand_on (feed, answer);
-  if (answer->records->len > 0)
-    feed->next
-        = MAX (feed->next,
-               g_array_index (answer->records, StoreRecord, answer->records->len - 1).offset + 1);
+  hand_on_new (feed, answer);
   take_success (feed, feed->next >= answer->end_offset ? sent_us : 0);
   end_batch (feed);
   return TRUE;
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -281,6 +281,74 @@
   world_free (world);
 }
 
+/* Offsets that a feed handed on. */
+static void
+note_offset (void *ctx, const StoreRecord *record)
+{
+  g_array_append_val ((GArray *) ctx, record->offset);
+}
+
+static void
+note_refreshed (void *ctx, gboolean is_fresh)
+{
+  (void) is_fresh;
+  *(gboolean *) ctx = TRUE;
+}
+
+/* Answers the oldest request that was held with records 0 to @p n_records - 1 of a topic. */
+static void
+answer_held (World *world, guint8 n_records)
+{
+  g_autoptr (GByteArray) body = g_byte_array_new ();
+  guint8 head[16] = { [7] = n_records };
+
+  g_byte_array_append (body, head, sizeof head);
+  for (guint8 i = 0; i < n_records; i++)
+    store_add_record (body, "k", &i, 1);
+  const NetReply reply = { .status = 200,
+                           .content_type = "application/octet-stream",
+                           .body = (const char *) body->data,
+                           .body_size = body->len };
+  net_request_reply (g_ptr_array_steal_index (world->held, 0), &reply);
+}
+
+/* A refresh and a poll are under way at once; the one that saw less is answered last. */
+static void
+late_answer_does_not_go_back (void **state)
+{
+  World *world = world_new ();
+  g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  const FeedOptions options = { .store = world->store,
+                                .topic = TOPIC,
+                                .wait_ms = 500,
+                                .pause_ms = 1000,
+                                .on_record = note_offset,
+                                .ctx = offsets };
+  gboolean is_refreshed = FALSE;
+
+  (void) state;
+  set_answer (world, 200, "{\"items\":[],\"more\":false,\"end_offset\":0}");
+  Feed *feed = feed_new (&options);
+  while (!feed_is_loaded (feed))
+    (void) g_main_context_iteration (NULL, TRUE);
+  world->n_unanswered = 2;
+  while (world->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  feed_refresh (feed, note_refreshed, &is_refreshed);
+  while (world->held->len < 2)
+    (void) g_main_context_iteration (NULL, TRUE);
+  answer_held (world, 3);
+  while (offsets->len < 3)
+    (void) g_main_context_iteration (NULL, TRUE);
+  answer_held (world, 2);
+  while (!is_refreshed)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (offsets->len, 3);
+  assert_int_equal (feed_end (feed), 3);
+  world_free (world);
+  feed_free (feed);
+}
+
 int
 main (void)
 {
@@ -290,6 +358,7 @@
     cmocka_unit_test (refused_record_is_never_written),
     cmocka_unit_test (record_in_doubt_is_repeated_until_written),
     cmocka_unit_test (caller_is_told_of_the_doubt_in_time),
+    cmocka_unit_test (late_answer_does_not_go_back),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
