Placing: one search for the least costly worker, both chains in one pass; ends to acknowledge are derived

Read in the whole diff: feed_starved repeated choose's loop; each turn walked its job's steps twice and looked each part up twice, in every tick; has_new_ends stood for ends_taken > ends_kept, and set again while a write was under way it made the owner write once more without news.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -336,7 +336,7 @@
 }
 
 static void
-mark_ends (SchedFlush *flush, Sched *sched)
+mark_ends (SchedFlush *flush, const Sched *sched)
 {
   GHashTableIter iter;
   gpointer value = NULL;
@@ -353,13 +353,29 @@
     }
 }
 
+static gboolean
+has_unkept_ends (const Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->ends_taken > worker->ends_kept)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 SchedFlush *
 sched_flush_begin (Sched *sched)
 {
   GHashTableIter iter;
   gpointer key = NULL;
 
-  if (g_hash_table_size (sched->dirty) == 0 && !sched->has_new_ends)
+  if (g_hash_table_size (sched->dirty) == 0 && !has_unkept_ends (sched))
     return NULL;
   SchedFlush *flush = g_new0 (SchedFlush, 1);
   flush->changes = g_ptr_array_new_with_free_func (change_free);
@@ -376,7 +392,6 @@
     }
   g_hash_table_remove_all (sched->dirty);
   mark_ends (flush, sched);
-  sched->has_new_ends = FALSE;
   return flush;
 }
 
@@ -414,7 +429,6 @@
   g_hash_table_iter_init (&iter, flush->jobs);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     sched_mark_dirty (sched, key);
-  sched->has_new_ends |= g_hash_table_size (flush->ends) > 0;
 }
 
 void
--- a/lib/batch/sched_learn.c
+++ b/lib/batch/sched_learn.c
@@ -57,11 +57,9 @@
 int64_t
 sched_expected_ms (const Sched *sched,
                    const SchedJob *job,
-                   uint32_t occurrence,
-                   uint32_t step_index)
+                   const JobStep *step,
+                   const SchedPart *part)
 {
-  const JobStep *step = g_ptr_array_index (job->spec->steps, step_index);
-  const SchedPart *part = sched_find_part (job, occurrence, step_index);
   const SchedDurations *row = g_hash_table_lookup (sched->durations, job->queue_name);
 
   if (part != NULL && part->n_timed > 0)
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -38,24 +38,35 @@
   int64_t deadline_ms;
 } Turn;
 
-/* Longest chain of estimated work; of what is left only, if @p is_left. */
-static int64_t
-chain_ms (const Sched *sched, const SchedJob *job, uint32_t occurrence, gboolean is_left)
+/** Longest chains of expected work of one occurrence. */
+typedef struct
+{
+  int64_t whole_ms;
+  int64_t left_ms; /**< without the steps that are done */
+} Chains;
+
+static Chains
+chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence)
 {
-  uint32_t n_steps = job->spec->steps->len;
-  int64_t ends[JOB_STEPS_MAX] = { 0 };
-  int64_t longest = 0;
+  Chains ends[JOB_STEPS_MAX] = { 0 };
+  Chains longest = { 0 };
 
-  for (uint32_t i = 0; i < n_steps; i++)
+  for (uint32_t i = 0; i < job->spec->steps->len; i++)
     {
       const JobStep *step = g_ptr_array_index (job->spec->steps, i);
       const SchedPart *part = sched_find_part (job, occurrence, i);
-      int64_t begin = 0;
-      for (guint k = 0; k < step->after->len; k++)
-        begin = MAX (begin, ends[g_array_index (step->after, uint32_t, k)]);
+      int64_t step_ms = sched_expected_ms (sched, job, step, part);
       gboolean is_done = part != NULL && part->n_done == step->n_tasks;
-      ends[i] = begin + (is_left && is_done ? 0 : sched_expected_ms (sched, job, occurrence, i));
-      longest = MAX (longest, ends[i]);
+      for (guint k = 0; k < step->after->len; k++)
+        {
+          const Chains *before = &ends[g_array_index (step->after, uint32_t, k)];
+          ends[i].whole_ms = MAX (ends[i].whole_ms, before->whole_ms);
+          ends[i].left_ms = MAX (ends[i].left_ms, before->left_ms);
+        }
+      ends[i].whole_ms += step_ms;
+      ends[i].left_ms += is_done ? 0 : step_ms;
+      longest.whole_ms = MAX (longest.whole_ms, ends[i].whole_ms);
+      longest.left_ms = MAX (longest.left_ms, ends[i].left_ms);
     }
   return longest;
 }
@@ -64,12 +75,12 @@
 turn_of (const Sched *sched, SchedPart *part)
 {
   const SchedJob *job = part->job;
+  Chains chains = chains_of (sched, job, part->occurrence);
   Turn turn = { .part = part, .priority = job->queue->priority };
 
-  turn.deadline_ms
-      = sched_due_wall_ms (job, part->occurrence) + job->queue->target_ms
-        + (int64_t) (job->queue->stretch * (double) chain_ms (sched, job, part->occurrence, FALSE));
-  int64_t left_ms = chain_ms (sched, job, part->occurrence, TRUE) * SLACK_PERCENT / 100;
+  turn.deadline_ms = sched_due_wall_ms (job, part->occurrence) + job->queue->target_ms
+                     + (int64_t) (job->queue->stretch * (double) chains.whole_ms);
+  int64_t left_ms = chains.left_ms * SLACK_PERCENT / 100;
   turn.is_late = !part->step->lasts && sched->wall_ms + left_ms > turn.deadline_ms;
   return turn;
 }
@@ -204,8 +215,28 @@
   return cost;
 }
 
+static gboolean
+fits_plainly (const SchedWorker *worker, const JobStep *step)
+{
+  return (step->fills || step->size.cpu_m <= worker->info->capacity.cpu_m - worker->used.cpu_m)
+         && has_memory (worker, step);
+}
+
+/* A starved step takes what fits at all; another one waits for room by the rules above. */
+static gboolean
+admits (Sched *sched, const SchedWorker *worker, const SchedTask *task, gboolean is_starved)
+{
+  const JobStep *step = task->part->step;
+
+  if (!may_run (worker, task->part))
+    return FALSE;
+  if (!is_starved)
+    return has_room (sched, worker, task);
+  return fits_plainly (worker, step) && !(step->fills && worker->is_harmed);
+}
+
 static SchedWorker *
-choose (Sched *sched, const GPtrArray *workers, const SchedTask *task)
+choose (Sched *sched, const GPtrArray *workers, const SchedTask *task, gboolean is_starved)
 {
   SchedWorker *best = NULL;
   int64_t best_cost = 0;
@@ -213,9 +244,11 @@
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!may_run (worker, task->part) || !has_room (sched, worker, task))
+      if (!admits (sched, worker, task, is_starved))
         continue;
       int64_t cost = cost_of (worker, task);
+      if (is_starved && task->part->step->fills)
+        cost += (int64_t) sched_tails_expected (sched, worker, task) * COST_TAIL_PERCENT;
       if (best == NULL || cost < best_cost)
         {
           best = worker;
@@ -241,7 +274,7 @@
       SchedTask *task = &part->tasks[i];
       if (task->state != TASK_WAITING)
         continue;
-      SchedWorker *worker = choose (sched, workers, task);
+      SchedWorker *worker = choose (sched, workers, task, FALSE);
       if (worker == NULL)
         return;
       task->run = next_run (sched, task);
@@ -271,7 +304,7 @@
     return;
   for (uint32_t i = 0; i < n_tasks; i++)
     {
-      SchedWorker *worker = choose (sched, workers, &part->tasks[i]);
+      SchedWorker *worker = choose (sched, workers, &part->tasks[i], FALSE);
       if (worker == NULL)
         {
           undo_gang (part);
@@ -321,44 +354,21 @@
   return used_m * 100 < capacity_m * STARVED_USED_PERCENT;
 }
 
-static gboolean
-fits_plainly (const SchedWorker *worker, const JobStep *step)
-{
-  return (step->fills || step->size.cpu_m <= worker->info->capacity.cpu_m - worker->used.cpu_m)
-         && has_memory (worker, step);
-}
-
 static void
 feed_starved (Sched *sched, const GPtrArray *workers, SchedPart *part)
 {
-  SchedWorker *best = NULL;
-  int64_t best_cost = 0;
   uint32_t index = 0;
 
   while (part->tasks[index].state != TASK_WAITING)
     index++;
   SchedTask *task = &part->tasks[index];
-  for (guint i = 0; i < workers->len; i++)
-    {
-      SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!may_run (worker, part) || !fits_plainly (worker, part->step)
-          || (part->step->fills && worker->is_harmed))
-        continue;
-      int64_t cost = cost_of (worker, task);
-      if (part->step->fills)
-        cost += (int64_t) sched_tails_expected (sched, worker, task) * COST_TAIL_PERCENT;
-      if (best == NULL || cost < best_cost)
-        {
-          best = worker;
-          best_cost = cost;
-        }
-    }
-  if (best == NULL)
+  SchedWorker *worker = choose (sched, workers, task, TRUE);
+  if (worker == NULL)
     return;
   task->run = next_run (sched, task);
   sched_note (sched, "starved", part->job->id, "ready_ms=%" G_GINT64_FORMAT,
               (sched->now_us - part->ready_us) / 1000);
-  sched_order_start (sched, best, task);
+  sched_order_start (sched, worker, task);
 }
 
 static void
@@ -395,7 +405,7 @@
   g_autoptr (GPtrArray) workers = open_workers (sched);
 
   (void) g_ptr_array_remove_fast (workers, task->worker);
-  return choose (sched, workers, task) != NULL;
+  return choose (sched, workers, task, FALSE) != NULL;
 }
 
 uint32_t
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -262,7 +262,6 @@
     }
   for (size_t i = 0; i < report->n_ended; i++)
     worker->ends_taken = MAX (worker->ends_taken, report->ended[i]->number);
-  sched->has_new_ends |= worker->ends_taken > worker->ends_kept;
   worker->n_strays = 0;
   for (size_t i = 0; i < report->n_running; i++)
     take_running (sched, worker, report->running[i]);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -129,11 +129,10 @@
   const QueueConfig *config;
   uint64_t term;
   int64_t settled_us;
-  GHashTable *jobs;    /**< id -> SchedJob */
-  GHashTable *open;    /**< SchedJob, as a set */
-  GHashTable *workers; /**< agent name -> SchedWorker */
-  GHashTable *dirty;   /**< SchedJob whose progress has to be written */
-  gboolean has_new_ends;
+  GHashTable *jobs;      /**< id -> SchedJob */
+  GHashTable *open;      /**< SchedJob, as a set */
+  GHashTable *workers;   /**< agent name -> SchedWorker */
+  GHashTable *dirty;     /**< SchedJob whose progress has to be written */
   GHashTable *loads;     /**< queue name -> SchedLoad */
   GHashTable *durations; /**< queue name -> SchedDurations */
   int64_t now_us;
@@ -185,11 +184,11 @@
 /* sched_learn.c */
 /* A task ran through in one run at full pace. */
 void sched_learn_duration (const Sched *sched, SchedTask *task, int64_t took_ms);
-/* What one task of the step takes, by what was learned. */
+/* What one task of the step takes, by what was learned; part is NULL once it was dropped. */
 int64_t sched_expected_ms (const Sched *sched,
                            const SchedJob *job,
-                           uint32_t occurrence,
-                           uint32_t step_index);
+                           const JobStep *step,
+                           const SchedPart *part);
 
 /* sched_tails.c */
 gboolean sched_is_serving (const SchedTask *task);
