--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -1220,7 +1220,7 @@
   (ProtobufCMessageInit) batch__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__queue_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor batch__queue_load__field_descriptors[2] =
 {
   {
     "queue",
@@ -1246,28 +1246,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "retry_after_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Batch__QueueLoad, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned batch__queue_load__field_indices_by_name[] = {
   1,   /* field[1] = pending */
   0,   /* field[0] = queue */
-  2,   /* field[2] = retry_after_ms */
 };
 static const ProtobufCIntRange batch__queue_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor batch__queue_load__descriptor =
 {
@@ -1277,7 +1264,7 @@
   "Batch__QueueLoad",
   "batch",
   sizeof(Batch__QueueLoad),
-  3,
+  2,
   batch__queue_load__field_descriptors,
   batch__queue_load__field_indices_by_name,
   1,  batch__queue_load__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -138,19 +138,18 @@
     , 0, 0,NULL, 0 }
 
 
+/*
+ * Jobs of a queue of which no task has started.
+ */
 struct  Batch__QueueLoad
 {
   ProtobufCMessage base;
   char *queue;
   uint32_t pending;
-  /*
-   * 0: jobs are accepted
-   */
-  uint32_t retry_after_ms;
 };
 #define BATCH__QUEUE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__queue_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/lib/batch/queues.c
+++ b/lib/batch/queues.c
@@ -99,15 +99,3 @@
 {
   return g_hash_table_lookup (config->by_name, name);
 }
-
-const QueueService *
-queue_config_service (const QueueConfig *config, const char *name)
-{
-  for (guint i = 0; i < config->services->len; i++)
-    {
-      const QueueService *service = g_ptr_array_index (config->services, i);
-      if (strcmp (service->name, name) == 0)
-        return service;
-    }
-  return NULL;
-}
--- a/lib/batch/queues.h
+++ b/lib/batch/queues.h
@@ -66,9 +66,6 @@
 /** The queue called @p name, or NULL. */
 const Queue *queue_config_find (const QueueConfig *config, const char *name);
 
-/** The service called @p name, or NULL. */
-const QueueService *queue_config_service (const QueueConfig *config, const char *name);
-
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QueueConfig, queue_config_free)
 
 G_END_DECLS
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -43,7 +43,7 @@
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->increases = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  sched->loads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return sched;
 }
 
@@ -52,7 +52,7 @@
 {
   if (sched == NULL)
     return;
-  g_hash_table_destroy (sched->loads);
+  g_hash_table_destroy (sched->pending);
   g_hash_table_destroy (sched->increases);
   g_hash_table_destroy (sched->durations);
   g_hash_table_destroy (sched->workers);
@@ -232,33 +232,21 @@
               g_hash_table_size (sched->open));
 }
 
-static SchedLoad *
-load_of (Sched *sched, const char *queue)
-{
-  SchedLoad *load = g_hash_table_lookup (sched->loads, queue);
-
-  if (load == NULL)
-    {
-      load = g_new0 (SchedLoad, 1);
-      g_hash_table_insert (sched->loads, g_strdup (queue), load);
-    }
-  return load;
-}
-
 static void
 update_jobs (Sched *sched)
 {
   GHashTableIter iter;
   gpointer key = NULL;
 
-  g_hash_table_remove_all (sched->loads);
+  g_hash_table_remove_all (sched->pending);
   g_hash_table_iter_init (&iter, sched->open);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       SchedJob *job = key;
       sched_make_occurrences (sched, job);
       if (!job->has_begun)
-        load_of (sched, job->queue_name)->n_pending++;
+        g_hash_table_replace (sched->pending, g_strdup (job->queue_name),
+                              GUINT_TO_POINTER (sched_pending (sched, job->queue_name) + 1));
     }
 }
 
@@ -327,12 +315,10 @@
   return TRUE;
 }
 
-SchedLoad
-sched_load (const Sched *sched, const char *queue)
+uint32_t
+sched_pending (const Sched *sched, const char *queue)
 {
-  const SchedLoad *load = g_hash_table_lookup (sched->loads, queue);
-
-  return load != NULL ? *load : (SchedLoad){ 0, 0 };
+  return GPOINTER_TO_UINT (g_hash_table_lookup (sched->pending, queue));
 }
 
 static void
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -108,15 +108,8 @@
 /** Ends a flush: with @p is_written the ends behind it are acknowledged, else it is due again. */
 void sched_flush_end (Sched *sched, SchedFlush *flush, gboolean is_written);
 
-/** State of one queue, for the other entries. */
-typedef struct
-{
-  uint32_t n_pending;      /**< jobs of which no task has started */
-  uint32_t retry_after_ms; /**< when a caller should come back; 0: jobs are accepted */
-} SchedLoad;
-
-/** The load of @p queue as of the last tick. */
-SchedLoad sched_load (const Sched *sched, const char *queue);
+/** Jobs of @p queue of which no task had started at the last tick. */
+uint32_t sched_pending (const Sched *sched, const char *queue);
 
 /** Jobs that are neither ended nor cancelled. */
 uint32_t sched_open_jobs (const Sched *sched);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -133,7 +133,7 @@
   GHashTable *open;      /**< SchedJob, as a set */
   GHashTable *workers;   /**< agent name -> SchedWorker */
   GHashTable *dirty;     /**< SchedJob whose progress has to be written */
-  GHashTable *loads;     /**< queue name -> SchedLoad */
+  GHashTable *pending;   /**< queue name -> number of jobs that have not begun */
   GHashTable *durations; /**< queue name -> SchedDurations */
   int64_t now_us;
   int64_t wall_ms;
--- a/lib/common/line.c
+++ b/lib/common/line.c
@@ -96,9 +96,3 @@
       g_string_truncate (line_buffer, 0);
     }
 }
-
-uint64_t
-line_dropped (void)
-{
-  return line_dropped_count;
-}
--- a/lib/common/line.h
+++ b/lib/common/line.h
@@ -25,7 +25,4 @@
 /** Writes what waits, as far as the reader takes it. */
 void line_flush (void);
 
-/** Lines dropped so far. */
-uint64_t line_dropped (void);
-
 G_END_DECLS
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -36,15 +36,6 @@
   g_free (agent);
 }
 
-static void
-load_free (gpointer data)
-{
-  LedgerLoad *load = data;
-
-  g_free (load->queue);
-  g_free (load);
-}
-
 Ledger *
 ledger_new (const LedgerEvents *events)
 {
@@ -53,7 +44,7 @@
   ledger->events = *events;
   ledger->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   ledger->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, agent_free);
-  ledger->owner.loads = g_ptr_array_new_with_free_func (load_free);
+  ledger->owner.pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return ledger;
 }
 
@@ -64,7 +55,7 @@
     return;
   g_hash_table_destroy (ledger->jobs);
   g_hash_table_destroy (ledger->agents);
-  g_ptr_array_unref (ledger->owner.loads);
+  g_hash_table_destroy (ledger->owner.pending);
   g_free (ledger->owner.name);
   g_free (ledger);
 }
@@ -168,15 +159,10 @@
 static void
 take_loads (LedgerOwner *owner, const Batch__Owner *message)
 {
-  g_ptr_array_set_size (owner->loads, 0);
+  g_hash_table_remove_all (owner->pending);
   for (size_t i = 0; i < message->n_loads; i++)
-    {
-      LedgerLoad *load = g_new0 (LedgerLoad, 1);
-      load->queue = g_strdup (message->loads[i]->queue);
-      load->load.n_pending = message->loads[i]->pending;
-      load->load.retry_after_ms = message->loads[i]->retry_after_ms;
-      g_ptr_array_add (owner->loads, load);
-    }
+    g_hash_table_replace (owner->pending, g_strdup (message->loads[i]->queue),
+                          GUINT_TO_POINTER (message->loads[i]->pending));
 }
 
 static gboolean
@@ -290,14 +276,8 @@
     each (ctx, value);
 }
 
-SchedLoad
-ledger_load (const Ledger *ledger, const char *queue)
+uint32_t
+ledger_pending (const Ledger *ledger, const char *queue)
 {
-  for (guint i = 0; i < ledger->owner.loads->len; i++)
-    {
-      const LedgerLoad *load = g_ptr_array_index (ledger->owner.loads, i);
-      if (strcmp (load->queue, queue) == 0)
-        return load->load;
-    }
-  return (SchedLoad){ 0, 0 };
+  return GPOINTER_TO_UINT (g_hash_table_lookup (ledger->owner.pending, queue));
 }
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -42,17 +42,11 @@
 {
   uint64_t term; /**< 0: there never was an owner */
   char *name;
-  uint64_t boot;    /**< 0: the last owner has left */
-  int64_t offset;   /**< of the newest record */
-  GPtrArray *loads; /**< LedgerLoad */
+  uint64_t boot;       /**< 0: the last owner has left */
+  int64_t offset;      /**< of the newest record */
+  GHashTable *pending; /**< queue name -> jobs that have not begun, as the owner last told */
 } LedgerOwner;
 
-typedef struct
-{
-  char *queue;
-  SchedLoad load;
-} LedgerLoad;
-
 typedef struct Ledger Ledger;
 
 /** Called after a record changed something. Any may be NULL. */
@@ -89,7 +83,7 @@
 void ledger_each_agent (const Ledger *ledger,
                         void (*each) (void *ctx, const LedgerAgent *agent),
                         void *ctx);
-/** Load of a queue as the owner last told it. */
-SchedLoad ledger_load (const Ledger *ledger, const char *queue);
+/** Jobs of a queue that have not begun, as the owner last told. */
+uint32_t ledger_pending (const Ledger *ledger, const char *queue);
 
 G_END_DECLS
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -17,7 +17,6 @@
 
 typedef struct
 {
-  const char *program;
   const NodeSettings *settings;
   /** Called once on SIGTERM or SIGINT; the program calls node_quit() when it may end. */
   void (*on_leave) (void *ctx);
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -153,8 +153,7 @@
 entry_new (const NodeSettings *settings, GError **error)
 {
   Entry *entry = g_new0 (Entry, 1);
-  const NodeOptions node
-      = { .program = "acacia-scheduler", .settings = settings, .on_leave = on_leave, .ctx = entry };
+  const NodeOptions node = { .settings = settings, .on_leave = on_leave, .ctx = entry };
   const LedgerEvents events = { .on_job = on_job,
                                 .on_cancel = on_cancel,
                                 .on_agent = on_agent,
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -182,12 +182,6 @@
       refuse (front, request, id, 400, "malformed", 0);
       return;
     }
-  SchedLoad load = ledger_load (front->entry->ledger, queue->name);
-  if (load.retry_after_ms > 0)
-    {
-      refuse (front, request, id, 429, "overload", (load.retry_after_ms + 999) / 1000);
-      return;
-    }
   write_submission (front, request, id, queue);
 }
 
@@ -285,7 +279,7 @@
 ask_pending (Front *front, NetRequest *request, const Queue *queue)
 {
   g_autofree char *body
-      = caller_encode_pending (ledger_load (front->entry->ledger, queue->name).n_pending);
+      = caller_encode_pending (ledger_pending (front->entry->ledger, queue->name));
 
   reply_body (request, body);
 }
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -17,14 +17,13 @@
   for (guint i = 0; i < config->queues->len; i++)
     {
       const Queue *queue = g_ptr_array_index (config->queues, i);
-      SchedLoad load = sched_load (owner->sched, queue->name);
-      if (load.n_pending == 0 && load.retry_after_ms == 0)
+      uint32_t n_pending = sched_pending (owner->sched, queue->name);
+      if (n_pending == 0)
         continue;
       Batch__QueueLoad *row = g_new (Batch__QueueLoad, 1);
       batch__queue_load__init (row);
       row->queue = queue->name;
-      row->pending = load.n_pending;
-      row->retry_after_ms = load.retry_after_ms;
+      row->pending = n_pending;
       message->loads[message->n_loads++] = row;
       g_ptr_array_add (garbage, row);
     }
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -390,8 +390,7 @@
 agent_new (const NodeSettings *settings, GError **error)
 {
   Agent *agent = g_new0 (Agent, 1);
-  const NodeOptions options
-      = { .program = "acacia-worker", .settings = settings, .on_leave = on_leave, .ctx = agent };
+  const NodeOptions options = { .settings = settings, .on_leave = on_leave, .ctx = agent };
 
   agent->settings = settings;
   agent->node = node_new (&options, error);
