Jobs that ended long ago leave the ledger; a process that ends refuses what it had not read

Cause 1: the keyed topic keeps the newest record of each key for good, so each job stayed in the store (400 MB in all, then every append is refused) and in every entry's memory. The owner now drops the three keys of jobs that ended twice jobs.state_s ago, whose end is written and of which nothing runs; entries forget them when they read that. ledger/test_ledger failed before (an empty record made a job without a queue); fault/test_drop plays it with real processes.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -44,6 +44,7 @@
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->increases = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->ended = g_queue_new ();
   return sched;
 }
 
@@ -58,6 +59,7 @@
   g_hash_table_destroy (sched->workers);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
+  g_queue_free (sched->ended);
   g_hash_table_destroy (sched->jobs);
   g_free (sched);
 }
@@ -106,58 +108,6 @@
   g_hash_table_insert (sched->workers, worker->name, worker);
 }
 
-static void
-forget_avoided (Sched *sched, const SchedWorker *worker)
-{
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, sched->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const SchedJob *job = value;
-      for (guint i = 0; i < job->parts->len; i++)
-        {
-          SchedPart *part = g_ptr_array_index (job->parts, i);
-          for (uint32_t k = 0; k < part->step->n_tasks; k++)
-            {
-              if (part->tasks[k].avoid == worker)
-                part->tasks[k].avoid = NULL;
-            }
-        }
-    }
-}
-
-void
-sched_remove_agent (Sched *sched, const char *name)
-{
-  SchedWorker *worker = g_hash_table_lookup (sched->workers, name);
-
-  if (worker == NULL)
-    return;
-  if (worker->tasks->len > 0)
-    sched_lose_worker (sched, worker, "removed");
-  forget_avoided (sched, worker);
-  (void) g_hash_table_remove (sched->workers, name);
-}
-
-const char *
-sched_forgotten_agent (const Sched *sched)
-{
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const SchedWorker *worker = value;
-      if (worker->silent_us != 0
-          && sched->now_us - worker->silent_us > SCHED_FORGET_MS * CLK_US_PER_MS)
-        return worker->name;
-    }
-  return NULL;
-}
-
 uint32_t
 sched_open_jobs (const Sched *sched)
 {
@@ -294,6 +244,7 @@
   lapse_workers (sched);
   settle (sched);
   update_jobs (sched);
+  sched_date_ended (sched);
   sched_care (sched);
   note_room (sched, sched_place (sched));
 }
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -79,6 +79,15 @@
 /** Agents that were not heard for this long are forgotten: longer than any lease and restart. */
 #define SCHED_FORGET_MS 5000
 
+/**
+ * Adds to @p ids, up to @p n_most in all, jobs that ended @p keep_ms ago in this term; the ids are
+ * owned by the scheduler. Their ends are written, and none of their tasks runs.
+ */
+void sched_expired_jobs (const Sched *sched, int64_t keep_ms, GPtrArray *ids, guint n_most);
+
+/** Forgets a job that has ended and left no trace at the workers; others stay. */
+void sched_forget_job (Sched *sched, const char *id);
+
 /** Takes what an agent says of its worker. */
 void
 sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us);
--- /dev/null
+++ b/lib/batch/sched_forget.c
@@ -0,0 +1,115 @@
+/* What the scheduler does not have to know any more: agents that are gone, jobs that ended long
+ * ago. */
+#include "batch/sched_tables.h"
+#include "common/clk.h"
+
+static void
+forget_avoided (Sched *sched, const SchedWorker *worker)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedJob *job = value;
+      for (guint i = 0; i < job->parts->len; i++)
+        {
+          SchedPart *part = g_ptr_array_index (job->parts, i);
+          for (uint32_t k = 0; k < part->step->n_tasks; k++)
+            {
+              if (part->tasks[k].avoid == worker)
+                part->tasks[k].avoid = NULL;
+            }
+        }
+    }
+}
+
+void
+sched_remove_agent (Sched *sched, const char *name)
+{
+  SchedWorker *worker = g_hash_table_lookup (sched->workers, name);
+
+  if (worker == NULL)
+    return;
+  if (worker->tasks->len > 0)
+    sched_lose_worker (sched, worker, "removed");
+  forget_avoided (sched, worker);
+  (void) g_hash_table_remove (sched->workers, name);
+}
+
+const char *
+sched_forgotten_agent (const Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->silent_us != 0
+          && sched->now_us - worker->silent_us > SCHED_FORGET_MS * CLK_US_PER_MS)
+        return worker->name;
+    }
+  return NULL;
+}
+
+void
+sched_date_ended (Sched *sched)
+{
+  for (GList *link = sched->ended->tail; link != NULL; link = link->prev)
+    {
+      SchedJob *job = link->data;
+      if (job->ended_us != 0)
+        return;
+      job->ended_us = sched->now_us;
+    }
+}
+
+static gboolean
+has_placed (const SchedJob *job)
+{
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      const SchedPart *part = g_ptr_array_index (job->parts, i);
+      for (uint32_t k = 0; k < part->step->n_tasks; k++)
+        {
+          if (part->tasks[k].state == TASK_PLACED)
+            return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+static gboolean
+may_be_forgotten (const Sched *sched, const SchedJob *job)
+{
+  return !g_hash_table_contains (sched->dirty, job) && !has_placed (job);
+}
+
+void
+sched_expired_jobs (const Sched *sched, int64_t keep_ms, GPtrArray *ids, guint n_most)
+{
+  int64_t before_us = sched->now_us - keep_ms * CLK_US_PER_MS;
+
+  for (const GList *link = sched->ended->head; link != NULL && ids->len < n_most; link = link->next)
+    {
+      const SchedJob *job = link->data;
+      if (job->ended_us == 0 || job->ended_us > before_us)
+        return;
+      if (may_be_forgotten (sched, job))
+        g_ptr_array_add (ids, job->id);
+    }
+}
+
+void
+sched_forget_job (Sched *sched, const char *id)
+{
+  SchedJob *job = g_hash_table_lookup (sched->jobs, id);
+
+  if (job == NULL || sched_job_is_open (job) || !may_be_forgotten (sched, job))
+    return;
+  (void) g_queue_remove (sched->ended, job);
+  (void) g_hash_table_remove (sched->jobs, id);
+}
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -159,6 +159,7 @@
 
   job->state = state;
   (void) g_hash_table_remove (sched->open, job);
+  g_queue_push_tail (sched->ended, job);
   sched_mark_dirty (sched, job);
   sched_note (sched, "job_ended", job->id, "state=%s", names[state]);
   if (state == SCHED_COMPLETED)
@@ -442,7 +443,10 @@
     restore (job, wanted->progress);
   g_hash_table_insert (sched->jobs, job->id, job);
   if (!sched_job_is_open (job))
-    return;
+    {
+      g_queue_push_tail (sched->ended, job);
+      return;
+    }
   (void) g_hash_table_add (sched->open, job);
   if (job->spec->n_repeats == 0)
     sched_make_occurrences (sched, job);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -89,6 +89,7 @@
   SchedJobState state;
   gboolean is_old;
   gboolean has_begun;
+  int64_t ended_us;          /**< when that was seen in this term; 0: not yet */
   GPtrArray *parts;          /**< SchedPart of the occurrences under way, by occurrence and step */
   uint32_t occurrences_done; /**< all before this one */
   uint32_t occurrences_made;
@@ -131,6 +132,7 @@
   int64_t settled_us;
   GHashTable *jobs;      /**< id -> SchedJob */
   GHashTable *open;      /**< SchedJob, as a set */
+  GQueue *ended;         /**< SchedJob that are not open, oldest end first */
   GHashTable *workers;   /**< agent name -> SchedWorker */
   GHashTable *dirty;     /**< SchedJob whose progress has to be written */
   GHashTable *pending;   /**< queue name -> number of jobs that have not begun */
@@ -159,6 +161,10 @@
 gboolean sched_job_is_open (const SchedJob *job);
 GBytes *sched_encode_progress (const SchedJob *job);
 
+/* sched_forget.c */
+/* Dates the jobs that have ended since the last tick. */
+void sched_date_ended (Sched *sched);
+
 /* sched_workers.c */
 SchedWorker *sched_worker_new (const char *name);
 void sched_worker_free (gpointer data);
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -74,17 +74,27 @@
   return job;
 }
 
+/* An owner dropped a job that had ended long ago. */
+static gboolean
+drop_job (Ledger *ledger, const char *id)
+{
+  if (!g_hash_table_remove (ledger->jobs, id))
+    return TRUE;
+  if (ledger->events.on_job_gone != NULL)
+    ledger->events.on_job_gone (ledger->events.ctx, id);
+  return TRUE;
+}
+
 static gboolean
 apply_job (Ledger *ledger, const char *id, int64_t offset, const uint8_t *value, size_t size)
 {
+  if (!job_id_is_valid (id))
+    return FALSE;
+  if (size == 0)
+    return drop_job (ledger, id);
   Batch__Submission *submission = batch__submission__unpack (NULL, size, value);
-
-  if (submission == NULL || !job_id_is_valid (id))
-    {
-      if (submission != NULL)
-        batch__submission__free_unpacked (submission, NULL);
-      return FALSE;
-    }
+  if (submission == NULL)
+    return FALSE;
   LedgerJob *job = job_of (ledger, id);
   if (job->submission != NULL)
     {
@@ -102,8 +112,10 @@
 static gboolean
 apply_run (Ledger *ledger, const char *id, const uint8_t *value, size_t size)
 {
+  /* A job without any progress has no such record, and neither has one that was dropped. */
+  if (size == 0 && ledger_job (ledger, id) == NULL)
+    return TRUE;
   Batch__Progress *progress = batch__progress__unpack (NULL, size, value);
-
   if (progress == NULL)
     return FALSE;
   LedgerJob *job = job_of (ledger, id);
@@ -114,8 +126,10 @@
 }
 
 static gboolean
-apply_cancel (Ledger *ledger, const char *id)
+apply_cancel (Ledger *ledger, const char *id, size_t size)
 {
+  if (size == 0)
+    return TRUE;
   LedgerJob *job = job_of (ledger, id);
 
   if (job->is_cancelled)
@@ -206,7 +220,7 @@
   if (g_str_has_prefix (text, LEDGER_RUN_PREFIX))
     return apply_run (ledger, text + strlen (LEDGER_RUN_PREFIX), value, value_size);
   if (g_str_has_prefix (text, LEDGER_CANCEL_PREFIX))
-    return apply_cancel (ledger, text + strlen (LEDGER_CANCEL_PREFIX));
+    return apply_cancel (ledger, text + strlen (LEDGER_CANCEL_PREFIX), value_size);
   if (g_str_has_prefix (text, LEDGER_AGENT_PREFIX))
     return apply_agent (ledger, text + strlen (LEDGER_AGENT_PREFIX), value, value_size);
   return FALSE;
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -54,6 +54,7 @@
 {
   void (*on_job) (void *ctx, const LedgerJob *job);
   void (*on_cancel) (void *ctx, const LedgerJob *job);
+  void (*on_job_gone) (void *ctx, const char *id);
   void (*on_agent) (void *ctx, const LedgerAgent *agent);
   void (*on_agent_gone) (void *ctx, const char *name);
   void (*on_owner) (void *ctx, const LedgerOwner *owner);
--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -21,6 +21,7 @@
   guint again;
   GPtrArray *open; /**< NetRequest that were read and not answered */
   gboolean is_quiesced;
+  gboolean is_ending;
 };
 
 struct NetRequest
@@ -115,12 +116,15 @@
 {
   const guint8 zero = 0;
   const NetReply too_large = { .status = 413 };
+  const NetReply not_taken = { .status = 503 };
 
   g_byte_array_append (request->body, &zero, 1);
   request->read_us = clk_now_us ();
   request->is_handled = TRUE;
   g_ptr_array_add (request->server->open, request);
-  if (request->is_too_large)
+  if (request->server->is_ending)
+    net_request_reply (request, &not_taken);
+  else if (request->is_too_large)
     net_request_reply (request, &too_large);
   else
     request->server->options.handler (request->server->options.ctx, request);
@@ -237,12 +241,13 @@
     (void) close (listener);
 }
 
-/* The library refuses to stop while a connection waits. */
+/* The library refuses to stop while a connection waits for an answer. */
 static void
 answer_open (NetServer *server)
 {
   const NetReply unknown = { .status = 504 };
 
+  server->is_ending = TRUE;
   while (server->open->len > 0)
     net_request_reply (g_ptr_array_index (server->open, 0), &unknown);
   drive (server);
--- a/lib/node/node_settings.c
+++ b/lib/node/node_settings.c
@@ -31,6 +31,8 @@
     "Time that members of a gang wait for each other." },
   { "store.address", SET_TEXT, FIELD (store_address), 1, 64, NULL,
     "IP:PORT of the platform's store." },
+  { "jobs.state_s", SET_INTEGER, FIELD (state_s), 1, 86400, "120",
+    "Seconds for which the state of an ended job is told." },
   { "limits.cpu_share", SET_TEXT, FIELD (cpu_share), 1, 20, "1.0",
     "Share of a core that this instance has." },
   { "limits.leave_s", SET_TEXT, FIELD (leave_s), 1, 20, "6",
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -21,6 +21,7 @@
   char *worker_address;      /**< "IP:PORT" where the worker reports; "" if none does */
   char *worker_call_address; /**< "IP:PORT" of the worker's interface for orders */
   char *store_address;
+  int64_t state_s;      /**< the state of a job is told for this long after its end */
   char *cpu_share;      /**< share of a core, a fraction */
   int64_t lease_max_ms; /**< longest lease that a worker takes */
   int64_t gang_timeout_ms;
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -60,6 +60,12 @@
   owner_take_agent_gone (((Entry *) ctx)->owner, name);
 }
 
+static void
+on_job_gone (void *ctx, const char *id)
+{
+  owner_take_job_gone (((Entry *) ctx)->owner, id);
+}
+
 static void
 on_owner (void *ctx, const LedgerOwner *claim)
 {
@@ -156,6 +162,7 @@
   const NodeOptions node = { .settings = settings, .on_leave = on_leave, .ctx = entry };
   const LedgerEvents events = { .on_job = on_job,
                                 .on_cancel = on_cancel,
+                                .on_job_gone = on_job_gone,
                                 .on_agent = on_agent,
                                 .on_agent_gone = on_agent_gone,
                                 .on_owner = on_owner,
--- a/programs/scheduler/entry_private.h
+++ b/programs/scheduler/entry_private.h
@@ -41,6 +41,7 @@
 void owner_free (Owner *owner);
 void owner_take_job (Owner *owner, const LedgerJob *job);
 void owner_take_cancel (Owner *owner, const LedgerJob *job);
+void owner_take_job_gone (Owner *owner, const char *id);
 void owner_take_agent (Owner *owner, const LedgerAgent *agent);
 void owner_take_agent_gone (Owner *owner, const char *name);
 /** The ledger names an owner: this entry, another one, or none. */
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -314,6 +314,13 @@
   tick_soon (owner);
 }
 
+void
+owner_take_job_gone (Owner *owner, const char *id)
+{
+  if (owner->sched != NULL)
+    sched_forget_job (owner->sched, id);
+}
+
 void
 owner_take_agent (Owner *owner, const LedgerAgent *agent)
 {
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -2,6 +2,11 @@
 #include "common/line.h"
 #include "owner_private.h"
 
+/** Jobs dropped in one append: more than end between two signs of life. */
+#define DROPS_MAX 64
+/** How often the time that a state is told for has to pass: an owner counts from when it took over,
+ * and callers that repeat a submission must find the job. */
+#define KEEP_FACTOR 2
 /** Changes of the owner are gathered for this long before they are written. */
 #define FLUSH_MS 15
 
@@ -58,6 +63,34 @@
   store_add_record (owner->records, key, NULL, 0);
 }
 
+static void
+add_drop (GByteArray *records, const char *prefix, const char *id)
+{
+  g_autofree char *key = g_strconcat (prefix, id, NULL);
+
+  store_add_record (records, key, NULL, 0);
+}
+
+/* Without this the store would fill up. */
+static void
+add_drops (Owner *owner)
+{
+  int64_t keep_ms = owner->entry->settings->state_s * CLK_MS_PER_S * KEEP_FACTOR;
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+
+  sched_expired_jobs (owner->sched, keep_ms, ids, DROPS_MAX);
+  for (guint i = 0; i < ids->len; i++)
+    {
+      const char *id = g_ptr_array_index (ids, i);
+      add_drop (owner->records, LEDGER_JOB_PREFIX, id);
+      add_drop (owner->records, LEDGER_RUN_PREFIX, id);
+      add_drop (owner->records, LEDGER_CANCEL_PREFIX, id);
+    }
+  if (ids->len > 0)
+    line_add ("owner", "jobs_dropped", "count=%u ended_before_ms=%" G_GINT64_FORMAT, ids->len,
+              keep_ms);
+}
+
 static void
 add_changes (GByteArray *records, const SchedFlush *flush)
 {
@@ -109,6 +142,7 @@
   owner->is_release = owner->is_leaving;
   owner_add_record (owner, owner->records, owner->is_release ? 0 : node_boot (owner->entry->node));
   add_forgotten (owner);
+  add_drops (owner);
   if (owner->flush != NULL)
     add_changes (owner->records, owner->flush);
   send_append (owner);
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -273,6 +273,35 @@
   rig_free (rig);
 }
 
+/* Ended jobs would fill the store and the memory of an installation that runs for days. */
+static void
+ended_job_expires (void **state)
+{
+  Rig *rig = rig_new (1);
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100}");
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":1,\"cpu\":100,\"long_running\":true}");
+  rig_round (rig, 100, TRUE);
+  rig_end (&rig->workers[0], JOB_A ".0.0.0", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  sched_expired_jobs (rig->sched, 1000, ids, 10);
+  assert_int_equal (ids->len, 0);
+  for (int64_t ms = 0; ms < 1200; ms += 100)
+    rig_round (rig, 100, TRUE);
+  sched_expired_jobs (rig->sched, 1000, ids, 10);
+  assert_int_equal (ids->len, 1);
+  assert_string_equal (g_ptr_array_index (ids, 0), JOB_A);
+  sched_forget_job (rig->sched, JOB_A);
+  sched_forget_job (rig->sched, JOB_B);
+  g_ptr_array_set_size (ids, 0);
+  sched_expired_jobs (rig->sched, 0, ids, 10);
+  assert_int_equal (ids->len, 0);
+  assert_int_equal (sched_open_jobs (rig->sched), 1);
+  rig_free (rig);
+}
+
 /* A worker that is gone for good must not make every new owner wait. */
 static void
 silent_agent_is_forgotten (void **state)
@@ -560,6 +589,7 @@
     cmocka_unit_test (gang_goes_on_from_one_checkpoint),
     cmocka_unit_test (new_owner_waits_for_agents_it_has_not_heard),
     cmocka_unit_test (silent_agent_is_forgotten),
+    cmocka_unit_test (ended_job_expires),
     cmocka_unit_test (new_owner_takes_over_what_runs),
     cmocka_unit_test (task_of_an_unknown_job_is_stopped),
     cmocka_unit_test (end_is_acknowledged_only_once_written),
--- /dev/null
+++ b/tests/fault/test_drop.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# A job that ended long ago leaves the store, and is unknown at every entry; one that is open stays,
+# and both hold after the entries were started anew.
+set -euo pipefail
+source "$(dirname "$0")/users.sh"
+
+ended=00000000000000aa
+open=00000000000000bb
+# Twice the time that states are told for, an owner's sign of life and a read.
+dropped_ms=4000
+# shellcheck disable=SC2034
+entry_settings='jobs.state_s = 1'
+
+submit() {
+  curl -sf -H 'Host: h.example' --data '{"spec":"x","steps":[{"count":1,"cpu":100}]}' \
+    "http://$1:29161/p/$2" || fail "job $2 was not accepted"
+}
+
+# status IP ID
+status() {
+  curl -s -o /dev/null -w '%{http_code}' -H 'Host: h.example' "http://$1:29161/p/$2"
+}
+
+start_store 2
+start_entry first 127.0.0.11
+wait_line "$dir/first.log" "owner took_over" 8000 || fail "the first entry never owned the jobs"
+start_entry second 127.0.0.12
+wait_line "$dir/second.log" "config applied" 8000 || fail "the second entry has no configuration"
+submit 127.0.0.11 "$ended"
+submit 127.0.0.11 "$open"
+curl -sf -X DELETE -H 'Host: h.example' "http://127.0.0.12:29161/p/$ended" || fail "not cancelled"
+[ "$(status 127.0.0.12 "$ended")" = 200 ] || fail "the cancelled job is not known"
+
+wait_line "$dir/first.log" "owner jobs_dropped.*count=1" "$dropped_ms" || fail "nothing was dropped"
+sleep 0.5
+for ip in 127.0.0.11 127.0.0.12; do
+  [ "$(status "$ip" "$ended")" = 410 ] || fail "$ip still knows the ended job"
+  [ "$(status "$ip" "$open")" = 200 ] || fail "$ip does not know the open job"
+done
+curl -s "http://$store/log-newest?topic=keyed.acaciadale&part=0" >"$dir/newest"
+! grep -q "$ended" "$dir/newest" || fail "the store still has records of the ended job"
+grep -q "job.$open" "$dir/newest" || fail "the store has lost the open job"
+start_entry third 127.0.0.14
+wait_line "$dir/third.log" "config applied" 8000 || fail "the third entry has no configuration"
+[ "$(status 127.0.0.14 "$ended")" = 410 ] || fail "a new entry knows the ended job"
+[ "$(status 127.0.0.14 "$open")" = 200 ] || fail "a new entry does not know the open job"
+echo "dropped in time"
--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -35,6 +35,7 @@
   curl -sf -o /dev/null --data-binary @"$dir/record" "http://$store/log-append?topic=keyed.op&part=0"
 }
 
+# start_entry NAME IP: with the lines of $entry_settings, if any.
 start_entry() {
   local name=$1 ip=$2
   cat >"$dir/$name.toml" <<TOML
@@ -44,6 +45,7 @@
 callers.ready = "$ip:29167"
 internal.metrics_port = 29121
 store.address = "$store"
+${entry_settings:-}
 TOML
   "$BUILD/bin/acacia-scheduler" --config "$dir/$name.toml" >"$dir/$name.log" 2>&1 &
   pids+=($!)
