A refresh waits for the load, and progress never goes back in the fold

Cause, read in the code: a caller's question for a job that is not known yet makes the feed read on to the end of the topic. While the newest records were still being loaded, page by page, "read on" began at offset 0 and handed on the topic's old records after newer ones of the same keys: jobs that were done had their first progress again. Mend: a refresh during a load waits for it (and ends with it if it fails); the fold of a job's progress takes no record older than the one it has.

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -23,10 +23,20 @@
   int64_t steady_us;
   int64_t sent_us;
   gboolean is_failing;
+  GPtrArray *waiting; /**< Refresh that wait for the load */
   guint timer;
 };
 
+typedef struct
+{
+  Feed *feed;
+  int64_t sent_us;
+  void (*done) (void *ctx, gboolean is_fresh);
+  void *ctx;
+} Refresh;
+
 static void read_on (Feed *feed);
+static void send_refresh (Refresh *refresh);
 
 static gboolean
 on_timer (gpointer data)
@@ -98,6 +108,27 @@
     feed->options.on_batch (feed->options.ctx);
 }
 
+static void
+end_refresh (Refresh *refresh, gboolean is_fresh)
+{
+  refresh->done (refresh->ctx, is_fresh);
+  g_free (refresh);
+}
+
+static void
+send_waiting (Feed *feed)
+{
+  while (feed->waiting->len > 0)
+    send_refresh (g_ptr_array_steal_index (feed->waiting, 0));
+}
+
+static void
+fail_waiting (Feed *feed)
+{
+  while (feed->waiting->len > 0)
+    end_refresh (g_ptr_array_steal_index (feed->waiting, 0), FALSE);
+}
+
 static void
 on_page (void *ctx, const StoreAnswer *answer)
 {
@@ -106,6 +137,7 @@
   if (answer->outcome != STORE_OK)
     {
       take_failure (feed, answer);
+      fail_waiting (feed);
       read_after (feed, AGAIN_MS);
       return;
     }
@@ -129,6 +161,7 @@
   feed->is_loaded = TRUE;
   line_add ("feed", "loaded", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic, feed->next);
   end_batch (feed);
+  send_waiting (feed);
   read_on (feed);
 }
 
@@ -197,6 +230,7 @@
   Feed *feed = g_new0 (Feed, 1);
 
   feed->options = *options;
+  feed->waiting = g_ptr_array_new_with_free_func (g_free);
   begin_load (feed);
   read_on (feed);
   return feed;
@@ -209,6 +243,7 @@
     return;
   if (feed->timer != 0)
     g_source_remove (feed->timer);
+  g_ptr_array_unref (feed->waiting);
   g_free (feed->after_key);
   g_free (feed);
 }
@@ -245,14 +280,6 @@
   feed->options.pause_ms = pause_ms;
 }
 
-typedef struct
-{
-  Feed *feed;
-  int64_t sent_us;
-  void (*done) (void *ctx, gboolean is_fresh);
-  void *ctx;
-} Refresh;
-
 static void
 on_refreshed (void *ctx, const StoreAnswer *answer)
 {
@@ -260,22 +287,34 @@
   Feed *feed = refresh->feed;
   gboolean is_fresh = FALSE;
 
-  if (answer->outcome == STORE_OK)
+  /* A load that began meanwhile reads on from its own place. */
+  if (answer->outcome == STORE_OK && !feed->is_loading)
     {
       (void) take_read (feed, answer, refresh->sent_us);
       is_fresh = feed->next >= answer->end_offset;
     }
-  refresh->done (refresh->ctx, is_fresh);
-  g_free (refresh);
+  end_refresh (refresh, is_fresh);
+}
+
+static void
+send_refresh (Refresh *refresh)
+{
+  const StoreRead read = { .topic = refresh->feed->options.topic,
+                           .from = refresh->feed->next,
+                           .timeout_ms = TIMEOUT_MS };
+
+  refresh->sent_us = clk_now_us ();
+  store_read (refresh->feed->options.store, &read, on_refreshed, refresh);
 }
 
 void
 feed_refresh (Feed *feed, void (*done) (void *ctx, gboolean is_fresh), void *ctx)
 {
-  const StoreRead read
-      = { .topic = feed->options.topic, .from = feed->next, .timeout_ms = TIMEOUT_MS };
   Refresh *refresh = g_new0 (Refresh, 1);
 
-  *refresh = (Refresh){ feed, clk_now_us (), done, ctx };
-  store_read (feed->options.store, &read, on_refreshed, refresh);
+  *refresh = (Refresh){ feed, 0, done, ctx };
+  if (feed->is_loading)
+    g_ptr_array_add (feed->waiting, refresh);
+  else
+    send_refresh (refresh);
 }
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -38,7 +38,7 @@
 /** Changes the pause between two reads. */
 void feed_set_pause (Feed *feed, int64_t pause_ms);
 
-/** Reads on to the topic's end of now, then calls @p done. */
+/** Reads on to the topic's end of now, once the newest records were read; then calls @p done. */
 void feed_refresh (Feed *feed, void (*done) (void *ctx, gboolean is_fresh), void *ctx);
 
 /** Reads whose answers are further apart do not count as steady. */
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -110,7 +110,7 @@
 }
 
 static gboolean
-apply_run (Ledger *ledger, const char *id, const uint8_t *value, size_t size)
+apply_run (Ledger *ledger, const char *id, int64_t offset, const uint8_t *value, size_t size)
 {
   /* A job without any progress has no such record, and neither has one that was dropped. */
   if (size == 0 && ledger_job (ledger, id) == NULL)
@@ -119,9 +119,16 @@
   if (progress == NULL)
     return FALSE;
   LedgerJob *job = job_of (ledger, id);
-  if (job->progress != NULL)
-    batch__progress__free_unpacked (job->progress, NULL);
-  job->progress = progress;
+  Batch__Progress *older = job->progress;
+  if (older != NULL && offset < job->progress_offset)
+    older = progress;
+  else
+    {
+      job->progress = progress;
+      job->progress_offset = offset;
+    }
+  if (older != NULL)
+    batch__progress__free_unpacked (older, NULL);
   return TRUE;
 }
 
@@ -218,7 +225,7 @@
   if (g_str_has_prefix (text, LEDGER_JOB_PREFIX))
     return apply_job (ledger, text + strlen (LEDGER_JOB_PREFIX), offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_RUN_PREFIX))
-    return apply_run (ledger, text + strlen (LEDGER_RUN_PREFIX), value, value_size);
+    return apply_run (ledger, text + strlen (LEDGER_RUN_PREFIX), offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_CANCEL_PREFIX))
     return apply_cancel (ledger, text + strlen (LEDGER_CANCEL_PREFIX), value_size);
   if (g_str_has_prefix (text, LEDGER_AGENT_PREFIX))
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -27,6 +27,7 @@
   char *id;
   Batch__Submission *submission; /**< NULL when only progress or a cancel is known */
   Batch__Progress *progress;     /**< NULL before the owner wrote any */
+  int64_t progress_offset;
   gboolean is_cancelled;
   int64_t offset; /**< of the submission */
 } LedgerJob;
--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -54,7 +54,7 @@
 # wait_line FILE PATTERN MS
 wait_line() {
   local end=$(($(date +%s%N) / 1000000 + $3))
-  until grep -q "$2" "$1"; do
+  until grep -qs "$2" "$1"; do
     [ $(($(date +%s%N) / 1000000)) -lt "$end" ] || return 1
     sleep 0.02
   done
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -145,6 +145,22 @@
   ledger_free (ledger);
 }
 
+/* Whatever order records are read in, progress does not go back. */
+static void
+older_progress_changes_nothing (void **state)
+{
+  Ledger *ledger = new_ledger ();
+  SchedJobState value = SCHED_QUEUED;
+
+  (void) state;
+  apply_submission (ledger, 1, "q");
+  apply_state (ledger, 9, SCHED_COMPLETED);
+  apply_state (ledger, 4, SCHED_RUNNING);
+  assert_true (ledger_job_state (ledger_job (ledger, JOB), &value));
+  assert_int_equal (value, SCHED_COMPLETED);
+  ledger_free (ledger);
+}
+
 /* A dropped job is not known any more, in whatever order its records were dropped. */
 static void
 dropped_job_is_unknown (void **state)
@@ -204,6 +220,7 @@
     cmocka_unit_test (cancelled_job_that_was_done_stays_done),
     cmocka_unit_test (older_owner_record_changes_nothing),
     cmocka_unit_test (forgotten_agent_comes_back_with_its_next_record),
+    cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (dropped_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
   };
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -349,10 +349,89 @@
   feed_free (feed);
 }
 
+static void
+reply_page (World *world, const char *body)
+{
+  const NetReply reply = { .status = 200, .content_type = "application/json", .body = body };
+
+  net_request_reply (g_ptr_array_steal_index (world->held, 0), &reply);
+}
+
+/* A caller asks for a state while the newest records are still being read, page by page: reading
+ * the topic from its start would bring older records after newer ones of the same key. */
+static void
+refresh_waits_for_the_load (void **state)
+{
+  World *world = world_new ();
+  g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  const FeedOptions options = { .store = world->store,
+                                .topic = TOPIC,
+                                .wait_ms = 500,
+                                .pause_ms = 1000,
+                                .on_record = note_offset,
+                                .ctx = offsets };
+  gboolean is_refreshed = FALSE;
+
+  (void) state;
+  world->n_unanswered = 2;
+  Feed *feed = feed_new (&options);
+  while (world->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  reply_page (world, "{\"items\":[{\"key\":\"k\",\"value\":\"AA==\",\"offset\":5}],"
+                     "\"more\":true,\"end_offset\":6}");
+  while (world->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  world->n_unanswered = 1;
+  feed_refresh (feed, note_refreshed, &is_refreshed);
+  for (int i = 0; i < 50 && world->held->len < 2; i++)
+    {
+      (void) g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  assert_int_equal (world->held->len, 1);
+  assert_false (is_refreshed);
+  world->n_unanswered = 0;
+  set_answer (world, 503, "{}");
+  reply_page (world, "{\"items\":[],\"more\":false,\"end_offset\":6}");
+  while (!is_refreshed)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_true (feed_is_loaded (feed));
+  assert_int_equal (feed_end (feed), 6);
+  assert_int_equal (offsets->len, 1);
+  world_free (world);
+  feed_free (feed);
+}
+
+/* If the load fails, whoever waits is told so at once. */
+static void
+refresh_ends_with_a_failed_load (void **state)
+{
+  World *world = world_new ();
+  const FeedOptions options = { .store = world->store,
+                                .topic = TOPIC,
+                                .wait_ms = 500,
+                                .pause_ms = 1000,
+                                .on_record = note_offset,
+                                .ctx = NULL };
+  gboolean is_refreshed = FALSE;
+
+  (void) state;
+  set_answer (world, 503, "{}");
+  Feed *feed = feed_new (&options);
+  feed_refresh (feed, note_refreshed, &is_refreshed);
+  while (!is_refreshed)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_false (feed_is_loaded (feed));
+  world_free (world);
+  feed_free (feed);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (refresh_waits_for_the_load),
+    cmocka_unit_test (refresh_ends_with_a_failed_load),
     cmocka_unit_test (answers_are_told_apart),
     cmocka_unit_test (silence_is_doubt_and_no_listener_is_not),
     cmocka_unit_test (refused_record_is_never_written),
