--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -12,9 +12,12 @@
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
 /** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
- * down at times, and some runs fail. A job that won't be done in time goes behind those that can.
- */
+ * down at times, and some runs fail. A job is begun only if it can then be done in time. */
 #define SLACK_PERCENT 130
+/** A job that has begun is given up for late only when its chain alone is too long. */
+#define BEGUN_SLACK_PERCENT 100
+/** A result is of some use up to this multiple of the time that a job is meant to take. */
+#define USEFUL_FACTOR 3
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
@@ -30,19 +33,32 @@
 /** Tasks that such a step has at work: with one alone there would be gaps between two. */
 #define STARVED_TASKS 2
 
+/** Which jobs go first. Under overload, jobs that have begun are done in time and others are not
+ * begun; were new ones to go before those that have waited, all would be begun and all be late. */
+typedef enum
+{
+  RANK_BEGUN,   /**< can be done in time, and has tasks that are done or at work */
+  RANK_IN_TIME, /**< can be done in time */
+  RANK_LATE,    /**< can be done while it is of use, though late */
+  RANK_USELESS,
+} Rank;
+
 typedef struct
 {
   SchedPart *part;
   uint32_t priority;
-  gboolean is_late;
+  Rank rank;
   int64_t deadline_ms;
+  int64_t left_ms; /**< work of all tasks that are not done */
 } Turn;
 
 /** Longest chains of expected work of one occurrence. */
 typedef struct
 {
   int64_t whole_ms;
-  int64_t left_ms; /**< without the steps that are done */
+  int64_t left_ms;  /**< without the steps that are done */
+  int64_t work_ms;  /**< of all tasks that are not done, one after the other */
+  uint32_t n_begun; /**< tasks that are done or at work */
 } Chains;
 
 static Chains
@@ -56,7 +72,7 @@
       const JobStep *step = g_ptr_array_index (job->spec->steps, i);
       const SchedPart *part = sched_find_part (job, occurrence, i);
       int64_t step_ms = sched_expected_ms (sched, job, step, part);
-      gboolean is_done = part != NULL && part->n_done == step->n_tasks;
+      uint32_t n_left = step->n_tasks - (part != NULL ? part->n_done : 0);
       for (guint k = 0; k < step->after->len; k++)
         {
           const Chains *before = &ends[g_array_index (step->after, uint32_t, k)];
@@ -64,25 +80,42 @@
           ends[i].left_ms = MAX (ends[i].left_ms, before->left_ms);
         }
       ends[i].whole_ms += step_ms;
-      ends[i].left_ms += is_done ? 0 : step_ms;
+      ends[i].left_ms += n_left == 0 ? 0 : step_ms;
       longest.whole_ms = MAX (longest.whole_ms, ends[i].whole_ms);
       longest.left_ms = MAX (longest.left_ms, ends[i].left_ms);
+      longest.work_ms += step_ms * n_left;
+      longest.n_begun += part != NULL ? part->step->n_tasks - part->n_waiting : 0;
     }
   return longest;
 }
 
+static Rank
+rank_of (const Sched *sched, const SchedPart *part, const Chains *chains, int64_t due_ms)
+{
+  int64_t meant_ms = part->job->queue->target_ms
+                     + (int64_t) (part->job->queue->stretch * (double) chains->whole_ms);
+  gboolean has_begun = chains->n_begun > 0;
+  int64_t slack_percent = has_begun ? BEGUN_SLACK_PERCENT : SLACK_PERCENT;
+  int64_t end_ms = sched->wall_ms + chains->left_ms * slack_percent / 100;
+
+  if (part->step->lasts || end_ms <= due_ms + meant_ms)
+    return has_begun ? RANK_BEGUN : RANK_IN_TIME;
+  return end_ms <= due_ms + meant_ms * USEFUL_FACTOR ? RANK_LATE : RANK_USELESS;
+}
+
 static Turn
 turn_of (const Sched *sched, SchedPart *part)
 {
   const SchedJob *job = part->job;
   Chains chains = chains_of (sched, job, part->occurrence);
-  Turn turn = { .part = part, .priority = job->queue->priority };
-
-  turn.deadline_ms = sched_due_wall_ms (job, part->occurrence) + job->queue->target_ms
-                     + (int64_t) (job->queue->stretch * (double) chains.whole_ms);
-  int64_t left_ms = chains.left_ms * SLACK_PERCENT / 100;
-  turn.is_late = !part->step->lasts && sched->wall_ms + left_ms > turn.deadline_ms;
-  return turn;
+  int64_t due_ms = sched_due_wall_ms (job, part->occurrence);
+
+  return (Turn){ .part = part,
+                 .priority = job->queue->priority,
+                 .rank = rank_of (sched, part, &chains, due_ms),
+                 .deadline_ms = due_ms + job->queue->target_ms
+                                + (int64_t) (job->queue->stretch * (double) chains.whole_ms),
+                 .left_ms = chains.work_ms };
 }
 
 static gint
@@ -93,8 +126,10 @@
 
   if (left->priority != right->priority)
     return left->priority < right->priority ? -1 : 1;
-  if (left->is_late != right->is_late)
-    return left->is_late ? 1 : -1;
+  if (left->rank != right->rank)
+    return left->rank < right->rank ? -1 : 1;
+  if (left->rank == RANK_LATE && left->left_ms != right->left_ms)
+    return left->left_ms < right->left_ms ? -1 : 1;
   if (left->deadline_ms != right->deadline_ms)
     return left->deadline_ms < right->deadline_ms ? -1 : 1;
   return strcmp (left->part->job->id, right->part->job->id);
