Entries with little processor claim the jobs last

Cause: the order of claims by share of a core was drowned by the spread by name and by the start-up skew. Change: entries with 0.4 of a core or more claim at once, smaller ones up to 0.3 s later; for the first claim of all, when nothing waits yet, up to 2 s.

--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -7,8 +7,14 @@
 
 /** Others claim when they have read no sign of life for this long; longer than AUTHORITY_MS. */
 #define QUIET_MS 3300
-/** Claims of several entries are spread over this time. */
-#define CLAIM_SPREAD_MS 250
+/** Share of a core that an owner of some seventy workers uses at its busiest. */
+#define ENOUGH_SHARE 0.4
+/** Entries with less than that claim up to this much later. */
+#define CLAIM_SPREAD_MS 300
+/** The first claim of all: instances start within 300 ms of each other, small ones more slowly. */
+#define FIRST_SPREAD_MS 2000
+/** Entries of one size are spread over this part of it, as a divisor. */
+#define EQUALS_DIVISOR 4
 
 static void claim_if_due (Owner *owner);
 
@@ -79,14 +85,14 @@
 }
 
 static int64_t
-claim_delay_us (const Owner *owner)
+claim_delay_us (const Owner *owner, gboolean is_first)
 {
   uint64_t hash = ids_hash_text (owner->entry->settings->name);
   double share = node_settings_fraction (owner->entry->settings->cpu_share, 1.0);
+  int64_t spread_us = (is_first ? FIRST_SPREAD_MS : CLAIM_SPREAD_MS) * CLK_US_PER_MS;
 
-  /* Entries with more processor come first. */
-  return (int64_t) ((double) CLAIM_SPREAD_MS * 1000.0 * (1.0 - MIN (share, 1.0)))
-         + (int64_t) (hash % (CLAIM_SPREAD_MS * 1000 / 2));
+  return (int64_t) ((double) spread_us * (1.0 - MIN (share / ENOUGH_SHARE, 1.0)))
+         + (int64_t) (hash % (uint64_t) (spread_us / EQUALS_DIVISOR));
 }
 
 static gboolean
@@ -103,7 +109,7 @@
   int64_t needed_us = is_vacant (owner, last) ? 0 : QUIET_MS * 1000;
   if (last->term > 0 && strcmp (last->name, owner->entry->settings->name) == 0 && needed_us == 0)
     return TRUE;
-  return quiet_us >= needed_us + claim_delay_us (owner);
+  return quiet_us >= needed_us + claim_delay_us (owner, last->term == 0);
 }
 
 static void
