The soak counts a job as idle only once the calm has lasted for the time of contact

Trace: each came right after "the soak stood still for 1.4 to 4.7 s"; all leases had lapsed with it, and the mark of idleness dated from before the standstill. The rule counts such time only when nothing has disturbed the processes for 3 s. Tasks that last are looked at 9 s into the calm, 6 s after their last run and 3 s undisturbed.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -20,8 +20,12 @@
 #define WORKER_PORT 29165
 /** Faults under way end within this time after the last one began; then all are in touch again. */
 #define SETTLE_MS 8000
+/** Processes count as undisturbed once nothing has disturbed them for this long. */
+#define CONTACT_MS 3000
 /** The run ends once all jobs have ended; after this long they are given up. */
 #define FINISH_MS 60000
+/** Tasks that last are at work again 6 s after their last run, if that is undisturbed for 3 s. */
+#define CALM_MIN_MS 9000
 #define FINISH_CHECK_MS 500
 /** The soak looks at its own clock this often; a gap of #STALL_MS means that it stood still. */
 #define WATCH_MS 100
@@ -228,10 +232,12 @@
     {
       soak_note (&run->soak, "the soak stood still for %" G_GINT64_FORMAT " ms",
                  now_ms - run->watched_ms);
-      run->calm_ms = 0;
+      if (run->calm_ms != 0)
+        run->calm_ms = now_ms;
+      book_check_idle (run->book, now_ms, FALSE);
     }
   run->watched_ms = now_ms;
-  if (run->calm_ms != 0)
+  if (run->calm_ms != 0 && now_ms - run->calm_ms > CONTACT_MS)
     book_check_idle (run->book, now_ms, workers_half_free (run->workers));
   return G_SOURCE_CONTINUE;
 }
@@ -242,9 +248,8 @@
   Run *run = data;
   int64_t now_ms = soak_ms (&run->soak);
 
-  if (run->calm_ms == 0)
-    run->calm_ms = now_ms;
-  if (!book_is_over (run->book) && now_ms - run->calm_ms < FINISH_MS)
+  int64_t calm_ms = now_ms - run->calm_ms;
+  if (calm_ms < CALM_MIN_MS || (calm_ms < FINISH_MS && !book_is_over (run->book)))
     return G_SOURCE_CONTINUE;
   book_check_end (run->book);
   g_main_loop_quit (run->loop);
