Requests that wait are freed with their front and feed; a job being written is not forgotten

Mend: the front and the feed own what waits.

Read in the diff: a job dropped from the ledger was freed in the scheduler while its late end was in an append under way; a refused append then used it. batch/test_sched job_being_written_is_not_forgotten died of it before.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -332,6 +332,7 @@
       (void) g_hash_table_add (flush->jobs, key);
     }
   g_hash_table_remove_all (sched->dirty);
+  sched->flushing = flush->jobs;
   mark_ends (flush, sched);
   return flush;
 }
@@ -375,6 +376,7 @@
 void
 sched_flush_end (Sched *sched, SchedFlush *flush, gboolean is_written)
 {
+  sched->flushing = NULL;
   if (is_written)
     acknowledge_ends (sched, flush);
   else
--- a/lib/batch/sched_forget.c
+++ b/lib/batch/sched_forget.c
@@ -110,7 +110,9 @@
 static gboolean
 may_be_forgotten (const Sched *sched, const SchedJob *job)
 {
-  return !g_hash_table_contains (sched->dirty, job) && !has_placed (job);
+  gboolean is_flushing = sched->flushing != NULL && g_hash_table_contains (sched->flushing, job);
+
+  return !is_flushing && !g_hash_table_contains (sched->dirty, job) && !has_placed (job);
 }
 
 void
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -136,6 +136,7 @@
   GHashTable *workers;   /**< agent name -> SchedWorker */
   char *forgetting;      /**< agent whose record is being dropped; NULL for none */
   GHashTable *dirty;     /**< SchedJob whose progress has to be written */
+  GHashTable *flushing;  /**< SchedJob in the flush under way, its own; NULL for none */
   GHashTable *pending;   /**< queue name -> number of jobs that have not begun */
   GHashTable *durations; /**< queue name -> SchedDurations */
   int64_t now_us;
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -23,7 +23,8 @@
   int64_t steady_us;
   int64_t sent_us;
   gboolean is_failing;
-  GPtrArray *waiting; /**< Refresh that wait for the load */
+  GHashTable *refreshes; /**< Refresh under way, as a set */
+  GPtrArray *waiting;    /**< those that wait for the load */
   guint timer;
 };
 
@@ -112,7 +113,7 @@
 end_refresh (Refresh *refresh, gboolean is_fresh)
 {
   refresh->done (refresh->ctx, is_fresh);
-  g_free (refresh);
+  (void) g_hash_table_remove (refresh->feed->refreshes, refresh);
 }
 
 static void
@@ -230,7 +231,8 @@
   Feed *feed = g_new0 (Feed, 1);
 
   feed->options = *options;
-  feed->waiting = g_ptr_array_new_with_free_func (g_free);
+  feed->refreshes = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  feed->waiting = g_ptr_array_new ();
   begin_load (feed);
   read_on (feed);
   return feed;
@@ -244,6 +246,7 @@
   if (feed->timer != 0)
     g_source_remove (feed->timer);
   g_ptr_array_unref (feed->waiting);
+  g_hash_table_destroy (feed->refreshes);
   g_free (feed->after_key);
   g_free (feed);
 }
@@ -313,6 +316,7 @@
   Refresh *refresh = g_new0 (Refresh, 1);
 
   *refresh = (Refresh){ feed, 0, done, ctx };
+  (void) g_hash_table_add (feed->refreshes, refresh);
   if (feed->is_loading)
     g_ptr_array_add (feed->waiting, refresh);
   else
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -23,6 +23,7 @@
   Entry *entry;
   NetServer *callers;
   NetServer *ready;
+  GHashTable *waits; /**< Wait, as a set */
   MetSeries *accepted;
   MetSeries *known;
   MetSeries *cancels;
@@ -40,6 +41,16 @@
   gboolean is_cancel;
 } Wait;
 
+static void
+wait_free (gpointer data)
+{
+  Wait *wait = data;
+
+  g_free (wait->id);
+  g_free (wait->queue);
+  g_free (wait);
+}
+
 static Wait *
 wait_new (Front *front, NetRequest *request, const char *id, const char *queue)
 {
@@ -49,15 +60,14 @@
   wait->request = request;
   wait->id = g_strdup (id);
   wait->queue = g_strdup (queue);
+  (void) g_hash_table_add (front->waits, wait);
   return wait;
 }
 
 static void
-wait_free (Wait *wait)
+wait_end (Wait *wait)
 {
-  g_free (wait->id);
-  g_free (wait->queue);
-  g_free (wait);
+  (void) g_hash_table_remove (wait->front->waits, wait);
 }
 
 static void
@@ -136,7 +146,7 @@
       reply_status (wait->request, 504);
       break;
     }
-  wait_free (wait);
+  wait_end (wait);
 }
 
 static void
@@ -209,7 +219,7 @@
     reply_state (wait->front, wait->request, wait->id);
   else
     refuse (wait->front, wait->request, wait->id, 503, "view_stale", RETRY_AFTER_S);
-  wait_free (wait);
+  wait_end (wait);
 }
 
 static void
@@ -253,7 +263,7 @@
     reply_state (front, wait->request, wait->id);
   else
     refuse (front, wait->request, wait->id, 503, "view_stale", RETRY_AFTER_S);
-  wait_free (wait);
+  wait_end (wait);
 }
 
 static void
@@ -371,6 +381,7 @@
                                    .ctx = front };
 
   front->entry = entry;
+  front->waits = g_hash_table_new_full (NULL, NULL, wait_free, NULL);
   open_metrics (front);
   front->callers = net_server_new (&callers, error);
   front->ready = front->callers != NULL ? net_server_new (&ready, error) : NULL;
@@ -387,6 +398,7 @@
     return;
   net_server_free (front->callers);
   net_server_free (front->ready);
+  g_hash_table_destroy (front->waits);
   g_free (front);
 }
 
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -330,6 +330,32 @@
   rig_free (rig);
 }
 
+/* The end of a job is on its way to the ledger, and may have to be sent again. */
+static void
+job_being_written_is_not_forgotten (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100}");
+  rig_round (rig, 100, TRUE);
+  sched_cancel_job (rig->sched, JOB_A);
+  rig_end (&rig->workers[0], JOB_A ".0.0.0", WORKER_END_DONE);
+  rig_tell (rig, &rig->workers[0]);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  SchedFlush *flush = sched_flush_begin (rig->sched);
+  assert_non_null (flush);
+  sched_forget_job (rig->sched, JOB_A);
+  sched_flush_end (rig->sched, flush, FALSE);
+  flush = sched_flush_begin (rig->sched);
+  assert_non_null (flush);
+  assert_int_equal (sched_flush_changes (flush)->len, 1);
+  const SchedChange *change = g_ptr_array_index (sched_flush_changes (flush), 0);
+  assert_string_equal (change->job, JOB_A);
+  sched_flush_end (rig->sched, flush, TRUE);
+  rig_free (rig);
+}
+
 /* A worker that is gone for good must not make every new owner wait. */
 static void
 silent_agent_is_forgotten (void **state)
@@ -619,6 +645,7 @@
     cmocka_unit_test (silent_agent_is_forgotten),
     cmocka_unit_test (agent_that_is_being_forgotten_gets_nothing),
     cmocka_unit_test (ended_job_expires),
+    cmocka_unit_test (job_being_written_is_not_forgotten),
     cmocka_unit_test (new_owner_takes_over_what_runs),
     cmocka_unit_test (task_of_an_unknown_job_is_stopped),
     cmocka_unit_test (end_is_acknowledged_only_once_written),
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -380,6 +380,7 @@
       arg_print_syntax (stderr, table, "\n");
       arg_print_glossary (stderr, table, "  %-16s %s\n");
       (void) fprintf (stderr, "Exit codes: 0 all promises held, 1 one was broken, 2 not run.\n");
+      arg_freetable (table, G_N_ELEMENTS (table));
       return 2;
     }
   const SoakOptions options = { .seed = count_of (seed, 1, G_MAXINT32),
@@ -389,5 +390,7 @@
                                 .fault_s = count_of (seconds, 20, 3600),
                                 .bin = bin->sval[0],
                                 .folder = folder->sval[0] };
-  return soak_run (&options);
+  int code = soak_run (&options);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
 }
