--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &batch__refused__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__gone__init
+                     (Batch__Gone         *message)
+{
+  static const Batch__Gone init_value = BATCH__GONE__INIT;
+  *message = init_value;
+}
+size_t batch__gone__get_packed_size
+                     (const Batch__Gone *message)
+{
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__gone__pack
+                     (const Batch__Gone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__gone__pack_to_buffer
+                     (const Batch__Gone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Gone *
+       batch__gone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Gone *)
+     protobuf_c_message_unpack (&batch__gone__descriptor,
+                                allocator, len, data);
+}
+void   batch__gone__free_unpacked
+                     (Batch__Gone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__report__init
                      (Batch__Report         *message)
 {
@@ -1694,7 +1739,7 @@
   (ProtobufCMessageInit) batch__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__orders__field_descriptors[7] =
+static const ProtobufCFieldDescriptor batch__orders__field_descriptors[10] =
 {
   {
     "epoch",
@@ -1780,6 +1825,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_before",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, order_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_taken",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, report_taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_gap_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, report_gap_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__orders__field_indices_by_name[] = {
   2,   /* field[2] = agent_boot */
@@ -1787,13 +1868,16 @@
   5,   /* field[5] = ends_kept */
   0,   /* field[0] = epoch */
   4,   /* field[4] = life */
+  7,   /* field[7] = order_before */
   6,   /* field[6] = orders */
   1,   /* field[1] = owner */
+  9,   /* field[9] = report_gap_ms */
+  8,   /* field[8] = report_taken */
 };
 static const ProtobufCIntRange batch__orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor batch__orders__descriptor =
 {
@@ -1803,7 +1887,7 @@
   "Batch__Orders",
   "batch",
   sizeof(Batch__Orders),
-  7,
+  10,
   batch__orders__field_descriptors,
   batch__orders__field_indices_by_name,
   1,  batch__orders__number_ranges,
@@ -2235,7 +2319,58 @@
   (ProtobufCMessageInit) batch__refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor batch__gone__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Gone, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Gone, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__gone__field_indices_by_name[] = {
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange batch__gone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__gone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Gone",
+  "Gone",
+  "Batch__Gone",
+  "batch",
+  sizeof(Batch__Gone),
+  2,
+  batch__gone__field_descriptors,
+  batch__gone__field_indices_by_name,
+  1,  batch__gone__number_ranges,
+  (ProtobufCMessageInit) batch__gone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__report__field_descriptors[13] =
 {
   {
     "epoch",
@@ -2357,6 +2492,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Report, n_gone),
+    offsetof(Batch__Report, gone),
+    &batch__gone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -2364,16 +2535,19 @@
   4,   /* field[4] = done_number */
   7,   /* field[7] = ended */
   0,   /* field[0] = epoch */
+  12,   /* field[12] = gone */
   9,   /* field[9] = is_leaving */
   3,   /* field[3] = life */
   8,   /* field[8] = refused */
   6,   /* field[6] = running */
+  11,   /* field[11] = since */
+  10,   /* field[10] = version */
   5,   /* field[5] = worker */
 };
 static const ProtobufCIntRange batch__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor batch__report__descriptor =
 {
@@ -2383,7 +2557,7 @@
   "Batch__Report",
   "batch",
   sizeof(Batch__Report),
-  10,
+  13,
   batch__report__field_descriptors,
   batch__report__field_indices_by_name,
   1,  batch__report__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Batch__Running Batch__Running;
 typedef struct Batch__Ended Batch__Ended;
 typedef struct Batch__Refused Batch__Refused;
+typedef struct Batch__Gone Batch__Gone;
 typedef struct Batch__Report Batch__Report;
 
 
@@ -277,10 +278,22 @@
   int64_t ends_kept;
   size_t n_orders;
   Batch__Order **orders;
+  /*
+   * last order that is left out since it was sent before; 0 for none
+   */
+  uint64_t order_before;
+  /*
+   * version of the newest report that was applied; 0: a whole one is needed
+   */
+  uint64_t report_taken;
+  /*
+   * an agent's reports are at least this far apart
+   */
+  uint32_t report_gap_ms;
 };
 #define BATCH__ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Batch__Worker
@@ -346,7 +359,21 @@
 
 
 /*
- * Agent to owner: all that is known of the worker.
+ * A run that is not at the worker any more, or never got there.
+ */
+struct  Batch__Gone
+{
+  ProtobufCMessage base;
+  char *task;
+  int64_t run;
+};
+#define BATCH__GONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__gone__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Agent to owner: what changed at the worker since the report of version `since`; all if that is 0.
  */
 struct  Batch__Report
 {
@@ -362,6 +389,9 @@
    * orders up to this one were carried out or are under way
    */
   uint64_t done_number;
+  /*
+   * left out when it did not change
+   */
   Batch__Worker *worker;
   size_t n_running;
   Batch__Running **running;
@@ -370,10 +400,20 @@
   size_t n_refused;
   Batch__Refused **refused;
   protobuf_c_boolean is_leaving;
+  /*
+   * rises with each change
+   */
+  uint64_t version;
+  uint64_t since;
+  /*
+   * not in a whole report, which lists all that runs
+   */
+  size_t n_gone;
+  Batch__Gone **gone;
 };
 #define BATCH__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__report__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /* Batch__Submission methods */
@@ -718,6 +758,25 @@
 void   batch__refused__free_unpacked
                      (Batch__Refused *message,
                       ProtobufCAllocator *allocator);
+/* Batch__Gone methods */
+void   batch__gone__init
+                     (Batch__Gone         *message);
+size_t batch__gone__get_packed_size
+                     (const Batch__Gone   *message);
+size_t batch__gone__pack
+                     (const Batch__Gone   *message,
+                      uint8_t             *out);
+size_t batch__gone__pack_to_buffer
+                     (const Batch__Gone   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Gone *
+       batch__gone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__gone__free_unpacked
+                     (Batch__Gone *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Report methods */
 void   batch__report__init
                      (Batch__Report         *message);
@@ -793,6 +852,9 @@
 typedef void (*Batch__Refused_Closure)
                  (const Batch__Refused *message,
                   void *closure_data);
+typedef void (*Batch__Gone_Closure)
+                 (const Batch__Gone *message,
+                  void *closure_data);
 typedef void (*Batch__Report_Closure)
                  (const Batch__Report *message,
                   void *closure_data);
@@ -820,6 +882,7 @@
 extern const ProtobufCMessageDescriptor batch__running__descriptor;
 extern const ProtobufCMessageDescriptor batch__ended__descriptor;
 extern const ProtobufCMessageDescriptor batch__refused__descriptor;
+extern const ProtobufCMessageDescriptor batch__gone__descriptor;
 extern const ProtobufCMessageDescriptor batch__report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -5,6 +5,9 @@
 #include "batch/sched_tables.h"
 #include "common/clk.h"
 
+/** Orders that a report does not confirm are sent again with the next message after this: the report
+ * may have left before they came. */
+#define RETELL_MS 100
 /** Between two lines on how full the workers are. */
 #define ROOM_NOTE_MS 1000
 
@@ -254,6 +257,26 @@
   note_room (sched, sched_place (sched));
 }
 
+/* Orders that were sent lately are left out, all others go together. */
+static void
+add_orders (const Sched *sched, SchedWorker *worker, Batch__Orders *orders)
+{
+  Batch__Order **rows = (Batch__Order **) worker->orders->pdata;
+  gboolean is_retold = sched->now_us - worker->told_us >= RETELL_MS * CLK_US_PER_MS;
+  guint first = 0;
+
+  while (!is_retold && first < worker->orders->len && rows[first]->number <= worker->told_number)
+    first++;
+  if (worker->orders->len == 0)
+    return;
+  orders->order_before = first > 0 ? rows[first - 1]->number : 0;
+  orders->n_orders = worker->orders->len - first;
+  orders->orders = rows + first;
+  if (first == 0)
+    worker->told_us = sched->now_us;
+  worker->told_number = rows[worker->orders->len - 1]->number;
+}
+
 gboolean
 sched_orders (Sched *sched, const char *agent, Batch__Orders *orders)
 {
@@ -266,8 +289,8 @@
   orders->echo_us = worker->clock_us;
   orders->life = worker->life;
   orders->ends_kept = worker->ends_kept;
-  orders->n_orders = worker->orders->len;
-  orders->orders = (Batch__Order **) worker->orders->pdata;
+  orders->report_taken = worker->report_version;
+  add_orders (sched, worker, orders);
   return TRUE;
 }
 
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -172,8 +172,8 @@
 static gboolean
 is_open (const Sched *sched, const SchedWorker *worker)
 {
-  return worker->report_us != 0 && !worker->info->is_draining && !worker->is_leaving
-         && worker->n_strays == 0 && sched->now_us >= worker->shun_until_us
+  return worker->report_us != 0 && worker->report_version != 0 && !worker->info->is_draining && !worker->is_leaving
+         && g_hash_table_size (worker->strays) == 0 && sched->now_us >= worker->shun_until_us
          && sched->now_us - worker->report_us <= sched->options.fresh_ms * 1000;
 }
 
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -116,11 +116,17 @@
               row->task, row->run, worker->name);
 }
 
+static char *
+stray_key (const char *task, int64_t run)
+{
+  return g_strdup_printf ("%s %" G_GINT64_FORMAT, task, run);
+}
+
 /* A task that runs here and should not is stopped, again and again until it is gone. */
 static void
 take_stray (SchedWorker *worker, const Batch__Running *row)
 {
-  worker->n_strays++;
+  (void) g_hash_table_add (worker->strays, stray_key (row->task, row->run));
   for (guint i = 0; i < worker->orders->len; i++)
     {
       const Batch__Order *order = g_ptr_array_index (worker->orders, i);
@@ -170,6 +176,26 @@
     }
 }
 
+static void
+take_gone (Sched *sched, SchedWorker *worker, const Batch__Gone *row)
+{
+  SchedTask *task = sched_find_task (sched, row->task);
+  g_autofree char *key = stray_key (row->task, row->run);
+
+  (void) g_hash_table_remove (worker->strays, key);
+  if (task == NULL || !is_placed_as (task, worker, row->run))
+    return;
+  sched_detach (task, TASK_WAITING);
+  sched_task_settle (sched, task);
+}
+
+static void
+clear_listed (SchedWorker *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    ((SchedTask *) g_ptr_array_index (worker->tasks, i))->is_listed = FALSE;
+}
+
 static void
 drop_unlisted (Sched *sched, SchedWorker *worker)
 {
@@ -179,9 +205,7 @@
       if (i >= worker->tasks->len)
         continue;
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      gboolean is_listed = task->is_listed;
-      task->is_listed = FALSE;
-      if (is_listed || task->order_number > worker->done_number)
+      if (task->is_listed || task->order_number > worker->done_number)
         continue;
       sched_detach (task, TASK_WAITING);
       sched_task_settle (sched, task);
@@ -193,8 +217,10 @@
 {
   worker->boot = report->boot;
   worker->life = report->life;
+  worker->report_version = 0;
   worker->ends_taken = 0;
   worker->ends_kept = 0;
+  worker->told_number = 0;
   worker->fail_streak = 0;
   worker->has_news = TRUE;
   g_ptr_array_set_size (worker->orders, 0);
@@ -231,40 +257,97 @@
                 worker->name, worker->info->remaining_ms);
 }
 
+static gboolean
+is_same_life (const SchedWorker *worker, const Batch__Report *report)
+{
+  return worker->boot == report->boot && worker->life == report->life;
+}
+
+/* Whether the report builds on what is known here; a whole one always does. */
+static gboolean
+can_apply (SchedWorker *worker, const Batch__Report *report)
+{
+  if (report->since == 0)
+    return report->worker != NULL;
+  return is_same_life (worker, report) && report->since <= worker->report_version;
+}
+
+static gboolean
+is_older (const SchedWorker *worker, const Batch__Report *report)
+{
+  return worker->boot == report->boot
+         && (report->clock_us < worker->clock_us
+             || (worker->life == report->life && report->version < worker->report_version));
+}
+
+static void
+take_info (Sched *sched, SchedWorker *worker, const Batch__Worker *row)
+{
+  gboolean was_draining = worker->info != NULL && worker->info->is_draining;
+
+  worker_info_free (worker->info);
+  worker->info = to_info (row);
+  note_draining (sched, worker, was_draining);
+}
+
+static void
+take_ends (Sched *sched, SchedWorker *worker, const Batch__Report *report)
+{
+  for (size_t i = 0; i < report->n_ended; i++)
+    {
+      if (report->ended[i]->number > worker->ends_taken)
+        take_end (sched, worker, report->ended[i]);
+    }
+  for (size_t i = 0; i < report->n_ended; i++)
+    worker->ends_taken = MAX (worker->ends_taken, report->ended[i]->number);
+}
+
+static void
+take_rows (Sched *sched, SchedWorker *worker, const Batch__Report *report)
+{
+  gboolean is_whole = report->since == 0;
+
+  if (is_whole)
+    {
+      g_hash_table_remove_all (worker->strays);
+      clear_listed (worker);
+    }
+  for (size_t i = 0; i < report->n_gone; i++)
+    take_gone (sched, worker, report->gone[i]);
+  for (size_t i = 0; i < report->n_running; i++)
+    take_running (sched, worker, report->running[i]);
+  if (is_whole)
+    drop_unlisted (sched, worker);
+}
+
 void
 sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us)
 {
   SchedWorker *worker = g_hash_table_lookup (sched->workers, agent);
 
   sched->now_us = now_us;
-  if (worker == NULL || report->life == 0 || report->worker == NULL)
-    return;
-  if (worker->boot == report->boot && report->clock_us < worker->clock_us)
+  if (worker == NULL || report->life == 0 || is_older (worker, report))
     return;
-  gboolean was_draining = worker->info != NULL && worker->info->is_draining;
-  worker_info_free (worker->info);
-  worker->info = to_info (report->worker);
+  if (!can_apply (worker, report))
+    {
+      worker->report_version = 0;
+      worker->has_news = TRUE;
+      return;
+    }
+  if (report->worker != NULL)
+    take_info (sched, worker, report->worker);
   worker->clock_us = report->clock_us;
   worker->is_leaving = report->is_leaving;
-  if (worker->boot != report->boot || worker->life != report->life)
+  if (!is_same_life (worker, report))
     begin_life (sched, worker, report);
+  worker->report_version = report->version;
   worker->done_number = report->done_number;
   worker->report_us = now_us;
   worker->silent_us = 0;
   worker->has_news = TRUE;
   drop_done_orders (worker);
   note_refusals (sched, worker, report);
-  note_draining (sched, worker, was_draining);
-  for (size_t i = 0; i < report->n_ended; i++)
-    {
-      if (report->ended[i]->number > worker->ends_taken)
-        take_end (sched, worker, report->ended[i]);
-    }
-  for (size_t i = 0; i < report->n_ended; i++)
-    worker->ends_taken = MAX (worker->ends_taken, report->ended[i]->number);
-  worker->n_strays = 0;
-  for (size_t i = 0; i < report->n_running; i++)
-    take_running (sched, worker, report->running[i]);
-  drop_unlisted (sched, worker);
+  take_ends (sched, worker, report);
+  take_rows (sched, worker, report);
   sched_tails_learn (sched, worker);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -42,7 +42,7 @@
   gboolean is_stopping;
   gboolean
       is_done_elsewhere; /**< another run ended done; this one holds its room until it is gone */
-  gboolean is_listed;    /**< scratch of one report */
+  gboolean is_listed;    /**< in the newest whole report, or a later one */
   char *saved;
   SchedWorker *avoid; /**< where it last failed or stood still */
 };
@@ -100,19 +100,22 @@
   char *name;       /**< of its agent */
   WorkerInfo *info; /**< NULL before its first report */
   uint64_t boot;
-  uint64_t life;     /**< 0: not known */
-  int64_t report_us; /**< when the newest report came; 0: none in this term */
-  int64_t silent_us; /**< since when it has not reported; 0: it does */
-  int64_t clock_us;  /**< of the agent in that report */
+  uint64_t life;           /**< 0: not known */
+  int64_t report_us;       /**< when the newest report came; 0: none in this term */
+  int64_t silent_us;       /**< since when it has not reported; 0: it does */
+  int64_t clock_us;        /**< of the agent in that report */
+  uint64_t report_version; /**< of the newest report that was applied; 0: a whole one is needed */
   uint64_t done_number;
   uint64_t next_number;
-  GPtrArray *orders; /**< Batch__Order not carried out yet, owned */
-  gboolean has_news; /**< something has to be said */
+  uint64_t told_number; /**< newest order that was sent */
+  int64_t told_us;      /**< when all orders not carried out were last sent */
+  GPtrArray *orders;    /**< Batch__Order not carried out yet, owned */
+  gboolean has_news;    /**< something has to be said */
   int64_t ends_taken;
   int64_t ends_kept;
   gboolean is_leaving;
   GPtrArray *tasks;   /**< SchedTask placed here */
-  uint32_t n_strays;  /**< tasks that run here and should not */
+  GHashTable *strays; /**< "task run" of what runs here and should not, as a set */
   JobSize used;       /**< processors without those of tasks that fill */
   int64_t fill_cpu_m; /**< wanted by tasks that fill */
   uint32_t n_serving;
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -21,6 +21,7 @@
   worker->name = g_strdup (name);
   worker->orders = g_ptr_array_new_with_free_func (order_free);
   worker->tasks = g_ptr_array_new ();
+  worker->strays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker->next_number = 1;
   return worker;
 }
@@ -31,6 +32,7 @@
   SchedWorker *worker = data;
 
   g_ptr_array_unref (worker->tasks);
+  g_hash_table_destroy (worker->strays);
   g_ptr_array_unref (worker->orders);
   worker_info_free (worker->info);
   g_free (worker->name);
@@ -196,7 +198,8 @@
   worker->life = 0;
   worker->report_us = 0;
   worker->silent_us = sched->now_us;
-  worker->n_strays = 0;
+  worker->report_version = 0;
+  g_hash_table_remove_all (worker->strays);
 }
 
 void
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -23,6 +23,33 @@
   g_free (((KeeperRefused *) data)->task);
 }
 
+static void
+gone_clear (gpointer data)
+{
+  g_free (((KeeperGone *) data)->task);
+}
+
+static void
+end_clear (gpointer data)
+{
+  worker_end_clear (&((KeeperEnd *) data)->end);
+}
+
+static GArray *
+rows_new (guint size, GDestroyNotify clear)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, size);
+
+  g_array_set_clear_func (rows, clear);
+  return rows;
+}
+
+GArray *
+keeper_ends_new (void)
+{
+  return rows_new (sizeof (KeeperEnd), end_clear);
+}
+
 Keeper *
 keeper_new (const KeeperOptions *options)
 {
@@ -32,9 +59,9 @@
   keeper->token = options->token;
   keeper->clock_ms = -1;
   keeper->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
-  keeper->ended = worker_ends_new ();
-  keeper->refused = g_array_new (FALSE, FALSE, sizeof (KeeperRefused));
-  g_array_set_clear_func (keeper->refused, refused_clear);
+  keeper->ended = keeper_ends_new ();
+  keeper->refused = rows_new (sizeof (KeeperRefused), refused_clear);
+  keeper->gone = rows_new (sizeof (KeeperGone), gone_clear);
   keeper->replaced = g_ptr_array_new_with_free_func (g_free);
   keeper->calls = g_hash_table_new_full (NULL, NULL, keeper_call_destroy, NULL);
   return keeper;
@@ -49,6 +76,7 @@
   g_hash_table_destroy (keeper->rows);
   g_array_unref (keeper->ended);
   g_array_unref (keeper->refused);
+  g_array_unref (keeper->gone);
   g_ptr_array_unref (keeper->replaced);
   g_hash_table_destroy (keeper->calls);
   g_free (keeper);
@@ -89,6 +117,20 @@
   keeper->options.changed (keeper->options.ctx);
 }
 
+uint64_t
+keeper_next_version (Keeper *keeper)
+{
+  return ++keeper->version;
+}
+
+void
+keeper_add_gone (Keeper *keeper, const char *task, int64_t run)
+{
+  const KeeperGone row = { g_strdup (task), run, keeper_next_version (keeper) };
+
+  g_array_append_val (keeper->gone, row);
+}
+
 char *
 keeper_row_key (const char *task, int64_t run)
 {
@@ -103,6 +145,7 @@
   row->task = g_strdup (task);
   row->run = run;
   row->state = state;
+  row->version = keeper_next_version (keeper);
   row->seen.task = g_strdup (task);
   row->seen.run = run;
   row->seen.saved = g_strdup ("");
@@ -110,6 +153,20 @@
   return row;
 }
 
+/* Nothing that an owner was told of an earlier life holds. */
+static void
+forget_life (Keeper *keeper)
+{
+  keeper->lives++;
+  keeper->token++;
+  keeper->is_looking = FALSE;
+  keeper->taken = 0;
+  keeper->info_version = keeper_next_version (keeper);
+  g_hash_table_remove_all (keeper->rows);
+  g_array_set_size (keeper->ended, 0);
+  g_array_set_size (keeper->gone, 0);
+}
+
 /* The worker that ran everything is gone, or a new life of it began. */
 static void
 begin_life (Keeper *keeper, WorkerInfo *info)
@@ -124,17 +181,13 @@
     }
   worker_info_free (keeper->info);
   keeper->info = info;
-  keeper->lives++;
-  keeper->token++;
+  forget_life (keeper);
   keeper->life = 0;
   keeper->clock_ms = -1;
   keeper->lease_end_us = 0;
   keeper->seen = 0;
   keeper->is_gone = FALSE;
-  keeper->is_looking = FALSE;
   keeper->look_again_us = 0;
-  g_hash_table_remove_all (keeper->rows);
-  g_array_set_size (keeper->ended, 0);
 }
 
 static gboolean
@@ -174,6 +227,7 @@
   keeper->info = info;
   if (!is_news)
     return;
+  keeper->info_version = keeper_next_version (keeper);
   keeper_note (keeper, "worker_state", "id=%s draining=%d", info->id, info->is_draining);
   keeper_changed (keeper);
 }
@@ -184,14 +238,10 @@
   if (keeper->info == NULL || strcmp (keeper->info->id, id) != 0)
     return;
   keeper_note (keeper, "worker_left", "id=%s rows=%u", id, g_hash_table_size (keeper->rows));
-  keeper->lives++;
-  keeper->token++;
+  forget_life (keeper);
   keeper->life = (uint64_t) keeper->token;
   keeper->is_gone = TRUE;
   keeper->info->is_draining = TRUE;
-  keeper->is_looking = FALSE;
-  g_hash_table_remove_all (keeper->rows);
-  g_array_set_size (keeper->ended, 0);
   keeper_changed (keeper);
 }
 
@@ -203,7 +253,50 @@
   if (keeper->life == 0 || orders->life != keeper->life || orders->echo_us > keeper_now_us (keeper))
     return;
   keeper->lease_end_us = MAX (keeper->lease_end_us, end_us);
-  keeper->seen = MAX (keeper->seen, orders->ends_kept);
+  if (orders->ends_kept <= keeper->seen)
+    return;
+  keeper->seen = orders->ends_kept;
+  keeper->look_again_us = 0;
+}
+
+static void
+drop_taken (Keeper *keeper)
+{
+  while (keeper->gone->len > 0
+         && g_array_index (keeper->gone, KeeperGone, 0).version <= keeper->taken)
+    g_array_remove_index (keeper->gone, 0);
+  while (keeper->refused->len > 0
+         && g_array_index (keeper->refused, KeeperRefused, 0).version <= keeper->taken)
+    g_array_remove_index (keeper->refused, 0);
+}
+
+static void
+take_version (Keeper *keeper, const Batch__Orders *orders)
+{
+  if (orders->life != keeper->life || orders->report_taken > keeper->version)
+    return;
+  keeper->taken = orders->report_taken;
+  drop_taken (keeper);
+}
+
+/* An order that is not carried out leaves no row behind, so the owner has to be told. */
+static void
+skip_order (Keeper *keeper, const Batch__Order *order)
+{
+  if (order->what_case == BATCH__ORDER__WHAT_START)
+    keeper_add_gone (keeper, order->start->task, order->start->run);
+}
+
+static void
+take_order (Keeper *keeper, const Batch__Orders *orders, const Batch__Order *order)
+{
+  if (order->number <= keeper->done_number)
+    return;
+  keeper->done_number = order->number;
+  if (orders->life == keeper->life)
+    keeper_carry_out (keeper, order);
+  else
+    skip_order (keeper, order);
 }
 
 gboolean
@@ -217,30 +310,41 @@
                    orders->epoch);
       keeper->epoch = orders->epoch;
       keeper->done_number = 0;
+      keeper->taken = 0;
       keeper_changed (keeper);
     }
+  /* This owner knows nothing of this process, or nothing any more. */
+  if (orders->agent_boot == 0)
+    keeper->taken = 0;
   if (orders->agent_boot != keeper->options.boot)
     return TRUE;
   take_grant (keeper, orders);
+  take_version (keeper, orders);
+  keeper_look_if_due (keeper);
+  /* An earlier message was lost: what it carried comes again. */
+  if (orders->order_before > keeper->done_number)
+    return TRUE;
   for (size_t i = 0; i < orders->n_orders; i++)
-    {
-      if (orders->orders[i]->number <= keeper->done_number)
-        continue;
-      keeper->done_number = orders->orders[i]->number;
-      if (orders->life == keeper->life)
-        keeper_carry_out (keeper, orders->orders[i]);
-    }
+    take_order (keeper, orders, orders->orders[i]);
   return TRUE;
 }
 
+void
+keeper_look_if_due (Keeper *keeper)
+{
+  if (keeper->info == NULL || keeper->is_gone || keeper->is_looking)
+    return;
+  if (keeper_now_us (keeper) >= keeper->look_again_us)
+    keeper_send_look (keeper);
+}
+
 void
 keeper_tick (Keeper *keeper)
 {
   if (keeper->info == NULL || keeper->is_gone)
     return;
   keeper_repeat_stops (keeper);
-  if (!keeper->is_looking && keeper_now_us (keeper) >= keeper->look_again_us)
-    keeper_send_look (keeper);
+  keeper_look_if_due (keeper);
 }
 
 void
--- a/lib/keeper/keeper.h
+++ b/lib/keeper/keeper.h
@@ -46,7 +46,7 @@
                 const RunnerLook *look,
                 RunnerDone done,
                 void *done_ctx);
-  /** Something changed that the owner should hear of. */
+  /** Something changed on which the owner decides: an end, a refusal, another life. */
   void (*changed) (void *ctx);
   /** Notes a decision for the log. */
   void (*note) (void *ctx, const char *event, const char *text);
@@ -67,10 +67,14 @@
 void keeper_tick (Keeper *keeper);
 
 /**
- * Builds the report for the owner; NULL while nothing certain can be said. Free with
- * batch__report__free_unpacked().
+ * Builds the report for the owner: what changed since the newest one that it applied, or all that
+ * is known when it applied none, and every #KEEPER_WHOLE_MS. NULL while nothing certain can be
+ * said. Free with batch__report__free_unpacked().
  */
-Batch__Report *keeper_report (const Keeper *keeper);
+Batch__Report *keeper_report (Keeper *keeper);
+
+/** A whole report is made at least this often, so that no difference lasts. */
+#define KEEPER_WHOLE_MS 4000
 
 /** Whether there is a worker here that answers. */
 gboolean keeper_is_live (const Keeper *keeper);
--- a/lib/keeper/keeper_calls.c
+++ b/lib/keeper/keeper_calls.c
@@ -76,11 +76,12 @@
 static void
 add_refused (Keeper *keeper, const char *task, int64_t run, RunnerOutcome outcome)
 {
-  KeeperRefused row = { g_strdup (task), run, outcome };
+  KeeperRefused row = { g_strdup (task), run, outcome, keeper_next_version (keeper) };
 
   if (keeper->refused->len >= REFUSED_MAX)
     g_array_remove_index (keeper->refused, 0);
   g_array_append_val (keeper->refused, row);
+  keeper_add_gone (keeper, task, run);
   keeper_note (keeper, "start_refused", "task=%s run=%" G_GINT64_FORMAT " outcome=%s", task, run,
                runner_outcome_name (outcome));
 }
@@ -106,8 +107,12 @@
   take_clock (keeper, answer);
   row->settled_us = keeper_now_us (keeper);
   if (answer->outcome == RUNNER_OK)
-    row->state = ROW_STARTED;
-  else if (answer->outcome == RUNNER_IN_DOUBT)
+    {
+      row->state = ROW_STARTED;
+      call_free (call);
+      return;
+    }
+  if (answer->outcome == RUNNER_IN_DOUBT)
     {
       row->state = ROW_IN_DOUBT;
       keeper_note (keeper, "start_in_doubt", "task=%s run=%" G_GINT64_FORMAT, row->task, row->run);
@@ -258,6 +263,8 @@
     {
       take_clock (keeper, answer);
       keeper_take_look (keeper, answer, call->sent_us);
+      if (keeper->ended->len > 0)
+        keeper->look_again_us = keeper_now_us (keeper) + KEEPER_LOOK_GAP_MS * 1000;
     }
   else
     {
--- a/lib/keeper/keeper_look.c
+++ b/lib/keeper/keeper_look.c
@@ -2,18 +2,60 @@
 
 #include "keeper/keeper_private.h"
 
+/** A running task's advance is told in steps of this many percent, and at least this often. */
+#define TOLD_PERCENT_STEP 5
+#define TOLD_MS 1000
+/** A task that lasts is at work at this percent; its figure then tells its tail. */
+#define AT_WORK_PERCENT 100
+
 static gboolean
 is_ended (const Keeper *keeper, const KeeperRow *row)
 {
   for (guint i = 0; i < keeper->ended->len; i++)
     {
-      const WorkerEnd *end = &g_array_index (keeper->ended, WorkerEnd, i);
+      const WorkerEnd *end = &g_array_index (keeper->ended, KeeperEnd, i).end;
       if (end->run == row->run && strcmp (end->task, row->task) == 0)
         return TRUE;
     }
   return FALSE;
 }
 
+/* Whether the owner should hear of what a look says of a task; it does not decide on each percent.
+ */
+static gboolean
+is_worth_telling (const Keeper *keeper, const KeeperRow *row, const WorkerTask *task)
+{
+  gboolean is_long_ago = keeper_now_us (keeper) - row->told_us >= TOLD_MS * 1000;
+
+  if (!row->was_listed || strcmp (row->seen.saved, task->saved) != 0
+      || ABS (task->percent - row->told_percent) >= TOLD_PERCENT_STEP)
+    return TRUE;
+  if (task->percent >= AT_WORK_PERCENT && task->figure != row->seen.figure)
+    return TRUE;
+  return is_long_ago && task->percent != row->told_percent;
+}
+
+static void
+take_row (Keeper *keeper, KeeperRow *row, const WorkerTask *task)
+{
+  if (is_worth_telling (keeper, row, task))
+    {
+      row->version = keeper_next_version (keeper);
+      row->told_percent = task->percent;
+      row->told_us = keeper_now_us (keeper);
+    }
+  row->is_listed = TRUE;
+  if (row->state == ROW_IN_DOUBT)
+    row->state = ROW_STARTED;
+  if (strcmp (row->seen.saved, task->saved) != 0)
+    {
+      g_free (row->seen.saved);
+      row->seen.saved = g_strdup (task->saved);
+    }
+  row->seen.percent = task->percent;
+  row->seen.figure = task->figure;
+}
+
 static void
 list_running (Keeper *keeper, const GArray *running)
 {
@@ -24,13 +66,7 @@
       KeeperRow *row = g_hash_table_lookup (keeper->rows, key);
       if (row == NULL)
         row = keeper_add_row (keeper, task->task, task->run, ROW_STARTED);
-      row->is_listed = TRUE;
-      if (row->state == ROW_IN_DOUBT)
-        row->state = ROW_STARTED;
-      g_free (row->seen.saved);
-      row->seen.saved = g_strdup (task->saved);
-      row->seen.percent = task->percent;
-      row->seen.figure = task->figure;
+      take_row (keeper, row, task);
     }
 }
 
@@ -58,6 +94,8 @@
       KeeperRow *row = value;
       if (is_over (keeper, row, sent_us))
         {
+          keeper_add_gone (keeper, row->task, row->run);
+          keeper_changed (keeper);
           g_hash_table_iter_remove (&iter);
           continue;
         }
@@ -74,22 +112,47 @@
 
   g_hash_table_iter_init (&iter, keeper->rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((KeeperRow *) value)->is_listed = FALSE;
+    {
+      KeeperRow *row = value;
+      row->was_listed = row->is_listed;
+      row->is_listed = FALSE;
+    }
+}
+
+/* Version of an end that was listed before; 0 for a new one. */
+static uint64_t
+known_version (const GArray *ended, int64_t number)
+{
+  for (guint i = 0; i < ended->len; i++)
+    {
+      const KeeperEnd *row = &g_array_index (ended, KeeperEnd, i);
+      if (row->end.number == number)
+        return row->version;
+    }
+  return 0;
 }
 
 static void
 take_ended (Keeper *keeper, const GArray *ended)
 {
-  g_array_set_size (keeper->ended, 0);
+  g_autoptr (GArray) before = keeper->ended;
+
+  keeper->ended = keeper_ends_new ();
   for (guint i = 0; i < ended->len; i++)
     {
       const WorkerEnd *end = &g_array_index (ended, WorkerEnd, i);
-      WorkerEnd copy = *end;
+      KeeperEnd row = { *end, 0 };
       if (end->number <= keeper->seen)
         continue;
-      copy.task = g_strdup (end->task);
-      copy.saved = g_strdup (end->saved);
-      g_array_append_val (keeper->ended, copy);
+      row.end.task = g_strdup (end->task);
+      row.end.saved = g_strdup (end->saved);
+      row.version = known_version (before, end->number);
+      if (row.version == 0)
+        {
+          row.version = keeper_next_version (keeper);
+          keeper_changed (keeper);
+        }
+      g_array_append_val (keeper->ended, row);
     }
 }
 
@@ -102,10 +165,10 @@
       keeper->life = (uint64_t) keeper->token;
       keeper_note (keeper, "worker_known", "life=%" G_GUINT64_FORMAT " running=%u ended=%u",
                    keeper->life, answer->running->len, answer->ended->len);
+      keeper_changed (keeper);
     }
   take_ended (keeper, answer->ended);
   clear_listed (keeper);
   list_running (keeper, answer->running);
   drop_over (keeper, sent_us);
-  keeper_changed (keeper);
 }
--- a/lib/keeper/keeper_private.h
+++ b/lib/keeper/keeper_private.h
@@ -12,6 +12,9 @@
 #define KEEPER_SILENCE_MS 1500
 /** A stop or pace without an answer, or a look that failed, is tried again after this. */
 #define KEEPER_AGAIN_MS 300
+/** While ends are listed that the owner has not written, a look returns at once: such looks are at
+ * least this far apart. */
+#define KEEPER_LOOK_GAP_MS 100
 
 typedef enum
 {
@@ -31,10 +34,29 @@
   gboolean is_stopping; /**< a stop is under way */
   gboolean stop_answered;
   int64_t stop_again_us;
-  gboolean is_listed; /**< runs by the newest look */
-  WorkerTask seen;    /**< of the newest look; texts owned */
+  gboolean is_listed;   /**< runs by the newest look */
+  gboolean was_listed;  /**< ran by the look before it */
+  WorkerTask seen;      /**< of the newest look; texts owned */
+  uint64_t version;     /**< of its newest change that reports tell */
+  int64_t told_percent; /**< at that change */
+  int64_t told_us;      /**< when that was */
 } KeeperRow;
 
+/** A run that is not here any more, or was refused. */
+typedef struct
+{
+  char *task;
+  int64_t run;
+  uint64_t version;
+} KeeperGone;
+
+/** An end that the worker lists, with the version that told it first. */
+typedef struct
+{
+  WorkerEnd end;
+  uint64_t version;
+} KeeperEnd;
+
 struct Keeper
 {
   KeeperOptions options;
@@ -50,9 +72,14 @@
   int64_t clock_us;
   int64_t heard_us; /**< when the newest look was answered */
   GHashTable *rows; /**< "task run" -> KeeperRow */
-  GArray *ended;    /**< WorkerEnd not forgotten yet */
+  GArray *ended;    /**< KeeperEnd not forgotten yet */
   int64_t seen;     /**< ends up to this one may be forgotten */
-  GArray *refused;  /**< KeeperRefused */
+  GArray *refused;  /**< KeeperRefused that the owner has not taken */
+  GArray *gone;     /**< KeeperGone that the owner has not taken */
+  uint64_t version; /**< of the newest change */
+  uint64_t taken;   /**< the owner has applied all up to this version; 0: it needs a whole report */
+  uint64_t info_version; /**< of the newest change of info */
+  int64_t whole_us;      /**< when the newest whole report was made */
   gboolean is_looking;
   int64_t look_again_us;
   GHashTable *calls; /**< KeeperCall under way, as a set */
@@ -65,6 +92,7 @@
   char *task;
   int64_t run;
   RunnerOutcome outcome;
+  uint64_t version;
 } KeeperRefused;
 
 /** Context of one call. */
@@ -84,8 +112,16 @@
 gboolean keeper_is_heard (const Keeper *keeper);
 void keeper_note (const Keeper *keeper, const char *event, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
-/* Tells that the owner should hear of a change. */
+/* Tells that the owner should hear of a change at once. */
 void keeper_changed (const Keeper *keeper);
+/* Version of a change that is being made. */
+uint64_t keeper_next_version (Keeper *keeper);
+/* Notes that a run is not here. */
+void keeper_add_gone (Keeper *keeper, const char *task, int64_t run);
+/* An array of KeeperEnd that owns what is in it. */
+GArray *keeper_ends_new (void);
+/* Starts the next look when one is due. */
+void keeper_look_if_due (Keeper *keeper);
 char *keeper_row_key (const char *task, int64_t run);
 KeeperRow *keeper_add_row (Keeper *keeper, const char *task, int64_t run, KeeperRowState state);
 
--- a/lib/keeper/keeper_report.c
+++ b/lib/keeper/keeper_report.c
@@ -53,19 +53,80 @@
   return entry;
 }
 
+static Batch__Refused *
+report_refused (const KeeperRefused *row)
+{
+  Batch__Refused *entry = message_part (sizeof *entry);
+
+  batch__refused__init (entry);
+  entry->task = message_text (row->task);
+  entry->run = row->run;
+  entry->outcome = (uint32_t) row->outcome;
+  return entry;
+}
+
+static Batch__Gone *
+report_gone (const KeeperGone *row)
+{
+  Batch__Gone *entry = message_part (sizeof *entry);
+
+  batch__gone__init (entry);
+  entry->task = message_text (row->task);
+  entry->run = row->run;
+  return entry;
+}
+
+static void
+add_running (const Keeper *keeper, Batch__Report *report)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  report->running = message_part (g_hash_table_size (keeper->rows) * sizeof *report->running);
+  g_hash_table_iter_init (&iter, keeper->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const KeeperRow *row = value;
+      if (row->version > report->since)
+        report->running[report->n_running++] = report_running (row);
+    }
+}
+
 static void
-report_refused (const Keeper *keeper, Batch__Report *report)
+add_ended (const Keeper *keeper, Batch__Report *report)
+{
+  report->ended = message_part (keeper->ended->len * sizeof *report->ended);
+  for (guint i = 0; i < keeper->ended->len; i++)
+    {
+      const KeeperEnd *row = &g_array_index (keeper->ended, KeeperEnd, i);
+      if (row->version > report->since)
+        report->ended[report->n_ended++] = report_ended (&row->end);
+    }
+}
+
+static void
+add_refused_rows (const Keeper *keeper, Batch__Report *report)
 {
   report->refused = message_part (keeper->refused->len * sizeof *report->refused);
   for (guint i = 0; i < keeper->refused->len; i++)
     {
       const KeeperRefused *row = &g_array_index (keeper->refused, KeeperRefused, i);
-      Batch__Refused *entry = message_part (sizeof *entry);
-      batch__refused__init (entry);
-      entry->task = message_text (row->task);
-      entry->run = row->run;
-      entry->outcome = (uint32_t) row->outcome;
-      report->refused[report->n_refused++] = entry;
+      if (row->version > report->since)
+        report->refused[report->n_refused++] = report_refused (row);
+    }
+}
+
+static void
+add_gone_rows (const Keeper *keeper, Batch__Report *report)
+{
+  if (report->since == 0)
+    return;
+  report->gone = message_part (keeper->gone->len * sizeof *report->gone);
+  for (guint i = 0; i < keeper->gone->len; i++)
+    {
+      const KeeperGone *row = &g_array_index (keeper->gone, KeeperGone, i);
+      if (row->version > report->since)
+        report->gone[report->n_gone++] = report_gone (row);
     }
 }
 
@@ -75,12 +136,21 @@
   return keeper_is_known (keeper) && !keeper->is_gone && keeper_is_heard (keeper);
 }
 
-Batch__Report *
-keeper_report (const Keeper *keeper)
+/* Version that the report builds on; 0 for a whole one. */
+static uint64_t
+choose_base (Keeper *keeper)
 {
-  GHashTableIter iter;
-  gpointer value = NULL;
+  int64_t now = keeper_now_us (keeper);
 
+  if (keeper->taken != 0 && now - keeper->whole_us < KEEPER_WHOLE_MS * 1000)
+    return keeper->taken;
+  keeper->whole_us = now;
+  return 0;
+}
+
+Batch__Report *
+keeper_report (Keeper *keeper)
+{
   if (!keeper_is_known (keeper) || !(keeper->is_gone || keeper_is_heard (keeper)))
     return NULL;
   Batch__Report *report = message_part (sizeof *report);
@@ -91,14 +161,13 @@
   report->life = keeper->life;
   report->done_number = keeper->done_number;
   report->is_leaving = keeper->is_leaving;
-  report->worker = report_worker (keeper->info);
-  report->running = message_part (g_hash_table_size (keeper->rows) * sizeof *report->running);
-  g_hash_table_iter_init (&iter, keeper->rows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    report->running[report->n_running++] = report_running (value);
-  report->ended = message_part (keeper->ended->len * sizeof *report->ended);
-  for (guint i = 0; i < keeper->ended->len; i++)
-    report->ended[report->n_ended++] = report_ended (&g_array_index (keeper->ended, WorkerEnd, i));
-  report_refused (keeper, report);
+  report->version = keeper->version;
+  report->since = choose_base (keeper);
+  if (keeper->info_version > report->since)
+    report->worker = report_worker (keeper->info);
+  add_running (keeper, report);
+  add_ended (keeper, report);
+  add_refused_rows (keeper, report);
+  add_gone_rows (keeper, report);
   return report;
 }
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -2,6 +2,7 @@
 
 #include "common/clk.h"
 #include "common/line.h"
+#include "keeper/report_flow.h"
 #include "owner_private.h"
 #include "platform/caller.h"
 
@@ -93,6 +94,9 @@
   batch__orders__init (orders);
   orders->epoch = (uint64_t) owner->epoch;
   orders->owner = owner->entry->settings->name;
+  orders->report_gap_ms
+      = report_flow_gap_ms (g_hash_table_size (owner->peers),
+                            node_settings_fraction (owner->entry->settings->cpu_share, 1.0));
 }
 
 /* An agent that never heard of this owner needs one message to write to it. */
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -5,6 +5,7 @@
 #include "common/clk.h"
 #include "common/line.h"
 #include "keeper/keeper.h"
+#include "keeper/report_flow.h"
 #include "ledger/ledger.h"
 #include "net/net_link.h"
 #include "net/net_server.h"
@@ -40,14 +41,16 @@
   Keeper *keeper;
   gboolean is_registering;
   int64_t contact_us; /**< of the newest orders, or of the newest record of this agent */
+  ReportFlow flow;
   guint report_timer;
-  guint soon_timer;
   guint tick_timer;
   MetSeries *reports_in;
   MetSeries *reports_bad;
   MetSeries *orders_in;
   MetSeries *orders_old;
   MetSeries *reports_out;
+  MetSeries *reports_unsent;
+  MetSeries *report_bytes;
 };
 
 static int64_t
@@ -127,46 +130,55 @@
   line_add ("keeper", event, "%s", text);
 }
 
+/* A report that can't be made or sent now is due again after a period. */
 static void
 send_report (Agent *agent)
 {
-  if (agent->owner == NULL)
-    return;
-  Batch__Report *report = keeper_report (agent->keeper);
+  Batch__Report *report = agent->owner != NULL ? keeper_report (agent->keeper) : NULL;
+
+  report_flow_sent (&agent->flow, report != NULL ? report->version : 0, clk_now_us ());
   if (report == NULL)
     return;
   size_t size = batch__report__get_packed_size (report);
   g_autofree uint8_t *bytes = g_malloc (size);
   (void) batch__report__pack (report, bytes);
   batch__report__free_unpacked (report, NULL);
-  (void) net_link_send (agent->link, agent->owner, bytes, size);
-  met_add (agent->reports_out, 1);
+  met_add (net_link_send (agent->link, agent->owner, bytes, size) ? agent->reports_out
+                                                                  : agent->reports_unsent,
+           1);
+  met_add (agent->report_bytes, size);
 }
 
-static gboolean
-on_report_due (gpointer data)
-{
-  send_report (data);
-  return G_SOURCE_CONTINUE;
-}
+static void arm_report (Agent *agent);
 
 static gboolean
-on_report_soon (gpointer data)
+on_report_due (gpointer data)
 {
   Agent *agent = data;
 
-  agent->soon_timer = 0;
+  agent->report_timer = 0;
   send_report (agent);
+  arm_report (agent);
   return G_SOURCE_REMOVE;
 }
 
+static void
+arm_report (Agent *agent)
+{
+  int64_t wait_us = MAX (report_flow_due_us (&agent->flow) - clk_now_us (), 0);
+
+  g_clear_handle_id (&agent->report_timer, g_source_remove);
+  agent->report_timer = g_timeout_add ((guint) ((wait_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS),
+                                       on_report_due, agent);
+}
+
 static void
 report_soon (void *ctx)
 {
   Agent *agent = ctx;
 
-  if (agent->soon_timer == 0)
-    agent->soon_timer = g_timeout_add (REPORT_SOON_MS, on_report_soon, agent);
+  report_flow_urgent (&agent->flow, clk_now_us ());
+  arm_report (agent);
 }
 
 /* Where owners find this agent; free with g_free(). */
@@ -190,6 +202,21 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* An owner that follows, or the same one over a new connection, has no report under way. */
+static void
+take_owner (Agent *agent, GBytes *peer, const Batch__Orders *orders)
+{
+  if (agent->owner == NULL || !g_bytes_equal (agent->owner, peer))
+    {
+      g_clear_pointer (&agent->owner, g_bytes_unref);
+      agent->owner = g_bytes_ref (peer);
+      report_flow_restart (&agent->flow, clk_now_us ());
+    }
+  else if (orders->agent_boot == node_boot (agent->node))
+    report_flow_answered (&agent->flow, orders->report_taken, orders->report_gap_ms);
+  arm_report (agent);
+}
+
 static void
 on_orders (void *ctx, GBytes *peer, const uint8_t *data, size_t size)
 {
@@ -204,14 +231,7 @@
   met_add (agent->orders_in, 1);
   agent->contact_us = clk_now_us ();
   if (keeper_take_orders (agent->keeper, orders))
-    {
-      if (agent->owner == NULL || !g_bytes_equal (agent->owner, peer))
-        {
-          g_clear_pointer (&agent->owner, g_bytes_unref);
-          agent->owner = g_bytes_ref (peer);
-          report_soon (agent);
-        }
-    }
+    take_owner (agent, peer, orders);
   else
     met_add (agent->orders_old, 1);
   batch__orders__free_unpacked (orders, NULL);
@@ -350,6 +370,10 @@
                                    "Messages with orders of a replaced owner");
   agent->reports_out
       = met_counter (metrics, "acacia_reports_sent_total", NULL, "Reports to the owner");
+  agent->reports_unsent = met_counter (metrics, "acacia_reports_unsent_total", NULL,
+                                       "Reports that the connection to the owner did not take");
+  agent->report_bytes
+      = met_counter (metrics, "acacia_report_bytes_total", NULL, "Bytes of reports to the owner");
 }
 
 static Keeper *
@@ -396,6 +420,7 @@
 {
   Agent *agent = g_new0 (Agent, 1);
   const NodeOptions options = { .settings = settings, .on_leave = on_leave, .ctx = agent };
+  const ReportFlowOptions flow = { .period_ms = REPORT_MS, .soon_ms = REPORT_SOON_MS };
 
   agent->settings = settings;
   agent->node = node_new (&options, error);
@@ -407,7 +432,8 @@
   open_metrics (agent);
   agent->keeper = open_keeper (agent);
   agent->store = store_new (node_client (agent->node), settings->store_address);
-  agent->report_timer = g_timeout_add (REPORT_MS, on_report_due, agent);
+  report_flow_init (&agent->flow, &flow);
+  arm_report (agent);
   agent->tick_timer = g_timeout_add (TICK_MS, on_tick, agent);
   return agent;
 }
@@ -422,7 +448,6 @@
 agent_free (Agent *agent)
 {
   g_clear_handle_id (&agent->report_timer, g_source_remove);
-  g_clear_handle_id (&agent->soon_timer, g_source_remove);
   g_clear_handle_id (&agent->tick_timer, g_source_remove);
   net_server_free (agent->server);
   net_link_free (agent->link);
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -51,6 +51,12 @@
   int64_t ends_kept;
   gboolean is_silent;
   gboolean is_draining;
+  uint64_t version;            /**< of its newest report */
+  uint64_t taken;              /**< version that the owner applied */
+  RigTask told[RIG_TASKS_MAX]; /**< what ran by the report of that version */
+  uint32_t n_told;
+  RigTask sent[RIG_TASKS_MAX]; /**< what ran by the newest report */
+  uint32_t n_sent;
   RigTask tasks[RIG_TASKS_MAX];
   uint32_t n_tasks;
   RigEnd ends[RIG_TASKS_MAX];
@@ -66,6 +72,7 @@
   uint32_t n_workers;
   uint32_t n_starts;
   uint32_t n_stops;
+  gboolean sends_changes;  /**< reports tell what changed since the one that was applied */
   gboolean is_stalled;     /**< tasks do not advance */
   gboolean has_slow_stops; /**< a stopped task ends in the next round */
 } Rig;
@@ -206,6 +213,36 @@
     rig_find (worker, order->pace->task)->pace = order->pace->percent;
 }
 
+static inline gboolean
+rig_has_run (const RigTask *tasks, uint32_t n_tasks, const RigTask *wanted)
+{
+  for (uint32_t i = 0; i < n_tasks; i++)
+    {
+      if (strcmp (tasks[i].name, wanted->name) == 0 && tasks[i].run == wanted->run)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/** Runs that the owner was told of and that are not there any more. */
+static inline size_t
+rig_add_gone (const RigWorker *worker, Batch__Gone *gone, Batch__Gone **rows)
+{
+  size_t n_gone = 0;
+
+  for (uint32_t i = 0; i < worker->n_told; i++)
+    {
+      if (rig_has_run (worker->tasks, worker->n_tasks, &worker->told[i]))
+        continue;
+      batch__gone__init (&gone[n_gone]);
+      gone[n_gone].task = (char *) worker->told[i].name;
+      gone[n_gone].run = worker->told[i].run;
+      rows[n_gone] = &gone[n_gone];
+      n_gone++;
+    }
+  return n_gone;
+}
+
 static inline void
 rig_tell (Rig *rig, RigWorker *worker)
 {
@@ -215,6 +252,8 @@
   Batch__Running *running_rows[RIG_TASKS_MAX];
   Batch__Ended ended[RIG_TASKS_MAX];
   Batch__Ended *ended_rows[RIG_TASKS_MAX];
+  Batch__Gone gone[RIG_TASKS_MAX];
+  Batch__Gone *gone_rows[RIG_TASKS_MAX];
   char kind[] = "a";
   char *labels[] = { kind, worker->rack };
 
@@ -232,6 +271,13 @@
   report.done_number = worker->done_number;
   report.running = running_rows;
   report.ended = ended_rows;
+  report.gone = gone_rows;
+  report.version = ++worker->version;
+  report.since = rig->sends_changes ? worker->taken : 0;
+  if (report.since != 0)
+    report.n_gone = rig_add_gone (worker, gone, gone_rows);
+  memcpy (worker->sent, worker->tasks, sizeof worker->tasks);
+  worker->n_sent = worker->n_tasks;
   for (uint32_t i = 0; i < worker->n_tasks; i++)
     {
       if (!rig->is_stalled && worker->tasks[i].percent < 100)
@@ -284,7 +330,16 @@
       RigWorker *worker = &rig->workers[i];
       if (!sched_orders (rig->sched, worker->name, &orders) || worker->is_silent)
         continue;
+      if (orders.agent_boot == 0)
+        worker->taken = 0;
+      if (orders.agent_boot != worker->boot)
+        continue;
       worker->ends_kept = MAX (worker->ends_kept, orders.ends_kept);
+      worker->taken = orders.report_taken;
+      memcpy (worker->told, worker->sent, sizeof worker->told);
+      worker->n_told = worker->n_sent;
+      if (orders.order_before > worker->done_number)
+        continue;
       for (size_t k = 0; k < orders.n_orders; k++)
         rig_obey (rig, worker, orders.orders[k]);
     }
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -624,6 +624,98 @@
   rig_free (rig);
 }
 
+static void
+report_changes (Rig *rig, uint64_t version, uint64_t since, Batch__Gone *gone)
+{
+  Batch__Report report = BATCH__REPORT__INIT;
+
+  report.boot = rig->workers[0].boot;
+  report.life = rig->workers[0].life;
+  report.clock_us = rig->now_us + (int64_t) version;
+  report.done_number = rig->workers[0].done_number;
+  report.version = version;
+  report.since = since;
+  report.n_gone = gone != NULL ? 1 : 0;
+  report.gone = &gone;
+  sched_take_report (rig->sched, rig->workers[0].name, &report, rig->now_us);
+}
+
+/* What a report of changes does not name goes on as it was. */
+static void
+changes_alone_take_a_gone_run_off (void **state)
+{
+  Rig *rig = rig_new (1);
+  Batch__Gone gone = BATCH__GONE__INIT;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":2,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 2);
+  uint64_t version = rig->workers[0].version;
+  report_changes (rig, version + 1, version, NULL);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_int_equal (rig->n_starts, 2);
+  gone.task = JOB_A ".0.0.0";
+  gone.run = rig_find (&rig->workers[0], gone.task)->run;
+  report_changes (rig, version + 2, version + 1, &gone);
+  rig->workers[0].version += 2;
+  rig_end (&rig->workers[0], gone.task, WORKER_END_LAPSED);
+  rig->workers[0].n_ends = 0;
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 3);
+  rig_free (rig);
+}
+
+/* Changes since a report that was never applied may hide the loss of a run. */
+static void
+changes_over_a_gap_are_not_applied (void **state)
+{
+  Rig *rig = rig_new (1);
+  Batch__Gone gone = BATCH__GONE__INIT;
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  gone.task = JOB_A ".0.0.0";
+  gone.run = 1;
+  report_changes (rig, 90, 80, &gone);
+  assert_true (sched_orders (rig->sched, "w0", &orders));
+  assert_int_equal (orders.report_taken, 0);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_int_equal (rig->n_starts, 1);
+  rig_free (rig);
+}
+
+/* An order goes out once, and again only when no report confirmed it in time. */
+static void
+orders_are_repeated_only_when_due (void **state)
+{
+  Rig *rig = rig_new (1);
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  (void) state;
+  rig_round (rig, 100, TRUE);
+  rig->workers[0].is_silent = TRUE;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig->now_us += 50 * 1000;
+  report_changes (rig, rig->workers[0].version + 1, rig->workers[0].version, NULL);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_true (sched_orders (rig->sched, "w0", &orders));
+  assert_int_equal (orders.n_orders, 0);
+  assert_true (orders.order_before > rig->workers[0].done_number);
+  rig->now_us += 50 * 1000;
+  report_changes (rig, rig->workers[0].version + 2, rig->workers[0].version + 1, NULL);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_true (sched_orders (rig->sched, "w0", &orders));
+  assert_int_equal (orders.n_orders, 1);
+  assert_int_equal (orders.order_before, 0);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -655,6 +747,9 @@
     cmocka_unit_test (short_tasks_that_fill_make_way_too),
     cmocka_unit_test (slowed_tasks_do_not_count_as_standing_still),
     cmocka_unit_test (progress_survives_a_new_owner),
+    cmocka_unit_test (changes_alone_take_a_gone_run_off),
+    cmocka_unit_test (changes_over_a_gap_are_not_applied),
+    cmocka_unit_test (orders_are_repeated_only_when_due),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/batch/test_sched_props.cc
+++ b/tests/batch/test_sched_props.cc
@@ -158,6 +158,7 @@
       /* A new process beside the worker: what runs goes on, orders under way are gone. */
       worker.boot++;
       worker.life++;
+      worker.taken = 0;
       break;
     case 7:
       if (world.n_jobs > 0)
@@ -174,6 +175,7 @@
 {
   World world;
 
+  world.rig->sends_changes = steps.size () % 2 == 0;
   for (const auto &[kind, pick] : steps)
     {
       act (world, kind % 9, pick);
--- a/tests/keeper/test_keeper.c
+++ b/tests/keeper/test_keeper.c
@@ -256,6 +256,18 @@
   return life;
 }
 
+/* The version of the newest report, as an owner that applied it says. */
+static uint64_t
+version_of (const Fake *fake)
+{
+  Batch__Report *report = keeper_report (fake->keeper);
+
+  assert_non_null (report);
+  uint64_t version = report->version;
+  batch__report__free_unpacked (report, NULL);
+  return version;
+}
+
 typedef struct
 {
   uint64_t epoch;
@@ -263,6 +275,8 @@
   int64_t ends_kept;
   uint64_t number; /**< of a start of TASK run 1; 0 for none */
   uint64_t stop_number;
+  uint64_t taken; /**< version of the report that the owner applied */
+  uint64_t order_before;
 } Told;
 
 static gboolean
@@ -281,6 +295,8 @@
   orders.life = life_of (fake);
   orders.echo_us = told.echo_us;
   orders.ends_kept = told.ends_kept;
+  orders.report_taken = told.taken;
+  orders.order_before = told.order_before;
   orders.orders = rows;
   start.task = TASK;
   start.run = 1;
@@ -306,14 +322,14 @@
   FakeCall call;
 
   (void) state;
-  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
   assert_true (take_call (fake, CALL_START, &call));
   /* The worker's clock may be 2 % slow. */
   assert_true (call.until_ms <= fake->now_us / 1000 + GRANT_MS * 98 / 100);
   assert_true (call.until_ms > fake->now_us / 1000 + GRANT_MS / 2);
   answer (&call, RUNNER_OK);
   /* The same order again changes nothing. */
-  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
   assert_false (take_call (fake, CALL_START, &call));
   fake_free (fake);
 }
@@ -325,7 +341,7 @@
   FakeCall call;
 
   (void) state;
-  assert_true (tell (fake, (Told){ 1, fake->now_us - GRANT_MS * 1000, 0, 1, 0 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us - GRANT_MS * 1000, 0, 1, 0, 0, 0 }));
   assert_false (take_call (fake, CALL_START, &call));
   Batch__Report *report = keeper_report (fake->keeper);
   assert_int_equal (report->done_number, 1);
@@ -342,8 +358,8 @@
   FakeCall call;
 
   (void) state;
-  assert_true (tell (fake, (Told){ 2, fake->now_us, 0, 0, 0 }));
-  assert_false (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_true (tell (fake, (Told){ 2, fake->now_us, 0, 0, 0, 0, 0 }));
+  assert_false (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
   assert_false (take_call (fake, CALL_START, &call));
   fake_free (fake);
 }
@@ -357,7 +373,7 @@
 
   (void) state;
   answer_look (fake, (Lists){ NULL, 0 });
-  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
   assert_true (take_call (fake, CALL_START, &call));
   fake->now_us += 1000;
   answer (&call, RUNNER_IN_DOUBT);
@@ -391,7 +407,7 @@
   FakeCall call;
 
   (void) state;
-  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 1 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 1, 0, 0 }));
   for (int i = 0; i < 3; i++)
     {
       assert_true (take_call (fake, CALL_STOP, &call));
@@ -418,10 +434,12 @@
   Batch__Report *report = keeper_report (fake->keeper);
   assert_int_equal (report->n_ended, 1);
   batch__report__free_unpacked (report, NULL);
+  fake->now_us += 100 * 1000;
+  keeper_tick (fake->keeper);
   assert_true (take_call (fake, CALL_LOOK, &call));
   assert_int_equal (call.seen, 0);
   answer (&call, RUNNER_IN_DOUBT);
-  assert_true (tell (fake, (Told){ 1, fake->now_us, 9, 0, 0 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
   fake->now_us += 400 * 1000;
   keeper_tick (fake->keeper);
   assert_true (take_call (fake, CALL_LOOK, &call));
@@ -507,6 +525,160 @@
   fake_free (fake);
 }
 
+/* A look returns at once while an end is listed: without a pause the worker would be asked without
+ * end until the owner has written it. */
+static void
+looks_wait_for_the_owner_to_write_an_end (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 0, 0, 0 }));
+  answer_look (fake, (Lists){ NULL, 9 });
+  assert_false (take_call (fake, CALL_LOOK, &call));
+  fake->now_us += 50 * 1000;
+  keeper_tick (fake->keeper);
+  assert_false (take_call (fake, CALL_LOOK, &call));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_LOOK, &call));
+  assert_int_equal (call.seen, 9);
+  answer (&call, RUNNER_NOT_SENT);
+  fake_free (fake);
+}
+
+static void
+end_that_nobody_writes_is_looked_at_again (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  uint32_t n_looks = 0;
+
+  (void) state;
+  answer_look (fake, (Lists){ NULL, 9 });
+  for (int ms = 0; ms < 1000; ms += 10)
+    {
+      fake->now_us += 10 * 1000;
+      keeper_tick (fake->keeper);
+      if (fake->n_calls == 0)
+        continue;
+      n_looks++;
+      answer_look (fake, (Lists){ NULL, 9 });
+    }
+  assert_in_range (n_looks, 5, 10);
+  fake_free (fake);
+}
+
+static Batch__Report *
+next_report (Fake *fake)
+{
+  Batch__Report *report = keeper_report (fake->keeper);
+
+  assert_non_null (report);
+  return report;
+}
+
+static void
+report_tells_what_changed (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+
+  (void) state;
+  Batch__Report *report = next_report (fake);
+  assert_int_equal (report->since, 0);
+  assert_int_equal (report->n_running, 1);
+  assert_non_null (report->worker);
+  uint64_t version = report->version;
+  batch__report__free_unpacked (report, NULL);
+  /* Until the owner says that it applied a report, each one tells all. */
+  report = next_report (fake);
+  assert_int_equal (report->since, 0);
+  batch__report__free_unpacked (report, NULL);
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 0, version, 0 }));
+  report = next_report (fake);
+  assert_int_equal (report->since, version);
+  assert_int_equal (report->n_running, 0);
+  assert_null (report->worker);
+  batch__report__free_unpacked (report, NULL);
+  answer_look (fake, (Lists){ NULL, 9 });
+  report = next_report (fake);
+  assert_int_equal (report->n_ended, 1);
+  assert_int_equal (report->n_gone, 1);
+  version = report->version;
+  batch__report__free_unpacked (report, NULL);
+  /* An end is told until it was taken, and no longer. */
+  report = next_report (fake);
+  assert_int_equal (report->n_ended, 1);
+  batch__report__free_unpacked (report, NULL);
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 0, version, 0 }));
+  report = next_report (fake);
+  assert_int_equal (report->n_ended, 0);
+  assert_int_equal (report->n_gone, 0);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+static void
+report_is_whole_for_a_new_owner (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 0, 0, 0 }));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  Batch__Report *report = next_report (fake);
+  assert_int_not_equal (report->since, 0);
+  batch__report__free_unpacked (report, NULL);
+  assert_true (tell (fake, (Told){ 2, fake->now_us, 0, 0, 0, 0, 0 }));
+  report = next_report (fake);
+  assert_int_equal (report->since, 0);
+  assert_int_equal (report->n_running, 1);
+  batch__report__free_unpacked (report, NULL);
+  /* So it is for one that has forgotten this process. */
+  assert_true (tell (fake, (Told){ 2, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  Batch__Orders greeting = BATCH__ORDERS__INIT;
+  greeting.epoch = 2;
+  greeting.owner = "owner";
+  assert_true (keeper_take_orders (fake->keeper, &greeting));
+  report = next_report (fake);
+  assert_int_equal (report->since, 0);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+/* A start that is never carried out must not count as running at the owner. */
+static void
+refused_start_is_told_as_gone (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, 0, 0, 0, 0, 0, 0 }));
+  assert_true (tell (fake, (Told){ 1, 0, 0, 0, 0, version_of (fake), 0 }));
+  assert_true (tell (fake, (Told){ 1, 0, 0, 1, 0, version_of (fake), 0 }));
+  Batch__Report *report = next_report (fake);
+  assert_int_equal (report->n_refused, 1);
+  assert_int_equal (report->n_gone, 1);
+  assert_string_equal (report->gone[0]->task, TASK);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+/* Orders behind one that was lost wait until it comes again. */
+static void
+orders_behind_a_lost_one_wait (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 2, 0, 1 }));
+  assert_false (take_call (fake, CALL_STOP, &call));
+  assert_true (tell (fake, (Told){ 1, fake->now_us, 0, 0, 2, 0, 0 }));
+  assert_true (take_call (fake, CALL_STOP, &call));
+  answer (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
 int
 main (void)
 {
@@ -521,6 +693,12 @@
     cmocka_unit_test (late_report_of_a_replaced_worker_is_ignored),
     cmocka_unit_test (silent_worker_is_not_vouched_for),
     cmocka_unit_test (token_rises_above_a_higher_one),
+    cmocka_unit_test (looks_wait_for_the_owner_to_write_an_end),
+    cmocka_unit_test (end_that_nobody_writes_is_looked_at_again),
+    cmocka_unit_test (report_tells_what_changed),
+    cmocka_unit_test (report_is_whole_for_a_new_owner),
+    cmocka_unit_test (refused_start_is_told_as_gone),
+    cmocka_unit_test (orders_behind_a_lost_one_wait),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/keeper/test_report_flow.c
@@ -0,0 +1,174 @@
+/* When an agent reports: at once, but no more than its owner takes. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "keeper/report_flow.h"
+
+#define MS 1000
+#define PERIOD_MS 400
+#define SOON_MS 8
+
+static ReportFlow
+flow_new (void)
+{
+  const ReportFlowOptions options = { .period_ms = PERIOD_MS, .soon_ms = SOON_MS };
+  ReportFlow flow;
+
+  report_flow_init (&flow, &options);
+  return flow;
+}
+
+static void
+change_goes_out_at_once (void **state)
+{
+  ReportFlow flow = flow_new ();
+
+  (void) state;
+  report_flow_sent (&flow, 1, 1000 * MS);
+  report_flow_answered (&flow, 1, 0);
+  assert_int_equal (report_flow_due_us (&flow), (1000 + PERIOD_MS) * MS);
+  report_flow_urgent (&flow, 1100 * MS);
+  report_flow_urgent (&flow, 1105 * MS);
+  assert_int_equal (report_flow_due_us (&flow), (1100 + SOON_MS) * MS);
+}
+
+static void
+one_report_is_under_way (void **state)
+{
+  ReportFlow flow = flow_new ();
+
+  (void) state;
+  report_flow_sent (&flow, 5, 1000 * MS);
+  report_flow_urgent (&flow, 1001 * MS);
+  /* An answer to an earlier one says nothing of this one. */
+  report_flow_answered (&flow, 4, 0);
+  assert_int_equal (report_flow_due_us (&flow), (1000 + PERIOD_MS) * MS);
+  report_flow_answered (&flow, 5, 0);
+  assert_int_equal (report_flow_due_us (&flow), (1001 + SOON_MS) * MS);
+}
+
+static void
+owner_that_does_not_answer_gets_less (void **state)
+{
+  ReportFlow flow = flow_new ();
+  int64_t now_us = 0;
+  uint32_t n_sent = 0;
+
+  (void) state;
+  report_flow_sent (&flow, 1, now_us);
+  while (now_us < 16000 * MS)
+    {
+      report_flow_urgent (&flow, now_us);
+      assert_true (report_flow_due_us (&flow) > now_us);
+      now_us = report_flow_due_us (&flow);
+      report_flow_sent (&flow, 1, now_us);
+      n_sent++;
+    }
+  assert_in_range (n_sent, 10, 14);
+}
+
+static void
+reports_keep_the_gap_that_the_owner_wants (void **state)
+{
+  ReportFlow flow = flow_new ();
+
+  (void) state;
+  report_flow_sent (&flow, 1, 1000 * MS);
+  report_flow_answered (&flow, 1, 90);
+  report_flow_urgent (&flow, 1002 * MS);
+  assert_int_equal (report_flow_due_us (&flow), 1090 * MS);
+  /* It never holds back a regular one. */
+  report_flow_answered (&flow, 1, 5000);
+  assert_int_equal (report_flow_due_us (&flow), (1000 + PERIOD_MS) * MS);
+}
+
+static void
+new_owner_hears_at_once (void **state)
+{
+  ReportFlow flow = flow_new ();
+
+  (void) state;
+  for (uint64_t i = 1; i < 9; i++)
+    report_flow_sent (&flow, i, 1000 * MS);
+  report_flow_restart (&flow, 1010 * MS);
+  assert_int_equal (report_flow_due_us (&flow), (1010 + SOON_MS) * MS);
+}
+
+/* A model of all agents beside one owner that takes so many reports a second: whatever they have
+ * to tell, no more comes than it takes, and its queue never holds more than one of each. */
+static void
+owner_is_never_flooded (void **state)
+{
+  enum
+  {
+    AGENTS = 240,
+    TAKES_PER_S = 1500,
+    SECONDS = 10,
+  };
+  static ReportFlow flows[AGENTS];
+  static gboolean is_queued[AGENTS];
+  uint32_t n_queued = 0;
+  uint32_t n_taken = 0;
+  uint32_t next = 0;
+  int64_t debt = 0;
+
+  (void) state;
+  for (uint32_t i = 0; i < AGENTS; i++)
+    {
+      flows[i] = flow_new ();
+      is_queued[i] = FALSE;
+    }
+  for (int64_t now_us = MS; now_us <= SECONDS * 1000 * MS; now_us += MS)
+    {
+      for (uint32_t i = 0; i < AGENTS; i++)
+        {
+          report_flow_urgent (&flows[i], now_us);
+          if (report_flow_due_us (&flows[i]) > now_us)
+            continue;
+          report_flow_sent (&flows[i], (uint64_t) now_us, now_us);
+          n_queued += !is_queued[i];
+          is_queued[i] = TRUE;
+        }
+      assert_in_range (n_queued, 0, AGENTS);
+      for (debt += TAKES_PER_S; debt >= 1000 && n_queued > 0; debt -= 1000)
+        {
+          while (!is_queued[next % AGENTS])
+            next++;
+          is_queued[next % AGENTS] = FALSE;
+          report_flow_answered (&flows[next % AGENTS], flows[next % AGENTS].version,
+                                report_flow_gap_ms (AGENTS, 0.25));
+          n_queued--;
+          n_taken++;
+        }
+      debt = MIN (debt, 1000);
+    }
+  assert_in_range (n_taken, TAKES_PER_S * SECONDS * 8 / 10, TAKES_PER_S * SECONDS);
+}
+
+static void
+gap_grows_with_the_agents_of_an_owner (void **state)
+{
+  (void) state;
+  assert_in_range (report_flow_gap_ms (11, 0.25), 0, 10);
+  assert_int_equal (report_flow_gap_ms (480, 0.5), 2 * report_flow_gap_ms (240, 0.5));
+  assert_true (report_flow_gap_ms (11, 0.1) > report_flow_gap_ms (11, 0.25));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (change_goes_out_at_once),
+    cmocka_unit_test (one_report_is_under_way),
+    cmocka_unit_test (owner_that_does_not_answer_gets_less),
+    cmocka_unit_test (reports_keep_the_gap_that_the_owner_wants),
+    cmocka_unit_test (new_owner_hears_at_once),
+    cmocka_unit_test (owner_is_never_flooded),
+    cmocka_unit_test (gap_grows_with_the_agents_of_an_owner),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
