One socket connects the owner to all agents; silent peers are renewed by the owner

Cause: the owner had a ZeroMQ socket for each agent. Every turn of its loop asked each of them for events, and each connection had heartbeats of its own both ways, four small packets a second.

Now the owner's connections belong to one ROUTER socket (lib/net/net_link, programs/scheduler/owner_peers); agents write every 400 ms anyway, so a peer that was silent for 1.2 s is added anew in place of heartbeats.

Ruled out: agents that connect to the owner. They would have to learn its address from the store, and 240 of them would read it.

--- a/lib/net/net_link.c
+++ b/lib/net/net_link.c
@@ -1,14 +1,15 @@
 #include "net/net_link.h"
 
 #include <errno.h>
+#include <string.h>
 #include <zmq.h>
 
 #include "common/err.h"
 
-/** Two heartbeats fit into the time of silence. */
-#define HEARTBEAT_MS 500
-/** Messages waiting for one peer. */
-#define QUEUE_MAX 1000
+/** An idle connection whose peer is gone is closed after this, by probes of the kernel. */
+#define KEEP_ALIVE_IDLE_S 5
+#define KEEP_ALIVE_PROBE_S 2
+#define KEEP_ALIVE_PROBES 3
 /** Pause before a connection is tried again, and the longest such pause. */
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 500
@@ -24,7 +25,7 @@
 {
   void *socket;
   GSource *source;
-  gboolean is_listening;
+  uint32_t n_added; /**< peers that were ever added */
   NetLinkMessage on_message;
   void *ctx;
 };
@@ -76,10 +77,10 @@
 static gboolean
 receive_one (NetLink *link)
 {
-  g_autoptr (GBytes) peer = link->is_listening ? receive_peer (link) : NULL;
+  g_autoptr (GBytes) peer = receive_peer (link);
   zmq_msg_t frame;
 
-  if (link->is_listening && peer == NULL)
+  if (peer == NULL)
     return FALSE;
   (void) zmq_msg_init (&frame);
   gboolean has_frame = zmq_msg_recv (&frame, link->socket, ZMQ_DONTWAIT) >= 0;
@@ -116,26 +117,27 @@
 }
 
 static NetLink *
-link_new (NetLinks *links, int type, NetLinkMessage on_message, void *ctx)
+link_new (NetLinks *links, NetLinkMessage on_message, void *ctx)
 {
   NetLink *link = g_new0 (NetLink, 1);
   int64_t message_max = NET_LINK_MESSAGE_MAX;
 
-  link->socket = zmq_socket (links->context, type);
-  link->is_listening = type == ZMQ_ROUTER;
+  link->socket = zmq_socket (links->context, ZMQ_ROUTER);
   link->on_message = on_message;
   link->ctx = ctx;
   set_option (link->socket, ZMQ_LINGER, 0);
-  set_option (link->socket, ZMQ_SNDHWM, QUEUE_MAX);
-  set_option (link->socket, ZMQ_RCVHWM, QUEUE_MAX);
-  set_option (link->socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-  set_option (link->socket, ZMQ_HEARTBEAT_TIMEOUT, NET_LINK_SILENCE_MS);
+  set_option (link->socket, ZMQ_SNDHWM, NET_LINK_QUEUE_MAX);
+  set_option (link->socket, ZMQ_RCVHWM, NET_LINK_QUEUE_MAX);
+  /* Without this a message that can't be sent would be dropped unseen. */
+  set_option (link->socket, ZMQ_ROUTER_MANDATORY, 1);
+  set_option (link->socket, ZMQ_TCP_KEEPALIVE, 1);
+  set_option (link->socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEP_ALIVE_IDLE_S);
+  set_option (link->socket, ZMQ_TCP_KEEPALIVE_INTVL, KEEP_ALIVE_PROBE_S);
+  set_option (link->socket, ZMQ_TCP_KEEPALIVE_CNT, KEEP_ALIVE_PROBES);
   set_option (link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_option (link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   set_option (link->socket, ZMQ_CONNECT_TIMEOUT, NET_LINK_SILENCE_MS);
   set_option (link->socket, ZMQ_TCP_MAXRT, NET_LINK_SILENCE_MS);
-  /* Nothing is queued for a peer that isn't connected: it would arrive stale. */
-  set_option (link->socket, ZMQ_IMMEDIATE, 1);
   (void) zmq_setsockopt (link->socket, ZMQ_MAXMSGSIZE, &message_max, sizeof message_max);
   return link;
 }
@@ -175,7 +177,7 @@
 net_link_listen (
     NetLinks *links, const char *address, NetLinkMessage on_message, void *ctx, GError **error)
 {
-  NetLink *link = link_new (links, ZMQ_ROUTER, on_message, ctx);
+  NetLink *link = link_new (links, on_message, ctx);
   g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
 
   if (zmq_bind (link->socket, endpoint) != 0)
@@ -190,23 +192,36 @@
 }
 
 NetLink *
-net_link_connect (
-    NetLinks *links, const char *address, NetLinkMessage on_message, void *ctx, GError **error)
+net_link_open (NetLinks *links, NetLinkMessage on_message, void *ctx)
 {
-  NetLink *link = link_new (links, ZMQ_DEALER, on_message, ctx);
-  g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
+  NetLink *link = link_new (links, on_message, ctx);
 
-  if (zmq_connect (link->socket, endpoint) != 0)
-    {
-      err_set (error, ERR_BAD_CONFIG, "cannot connect to %s: %s", address, zmq_strerror (errno));
-      (void) zmq_close (link->socket);
-      g_free (link);
-      return NULL;
-    }
   link_attach (link);
   return link;
 }
 
+GBytes *
+net_link_add_peer (NetLink *link, const char *address, GError **error)
+{
+  g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
+  /* The library aborts if an id is used again while its old connection is still being closed. */
+  g_autofree char *id = g_strdup_printf ("%u", ++link->n_added);
+
+  (void) zmq_setsockopt (link->socket, ZMQ_CONNECT_ROUTING_ID, id, strlen (id));
+  if (zmq_connect (link->socket, endpoint) == 0)
+    return g_bytes_new (id, strlen (id));
+  err_set (error, ERR_BAD_CONFIG, "cannot connect to %s: %s", address, zmq_strerror (errno));
+  return NULL;
+}
+
+void
+net_link_drop_peer (NetLink *link, const char *address)
+{
+  g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
+
+  (void) zmq_disconnect (link->socket, endpoint);
+}
+
 void
 net_link_free (NetLink *link)
 {
@@ -221,12 +236,10 @@
 gboolean
 net_link_send (NetLink *link, GBytes *peer, const void *data, size_t size)
 {
-  if (link->is_listening)
-    {
-      size_t peer_size = 0;
-      const void *id = g_bytes_get_data (peer, &peer_size);
-      if (zmq_send (link->socket, id, peer_size, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
-        return FALSE;
-    }
+  size_t peer_size = 0;
+  const void *id = g_bytes_get_data (peer, &peer_size);
+
+  if (zmq_send (link->socket, id, peer_size, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+    return FALSE;
   return zmq_send (link->socket, data, size, ZMQ_DONTWAIT) >= 0;
 }
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -2,7 +2,6 @@
 
 #include "common/clk.h"
 #include "common/line.h"
-#include "keeper/report_flow.h"
 #include "owner_private.h"
 #include "platform/caller.h"
 
@@ -22,27 +21,6 @@
 /** Starts go only to agents heard within this time. */
 #define FRESH_MS 1300
 
-/** The link to one agent. */
-typedef struct
-{
-  Owner *owner;
-  char *name;
-  char *address;
-  NetLink *link;
-  int64_t greeted_us;
-} Peer;
-
-static void
-peer_free (gpointer data)
-{
-  Peer *peer = data;
-
-  net_link_free (peer->link);
-  g_free (peer->name);
-  g_free (peer->address);
-  g_free (peer);
-}
-
 /* Whether no other entry can be the owner now. After a release was sent, one may be. */
 static gboolean
 has_authority (const Owner *owner)
@@ -53,87 +31,27 @@
 
 static void tick_soon (Owner *owner);
 
-static void
-on_report (void *ctx, GBytes *peer_id, const uint8_t *data, size_t size)
+void
+owner_take_report (Owner *owner, const char *agent, const uint8_t *data, size_t size)
 {
-  Peer *peer = ctx;
-  Owner *owner = peer->owner;
   Batch__Report *report = batch__report__unpack (NULL, size, data);
 
-  (void) peer_id;
   if (report == NULL)
     {
-      line_add ("owner", "report_malformed", "agent=%s bytes=%zu", peer->name, size);
+      line_add ("owner", "report_malformed", "agent=%s bytes=%zu", agent, size);
       return;
     }
   if (owner->sched != NULL && report->epoch == (uint64_t) owner->epoch)
     {
-      sched_take_report (owner->sched, peer->name, report, clk_now_us ());
+      sched_take_report (owner->sched, agent, report, clk_now_us ());
       tick_soon (owner);
     }
   else if (owner->sched != NULL && report->epoch > (uint64_t) owner->epoch)
-    line_add ("owner", "agent_has_newer_owner", "agent=%s epoch=%" G_GUINT64_FORMAT, peer->name,
+    line_add ("owner", "agent_has_newer_owner", "agent=%s epoch=%" G_GUINT64_FORMAT, agent,
               report->epoch);
   batch__report__free_unpacked (report, NULL);
 }
 
-static void
-send_orders (Peer *peer, const Batch__Orders *orders)
-{
-  size_t size = batch__orders__get_packed_size (orders);
-  g_autofree uint8_t *bytes = g_malloc (size);
-
-  (void) batch__orders__pack (orders, bytes);
-  if (!net_link_send (peer->link, NULL, bytes, size) && orders->n_orders > 0)
-    line_add ("owner", "orders_not_sent", "agent=%s orders=%zu", peer->name, orders->n_orders);
-}
-
-static void
-init_orders (const Owner *owner, Batch__Orders *orders)
-{
-  batch__orders__init (orders);
-  orders->epoch = (uint64_t) owner->epoch;
-  orders->owner = owner->entry->settings->name;
-  orders->report_gap_ms
-      = report_flow_gap_ms (g_hash_table_size (owner->peers),
-                            node_settings_fraction (owner->entry->settings->cpu_share, 1.0));
-}
-
-/* An agent that never heard of this owner needs one message to write to it. */
-static void
-greet (Peer *peer)
-{
-  Batch__Orders orders;
-
-  if (clk_now_us () - peer->greeted_us < OWNER_RENEW_MS * 1000)
-    return;
-  peer->greeted_us = clk_now_us ();
-  init_orders (peer->owner, &orders);
-  send_orders (peer, &orders);
-}
-
-static void
-say_orders (Owner *owner)
-{
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, owner->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Peer *peer = value;
-      Batch__Orders orders;
-      init_orders (owner, &orders);
-      if (sched_orders (owner->sched, peer->name, &orders))
-        {
-          peer->greeted_us = clk_now_us ();
-          send_orders (peer, &orders);
-        }
-      else
-        greet (peer);
-    }
-}
-
 void
 owner_decide (Owner *owner)
 {
@@ -143,7 +61,7 @@
   met_set (owner->open_jobs, sched_open_jobs (owner->sched));
   /* A tick takes time: authority is asked again right before orders leave. */
   if (has_authority (owner))
-    say_orders (owner);
+    peers_say_orders (owner->peers);
   owner_flush_soon (owner);
 }
 
@@ -195,7 +113,7 @@
   owner->is_in_doubt = FALSE;
   owner->has_forgotten = FALSE;
   g_clear_pointer (&owner->sched, sched_free);
-  g_hash_table_remove_all (owner->peers);
+  peers_clear (owner->peers);
   feed_set_pause (owner->entry->ledger_feed, OTHER_PAUSE_MS);
 }
 
@@ -227,28 +145,11 @@
 add_agent (void *ctx, const LedgerAgent *agent)
 {
   Owner *owner = ctx;
-  const Peer *known = g_hash_table_lookup (owner->peers, agent->name);
-  g_autoptr (GError) error = NULL;
 
-  if (known != NULL && strcmp (known->address, agent->address) == 0)
-    return;
-  if (!sched_add_agent (owner->sched, agent->name))
-    {
-      line_add ("owner", "agent_held_back", "agent=%s reason=being_forgotten", agent->name);
-      return;
-    }
-  Peer *peer = g_new0 (Peer, 1);
-  peer->owner = owner;
-  peer->name = g_strdup (agent->name);
-  peer->address = g_strdup (agent->address);
-  peer->link = net_link_connect (owner->links, agent->address, on_report, peer, &error);
-  if (peer->link == NULL)
-    {
-      line_add ("owner", "agent_unreachable", "agent=%s error=\"%s\"", agent->name, error->message);
-      peer_free (peer);
-      return;
-    }
-  g_hash_table_replace (owner->peers, peer->name, peer);
+  if (sched_add_agent (owner->sched, agent->name))
+    peers_add (owner->peers, agent->name, agent->address);
+  else
+    line_add ("owner", "agent_held_back", "agent=%s reason=being_forgotten", agent->name);
 }
 
 static SchedOptions
@@ -287,8 +188,7 @@
   met_add (owner->terms, 1);
   line_add ("owner", "took_over",
             "term=%" G_GUINT64_FORMAT " epoch=%" G_GINT64_FORMAT " open_jobs=%u agents=%u",
-            owner->term, owner->epoch, sched_open_jobs (owner->sched),
-            g_hash_table_size (owner->peers));
+            owner->term, owner->epoch, sched_open_jobs (owner->sched), peers_count (owner->peers));
   owner_decide (owner);
 }
 
@@ -342,7 +242,7 @@
 {
   if (owner->sched == NULL)
     return;
-  (void) g_hash_table_remove (owner->peers, name);
+  peers_remove (owner->peers, name);
   sched_remove_agent (owner->sched, name);
 }
 
@@ -377,8 +277,7 @@
   MetRegistry *metrics = node_metrics (entry->node);
 
   owner->entry = entry;
-  owner->links = net_links_new ();
-  owner->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  owner->peers = peers_new (owner);
   owner->check_timer = g_timeout_add (CHECK_MS, owner_check, owner);
   owner->terms = met_counter (metrics, "acacia_owner_terms_total", NULL, "Terms begun here");
   owner->open_jobs = met_gauge (metrics, "acacia_open_jobs", NULL, "Jobs under way, at the owner");
@@ -400,8 +299,7 @@
     sched_flush_end (owner->sched, owner->flush, FALSE);
   if (owner->records != NULL)
     g_byte_array_unref (owner->records);
-  g_hash_table_destroy (owner->peers);
-  net_links_free (owner->links);
+  peers_free (owner->peers);
   sched_free (owner->sched);
   g_free (owner);
 }
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -5,7 +5,6 @@
 #pragma once
 
 #include "entry_private.h"
-#include "net/net_link.h"
 
 G_BEGIN_DECLS
 
@@ -16,6 +15,8 @@
 /** Producer of the owner's appends: the store refuses those of an earlier owner. */
 #define OWNER_PRODUCER "owner"
 
+typedef struct Peers Peers;
+
 typedef enum
 {
   OWNER_NONE,
@@ -35,8 +36,7 @@
   int64_t owner_seen_us; /**< when the newest record of an owner was read */
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
-  NetLinks *links;
-  GHashTable *peers;   /**< agent name -> Peer */
+  Peers *peers;
   SchedFlush *flush;   /**< in the append under way; NULL for none */
   GByteArray *records; /**< of the append under way or in doubt; NULL for none */
   gboolean is_appending;
@@ -60,6 +60,21 @@
 /* Gives up everything that belongs to the term. */
 void owner_resign (Owner *owner, const char *reason);
 
+/* A report of the agent called @p agent. */
+void owner_take_report (Owner *owner, const char *agent, const uint8_t *data, size_t size);
+
+/* owner_peers.c: connections to agents. */
+Peers *peers_new (Owner *owner);
+void peers_free (Peers *peers);
+/* Drops all connections. */
+void peers_clear (Peers *peers);
+uint32_t peers_count (const Peers *peers);
+/* Connects to an agent, or to its new address. */
+void peers_add (Peers *peers, const char *name, const char *address);
+void peers_remove (Peers *peers, const char *name);
+/* Sends what there is to say, and makes silent connections anew. */
+void peers_say_orders (Peers *peers);
+
 /* owner_write.c: the owner's records. */
 /* Adds the record that names the owner; @p boot is 0 in a release. */
 void owner_add_record (const Owner *owner, GByteArray *records, uint64_t boot);
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -59,7 +59,7 @@
   if (name == NULL)
     return;
   owner->has_forgotten = TRUE;
-  (void) g_hash_table_remove (owner->peers, name);
+  peers_remove (owner->peers, name);
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
   line_add ("owner", "agent_forgotten", "agent=%s", name);
   store_add_record (owner->records, key, NULL, 0);
