A call ends when nothing moves for its time-out; a configuration that was missed is read alone

Now the time-out of a call counts from the last byte that moved (at most eight time-outs in all), and the feed of the operators' topic reads the newest record of each key after a failed read.

Ruled out: smaller reads. Each would be in time, but all that was missed would still be read.

Tests seen red before: net/test_net_client (slow answer that comes, answer that stops), users/test_store (missed records). The pauses and the claim have no test of their own yet.

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -188,6 +188,8 @@
   if (answer->outcome != STORE_OK)
     {
       take_failure (feed, answer);
+      if (feed->options.skips_missed)
+        begin_load (feed);
       return FALSE;
     }
   hand_on_new (feed, answer);
@@ -203,7 +205,7 @@
   gboolean is_good = take_read (feed, answer, feed->sent_us);
   gboolean is_behind = is_good && feed->next < answer->end_offset;
 
-  if (is_behind || feed->is_loading)
+  if (is_behind || answer->outcome == STORE_EXPIRED)
     read_on (feed);
   else
     read_after (feed, is_good ? feed->options.pause_ms : AGAIN_MS);
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -16,6 +16,9 @@
   const char *topic;
   int64_t wait_ms;  /**< a read waits this long for a record */
   int64_t pause_ms; /**< between two reads */
+  /** After a read that failed, the newest records are read in place of all that were missed: for
+   * topics of few keys whose older records say nothing. */
+  gboolean skips_missed;
   void (*on_record) (void *ctx, const StoreRecord *record);
   /** After the records of one answer. May be NULL. */
   void (*on_batch) (void *ctx);
--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "common/clk.h"
+
 /** Time to make a connection: a lost opening packet is sent again after a second. */
 #define CONNECT_TIMEOUT_MS 1200L
 /** Idle connections kept. */
@@ -27,6 +29,11 @@
   struct curl_slist *headers;
   GByteArray *body;   /**< of the call */
   GByteArray *answer; /**< of the answer */
+  int64_t timeout_us;
+  int64_t begun_us;
+  int64_t moved_us;       /**< when a byte was last sent or received */
+  curl_off_t moved_bytes; /**< sent and received until then */
+  guint timer;
   NetDone done;
   GDestroyNotify drop; /**< of ctx, unless done is called; NULL for none */
   void *ctx;
@@ -39,6 +46,7 @@
 
   if (call->drop != NULL)
     call->drop (call->ctx);
+  g_clear_handle_id (&call->timer, g_source_remove);
   (void) curl_multi_remove_handle (call->client->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -179,6 +187,47 @@
   return size * count;
 }
 
+static int
+on_progress (void *data, curl_off_t down_all, curl_off_t down, curl_off_t up_all, curl_off_t up)
+{
+  Call *call = data;
+
+  (void) down_all;
+  (void) up_all;
+  if (down + up <= call->moved_bytes)
+    return 0;
+  call->moved_bytes = down + up;
+  call->moved_us = clk_now_us ();
+  return 0;
+}
+
+static void watch_time (Call *call);
+
+static gboolean
+on_time (gpointer data)
+{
+  Call *call = data;
+
+  call->timer = 0;
+  watch_time (call);
+  return G_SOURCE_REMOVE;
+}
+
+/* Ends the call if nothing moved for too long, or looks again when that may be. */
+static void
+watch_time (Call *call)
+{
+  int64_t end_us = MIN (call->moved_us + call->timeout_us,
+                        call->begun_us + call->timeout_us * NET_CLIENT_TIMEOUTS_MAX);
+  int64_t left_us = end_us - clk_now_us ();
+
+  if (left_us <= 0)
+    finish (call, CURLE_OPERATION_TIMEDOUT);
+  else
+    call->timer
+        = g_timeout_add ((guint) ((left_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS), on_time, call);
+}
+
 NetClient *
 net_client_new (void)
 {
@@ -245,7 +294,9 @@
   (void) curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   (void) curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
   (void) curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  (void) curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) wanted->timeout_ms);
+  (void) curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
+  (void) curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+  (void) curl_easy_setopt (easy, CURLOPT_XFERINFODATA, call);
   (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   (void) curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -258,6 +309,10 @@
                                call->body->len > 0 ? (const char *) call->body->data : "");
     }
   set_headers (call, wanted);
+  call->timeout_us = wanted->timeout_ms * CLK_US_PER_MS;
+  call->begun_us = clk_now_us ();
+  call->moved_us = call->begun_us;
   g_hash_table_add (client->calls, call);
+  watch_time (call);
   (void) curl_multi_add_handle (client->multi, easy);
 }
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -2,8 +2,9 @@
  * @file net_client.h
  * HTTP/1.1 calls over libcurl on the default GLib main context.
  *
- * All calls are asynchronous and belong to the thread of the main loop. Every call has a time-out,
- * so a connection that went silent costs one call and is then closed.
+ * All calls are asynchronous and belong to the thread of the main loop. Every call ends when nothing
+ * moved for its time-out, so a connection that went silent costs one call and is then closed, and
+ * a large body over a slow link is not cut short.
  */
 #pragma once
 
@@ -23,9 +24,12 @@
   const char *const *headers; /**< "Name: value", NULL-terminated; NULL for none */
   const void *body;
   size_t size;
-  int64_t timeout_ms;
+  int64_t timeout_ms; /**< without a byte sent or received for this long the call ends */
 } NetCall;
 
+/** A call ends after this many time-outs, however it moves. */
+#define NET_CLIENT_TIMEOUTS_MAX 8
+
 /** What came back. The body is valid during the callback only, and ends with a zero byte. */
 typedef struct
 {
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -148,6 +148,7 @@
                                .topic = OPERATOR_TOPIC,
                                .wait_ms = CONFIG_WAIT_MS,
                                .pause_ms = CONFIG_PAUSE_MS,
+                               .skips_missed = TRUE,
                                .on_record = on_operator_record,
                                .ctx = entry };
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -176,6 +176,8 @@
   owner->phase = OWNER_ACTIVE;
   owner->is_release = FALSE;
   owner->authority_us = owner->claim_us;
+  owner->append_wait_ms = 0;
+  owner->append_next_us = 0;
   owner->sequence++;
   owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
   owner->sched = sched_new (&options);
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -35,9 +35,10 @@
             store_outcome_name (answer->outcome));
   if (answer->outcome == STORE_OK || answer->outcome == STORE_IN_DOUBT)
     return;
-  /* The topic has moved on, or the store is busy: the claim is not there and never will be. */
+  /* The topic has moved on, another claim took this epoch, or the store is busy: the claim is not
+   * there and never will be. */
   owner->phase = OWNER_NONE;
-  if (answer->outcome == STORE_MOVED)
+  if (answer->outcome != STORE_REFUSED)
     feed_refresh (owner->entry->ledger_feed, on_caught_up, owner);
 }
 
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -44,6 +44,8 @@
   gboolean is_release;    /**< it gives the jobs up */
   gboolean has_forgotten; /**< it drops an agent's record */
   int64_t append_us;      /**< when it was sent */
+  int64_t append_next_us; /**< none before, since the last one failed */
+  int64_t append_wait_ms; /**< length of that pause; 0: it did not fail */
   int64_t renew_us;       /**< when the next sign of life is due */
   guint check_timer;
   guint tick_timer;
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -9,6 +9,9 @@
 #define KEEP_FACTOR 2
 /** Changes of the owner are gathered for this long before they are written. */
 #define FLUSH_MS 15
+/** First and longest pause after an append that failed. */
+#define APPEND_AGAIN_MS 50
+#define APPEND_AGAIN_MAX_MS 400
 
 static void
 add_loads (const Owner *owner, Batch__Owner *message, GPtrArray *garbage)
@@ -129,7 +132,7 @@
 void
 owner_write_changes (Owner *owner)
 {
-  if (owner->phase != OWNER_ACTIVE || owner->is_appending)
+  if (owner->phase != OWNER_ACTIVE || owner->is_appending || clk_now_us () < owner->append_next_us)
     return;
   if (owner->is_in_doubt)
     {
@@ -185,6 +188,8 @@
 {
   met_observe (owner->append_time, clk_now_us () - owner->append_us);
   owner->authority_us = MAX (owner->authority_us, owner->append_us);
+  owner->append_wait_ms = 0;
+  owner->append_next_us = 0;
   owner->sequence++;
   end_append (owner, TRUE);
   if (owner->is_release)
@@ -195,6 +200,13 @@
     owner_decide (owner);
 }
 
+static void
+pause_appends (Owner *owner)
+{
+  owner->append_wait_ms = CLAMP (owner->append_wait_ms * 2, APPEND_AGAIN_MS, APPEND_AGAIN_MAX_MS);
+  owner->append_next_us = clk_now_us () + owner->append_wait_ms * CLK_US_PER_MS;
+}
+
 static void
 on_appended (void *ctx, const StoreAnswer *answer)
 {
@@ -215,8 +227,18 @@
             owner->term, store_outcome_name (answer->outcome), owner->sequence,
             answer->expected_sequence);
   if (answer->outcome == STORE_FENCED)
-    owner_resign (owner, "fenced");
-  else if (answer->outcome == STORE_IN_DOUBT)
+    {
+      owner_resign (owner, "fenced");
+      return;
+    }
+  /* The numbers of this term are lost: it can't write any more. */
+  if (answer->outcome == STORE_SEQUENCE)
+    {
+      owner_resign (owner, "sequence");
+      return;
+    }
+  pause_appends (owner);
+  if (answer->outcome == STORE_IN_DOUBT)
     owner->is_in_doubt = TRUE;
   else if (!owner->is_in_doubt)
     end_append (owner, FALSE);
--- /dev/null
+++ b/tests/net/test_net_client.c
@@ -0,0 +1,162 @@
+/* The HTTP client beside servers that are slow, silent or away. */
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "common/clk.h"
+#include "net/net_client.h"
+
+#define PORT 28722
+#define URL "http://127.0.0.1:" G_STRINGIFY (PORT) "/x"
+#define TIMEOUT_MS 200
+#define CHUNK_MS 80
+#define CHUNKS 8
+#define CHUNK "0123456789"
+
+/* Answers one call with some chunks, one at a time, and then says nothing. */
+typedef struct
+{
+  int listener;
+  uint32_t n_chunks;
+  pthread_t thread;
+} SlowServer;
+
+static void *
+serve (void *data)
+{
+  const SlowServer *server = data;
+  g_autofree char *head
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", CHUNKS * strlen (CHUNK));
+  char request[1024];
+  int fd = accept (server->listener, NULL, NULL);
+
+  (void) recv (fd, request, sizeof request, 0);
+  (void) send (fd, head, strlen (head), MSG_NOSIGNAL);
+  for (uint32_t i = 0; i < server->n_chunks; i++)
+    {
+      (void) usleep (CHUNK_MS * 1000);
+      (void) send (fd, CHUNK, strlen (CHUNK), MSG_NOSIGNAL);
+    }
+  /* Until the client closes. */
+  (void) recv (fd, request, sizeof request, 0);
+  (void) close (fd);
+  return NULL;
+}
+
+static void
+server_start (SlowServer *server, uint32_t n_chunks)
+{
+  const int yes = 1;
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+
+  (void) inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  server->n_chunks = n_chunks;
+  server->listener = socket (AF_INET, SOCK_STREAM, 0);
+  (void) setsockopt (server->listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  assert_int_equal (bind (server->listener, (struct sockaddr *) &address, sizeof address), 0);
+  assert_int_equal (listen (server->listener, 1), 0);
+  assert_int_equal (pthread_create (&server->thread, NULL, serve, server), 0);
+}
+
+static void
+server_stop (SlowServer *server)
+{
+  (void) pthread_join (server->thread, NULL);
+  (void) close (server->listener);
+}
+
+typedef struct
+{
+  gboolean is_done;
+  uint32_t status;
+  size_t size;
+  gboolean may_have_run;
+} Result;
+
+static void
+on_answer (void *ctx, const NetAnswer *answer)
+{
+  Result *result = ctx;
+
+  result->is_done = TRUE;
+  result->status = answer->status;
+  result->size = answer->size;
+  result->may_have_run = answer->may_have_run;
+}
+
+/* Returns how long the call took, in ms. */
+static int64_t
+call_once (Result *result)
+{
+  const NetCall call = { .method = "GET", .url = URL, .timeout_ms = TIMEOUT_MS };
+  NetClient *client = net_client_new ();
+  int64_t begun_us = clk_now_us ();
+
+  net_client_call (client, &call, on_answer, NULL, result);
+  while (!result->is_done)
+    (void) g_main_context_iteration (NULL, TRUE);
+  int64_t took_ms = (clk_now_us () - begun_us) / CLK_US_PER_MS;
+  net_client_free (client);
+  return took_ms;
+}
+
+/* It takes three time-outs in all, but never one without a byte. */
+static void
+slow_answer_is_waited_for_while_it_comes (void **state)
+{
+  SlowServer server;
+  Result result = { 0 };
+
+  (void) state;
+  server_start (&server, CHUNKS);
+  (void) call_once (&result);
+  server_stop (&server);
+  assert_int_equal (result.status, 200);
+  assert_int_equal (result.size, CHUNKS * strlen (CHUNK));
+}
+
+static void
+answer_that_stops_ends_the_call (void **state)
+{
+  SlowServer server;
+  Result result = { 0 };
+
+  (void) state;
+  server_start (&server, 2);
+  int64_t took_ms = call_once (&result);
+  server_stop (&server);
+  assert_int_equal (result.status, 0);
+  assert_true (result.may_have_run);
+  assert_true (took_ms >= TIMEOUT_MS);
+  assert_true (took_ms < CHUNKS * CHUNK_MS);
+}
+
+static void
+call_without_a_listener_never_ran (void **state)
+{
+  Result result = { 0 };
+
+  (void) state;
+  (void) call_once (&result);
+  assert_int_equal (result.status, 0);
+  assert_false (result.may_have_run);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (slow_answer_is_waited_for_while_it_comes),
+    cmocka_unit_test (answer_that_stops_ends_the_call),
+    cmocka_unit_test (call_without_a_listener_never_ran),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -422,6 +422,42 @@
   feed_free (feed);
 }
 
+/* What was missed of a topic of few keys may be large: only the newest of each key says something.
+ */
+static void
+missed_records_of_few_keys_are_skipped (void **state)
+{
+  World *world = world_new ();
+  g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  const NetReply refused = { .status = 503 };
+  const FeedOptions options = { .store = world->store,
+                                .topic = TOPIC,
+                                .wait_ms = 500,
+                                .pause_ms = 1000,
+                                .skips_missed = TRUE,
+                                .on_record = note_offset,
+                                .ctx = offsets };
+
+  (void) state;
+  set_answer (world, 200, "{\"items\":[],\"more\":false,\"end_offset\":0}");
+  Feed *feed = feed_new (&options);
+  while (!feed_is_loaded (feed))
+    (void) g_main_context_iteration (NULL, TRUE);
+  world->n_unanswered = 1;
+  while (world->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  set_answer (world, 200,
+              "{\"items\":[{\"key\":\"k\",\"value\":\"AA==\",\"offset\":25}],"
+              "\"more\":false,\"end_offset\":26}");
+  net_request_reply (g_ptr_array_steal_index (world->held, 0), &refused);
+  while (feed_end (feed) < 26)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (offsets->len, 1);
+  assert_int_equal (g_array_index (offsets, int64_t, 0), 25);
+  world_free (world);
+  feed_free (feed);
+}
+
 int
 main (void)
 {
@@ -434,6 +470,7 @@
     cmocka_unit_test (record_in_doubt_is_repeated_until_written),
     cmocka_unit_test (caller_is_told_of_the_doubt_in_time),
     cmocka_unit_test (late_answer_does_not_go_back),
+    cmocka_unit_test (missed_records_of_few_keys_are_skipped),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
