Headroom of serving tasks is modelled by pair of images, with its uncertainty

The tail was modelled as a sum of increases, learned from each report although a figure is measured twice a second, and choice of a worker went by empty processors.

Its inverse, the headroom target / tail, falls in proportion to the processors at work beside it, by a factor of each pair of images: 0 to 2 for most, 5 to 13 for some. Alone it swings by half within 14 s with the load.

Now lib/batch/interference estimates takes of pairs and headrooms alone together (a Kalman filter without covariances), from what worked in the half second of each figure; a figure that is told again counts once. Tasks that fill go where they take the least share of what is left and only if 1.3 targets of headroom stay, with two deviations of doubt; tasks are slowed by what is missing and get back what can be borne. Agents tell at once of a tail that grew by a third.

Tests: batch/test_interference; the old expectations of batch/test_sched on tails hold unchanged.

--- /dev/null
+++ b/lib/batch/interference.h
@@ -0,0 +1,69 @@
+/**
+ * @file interference.h
+ * How much the images that fill take from the headroom of the images that serve.
+ *
+ * The headroom of a serving task is its target divided by its tail: under 1 it is over its target.
+ * Tails grow like those of a queue, with the inverse of what is left of the processors' caches and
+ * buses, so it is the headroom that falls in proportion: by a take of the pair of images for each
+ * worker's worth of processors at work. Takes and the headroom that a task would have alone are
+ * estimated together by a Kalman filter without covariances; headrooms drift with the load, takes
+ * hardly. Pure: no I/O, no clock.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+typedef struct Interference Interference;
+
+/** Images that are told apart; all later ones count as one. */
+#define INTERFERENCE_IMAGES_MAX 1000
+
+/** Headroom that a serving task would have alone. Zero-initialised before its first figure. */
+typedef struct
+{
+  double alone;    /**< estimate; 0 while nothing is known */
+  double variance; /**< of that estimate */
+  double figure;   /**< newest headroom that was taken in */
+  int64_t seen_us; /**< when that was; 0: never */
+} InterferenceTask;
+
+/** Processors at work for an image beside a serving task, averaged over a figure's time. */
+typedef struct
+{
+  uint32_t image;
+  double share; /**< of the worker's processors */
+} InterferenceLoad;
+
+/** Makes a model that knows no pair; free with interference_free(). */
+Interference *interference_new (void);
+/** NULL is allowed. */
+void interference_free (Interference *model);
+
+/** Number of the image called @p name; NULL is an image too. */
+uint32_t interference_image (Interference *model, const char *name);
+
+/**
+ * Takes in a figure: the headroom of a task of image @p serving beside @p loads. A figure that only
+ * repeats the last one within #INTERFERENCE_REPEAT_MS changes nothing.
+ */
+void interference_observe (Interference *model,
+                           uint32_t serving,
+                           InterferenceTask *task,
+                           double headroom,
+                           const InterferenceLoad *loads,
+                           uint32_t n_loads,
+                           int64_t now_us);
+
+/** Figures that repeat the last one within this time may be the same measurement. */
+#define INTERFERENCE_REPEAT_MS 600
+
+/** Expected take of a pair. */
+double interference_take (const Interference *model, uint32_t serving, uint32_t filling);
+
+/** Take of a pair that is hardly exceeded: for decisions that harm if it is. */
+double interference_take_most (const Interference *model, uint32_t serving, uint32_t filling);
+
+G_END_DECLS
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -5,8 +5,8 @@
 #include "batch/sched_tables.h"
 #include "common/clk.h"
 
-/** Orders that a report does not confirm are sent again with the next message after this: the report
- * may have left before they came. */
+/** Orders that a report does not confirm are sent again with the next message after this: the
+ * report may have left before they came. */
 #define RETELL_MS 100
 /** Between two lines on how full the workers are. */
 #define ROOM_NOTE_MS 1000
@@ -45,8 +45,7 @@
   sched->dirty = g_hash_table_new (NULL, NULL);
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  sched->increases = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify) g_hash_table_unref);
+  sched->interference = interference_new ();
   sched->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->ended = g_queue_new ();
   return sched;
@@ -59,9 +58,9 @@
     return;
   g_hash_table_destroy (sched->pending);
   g_free (sched->forgetting);
-  g_hash_table_destroy (sched->increases);
   g_hash_table_destroy (sched->durations);
   g_hash_table_destroy (sched->workers);
+  interference_free (sched->interference);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
   g_queue_free (sched->ended);
@@ -111,7 +110,7 @@
     return FALSE;
   if (g_hash_table_contains (sched->workers, name))
     return TRUE;
-  SchedWorker *worker = sched_worker_new (name);
+  SchedWorker *worker = sched_worker_new (sched, name);
   g_hash_table_insert (sched->workers, worker->name, worker);
   return TRUE;
 }
--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -4,19 +4,21 @@
 #define STALL_MS 2500
 /** One that shares processors with others may be slow for longer. */
 #define STALL_FILL_MS 6000
-/** First step down, and each step up, in percent of a task's share. */
-#define PACE_LOW 30
+/** Paces are multiples of this, in percent; lower ones than the least are none. */
+#define PACE_STEP 10
+#define PACE_LEAST 20
+/** Largest step up. */
+#define PACE_RISE 60
 /** Between two steps: tails are measured over half a second and told half a second later. */
 #define PACE_DOWN_MS 900
 #define PACE_UP_MS 1000
-/** Tasks that fill are slowed down once a tail is above this percent of its target. */
-#define PACE_FROM_PERCENT 100
-/** Tasks that fill get more once the worst tail is below this percent of its target, and are slowed
- * down to this one. */
-#define PACE_UP_PERCENT 65
-#define PACE_GOAL_PERCENT 80.0
-/** Tasks that fill are not the cause of a tail to which they add less than this, in percent. */
-#define BLAME_PERCENT 6.0
+/** Tasks that fill are slowed down once a serving task's headroom is below this, to this one, and
+ * get more as long as that would leave this one. */
+#define HEADROOM_FROM 1.0
+#define HEADROOM_GOAL 1.25
+#define HEADROOM_UP 1.4
+/** Tasks that fill are not the cause where they take less than this of a headroom. */
+#define BLAME_TAKE 0.08
 /** A tail that stays over its target for this long is put down to all that fill there, whatever was
  * learned: half of the time for which it may be so, less two reports. */
 #define PATIENCE_MS 1200
@@ -75,6 +77,14 @@
   return serving->over_us != 0 && sched->now_us - serving->over_us >= PATIENCE_MS * 1000;
 }
 
+static gboolean
+is_over (const SchedTask *serving)
+{
+  double headroom = sched_headroom (serving);
+
+  return headroom > 0 && headroom < HEADROOM_FROM;
+}
+
 /* Notes since when tails are over their targets. */
 static void
 watch_tails (Sched *sched, SchedWorker *worker)
@@ -85,7 +95,7 @@
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (!sched_is_serving (task))
         continue;
-      if (sched_tail_percent (task) <= PACE_FROM_PERCENT)
+      if (!is_over (task))
         task->over_us = 0;
       else if (task->over_us == 0)
         task->over_us = sched->now_us;
@@ -95,23 +105,23 @@
 
 /* The serving task that is furthest over its target through tasks that fill, or NULL. */
 static SchedTask *
-worst_harmed (Sched *sched, const SchedWorker *worker)
+worst_harmed (const SchedWorker *worker)
 {
   SchedTask *worst = NULL;
 
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (sched_is_serving (task) && sched_tail_percent (task) > PACE_FROM_PERCENT
-          && sched_tails_shares (sched, worker, task) >= BLAME_PERCENT
-          && (worst == NULL || sched_tail_percent (task) > sched_tail_percent (worst)))
+      if (sched_is_serving (task) && is_over (task)
+          && sched_tails_takes (worker, task) >= BLAME_TAKE
+          && (worst == NULL || sched_headroom (task) < sched_headroom (worst)))
         worst = task;
     }
   return worst;
 }
 
 static SchedTask *
-largest_share (Sched *sched, const SchedWorker *worker, const SchedTask *serving)
+largest_take (const SchedWorker *worker, const SchedTask *serving)
 {
   SchedTask *largest = NULL;
   double most = 0;
@@ -121,29 +131,40 @@
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (!task->part->step->fills || task->is_stopping || task->pace == 0)
         continue;
-      double share = sched_tail_share (sched, serving, task);
-      if (largest == NULL || share > most)
+      double take = sched_tails_take (worker, serving, task);
+      if (largest == NULL || take > most)
         {
           largest = task;
-          most = share;
+          most = take;
         }
     }
   return largest;
 }
 
-/* Slows the tasks that add most to a tail, until the rest should be below the target. */
+/* Pace at which a task takes @p cut less of the headroom. */
+static uint32_t
+pace_after_cut (const SchedTask *task, double take, double cut)
+{
+  if (take <= cut)
+    return 0;
+  uint32_t pace = (uint32_t) ((double) task->pace * (take - cut) / take);
+  pace -= pace % PACE_STEP;
+  return pace >= PACE_LEAST ? pace : 0;
+}
+
+/* Slows the tasks that take most of a headroom, until the rest should leave enough. */
 static void
 slow_fills (Sched *sched, SchedWorker *worker, const SchedTask *serving)
 {
-  double excess = (double) sched_tail_percent (serving) - PACE_GOAL_PERCENT;
+  double missing = HEADROOM_GOAL - MIN (sched_headroom (serving), serving->alone.alone);
   SchedTask *task = NULL;
 
   worker->pace_us = sched->now_us;
-  while (excess > 0 && (task = largest_share (sched, worker, serving)) != NULL)
+  while (missing > 0 && (task = largest_take (worker, serving)) != NULL)
     {
-      double before = sched_tail_share (sched, serving, task);
-      sched_order_pace (sched, task, task->pace > PACE_LOW ? PACE_LOW : 0);
-      excess -= MAX (before - sched_tail_share (sched, serving, task), 1.0);
+      double take = sched_tails_take (worker, serving, task);
+      sched_order_pace (sched, task, pace_after_cut (task, take, missing));
+      missing -= take - sched_tails_take (worker, serving, task);
     }
 }
 
@@ -162,9 +183,8 @@
     }
 }
 
-/* Gives one slowed task a larger share again. */
-static void
-restore_pace (Sched *sched, SchedWorker *worker)
+static SchedTask *
+slowest_fill (const SchedWorker *worker)
 {
   SchedTask *slowest = NULL;
 
@@ -175,10 +195,26 @@
           && (slowest == NULL || task->pace < slowest->pace))
         slowest = task;
     }
-  if (slowest == NULL)
+  return slowest;
+}
+
+/* Gives one slowed task as much of its share again as the serving tasks can bear. */
+static void
+restore_pace (Sched *sched, SchedWorker *worker)
+{
+  SchedTask *task = slowest_fill (worker);
+
+  if (task == NULL)
+    return;
+  uint32_t pace = MIN (task->pace + PACE_RISE, 100);
+  while (pace > task->pace
+         && sched_tails_room (worker, task, sched_tails_share (worker, task, pace - task->pace))
+                < HEADROOM_UP)
+    pace -= MIN (PACE_STEP, pace);
+  if (pace <= task->pace || pace < PACE_LEAST)
     return;
   worker->pace_us = sched->now_us;
-  sched_order_pace (sched, slowest, MIN (slowest->pace + PACE_LOW * 2, 100));
+  sched_order_pace (sched, task, pace);
 }
 
 static void
@@ -192,29 +228,15 @@
     }
 }
 
-static int64_t
-worst_tail (const SchedWorker *worker)
-{
-  int64_t worst = 0;
-
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      const SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (sched_is_serving (task))
-        worst = MAX (worst, sched_tail_percent (task));
-    }
-  return worst;
-}
-
 static void
 adjust_paces (Sched *sched, SchedWorker *worker)
 {
   int64_t since_ms = (sched->now_us - worker->pace_us) / 1000;
-  const SchedTask *harmed = worst_harmed (sched, worker);
+  const SchedTask *harmed = worst_harmed (worker);
 
   if (harmed != NULL && since_ms >= PACE_DOWN_MS)
     slow_fills (sched, worker, harmed);
-  else if (harmed == NULL && since_ms >= PACE_UP_MS && worst_tail (worker) < PACE_UP_PERCENT)
+  else if (harmed == NULL && since_ms >= PACE_UP_MS)
     restore_pace (sched, worker);
 }
 
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -7,8 +7,13 @@
 #define COST_FILL_BESIDE_SERVING 100000
 #define COST_SERVING_BESIDE_FILL 8000
 #define COST_SERVING_ALONE 40000
+/** Of each other image that serves there: what fills has to suit them all. */
+#define COST_SERVING_MIXED 0
 #define COST_AVOIDED 50000
-#define COST_TAIL_PERCENT 1000
+/** Of a headroom of 1, less where more is left. */
+#define COST_HEADROOM 100000
+#define COST_FULL 30000
+#define COST_FREE 8000
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
 /** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
@@ -22,8 +27,9 @@
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
 #define FILL_PERCENT_MAX 115
-/** Tasks that fill start beside serving ones only if tails stay below this percent of targets. */
-#define TAIL_PERCENT_MAX 80
+/** Tasks that fill start beside serving ones only if these keep this headroom. */
+#define HEADROOM_MIN 1.3
+#define HEADROOM_LEAST 0.1
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 40
 /** A step whose turn came this long ago always has tasks at work, if less than this share of the
@@ -172,8 +178,9 @@
 static gboolean
 is_open (const Sched *sched, const SchedWorker *worker)
 {
-  return worker->report_us != 0 && worker->report_version != 0 && !worker->info->is_draining && !worker->is_leaving
-         && g_hash_table_size (worker->strays) == 0 && sched->now_us >= worker->shun_until_us
+  return worker->report_us != 0 && worker->report_version != 0 && !worker->info->is_draining
+         && !worker->is_leaving && g_hash_table_size (worker->strays) == 0
+         && sched->now_us >= worker->shun_until_us
          && sched->now_us - worker->report_us <= sched->options.fresh_ms * 1000;
 }
 
@@ -189,15 +196,14 @@
 
 /* Tasks that fill share what the others leave; too many of them would all be late. */
 static gboolean
-has_room_to_fill (Sched *sched, const SchedWorker *worker, const SchedTask *task)
+has_room_to_fill (SchedWorker *worker, const SchedTask *task)
 {
   int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
                    + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
   int64_t wanted_m = worker->fill_cpu_m + task->part->step->size.cpu_m;
 
   return wanted_m <= left_m * FILL_PERCENT_MAX / 100 && !worker->is_harmed
-         && (worker->n_serving == 0
-             || sched_tails_expected (sched, worker, task) <= TAIL_PERCENT_MAX);
+         && (worker->n_serving == 0 || sched_tails_room_beside (worker, task) >= HEADROOM_MIN);
 }
 
 static gboolean
@@ -210,7 +216,7 @@
 }
 
 static gboolean
-has_room (Sched *sched, const SchedWorker *worker, const SchedTask *task)
+has_room (SchedWorker *worker, const SchedTask *task)
 {
   const SchedPart *part = task->part;
   int64_t capacity_m = worker->info->capacity.cpu_m;
@@ -218,13 +224,18 @@
 
   if (part->job->queue->priority > 0 && !part->step->lasts)
     cpu_m -= capacity_m / RESERVE_DIVISOR;
-  return (part->step->fills ? has_room_to_fill (sched, worker, task)
-                            : part->step->size.cpu_m <= cpu_m)
+  return (part->step->fills ? has_room_to_fill (worker, task) : part->step->size.cpu_m <= cpu_m)
          && has_memory (worker, part->step);
 }
 
 static int64_t
-cost_of (const SchedWorker *worker, const SchedTask *task)
+cost_of_headroom (SchedWorker *worker, const SchedTask *task)
+{
+  return (int64_t) (COST_HEADROOM * sched_tails_use (worker, task));
+}
+
+static int64_t
+cost_of (SchedWorker *worker, const SchedTask *task)
 {
   const JobStep *step = task->part->step;
   int64_t cost = 0;
@@ -235,14 +246,15 @@
     cost += COST_AVOIDED;
   if (step->fills)
     {
-      cost += worker->used.cpu_m + worker->fill_cpu_m - worker->info->capacity.cpu_m;
-      cost += worker->n_serving > 0 ? COST_FILL_BESIDE_SERVING : 0;
+      cost += COST_FULL * (worker->used.cpu_m + worker->fill_cpu_m) / worker->info->capacity.cpu_m;
+      cost += worker->n_serving > 0 ? cost_of_headroom (worker, task) : COST_FREE;
     }
   else if (step->lasts)
     {
       /* Serving tasks keep together, so that other workers are left to tasks that fill. */
       cost += worker->fill_cpu_m > 0 ? COST_SERVING_BESIDE_FILL + worker->fill_cpu_m : 0;
       cost += worker->n_serving == 0 ? COST_SERVING_ALONE : 0;
+      cost += (int64_t) sched_tails_other_images (worker, task) * COST_SERVING_MIXED;
       cost += worker->used.cpu_m / 4;
     }
   else
@@ -262,19 +274,19 @@
 
 /* A starved step takes what fits at all; another one waits for room by the rules above. */
 static gboolean
-admits (Sched *sched, const SchedWorker *worker, const SchedTask *task, gboolean is_starved)
+admits (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
 {
   const JobStep *step = task->part->step;
 
   if (!may_run (worker, task->part))
     return FALSE;
   if (!is_starved)
-    return has_room (sched, worker, task);
+    return has_room (worker, task);
   return fits_plainly (worker, step) && !(step->fills && worker->is_harmed);
 }
 
 static SchedWorker *
-choose (Sched *sched, const GPtrArray *workers, const SchedTask *task, gboolean is_starved)
+choose (const GPtrArray *workers, const SchedTask *task, gboolean is_starved)
 {
   SchedWorker *best = NULL;
   int64_t best_cost = 0;
@@ -282,11 +294,9 @@
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!admits (sched, worker, task, is_starved))
+      if (!admits (worker, task, is_starved))
         continue;
       int64_t cost = cost_of (worker, task);
-      if (is_starved && task->part->step->fills)
-        cost += (int64_t) sched_tails_expected (sched, worker, task) * COST_TAIL_PERCENT;
       if (best == NULL || cost < best_cost)
         {
           best = worker;
@@ -312,7 +322,7 @@
       SchedTask *task = &part->tasks[i];
       if (task->state != TASK_WAITING)
         continue;
-      SchedWorker *worker = choose (sched, workers, task, FALSE);
+      SchedWorker *worker = choose (workers, task, FALSE);
       if (worker == NULL)
         return;
       task->run = next_run (sched, task);
@@ -342,7 +352,7 @@
     return;
   for (uint32_t i = 0; i < n_tasks; i++)
     {
-      SchedWorker *worker = choose (sched, workers, &part->tasks[i], FALSE);
+      SchedWorker *worker = choose (workers, &part->tasks[i], FALSE);
       if (worker == NULL)
         {
           undo_gang (part);
@@ -400,7 +410,7 @@
   while (part->tasks[index].state != TASK_WAITING)
     index++;
   SchedTask *task = &part->tasks[index];
-  SchedWorker *worker = choose (sched, workers, task, TRUE);
+  SchedWorker *worker = choose (workers, task, TRUE);
   if (worker == NULL)
     return;
   task->run = next_run (sched, task);
@@ -443,7 +453,7 @@
   g_autoptr (GPtrArray) workers = open_workers (sched);
 
   (void) g_ptr_array_remove_fast (workers, task->worker);
-  return choose (sched, workers, task, FALSE) != NULL;
+  return choose (workers, task, FALSE) != NULL;
 }
 
 uint32_t
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -349,5 +349,5 @@
   note_refusals (sched, worker, report);
   take_ends (sched, worker, report);
   take_rows (sched, worker, report);
-  sched_tails_learn (sched, worker);
+  sched_tails_learn (worker);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "batch/interference.h"
 #include "batch/sched.h"
 
 G_BEGIN_DECLS
@@ -34,10 +35,11 @@
   int64_t percent;
   int64_t percent_us; /**< when the percent last changed */
   int64_t figure;
-  uint32_t pace;    /**< percent that it may work at */
-  int64_t pace_us;  /**< when that was last changed; 0: never */
-  int64_t over_us;  /**< of a serving task: since when it is over its target; 0: it is not */
-  double base_tail; /**< of a serving task: tail without neighbours, percent of its target */
+  uint32_t pace;          /**< percent that it may work at */
+  int64_t pace_us;        /**< when that was last changed; 0: never */
+  int64_t over_us;        /**< of a serving task: since when it is over its target; 0: it is not */
+  InterferenceTask alone; /**< of a serving task: its headroom without tasks that fill */
+  double room;            /**< of a serving task: what they leave of it */
   gboolean is_starting;
   gboolean is_stopping;
   gboolean
@@ -61,8 +63,20 @@
   uint32_t n_timed;   /**< tasks that ran through at full pace */
   int64_t timed_ms;   /**< sum of their durations */
   int64_t ready_us;   /**< when its turn was first seen to have come; 0: not yet */
+  uint32_t image;     /**< number of its image, once has_image is set */
+  gboolean has_image;
 };
 
+/** A task that fills at a worker, at one pace. */
+typedef struct
+{
+  const SchedTask *task;
+  uint32_t image;
+  double share; /**< of the worker's processors */
+  int64_t from_us;
+  int64_t to_us; /**< 0: it goes on */
+} SchedExposure;
+
 typedef struct
 {
   uint32_t index;
@@ -97,6 +111,7 @@
 
 struct SchedWorker
 {
+  Sched *sched;
   char *name;       /**< of its agent */
   WorkerInfo *info; /**< NULL before its first report */
   uint64_t boot;
@@ -119,9 +134,11 @@
   JobSize used;       /**< processors without those of tasks that fill */
   int64_t fill_cpu_m; /**< wanted by tasks that fill */
   uint32_t n_serving;
-  int64_t serving_cpu_m; /**< reserved for serving tasks, part of used */
-  int64_t pace_us;       /**< when tasks that fill were last paced */
-  gboolean is_harmed;    /**< a serving task has been over its target for too long */
+  int64_t serving_cpu_m;  /**< reserved for serving tasks, part of used */
+  GArray *exposures;      /**< SchedExposure, of now and the last moments */
+  gboolean has_old_rooms; /**< rooms of its serving tasks have to be computed anew */
+  int64_t pace_us;        /**< when tasks that fill were last paced */
+  gboolean is_harmed;     /**< a serving task has been over its target for too long */
   uint32_t fail_streak;
   int64_t shun_until_us; /**< nothing new before */
   int64_t shun_ms;       /**< length of the last shunning */
@@ -145,7 +162,7 @@
   int64_t now_us;
   int64_t wall_ms;
   int64_t room_noted_us;
-  GHashTable *increases; /**< serving image -> filling image -> double, see sched_tails.c */
+  Interference *interference;
 };
 
 /* sched_jobs.c */
@@ -171,7 +188,7 @@
 void sched_date_ended (Sched *sched);
 
 /* sched_workers.c */
-SchedWorker *sched_worker_new (const char *name);
+SchedWorker *sched_worker_new (Sched *sched, const char *name);
 void sched_worker_free (gpointer data);
 void sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task);
 void sched_order_stop (Sched *sched, SchedTask *task, const char *reason);
@@ -203,16 +220,28 @@
 
 /* sched_tails.c */
 gboolean sched_is_serving (const SchedTask *task);
-/* Reported tail in percent of its target; 0 while none is known. */
-int64_t sched_tail_percent (const SchedTask *serving);
+/* Target of a serving task divided by its tail: under 1 it is over its target; 0: not known. */
+double sched_headroom (const SchedTask *serving);
 /* Learns from the newest report of the worker. */
-void sched_tails_learn (Sched *sched, const SchedWorker *worker);
-/* What a task that fills adds to a serving task's tail, in percent of its target. */
-double sched_tail_share (Sched *sched, const SchedTask *serving, const SchedTask *fill);
-/* Sum of those shares of all that fill at the worker. */
-double sched_tails_shares (Sched *sched, const SchedWorker *worker, const SchedTask *serving);
-/* Largest tail at the worker that one more task that fills would increase, with that increase. */
-double sched_tails_expected (Sched *sched, const SchedWorker *worker, const SchedTask *added);
+void sched_tails_learn (SchedWorker *worker);
+/* To be called after a task was attached, before it is detached, and after its pace changed. */
+void sched_tails_attach (SchedWorker *worker, const SchedTask *task);
+void sched_tails_detach (SchedWorker *worker, const SchedTask *task);
+void sched_tails_pace (SchedWorker *worker, const SchedTask *task);
+/* Least headroom at the worker that @p share more of its processors at work for an image that
+ * fills would leave, of serving tasks that would notice. */
+double sched_tails_room (SchedWorker *worker, const SchedTask *fill, double share);
+double sched_tails_use (SchedWorker *worker, const SchedTask *fill);
+/* The same for a task that would start there. */
+double sched_tails_room_beside (SchedWorker *worker, const SchedTask *fill);
+/* Images other than the task's that serve at the worker. */
+uint32_t sched_tails_other_images (const SchedWorker *worker, const SchedTask *task);
+/* Share of the worker's processors that a task uses at @p percent of its pace. */
+double sched_tails_share (const SchedWorker *worker, const SchedTask *fill, uint32_t percent);
+/* What a task that fills takes of a serving task's headroom, and what all of them take. */
+double
+sched_tails_take (const SchedWorker *worker, const SchedTask *serving, const SchedTask *fill);
+double sched_tails_takes (const SchedWorker *worker, const SchedTask *serving);
 
 void sched_note (Sched *sched, const char *event, const char *job, const char *format, ...)
     G_GNUC_PRINTF (4, 5);
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -1,178 +1,308 @@
 /*
- * Tails of serving tasks beside tasks that fill. A serving task's tail, in percent of its target,
- * is modelled as a base of its own and an increase for each core of each image that fills beside
- * it. The increases are learned from what workers report, by normalized least mean squares.
+ * Tails of serving tasks beside tasks that fill. What fills at a worker is kept as exposures over
+ * the last moments, since a worker's figures speak of the half second before them.
  */
 #include "batch/sched_tables.h"
+#include "common/clk.h"
 
-/** Increase by a core of an image that was never seen beside a serving one, in percent. */
-#define FIRST_INCREASE 5.0
-#define INCREASE_MAX 80.0
-/** Share of an error that corrects the base, and the increases. */
-#define BASE_RATE 0.15
-#define INCREASE_RATE 0.25
-/** A base without anything beside it follows the tail at this rate. */
-#define ALONE_RATE 0.4
-/** An increase up to this does not count as one, in percent of the target. */
-#define HARMLESS_PERCENT 2.0
-/** Larger tails come from a worker in trouble, not from its neighbours. */
-#define TAIL_PERCENT_MAX 600
-/** A task's share in the tail shows in reports this long after its start or its pacing. */
-#define LAG_MS 500
-#define MILLI 1000.0
+/** A figure is averaged over this time, and is this old on average when it comes. */
+#define FIGURE_MS 500
+#define FIGURE_AGE_MS 250
+/** From an order to its effect at the worker. */
+#define START_LAG_MS 30
+#define PACE_LAG_MS 100
+/** Exposures that ended before this are in no figure that is still to come. */
+#define KEEP_MS 2000
+/** Images beside one task that are told apart; more are left out. */
+#define LOADS_MAX 32
+/** A smaller take does not count: it would forbid harmless neighbours beside a task in trouble. */
+#define HARMLESS 0.03
+/** Headroom of a worker where no serving task would notice. */
+#define UNBOUNDED 1000.0
+/** A tail over this many targets comes from a worker in trouble, not from its neighbours. */
+#define TARGETS_MAX 30
+#define PERCENT 100.0
 
-static const char *
-image_of (const SchedTask *task)
+gboolean
+sched_is_serving (const SchedTask *task)
 {
-  const char *image = task->part->step->image;
+  return task->part->step->lasts && task->part->step->tail_target_ms > 0;
+}
 
-  return image != NULL ? image : "";
+double
+sched_headroom (const SchedTask *serving)
+{
+  if (serving->percent < 100 || serving->figure <= 0)
+    return 0;
+  return (double) serving->part->step->tail_target_ms / (double) serving->figure;
 }
 
-static double *
-increase_of (Sched *sched, const SchedTask *serving, const SchedTask *fill)
+static uint32_t
+image_of (const SchedWorker *worker, SchedPart *part)
 {
-  GHashTable *row = g_hash_table_lookup (sched->increases, image_of (serving));
+  if (!part->has_image)
+    part->image = interference_image (worker->sched->interference, part->step->image);
+  part->has_image = TRUE;
+  return part->image;
+}
 
-  if (row == NULL)
-    {
-      row = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-      g_hash_table_insert (sched->increases, g_strdup (image_of (serving)), row);
-    }
-  double *increase = g_hash_table_lookup (row, image_of (fill));
-  if (increase == NULL)
-    {
-      increase = g_new (double, 1);
-      *increase = FIRST_INCREASE;
-      g_hash_table_insert (row, g_strdup (image_of (fill)), increase);
-    }
-  return increase;
+/* Share of the worker's processors at full pace. */
+static double
+full_share (const SchedWorker *worker, const SchedTask *fill)
+{
+  return (double) fill->part->step->size.cpu_m / (double) MAX (worker->info->capacity.cpu_m, 1);
 }
 
-gboolean
-sched_is_serving (const SchedTask *task)
+static void
+add_exposure (SchedWorker *worker, const SchedTask *fill, int64_t from_us)
 {
-  return task->part->step->lasts && task->part->step->tail_target_ms > 0;
+  const SchedExposure row = { .task = fill,
+                              .image = image_of (worker, fill->part),
+                              .share = full_share (worker, fill) * fill->pace / PERCENT,
+                              .from_us = from_us };
+
+  g_array_append_val (worker->exposures, row);
+  worker->has_old_rooms = TRUE;
 }
 
-static double
-cores_at (const SchedTask *fill, uint32_t pace)
+static void
+end_exposure (SchedWorker *worker, const SchedTask *fill, int64_t to_us)
 {
-  return (double) fill->part->step->size.cpu_m * pace / MILLI / 100.0;
+  for (guint i = 0; i < worker->exposures->len; i++)
+    {
+      SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
+      if (row->task == fill && row->to_us == 0)
+        row->to_us = to_us;
+    }
+  worker->has_old_rooms = TRUE;
 }
 
-/* Whether reports show the task's present pace already. */
-static gboolean
-shows (const Sched *sched, const SchedTask *fill)
+void
+sched_tails_attach (SchedWorker *worker, const SchedTask *task)
 {
-  return !fill->is_starting && sched->now_us - fill->placed_us >= LAG_MS * 1000
-         && sched->now_us - fill->pace_us >= LAG_MS * 1000;
+  if (task->part->step->fills)
+    add_exposure (worker, task, worker->sched->now_us + START_LAG_MS * CLK_US_PER_MS);
+  worker->has_old_rooms = TRUE;
 }
 
-int64_t
-sched_tail_percent (const SchedTask *serving)
+void
+sched_tails_detach (SchedWorker *worker, const SchedTask *task)
 {
-  if (serving->percent < 100 || serving->figure <= 0)
-    return 0;
-  return serving->figure * 100 / serving->part->step->tail_target_ms;
+  if (task->part->step->fills)
+    end_exposure (worker, task, MAX (worker->sched->now_us, 1));
+  worker->has_old_rooms = TRUE;
+}
+
+void
+sched_tails_pace (SchedWorker *worker, const SchedTask *task)
+{
+  int64_t at_us = worker->sched->now_us + PACE_LAG_MS * CLK_US_PER_MS;
+
+  end_exposure (worker, task, at_us);
+  add_exposure (worker, task, at_us);
 }
 
 static void
-learn_from (Sched *sched, const SchedWorker *worker, SchedTask *serving)
+drop_old_exposures (SchedWorker *worker)
 {
-  double tail = (double) sched_tail_percent (serving);
-  double expected = serving->base_tail;
-  double norm = 1.0;
+  int64_t before_us = worker->sched->now_us - KEEP_MS * CLK_US_PER_MS;
 
-  if (tail <= 0 || tail > TAIL_PERCENT_MAX)
-    return;
-  if (serving->base_tail <= 0)
+  for (guint i = worker->exposures->len; i-- > 0;)
     {
-      serving->base_tail = tail;
-      return;
+      const SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
+      if (row->to_us != 0 && row->to_us < before_us)
+        g_array_remove_index_fast (worker->exposures, i);
     }
-  for (guint i = 0; i < worker->tasks->len; i++)
+}
+
+static uint32_t
+add_load (InterferenceLoad *loads, uint32_t n_loads, uint32_t image, double share)
+{
+  for (uint32_t i = 0; i < n_loads; i++)
     {
-      const SchedTask *fill = g_ptr_array_index (worker->tasks, i);
-      if (!fill->part->step->fills)
+      if (loads[i].image != image)
         continue;
-      if (!shows (sched, fill))
-        return;
-      double cores = cores_at (fill, fill->pace);
-      expected += *increase_of (sched, serving, fill) * cores;
-      norm += cores * cores;
+      loads[i].share += share;
+      return n_loads;
     }
-  double error = tail - expected;
-  if (worker->fill_cpu_m == 0)
+  if (n_loads == LOADS_MAX)
+    return n_loads;
+  loads[n_loads] = (InterferenceLoad){ image, share };
+  return n_loads + 1;
+}
+
+/* What filled while the newest figures were measured. */
+static uint32_t
+loads_of_figures (const SchedWorker *worker, InterferenceLoad *loads)
+{
+  int64_t to_us = worker->sched->now_us - FIGURE_AGE_MS * CLK_US_PER_MS;
+  int64_t from_us = to_us - FIGURE_MS * CLK_US_PER_MS;
+  uint32_t n_loads = 0;
+
+  for (guint i = 0; i < worker->exposures->len; i++)
     {
-      serving->base_tail += ALONE_RATE * error;
-      return;
+      const SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
+      int64_t end_us = row->to_us == 0 ? to_us : MIN (row->to_us, to_us);
+      int64_t common_us = end_us - MAX (row->from_us, from_us);
+      if (common_us > 0 && row->share > 0)
+        n_loads = add_load (loads, n_loads, row->image,
+                            row->share * (double) common_us / (FIGURE_MS * CLK_US_PER_MS));
     }
-  serving->base_tail = MAX (serving->base_tail + BASE_RATE * error, 1.0);
+  return n_loads;
+}
+
+void
+sched_tails_learn (SchedWorker *worker)
+{
+  InterferenceLoad loads[LOADS_MAX];
+  uint32_t n_loads = 0;
+
+  drop_old_exposures (worker);
+  if (worker->n_serving == 0)
+    return;
+  n_loads = loads_of_figures (worker, loads);
   for (guint i = 0; i < worker->tasks->len; i++)
     {
-      const SchedTask *fill = g_ptr_array_index (worker->tasks, i);
-      if (!fill->part->step->fills)
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      double headroom = sched_is_serving (task) ? sched_headroom (task) : 0;
+      if (headroom <= 1.0 / TARGETS_MAX)
         continue;
-      double *increase = increase_of (sched, serving, fill);
-      double step = INCREASE_RATE * error * cores_at (fill, fill->pace) / norm;
-      *increase = CLAMP (*increase + step, 0.0, INCREASE_MAX);
+      interference_observe (worker->sched->interference, image_of (worker, task->part),
+                            &task->alone, headroom, loads, n_loads, worker->sched->now_us);
     }
+  worker->has_old_rooms = TRUE;
 }
 
-void
-sched_tails_learn (Sched *sched, const SchedWorker *worker)
+/* What is left of a serving task's headroom beside all that fills now. */
+static double
+room_of (const SchedWorker *worker, const SchedTask *serving)
+{
+  const Interference *model = worker->sched->interference;
+  double room = serving->alone.seen_us != 0 ? serving->alone.alone : UNBOUNDED;
+
+  for (guint i = 0; i < worker->exposures->len; i++)
+    {
+      const SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
+      if (row->to_us == 0)
+        room -= interference_take_most (model, serving->part->image, row->image) * row->share;
+    }
+  return room;
+}
+
+static void
+renew_rooms (SchedWorker *worker)
 {
-  if (worker->n_serving == 0)
-    return;
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (sched_is_serving (task))
-        learn_from (sched, worker, task);
+      if (!sched_is_serving (task))
+        continue;
+      (void) image_of (worker, task->part);
+      task->room = room_of (worker, task);
     }
+  worker->has_old_rooms = FALSE;
 }
 
-double
-sched_tail_share (Sched *sched, const SchedTask *serving, const SchedTask *fill)
+/* Whether one of the worker's tasks before place @p n serves with the same image as that one. */
+static gboolean
+is_image_before (const SchedWorker *worker, guint n)
 {
-  return *increase_of (sched, serving, fill) * cores_at (fill, fill->pace);
+  const SchedTask *task = g_ptr_array_index (worker->tasks, n);
+
+  for (guint i = 0; i < n; i++)
+    {
+      const SchedTask *other = g_ptr_array_index (worker->tasks, i);
+      if (sched_is_serving (other)
+          && image_of (worker, other->part) == image_of (worker, task->part))
+        return TRUE;
+    }
+  return FALSE;
 }
 
-/* Of one serving task: what is reported, and what has begun beside it since. */
-static double
-present_tail (Sched *sched, const SchedWorker *worker, const SchedTask *serving)
+uint32_t
+sched_tails_other_images (const SchedWorker *worker, const SchedTask *task)
 {
-  double tail = MAX ((double) sched_tail_percent (serving), serving->base_tail);
+  uint32_t own = image_of (worker, task->part);
+  uint32_t count = 0;
 
   for (guint i = 0; i < worker->tasks->len; i++)
     {
-      const SchedTask *fill = g_ptr_array_index (worker->tasks, i);
-      if (fill->part->step->fills && !shows (sched, fill))
-        tail += sched_tail_share (sched, serving, fill);
+      const SchedTask *other = g_ptr_array_index (worker->tasks, i);
+      count += sched_is_serving (other) && image_of (worker, other->part) != own
+               && !is_image_before (worker, i);
+    }
+  return count;
+}
+
+double
+sched_tails_room (SchedWorker *worker, const SchedTask *fill, double share)
+{
+  const Interference *model = worker->sched->interference;
+  uint32_t image = image_of (worker, fill->part);
+  double least = UNBOUNDED;
+
+  if (worker->n_serving == 0)
+    return least;
+  if (worker->has_old_rooms)
+    renew_rooms (worker);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (!sched_is_serving (task))
+        continue;
+      double take = interference_take_most (model, task->part->image, image) * share;
+      if (take > HARMLESS)
+        least = MIN (least, task->room - take);
     }
-  return tail;
+  return least;
 }
 
 double
-sched_tails_expected (Sched *sched, const SchedWorker *worker, const SchedTask *added)
+sched_tails_use (SchedWorker *worker, const SchedTask *fill)
 {
-  double worst = 0;
+  const Interference *model = worker->sched->interference;
+  uint32_t image = image_of (worker, fill->part);
+  double share = full_share (worker, fill);
+  double most = 0;
 
-  for (guint i = 0; i < worker->tasks->len && worker->n_serving > 0; i++)
+  if (worker->n_serving == 0)
+    return 0;
+  if (worker->has_old_rooms)
+    renew_rooms (worker);
+  for (guint i = 0; i < worker->tasks->len; i++)
     {
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (!sched_is_serving (task))
         continue;
-      double more = *increase_of (sched, task, added) * cores_at (added, 100);
-      if (more > HARMLESS_PERCENT)
-        worst = MAX (worst, present_tail (sched, worker, task) + more);
+      double take = interference_take_most (model, task->part->image, image) * share;
+      if (take > HARMLESS)
+        most = MAX (most, take / MAX (task->room - 1.0, 0.1));
     }
-  return worst;
+  return most;
+}
+
+double
+sched_tails_room_beside (SchedWorker *worker, const SchedTask *fill)
+{
+  return sched_tails_room (worker, fill, full_share (worker, fill));
+}
+
+double
+sched_tails_share (const SchedWorker *worker, const SchedTask *fill, uint32_t percent)
+{
+  return full_share (worker, fill) * percent / PERCENT;
+}
+
+double
+sched_tails_take (const SchedWorker *worker, const SchedTask *serving, const SchedTask *fill)
+{
+  return interference_take (worker->sched->interference, image_of (worker, serving->part),
+                            image_of (worker, fill->part))
+         * sched_tails_share (worker, fill, fill->pace);
 }
 
 double
-sched_tails_shares (Sched *sched, const SchedWorker *worker, const SchedTask *serving)
+sched_tails_takes (const SchedWorker *worker, const SchedTask *serving)
 {
   double sum = 0;
 
@@ -180,7 +310,7 @@
     {
       const SchedTask *fill = g_ptr_array_index (worker->tasks, i);
       if (fill->part->step->fills)
-        sum += sched_tail_share (sched, serving, fill);
+        sum += sched_tails_take (worker, serving, fill);
     }
   return sum;
 }
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -14,14 +14,16 @@
 }
 
 SchedWorker *
-sched_worker_new (const char *name)
+sched_worker_new (Sched *sched, const char *name)
 {
   SchedWorker *worker = g_new0 (SchedWorker, 1);
 
+  worker->sched = sched;
   worker->name = g_strdup (name);
   worker->orders = g_ptr_array_new_with_free_func (order_free);
   worker->tasks = g_ptr_array_new ();
   worker->strays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  worker->exposures = g_array_new (FALSE, FALSE, sizeof (SchedExposure));
   worker->next_number = 1;
   return worker;
 }
@@ -31,6 +33,7 @@
 {
   SchedWorker *worker = data;
 
+  g_array_unref (worker->exposures);
   g_ptr_array_unref (worker->tasks);
   g_hash_table_destroy (worker->strays);
   g_ptr_array_unref (worker->orders);
@@ -82,12 +85,13 @@
   task->figure = 0;
   task->pace = 100;
   task->pace_us = 0;
-  task->base_tail = 0;
+  task->alone = (InterferenceTask){ 0 };
   task->over_us = 0;
   task->is_starting = TRUE;
   task->is_stopping = FALSE;
   g_ptr_array_add (worker->tasks, task);
   account (worker, task, 1);
+  sched_tails_attach (worker, task);
 }
 
 void
@@ -96,6 +100,7 @@
   SchedWorker *worker = task->worker;
 
   g_assert (worker != NULL);
+  sched_tails_detach (worker, task);
   account (worker, task, -1);
   (void) g_ptr_array_remove_fast (worker->tasks, task);
   task->worker = NULL;
@@ -176,6 +181,7 @@
   order->pace->percent = percent;
   task->pace = percent;
   task->pace_us = sched->now_us;
+  sched_tails_pace (task->worker, task);
   task->percent_us = sched->now_us;
   sched_note (sched, "pace", task->part->job->id, "task=%s worker=%s percent=%u", name,
               task->worker->name, percent);
--- a/lib/keeper/keeper_look.c
+++ b/lib/keeper/keeper_look.c
@@ -7,6 +7,8 @@
 #define TOLD_MS 1000
 /** A task that lasts is at work at this percent; its figure then tells its tail. */
 #define AT_WORK_PERCENT 100
+/** The owner hears at once of a tail that has grown by this factor. */
+#define GROWN_FACTOR 1.3
 
 static gboolean
 is_ended (const Keeper *keeper, const KeeperRow *row)
@@ -35,13 +37,23 @@
   return is_long_ago && task->percent != row->told_percent;
 }
 
+static gboolean
+has_grown (const KeeperRow *row, const WorkerTask *task)
+{
+  return task->percent >= AT_WORK_PERCENT && row->told_percent >= AT_WORK_PERCENT
+         && (double) task->figure >= (double) row->told_figure * GROWN_FACTOR;
+}
+
 static void
 take_row (Keeper *keeper, KeeperRow *row, const WorkerTask *task)
 {
   if (is_worth_telling (keeper, row, task))
     {
+      if (has_grown (row, task))
+        keeper_changed (keeper);
       row->version = keeper_next_version (keeper);
       row->told_percent = task->percent;
+      row->told_figure = task->figure;
       row->told_us = keeper_now_us (keeper);
     }
   row->is_listed = TRUE;
--- a/lib/keeper/keeper_private.h
+++ b/lib/keeper/keeper_private.h
@@ -39,7 +39,8 @@
   WorkerTask seen;      /**< of the newest look; texts owned */
   uint64_t version;     /**< of its newest change that reports tell */
   int64_t told_percent; /**< at that change */
-  int64_t told_us;      /**< when that was */
+  int64_t told_figure;
+  int64_t told_us; /**< when that was */
 } KeeperRow;
 
 /** A run that is not here any more, or was refused. */
--- /dev/null
+++ b/tests/batch/test_interference.c
@@ -0,0 +1,174 @@
+/* Takes of headroom by pairs of images, learned from rough figures. */
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "batch/interference.h"
+
+#define FIGURE_US (500 * 1000)
+#define SERVING 0
+#define HEAVY 1
+#define LIGHT 2
+
+/* A serving task whose load swings, beside images that take as told; figures are 5 % off. */
+typedef struct
+{
+  Interference *model;
+  InterferenceTask task;
+  GRand *rand;
+  int64_t now_us;
+  double takes[3];
+} World;
+
+static World *
+world_new (guint32 seed)
+{
+  World *world = g_new0 (World, 1);
+
+  world->model = interference_new ();
+  world->rand = g_rand_new_with_seed (seed);
+  world->now_us = 1000 * 1000;
+  world->takes[HEAVY] = 8.0;
+  world->takes[LIGHT] = 0.0;
+  return world;
+}
+
+static void
+world_free (World *world)
+{
+  g_rand_free (world->rand);
+  interference_free (world->model);
+  g_free (world);
+}
+
+static double
+alone_now (const World *world)
+{
+  return 3.0 + sin ((double) world->now_us / 1e6 * 2.0 * G_PI / 14.0);
+}
+
+static void
+step (World *world, const InterferenceLoad *loads, uint32_t n_loads)
+{
+  double headroom = alone_now (world);
+
+  world->now_us += FIGURE_US;
+  for (uint32_t i = 0; i < n_loads; i++)
+    headroom -= world->takes[loads[i].image] * loads[i].share;
+  headroom = MAX (headroom, 0.1) * g_rand_double_range (world->rand, 0.95, 1.05);
+  interference_observe (world->model, SERVING, &world->task, headroom, loads, n_loads,
+                        world->now_us);
+}
+
+/* Both images come and go, at times together. */
+static void
+play (World *world, uint32_t n_steps)
+{
+  for (uint32_t i = 0; i < n_steps; i++)
+    {
+      InterferenceLoad loads[2];
+      uint32_t n_loads = 0;
+      if (i / 4 % 2 == 1)
+        loads[n_loads++] = (InterferenceLoad){ HEAVY, 0.15 };
+      if (i / 6 % 2 == 1)
+        loads[n_loads++] = (InterferenceLoad){ LIGHT, 0.3 };
+      step (world, loads, n_loads);
+    }
+}
+
+static void
+heavy_and_light_pairs_are_told_apart (void **state)
+{
+  (void) state;
+  for (guint32 seed = 0; seed < 20; seed++)
+    {
+      World *world = world_new (seed);
+      play (world, 60);
+      double heavy = interference_take (world->model, SERVING, HEAVY);
+      double light = interference_take (world->model, SERVING, LIGHT);
+      assert_true (heavy > 4.0 && heavy < 12.0);
+      assert_true (light < 2.0);
+      assert_true (interference_take_most (world->model, SERVING, LIGHT) < heavy);
+      world_free (world);
+    }
+}
+
+/* What is not known yet is not tried in quantity. */
+static void
+unknown_pair_is_taken_for_heavier_than_a_known_light_one (void **state)
+{
+  World *world = world_new (1);
+
+  (void) state;
+  play (world, 60);
+  assert_true (interference_take_most (world->model, SERVING, 7)
+               > 2.0 * interference_take_most (world->model, SERVING, LIGHT));
+  world_free (world);
+}
+
+/* Reports tell a figure more than once. */
+static void
+repeated_figure_counts_once (void **state)
+{
+  World *world = world_new (1);
+  const InterferenceLoad load = { HEAVY, 0.2 };
+
+  (void) state;
+  step (world, NULL, 0);
+  step (world, &load, 1);
+  double take = interference_take (world->model, SERVING, HEAVY);
+  for (int i = 0; i < 10; i++)
+    interference_observe (world->model, SERVING, &world->task, world->task.figure, &load, 1,
+                          world->now_us + i);
+  assert_float_equal (interference_take (world->model, SERVING, HEAVY), take, 1e-9);
+  world_free (world);
+}
+
+/* A tail at the largest that is ever told says nothing of how much more there was. */
+static void
+saturated_figure_does_not_make_a_pair_lighter (void **state)
+{
+  World *world = world_new (1);
+  const InterferenceLoad load = { HEAVY, 1.0 };
+
+  (void) state;
+  play (world, 60);
+  double take = interference_take (world->model, SERVING, HEAVY);
+  for (int i = 0; i < 40; i++)
+    step (world, &load, 1);
+  assert_true (interference_take (world->model, SERVING, HEAVY) > take * 0.8);
+  world_free (world);
+}
+
+static void
+images_are_numbered_once_and_bounded (void **state)
+{
+  Interference *model = interference_new ();
+
+  (void) state;
+  assert_int_equal (interference_image (model, "a"), interference_image (model, "a"));
+  assert_int_not_equal (interference_image (model, "a"), interference_image (model, NULL));
+  for (int i = 0; i < 3 * INTERFERENCE_IMAGES_MAX; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("image-%d", i);
+      assert_in_range (interference_image (model, name), 0, INTERFERENCE_IMAGES_MAX);
+    }
+  interference_free (model);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (heavy_and_light_pairs_are_told_apart),
+    cmocka_unit_test (unknown_pair_is_taken_for_heavier_than_a_known_light_one),
+    cmocka_unit_test (repeated_figure_counts_once),
+    cmocka_unit_test (saturated_figure_does_not_make_a_pair_lighter),
+    cmocka_unit_test (images_are_numbered_once_and_bounded),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
