--- a/lib/batch/interference.c
+++ b/lib/batch/interference.c
@@ -8,6 +8,8 @@
 #define TAKE_VARIANCE 8.0
 /** Growth of a take's variance with each figure, so that it is never taken for certain. */
 #define TAKE_DRIFT 0.002
+/** Doubt that is added to what an earlier owner learned. */
+#define RESTORED_VARIANCE 0.1
 /** Standard deviations above the mean that count as hardly exceeded. */
 #define TAKE_DEVIATIONS 2.0
 /** Variance of the headroom alone at first, and its growth in a second by changes of load. */
@@ -69,10 +71,12 @@
   return next;
 }
 
+#define KEY_BASE (INTERFERENCE_IMAGES_MAX + 1)
+
 static gpointer
 pair_key (uint32_t serving, uint32_t filling)
 {
-  return GUINT_TO_POINTER (serving * (INTERFERENCE_IMAGES_MAX + 1) + filling);
+  return GUINT_TO_POINTER (serving * KEY_BASE + filling);
 }
 
 static const Pair *
@@ -90,7 +94,7 @@
   gpointer key = pair_key (serving, filling);
   Pair *pair = g_hash_table_lookup (model->pairs, key);
 
-  if (pair != NULL)
+  if (pair != NULL || g_hash_table_size (model->pairs) >= INTERFERENCE_PAIRS_MAX)
     return pair;
   pair = g_new (Pair, 1);
   *pair = (Pair){ TAKE_MEAN, TAKE_VARIANCE };
@@ -153,6 +157,8 @@
 static void
 correct_take (Pair *pair, double share, double error, double variance)
 {
+  if (pair == NULL)
+    return;
   double gain = pair->variance * share / variance;
 
   pair->take = MAX (pair->take - gain * error, 0.0);
@@ -193,3 +199,55 @@
   for (uint32_t i = 0; i < n_loads; i++)
     correct_take (make_pair (model, serving, loads[i].image), loads[i].share, error, variance);
 }
+
+/* Names by number; owned by the model. */
+static GPtrArray *
+image_names (const Interference *model)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer name = NULL;
+  gpointer number = NULL;
+
+  g_ptr_array_set_size (names, (gint) g_hash_table_size (model->images));
+  g_hash_table_iter_init (&iter, model->images);
+  while (g_hash_table_iter_next (&iter, &name, &number))
+    names->pdata[GPOINTER_TO_UINT (number)] = name;
+  return names;
+}
+
+void
+interference_each_pair (const Interference *model,
+                        void (*each) (void *ctx, const InterferencePair *pair),
+                        void *ctx)
+{
+  g_autoptr (GPtrArray) names = image_names (model);
+  GHashTableIter iter;
+  gpointer key = NULL;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, model->pairs);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const Pair *pair = value;
+      uint32_t serving = GPOINTER_TO_UINT (key) / KEY_BASE;
+      uint32_t filling = GPOINTER_TO_UINT (key) % KEY_BASE;
+      if (serving >= names->len || filling >= names->len)
+        continue;
+      const InterferencePair row
+          = { names->pdata[serving], names->pdata[filling], pair->take, pair->variance };
+      each (ctx, &row);
+    }
+}
+
+void
+interference_restore (Interference *model, const InterferencePair *row)
+{
+  Pair *pair = make_pair (model, interference_image (model, row->serving),
+                          interference_image (model, row->filling));
+
+  if (pair == NULL || !isfinite (row->take) || !isfinite (row->variance))
+    return;
+  pair->take = MAX (row->take, 0.0);
+  pair->variance = CLAMP (row->variance, 0.0, TAKE_VARIANCE) + RESTORED_VARIANCE;
+}
--- a/lib/batch/interference.h
+++ b/lib/batch/interference.h
@@ -60,6 +60,26 @@
 /** Figures that repeat the last one within this time may be the same measurement. */
 #define INTERFERENCE_REPEAT_MS 600
 
+/** Pairs that are kept; figures beside more of them teach nothing about the others. */
+#define INTERFERENCE_PAIRS_MAX 10000
+
+/** What was learned of one pair. */
+typedef struct
+{
+  const char *serving;
+  const char *filling;
+  double take;
+  double variance;
+} InterferencePair;
+
+/** Calls @p each for every pair that was learned. */
+void interference_each_pair (const Interference *model,
+                             void (*each) (void *ctx, const InterferencePair *pair),
+                             void *ctx);
+
+/** Takes over what another model learned of a pair, with some doubt more. */
+void interference_restore (Interference *model, const InterferencePair *pair);
+
 /** Expected take of a pair. */
 double interference_take (const Interference *model, uint32_t serving, uint32_t filling);
 
--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -367,6 +367,141 @@
   assert(message->base.descriptor == &batch__owner__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__pair_take__init
+                     (Batch__PairTake         *message)
+{
+  static const Batch__PairTake init_value = BATCH__PAIR_TAKE__INIT;
+  *message = init_value;
+}
+size_t batch__pair_take__get_packed_size
+                     (const Batch__PairTake *message)
+{
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__pair_take__pack
+                     (const Batch__PairTake *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__pair_take__pack_to_buffer
+                     (const Batch__PairTake *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__PairTake *
+       batch__pair_take__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__PairTake *)
+     protobuf_c_message_unpack (&batch__pair_take__descriptor,
+                                allocator, len, data);
+}
+void   batch__pair_take__free_unpacked
+                     (Batch__PairTake *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__queue_durations__init
+                     (Batch__QueueDurations         *message)
+{
+  static const Batch__QueueDurations init_value = BATCH__QUEUE_DURATIONS__INIT;
+  *message = init_value;
+}
+size_t batch__queue_durations__get_packed_size
+                     (const Batch__QueueDurations *message)
+{
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__queue_durations__pack
+                     (const Batch__QueueDurations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__queue_durations__pack_to_buffer
+                     (const Batch__QueueDurations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__QueueDurations *
+       batch__queue_durations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__QueueDurations *)
+     protobuf_c_message_unpack (&batch__queue_durations__descriptor,
+                                allocator, len, data);
+}
+void   batch__queue_durations__free_unpacked
+                     (Batch__QueueDurations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__learned__init
+                     (Batch__Learned         *message)
+{
+  static const Batch__Learned init_value = BATCH__LEARNED__INIT;
+  *message = init_value;
+}
+size_t batch__learned__get_packed_size
+                     (const Batch__Learned *message)
+{
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__learned__pack
+                     (const Batch__Learned *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__learned__pack_to_buffer
+                     (const Batch__Learned *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Learned *
+       batch__learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Learned *)
+     protobuf_c_message_unpack (&batch__learned__descriptor,
+                                allocator, len, data);
+}
+void   batch__learned__free_unpacked
+                     (Batch__Learned *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__member__init
                      (Batch__Member         *message)
 {
@@ -1393,6 +1528,250 @@
   (ProtobufCMessageInit) batch__owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor batch__pair_take__field_descriptors[4] =
+{
+  {
+    "serving",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, serving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filling",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, filling),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "take",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, take),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "variance",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, variance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__pair_take__field_indices_by_name[] = {
+  1,   /* field[1] = filling */
+  0,   /* field[0] = serving */
+  2,   /* field[2] = take */
+  3,   /* field[3] = variance */
+};
+static const ProtobufCIntRange batch__pair_take__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor batch__pair_take__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.PairTake",
+  "PairTake",
+  "Batch__PairTake",
+  "batch",
+  sizeof(Batch__PairTake),
+  4,
+  batch__pair_take__field_descriptors,
+  batch__pair_take__field_indices_by_name,
+  1,  batch__pair_take__number_ranges,
+  (ProtobufCMessageInit) batch__pair_take__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__queue_durations__field_descriptors[6] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, log_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_ratio",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, log_ratio),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ms_error",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, ms_error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ratio_error",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, ratio_error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__queue_durations__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  2,   /* field[2] = log_ms */
+  3,   /* field[3] = log_ratio */
+  4,   /* field[4] = ms_error */
+  0,   /* field[0] = queue */
+  5,   /* field[5] = ratio_error */
+};
+static const ProtobufCIntRange batch__queue_durations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor batch__queue_durations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.QueueDurations",
+  "QueueDurations",
+  "Batch__QueueDurations",
+  "batch",
+  sizeof(Batch__QueueDurations),
+  6,
+  batch__queue_durations__field_descriptors,
+  batch__queue_durations__field_indices_by_name,
+  1,  batch__queue_durations__number_ranges,
+  (ProtobufCMessageInit) batch__queue_durations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__learned__field_descriptors[3] =
+{
+  {
+    "images",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Batch__Learned, n_images),
+    offsetof(Batch__Learned, images),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pairs",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Learned, n_pairs),
+    offsetof(Batch__Learned, pairs),
+    &batch__pair_take__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Learned, n_queues),
+    offsetof(Batch__Learned, queues),
+    &batch__queue_durations__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__learned__field_indices_by_name[] = {
+  0,   /* field[0] = images */
+  1,   /* field[1] = pairs */
+  2,   /* field[2] = queues */
+};
+static const ProtobufCIntRange batch__learned__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor batch__learned__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Learned",
+  "Learned",
+  "Batch__Learned",
+  "batch",
+  sizeof(Batch__Learned),
+  3,
+  batch__learned__field_descriptors,
+  batch__learned__field_indices_by_name,
+  1,  batch__learned__number_ranges,
+  (ProtobufCMessageInit) batch__learned__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor batch__member__field_descriptors[3] =
 {
   {
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -23,6 +23,9 @@
 typedef struct Batch__Progress Batch__Progress;
 typedef struct Batch__QueueLoad Batch__QueueLoad;
 typedef struct Batch__Owner Batch__Owner;
+typedef struct Batch__PairTake Batch__PairTake;
+typedef struct Batch__QueueDurations Batch__QueueDurations;
+typedef struct Batch__Learned Batch__Learned;
 typedef struct Batch__Member Batch__Member;
 typedef struct Batch__Start Batch__Start;
 typedef struct Batch__Stop Batch__Stop;
@@ -170,6 +173,61 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
+/*
+ * What a pair of images was seen to do to each other; see interference.h.
+ */
+struct  Batch__PairTake
+{
+  ProtobufCMessage base;
+  /*
+   * places in `images`
+   */
+  uint32_t serving;
+  uint32_t filling;
+  float take;
+  float variance;
+};
+#define BATCH__PAIR_TAKE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__pair_take__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * How far the durations that a queue declares are off; see sched_learn.c.
+ */
+struct  Batch__QueueDurations
+{
+  ProtobufCMessage base;
+  char *queue;
+  uint32_t count;
+  float log_ms;
+  float log_ratio;
+  float ms_error;
+  float ratio_error;
+};
+#define BATCH__QUEUE_DURATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__queue_durations__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Key "learned". Written by the owner now and then, for the one that follows it.
+ */
+struct  Batch__Learned
+{
+  ProtobufCMessage base;
+  size_t n_images;
+  char **images;
+  size_t n_pairs;
+  Batch__PairTake **pairs;
+  size_t n_queues;
+  Batch__QueueDurations **queues;
+};
+#define BATCH__LEARNED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__learned__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * Key "agent.NAME".
  */
@@ -568,6 +626,63 @@
 void   batch__owner__free_unpacked
                      (Batch__Owner *message,
                       ProtobufCAllocator *allocator);
+/* Batch__PairTake methods */
+void   batch__pair_take__init
+                     (Batch__PairTake         *message);
+size_t batch__pair_take__get_packed_size
+                     (const Batch__PairTake   *message);
+size_t batch__pair_take__pack
+                     (const Batch__PairTake   *message,
+                      uint8_t             *out);
+size_t batch__pair_take__pack_to_buffer
+                     (const Batch__PairTake   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__PairTake *
+       batch__pair_take__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__pair_take__free_unpacked
+                     (Batch__PairTake *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__QueueDurations methods */
+void   batch__queue_durations__init
+                     (Batch__QueueDurations         *message);
+size_t batch__queue_durations__get_packed_size
+                     (const Batch__QueueDurations   *message);
+size_t batch__queue_durations__pack
+                     (const Batch__QueueDurations   *message,
+                      uint8_t             *out);
+size_t batch__queue_durations__pack_to_buffer
+                     (const Batch__QueueDurations   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__QueueDurations *
+       batch__queue_durations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__queue_durations__free_unpacked
+                     (Batch__QueueDurations *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Learned methods */
+void   batch__learned__init
+                     (Batch__Learned         *message);
+size_t batch__learned__get_packed_size
+                     (const Batch__Learned   *message);
+size_t batch__learned__pack
+                     (const Batch__Learned   *message,
+                      uint8_t             *out);
+size_t batch__learned__pack_to_buffer
+                     (const Batch__Learned   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Learned *
+       batch__learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__learned__free_unpacked
+                     (Batch__Learned *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Member methods */
 void   batch__member__init
                      (Batch__Member         *message);
@@ -822,6 +937,15 @@
 typedef void (*Batch__Owner_Closure)
                  (const Batch__Owner *message,
                   void *closure_data);
+typedef void (*Batch__PairTake_Closure)
+                 (const Batch__PairTake *message,
+                  void *closure_data);
+typedef void (*Batch__QueueDurations_Closure)
+                 (const Batch__QueueDurations *message,
+                  void *closure_data);
+typedef void (*Batch__Learned_Closure)
+                 (const Batch__Learned *message,
+                  void *closure_data);
 typedef void (*Batch__Member_Closure)
                  (const Batch__Member *message,
                   void *closure_data);
@@ -872,6 +996,9 @@
 extern const ProtobufCMessageDescriptor batch__progress__descriptor;
 extern const ProtobufCMessageDescriptor batch__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor batch__owner__descriptor;
+extern const ProtobufCMessageDescriptor batch__pair_take__descriptor;
+extern const ProtobufCMessageDescriptor batch__queue_durations__descriptor;
+extern const ProtobufCMessageDescriptor batch__learned__descriptor;
 extern const ProtobufCMessageDescriptor batch__member__descriptor;
 extern const ProtobufCMessageDescriptor batch__start__descriptor;
 extern const ProtobufCMessageDescriptor batch__stop__descriptor;
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -61,6 +61,12 @@
   gboolean is_old;                 /**< an earlier owner may have started it */
 } SchedNewJob;
 
+/** What was learned of images and durations, as a Batch__Learned; the caller frees it. */
+GBytes *sched_encode_learned (const Sched *sched);
+
+/** Takes over what an earlier owner learned; to be called before the first report. */
+void sched_restore_learned (Sched *sched, const Batch__Learned *learned);
+
 /** Adds a job; one that is known already only frees the spec. */
 void sched_add_job (Sched *sched, const SchedNewJob *job);
 
--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -11,7 +11,7 @@
 #define PACE_RISE 60
 /** Between two steps: tails are measured over half a second and told half a second later. */
 #define PACE_DOWN_MS 900
-#define PACE_UP_MS 1000
+#define PACE_UP_MS 500
 /** Tasks that fill are slowed down once a serving task's headroom is below this, to this one, and
  * get more as long as that would leave this one. */
 #define HEADROOM_FROM 1.0
@@ -176,7 +176,6 @@
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (task->part->step->fills && task->pace == 0
-          && sched->now_us - task->pace_us >= PACE_UP_MS * 1000
           && (task->part->step->saves || task->percent < WASTE_PERCENT)
           && sched_has_place (sched, task))
         sched_order_stop (sched, task, "tail_over_target");
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -11,6 +11,8 @@
   GHashTable *jobs;   /**< id -> LedgerJob */
   GHashTable *agents; /**< name -> LedgerAgent */
   LedgerOwner owner;
+  Batch__Learned *learned;
+  int64_t learned_offset;
 };
 
 static void
@@ -57,6 +59,8 @@
   g_hash_table_destroy (ledger->agents);
   g_hash_table_destroy (ledger->owner.pending);
   g_free (ledger->owner.name);
+  if (ledger->learned != NULL)
+    batch__learned__free_unpacked (ledger->learned, NULL);
   g_free (ledger);
 }
 
@@ -209,6 +213,21 @@
   return TRUE;
 }
 
+static gboolean
+apply_learned (Ledger *ledger, int64_t offset, const uint8_t *value, size_t size)
+{
+  if (ledger->learned != NULL && offset < ledger->learned_offset)
+    return TRUE;
+  Batch__Learned *learned = batch__learned__unpack (NULL, size, value);
+  if (learned == NULL)
+    return FALSE;
+  if (ledger->learned != NULL)
+    batch__learned__free_unpacked (ledger->learned, NULL);
+  ledger->learned = learned;
+  ledger->learned_offset = offset;
+  return TRUE;
+}
+
 gboolean
 ledger_apply (Ledger *ledger,
               int64_t offset,
@@ -222,6 +241,8 @@
   g_autofree char *text = g_strndup (key, key_size);
   if (strcmp (text, LEDGER_OWNER_KEY) == 0)
     return apply_owner (ledger, offset, value, value_size);
+  if (strcmp (text, LEDGER_LEARNED_KEY) == 0)
+    return apply_learned (ledger, offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_JOB_PREFIX))
     return apply_job (ledger, text + strlen (LEDGER_JOB_PREFIX), offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_RUN_PREFIX))
@@ -251,6 +272,12 @@
   return TRUE;
 }
 
+const Batch__Learned *
+ledger_learned (const Ledger *ledger)
+{
+  return ledger->learned;
+}
+
 const LedgerOwner *
 ledger_owner (const Ledger *ledger)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -21,6 +21,7 @@
 #define LEDGER_CANCEL_PREFIX "cancel."
 #define LEDGER_AGENT_PREFIX "agent."
 #define LEDGER_OWNER_KEY "owner"
+#define LEDGER_LEARNED_KEY "learned"
 
 typedef struct
 {
@@ -85,6 +86,8 @@
 void ledger_each_agent (const Ledger *ledger,
                         void (*each) (void *ctx, const LedgerAgent *agent),
                         void *ctx);
+/** What owners have learned; NULL before one wrote it. */
+const Batch__Learned *ledger_learned (const Ledger *ledger);
 /** Jobs of a queue that have not begun, as the owner last told. */
 uint32_t ledger_pending (const Ledger *ledger, const char *queue);
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -183,6 +183,9 @@
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
   sched_begin_term (owner->sched, owner->term, settled_us);
+  if (ledger_learned (owner->entry->ledger) != NULL)
+    sched_restore_learned (owner->sched, ledger_learned (owner->entry->ledger));
+  owner->learned_us = clk_now_us ();
   ledger_each_job (owner->entry->ledger, add_job, owner);
   ledger_each_agent (owner->entry->ledger, add_agent, owner);
   feed_set_pause (owner->entry->ledger_feed, OWNER_PAUSE_MS);
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -47,6 +47,7 @@
   int64_t append_next_us; /**< none before, since the last one failed */
   int64_t append_wait_ms; /**< length of that pause; 0: it did not fail */
   int64_t renew_us;       /**< when the next sign of life is due */
+  int64_t learned_us;     /**< when what was learned was last written, or the term began */
   guint check_timer;
   guint tick_timer;
   guint soon_timer;
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -7,6 +7,8 @@
 /** How often the time that a state is told for has to pass: an owner counts from when it took over,
  * and callers that repeat a submission must find the job. */
 #define KEEP_FACTOR 2
+/** What was learned is written this often: it is some KB, and each entry reads it. */
+#define LEARNED_MS 3000
 /** Changes of the owner are gathered for this long before they are written. */
 #define FLUSH_MS 15
 /** First and longest pause after an append that failed. */
@@ -96,6 +98,22 @@
               keep_ms);
 }
 
+/* An owner that follows would else learn anew, at the cost of serving tasks. */
+static void
+add_learned (Owner *owner)
+{
+  int64_t now = clk_now_us ();
+
+  if (!owner->is_release && now - owner->learned_us < LEARNED_MS * CLK_US_PER_MS)
+    return;
+  owner->learned_us = now;
+  g_autoptr (GBytes) bytes = sched_encode_learned (owner->sched);
+  size_t size = 0;
+  const void *data = g_bytes_get_data (bytes, &size);
+  if (size > 0)
+    store_add_record (owner->records, LEDGER_LEARNED_KEY, data, size);
+}
+
 static void
 add_changes (GByteArray *records, const SchedFlush *flush)
 {
@@ -148,6 +166,7 @@
   owner_add_record (owner, owner->records, owner->is_release ? 0 : node_boot (owner->entry->node));
   add_forgotten (owner);
   add_drops (owner);
+  add_learned (owner);
   if (owner->flush != NULL)
     add_changes (owner->records, owner->flush);
   send_append (owner);
--- a/tests/batch/test_interference.c
+++ b/tests/batch/test_interference.c
@@ -159,6 +159,39 @@
   interference_free (model);
 }
 
+static void
+restore_pair (void *ctx, const InterferencePair *pair)
+{
+  interference_restore (ctx, pair);
+}
+
+/* An owner that follows knows what the one before it learned, with more doubt. */
+static void
+learned_pairs_are_taken_over (void **state)
+{
+  World *world = world_new (1);
+  Interference *next = interference_new ();
+
+  (void) state;
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("image-%d", i);
+      assert_int_equal (interference_image (world->model, name), i);
+    }
+  play (world, 60);
+  /* Numbers are of each model alone. */
+  (void) interference_image (next, "another");
+  interference_each_pair (world->model, restore_pair, next);
+  uint32_t serving = interference_image (next, "image-0");
+  uint32_t heavy = interference_image (next, "image-1");
+  assert_float_equal (interference_take (next, serving, heavy),
+                      interference_take (world->model, SERVING, HEAVY), 1e-9);
+  assert_true (interference_take_most (next, serving, heavy)
+               > interference_take_most (world->model, SERVING, HEAVY));
+  interference_free (next);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -168,6 +201,7 @@
     cmocka_unit_test (repeated_figure_counts_once),
     cmocka_unit_test (saturated_figure_does_not_make_a_pair_lighter),
     cmocka_unit_test (images_are_numbered_once_and_bounded),
+    cmocka_unit_test (learned_pairs_are_taken_over),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -716,6 +716,50 @@
   rig_free (rig);
 }
 
+/* Load: tasks that fill beside a serving one, until an owner has learned; then another owner. */
+static void
+learned_takes_survive_a_new_owner (void **state)
+{
+  Rig *rig = rig_new (1);
+  Rig *next = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":1,\"cpu\":4000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\"}");
+  for (int i = 0; i < 30; i++)
+    {
+      if (i == 15)
+        rig_add_job (rig, JOB_B, "bulk",
+                     "{\"count\":2,\"cpu\":2000,\"fills\":true,\"image\":\"f\"}");
+      set_tails (rig, i < 16 ? 10 : 40 + i % 2);
+      for (uint32_t k = 0; k < rig->workers[0].n_tasks; k++)
+        rig->workers[0].tasks[k].percent = 100;
+      rig_round (rig, 500, TRUE);
+    }
+  g_autoptr (GBytes) bytes = sched_encode_learned (rig->sched);
+  size_t size = 0;
+  const void *data = g_bytes_get_data (bytes, &size);
+  Batch__Learned *learned = batch__learned__unpack (NULL, size, data);
+  assert_non_null (learned);
+  assert_int_equal (learned->n_pairs, 1);
+  assert_string_equal (learned->images[learned->pairs[0]->serving], "s");
+  assert_string_equal (learned->images[learned->pairs[0]->filling], "f");
+  assert_true (learned->pairs[0]->take > 2.0F);
+  sched_restore_learned (next->sched, learned);
+  g_autoptr (GBytes) again = sched_encode_learned (next->sched);
+  Batch__Learned *taken
+      = batch__learned__unpack (NULL, g_bytes_get_size (again), g_bytes_get_data (again, NULL));
+  assert_int_equal (taken->n_pairs, 1);
+  assert_float_equal (taken->pairs[0]->take, learned->pairs[0]->take, 1e-6);
+  /* Places that name no image are left alone. */
+  learned->pairs[0]->filling = 99;
+  sched_restore_learned (next->sched, learned);
+  batch__learned__free_unpacked (taken, NULL);
+  batch__learned__free_unpacked (learned, NULL);
+  rig_free (next);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -750,6 +794,7 @@
     cmocka_unit_test (changes_alone_take_a_gone_run_off),
     cmocka_unit_test (changes_over_a_gap_are_not_applied),
     cmocka_unit_test (orders_are_repeated_only_when_due),
+    cmocka_unit_test (learned_takes_survive_a_new_owner),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/support/fleet.c
@@ -0,0 +1,928 @@
+#include "support/fleet.h"
+
+#include <math.h>
+#include <string.h>
+#include <time.h>
+
+#include "batch/interference.h"
+#include "batch/sched.h"
+
+#define STEP_MS 10
+#define TICK_MS 100
+#define REPORT_MS 400
+#define FLUSH_MS 20
+#define FIGURE_MS 500
+#define SAMPLE_MS 2000
+/** Played on after the last arrival. */
+#define TAIL_MS 30000
+/** Serving jobs are handed in this long before other work. */
+#define LEAD_MS 6000
+#define START_MS 20
+#define PACE_MS 100
+#define LATE_WORTH 0.15
+#define LATE_FACTOR 3
+#define HARM_FACTOR 4.0
+#define HEADROOM_FLOOR 0.07
+#define FIGURE_ERROR 0.03
+#define TASK_NAME_MAX 40
+#define SERVICE "service"
+
+typedef struct
+{
+  char name[TASK_NAME_MAX];
+  int64_t run;
+  uint32_t kind;
+  uint32_t image;
+  double cpu_m;
+  double left_ms; /**< work on free processors */
+  double all_ms;
+  uint32_t pace;
+  uint32_t next_pace;
+  int64_t pace_at_ms;
+  int64_t begin_ms; /**< takes effect */
+  gboolean will_fail;
+  gboolean saves;
+  double phase; /**< of a serving task's load */
+  double headroom;
+  double figure_sum;
+  uint32_t figure_n;
+  int64_t figure_ms;
+  int64_t told_percent;
+  gboolean is_changed;
+  gboolean is_harmed;
+} Task;
+
+typedef struct
+{
+  int64_t number;
+  char name[TASK_NAME_MAX];
+  int64_t run;
+  WorkerEndHow how;
+  char saved[24]; /**< work in ms that the checkpoint holds, "" for none */
+} End;
+
+typedef struct
+{
+  char name[16];
+  char rack[16];
+  double cpu_m;
+  double mem_mb;
+  GArray *tasks; /**< Task */
+  GArray *ends;  /**< End, not told yet */
+  GArray *gone;  /**< End, whose run is to be told as gone */
+  int64_t next_end;
+  int64_t report_ms; /**< when the next report is due */
+  uint64_t version;
+  uint64_t done_number;
+  gboolean is_urgent;
+} Worker;
+
+typedef struct
+{
+  uint32_t first; /**< place of its first task among the job's durations */
+  double cpu_m;
+} Step;
+
+typedef struct
+{
+  char id[JOB_ID_CHARS + 1];
+  uint32_t kind;
+  uint32_t image;
+  int64_t arrival_ms;
+  int64_t objective_ms;
+  uint32_t n_left;
+  int64_t end_ms;    /**< 0: not yet */
+  GArray *durations; /**< double, by step and index in turn */
+  GArray *steps;     /**< Step */
+  uint32_t n_wanted; /**< of a serving job */
+  double sampled;
+} Job;
+
+typedef struct
+{
+  const FleetOptions *options;
+  FleetResult *result;
+  GRand *rand;
+  Sched *sched;
+  QueueConfig *config;
+  Worker *workers;
+  GHashTable *jobs; /**< id -> Job */
+  GPtrArray *list;  /**< Job, owned */
+  double *presses;  /**< by serving and filling image */
+  int64_t now_ms;
+  uint32_t n_made;
+} Fleet;
+
+static double
+draw_normal (GRand *rand)
+{
+  double u = g_rand_double_range (rand, 1e-9, 1.0);
+
+  return sqrt (-2.0 * log (u)) * cos (2.0 * G_PI * g_rand_double (rand));
+}
+
+/* Lognormal with the given mean. */
+static double
+draw_around (GRand *rand, double mean, double spread, double most)
+{
+  double value = mean * exp (spread * draw_normal (rand) - spread * spread / 2.0);
+
+  return most > 0 ? MIN (value, most) : value;
+}
+
+static uint32_t
+draw_count (GRand *rand, double mean, double spread, double most)
+{
+  double value = draw_around (rand, mean, spread, most) + 0.5;
+
+  return value < 1.0 ? 1 : (uint32_t) value;
+}
+
+static void
+add_queue (Fleet *fleet, const FleetKind *kind)
+{
+  Queue *queue = g_new0 (Queue, 1);
+
+  queue->name = g_strdup (kind->name);
+  queue->host = g_strdup ("host.example");
+  queue->prefix = g_strdup_printf ("/%s/", kind->name);
+  queue->service = g_strdup (SERVICE);
+  queue->priority = kind->priority;
+  queue->attempts_max = kind->attempts_max;
+  queue->stretch = kind->stretch;
+  queue->target_ms = kind->target_ms;
+  queue_config_add (fleet->config, queue);
+}
+
+static void
+add_workers (Fleet *fleet)
+{
+  const FleetOptions *options = fleet->options;
+
+  fleet->workers = g_new0 (Worker, options->n_workers);
+  for (uint32_t i = 0; i < options->n_workers; i++)
+    {
+      Worker *worker = &fleet->workers[i];
+      double size = i % 3 == 2 ? 1.5 : 1.0;
+      (void) g_snprintf (worker->name, sizeof worker->name, "w%u", i);
+      (void) g_snprintf (worker->rack, sizeof worker->rack, "r%u", i / options->per_rack);
+      worker->cpu_m = options->cpu_m * size;
+      worker->mem_mb = options->mem_mb * size;
+      worker->tasks = g_array_new (FALSE, TRUE, sizeof (Task));
+      worker->ends = g_array_new (FALSE, TRUE, sizeof (End));
+      worker->gone = g_array_new (FALSE, TRUE, sizeof (End));
+      worker->report_ms = g_rand_int_range (fleet->rand, 0, REPORT_MS);
+      (void) sched_add_agent (fleet->sched, worker->name);
+    }
+}
+
+static void
+add_presses (Fleet *fleet)
+{
+  uint32_t n_serving = fleet->options->kinds[FLEET_SERVING].n_images;
+  uint32_t n_filling = fleet->options->kinds[FLEET_HEAVY].n_images;
+
+  fleet->presses = g_new0 (double, n_serving *n_filling);
+  for (uint32_t i = 0; i < n_serving * n_filling; i++)
+    fleet->presses[i]
+        = fleet->options->press * exp (fleet->options->press_spread * draw_normal (fleet->rand));
+}
+
+static void
+job_free (gpointer data)
+{
+  Job *job = data;
+
+  g_array_unref (job->durations);
+  g_array_unref (job->steps);
+  g_free (job);
+}
+
+static void
+add_step (Fleet *fleet, Job *job, JobSpec *spec, uint32_t index)
+{
+  const FleetKind *kind = &fleet->options->kinds[job->kind];
+  JobStep *step = job_spec_add_step (spec);
+  Step row = { .first = job->durations->len };
+  double work_ms = draw_around (fleet->rand, kind->work_ms, kind->work_spread, kind->work_max_ms);
+
+  step->n_tasks = draw_count (fleet->rand, kind->width, kind->width_spread, kind->width_max);
+  step->size.cpu_m = (int64_t) draw_around (fleet->rand, kind->cpu_m, kind->cpu_spread, 0);
+  step->size.mem_mb = (int64_t) kind->mem_mb;
+  row.cpu_m = (double) step->size.cpu_m;
+  g_array_append_val (job->steps, row);
+  step->estimate_ms = (int64_t) draw_around (fleet->rand, work_ms, 0.2, 0);
+  step->image = g_strdup_printf ("%s-%u", kind->name, job->image);
+  step->fills = kind->fills;
+  step->saves = kind->saves;
+  step->lasts = kind->lasts;
+  step->tail_target_ms = kind->lasts ? 100 : 0;
+  if (index > 0)
+    {
+      uint32_t before = index - 1;
+      g_array_append_val (step->after, before);
+    }
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    {
+      double duration = draw_around (fleet->rand, work_ms, 0.15, 0);
+      g_array_append_val (job->durations, duration);
+    }
+  job->n_left += step->n_tasks;
+  job->n_wanted += step->n_tasks;
+  job->objective_ms += (int64_t) (kind->stretch * work_ms);
+}
+
+static void
+add_job (Fleet *fleet, uint32_t kind_index)
+{
+  const FleetKind *kind = &fleet->options->kinds[kind_index];
+  Job *job = g_new0 (Job, 1);
+  JobSpec *spec = job_spec_new ();
+  uint32_t n_steps = draw_count (fleet->rand, kind->steps, 0.3, 5.0);
+
+  (void) g_snprintf (job->id, sizeof job->id, "%016x", fleet->n_made++);
+  job->kind = kind_index;
+  job->image = (uint32_t) g_rand_int_range (fleet->rand, 0, (gint32) kind->n_images);
+  job->arrival_ms = fleet->now_ms;
+  job->objective_ms = kind->target_ms;
+  job->durations = g_array_new (FALSE, FALSE, sizeof (double));
+  job->steps = g_array_new (FALSE, FALSE, sizeof (Step));
+  spec->spec = g_strdup ("s");
+  for (uint32_t i = 0; i < n_steps; i++)
+    add_step (fleet, job, spec, i);
+  g_ptr_array_add (fleet->list, job);
+  g_hash_table_insert (fleet->jobs, job->id, job);
+  const SchedNewJob wanted
+      = { .id = job->id, .queue = kind->name, .accepted_wall_ms = fleet->now_ms, .spec = spec };
+  sched_add_job (fleet->sched, &wanted);
+}
+
+static void
+arrive (Fleet *fleet)
+{
+  const FleetOptions *options = fleet->options;
+
+  for (uint32_t i = 0; i < FLEET_KINDS; i++)
+    {
+      const FleetKind *kind = &options->kinds[i];
+      double per_step = kind->per_s * STEP_MS / 1000.0;
+      gboolean is_burst = fleet->now_ms >= options->burst_at_ms
+                          && fleet->now_ms < options->burst_at_ms + options->burst_ms;
+      if (i == FLEET_HEAVY && is_burst)
+        per_step *= options->burst_x;
+      if (fleet->now_ms < LEAD_MS || fleet->now_ms >= LEAD_MS + options->length_ms)
+        continue;
+      for (double left = per_step; left > 0; left -= 1.0)
+        {
+          if (g_rand_double (fleet->rand) < left)
+            add_job (fleet, i);
+        }
+    }
+}
+
+static Job *
+job_of (const Fleet *fleet, const char *task)
+{
+  g_autofree char *id = g_strndup (task, JOB_ID_CHARS);
+
+  return g_hash_table_lookup (fleet->jobs, id);
+}
+
+static void
+add_end (Worker *worker, guint index, WorkerEndHow how)
+{
+  const Task *task = &g_array_index (worker->tasks, Task, index);
+  End end = { .number = ++worker->next_end, .run = task->run, .how = how };
+
+  (void) g_strlcpy (end.name, task->name, sizeof end.name);
+  if (how == WORKER_END_STOPPED && task->saves)
+    (void) g_snprintf (end.saved, sizeof end.saved, "%.0f", task->all_ms - task->left_ms);
+  g_array_append_val (worker->ends, end);
+  g_array_append_val (worker->gone, end);
+  g_array_remove_index_fast (worker->tasks, index);
+  worker->is_urgent = TRUE;
+}
+
+static void
+end_task (Fleet *fleet, Worker *worker, guint index)
+{
+  const Task *task = &g_array_index (worker->tasks, Task, index);
+  Job *job = job_of (fleet, task->name);
+
+  if (task->will_fail)
+    {
+      fleet->result->wasted_core_s += task->cpu_m * task->all_ms / 1e6;
+      add_end (worker, index, WORKER_END_FAILED);
+      return;
+    }
+  add_end (worker, index, WORKER_END_DONE);
+  if (--job->n_left == 0)
+    job->end_ms = fleet->now_ms;
+}
+
+static double
+serving_load (const Fleet *fleet, const Task *task)
+{
+  const FleetOptions *options = fleet->options;
+  double angle = 2.0 * G_PI * ((double) fleet->now_ms / 1000.0 / options->swing_s + task->phase);
+
+  return options->load * (1.0 + options->swing * sin (angle));
+}
+
+static double
+press_on (const Fleet *fleet, const Worker *worker, const Task *serving)
+{
+  uint32_t n_filling = fleet->options->kinds[FLEET_HEAVY].n_images;
+  double sum = 0;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const Task *task = &g_array_index (worker->tasks, Task, i);
+      if (task->kind == FLEET_HEAVY && task->begin_ms <= fleet->now_ms)
+        sum += fleet->presses[serving->image * n_filling + task->image] * task->cpu_m
+               / worker->cpu_m * task->pace / 100.0;
+    }
+  return sum;
+}
+
+static void
+measure (Fleet *fleet, Worker *worker, Task *task)
+{
+  double alone = fleet->options->target_headroom * (1.0 - serving_load (fleet, task));
+  double headroom = MAX (alone - press_on (fleet, worker, task), HEADROOM_FLOOR);
+
+  task->is_harmed = headroom < 1.0 && alone >= 1.0;
+  if (task->is_harmed)
+    fleet->result->harmed_s += STEP_MS / 1000.0;
+  task->figure_sum += 1.0 / headroom;
+  task->figure_n++;
+  if (task->figure_n * STEP_MS < FIGURE_MS)
+    return;
+  task->headroom
+      = task->figure_n / task->figure_sum * (1.0 + FIGURE_ERROR * draw_normal (fleet->rand));
+  task->figure_sum = 0;
+  task->figure_n = 0;
+  task->is_changed = TRUE;
+}
+
+/* Speed of tasks that fill: they share what the others leave. */
+static double
+fill_speed (const Fleet *fleet, const Worker *worker)
+{
+  double left_m = worker->cpu_m;
+  double wanted_m = 0;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const Task *task = &g_array_index (worker->tasks, Task, i);
+      if (task->kind == FLEET_HEAVY)
+        wanted_m += task->cpu_m * task->pace / 100.0;
+      else if (task->kind == FLEET_SERVING)
+        left_m -= task->cpu_m * serving_load (fleet, task);
+      else
+        left_m -= task->cpu_m;
+    }
+  return wanted_m <= left_m ? 1.0 : MAX (left_m, 0.0) / wanted_m;
+}
+
+static void
+advance_task (Fleet *fleet, Worker *worker, guint index, double speed)
+{
+  Task *task = &g_array_index (worker->tasks, Task, index);
+
+  if (fleet->now_ms < task->begin_ms)
+    return;
+  if (task->next_pace != task->pace && fleet->now_ms >= task->pace_at_ms)
+    task->pace = task->next_pace;
+  if (task->kind == FLEET_SERVING && task->left_ms <= 0)
+    {
+      measure (fleet, worker, task);
+      return;
+    }
+  task->left_ms -= STEP_MS * (task->kind == FLEET_HEAVY ? speed * task->pace / 100.0 : 1.0);
+  int64_t percent = (int64_t) (100.0 * (1.0 - MAX (task->left_ms, 0.0) / task->all_ms));
+  if (percent - task->told_percent >= 5)
+    {
+      task->told_percent = percent;
+      task->is_changed = TRUE;
+    }
+  if (task->left_ms <= 0 && task->kind != FLEET_SERVING)
+    end_task (fleet, worker, index);
+}
+
+static void
+advance (Fleet *fleet, Worker *worker)
+{
+  double speed = fill_speed (fleet, worker);
+
+  for (guint i = worker->tasks->len; i-- > 0;)
+    advance_task (fleet, worker, i, speed);
+}
+
+static int64_t
+percent_of (const Task *task)
+{
+  return (int64_t) (100.0 * (1.0 - MAX (task->left_ms, 0.0) / task->all_ms));
+}
+
+static void
+fill_running (const Task *task, Batch__Running *row)
+{
+  batch__running__init (row);
+  row->task = (char *) task->name;
+  row->run = task->run;
+  row->percent = (int32_t) percent_of (task);
+  row->figure = (int64_t) (task->headroom > 0 ? 100.0 / task->headroom : 0);
+}
+
+static void
+send_report (Fleet *fleet, Worker *worker)
+{
+  guint n_rows = worker->tasks->len;
+  guint n_ends = worker->ends->len;
+  g_autofree Batch__Running *running = g_new0 (Batch__Running, n_rows + 1);
+  g_autofree Batch__Running **running_rows = g_new0 (Batch__Running *, n_rows + 1);
+  g_autofree Batch__Ended *ended = g_new0 (Batch__Ended, n_ends + 1);
+  g_autofree Batch__Ended **ended_rows = g_new0 (Batch__Ended *, n_ends + 1);
+  g_autofree Batch__Gone *gone = g_new0 (Batch__Gone, worker->gone->len + 1);
+  g_autofree Batch__Gone **gone_rows = g_new0 (Batch__Gone *, worker->gone->len + 1);
+  Batch__Report report = BATCH__REPORT__INIT;
+  Batch__Worker info = BATCH__WORKER__INIT;
+  char *labels[] = { worker->rack };
+
+  info.id = worker->name;
+  info.service = SERVICE;
+  info.labels = labels;
+  info.n_labels = 1;
+  info.cpu_m = (int64_t) worker->cpu_m;
+  info.mem_mb = (int64_t) worker->mem_mb;
+  report.boot = 1;
+  report.life = 1;
+  report.clock_us = fleet->now_ms * 1000;
+  report.done_number = worker->done_number;
+  report.since = worker->version;
+  report.version = ++worker->version;
+  report.worker = report.since == 0 ? &info : NULL;
+  report.running = running_rows;
+  report.ended = ended_rows;
+  report.gone = gone_rows;
+  for (guint i = 0; i < n_rows; i++)
+    {
+      Task *task = &g_array_index (worker->tasks, Task, i);
+      if (!task->is_changed)
+        continue;
+      task->is_changed = FALSE;
+      fill_running (task, &running[report.n_running]);
+      running_rows[report.n_running] = &running[report.n_running];
+      report.n_running++;
+    }
+  for (guint i = 0; i < n_ends; i++)
+    {
+      End *end = &g_array_index (worker->ends, End, i);
+      batch__ended__init (&ended[i]);
+      ended[i].number = end->number;
+      ended[i].task = end->name;
+      ended[i].run = end->run;
+      ended[i].how = (uint32_t) end->how;
+      ended[i].saved = end->saved;
+      ended_rows[report.n_ended++] = &ended[i];
+    }
+  for (guint i = 0; report.since != 0 && i < worker->gone->len; i++)
+    {
+      End *end = &g_array_index (worker->gone, End, i);
+      batch__gone__init (&gone[i]);
+      gone[i].task = end->name;
+      gone[i].run = end->run;
+      gone_rows[report.n_gone++] = &gone[i];
+    }
+  sched_take_report (fleet->sched, worker->name, &report, fleet->now_ms * 1000);
+  g_array_set_size (worker->ends, 0);
+  g_array_set_size (worker->gone, 0);
+  worker->report_ms = fleet->now_ms + REPORT_MS;
+  worker->is_urgent = FALSE;
+}
+
+static void
+begin_task (Fleet *fleet, Worker *worker, const Batch__Start *start)
+{
+  Job *job = job_of (fleet, start->task);
+  const FleetKind *kind = &fleet->options->kinds[job->kind];
+  JobTaskName name;
+  Task task = { .run = start->run, .pace = 100, .next_pace = 100, .is_changed = TRUE };
+
+  (void) job_task_name_parse (start->task, &name);
+  (void) g_strlcpy (task.name, start->task, sizeof task.name);
+  task.kind = job->kind;
+  task.image = job->image;
+  const Step *step = &g_array_index (job->steps, Step, name.step);
+  task.cpu_m = step->cpu_m;
+  task.all_ms = g_array_index (job->durations, double, step->first + name.index);
+  task.left_ms = task.all_ms - g_ascii_strtod (start->saved, NULL);
+  task.begin_ms = fleet->now_ms + START_MS;
+  task.saves = kind->saves;
+  task.will_fail = g_rand_double (fleet->rand) < kind->fail_share;
+  task.phase
+      = (double) job->image / (double) kind->n_images + g_rand_double_range (fleet->rand, 0.0, 0.2);
+  g_array_append_val (worker->tasks, task);
+  fleet->result->n_starts++;
+}
+
+static guint
+find_task (const Worker *worker, const char *name, int64_t run)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const Task *task = &g_array_index (worker->tasks, Task, i);
+      if (task->run == run && strcmp (task->name, name) == 0)
+        return i;
+    }
+  return G_MAXUINT;
+}
+
+static void
+stop_task (Fleet *fleet, Worker *worker, const Batch__Stop *stop)
+{
+  guint index = find_task (worker, stop->task, stop->run);
+
+  if (index == G_MAXUINT)
+    return;
+  const Task *task = &g_array_index (worker->tasks, Task, index);
+  fleet->result->n_stops++;
+  if (!task->saves)
+    fleet->result->wasted_core_s += task->cpu_m * (task->all_ms - task->left_ms) / 1e6;
+  add_end (worker, index, WORKER_END_STOPPED);
+}
+
+static void
+pace_task (Fleet *fleet, Worker *worker, const Batch__Pace *pace)
+{
+  guint index = find_task (worker, pace->task, pace->run);
+
+  if (index == G_MAXUINT)
+    return;
+  Task *task = &g_array_index (worker->tasks, Task, index);
+  task->next_pace = pace->percent;
+  task->pace_at_ms = fleet->now_ms + PACE_MS;
+  fleet->result->n_paces++;
+}
+
+static void
+obey (Fleet *fleet, Worker *worker)
+{
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  if (!sched_orders (fleet->sched, worker->name, &orders))
+    return;
+  for (size_t i = 0; i < orders.n_orders; i++)
+    {
+      const Batch__Order *order = orders.orders[i];
+      if (order->number <= worker->done_number)
+        continue;
+      worker->done_number = order->number;
+      if (order->what_case == BATCH__ORDER__WHAT_START)
+        begin_task (fleet, worker, order->start);
+      else if (order->what_case == BATCH__ORDER__WHAT_STOP)
+        stop_task (fleet, worker, order->stop);
+      else
+        pace_task (fleet, worker, order->pace);
+    }
+}
+
+static int64_t
+thread_time_us (void)
+{
+  struct timespec time = { 0 };
+
+  (void) clock_gettime (CLOCK_THREAD_CPUTIME_ID, &time);
+  return time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
+static void
+decide (Fleet *fleet)
+{
+  int64_t begun_us = thread_time_us ();
+
+  sched_tick (fleet->sched, fleet->now_ms * 1000, fleet->now_ms);
+  int64_t took_us = thread_time_us () - begun_us;
+  fleet->result->decide_us += took_us;
+  fleet->result->tick_worst_us = MAX (fleet->result->tick_worst_us, took_us);
+  fleet->result->n_ticks++;
+  for (uint32_t i = 0; i < fleet->options->n_workers; i++)
+    obey (fleet, &fleet->workers[i]);
+}
+
+static void
+flush (Fleet *fleet)
+{
+  int64_t begun_us = thread_time_us ();
+  SchedFlush *changes = sched_flush_begin (fleet->sched);
+
+  if (changes != NULL)
+    sched_flush_end (fleet->sched, changes, TRUE);
+  fleet->result->decide_us += thread_time_us () - begun_us;
+}
+
+static gboolean
+take_reports (Fleet *fleet)
+{
+  gboolean is_any = FALSE;
+  int64_t begun_us = thread_time_us ();
+
+  for (uint32_t i = 0; i < fleet->options->n_workers; i++)
+    {
+      Worker *worker = &fleet->workers[i];
+      if (!worker->is_urgent && fleet->now_ms < worker->report_ms)
+        continue;
+      send_report (fleet, worker);
+      is_any = TRUE;
+    }
+  fleet->result->decide_us += thread_time_us () - begun_us;
+  return is_any;
+}
+
+/* What each serving job earns for the last two seconds. */
+static void
+sample_serving (Fleet *fleet)
+{
+  for (guint i = 0; i < fleet->list->len; i++)
+    ((Job *) g_ptr_array_index (fleet->list, i))->sampled = 0;
+  for (uint32_t i = 0; i < fleet->options->n_workers; i++)
+    {
+      const Worker *worker = &fleet->workers[i];
+      for (guint k = 0; k < worker->tasks->len; k++)
+        {
+          const Task *task = &g_array_index (worker->tasks, Task, k);
+          if (task->kind == FLEET_SERVING && task->left_ms <= 0)
+            job_of (fleet, task->name)->sampled += task->is_harmed ? 1.0 - HARM_FACTOR : 1.0;
+        }
+    }
+  for (guint i = 0; i < fleet->list->len; i++)
+    {
+      const Job *job = g_ptr_array_index (fleet->list, i);
+      FleetKindResult *kind = &fleet->result->kinds[FLEET_SERVING];
+      if (job->kind != FLEET_SERVING || fleet->now_ms - job->arrival_ms < SAMPLE_MS)
+        continue;
+      double share = CLAMP (job->sampled / job->n_wanted, 0.0, 1.0);
+      kind->n_jobs++;
+      kind->n_in_time += share > 0.99;
+      kind->n_late += share <= 0.99 && share > 0.0;
+      fleet->result->serving_worth += share;
+    }
+}
+
+static void
+count_jobs (Fleet *fleet)
+{
+  for (guint i = 0; i < fleet->list->len; i++)
+    {
+      const Job *job = g_ptr_array_index (fleet->list, i);
+      FleetKindResult *kind = &fleet->result->kinds[job->kind];
+      if (job->kind == FLEET_SERVING)
+        continue;
+      kind->n_jobs++;
+      if (job->end_ms == 0)
+        continue;
+      int64_t took_ms = job->end_ms - job->arrival_ms;
+      kind->n_in_time += took_ms <= job->objective_ms;
+      kind->n_late += took_ms > job->objective_ms && took_ms <= job->objective_ms * LATE_FACTOR;
+    }
+  if (fleet->result->kinds[FLEET_SERVING].n_jobs > 0)
+    fleet->result->serving_worth /= fleet->result->kinds[FLEET_SERVING].n_jobs;
+}
+
+static void
+fleet_open (Fleet *fleet)
+{
+  const SchedOptions options
+      = { .fresh_ms = 1300, .lapse_ms = 5000, .gang_timeout_ms = 3000, .note = NULL };
+
+  fleet->rand = g_rand_new_with_seed (fleet->options->seed);
+  fleet->sched = sched_new (&options);
+  fleet->config = queue_config_new (1);
+  (void) queue_config_add_service (fleet->config, SERVICE);
+  for (uint32_t i = 0; i < FLEET_KINDS; i++)
+    add_queue (fleet, &fleet->options->kinds[i]);
+  sched_set_config (fleet->sched, fleet->config);
+  sched_begin_term (fleet->sched, 1, 1);
+  fleet->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  fleet->list = g_ptr_array_new_with_free_func (job_free);
+  add_presses (fleet);
+  add_workers (fleet);
+}
+
+static void
+fleet_close (Fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->options->n_workers; i++)
+    {
+      g_array_unref (fleet->workers[i].tasks);
+      g_array_unref (fleet->workers[i].ends);
+      g_array_unref (fleet->workers[i].gone);
+    }
+  g_free (fleet->workers);
+  g_free (fleet->presses);
+  g_hash_table_destroy (fleet->jobs);
+  g_ptr_array_unref (fleet->list);
+  sched_free (fleet->sched);
+  queue_config_free (fleet->config);
+  g_rand_free (fleet->rand);
+}
+
+void
+fleet_play (const FleetOptions *options, FleetResult *result)
+{
+  Fleet fleet = { .options = options, .result = result, .now_ms = REPORT_MS };
+  int64_t end_ms = LEAD_MS + options->length_ms + TAIL_MS;
+
+  memset (result, 0, sizeof *result);
+  fleet_open (&fleet);
+  for (; fleet.now_ms < end_ms; fleet.now_ms += STEP_MS)
+    {
+      if (fleet.now_ms == REPORT_MS + REPORT_MS)
+        {
+          for (uint32_t i = 0; i < options->kinds[FLEET_SERVING].n_at_start; i++)
+            add_job (&fleet, FLEET_SERVING);
+        }
+      arrive (&fleet);
+      for (uint32_t i = 0; i < options->n_workers; i++)
+        advance (&fleet, &fleet.workers[i]);
+      if (take_reports (&fleet) || fleet.now_ms % TICK_MS == 0)
+        decide (&fleet);
+      if (fleet.now_ms % FLUSH_MS == 0)
+        flush (&fleet);
+      if (fleet.now_ms >= LEAD_MS && fleet.now_ms < LEAD_MS + options->length_ms
+          && fleet.now_ms % SAMPLE_MS == 0)
+        sample_serving (&fleet);
+    }
+  count_jobs (&fleet);
+  fleet_close (&fleet);
+}
+
+double
+fleet_worth (const FleetResult *result, const double weights[FLEET_KINDS])
+{
+  double worth = weights[FLEET_SERVING] * result->serving_worth;
+  double sum = weights[FLEET_SERVING];
+
+  for (uint32_t i = 0; i < FLEET_SERVING; i++)
+    {
+      const FleetKindResult *kind = &result->kinds[i];
+      sum += weights[i];
+      if (kind->n_jobs > 0)
+        worth += weights[i] * (kind->n_in_time + LATE_WORTH * kind->n_late) / kind->n_jobs;
+    }
+  return worth / sum;
+}
+
+void
+fleet_options_large (FleetOptions *options, uint32_t n_workers)
+{
+  double scale = n_workers / 240.0;
+
+  *options = (FleetOptions){
+    .n_workers = n_workers,
+    .cpu_m = 16000,
+    .mem_mb = 64000,
+    .per_rack = 12,
+    .target_headroom = 5.0,
+    .load = 0.45,
+    .swing = 0.5,
+    .swing_s = 14.0,
+    .press = 1.0,
+    .press_spread = 1.2,
+    .length_ms = 34000,
+    .burst_at_ms = 18000,
+    .burst_ms = 6000,
+    .burst_x = 1.4,
+    .seed = 1,
+  };
+  options->kinds[FLEET_SHORT] = (FleetKind){ .name = "short",
+                                             .priority = 0,
+                                             .attempts_max = 2,
+                                             .stretch = 1.5,
+                                             .target_ms = 250,
+                                             .per_s = 24.4 * scale,
+                                             .n_at_start = 0,
+                                             .steps = 1.6,
+                                             .width = 13,
+                                             .width_spread = 0.8,
+                                             .width_max = 80,
+                                             .cpu_m = 690,
+                                             .cpu_spread = 0.45,
+                                             .mem_mb = 1400,
+                                             .work_ms = 640,
+                                             .work_spread = 0.5,
+                                             .work_max_ms = 1600,
+                                             .fail_share = 0.02,
+                                             .n_images = 24 };
+  options->kinds[FLEET_HEAVY] = (FleetKind){ .name = "heavy",
+                                             .priority = 2,
+                                             .attempts_max = 3,
+                                             .stretch = 2.0,
+                                             .target_ms = 1000,
+                                             .per_s = 3.92 * scale,
+                                             .n_at_start = 0,
+                                             .steps = 2.0,
+                                             .width = 40,
+                                             .width_spread = 0.6,
+                                             .width_max = 160,
+                                             .cpu_m = 1800,
+                                             .cpu_spread = 0.3,
+                                             .mem_mb = 3200,
+                                             .work_ms = 2700,
+                                             .work_spread = 0.5,
+                                             .work_max_ms = 6800,
+                                             .fail_share = 0.005,
+                                             .n_images = 30,
+                                             .fills = TRUE,
+                                             .saves = TRUE };
+  options->kinds[FLEET_SERVING] = (FleetKind){ .name = "serving",
+                                               .priority = 0,
+                                               .attempts_max = 4,
+                                               .stretch = 2.2,
+                                               .target_ms = 2500,
+                                               .per_s = 0,
+                                               .n_at_start = (uint32_t) (47 * scale + 0.5),
+                                               .steps = 1.0,
+                                               .width = 24,
+                                               .width_spread = 0.4,
+                                               .width_max = 48,
+                                               .cpu_m = 3200,
+                                               .cpu_spread = 0.25,
+                                               .mem_mb = 6400,
+                                               .work_ms = 400,
+                                               .work_spread = 0.5,
+                                               .work_max_ms = 1000,
+                                               .fail_share = 0,
+                                               .n_images = 16,
+                                               .lasts = TRUE };
+}
+
+void
+fleet_options_small (FleetOptions *options)
+{
+  fleet_options_large (options, 11);
+  options->cpu_m = 64000;
+  options->mem_mb = 250000;
+  options->per_rack = 3;
+  options->kinds[FLEET_SHORT] = (FleetKind){ .name = "short",
+                                             .priority = 0,
+                                             .attempts_max = 2,
+                                             .stretch = 1.5,
+                                             .target_ms = 250,
+                                             .per_s = 6.96,
+                                             .n_at_start = 0,
+                                             .steps = 1.6,
+                                             .width = 6,
+                                             .width_spread = 0.6,
+                                             .width_max = 30,
+                                             .cpu_m = 960,
+                                             .cpu_spread = 0.45,
+                                             .mem_mb = 1400,
+                                             .work_ms = 640,
+                                             .work_spread = 0.5,
+                                             .work_max_ms = 1600,
+                                             .fail_share = 0.02,
+                                             .n_images = 9 };
+  options->kinds[FLEET_HEAVY] = (FleetKind){ .name = "heavy",
+                                             .priority = 2,
+                                             .attempts_max = 3,
+                                             .stretch = 2.0,
+                                             .target_ms = 1000,
+                                             .per_s = 1.6,
+                                             .n_at_start = 0,
+                                             .steps = 2.0,
+                                             .width = 8,
+                                             .width_spread = 0.6,
+                                             .width_max = 40,
+                                             .cpu_m = 7000,
+                                             .cpu_spread = 0.3,
+                                             .mem_mb = 3200,
+                                             .work_ms = 1700,
+                                             .work_spread = 0.5,
+                                             .work_max_ms = 4300,
+                                             .fail_share = 0.005,
+                                             .n_images = 9,
+                                             .fills = TRUE,
+                                             .saves = TRUE };
+  options->kinds[FLEET_SERVING] = (FleetKind){ .name = "serving",
+                                               .priority = 0,
+                                               .attempts_max = 4,
+                                               .stretch = 2.2,
+                                               .target_ms = 2500,
+                                               .per_s = 0,
+                                               .n_at_start = 8,
+                                               .steps = 1.0,
+                                               .width = 6,
+                                               .width_spread = 0.4,
+                                               .width_max = 12,
+                                               .cpu_m = 12000,
+                                               .cpu_spread = 0.25,
+                                               .mem_mb = 6400,
+                                               .work_ms = 320,
+                                               .work_spread = 0.5,
+                                               .work_max_ms = 1000,
+                                               .fail_share = 0,
+                                               .n_images = 4,
+                                               .lasts = TRUE };
+}
