A forecast chooses which jobs go first under overload; a new owner restores the paces of what it finds

And a task that an owner had slowed stayed so under the next one, which took it for one at full pace, then for stalled.

Now jobs go in order of deadline through a forecast (lib/batch/forecast, Moore and Hodgson by value for work) with the processors that their class of task has had lately; what is not chosen goes last. Chains are kept until something of a job changes. Agents tell the pace that they know; where they know none, the new owner sets it.

--- /dev/null
+++ b/lib/batch/forecast.c
@@ -0,0 +1,48 @@
+#include "batch/forecast.h"
+
+/** Jobs with hardly any work left are not worth leaving out. */
+#define LEAST_WORK 1.0
+
+static double
+value_for_work (const ForecastJob *job)
+{
+  return job->value / MAX (job->work, LEAST_WORK);
+}
+
+/* The chosen job up to @p last that is worth least for its work. */
+static ForecastJob *
+least_worth (ForecastJob *jobs, uint32_t last)
+{
+  ForecastJob *least = NULL;
+
+  for (uint32_t i = 0; i <= last; i++)
+    {
+      if (jobs[i].is_chosen
+          && (least == NULL || value_for_work (&jobs[i]) < value_for_work (least)))
+        least = &jobs[i];
+    }
+  return least;
+}
+
+void
+forecast_choose (ForecastJob *jobs, uint32_t n_jobs, double cores, int64_t now_ms)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; i < n_jobs; i++)
+    {
+      jobs[i].is_chosen = now_ms + jobs[i].chain_ms <= jobs[i].deadline_ms;
+      if (!jobs[i].is_chosen)
+        continue;
+      sum += jobs[i].work;
+      double room = cores * (double) (jobs[i].deadline_ms - now_ms);
+      while (sum > room)
+        {
+          ForecastJob *least = least_worth (jobs, i);
+          if (least == NULL)
+            break;
+          least->is_chosen = FALSE;
+          sum -= least->work;
+        }
+    }
+}
--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -2441,7 +2441,7 @@
   (ProtobufCMessageInit) batch__worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__running__field_descriptors[6] =
+static const ProtobufCFieldDescriptor batch__running__field_descriptors[7] =
 {
   {
     "task",
@@ -2515,10 +2515,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace_known",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Running, pace_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__running__field_indices_by_name[] = {
   4,   /* field[4] = figure */
   5,   /* field[5] = is_starting */
+  6,   /* field[6] = pace_known */
   3,   /* field[3] = percent */
   1,   /* field[1] = run */
   2,   /* field[2] = saved */
@@ -2527,7 +2540,7 @@
 static const ProtobufCIntRange batch__running__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor batch__running__descriptor =
 {
@@ -2537,7 +2550,7 @@
   "Batch__Running",
   "batch",
   sizeof(Batch__Running),
-  6,
+  7,
   batch__running__field_descriptors,
   batch__running__field_indices_by_name,
   1,  batch__running__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -384,10 +384,14 @@
   int32_t percent;
   int64_t figure;
   protobuf_c_boolean is_starting;
+  /*
+   * pace in percent and 1; 0 if the agent does not know it
+   */
+  uint32_t pace_known;
 };
 #define BATCH__RUNNING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__running__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Batch__Ended
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -213,6 +213,7 @@
       task->state = TASK_DONE;
     }
   task->part->n_done++;
+  task->part->job->n_changes++;
   sched_mark_dirty (sched, task->part->job);
 }
 
@@ -439,6 +440,7 @@
   job->spec = wanted->spec;
   job->is_old = wanted->is_old;
   job->parts = g_ptr_array_new_with_free_func (part_free);
+  job->n_changes = 1;
   if (wanted->progress != NULL)
     restore (job, wanted->progress);
   g_hash_table_insert (sched->jobs, job->id, job);
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -16,13 +16,6 @@
 #define COST_FREE 8000
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
-/** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
- * down at times, and some runs fail. A job is begun only if it can then be done in time. */
-#define SLACK_PERCENT 130
-/** A job that has begun is given up for late only when its chain alone is too long. */
-#define BEGUN_SLACK_PERCENT 100
-/** A result is of some use up to this multiple of the time that a job is meant to take. */
-#define USEFUL_FACTOR 3
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
@@ -39,126 +32,6 @@
 /** Tasks that such a step has at work: with one alone there would be gaps between two. */
 #define STARVED_TASKS 2
 
-/** Which jobs go first. Under overload, jobs that have begun are done in time and others are not
- * begun; were new ones to go before those that have waited, all would be begun and all be late. */
-typedef enum
-{
-  RANK_BEGUN,   /**< can be done in time, and has tasks that are done or at work */
-  RANK_IN_TIME, /**< can be done in time */
-  RANK_LATE,    /**< can be done while it is of use, though late */
-  RANK_USELESS,
-} Rank;
-
-typedef struct
-{
-  SchedPart *part;
-  uint32_t priority;
-  Rank rank;
-  int64_t deadline_ms;
-  int64_t left_ms; /**< work of all tasks that are not done */
-} Turn;
-
-/** Longest chains of expected work of one occurrence. */
-typedef struct
-{
-  int64_t whole_ms;
-  int64_t left_ms;  /**< without the steps that are done */
-  int64_t work_ms;  /**< of all tasks that are not done, one after the other */
-  uint32_t n_begun; /**< tasks that are done or at work */
-} Chains;
-
-static Chains
-chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence)
-{
-  Chains ends[JOB_STEPS_MAX] = { 0 };
-  Chains longest = { 0 };
-
-  for (uint32_t i = 0; i < job->spec->steps->len; i++)
-    {
-      const JobStep *step = g_ptr_array_index (job->spec->steps, i);
-      const SchedPart *part = sched_find_part (job, occurrence, i);
-      int64_t step_ms = sched_expected_ms (sched, job, step, part);
-      uint32_t n_left = step->n_tasks - (part != NULL ? part->n_done : 0);
-      for (guint k = 0; k < step->after->len; k++)
-        {
-          const Chains *before = &ends[g_array_index (step->after, uint32_t, k)];
-          ends[i].whole_ms = MAX (ends[i].whole_ms, before->whole_ms);
-          ends[i].left_ms = MAX (ends[i].left_ms, before->left_ms);
-        }
-      ends[i].whole_ms += step_ms;
-      ends[i].left_ms += n_left == 0 ? 0 : step_ms;
-      longest.whole_ms = MAX (longest.whole_ms, ends[i].whole_ms);
-      longest.left_ms = MAX (longest.left_ms, ends[i].left_ms);
-      longest.work_ms += step_ms * n_left;
-      longest.n_begun += part != NULL ? part->step->n_tasks - part->n_waiting : 0;
-    }
-  return longest;
-}
-
-static Rank
-rank_of (const Sched *sched,
-         const SchedPart *part,
-         const Chains *chains,
-         int64_t due_ms,
-         int64_t meant_ms)
-{
-  gboolean has_begun = chains->n_begun > 0;
-  int64_t slack_percent = has_begun ? BEGUN_SLACK_PERCENT : SLACK_PERCENT;
-  int64_t end_ms = sched->wall_ms + chains->left_ms * slack_percent / 100;
-
-  if (part->step->lasts || end_ms <= due_ms + meant_ms)
-    return has_begun ? RANK_BEGUN : RANK_IN_TIME;
-  return end_ms <= due_ms + meant_ms * USEFUL_FACTOR ? RANK_LATE : RANK_USELESS;
-}
-
-static Turn
-turn_of (const Sched *sched, SchedPart *part)
-{
-  const SchedJob *job = part->job;
-  Chains chains = chains_of (sched, job, part->occurrence);
-  int64_t due_ms = sched_due_wall_ms (job, part->occurrence);
-  int64_t meant_ms
-      = job->queue->target_ms + (int64_t) (job->queue->stretch * (double) chains.whole_ms);
-
-  return (Turn){ .part = part,
-                 .priority = job->queue->priority,
-                 .rank = rank_of (sched, part, &chains, due_ms, meant_ms),
-                 .deadline_ms = due_ms + meant_ms,
-                 .left_ms = chains.work_ms };
-}
-
-static gint
-compare_turns (gconstpointer a, gconstpointer b)
-{
-  const Turn *left = a;
-  const Turn *right = b;
-
-  if (left->priority != right->priority)
-    return left->priority < right->priority ? -1 : 1;
-  if (left->rank != right->rank)
-    return left->rank < right->rank ? -1 : 1;
-  if (left->rank == RANK_LATE && left->left_ms != right->left_ms)
-    return left->left_ms < right->left_ms ? -1 : 1;
-  if (left->deadline_ms != right->deadline_ms)
-    return left->deadline_ms < right->deadline_ms ? -1 : 1;
-  return strcmp (left->part->job->id, right->part->job->id);
-}
-
-static void
-add_turns (const Sched *sched, GArray *turns, const SchedJob *job)
-{
-  if (job->queue == NULL)
-    return;
-  for (guint i = 0; i < job->parts->len; i++)
-    {
-      SchedPart *part = g_ptr_array_index (job->parts, i);
-      if (part->n_waiting == 0 || !sched_part_is_ready (part))
-        continue;
-      Turn turn = turn_of (sched, part);
-      g_array_append_val (turns, turn);
-    }
-}
-
 static gboolean
 has_label (const WorkerInfo *info, const char *label)
 {
@@ -460,23 +333,18 @@
 sched_place (Sched *sched)
 {
   uint32_t n_left = 0;
-  g_autoptr (GArray) turns = g_array_new (FALSE, FALSE, sizeof (Turn));
+  g_autoptr (GArray) turns = sched_turns (sched);
   g_autoptr (GPtrArray) workers = open_workers (sched);
-  GHashTableIter iter;
-  gpointer key = NULL;
 
-  g_hash_table_iter_init (&iter, sched->open);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    add_turns (sched, turns, key);
-  g_array_sort (turns, compare_turns);
   for (guint i = 0; i < turns->len; i++)
     {
-      SchedPart *part = g_array_index (turns, Turn, i).part;
+      SchedPart *part = g_array_index (turns, SchedTurn, i).part;
       if (part->step->is_gang)
         place_gang (sched, workers, part);
       else
         place_part (sched, workers, part);
       care_for_starved (sched, workers, part);
+      sched_plan_note_waiting (sched, part);
       n_left += part->n_waiting;
     }
   return n_left;
--- /dev/null
+++ b/lib/batch/sched_plan.c
@@ -0,0 +1,309 @@
+/*
+ * Whose turn it is. Each occurrence of a job is dated and its chain of work is estimated; where
+ * more waits than the processors can do in time, a forecast chooses what goes first.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "batch/forecast.h"
+#include "batch/sched_tables.h"
+#include "common/clk.h"
+
+/** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
+ * down at times, and some runs fail. A job is begun only if it can then be done in time. */
+#define SLACK_PERCENT 130
+/** A job that has begun is given up for late only when its chain alone is too long. */
+#define BEGUN_SLACK_PERCENT 100
+/** A result is of some use up to this multiple of the time that a job is meant to take. */
+#define USEFUL_FACTOR 3
+/** Between two forecasts. */
+#define PLAN_MS 100
+/** Of the processors that were at work lately, what is remembered from one forecast to the next. */
+#define CORES_DECAY 0.95
+/** What a job is worth beside its work, and the share of its work in that, as callers see it. */
+#define VALUE_PLAIN 0.3
+#define VALUE_WORK 0.7
+/** Weight of a job of the next less urgent priority. */
+#define PRIORITY_WEIGHT 1e-3
+#define MILLI 1000.0
+#define PERCENT 100.0
+
+/** One occurrence that is planned. */
+typedef struct
+{
+  SchedPart *first;
+  uint32_t priority;
+  int64_t deadline_ms;
+} PlanRow;
+
+static void
+add_work (SchedChains *chains, const JobStep *step, int64_t step_ms, uint32_t n_left)
+{
+  double core_ms = (double) step->size.cpu_m / MILLI * (double) step_ms;
+
+  chains->whole_work += core_ms * step->n_tasks;
+  chains->work[step->fills ? SCHED_FILLING : SCHED_PLAIN] += core_ms * n_left;
+}
+
+static SchedChains
+chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence)
+{
+  SchedChains ends[JOB_STEPS_MAX];
+  SchedChains longest = { 0 };
+
+  for (uint32_t i = 0; i < job->spec->steps->len; i++)
+    {
+      const JobStep *step = g_ptr_array_index (job->spec->steps, i);
+      const SchedPart *part = sched_find_part (job, occurrence, i);
+      int64_t step_ms = sched_expected_ms (sched, job, step, part);
+      uint32_t n_left = step->n_tasks - (part != NULL ? part->n_done : 0);
+      ends[i] = (SchedChains){ 0 };
+      for (guint k = 0; k < step->after->len; k++)
+        {
+          const SchedChains *before = &ends[g_array_index (step->after, uint32_t, k)];
+          ends[i].whole_ms = MAX (ends[i].whole_ms, before->whole_ms);
+          ends[i].left_ms = MAX (ends[i].left_ms, before->left_ms);
+        }
+      ends[i].whole_ms += step_ms;
+      ends[i].left_ms += n_left == 0 ? 0 : step_ms;
+      longest.whole_ms = MAX (longest.whole_ms, ends[i].whole_ms);
+      longest.left_ms = MAX (longest.left_ms, ends[i].left_ms);
+      add_work (&longest, step, step_ms, n_left);
+      longest.n_begun += part != NULL ? part->step->n_tasks - part->n_waiting : 0;
+    }
+  return longest;
+}
+
+static int64_t
+meant_ms (const SchedJob *job, const SchedChains *chains)
+{
+  return job->queue->target_ms + (int64_t) (job->queue->stretch * (double) chains->whole_ms);
+}
+
+/* Estimates of the occurrence, kept with its first part until something of the job changes. */
+static const SchedChains *
+chains_for (const Sched *sched, SchedPart *first)
+{
+  if (first->chains_change != first->job->n_changes)
+    first->chains = chains_of (sched, first->job, first->occurrence);
+  first->chains_change = first->job->n_changes;
+  return &first->chains;
+}
+
+static int64_t
+slack_ms (const SchedChains *chains)
+{
+  int64_t percent = chains->n_begun > 0 ? BEGUN_SLACK_PERCENT : SLACK_PERCENT;
+
+  return chains->left_ms * percent / 100;
+}
+
+static SchedRank
+rank_of (const Sched *sched, const SchedPart *part, const SchedPart *first, int64_t deadline_ms)
+{
+  const SchedChains *chains = &first->chains;
+  gboolean has_begun = chains->n_begun > 0;
+  int64_t end_ms = sched->wall_ms + slack_ms (chains);
+  int64_t due_ms = sched_due_wall_ms (part->job, part->occurrence);
+  gboolean is_in_time = first->is_planned ? first->is_chosen : end_ms <= deadline_ms;
+
+  if (part->step->lasts || (is_in_time && end_ms <= deadline_ms))
+    return has_begun ? SCHED_RANK_BEGUN : SCHED_RANK_IN_TIME;
+  return end_ms <= due_ms + (deadline_ms - due_ms) * USEFUL_FACTOR ? SCHED_RANK_LATE
+                                                                   : SCHED_RANK_USELESS;
+}
+
+static SchedTurn
+turn_of (const Sched *sched, SchedPart *part)
+{
+  const SchedJob *job = part->job;
+  SchedPart *first = sched_find_part (job, part->occurrence, 0);
+  const SchedChains *chains = chains_for (sched, first);
+  int64_t deadline_ms = sched_due_wall_ms (job, part->occurrence) + meant_ms (job, chains);
+
+  return (SchedTurn){ .part = part,
+                      .priority = job->queue->priority,
+                      .rank = rank_of (sched, part, first, deadline_ms),
+                      .deadline_ms = deadline_ms,
+                      .work = chains->work[SCHED_FILLING] + chains->work[SCHED_PLAIN] };
+}
+
+static gint
+compare_turns (gconstpointer a, gconstpointer b)
+{
+  const SchedTurn *left = a;
+  const SchedTurn *right = b;
+
+  if (left->priority != right->priority)
+    return left->priority < right->priority ? -1 : 1;
+  if (left->rank != right->rank)
+    return left->rank < right->rank ? -1 : 1;
+  if (left->rank == SCHED_RANK_LATE && left->work != right->work)
+    return left->work < right->work ? -1 : 1;
+  if (left->deadline_ms != right->deadline_ms)
+    return left->deadline_ms < right->deadline_ms ? -1 : 1;
+  return strcmp (left->part->job->id, right->part->job->id);
+}
+
+static void
+add_turns (const Sched *sched, GArray *turns, const SchedJob *job)
+{
+  if (job->queue == NULL)
+    return;
+  for (guint i = 0; i < job->parts->len; i++)
+    {
+      SchedPart *part = g_ptr_array_index (job->parts, i);
+      if (part->n_waiting == 0 || !sched_part_is_ready (part))
+        continue;
+      SchedTurn turn = turn_of (sched, part);
+      g_array_append_val (turns, turn);
+    }
+}
+
+/* The forecast. */
+
+static gint
+compare_rows (gconstpointer a, gconstpointer b)
+{
+  const PlanRow *left = a;
+  const PlanRow *right = b;
+
+  if (left->priority != right->priority)
+    return left->priority < right->priority ? -1 : 1;
+  return left->deadline_ms < right->deadline_ms ? -1 : left->deadline_ms > right->deadline_ms;
+}
+
+static void
+add_rows (const Sched *sched, GArray *rows, const SchedJob *job)
+{
+  for (guint i = 0; job->queue != NULL && i < job->parts->len; i++)
+    {
+      SchedPart *part = g_ptr_array_index (job->parts, i);
+      if (part->step_index != 0 || part->step->lasts)
+        continue;
+      part->chains = chains_of (sched, job, part->occurrence);
+      part->chains_change = job->n_changes;
+      part->is_planned = TRUE;
+      part->is_chosen = TRUE;
+      const PlanRow row
+          = { part, job->queue->priority,
+              sched_due_wall_ms (job, part->occurrence) + meant_ms (job, &part->chains) };
+      g_array_append_val (rows, row);
+    }
+}
+
+static double
+value_of (const PlanRow *row, double mean_work)
+{
+  return (VALUE_PLAIN * mean_work + VALUE_WORK * row->first->chains.whole_work)
+         * pow (PRIORITY_WEIGHT, row->priority);
+}
+
+static double
+mean_work_of (const GArray *rows)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < rows->len; i++)
+    sum += g_array_index (rows, PlanRow, i).first->chains.whole_work;
+  return sum / MAX (rows->len, 1);
+}
+
+/* Chooses among the occurrences that have work of one class left. */
+static void
+choose_class (const Sched *sched, const GArray *rows, SchedClass class, double cores)
+{
+  g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (ForecastJob));
+  g_autoptr (GPtrArray) firsts = g_ptr_array_new ();
+  double mean_work = mean_work_of (rows);
+
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const PlanRow *row = &g_array_index (rows, PlanRow, i);
+      if (row->first->chains.work[class] <= 0)
+        continue;
+      const ForecastJob job = { .deadline_ms = row->deadline_ms,
+                                .chain_ms = slack_ms (&row->first->chains),
+                                .work = row->first->chains.work[class],
+                                .value = value_of (row, mean_work) };
+      g_array_append_val (jobs, job);
+      g_ptr_array_add (firsts, row->first);
+    }
+  forecast_choose ((ForecastJob *) (void *) jobs->data, jobs->len, cores, sched->wall_ms);
+  for (guint i = 0; i < jobs->len; i++)
+    ((SchedPart *) g_ptr_array_index (firsts, i))->is_chosen
+        &= g_array_index (jobs, ForecastJob, i).is_chosen;
+}
+
+/* Processors that tasks that fill have at work, and those that others may reserve. */
+static void
+measure_cores (Sched *sched)
+{
+  double cores[SCHED_CLASSES] = { 0 };
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->report_us == 0)
+        continue;
+      cores[SCHED_PLAIN] += (double) (worker->info->capacity.cpu_m - worker->serving_cpu_m) / MILLI;
+      for (guint i = 0; i < worker->exposures->len; i++)
+        {
+          const SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
+          if (row->to_us == 0)
+            cores[SCHED_FILLING] += row->share * (double) worker->info->capacity.cpu_m / MILLI;
+        }
+    }
+  sched->cores[SCHED_PLAIN] = cores[SCHED_PLAIN];
+  sched->cores[SCHED_FILLING]
+      = MAX (cores[SCHED_FILLING], sched->cores[SCHED_FILLING] * CORES_DECAY);
+}
+
+static void
+renew_plan (Sched *sched)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (PlanRow));
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  if (sched->now_us - sched->plan_us < PLAN_MS * CLK_US_PER_MS)
+    return;
+  sched->plan_us = sched->now_us;
+  measure_cores (sched);
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    add_rows (sched, rows, key);
+  g_array_sort (rows, compare_rows);
+  for (guint i = 0; i < SCHED_CLASSES; i++)
+    {
+      /* While nothing waits, more processors may be free than are at work. */
+      if (sched->n_waiting[i] > 0)
+        choose_class (sched, rows, (SchedClass) i, sched->cores[i]);
+    }
+}
+
+void
+sched_plan_note_waiting (Sched *sched, const SchedPart *part)
+{
+  if (!part->step->lasts)
+    sched->n_waiting[part->step->fills ? SCHED_FILLING : SCHED_PLAIN] += part->n_waiting;
+}
+
+GArray *
+sched_turns (Sched *sched)
+{
+  GArray *turns = g_array_new (FALSE, FALSE, sizeof (SchedTurn));
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  renew_plan (sched);
+  memset (sched->n_waiting, 0, sizeof sched->n_waiting);
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    add_turns (sched, turns, key);
+  g_array_sort (turns, compare_turns);
+  return turns;
+}
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -2,6 +2,8 @@
 
 #include "batch/sched_tables.h"
 
+/** Pace at which a task starts, in percent. */
+#define FULL_PACE 100
 /** Failures on end after which a worker is left alone for a while. */
 #define FAIL_STREAK_MAX 2
 
@@ -106,12 +108,29 @@
          && sched_job_is_open (task->part->job);
 }
 
+/* An earlier owner may have slowed a task that fills; it would go on so without end. */
+static void
+adopt_pace (Sched *sched, SchedWorker *worker, SchedTask *task, const Batch__Running *row)
+{
+  if (!task->part->step->fills)
+    return;
+  if (row->pace_known == 0)
+    {
+      task->pace = 0;
+      sched_order_pace (sched, task, FULL_PACE);
+      return;
+    }
+  task->pace = MIN (row->pace_known - 1, FULL_PACE);
+  sched_tails_pace (worker, task);
+}
+
 static void
 adopt (Sched *sched, SchedWorker *worker, SchedTask *task, const Batch__Running *row)
 {
   task->run = row->run;
   sched_attach (worker, task, sched->now_us);
   task->part->job->has_begun = TRUE;
+  adopt_pace (sched, worker, task, row);
   sched_note (sched, "adopt", task->part->job->id, "task=%s run=%" G_GINT64_FORMAT " worker=%s",
               row->task, row->run, worker->name);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -49,6 +49,44 @@
   SchedWorker *avoid; /**< where it last failed or stood still */
 };
 
+/** What a task takes of a worker's processors: a share reserved for it, or what others leave. */
+typedef enum
+{
+  SCHED_PLAIN,
+  SCHED_FILLING,
+  SCHED_CLASSES,
+} SchedClass;
+
+/** Expected work of one occurrence. */
+typedef struct
+{
+  int64_t whole_ms;           /**< its longest chain */
+  int64_t left_ms;            /**< without the steps that are done */
+  double whole_work;          /**< core milliseconds of all tasks */
+  double work[SCHED_CLASSES]; /**< of those that are not done */
+  uint32_t n_begun;           /**< tasks that are done or at work */
+} SchedChains;
+
+/** Which jobs go first. Under overload, jobs that have begun are done in time and others are not
+ * begun; were new ones to go before those that have waited, all would be begun and all be late. */
+typedef enum
+{
+  SCHED_RANK_BEGUN,   /**< can be done in time, and has tasks that are done or at work */
+  SCHED_RANK_IN_TIME, /**< can be done in time */
+  SCHED_RANK_LATE,    /**< can be done while it is of use, though late */
+  SCHED_RANK_USELESS,
+} SchedRank;
+
+/** A step whose tasks may start. */
+typedef struct
+{
+  SchedPart *part;
+  uint32_t priority;
+  SchedRank rank;
+  int64_t deadline_ms;
+  double work; /**< core milliseconds of all tasks of the occurrence that are not done */
+} SchedTurn;
+
 /** One step of one occurrence. */
 struct SchedPart
 {
@@ -57,13 +95,17 @@
   uint32_t occurrence;
   uint32_t step_index;
   uint32_t n_done;
-  uint32_t n_waiting; /**< tasks in TASK_WAITING */
-  SchedTask *tasks;   /**< step->n_tasks of them */
-  GArray *failed;     /**< FailedRow */
-  uint32_t n_timed;   /**< tasks that ran through at full pace */
-  int64_t timed_ms;   /**< sum of their durations */
-  int64_t ready_us;   /**< when its turn was first seen to have come; 0: not yet */
-  uint32_t image;     /**< number of its image, once has_image is set */
+  uint32_t n_waiting;     /**< tasks in TASK_WAITING */
+  SchedTask *tasks;       /**< step->n_tasks of them */
+  GArray *failed;         /**< FailedRow */
+  uint32_t n_timed;       /**< tasks that ran through at full pace */
+  int64_t timed_ms;       /**< sum of their durations */
+  int64_t ready_us;       /**< when its turn was first seen to have come; 0: not yet */
+  SchedChains chains;     /**< of the occurrence; kept with its first step */
+  uint64_t chains_change; /**< the job's changes that they are of */
+  gboolean is_planned;    /**< the occurrence was in a forecast; with its first step */
+  gboolean is_chosen;     /**< and can be done in time by it */
+  uint32_t image;         /**< number of its image, once has_image is set */
   gboolean has_image;
 };
 
@@ -107,6 +149,7 @@
   GPtrArray *parts;          /**< SchedPart of the occurrences under way, by occurrence and step */
   uint32_t occurrences_done; /**< all before this one */
   uint32_t occurrences_made;
+  uint64_t n_changes; /**< of its tasks; from 1 */
 };
 
 struct SchedWorker
@@ -163,6 +206,9 @@
   int64_t wall_ms;
   int64_t room_noted_us;
   Interference *interference;
+  int64_t plan_us;                   /**< of the newest forecast */
+  double cores[SCHED_CLASSES];       /**< that tasks of the class can have */
+  uint32_t n_waiting[SCHED_CLASSES]; /**< tasks that found no room when last looked for */
 };
 
 /* sched_jobs.c */
@@ -199,6 +245,12 @@
 void sched_lose_worker (Sched *sched, SchedWorker *worker, const char *reason);
 void sched_shun (Sched *sched, SchedWorker *worker, const char *reason);
 
+/* sched_plan.c */
+/* SchedTurn of all steps whose tasks wait and may start, first come first; free it. */
+GArray *sched_turns (Sched *sched);
+/* To be called once the turn of a part is over: what waits is more than there is room for. */
+void sched_plan_note_waiting (Sched *sched, const SchedPart *part);
+
 /* sched_place.c */
 /* Returns how many tasks whose turn has come found no room. */
 uint32_t sched_place (Sched *sched);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -89,6 +89,7 @@
   task->over_us = 0;
   task->is_starting = TRUE;
   task->is_stopping = FALSE;
+  task->part->job->n_changes++;
   g_ptr_array_add (worker->tasks, task);
   account (worker, task, 1);
   sched_tails_attach (worker, task);
@@ -103,6 +104,7 @@
   sched_tails_detach (worker, task);
   account (worker, task, -1);
   (void) g_ptr_array_remove_fast (worker->tasks, task);
+  task->part->job->n_changes++;
   task->worker = NULL;
   task->state = state;
   task->order_number = 0;
--- a/lib/keeper/keeper_calls.c
+++ b/lib/keeper/keeper_calls.c
@@ -8,6 +8,8 @@
 #define LEASE_LEFT_MIN_MS 500
 /** Refusals kept for reports. */
 #define REFUSED_MAX 32
+/** Pace at which a task starts, in percent. */
+#define FULL_PACE 100
 /** Fencing tokens skipped when a higher one was seen. */
 #define TOKEN_STEP 1000000
 
@@ -154,7 +156,7 @@
       add_refused (keeper, order->task, order->run, RUNNER_LATE);
       return;
     }
-  (void) keeper_add_row (keeper, order->task, order->run, ROW_STARTING);
+  keeper_add_row (keeper, order->task, order->run, ROW_STARTING)->pace_known = FULL_PACE + 1;
   keeper->options.start (keeper->options.ctx, &target, &start, on_started, call_new (keeper, key));
 }
 
@@ -210,10 +212,13 @@
 on_paced (void *ctx, const RunnerAnswer *answer)
 {
   KeeperCall *call = ctx;
+  KeeperRow *row = is_current (call) ? g_hash_table_lookup (call->keeper->rows, call->key) : NULL;
 
   if (answer->outcome != RUNNER_OK)
     keeper_note (call->keeper, "pace_failed", "run=\"%s\" outcome=%s", call->key,
                  runner_outcome_name (answer->outcome));
+  else if (row != NULL)
+    row->pace_known = call->percent + 1;
   call_free (call);
 }
 
@@ -222,9 +227,14 @@
 {
   g_autofree char *key = keeper_row_key (order->task, order->run);
   RunnerTarget target = target_of (keeper);
+  KeeperRow *row = g_hash_table_lookup (keeper->rows, key);
+  KeeperCall *call = call_new (keeper, key);
 
+  call->percent = order->percent;
+  if (row != NULL)
+    row->pace_known = 0;
   keeper->options.pace (keeper->options.ctx, &target, order->task, order->run, order->percent,
-                        on_paced, call_new (keeper, key));
+                        on_paced, call);
 }
 
 void
--- a/lib/keeper/keeper_private.h
+++ b/lib/keeper/keeper_private.h
@@ -37,6 +37,7 @@
   gboolean is_listed;   /**< runs by the newest look */
   gboolean was_listed;  /**< ran by the look before it */
   WorkerTask seen;      /**< of the newest look; texts owned */
+  uint32_t pace_known;  /**< pace in percent and 1; 0: not known */
   uint64_t version;     /**< of its newest change that reports tell */
   int64_t told_percent; /**< at that change */
   int64_t told_figure;
@@ -103,6 +104,7 @@
   uint64_t lives;
   char *key;
   int64_t sent_us;
+  uint32_t percent; /**< of a pace */
 } KeeperCall;
 
 /* keeper.c */
--- a/lib/keeper/keeper_report.c
+++ b/lib/keeper/keeper_report.c
@@ -36,6 +36,7 @@
   entry->percent = (int32_t) row->seen.percent;
   entry->figure = row->seen.figure;
   entry->is_starting = !row->is_listed;
+  entry->pace_known = row->pace_known;
   return entry;
 }
 
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -2,9 +2,9 @@
  * @file net_client.h
  * HTTP/1.1 calls over libcurl on the default GLib main context.
  *
- * All calls are asynchronous and belong to the thread of the main loop. Every call ends when nothing
- * moved for its time-out, so a connection that went silent costs one call and is then closed, and
- * a large body over a slow link is not cut short.
+ * All calls are asynchronous and belong to the thread of the main loop. Every call ends when
+ * nothing moved for its time-out, so a connection that went silent costs one call and is then
+ * closed, and a large body over a slow link is not cut short.
  */
 #pragma once
 
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -74,6 +74,7 @@
   uint32_t n_stops;
   gboolean sends_changes;  /**< reports tell what changed since the one that was applied */
   gboolean is_stalled;     /**< tasks do not advance */
+  gboolean knows_paces;    /**< agents tell the paces of tasks */
   gboolean has_slow_stops; /**< a stopped task ends in the next round */
 } Rig;
 
@@ -287,6 +288,7 @@
       running[i].run = worker->tasks[i].run;
       running[i].percent = (int32_t) worker->tasks[i].percent;
       running[i].figure = worker->tasks[i].figure;
+      running[i].pace_known = rig->knows_paces ? worker->tasks[i].pace + 1 : 0;
       running_rows[report.n_running++] = &running[i];
     }
   for (uint32_t i = 0; i < worker->n_ends; i++)
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -760,6 +760,31 @@
   rig_free (rig);
 }
 
+/* A task that an earlier owner slowed does not stay so, whether its agent knows the pace or not. */
+static void
+new_owner_restores_the_pace_of_what_it_finds (void **state)
+{
+  (void) state;
+  for (int knows = 0; knows < 2; knows++)
+    {
+      Rig *rig = rig_new (1);
+      RigTask *task = &rig->workers[0].tasks[0];
+      rig->knows_paces = knows == 1;
+      sched_begin_term (rig->sched, 2, rig->now_us + 60 * 1000 * 1000);
+      rig_add_job_as (rig, JOB_A, "bulk",
+                      "{\"count\":1,\"cpu\":2000,\"fills\":true,\"image\":\"f\"}", TRUE);
+      rig->workers[0].n_tasks = 1;
+      (void) g_strlcpy (task->name, JOB_A ".0.0.0", sizeof task->name);
+      task->run = 1;
+      task->pace = 0;
+      for (int i = 0; i < 20; i++)
+        rig_round (rig, 100, TRUE);
+      assert_int_equal (rig->n_stops, 0);
+      assert_int_equal (rig_find (&rig->workers[0], JOB_A ".0.0.0")->pace, 100);
+      rig_free (rig);
+    }
+}
+
 int
 main (void)
 {
@@ -795,6 +820,7 @@
     cmocka_unit_test (changes_over_a_gap_are_not_applied),
     cmocka_unit_test (orders_are_repeated_only_when_due),
     cmocka_unit_test (learned_takes_survive_a_new_owner),
+    cmocka_unit_test (new_owner_restores_the_pace_of_what_it_finds),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <time.h>
 
-#include "batch/interference.h"
+#include "batch/message.h"
 #include "batch/sched.h"
 
 #define STEP_MS 10
@@ -26,6 +26,8 @@
 #define FIGURE_ERROR 0.03
 #define TASK_NAME_MAX 40
 #define SERVICE "service"
+/** Of serving tasks. */
+#define TARGET_MS 100
 
 typedef struct
 {
@@ -69,7 +71,6 @@
   double mem_mb;
   GArray *tasks; /**< Task */
   GArray *ends;  /**< End, not told yet */
-  GArray *gone;  /**< End, whose run is to be told as gone */
   int64_t next_end;
   int64_t report_ms; /**< when the next report is due */
   uint64_t version;
@@ -170,7 +171,6 @@
       worker->mem_mb = options->mem_mb * size;
       worker->tasks = g_array_new (FALSE, TRUE, sizeof (Task));
       worker->ends = g_array_new (FALSE, TRUE, sizeof (End));
-      worker->gone = g_array_new (FALSE, TRUE, sizeof (End));
       worker->report_ms = g_rand_int_range (fleet->rand, 0, REPORT_MS);
       (void) sched_add_agent (fleet->sched, worker->name);
     }
@@ -216,7 +216,7 @@
   step->fills = kind->fills;
   step->saves = kind->saves;
   step->lasts = kind->lasts;
-  step->tail_target_ms = kind->lasts ? 100 : 0;
+  step->tail_target_ms = kind->lasts ? TARGET_MS : 0;
   if (index > 0)
     {
       uint32_t before = index - 1;
@@ -272,11 +272,10 @@
         per_step *= options->burst_x;
       if (fleet->now_ms < LEAD_MS || fleet->now_ms >= LEAD_MS + options->length_ms)
         continue;
-      for (double left = per_step; left > 0; left -= 1.0)
-        {
-          if (g_rand_double (fleet->rand) < left)
-            add_job (fleet, i);
-        }
+      uint32_t n_arrivals = (uint32_t) per_step;
+      n_arrivals += g_rand_double (fleet->rand) < per_step - n_arrivals;
+      for (uint32_t k = 0; k < n_arrivals; k++)
+        add_job (fleet, i);
     }
 }
 
@@ -298,7 +297,6 @@
   if (how == WORKER_END_STOPPED && task->saves)
     (void) g_snprintf (end.saved, sizeof end.saved, "%.0f", task->all_ms - task->left_ms);
   g_array_append_val (worker->ends, end);
-  g_array_append_val (worker->gone, end);
   g_array_remove_index_fast (worker->tasks, index);
   worker->is_urgent = TRUE;
 }
@@ -425,79 +423,88 @@
   return (int64_t) (100.0 * (1.0 - MAX (task->left_ms, 0.0) / task->all_ms));
 }
 
-static void
-fill_running (const Task *task, Batch__Running *row)
+static Batch__Worker *
+make_info (const Worker *worker)
 {
-  batch__running__init (row);
-  row->task = (char *) task->name;
-  row->run = task->run;
-  row->percent = (int32_t) percent_of (task);
-  row->figure = (int64_t) (task->headroom > 0 ? 100.0 / task->headroom : 0);
+  Batch__Worker *info = message_part (sizeof *info);
+
+  batch__worker__init (info);
+  info->id = message_text (worker->name);
+  info->service = message_text (SERVICE);
+  info->data_centre = message_text ("");
+  info->instance = message_text ("");
+  info->labels = message_part (sizeof *info->labels);
+  info->labels[info->n_labels++] = message_text (worker->rack);
+  info->cpu_m = (int64_t) worker->cpu_m;
+  info->mem_mb = (int64_t) worker->mem_mb;
+  return info;
 }
 
 static void
-send_report (Fleet *fleet, Worker *worker)
+add_running (Batch__Report *report, Worker *worker)
 {
-  guint n_rows = worker->tasks->len;
-  guint n_ends = worker->ends->len;
-  g_autofree Batch__Running *running = g_new0 (Batch__Running, n_rows + 1);
-  g_autofree Batch__Running **running_rows = g_new0 (Batch__Running *, n_rows + 1);
-  g_autofree Batch__Ended *ended = g_new0 (Batch__Ended, n_ends + 1);
-  g_autofree Batch__Ended **ended_rows = g_new0 (Batch__Ended *, n_ends + 1);
-  g_autofree Batch__Gone *gone = g_new0 (Batch__Gone, worker->gone->len + 1);
-  g_autofree Batch__Gone **gone_rows = g_new0 (Batch__Gone *, worker->gone->len + 1);
-  Batch__Report report = BATCH__REPORT__INIT;
-  Batch__Worker info = BATCH__WORKER__INIT;
-  char *labels[] = { worker->rack };
-
-  info.id = worker->name;
-  info.service = SERVICE;
-  info.labels = labels;
-  info.n_labels = 1;
-  info.cpu_m = (int64_t) worker->cpu_m;
-  info.mem_mb = (int64_t) worker->mem_mb;
-  report.boot = 1;
-  report.life = 1;
-  report.clock_us = fleet->now_ms * 1000;
-  report.done_number = worker->done_number;
-  report.since = worker->version;
-  report.version = ++worker->version;
-  report.worker = report.since == 0 ? &info : NULL;
-  report.running = running_rows;
-  report.ended = ended_rows;
-  report.gone = gone_rows;
-  for (guint i = 0; i < n_rows; i++)
+  report->running = message_part (worker->tasks->len * sizeof *report->running);
+  for (guint i = 0; i < worker->tasks->len; i++)
     {
       Task *task = &g_array_index (worker->tasks, Task, i);
       if (!task->is_changed)
         continue;
       task->is_changed = FALSE;
-      fill_running (task, &running[report.n_running]);
-      running_rows[report.n_running] = &running[report.n_running];
-      report.n_running++;
-    }
-  for (guint i = 0; i < n_ends; i++)
-    {
-      End *end = &g_array_index (worker->ends, End, i);
-      batch__ended__init (&ended[i]);
-      ended[i].number = end->number;
-      ended[i].task = end->name;
-      ended[i].run = end->run;
-      ended[i].how = (uint32_t) end->how;
-      ended[i].saved = end->saved;
-      ended_rows[report.n_ended++] = &ended[i];
+      Batch__Running *row = message_part (sizeof *row);
+      batch__running__init (row);
+      row->task = message_text (task->name);
+      row->run = task->run;
+      row->saved = message_text ("");
+      row->percent = (int32_t) percent_of (task);
+      row->figure = (int64_t) (task->headroom > 0 ? TARGET_MS / task->headroom : 0);
+      report->running[report->n_running++] = row;
     }
-  for (guint i = 0; report.since != 0 && i < worker->gone->len; i++)
+}
+
+static void
+add_ends (Batch__Report *report, Worker *worker)
+{
+  report->ended = message_part (worker->ends->len * sizeof *report->ended);
+  report->gone = message_part (worker->ends->len * sizeof *report->gone);
+  for (guint i = 0; i < worker->ends->len; i++)
     {
-      End *end = &g_array_index (worker->gone, End, i);
-      batch__gone__init (&gone[i]);
-      gone[i].task = end->name;
-      gone[i].run = end->run;
-      gone_rows[report.n_gone++] = &gone[i];
+      const End *end = &g_array_index (worker->ends, End, i);
+      Batch__Ended *row = message_part (sizeof *row);
+      Batch__Gone *gone = message_part (sizeof *gone);
+      batch__ended__init (row);
+      row->number = end->number;
+      row->task = message_text (end->name);
+      row->run = end->run;
+      row->how = (uint32_t) end->how;
+      row->saved = message_text (end->saved);
+      report->ended[report->n_ended++] = row;
+      batch__gone__init (gone);
+      gone->task = message_text (end->name);
+      gone->run = end->run;
+      report->gone[report->n_gone++] = gone;
     }
-  sched_take_report (fleet->sched, worker->name, &report, fleet->now_ms * 1000);
   g_array_set_size (worker->ends, 0);
-  g_array_set_size (worker->gone, 0);
+}
+
+/* Each report is applied at once, so the next one tells what changed since. */
+static void
+send_report (Fleet *fleet, Worker *worker)
+{
+  Batch__Report *report = message_part (sizeof *report);
+
+  batch__report__init (report);
+  report->boot = 1;
+  report->life = 1;
+  report->clock_us = fleet->now_ms * 1000;
+  report->done_number = worker->done_number;
+  report->since = worker->version;
+  report->version = ++worker->version;
+  if (report->since == 0)
+    report->worker = make_info (worker);
+  add_running (report, worker);
+  add_ends (report, worker);
+  sched_take_report (fleet->sched, worker->name, report, fleet->now_ms * 1000);
+  batch__report__free_unpacked (report, NULL);
   worker->report_ms = fleet->now_ms + REPORT_MS;
   worker->is_urgent = FALSE;
 }
@@ -717,7 +724,6 @@
     {
       g_array_unref (fleet->workers[i].tasks);
       g_array_unref (fleet->workers[i].ends);
-      g_array_unref (fleet->workers[i].gone);
     }
   g_free (fleet->workers);
   g_free (fleet->presses);
