--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -367,6 +367,141 @@
   assert(message->base.descriptor == &batch__owner__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__pair_take__init
+                     (Batch__PairTake         *message)
+{
+  static const Batch__PairTake init_value = BATCH__PAIR_TAKE__INIT;
+  *message = init_value;
+}
+size_t batch__pair_take__get_packed_size
+                     (const Batch__PairTake *message)
+{
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__pair_take__pack
+                     (const Batch__PairTake *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__pair_take__pack_to_buffer
+                     (const Batch__PairTake *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__PairTake *
+       batch__pair_take__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__PairTake *)
+     protobuf_c_message_unpack (&batch__pair_take__descriptor,
+                                allocator, len, data);
+}
+void   batch__pair_take__free_unpacked
+                     (Batch__PairTake *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__pair_take__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__queue_durations__init
+                     (Batch__QueueDurations         *message)
+{
+  static const Batch__QueueDurations init_value = BATCH__QUEUE_DURATIONS__INIT;
+  *message = init_value;
+}
+size_t batch__queue_durations__get_packed_size
+                     (const Batch__QueueDurations *message)
+{
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__queue_durations__pack
+                     (const Batch__QueueDurations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__queue_durations__pack_to_buffer
+                     (const Batch__QueueDurations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__QueueDurations *
+       batch__queue_durations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__QueueDurations *)
+     protobuf_c_message_unpack (&batch__queue_durations__descriptor,
+                                allocator, len, data);
+}
+void   batch__queue_durations__free_unpacked
+                     (Batch__QueueDurations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__queue_durations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__learned__init
+                     (Batch__Learned         *message)
+{
+  static const Batch__Learned init_value = BATCH__LEARNED__INIT;
+  *message = init_value;
+}
+size_t batch__learned__get_packed_size
+                     (const Batch__Learned *message)
+{
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__learned__pack
+                     (const Batch__Learned *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__learned__pack_to_buffer
+                     (const Batch__Learned *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Learned *
+       batch__learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Learned *)
+     protobuf_c_message_unpack (&batch__learned__descriptor,
+                                allocator, len, data);
+}
+void   batch__learned__free_unpacked
+                     (Batch__Learned *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__learned__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__member__init
                      (Batch__Member         *message)
 {
@@ -817,6 +952,51 @@
   assert(message->base.descriptor == &batch__refused__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__gone__init
+                     (Batch__Gone         *message)
+{
+  static const Batch__Gone init_value = BATCH__GONE__INIT;
+  *message = init_value;
+}
+size_t batch__gone__get_packed_size
+                     (const Batch__Gone *message)
+{
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__gone__pack
+                     (const Batch__Gone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__gone__pack_to_buffer
+                     (const Batch__Gone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Gone *
+       batch__gone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Gone *)
+     protobuf_c_message_unpack (&batch__gone__descriptor,
+                                allocator, len, data);
+}
+void   batch__gone__free_unpacked
+                     (Batch__Gone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__gone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__report__init
                      (Batch__Report         *message)
 {
@@ -1348,6 +1528,250 @@
   (ProtobufCMessageInit) batch__owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor batch__pair_take__field_descriptors[4] =
+{
+  {
+    "serving",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, serving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filling",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, filling),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "take",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, take),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "variance",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__PairTake, variance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__pair_take__field_indices_by_name[] = {
+  1,   /* field[1] = filling */
+  0,   /* field[0] = serving */
+  2,   /* field[2] = take */
+  3,   /* field[3] = variance */
+};
+static const ProtobufCIntRange batch__pair_take__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor batch__pair_take__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.PairTake",
+  "PairTake",
+  "Batch__PairTake",
+  "batch",
+  sizeof(Batch__PairTake),
+  4,
+  batch__pair_take__field_descriptors,
+  batch__pair_take__field_indices_by_name,
+  1,  batch__pair_take__number_ranges,
+  (ProtobufCMessageInit) batch__pair_take__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__queue_durations__field_descriptors[6] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, log_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_ratio",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, log_ratio),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ms_error",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, ms_error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ratio_error",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Batch__QueueDurations, ratio_error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__queue_durations__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  2,   /* field[2] = log_ms */
+  3,   /* field[3] = log_ratio */
+  4,   /* field[4] = ms_error */
+  0,   /* field[0] = queue */
+  5,   /* field[5] = ratio_error */
+};
+static const ProtobufCIntRange batch__queue_durations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor batch__queue_durations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.QueueDurations",
+  "QueueDurations",
+  "Batch__QueueDurations",
+  "batch",
+  sizeof(Batch__QueueDurations),
+  6,
+  batch__queue_durations__field_descriptors,
+  batch__queue_durations__field_indices_by_name,
+  1,  batch__queue_durations__number_ranges,
+  (ProtobufCMessageInit) batch__queue_durations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__learned__field_descriptors[3] =
+{
+  {
+    "images",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Batch__Learned, n_images),
+    offsetof(Batch__Learned, images),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pairs",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Learned, n_pairs),
+    offsetof(Batch__Learned, pairs),
+    &batch__pair_take__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Learned, n_queues),
+    offsetof(Batch__Learned, queues),
+    &batch__queue_durations__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__learned__field_indices_by_name[] = {
+  0,   /* field[0] = images */
+  1,   /* field[1] = pairs */
+  2,   /* field[2] = queues */
+};
+static const ProtobufCIntRange batch__learned__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor batch__learned__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Learned",
+  "Learned",
+  "Batch__Learned",
+  "batch",
+  sizeof(Batch__Learned),
+  3,
+  batch__learned__field_descriptors,
+  batch__learned__field_indices_by_name,
+  1,  batch__learned__number_ranges,
+  (ProtobufCMessageInit) batch__learned__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor batch__member__field_descriptors[3] =
 {
   {
@@ -1694,7 +2118,7 @@
   (ProtobufCMessageInit) batch__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__orders__field_descriptors[7] =
+static const ProtobufCFieldDescriptor batch__orders__field_descriptors[10] =
 {
   {
     "epoch",
@@ -1780,6 +2204,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_before",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, order_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_taken",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, report_taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_gap_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, report_gap_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__orders__field_indices_by_name[] = {
   2,   /* field[2] = agent_boot */
@@ -1787,13 +2247,16 @@
   5,   /* field[5] = ends_kept */
   0,   /* field[0] = epoch */
   4,   /* field[4] = life */
+  7,   /* field[7] = order_before */
   6,   /* field[6] = orders */
   1,   /* field[1] = owner */
+  9,   /* field[9] = report_gap_ms */
+  8,   /* field[8] = report_taken */
 };
 static const ProtobufCIntRange batch__orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor batch__orders__descriptor =
 {
@@ -1803,7 +2266,7 @@
   "Batch__Orders",
   "batch",
   sizeof(Batch__Orders),
-  7,
+  10,
   batch__orders__field_descriptors,
   batch__orders__field_indices_by_name,
   1,  batch__orders__number_ranges,
@@ -1978,7 +2441,7 @@
   (ProtobufCMessageInit) batch__worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__running__field_descriptors[6] =
+static const ProtobufCFieldDescriptor batch__running__field_descriptors[7] =
 {
   {
     "task",
@@ -2052,10 +2515,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace_known",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Running, pace_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__running__field_indices_by_name[] = {
   4,   /* field[4] = figure */
   5,   /* field[5] = is_starting */
+  6,   /* field[6] = pace_known */
   3,   /* field[3] = percent */
   1,   /* field[1] = run */
   2,   /* field[2] = saved */
@@ -2064,7 +2540,7 @@
 static const ProtobufCIntRange batch__running__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor batch__running__descriptor =
 {
@@ -2074,7 +2550,7 @@
   "Batch__Running",
   "batch",
   sizeof(Batch__Running),
-  6,
+  7,
   batch__running__field_descriptors,
   batch__running__field_indices_by_name,
   1,  batch__running__number_ranges,
@@ -2235,7 +2711,58 @@
   (ProtobufCMessageInit) batch__refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor batch__gone__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Gone, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Gone, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__gone__field_indices_by_name[] = {
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange batch__gone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__gone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Gone",
+  "Gone",
+  "Batch__Gone",
+  "batch",
+  sizeof(Batch__Gone),
+  2,
+  batch__gone__field_descriptors,
+  batch__gone__field_indices_by_name,
+  1,  batch__gone__number_ranges,
+  (ProtobufCMessageInit) batch__gone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__report__field_descriptors[13] =
 {
   {
     "epoch",
@@ -2357,6 +2884,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Report, n_gone),
+    offsetof(Batch__Report, gone),
+    &batch__gone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -2364,16 +2927,19 @@
   4,   /* field[4] = done_number */
   7,   /* field[7] = ended */
   0,   /* field[0] = epoch */
+  12,   /* field[12] = gone */
   9,   /* field[9] = is_leaving */
   3,   /* field[3] = life */
   8,   /* field[8] = refused */
   6,   /* field[6] = running */
+  11,   /* field[11] = since */
+  10,   /* field[10] = version */
   5,   /* field[5] = worker */
 };
 static const ProtobufCIntRange batch__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor batch__report__descriptor =
 {
@@ -2383,7 +2949,7 @@
   "Batch__Report",
   "batch",
   sizeof(Batch__Report),
-  10,
+  13,
   batch__report__field_descriptors,
   batch__report__field_indices_by_name,
   1,  batch__report__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -23,6 +23,9 @@
 typedef struct Batch__Progress Batch__Progress;
 typedef struct Batch__QueueLoad Batch__QueueLoad;
 typedef struct Batch__Owner Batch__Owner;
+typedef struct Batch__PairTake Batch__PairTake;
+typedef struct Batch__QueueDurations Batch__QueueDurations;
+typedef struct Batch__Learned Batch__Learned;
 typedef struct Batch__Member Batch__Member;
 typedef struct Batch__Start Batch__Start;
 typedef struct Batch__Stop Batch__Stop;
@@ -33,6 +36,7 @@
 typedef struct Batch__Running Batch__Running;
 typedef struct Batch__Ended Batch__Ended;
 typedef struct Batch__Refused Batch__Refused;
+typedef struct Batch__Gone Batch__Gone;
 typedef struct Batch__Report Batch__Report;
 
 
@@ -169,6 +173,61 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
+/*
+ * What a pair of images was seen to do to each other; see interference.h.
+ */
+struct  Batch__PairTake
+{
+  ProtobufCMessage base;
+  /*
+   * places in `images`
+   */
+  uint32_t serving;
+  uint32_t filling;
+  float take;
+  float variance;
+};
+#define BATCH__PAIR_TAKE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__pair_take__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * How far the durations that a queue declares are off; see sched_learn.c.
+ */
+struct  Batch__QueueDurations
+{
+  ProtobufCMessage base;
+  char *queue;
+  uint32_t count;
+  float log_ms;
+  float log_ratio;
+  float ms_error;
+  float ratio_error;
+};
+#define BATCH__QUEUE_DURATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__queue_durations__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Key "learned". Written by the owner now and then, for the one that follows it.
+ */
+struct  Batch__Learned
+{
+  ProtobufCMessage base;
+  size_t n_images;
+  char **images;
+  size_t n_pairs;
+  Batch__PairTake **pairs;
+  size_t n_queues;
+  Batch__QueueDurations **queues;
+};
+#define BATCH__LEARNED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__learned__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * Key "agent.NAME".
  */
@@ -277,10 +336,22 @@
   int64_t ends_kept;
   size_t n_orders;
   Batch__Order **orders;
+  /*
+   * last order that is left out since it was sent before; 0 for none
+   */
+  uint64_t order_before;
+  /*
+   * version of the newest report that was applied; 0: a whole one is needed
+   */
+  uint64_t report_taken;
+  /*
+   * an agent's reports are at least this far apart
+   */
+  uint32_t report_gap_ms;
 };
 #define BATCH__ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Batch__Worker
@@ -313,10 +384,14 @@
   int32_t percent;
   int64_t figure;
   protobuf_c_boolean is_starting;
+  /*
+   * pace in percent and 1; 0 if the agent does not know it
+   */
+  uint32_t pace_known;
 };
 #define BATCH__RUNNING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__running__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Batch__Ended
@@ -346,7 +421,21 @@
 
 
 /*
- * Agent to owner: all that is known of the worker.
+ * A run that is not at the worker any more, or never got there.
+ */
+struct  Batch__Gone
+{
+  ProtobufCMessage base;
+  char *task;
+  int64_t run;
+};
+#define BATCH__GONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__gone__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Agent to owner: what changed at the worker since the report of version `since`; all if that is 0.
  */
 struct  Batch__Report
 {
@@ -362,6 +451,9 @@
    * orders up to this one were carried out or are under way
    */
   uint64_t done_number;
+  /*
+   * left out when it did not change
+   */
   Batch__Worker *worker;
   size_t n_running;
   Batch__Running **running;
@@ -370,10 +462,20 @@
   size_t n_refused;
   Batch__Refused **refused;
   protobuf_c_boolean is_leaving;
+  /*
+   * rises with each change
+   */
+  uint64_t version;
+  uint64_t since;
+  /*
+   * not in a whole report, which lists all that runs
+   */
+  size_t n_gone;
+  Batch__Gone **gone;
 };
 #define BATCH__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__report__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /* Batch__Submission methods */
@@ -528,6 +630,63 @@
 void   batch__owner__free_unpacked
                      (Batch__Owner *message,
                       ProtobufCAllocator *allocator);
+/* Batch__PairTake methods */
+void   batch__pair_take__init
+                     (Batch__PairTake         *message);
+size_t batch__pair_take__get_packed_size
+                     (const Batch__PairTake   *message);
+size_t batch__pair_take__pack
+                     (const Batch__PairTake   *message,
+                      uint8_t             *out);
+size_t batch__pair_take__pack_to_buffer
+                     (const Batch__PairTake   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__PairTake *
+       batch__pair_take__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__pair_take__free_unpacked
+                     (Batch__PairTake *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__QueueDurations methods */
+void   batch__queue_durations__init
+                     (Batch__QueueDurations         *message);
+size_t batch__queue_durations__get_packed_size
+                     (const Batch__QueueDurations   *message);
+size_t batch__queue_durations__pack
+                     (const Batch__QueueDurations   *message,
+                      uint8_t             *out);
+size_t batch__queue_durations__pack_to_buffer
+                     (const Batch__QueueDurations   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__QueueDurations *
+       batch__queue_durations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__queue_durations__free_unpacked
+                     (Batch__QueueDurations *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Learned methods */
+void   batch__learned__init
+                     (Batch__Learned         *message);
+size_t batch__learned__get_packed_size
+                     (const Batch__Learned   *message);
+size_t batch__learned__pack
+                     (const Batch__Learned   *message,
+                      uint8_t             *out);
+size_t batch__learned__pack_to_buffer
+                     (const Batch__Learned   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Learned *
+       batch__learned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__learned__free_unpacked
+                     (Batch__Learned *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Member methods */
 void   batch__member__init
                      (Batch__Member         *message);
@@ -718,6 +877,25 @@
 void   batch__refused__free_unpacked
                      (Batch__Refused *message,
                       ProtobufCAllocator *allocator);
+/* Batch__Gone methods */
+void   batch__gone__init
+                     (Batch__Gone         *message);
+size_t batch__gone__get_packed_size
+                     (const Batch__Gone   *message);
+size_t batch__gone__pack
+                     (const Batch__Gone   *message,
+                      uint8_t             *out);
+size_t batch__gone__pack_to_buffer
+                     (const Batch__Gone   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Gone *
+       batch__gone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__gone__free_unpacked
+                     (Batch__Gone *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Report methods */
 void   batch__report__init
                      (Batch__Report         *message);
@@ -763,6 +941,15 @@
 typedef void (*Batch__Owner_Closure)
                  (const Batch__Owner *message,
                   void *closure_data);
+typedef void (*Batch__PairTake_Closure)
+                 (const Batch__PairTake *message,
+                  void *closure_data);
+typedef void (*Batch__QueueDurations_Closure)
+                 (const Batch__QueueDurations *message,
+                  void *closure_data);
+typedef void (*Batch__Learned_Closure)
+                 (const Batch__Learned *message,
+                  void *closure_data);
 typedef void (*Batch__Member_Closure)
                  (const Batch__Member *message,
                   void *closure_data);
@@ -793,6 +980,9 @@
 typedef void (*Batch__Refused_Closure)
                  (const Batch__Refused *message,
                   void *closure_data);
+typedef void (*Batch__Gone_Closure)
+                 (const Batch__Gone *message,
+                  void *closure_data);
 typedef void (*Batch__Report_Closure)
                  (const Batch__Report *message,
                   void *closure_data);
@@ -810,6 +1000,9 @@
 extern const ProtobufCMessageDescriptor batch__progress__descriptor;
 extern const ProtobufCMessageDescriptor batch__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor batch__owner__descriptor;
+extern const ProtobufCMessageDescriptor batch__pair_take__descriptor;
+extern const ProtobufCMessageDescriptor batch__queue_durations__descriptor;
+extern const ProtobufCMessageDescriptor batch__learned__descriptor;
 extern const ProtobufCMessageDescriptor batch__member__descriptor;
 extern const ProtobufCMessageDescriptor batch__start__descriptor;
 extern const ProtobufCMessageDescriptor batch__stop__descriptor;
@@ -820,6 +1013,7 @@
 extern const ProtobufCMessageDescriptor batch__running__descriptor;
 extern const ProtobufCMessageDescriptor batch__ended__descriptor;
 extern const ProtobufCMessageDescriptor batch__refused__descriptor;
+extern const ProtobufCMessageDescriptor batch__gone__descriptor;
 extern const ProtobufCMessageDescriptor batch__report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -5,6 +5,9 @@
 #include "batch/sched_tables.h"
 #include "common/clk.h"
 
+/** Orders that a report does not confirm are sent again with the next message after this: the
+ * report may have left before they came. */
+#define RETELL_MS 100
 /** Between two lines on how full the workers are. */
 #define ROOM_NOTE_MS 1000
 
@@ -42,8 +45,7 @@
   sched->dirty = g_hash_table_new (NULL, NULL);
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  sched->increases = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify) g_hash_table_unref);
+  sched->interference = interference_new ();
   sched->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->ended = g_queue_new ();
   return sched;
@@ -56,9 +58,9 @@
     return;
   g_hash_table_destroy (sched->pending);
   g_free (sched->forgetting);
-  g_hash_table_destroy (sched->increases);
   g_hash_table_destroy (sched->durations);
   g_hash_table_destroy (sched->workers);
+  interference_free (sched->interference);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
   g_queue_free (sched->ended);
@@ -108,7 +110,7 @@
     return FALSE;
   if (g_hash_table_contains (sched->workers, name))
     return TRUE;
-  SchedWorker *worker = sched_worker_new (name);
+  SchedWorker *worker = sched_worker_new (sched, name);
   g_hash_table_insert (sched->workers, worker->name, worker);
   return TRUE;
 }
@@ -254,6 +256,26 @@
   note_room (sched, sched_place (sched));
 }
 
+/* Orders that were sent lately are left out, all others go together. */
+static void
+add_orders (const Sched *sched, SchedWorker *worker, Batch__Orders *orders)
+{
+  Batch__Order **rows = (Batch__Order **) worker->orders->pdata;
+  gboolean is_retold = sched->now_us - worker->told_us >= RETELL_MS * CLK_US_PER_MS;
+  guint first = 0;
+
+  while (!is_retold && first < worker->orders->len && rows[first]->number <= worker->told_number)
+    first++;
+  if (worker->orders->len == 0)
+    return;
+  orders->order_before = first > 0 ? rows[first - 1]->number : 0;
+  orders->n_orders = worker->orders->len - first;
+  orders->orders = rows + first;
+  if (first == 0)
+    worker->told_us = sched->now_us;
+  worker->told_number = rows[worker->orders->len - 1]->number;
+}
+
 gboolean
 sched_orders (Sched *sched, const char *agent, Batch__Orders *orders)
 {
@@ -266,8 +288,8 @@
   orders->echo_us = worker->clock_us;
   orders->life = worker->life;
   orders->ends_kept = worker->ends_kept;
-  orders->n_orders = worker->orders->len;
-  orders->orders = (Batch__Order **) worker->orders->pdata;
+  orders->report_taken = worker->report_version;
+  add_orders (sched, worker, orders);
   return TRUE;
 }
 
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -7,23 +7,22 @@
 #define COST_FILL_BESIDE_SERVING 100000
 #define COST_SERVING_BESIDE_FILL 8000
 #define COST_SERVING_ALONE 40000
+/** Of each other image that serves there: what fills has to suit them all. */
+#define COST_SERVING_MIXED 0
 #define COST_AVOIDED 50000
-#define COST_TAIL_PERCENT 1000
+/** Of a headroom of 1, less where more is left. */
+#define COST_HEADROOM 100000
+#define COST_FULL 30000
+#define COST_FREE 8000
 /** Runs of one term; a later term's runs are higher than all of an earlier one. */
 #define RUNS_PER_TERM 1000
-/** What is left of a job is expected to take this percent of its chain: tasks that fill are slowed
- * down at times, and some runs fail. A job is begun only if it can then be done in time. */
-#define SLACK_PERCENT 130
-/** A job that has begun is given up for late only when its chain alone is too long. */
-#define BEGUN_SLACK_PERCENT 100
-/** A result is of some use up to this multiple of the time that a job is meant to take. */
-#define USEFUL_FACTOR 3
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
 #define FILL_PERCENT_MAX 115
-/** Tasks that fill start beside serving ones only if tails stay below this percent of targets. */
-#define TAIL_PERCENT_MAX 80
+/** Tasks that fill start beside serving ones only if these keep this headroom. */
+#define HEADROOM_MIN 1.3
+#define HEADROOM_LEAST 0.1
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 40
 /** A step whose turn came this long ago always has tasks at work, if less than this share of the
@@ -33,126 +32,6 @@
 /** Tasks that such a step has at work: with one alone there would be gaps between two. */
 #define STARVED_TASKS 2
 
-/** Which jobs go first. Under overload, jobs that have begun are done in time and others are not
- * begun; were new ones to go before those that have waited, all would be begun and all be late. */
-typedef enum
-{
-  RANK_BEGUN,   /**< can be done in time, and has tasks that are done or at work */
-  RANK_IN_TIME, /**< can be done in time */
-  RANK_LATE,    /**< can be done while it is of use, though late */
-  RANK_USELESS,
-} Rank;
-
-typedef struct
-{
-  SchedPart *part;
-  uint32_t priority;
-  Rank rank;
-  int64_t deadline_ms;
-  int64_t left_ms; /**< work of all tasks that are not done */
-} Turn;
-
-/** Longest chains of expected work of one occurrence. */
-typedef struct
-{
-  int64_t whole_ms;
-  int64_t left_ms;  /**< without the steps that are done */
-  int64_t work_ms;  /**< of all tasks that are not done, one after the other */
-  uint32_t n_begun; /**< tasks that are done or at work */
-} Chains;
-
-static Chains
-chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence)
-{
-  Chains ends[JOB_STEPS_MAX] = { 0 };
-  Chains longest = { 0 };
-
-  for (uint32_t i = 0; i < job->spec->steps->len; i++)
-    {
-      const JobStep *step = g_ptr_array_index (job->spec->steps, i);
-      const SchedPart *part = sched_find_part (job, occurrence, i);
-      int64_t step_ms = sched_expected_ms (sched, job, step, part);
-      uint32_t n_left = step->n_tasks - (part != NULL ? part->n_done : 0);
-      for (guint k = 0; k < step->after->len; k++)
-        {
-          const Chains *before = &ends[g_array_index (step->after, uint32_t, k)];
-          ends[i].whole_ms = MAX (ends[i].whole_ms, before->whole_ms);
-          ends[i].left_ms = MAX (ends[i].left_ms, before->left_ms);
-        }
-      ends[i].whole_ms += step_ms;
-      ends[i].left_ms += n_left == 0 ? 0 : step_ms;
-      longest.whole_ms = MAX (longest.whole_ms, ends[i].whole_ms);
-      longest.left_ms = MAX (longest.left_ms, ends[i].left_ms);
-      longest.work_ms += step_ms * n_left;
-      longest.n_begun += part != NULL ? part->step->n_tasks - part->n_waiting : 0;
-    }
-  return longest;
-}
-
-static Rank
-rank_of (const Sched *sched,
-         const SchedPart *part,
-         const Chains *chains,
-         int64_t due_ms,
-         int64_t meant_ms)
-{
-  gboolean has_begun = chains->n_begun > 0;
-  int64_t slack_percent = has_begun ? BEGUN_SLACK_PERCENT : SLACK_PERCENT;
-  int64_t end_ms = sched->wall_ms + chains->left_ms * slack_percent / 100;
-
-  if (part->step->lasts || end_ms <= due_ms + meant_ms)
-    return has_begun ? RANK_BEGUN : RANK_IN_TIME;
-  return end_ms <= due_ms + meant_ms * USEFUL_FACTOR ? RANK_LATE : RANK_USELESS;
-}
-
-static Turn
-turn_of (const Sched *sched, SchedPart *part)
-{
-  const SchedJob *job = part->job;
-  Chains chains = chains_of (sched, job, part->occurrence);
-  int64_t due_ms = sched_due_wall_ms (job, part->occurrence);
-  int64_t meant_ms
-      = job->queue->target_ms + (int64_t) (job->queue->stretch * (double) chains.whole_ms);
-
-  return (Turn){ .part = part,
-                 .priority = job->queue->priority,
-                 .rank = rank_of (sched, part, &chains, due_ms, meant_ms),
-                 .deadline_ms = due_ms + meant_ms,
-                 .left_ms = chains.work_ms };
-}
-
-static gint
-compare_turns (gconstpointer a, gconstpointer b)
-{
-  const Turn *left = a;
-  const Turn *right = b;
-
-  if (left->priority != right->priority)
-    return left->priority < right->priority ? -1 : 1;
-  if (left->rank != right->rank)
-    return left->rank < right->rank ? -1 : 1;
-  if (left->rank == RANK_LATE && left->left_ms != right->left_ms)
-    return left->left_ms < right->left_ms ? -1 : 1;
-  if (left->deadline_ms != right->deadline_ms)
-    return left->deadline_ms < right->deadline_ms ? -1 : 1;
-  return strcmp (left->part->job->id, right->part->job->id);
-}
-
-static void
-add_turns (const Sched *sched, GArray *turns, const SchedJob *job)
-{
-  if (job->queue == NULL)
-    return;
-  for (guint i = 0; i < job->parts->len; i++)
-    {
-      SchedPart *part = g_ptr_array_index (job->parts, i);
-      if (part->n_waiting == 0 || !sched_part_is_ready (part))
-        continue;
-      Turn turn = turn_of (sched, part);
-      g_array_append_val (turns, turn);
-    }
-}
-
 static gboolean
 has_label (const WorkerInfo *info, const char *label)
 {
@@ -172,8 +51,9 @@
 static gboolean
 is_open (const Sched *sched, const SchedWorker *worker)
 {
-  return worker->report_us != 0 && !worker->info->is_draining && !worker->is_leaving
-         && worker->n_strays == 0 && sched->now_us >= worker->shun_until_us
+  return worker->report_us != 0 && worker->report_version != 0 && !worker->info->is_draining
+         && !worker->is_leaving && g_hash_table_size (worker->strays) == 0
+         && sched->now_us >= worker->shun_until_us
          && sched->now_us - worker->report_us <= sched->options.fresh_ms * 1000;
 }
 
@@ -189,15 +69,14 @@
 
 /* Tasks that fill share what the others leave; too many of them would all be late. */
 static gboolean
-has_room_to_fill (Sched *sched, const SchedWorker *worker, const SchedTask *task)
+has_room_to_fill (SchedWorker *worker, const SchedTask *task)
 {
   int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
                    + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
   int64_t wanted_m = worker->fill_cpu_m + task->part->step->size.cpu_m;
 
   return wanted_m <= left_m * FILL_PERCENT_MAX / 100 && !worker->is_harmed
-         && (worker->n_serving == 0
-             || sched_tails_expected (sched, worker, task) <= TAIL_PERCENT_MAX);
+         && (worker->n_serving == 0 || sched_tails_room_beside (worker, task) >= HEADROOM_MIN);
 }
 
 static gboolean
@@ -210,7 +89,7 @@
 }
 
 static gboolean
-has_room (Sched *sched, const SchedWorker *worker, const SchedTask *task)
+has_room (SchedWorker *worker, const SchedTask *task)
 {
   const SchedPart *part = task->part;
   int64_t capacity_m = worker->info->capacity.cpu_m;
@@ -218,13 +97,18 @@
 
   if (part->job->queue->priority > 0 && !part->step->lasts)
     cpu_m -= capacity_m / RESERVE_DIVISOR;
-  return (part->step->fills ? has_room_to_fill (sched, worker, task)
-                            : part->step->size.cpu_m <= cpu_m)
+  return (part->step->fills ? has_room_to_fill (worker, task) : part->step->size.cpu_m <= cpu_m)
          && has_memory (worker, part->step);
 }
 
 static int64_t
-cost_of (const SchedWorker *worker, const SchedTask *task)
+cost_of_headroom (SchedWorker *worker, const SchedTask *task)
+{
+  return (int64_t) (COST_HEADROOM * sched_tails_use (worker, task));
+}
+
+static int64_t
+cost_of (SchedWorker *worker, const SchedTask *task)
 {
   const JobStep *step = task->part->step;
   int64_t cost = 0;
@@ -235,14 +119,15 @@
     cost += COST_AVOIDED;
   if (step->fills)
     {
-      cost += worker->used.cpu_m + worker->fill_cpu_m - worker->info->capacity.cpu_m;
-      cost += worker->n_serving > 0 ? COST_FILL_BESIDE_SERVING : 0;
+      cost += COST_FULL * (worker->used.cpu_m + worker->fill_cpu_m) / worker->info->capacity.cpu_m;
+      cost += worker->n_serving > 0 ? cost_of_headroom (worker, task) : COST_FREE;
     }
   else if (step->lasts)
     {
       /* Serving tasks keep together, so that other workers are left to tasks that fill. */
       cost += worker->fill_cpu_m > 0 ? COST_SERVING_BESIDE_FILL + worker->fill_cpu_m : 0;
       cost += worker->n_serving == 0 ? COST_SERVING_ALONE : 0;
+      cost += (int64_t) sched_tails_other_images (worker, task) * COST_SERVING_MIXED;
       cost += worker->used.cpu_m / 4;
     }
   else
@@ -262,19 +147,19 @@
 
 /* A starved step takes what fits at all; another one waits for room by the rules above. */
 static gboolean
-admits (Sched *sched, const SchedWorker *worker, const SchedTask *task, gboolean is_starved)
+admits (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
 {
   const JobStep *step = task->part->step;
 
   if (!may_run (worker, task->part))
     return FALSE;
   if (!is_starved)
-    return has_room (sched, worker, task);
+    return has_room (worker, task);
   return fits_plainly (worker, step) && !(step->fills && worker->is_harmed);
 }
 
 static SchedWorker *
-choose (Sched *sched, const GPtrArray *workers, const SchedTask *task, gboolean is_starved)
+choose (const GPtrArray *workers, const SchedTask *task, gboolean is_starved)
 {
   SchedWorker *best = NULL;
   int64_t best_cost = 0;
@@ -282,11 +167,9 @@
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!admits (sched, worker, task, is_starved))
+      if (!admits (worker, task, is_starved))
         continue;
       int64_t cost = cost_of (worker, task);
-      if (is_starved && task->part->step->fills)
-        cost += (int64_t) sched_tails_expected (sched, worker, task) * COST_TAIL_PERCENT;
       if (best == NULL || cost < best_cost)
         {
           best = worker;
@@ -312,7 +195,7 @@
       SchedTask *task = &part->tasks[i];
       if (task->state != TASK_WAITING)
         continue;
-      SchedWorker *worker = choose (sched, workers, task, FALSE);
+      SchedWorker *worker = choose (workers, task, FALSE);
       if (worker == NULL)
         return;
       task->run = next_run (sched, task);
@@ -342,7 +225,7 @@
     return;
   for (uint32_t i = 0; i < n_tasks; i++)
     {
-      SchedWorker *worker = choose (sched, workers, &part->tasks[i], FALSE);
+      SchedWorker *worker = choose (workers, &part->tasks[i], FALSE);
       if (worker == NULL)
         {
           undo_gang (part);
@@ -400,7 +283,7 @@
   while (part->tasks[index].state != TASK_WAITING)
     index++;
   SchedTask *task = &part->tasks[index];
-  SchedWorker *worker = choose (sched, workers, task, TRUE);
+  SchedWorker *worker = choose (workers, task, TRUE);
   if (worker == NULL)
     return;
   task->run = next_run (sched, task);
@@ -443,30 +326,25 @@
   g_autoptr (GPtrArray) workers = open_workers (sched);
 
   (void) g_ptr_array_remove_fast (workers, task->worker);
-  return choose (sched, workers, task, FALSE) != NULL;
+  return choose (workers, task, FALSE) != NULL;
 }
 
 uint32_t
 sched_place (Sched *sched)
 {
   uint32_t n_left = 0;
-  g_autoptr (GArray) turns = g_array_new (FALSE, FALSE, sizeof (Turn));
+  g_autoptr (GArray) turns = sched_turns (sched);
   g_autoptr (GPtrArray) workers = open_workers (sched);
-  GHashTableIter iter;
-  gpointer key = NULL;
 
-  g_hash_table_iter_init (&iter, sched->open);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    add_turns (sched, turns, key);
-  g_array_sort (turns, compare_turns);
   for (guint i = 0; i < turns->len; i++)
     {
-      SchedPart *part = g_array_index (turns, Turn, i).part;
+      SchedPart *part = g_array_index (turns, SchedTurn, i).part;
       if (part->step->is_gang)
         place_gang (sched, workers, part);
       else
         place_part (sched, workers, part);
       care_for_starved (sched, workers, part);
+      sched_plan_note_waiting (sched, part);
       n_left += part->n_waiting;
     }
   return n_left;
--- a/lib/keeper/keeper_calls.c
+++ b/lib/keeper/keeper_calls.c
@@ -8,6 +8,8 @@
 #define LEASE_LEFT_MIN_MS 500
 /** Refusals kept for reports. */
 #define REFUSED_MAX 32
+/** Pace at which a task starts, in percent. */
+#define FULL_PACE 100
 /** Fencing tokens skipped when a higher one was seen. */
 #define TOKEN_STEP 1000000
 
@@ -76,11 +78,12 @@
 static void
 add_refused (Keeper *keeper, const char *task, int64_t run, RunnerOutcome outcome)
 {
-  KeeperRefused row = { g_strdup (task), run, outcome };
+  KeeperRefused row = { g_strdup (task), run, outcome, keeper_next_version (keeper) };
 
   if (keeper->refused->len >= REFUSED_MAX)
     g_array_remove_index (keeper->refused, 0);
   g_array_append_val (keeper->refused, row);
+  keeper_add_gone (keeper, task, run);
   keeper_note (keeper, "start_refused", "task=%s run=%" G_GINT64_FORMAT " outcome=%s", task, run,
                runner_outcome_name (outcome));
 }
@@ -106,8 +109,12 @@
   take_clock (keeper, answer);
   row->settled_us = keeper_now_us (keeper);
   if (answer->outcome == RUNNER_OK)
-    row->state = ROW_STARTED;
-  else if (answer->outcome == RUNNER_IN_DOUBT)
+    {
+      row->state = ROW_STARTED;
+      call_free (call);
+      return;
+    }
+  if (answer->outcome == RUNNER_IN_DOUBT)
     {
       row->state = ROW_IN_DOUBT;
       keeper_note (keeper, "start_in_doubt", "task=%s run=%" G_GINT64_FORMAT, row->task, row->run);
@@ -149,7 +156,7 @@
       add_refused (keeper, order->task, order->run, RUNNER_LATE);
       return;
     }
-  (void) keeper_add_row (keeper, order->task, order->run, ROW_STARTING);
+  keeper_add_row (keeper, order->task, order->run, ROW_STARTING)->pace_known = FULL_PACE + 1;
   keeper->options.start (keeper->options.ctx, &target, &start, on_started, call_new (keeper, key));
 }
 
@@ -205,10 +212,13 @@
 on_paced (void *ctx, const RunnerAnswer *answer)
 {
   KeeperCall *call = ctx;
+  KeeperRow *row = is_current (call) ? g_hash_table_lookup (call->keeper->rows, call->key) : NULL;
 
   if (answer->outcome != RUNNER_OK)
     keeper_note (call->keeper, "pace_failed", "run=\"%s\" outcome=%s", call->key,
                  runner_outcome_name (answer->outcome));
+  else if (row != NULL)
+    row->pace_known = call->percent + 1;
   call_free (call);
 }
 
@@ -217,9 +227,14 @@
 {
   g_autofree char *key = keeper_row_key (order->task, order->run);
   RunnerTarget target = target_of (keeper);
+  KeeperRow *row = g_hash_table_lookup (keeper->rows, key);
+  KeeperCall *call = call_new (keeper, key);
 
+  call->percent = order->percent;
+  if (row != NULL)
+    row->pace_known = 0;
   keeper->options.pace (keeper->options.ctx, &target, order->task, order->run, order->percent,
-                        on_paced, call_new (keeper, key));
+                        on_paced, call);
 }
 
 void
@@ -258,6 +273,8 @@
     {
       take_clock (keeper, answer);
       keeper_take_look (keeper, answer, call->sent_us);
+      if (keeper->ended->len > 0)
+        keeper->look_again_us = keeper_now_us (keeper) + KEEPER_LOOK_GAP_MS * 1000;
     }
   else
     {
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -7,8 +7,13 @@
 /** How often the time that a state is told for has to pass: an owner counts from when it took over,
  * and callers that repeat a submission must find the job. */
 #define KEEP_FACTOR 2
+/** What was learned is written this often: it is some KB, and each entry reads it. */
+#define LEARNED_MS 3000
 /** Changes of the owner are gathered for this long before they are written. */
 #define FLUSH_MS 15
+/** First and longest pause after an append that failed. */
+#define APPEND_AGAIN_MS 50
+#define APPEND_AGAIN_MAX_MS 400
 
 static void
 add_loads (const Owner *owner, Batch__Owner *message, GPtrArray *garbage)
@@ -59,7 +64,7 @@
   if (name == NULL)
     return;
   owner->has_forgotten = TRUE;
-  (void) g_hash_table_remove (owner->peers, name);
+  peers_remove (owner->peers, name);
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
   line_add ("owner", "agent_forgotten", "agent=%s", name);
   store_add_record (owner->records, key, NULL, 0);
@@ -93,6 +98,22 @@
               keep_ms);
 }
 
+/* An owner that follows would else learn anew, at the cost of serving tasks. */
+static void
+add_learned (Owner *owner)
+{
+  int64_t now = clk_now_us ();
+
+  if (!owner->is_release && now - owner->learned_us < LEARNED_MS * CLK_US_PER_MS)
+    return;
+  owner->learned_us = now;
+  g_autoptr (GBytes) bytes = sched_encode_learned (owner->sched);
+  size_t size = 0;
+  const void *data = g_bytes_get_data (bytes, &size);
+  if (size > 0)
+    store_add_record (owner->records, LEDGER_LEARNED_KEY, data, size);
+}
+
 static void
 add_changes (GByteArray *records, const SchedFlush *flush)
 {
@@ -129,7 +150,7 @@
 void
 owner_write_changes (Owner *owner)
 {
-  if (owner->phase != OWNER_ACTIVE || owner->is_appending)
+  if (owner->phase != OWNER_ACTIVE || owner->is_appending || clk_now_us () < owner->append_next_us)
     return;
   if (owner->is_in_doubt)
     {
@@ -145,6 +166,7 @@
   owner_add_record (owner, owner->records, owner->is_release ? 0 : node_boot (owner->entry->node));
   add_forgotten (owner);
   add_drops (owner);
+  add_learned (owner);
   if (owner->flush != NULL)
     add_changes (owner->records, owner->flush);
   send_append (owner);
@@ -185,6 +207,8 @@
 {
   met_observe (owner->append_time, clk_now_us () - owner->append_us);
   owner->authority_us = MAX (owner->authority_us, owner->append_us);
+  owner->append_wait_ms = 0;
+  owner->append_next_us = 0;
   owner->sequence++;
   end_append (owner, TRUE);
   if (owner->is_release)
@@ -195,6 +219,13 @@
     owner_decide (owner);
 }
 
+static void
+pause_appends (Owner *owner)
+{
+  owner->append_wait_ms = CLAMP (owner->append_wait_ms * 2, APPEND_AGAIN_MS, APPEND_AGAIN_MAX_MS);
+  owner->append_next_us = clk_now_us () + owner->append_wait_ms * CLK_US_PER_MS;
+}
+
 static void
 on_appended (void *ctx, const StoreAnswer *answer)
 {
@@ -215,8 +246,18 @@
             owner->term, store_outcome_name (answer->outcome), owner->sequence,
             answer->expected_sequence);
   if (answer->outcome == STORE_FENCED)
-    owner_resign (owner, "fenced");
-  else if (answer->outcome == STORE_IN_DOUBT)
+    {
+      owner_resign (owner, "fenced");
+      return;
+    }
+  /* The numbers of this term are lost: it can't write any more. */
+  if (answer->outcome == STORE_SEQUENCE)
+    {
+      owner_resign (owner, "sequence");
+      return;
+    }
+  pause_appends (owner);
+  if (answer->outcome == STORE_IN_DOUBT)
     owner->is_in_doubt = TRUE;
   else if (!owner->is_in_doubt)
     end_append (owner, FALSE);
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -624,6 +624,167 @@
   rig_free (rig);
 }
 
+static void
+report_changes (Rig *rig, uint64_t version, uint64_t since, Batch__Gone *gone)
+{
+  Batch__Report report = BATCH__REPORT__INIT;
+
+  report.boot = rig->workers[0].boot;
+  report.life = rig->workers[0].life;
+  report.clock_us = rig->now_us + (int64_t) version;
+  report.done_number = rig->workers[0].done_number;
+  report.version = version;
+  report.since = since;
+  report.n_gone = gone != NULL ? 1 : 0;
+  report.gone = &gone;
+  sched_take_report (rig->sched, rig->workers[0].name, &report, rig->now_us);
+}
+
+/* What a report of changes does not name goes on as it was. */
+static void
+changes_alone_take_a_gone_run_off (void **state)
+{
+  Rig *rig = rig_new (1);
+  Batch__Gone gone = BATCH__GONE__INIT;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":2,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 2);
+  uint64_t version = rig->workers[0].version;
+  report_changes (rig, version + 1, version, NULL);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_int_equal (rig->n_starts, 2);
+  gone.task = JOB_A ".0.0.0";
+  gone.run = rig_find (&rig->workers[0], gone.task)->run;
+  report_changes (rig, version + 2, version + 1, &gone);
+  rig->workers[0].version += 2;
+  rig_end (&rig->workers[0], gone.task, WORKER_END_LAPSED);
+  rig->workers[0].n_ends = 0;
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_starts, 3);
+  rig_free (rig);
+}
+
+/* Changes since a report that was never applied may hide the loss of a run. */
+static void
+changes_over_a_gap_are_not_applied (void **state)
+{
+  Rig *rig = rig_new (1);
+  Batch__Gone gone = BATCH__GONE__INIT;
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  gone.task = JOB_A ".0.0.0";
+  gone.run = 1;
+  report_changes (rig, 90, 80, &gone);
+  assert_true (sched_orders (rig->sched, "w0", &orders));
+  assert_int_equal (orders.report_taken, 0);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_int_equal (rig->n_starts, 1);
+  rig_free (rig);
+}
+
+/* An order goes out once, and again only when no report confirmed it in time. */
+static void
+orders_are_repeated_only_when_due (void **state)
+{
+  Rig *rig = rig_new (1);
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  (void) state;
+  rig_round (rig, 100, TRUE);
+  rig->workers[0].is_silent = TRUE;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig->now_us += 50 * 1000;
+  report_changes (rig, rig->workers[0].version + 1, rig->workers[0].version, NULL);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_true (sched_orders (rig->sched, "w0", &orders));
+  assert_int_equal (orders.n_orders, 0);
+  assert_true (orders.order_before > rig->workers[0].done_number);
+  rig->now_us += 50 * 1000;
+  report_changes (rig, rig->workers[0].version + 2, rig->workers[0].version + 1, NULL);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+  assert_true (sched_orders (rig->sched, "w0", &orders));
+  assert_int_equal (orders.n_orders, 1);
+  assert_int_equal (orders.order_before, 0);
+  rig_free (rig);
+}
+
+/* Load: tasks that fill beside a serving one, until an owner has learned; then another owner. */
+static void
+learned_takes_survive_a_new_owner (void **state)
+{
+  Rig *rig = rig_new (1);
+  Rig *next = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent",
+               "{\"count\":1,\"cpu\":4000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\"}");
+  for (int i = 0; i < 30; i++)
+    {
+      if (i == 15)
+        rig_add_job (rig, JOB_B, "bulk",
+                     "{\"count\":2,\"cpu\":2000,\"fills\":true,\"image\":\"f\"}");
+      set_tails (rig, i < 16 ? 10 : 40 + i % 2);
+      for (uint32_t k = 0; k < rig->workers[0].n_tasks; k++)
+        rig->workers[0].tasks[k].percent = 100;
+      rig_round (rig, 500, TRUE);
+    }
+  g_autoptr (GBytes) bytes = sched_encode_learned (rig->sched);
+  size_t size = 0;
+  const void *data = g_bytes_get_data (bytes, &size);
+  Batch__Learned *learned = batch__learned__unpack (NULL, size, data);
+  assert_non_null (learned);
+  assert_int_equal (learned->n_pairs, 1);
+  assert_string_equal (learned->images[learned->pairs[0]->serving], "s");
+  assert_string_equal (learned->images[learned->pairs[0]->filling], "f");
+  assert_true (learned->pairs[0]->take > 2.0F);
+  sched_restore_learned (next->sched, learned);
+  g_autoptr (GBytes) again = sched_encode_learned (next->sched);
+  Batch__Learned *taken
+      = batch__learned__unpack (NULL, g_bytes_get_size (again), g_bytes_get_data (again, NULL));
+  assert_int_equal (taken->n_pairs, 1);
+  assert_float_equal (taken->pairs[0]->take, learned->pairs[0]->take, 1e-6);
+  /* Places that name no image are left alone. */
+  learned->pairs[0]->filling = 99;
+  sched_restore_learned (next->sched, learned);
+  batch__learned__free_unpacked (taken, NULL);
+  batch__learned__free_unpacked (learned, NULL);
+  rig_free (next);
+  rig_free (rig);
+}
+
+/* A task that an earlier owner slowed does not stay so, whether its agent knows the pace or not. */
+static void
+new_owner_restores_the_pace_of_what_it_finds (void **state)
+{
+  (void) state;
+  for (int knows = 0; knows < 2; knows++)
+    {
+      Rig *rig = rig_new (1);
+      RigTask *task = &rig->workers[0].tasks[0];
+      rig->knows_paces = knows == 1;
+      sched_begin_term (rig->sched, 2, rig->now_us + 60 * 1000 * 1000);
+      rig_add_job_as (rig, JOB_A, "bulk",
+                      "{\"count\":1,\"cpu\":2000,\"fills\":true,\"image\":\"f\"}", TRUE);
+      rig->workers[0].n_tasks = 1;
+      (void) g_strlcpy (task->name, JOB_A ".0.0.0", sizeof task->name);
+      task->run = 1;
+      task->pace = 0;
+      for (int i = 0; i < 20; i++)
+        rig_round (rig, 100, TRUE);
+      assert_int_equal (rig->n_stops, 0);
+      assert_int_equal (rig_find (&rig->workers[0], JOB_A ".0.0.0")->pace, 100);
+      rig_free (rig);
+    }
+}
+
 int
 main (void)
 {
@@ -655,6 +816,11 @@
     cmocka_unit_test (short_tasks_that_fill_make_way_too),
     cmocka_unit_test (slowed_tasks_do_not_count_as_standing_still),
     cmocka_unit_test (progress_survives_a_new_owner),
+    cmocka_unit_test (changes_alone_take_a_gone_run_off),
+    cmocka_unit_test (changes_over_a_gap_are_not_applied),
+    cmocka_unit_test (orders_are_repeated_only_when_due),
+    cmocka_unit_test (learned_takes_survive_a_new_owner),
+    cmocka_unit_test (new_owner_restores_the_pace_of_what_it_finds),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
