--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -97,6 +97,276 @@
   assert(message->base.descriptor == &batch__cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__hello__init
+                     (Batch__Hello         *message)
+{
+  static const Batch__Hello init_value = BATCH__HELLO__INIT;
+  *message = init_value;
+}
+size_t batch__hello__get_packed_size
+                     (const Batch__Hello *message)
+{
+  assert(message->base.descriptor == &batch__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__hello__pack
+                     (const Batch__Hello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__hello__pack_to_buffer
+                     (const Batch__Hello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Hello *
+       batch__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Hello *)
+     protobuf_c_message_unpack (&batch__hello__descriptor,
+                                allocator, len, data);
+}
+void   batch__hello__free_unpacked
+                     (Batch__Hello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__record__init
+                     (Batch__Record         *message)
+{
+  static const Batch__Record init_value = BATCH__RECORD__INIT;
+  *message = init_value;
+}
+size_t batch__record__get_packed_size
+                     (const Batch__Record *message)
+{
+  assert(message->base.descriptor == &batch__record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__record__pack
+                     (const Batch__Record *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__record__pack_to_buffer
+                     (const Batch__Record *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Record *
+       batch__record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Record *)
+     protobuf_c_message_unpack (&batch__record__descriptor,
+                                allocator, len, data);
+}
+void   batch__record__free_unpacked
+                     (Batch__Record *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__fate__init
+                     (Batch__Fate         *message)
+{
+  static const Batch__Fate init_value = BATCH__FATE__INIT;
+  *message = init_value;
+}
+size_t batch__fate__get_packed_size
+                     (const Batch__Fate *message)
+{
+  assert(message->base.descriptor == &batch__fate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__fate__pack
+                     (const Batch__Fate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__fate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__fate__pack_to_buffer
+                     (const Batch__Fate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__fate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Fate *
+       batch__fate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Fate *)
+     protobuf_c_message_unpack (&batch__fate__descriptor,
+                                allocator, len, data);
+}
+void   batch__fate__free_unpacked
+                     (Batch__Fate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__fate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__question__init
+                     (Batch__Question         *message)
+{
+  static const Batch__Question init_value = BATCH__QUESTION__INIT;
+  *message = init_value;
+}
+size_t batch__question__get_packed_size
+                     (const Batch__Question *message)
+{
+  assert(message->base.descriptor == &batch__question__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__question__pack
+                     (const Batch__Question *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__question__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__question__pack_to_buffer
+                     (const Batch__Question *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__question__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Question *
+       batch__question__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Question *)
+     protobuf_c_message_unpack (&batch__question__descriptor,
+                                allocator, len, data);
+}
+void   batch__question__free_unpacked
+                     (Batch__Question *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__question__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__told__init
+                     (Batch__Told         *message)
+{
+  static const Batch__Told init_value = BATCH__TOLD__INIT;
+  *message = init_value;
+}
+size_t batch__told__get_packed_size
+                     (const Batch__Told *message)
+{
+  assert(message->base.descriptor == &batch__told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__told__pack
+                     (const Batch__Told *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__told__pack_to_buffer
+                     (const Batch__Told *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Told *
+       batch__told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Told *)
+     protobuf_c_message_unpack (&batch__told__descriptor,
+                                allocator, len, data);
+}
+void   batch__told__free_unpacked
+                     (Batch__Told *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__relay__init
+                     (Batch__Relay         *message)
+{
+  static const Batch__Relay init_value = BATCH__RELAY__INIT;
+  *message = init_value;
+}
+size_t batch__relay__get_packed_size
+                     (const Batch__Relay *message)
+{
+  assert(message->base.descriptor == &batch__relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__relay__pack
+                     (const Batch__Relay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__relay__pack_to_buffer
+                     (const Batch__Relay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Relay *
+       batch__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Relay *)
+     protobuf_c_message_unpack (&batch__relay__descriptor,
+                                allocator, len, data);
+}
+void   batch__relay__free_unpacked
+                     (Batch__Relay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__checkpoint__init
                      (Batch__Checkpoint         *message)
 {
@@ -1144,6 +1414,364 @@
   (ProtobufCMessageInit) batch__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor batch__hello__field_descriptors[2] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_fresh",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Hello, is_fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__hello__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = is_fresh */
+};
+static const ProtobufCIntRange batch__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Hello",
+  "Hello",
+  "Batch__Hello",
+  "batch",
+  sizeof(Batch__Hello),
+  2,
+  batch__hello__field_descriptors,
+  batch__hello__field_indices_by_name,
+  1,  batch__hello__number_ranges,
+  (ProtobufCMessageInit) batch__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__record__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Record, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Record, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__record__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange batch__record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Record",
+  "Record",
+  "Batch__Record",
+  "batch",
+  sizeof(Batch__Record),
+  2,
+  batch__record__field_descriptors,
+  batch__record__field_indices_by_name,
+  1,  batch__record__number_ranges,
+  (ProtobufCMessageInit) batch__record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__fate__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Fate, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Fate, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Fate, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__fate__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  2,   /* field[2] = offset */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange batch__fate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor batch__fate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Fate",
+  "Fate",
+  "Batch__Fate",
+  "batch",
+  sizeof(Batch__Fate),
+  3,
+  batch__fate__field_descriptors,
+  batch__fate__field_indices_by_name,
+  1,  batch__fate__number_ranges,
+  (ProtobufCMessageInit) batch__fate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__question__field_descriptors[1] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Question, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__question__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+};
+static const ProtobufCIntRange batch__question__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor batch__question__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Question",
+  "Question",
+  "Batch__Question",
+  "batch",
+  sizeof(Batch__Question),
+  1,
+  batch__question__field_descriptors,
+  batch__question__field_indices_by_name,
+  1,  batch__question__number_ranges,
+  (ProtobufCMessageInit) batch__question__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__told__field_descriptors[3] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Told, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_known",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Told, is_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Told, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__told__field_indices_by_name[] = {
+  1,   /* field[1] = is_known */
+  0,   /* field[0] = job */
+  2,   /* field[2] = state */
+};
+static const ProtobufCIntRange batch__told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor batch__told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Told",
+  "Told",
+  "Batch__Told",
+  "batch",
+  sizeof(Batch__Told),
+  3,
+  batch__told__field_descriptors,
+  batch__told__field_indices_by_name,
+  1,  batch__told__number_ranges,
+  (ProtobufCMessageInit) batch__told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__relay__field_descriptors[5] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Relay, what_case),
+    offsetof(Batch__Relay, hello),
+    &batch__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Relay, what_case),
+    offsetof(Batch__Relay, record),
+    &batch__record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Relay, what_case),
+    offsetof(Batch__Relay, fate),
+    &batch__fate__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "question",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Relay, what_case),
+    offsetof(Batch__Relay, question),
+    &batch__question__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Relay, what_case),
+    offsetof(Batch__Relay, told),
+    &batch__told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__relay__field_indices_by_name[] = {
+  2,   /* field[2] = fate */
+  0,   /* field[0] = hello */
+  3,   /* field[3] = question */
+  1,   /* field[1] = record */
+  4,   /* field[4] = told */
+};
+static const ProtobufCIntRange batch__relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor batch__relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Relay",
+  "Relay",
+  "Batch__Relay",
+  "batch",
+  sizeof(Batch__Relay),
+  5,
+  batch__relay__field_descriptors,
+  batch__relay__field_indices_by_name,
+  1,  batch__relay__number_ranges,
+  (ProtobufCMessageInit) batch__relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor batch__checkpoint__field_descriptors[2] =
 {
   {
@@ -1451,7 +2079,7 @@
   (ProtobufCMessageInit) batch__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__owner__field_descriptors[4] =
+static const ProtobufCFieldDescriptor batch__owner__field_descriptors[6] =
 {
   {
     "term",
@@ -1501,9 +2129,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Owner, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deputies",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Batch__Owner, n_deputies),
+    offsetof(Batch__Owner, deputies),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__owner__field_indices_by_name[] = {
+  4,   /* field[4] = address */
   2,   /* field[2] = boot */
+  5,   /* field[5] = deputies */
   3,   /* field[3] = loads */
   1,   /* field[1] = name */
   0,   /* field[0] = term */
@@ -1511,7 +2165,7 @@
 static const ProtobufCIntRange batch__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor batch__owner__descriptor =
 {
@@ -1521,7 +2175,7 @@
   "Batch__Owner",
   "batch",
   sizeof(Batch__Owner),
-  4,
+  6,
   batch__owner__field_descriptors,
   batch__owner__field_indices_by_name,
   1,  batch__owner__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -17,6 +17,12 @@
 
 typedef struct Batch__Submission Batch__Submission;
 typedef struct Batch__Cancel Batch__Cancel;
+typedef struct Batch__Hello Batch__Hello;
+typedef struct Batch__Record Batch__Record;
+typedef struct Batch__Fate Batch__Fate;
+typedef struct Batch__Question Batch__Question;
+typedef struct Batch__Told Batch__Told;
+typedef struct Batch__Relay Batch__Relay;
 typedef struct Batch__Checkpoint Batch__Checkpoint;
 typedef struct Batch__FailedRun Batch__FailedRun;
 typedef struct Batch__Part Batch__Part;
@@ -73,6 +79,104 @@
     , 0 }
 
 
+/*
+ * Between entries: one that the store turns away passes on what it can't write or read.
+ */
+struct  Batch__Hello
+{
+  ProtobufCMessage base;
+  /*
+   * where the sender listens
+   */
+  char *address;
+  /*
+   * the store serves it
+   */
+  protobuf_c_boolean is_fresh;
+};
+#define BATCH__HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__hello__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Batch__Record
+{
+  ProtobufCMessage base;
+  char *key;
+  ProtobufCBinaryData value;
+};
+#define BATCH__RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__record__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+struct  Batch__Fate
+{
+  ProtobufCMessage base;
+  char *key;
+  /*
+   * OutboxResult
+   */
+  uint32_t result;
+  int64_t offset;
+};
+#define BATCH__FATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__fate__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Batch__Question
+{
+  ProtobufCMessage base;
+  char *job;
+};
+#define BATCH__QUESTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__question__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
+struct  Batch__Told
+{
+  ProtobufCMessage base;
+  char *job;
+  protobuf_c_boolean is_known;
+  /*
+   * CallerState
+   */
+  uint32_t state;
+};
+#define BATCH__TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__told__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+typedef enum {
+  BATCH__RELAY__WHAT__NOT_SET = 0,
+  BATCH__RELAY__WHAT_HELLO = 1,
+  BATCH__RELAY__WHAT_RECORD = 2,
+  BATCH__RELAY__WHAT_FATE = 3,
+  BATCH__RELAY__WHAT_QUESTION = 4,
+  BATCH__RELAY__WHAT_TOLD = 5
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BATCH__RELAY__WHAT__CASE)
+} Batch__Relay__WhatCase;
+
+struct  Batch__Relay
+{
+  ProtobufCMessage base;
+  Batch__Relay__WhatCase what_case;
+  union {
+    Batch__Hello *hello;
+    Batch__Record *record;
+    Batch__Fate *fate;
+    Batch__Question *question;
+    Batch__Told *told;
+  };
+};
+#define BATCH__RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__relay__descriptor) \
+    , BATCH__RELAY__WHAT__NOT_SET, {0} }
+
+
 struct  Batch__Checkpoint
 {
   ProtobufCMessage base;
@@ -167,10 +271,19 @@
   uint64_t boot;
   size_t n_loads;
   Batch__QueueLoad **loads;
+  /*
+   * where the owner takes records of other entries
+   */
+  char *address;
+  /*
+   * the same of some other entries that it heard lately
+   */
+  size_t n_deputies;
+  char **deputies;
 };
 #define BATCH__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__owner__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -516,6 +629,120 @@
 void   batch__cancel__free_unpacked
                      (Batch__Cancel *message,
                       ProtobufCAllocator *allocator);
+/* Batch__Hello methods */
+void   batch__hello__init
+                     (Batch__Hello         *message);
+size_t batch__hello__get_packed_size
+                     (const Batch__Hello   *message);
+size_t batch__hello__pack
+                     (const Batch__Hello   *message,
+                      uint8_t             *out);
+size_t batch__hello__pack_to_buffer
+                     (const Batch__Hello   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Hello *
+       batch__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__hello__free_unpacked
+                     (Batch__Hello *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Record methods */
+void   batch__record__init
+                     (Batch__Record         *message);
+size_t batch__record__get_packed_size
+                     (const Batch__Record   *message);
+size_t batch__record__pack
+                     (const Batch__Record   *message,
+                      uint8_t             *out);
+size_t batch__record__pack_to_buffer
+                     (const Batch__Record   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Record *
+       batch__record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__record__free_unpacked
+                     (Batch__Record *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Fate methods */
+void   batch__fate__init
+                     (Batch__Fate         *message);
+size_t batch__fate__get_packed_size
+                     (const Batch__Fate   *message);
+size_t batch__fate__pack
+                     (const Batch__Fate   *message,
+                      uint8_t             *out);
+size_t batch__fate__pack_to_buffer
+                     (const Batch__Fate   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Fate *
+       batch__fate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__fate__free_unpacked
+                     (Batch__Fate *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Question methods */
+void   batch__question__init
+                     (Batch__Question         *message);
+size_t batch__question__get_packed_size
+                     (const Batch__Question   *message);
+size_t batch__question__pack
+                     (const Batch__Question   *message,
+                      uint8_t             *out);
+size_t batch__question__pack_to_buffer
+                     (const Batch__Question   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Question *
+       batch__question__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__question__free_unpacked
+                     (Batch__Question *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Told methods */
+void   batch__told__init
+                     (Batch__Told         *message);
+size_t batch__told__get_packed_size
+                     (const Batch__Told   *message);
+size_t batch__told__pack
+                     (const Batch__Told   *message,
+                      uint8_t             *out);
+size_t batch__told__pack_to_buffer
+                     (const Batch__Told   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Told *
+       batch__told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__told__free_unpacked
+                     (Batch__Told *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Relay methods */
+void   batch__relay__init
+                     (Batch__Relay         *message);
+size_t batch__relay__get_packed_size
+                     (const Batch__Relay   *message);
+size_t batch__relay__pack
+                     (const Batch__Relay   *message,
+                      uint8_t             *out);
+size_t batch__relay__pack_to_buffer
+                     (const Batch__Relay   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Relay *
+       batch__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__relay__free_unpacked
+                     (Batch__Relay *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Checkpoint methods */
 void   batch__checkpoint__init
                      (Batch__Checkpoint         *message);
@@ -923,6 +1150,24 @@
 typedef void (*Batch__Cancel_Closure)
                  (const Batch__Cancel *message,
                   void *closure_data);
+typedef void (*Batch__Hello_Closure)
+                 (const Batch__Hello *message,
+                  void *closure_data);
+typedef void (*Batch__Record_Closure)
+                 (const Batch__Record *message,
+                  void *closure_data);
+typedef void (*Batch__Fate_Closure)
+                 (const Batch__Fate *message,
+                  void *closure_data);
+typedef void (*Batch__Question_Closure)
+                 (const Batch__Question *message,
+                  void *closure_data);
+typedef void (*Batch__Told_Closure)
+                 (const Batch__Told *message,
+                  void *closure_data);
+typedef void (*Batch__Relay_Closure)
+                 (const Batch__Relay *message,
+                  void *closure_data);
 typedef void (*Batch__Checkpoint_Closure)
                  (const Batch__Checkpoint *message,
                   void *closure_data);
@@ -994,6 +1239,12 @@
 
 extern const ProtobufCMessageDescriptor batch__submission__descriptor;
 extern const ProtobufCMessageDescriptor batch__cancel__descriptor;
+extern const ProtobufCMessageDescriptor batch__hello__descriptor;
+extern const ProtobufCMessageDescriptor batch__record__descriptor;
+extern const ProtobufCMessageDescriptor batch__fate__descriptor;
+extern const ProtobufCMessageDescriptor batch__question__descriptor;
+extern const ProtobufCMessageDescriptor batch__told__descriptor;
+extern const ProtobufCMessageDescriptor batch__relay__descriptor;
 extern const ProtobufCMessageDescriptor batch__checkpoint__descriptor;
 extern const ProtobufCMessageDescriptor batch__failed_run__descriptor;
 extern const ProtobufCMessageDescriptor batch__part__descriptor;
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -59,6 +59,8 @@
   g_hash_table_destroy (ledger->agents);
   g_hash_table_destroy (ledger->owner.pending);
   g_free (ledger->owner.name);
+  g_free (ledger->owner.address);
+  g_strfreev (ledger->owner.deputies);
   if (ledger->learned != NULL)
     batch__learned__free_unpacked (ledger->learned, NULL);
   g_free (ledger);
@@ -190,6 +192,17 @@
                           GUINT_TO_POINTER (message->loads[i]->pending));
 }
 
+static void
+take_addresses (LedgerOwner *owner, const Batch__Owner *message)
+{
+  g_free (owner->address);
+  g_strfreev (owner->deputies);
+  owner->address = g_strdup (message->address);
+  owner->deputies = g_new0 (char *, message->n_deputies + 1);
+  for (size_t i = 0; i < message->n_deputies; i++)
+    owner->deputies[i] = g_strdup (message->deputies[i]);
+}
+
 static gboolean
 apply_owner (Ledger *ledger, int64_t offset, const uint8_t *value, size_t size)
 {
@@ -206,6 +219,7 @@
       owner->boot = message->boot;
       owner->offset = offset;
       take_loads (owner, message);
+      take_addresses (owner, message);
       if (ledger->events.on_owner != NULL)
         ledger->events.on_owner (ledger->events.ctx, owner);
     }
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -46,6 +46,8 @@
   char *name;
   uint64_t boot;       /**< 0: the last owner has left */
   int64_t offset;      /**< of the newest record */
+  char *address;       /**< where it takes records of other entries; may be empty */
+  char **deputies;     /**< the same of some other entries; NULL-terminated */
   GHashTable *pending; /**< queue name -> jobs that have not begun, as the owner last told */
 } LedgerOwner;
 
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -7,8 +7,11 @@
 
 /** The store answers in a few ms, slow in some hundreds. */
 #define TIMEOUT_MS 900
-/** Pause before an append without an answer is repeated. */
+/** First and longest pause before an append that failed is repeated. */
 #define AGAIN_MS 60
+#define AGAIN_MAX_MS 400
+/** A record that was passed on without an answer is passed on again. */
+#define FORWARD_AGAIN_MS 600
 /** Deadlines are looked at this often. */
 #define CHECK_MS 50
 /** Records and bytes of one append. */
@@ -26,16 +29,20 @@
 {
   char *key;
   GBytes *value;
-  GArray *waiters;       /**< Waiter */
-  gboolean may_be_there; /**< an append of it had no answer */
-  gboolean is_sent;      /**< in the append under way */
+  GArray *waiters;      /**< Waiter */
+  gboolean is_foreign;  /**< must not be passed on */
+  gboolean is_in_doubt; /**< an append of it had no answer */
+  gboolean is_sent;     /**< in the append under way */
+  int64_t added_us;
+  int64_t forwarded_us; /**< when it was last passed on */
+  uint32_t n_forwarded; /**< times that it was passed on; 0 once that is known to have failed */
 } Item;
 
 struct Outbox
 {
-  Store *store;
-  const char *topic;
+  OutboxOptions options;
   GPtrArray *items; /**< Item, oldest first */
+  int64_t again_ms; /**< length of the last pause; 0: the last append was answered well */
   gboolean is_busy;
   guint again;
   guint check;
@@ -53,12 +60,11 @@
 }
 
 Outbox *
-outbox_new (Store *store, const char *topic)
+outbox_new (const OutboxOptions *options)
 {
   Outbox *outbox = g_new0 (Outbox, 1);
 
-  outbox->store = store;
-  outbox->topic = topic;
+  outbox->options = *options;
   outbox->items = g_ptr_array_new_with_free_func (item_free);
   return outbox;
 }
@@ -105,6 +111,38 @@
   return G_SOURCE_REMOVE;
 }
 
+static gboolean
+forward (const Outbox *outbox, Item *item)
+{
+  if (item->is_foreign || outbox->options.forward == NULL
+      || !outbox->options.forward (outbox->options.ctx, item->key, item->value))
+    return FALSE;
+  item->forwarded_us = clk_now_us ();
+  item->n_forwarded++;
+  return TRUE;
+}
+
+/* Whether the record may be written without our knowing. */
+static gboolean
+may_be_there (const Item *item)
+{
+  return item->is_in_doubt || item->n_forwarded > 0;
+}
+
+/* Whether the append's answer settles the record. */
+static gboolean
+is_settled (const Outbox *outbox, Item *item, StoreOutcome outcome)
+{
+  if (outcome == STORE_OK)
+    return TRUE;
+  if (outcome == STORE_IN_DOUBT)
+    {
+      item->is_in_doubt = TRUE;
+      return FALSE;
+    }
+  return !may_be_there (item) && !forward (outbox, item);
+}
+
 /* Items of the append leave the list before their callbacks run, which may add new ones. */
 static void
 end_batch (Outbox *outbox, const StoreAnswer *answer)
@@ -116,9 +154,7 @@
       Item *item = g_ptr_array_index (outbox->items, i);
       gboolean was_sent = item->is_sent;
       item->is_sent = FALSE;
-      if (was_sent && answer->outcome == STORE_IN_DOUBT)
-        item->may_be_there = TRUE;
-      if (was_sent && (answer->outcome == STORE_OK || !item->may_be_there))
+      if (was_sent && is_settled (outbox, item, answer->outcome))
         g_ptr_array_add (over, g_ptr_array_steal_index (outbox->items, i));
       else
         i++;
@@ -139,9 +175,14 @@
               store_outcome_name (answer->outcome), outbox->items->len);
   end_batch (outbox, answer);
   if (answer->outcome == STORE_OK)
-    send_batch (outbox);
-  else if (outbox->again == 0)
-    outbox->again = g_timeout_add (AGAIN_MS, on_again, outbox);
+    {
+      outbox->again_ms = 0;
+      send_batch (outbox);
+      return;
+    }
+  outbox->again_ms = CLAMP (outbox->again_ms * 2, AGAIN_MS, AGAIN_MAX_MS);
+  if (outbox->again == 0)
+    outbox->again = g_timeout_add ((guint) outbox->again_ms, on_again, outbox);
 }
 
 static void
@@ -163,8 +204,8 @@
     }
   outbox->is_busy = TRUE;
   const StoreAppend append
-      = { .topic = outbox->topic, .records = records, .at = -1, .timeout_ms = TIMEOUT_MS };
-  store_append (outbox->store, &append, on_appended, outbox);
+      = { .topic = outbox->options.topic, .records = records, .at = -1, .timeout_ms = TIMEOUT_MS };
+  store_append (outbox->options.store, &append, on_appended, outbox);
 }
 
 static void
@@ -180,6 +221,16 @@
     }
 }
 
+static void
+forward_if_due (const Outbox *outbox, Item *item, int64_t now)
+{
+  int64_t due_us = item->n_forwarded == 0 ? item->added_us + OUTBOX_FORWARD_MS * CLK_US_PER_MS
+                                          : item->forwarded_us + FORWARD_AGAIN_MS * CLK_US_PER_MS;
+
+  if (item->waiters->len > 0 && now >= due_us)
+    (void) forward (outbox, item);
+}
+
 static gboolean
 on_check (gpointer data)
 {
@@ -187,13 +238,27 @@
   int64_t now = clk_now_us ();
 
   for (guint i = 0; i < outbox->items->len; i++)
-    expire (g_ptr_array_index (outbox->items, i), now);
+    {
+      Item *item = g_ptr_array_index (outbox->items, i);
+      expire (item, now);
+      forward_if_due (outbox, item, now);
+    }
   if (outbox->items->len > 0)
     return G_SOURCE_CONTINUE;
   outbox->check = 0;
   return G_SOURCE_REMOVE;
 }
 
+static guint
+find_index (const Outbox *outbox, const Item *item)
+{
+  guint index = 0;
+
+  while (g_ptr_array_index (outbox->items, index) != item)
+    index++;
+  return index;
+}
+
 static Item *
 find (const Outbox *outbox, const char *key)
 {
@@ -206,28 +271,53 @@
   return NULL;
 }
 
+static Item *
+item_new (const OutboxRecord *record)
+{
+  Item *item = g_new0 (Item, 1);
+
+  item->key = g_strdup (record->key);
+  item->value = g_bytes_new (record->value, record->size);
+  item->waiters = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  item->is_foreign = record->is_foreign;
+  item->added_us = clk_now_us ();
+  return item;
+}
+
 void
-outbox_add (Outbox *outbox,
-            const char *key,
-            const void *value,
-            size_t size,
-            int64_t deadline_us,
-            OutboxDone done,
-            void *ctx)
+outbox_add (Outbox *outbox, const OutboxRecord *record, OutboxDone done, void *ctx)
 {
-  Item *item = find (outbox, key);
-  const Waiter waiter = { done, ctx, deadline_us };
+  Item *item = find (outbox, record->key);
+  const Waiter waiter = { done, ctx, record->deadline_us };
 
   if (item == NULL)
     {
-      item = g_new0 (Item, 1);
-      item->key = g_strdup (key);
-      item->value = g_bytes_new (value, size);
-      item->waiters = g_array_new (FALSE, FALSE, sizeof (Waiter));
+      item = item_new (record);
       g_ptr_array_add (outbox->items, item);
     }
+  item->is_foreign &= record->is_foreign;
   g_array_append_val (item->waiters, waiter);
   if (outbox->check == 0)
     outbox->check = g_timeout_add (CHECK_MS, on_check, outbox);
   send_batch (outbox);
 }
+
+void
+outbox_take_fate (Outbox *outbox, const char *key, OutboxResult result, int64_t offset)
+{
+  Item *item = find (outbox, key);
+
+  if (item == NULL || result == OUTBOX_IN_DOUBT)
+    return;
+  if (result == OUTBOX_REFUSED)
+    {
+      /* Of two that were passed on, the other one may still be written. */
+      if (item->n_forwarded == 1)
+        item->n_forwarded = 0;
+      if (may_be_there (item) || item->is_sent)
+        return;
+    }
+  (void) g_ptr_array_steal_index (outbox->items, find_index (outbox, item));
+  answer_waiters (item, result, offset);
+  item_free (item);
+}
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -69,7 +69,10 @@
 static void
 on_owner (void *ctx, const LedgerOwner *claim)
 {
-  owner_take_claim (((Entry *) ctx)->owner, claim);
+  Entry *entry = ctx;
+
+  owner_take_claim (entry->owner, claim);
+  relay_take_owner (entry->relay, claim);
 }
 
 static gboolean
@@ -178,9 +181,13 @@
     }
   entry->store = store_new (node_client (entry->node), settings->store_address);
   entry->ledger = ledger_new (&events);
-  entry->outbox = outbox_new (entry->store, LEDGER_TOPIC);
+  entry->relay = relay_new (entry, error);
+  const OutboxOptions outbox = {
+    .store = entry->store, .topic = LEDGER_TOPIC, .forward = relay_pass_on, .ctx = entry->relay
+  };
+  entry->outbox = outbox_new (&outbox);
   entry->owner = owner_new (entry);
-  entry->front = front_new (entry, error);
+  entry->front = entry->relay != NULL ? front_new (entry, error) : NULL;
   if (entry->front == NULL)
     {
       entry_free (entry);
@@ -202,6 +209,7 @@
   if (entry->leave_timer != 0)
     g_source_remove (entry->leave_timer);
   front_free (entry->front);
+  relay_free (entry->relay);
   node_free (entry->node);
   owner_free (entry->owner);
   feed_free (entry->ledger_feed);
--- a/programs/scheduler/entry_private.h
+++ b/programs/scheduler/entry_private.h
@@ -15,6 +15,10 @@
 
 typedef struct Owner Owner;
 typedef struct Front Front;
+typedef struct Relay Relay;
+
+/** Without a good answer of the store for this long, nothing can be accepted or told for sure. */
+#define ENTRY_STORE_AGE_MAX_MS 2500
 
 struct Entry
 {
@@ -28,6 +32,7 @@
   Outbox *outbox;
   Owner *owner;
   Front *front;
+  Relay *relay;
   gboolean is_leaving;
   guint leave_timer;
   int64_t leave_us;
@@ -52,6 +57,27 @@
 /** Whether nothing of the owner's is under way any more. */
 gboolean owner_is_idle (const Owner *owner);
 
+/* relay.c: entries that help each other. */
+/** Other entries whose addresses the owner tells. */
+#define RELAY_DEPUTIES_MAX 3
+/** What another entry knows of a job; @p is_told is FALSE if none said anything in time. */
+typedef void (*RelayTold) (void *ctx, gboolean is_told, gboolean is_known, SchedJobState state);
+
+Relay *relay_new (Entry *entry, GError **error);
+void relay_free (Relay *relay);
+/** The owner's newest record: who can be asked. */
+void relay_take_owner (Relay *relay, const LedgerOwner *owner);
+/** Whether another entry answered lately. */
+gboolean relay_is_open (const Relay *relay);
+/** An OutboxForward of a Relay. */
+gboolean relay_pass_on (void *ctx, const char *key, GBytes *value);
+/** Asks another entry for a job's state; FALSE if there is none, and @p done is not called. */
+gboolean relay_ask (Relay *relay, const char *job, RelayTold done, void *ctx);
+/** Up to #RELAY_DEPUTIES_MAX entries that greeted this one lately, owned by @p relay. */
+uint32_t relay_deputies (const Relay *relay, const char **addresses);
+/** Where this entry takes records of others. */
+const char *relay_address (const Relay *relay);
+
 /* front.c: callers' requests. */
 Front *front_new (Entry *entry, GError **error);
 void front_free (Front *front);
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -10,8 +10,8 @@
 #define IDLE_S 60
 #define BODY_MAX (256 * 1024)
 #define READY_CONNECTIONS_MAX 16
-/** Without a good answer of the store for this long, nothing can be accepted. */
-#define STORE_AGE_MAX_MS 2500
+/** A state of a job under way that is older than this is asked of another entry. */
+#define STATE_AGE_MAX_MS 1200
 /** Time kept back of a caller's deadline for the answer's way. */
 #define DEADLINE_RESERVE_MS 150
 #define DEADLINE_DEFAULT_MS 3000
@@ -161,7 +161,9 @@
   size_t size = batch__submission__get_packed_size (&message);
   g_autofree uint8_t *bytes = g_malloc (size);
   (void) batch__submission__pack (&message, bytes);
-  outbox_add (front->entry->outbox, key, bytes, size, deadline_us (request), on_written,
+  const OutboxRecord record
+      = { .key = key, .value = bytes, .size = size, .deadline_us = deadline_us (request) };
+  outbox_add (front->entry->outbox, &record, on_written,
               wait_new (front, request, id, queue->name));
 }
 
@@ -180,7 +182,8 @@
       reply_status (request, 200);
       return;
     }
-  if (!entry_is_fresh (front->entry, STORE_AGE_MAX_MS))
+  if (!entry_is_fresh (front->entry, ENTRY_STORE_AGE_MAX_MS)
+      && !relay_is_open (front->entry->relay))
     {
       refuse (front, request, id, 503, "store_lost", RETRY_AFTER_S);
       return;
@@ -195,6 +198,14 @@
   write_submission (front, request, id, queue);
 }
 
+static void
+reply_state_text (NetRequest *request, SchedJobState state)
+{
+  g_autofree char *body = caller_encode_state ((CallerState) state);
+
+  reply_body (request, body);
+}
+
 static void
 reply_state (Front *front, NetRequest *request, const char *id)
 {
@@ -206,8 +217,7 @@
       reply_status (request, 410);
       return;
     }
-  g_autofree char *body = caller_encode_state ((CallerState) state);
-  reply_body (request, body);
+  reply_state_text (request, state);
 }
 
 /* Without a fresh view nothing can be said of a job that is not known. */
@@ -224,15 +234,45 @@
   wait_end (wait);
 }
 
+/* Another entry said what it knows; its silence leaves what is known here. */
 static void
-ask_state (Front *front, NetRequest *request, const char *id)
+on_state_told (void *ctx, gboolean is_told, gboolean is_known, SchedJobState told)
 {
+  Wait *wait = ctx;
   SchedJobState state = SCHED_QUEUED;
 
-  if (ledger_job_state (ledger_job (front->entry->ledger, id), &state))
-    reply_state (front, request, id);
+  if (is_told && is_known)
+    reply_state_text (wait->request, told);
+  else if (is_told || ledger_job_state (ledger_job (wait->front->entry->ledger, wait->id), &state))
+    reply_state (wait->front, wait->request, wait->id);
   else
-    feed_refresh (front->entry->ledger_feed, on_state_refreshed, wait_new (front, request, id, ""));
+    refuse (wait->front, wait->request, wait->id, 503, "view_stale", RETRY_AFTER_S);
+  wait_end (wait);
+}
+
+static void
+ask_state (Front *front, NetRequest *request, const char *id)
+{
+  SchedJobState state = SCHED_QUEUED;
+  gboolean is_known = ledger_job_state (ledger_job (front->entry->ledger, id), &state);
+  gboolean is_final = is_known && state > SCHED_RUNNING;
+
+  if (is_final || (is_known && entry_is_fresh (front->entry, STATE_AGE_MAX_MS)))
+    {
+      reply_state (front, request, id);
+      return;
+    }
+  Wait *wait = wait_new (front, request, id, "");
+  if (!entry_is_fresh (front->entry, STATE_AGE_MAX_MS)
+      && relay_ask (front->entry->relay, id, on_state_told, wait))
+    return;
+  if (!is_known)
+    {
+      feed_refresh (front->entry->ledger_feed, on_state_refreshed, wait);
+      return;
+    }
+  reply_state (front, request, id);
+  wait_end (wait);
 }
 
 static void
@@ -245,8 +285,21 @@
   message.wall_ms = clk_wall_ms ();
   wait->is_cancel = TRUE;
   size_t size = batch__cancel__pack (&message, bytes);
-  outbox_add (front->entry->outbox, key, bytes, size, deadline_us (wait->request), on_written,
-              wait);
+  const OutboxRecord record
+      = { .key = key, .value = bytes, .size = size, .deadline_us = deadline_us (wait->request) };
+  outbox_add (front->entry->outbox, &record, on_written, wait);
+}
+
+static void
+on_cancel_told (void *ctx, gboolean is_told, gboolean is_known, SchedJobState state)
+{
+  Wait *wait = ctx;
+
+  (void) state;
+  if (is_told && is_known)
+    write_cancel (wait->front, wait);
+  else
+    on_state_refreshed (wait, is_told);
 }
 
 static void
@@ -258,7 +311,7 @@
 
   if (ledger_job_state (ledger_job (front->entry->ledger, wait->id), &state))
     write_cancel (front, wait);
-  else
+  else if (is_fresh || !relay_ask (front->entry->relay, wait->id, on_cancel_told, wait))
     on_state_refreshed (wait, is_fresh);
 }
 
@@ -277,7 +330,8 @@
   wait = wait_new (front, request, id, "");
   if (job != NULL && job->submission != NULL)
     write_cancel (front, wait);
-  else
+  else if (entry_is_fresh (front->entry, STATE_AGE_MAX_MS)
+           || !relay_ask (front->entry->relay, id, on_cancel_told, wait))
     feed_refresh (front->entry->ledger_feed, on_cancel_refreshed, wait);
 }
 
@@ -335,7 +389,7 @@
   const Entry *entry = front->entry;
 
   return !entry->is_leaving && entry->config != NULL && feed_is_loaded (entry->ledger_feed)
-         && entry_is_fresh (entry, STORE_AGE_MAX_MS);
+         && entry_is_fresh (entry, ENTRY_STORE_AGE_MAX_MS);
 }
 
 static void
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -48,6 +48,10 @@
   message.term = owner->term;
   message.name = owner->entry->settings->name;
   message.boot = boot;
+  const char *deputies[RELAY_DEPUTIES_MAX];
+  message.address = (char *) relay_address (owner->entry->relay);
+  message.n_deputies = relay_deputies (owner->entry->relay, deputies);
+  message.deputies = (char **) deputies;
   add_loads (owner, &message, garbage);
   size_t size = batch__owner__get_packed_size (&message);
   g_autofree uint8_t *bytes = g_malloc (size);
--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -5,6 +5,8 @@
 dir=$(mktemp -d)
 pids=()
 store=127.0.0.1:29100
+# The same store, at an address where it can be told to turn callers away.
+second_store=127.0.0.1:29101
 
 cleanup() {
   local pid
@@ -35,16 +37,17 @@
   curl -sf -o /dev/null --data-binary @"$dir/record" "http://$store/log-append?topic=keyed.op&part=0"
 }
 
-# start_entry NAME IP: with the lines of $entry_settings, if any.
+# start_entry NAME IP [STORE]: with the lines of $entry_settings, if any.
 start_entry() {
   local name=$1 ip=$2
+  local from=${3:-$store}
   cat >"$dir/$name.toml" <<TOML
 name = "$name"
 ip = "$ip"
 callers.listen = "$ip:29161"
 callers.ready = "$ip:29167"
 internal.metrics_port = 29121
-store.address = "$store"
+store.address = "$from"
 ${entry_settings:-}
 TOML
   "$BUILD/bin/acacia-scheduler" --config "$dir/$name.toml" >"$dir/$name.log" 2>&1 &
@@ -62,7 +65,7 @@
 
 # start_store APPEND_MS: the stand-in, with a configuration of one route.
 start_store() {
-  "$BUILD/bin/standin-store" "$store" "$1" >"$dir/store.log" 2>&1 &
+  "$BUILD/bin/standin-store" "$store" "$1" "$second_store" >"$dir/store.log" 2>&1 &
   pids+=($!)
   for _ in $(seq 100); do
     curl -s -o /dev/null "http://$store/" && break
--- a/tests/standin/store/main.c
+++ b/tests/standin/store/main.c
@@ -1,9 +1,13 @@
 /**
  * @file main.c
- * standin-store ADDRESS [APPEND_MS]: the users' metadata store in memory, as far as acaciadale uses
- * it: keyed topics with conditional appends, producers, long polls and the newest record of each
- * key.
+ * standin-store ADDRESS [APPEND_MS [SECOND]]: the users' metadata store in memory, as far as
+ * acaciadale uses it: keyed topics with conditional appends, producers, long polls and the newest
+ * record of each key.
+ *
+ * SECOND is another address of the same store. From SIGUSR1 on it answers all calls there with 503,
+ * from SIGUSR2 on with nothing.
  */
+#include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,7 +37,15 @@
   guint timer;
 } Waiting;
 
+typedef enum
+{
+  SECOND_SERVES,
+  SECOND_REFUSES,
+  SECOND_IS_SILENT,
+} SecondMode;
+
 static GHashTable *topics;
+static SecondMode second_mode;
 static guint append_ms; /* an append is answered this much later */
 
 static Topic *
@@ -298,15 +310,54 @@
     net_request_reply (request, &not_found);
 }
 
+static void
+on_second_request (void *ctx, NetRequest *request)
+{
+  const NetReply busy = { .status = 503 };
+
+  if (second_mode == SECOND_SERVES)
+    on_request (ctx, request);
+  else if (second_mode == SECOND_REFUSES)
+    net_request_reply (request, &busy);
+}
+
+static gboolean
+on_refuse (gpointer data)
+{
+  (void) data;
+  second_mode = SECOND_REFUSES;
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_fall_silent (gpointer data)
+{
+  (void) data;
+  second_mode = SECOND_IS_SILENT;
+  return G_SOURCE_CONTINUE;
+}
+
+static NetServer *
+open_second (const NetServerOptions *first, const char *address)
+{
+  NetServerOptions options = *first;
+
+  options.address = address;
+  options.handler = on_second_request;
+  (void) g_unix_signal_add (SIGUSR1, on_refuse, NULL);
+  (void) g_unix_signal_add (SIGUSR2, on_fall_silent, NULL);
+  return net_server_new (&options, NULL);
+}
+
 int
 main (int argc, char **argv)
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
 
-  if (argc != 2 && argc != 3)
+  if (argc < 2 || argc > 4)
     {
-      (void) fprintf (stderr, "Usage: standin-store IP:PORT [APPEND_MS]\n");
+      (void) fprintf (stderr, "Usage: standin-store IP:PORT [APPEND_MS [IP:PORT]]\n");
       return 2;
     }
   const NetServerOptions options = { .address = argv[1],
@@ -314,7 +365,7 @@
                                      .idle_s = IDLE_S,
                                      .body_bytes_max = BODY_MAX,
                                      .handler = on_request };
-  append_ms = argc == 3 ? (guint) g_ascii_strtoull (argv[2], NULL, 10) : 0;
+  append_ms = argc >= 3 ? (guint) g_ascii_strtoull (argv[2], NULL, 10) : 0;
   topics = g_hash_table_new (g_str_hash, g_str_equal);
   NetServer *server = net_server_new (&options, &error);
   if (server == NULL)
@@ -322,7 +373,9 @@
       (void) fprintf (stderr, "standin-store: %s\n", error->message);
       return 1;
     }
+  NetServer *second = argc == 4 ? open_second (&options, argv[3]) : NULL;
   g_main_loop_run (loop);
+  net_server_free (second);
   net_server_free (server);
   return 0;
 }
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "common/clk.h"
 #include "ledger/feed.h"
 #include "ledger/outbox.h"
 #include "net/net_server.h"
@@ -190,6 +191,15 @@
   world_free (world);
 }
 
+static void
+reply_held (World *world)
+{
+  const NetReply reply
+      = { .status = world->status, .content_type = "application/json", .body = world->body };
+
+  net_request_reply (g_ptr_array_steal_index (world->held, 0), &reply);
+}
+
 typedef struct
 {
   uint32_t n_done;
@@ -213,16 +223,163 @@
     (void) g_main_context_iteration (NULL, TRUE);
 }
 
+/* Another entry that takes all records that are passed on, if it is there. */
+typedef struct
+{
+  gboolean is_there;
+  uint32_t n_records;
+} Helper;
+
+static gboolean
+take_record (void *ctx, const char *key, GBytes *value)
+{
+  Helper *helper = ctx;
+
+  assert_string_equal (key, "k");
+  assert_int_equal (g_bytes_get_size (value), 1);
+  helper->n_records += helper->is_there;
+  return helper->is_there;
+}
+
+static Outbox *
+open_outbox (const World *world, Helper *helper)
+{
+  const OutboxOptions options = { .store = world->store,
+                                  .topic = TOPIC,
+                                  .forward = helper != NULL ? take_record : NULL,
+                                  .ctx = helper };
+
+  return outbox_new (&options);
+}
+
+static void
+add_record (Outbox *outbox, int64_t deadline_us, Fate *fate)
+{
+  const OutboxRecord record = { .key = "k", .value = "v", .size = 1, .deadline_us = deadline_us };
+
+  outbox_add (outbox, &record, on_fate, fate);
+}
+
+static void
+turn_for (int64_t ms)
+{
+  int64_t end_us = clk_now_us () + ms * CLK_US_PER_MS;
+
+  while (clk_now_us () < end_us)
+    {
+      (void) g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+}
+
+/* The store turns this entry away, and another one can write. */
+static void
+refused_record_is_passed_on (void **state)
+{
+  World *world = world_new ();
+  Helper helper = { .is_there = TRUE };
+  Outbox *outbox = open_outbox (world, &helper);
+  Fate fate = { 0 };
+
+  (void) state;
+  set_answer (world, 503, "");
+  add_record (outbox, INT64_MAX, &fate);
+  while (helper.n_records == 0)
+    (void) g_main_context_iteration (NULL, TRUE);
+  turn_for (300);
+  assert_int_equal (fate.n_done, 0);
+  outbox_take_fate (outbox, "k", OUTBOX_WRITTEN, 7);
+  assert_int_equal (fate.n_done, 1);
+  assert_int_equal (fate.last, OUTBOX_WRITTEN);
+  assert_int_equal (outbox_waiting (outbox), 0);
+  turn_for (100);
+  outbox_free (outbox);
+  world_free (world);
+}
+
+/* A refusal by both is one: the caller may hear that the record is not written. */
+static void
+record_that_both_refuse_is_refused (void **state)
+{
+  World *world = world_new ();
+  Helper helper = { .is_there = TRUE };
+  Outbox *outbox = open_outbox (world, &helper);
+  Fate fate = { 0 };
+
+  (void) state;
+  set_answer (world, 503, "");
+  add_record (outbox, INT64_MAX, &fate);
+  while (helper.n_records == 0)
+    (void) g_main_context_iteration (NULL, TRUE);
+  outbox_take_fate (outbox, "k", OUTBOX_REFUSED, -1);
+  helper.is_there = FALSE;
+  wait_for (&fate);
+  assert_int_equal (fate.last, OUTBOX_REFUSED);
+  outbox_free (outbox);
+  world_free (world);
+}
+
+/* Passed on twice, refused once: the other one may be written yet. */
+static void
+record_passed_on_twice_is_not_refused_by_one_answer (void **state)
+{
+  World *world = world_new ();
+  Helper helper = { .is_there = TRUE };
+  Outbox *outbox = open_outbox (world, &helper);
+  Fate fate = { 0 };
+
+  (void) state;
+  set_answer (world, 503, "");
+  add_record (outbox, INT64_MAX, &fate);
+  while (helper.n_records < 2)
+    (void) g_main_context_iteration (NULL, TRUE);
+  outbox_take_fate (outbox, "k", OUTBOX_REFUSED, -1);
+  turn_for (200);
+  assert_int_equal (fate.n_done, 0);
+  outbox_take_fate (outbox, "k", OUTBOX_WRITTEN, 7);
+  assert_int_equal (fate.last, OUTBOX_WRITTEN);
+  turn_for (500);
+  outbox_free (outbox);
+  world_free (world);
+}
+
+/* A store that is slow to answer does not hold up what another entry writes. */
+static void
+slow_record_is_passed_on_as_well (void **state)
+{
+  World *world = world_new ();
+  Helper helper = { .is_there = TRUE };
+  Outbox *outbox = open_outbox (world, &helper);
+  Fate fate = { 0 };
+
+  (void) state;
+  set_answer (world, 200, "{\"offset\":4,\"end_offset\":5}");
+  world->n_unanswered = 1;
+  add_record (outbox, INT64_MAX, &fate);
+  turn_for (OUTBOX_FORWARD_MS / 2);
+  assert_int_equal (helper.n_records, 0);
+  turn_for (OUTBOX_FORWARD_MS);
+  assert_int_equal (helper.n_records, 1);
+  outbox_take_fate (outbox, "k", OUTBOX_WRITTEN, 7);
+  assert_int_equal (fate.last, OUTBOX_WRITTEN);
+  /* The answer of its own append finds nothing to settle. */
+  reply_held (world);
+  turn_for (50);
+  assert_int_equal (fate.n_done, 1);
+  outbox_free (outbox);
+  world_free (world);
+}
+
 static void
 refused_record_is_never_written (void **state)
 {
   World *world = world_new ();
-  Outbox *outbox = outbox_new (world->store, TOPIC);
+  Outbox *outbox = open_outbox (world, NULL);
   Fate fate = { 0 };
 
   (void) state;
   set_answer (world, 503, "");
-  outbox_add (outbox, "k", "v", 1, INT64_MAX, on_fate, &fate);
+  add_record (outbox, INT64_MAX, &fate);
   wait_for (&fate);
   assert_int_equal (fate.last, OUTBOX_REFUSED);
   assert_int_equal (outbox_waiting (outbox), 0);
@@ -235,19 +392,19 @@
 record_in_doubt_is_repeated_until_written (void **state)
 {
   World *world = world_new ();
-  Outbox *outbox = outbox_new (world->store, TOPIC);
+  Outbox *outbox = open_outbox (world, NULL);
   Fate fate = { 0 };
   Fate second = { 0 };
 
   (void) state;
   world->n_unanswered = 1;
   set_answer (world, 503, "");
-  outbox_add (outbox, "k", "v", 1, INT64_MAX, on_fate, &fate);
+  add_record (outbox, INT64_MAX, &fate);
   while (world->n_calls < 3)
     (void) g_main_context_iteration (NULL, TRUE);
   assert_int_equal (fate.n_done, 0);
   /* The same record asked for again shares its fate. */
-  outbox_add (outbox, "k", "v", 1, INT64_MAX, on_fate, &second);
+  add_record (outbox, INT64_MAX, &second);
   assert_int_equal (outbox_waiting (outbox), 1);
   set_answer (world, 200, "{\"offset\":1,\"end_offset\":2}");
   wait_for (&fate);
@@ -261,12 +418,12 @@
 caller_is_told_of_the_doubt_in_time (void **state)
 {
   World *world = world_new ();
-  Outbox *outbox = outbox_new (world->store, TOPIC);
+  Outbox *outbox = open_outbox (world, NULL);
   Fate fate = { 0 };
 
   (void) state;
   world->n_unanswered = 100;
-  outbox_add (outbox, "k", "v", 1, 0, on_fate, &fate);
+  add_record (outbox, 0, &fate);
   wait_for (&fate);
   assert_int_equal (fate.last, OUTBOX_IN_DOUBT);
   assert_int_equal (outbox_waiting (outbox), 1);
@@ -466,6 +623,10 @@
     cmocka_unit_test (refresh_ends_with_a_failed_load),
     cmocka_unit_test (answers_are_told_apart),
     cmocka_unit_test (silence_is_doubt_and_no_listener_is_not),
+    cmocka_unit_test (refused_record_is_passed_on),
+    cmocka_unit_test (record_that_both_refuse_is_refused),
+    cmocka_unit_test (record_passed_on_twice_is_not_refused_by_one_answer),
+    cmocka_unit_test (slow_record_is_passed_on_as_well),
     cmocka_unit_test (refused_record_is_never_written),
     cmocka_unit_test (record_in_doubt_is_repeated_until_written),
     cmocka_unit_test (caller_is_told_of_the_doubt_in_time),
