--- /dev/null
+++ b/tests/batch/test_fleet.c
@@ -0,0 +1,82 @@
+/* What callers get of a fleet whose serving tasks reserve most processors. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "support/fleet.h"
+
+#define SEEDS 8
+#define WORKERS 80
+/** Takes at which harm and lateness come out as on the users' large installation. */
+#define PRESS 2.0
+/** The users' target for their large installation. */
+#define WORTH_WANTED 0.67
+/** What the kinds of work earn there in a second. */
+static const double weights[FLEET_KINDS] = { 8, 40, 10 };
+
+/* Load: short steps, wide steps that fill, a burst of them, and serving tasks whose loads swing. */
+static void
+callers_get_what_the_users_want (void **state)
+{
+  double sum = 0;
+
+  (void) state;
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      FleetOptions options;
+      FleetResult result;
+      fleet_options_large (&options, WORKERS);
+      options.press = PRESS;
+      options.seed = seed;
+      fleet_play (&options, &result);
+      sum += fleet_worth (&result, weights);
+      assert_true (result.kinds[FLEET_HEAVY].n_jobs > 0);
+      assert_true (result.kinds[FLEET_SHORT].n_jobs > 0);
+    }
+  assert_true (sum / SEEDS >= WORTH_WANTED);
+}
+
+/* A fleet without interference does nearly all in time: nothing but room decides. */
+static void
+nothing_is_late_without_interference (void **state)
+{
+  FleetOptions options;
+  FleetResult result;
+
+  (void) state;
+  fleet_options_small (&options);
+  options.press = 0;
+  fleet_play (&options, &result);
+  assert_true (result.harmed_s == 0);
+  assert_int_equal (result.n_stops, 0);
+  assert_true (result.kinds[FLEET_HEAVY].n_in_time * 10 >= result.kinds[FLEET_HEAVY].n_jobs * 9);
+}
+
+static void
+seed_plays_the_same (void **state)
+{
+  FleetOptions options;
+  FleetResult first;
+  FleetResult second;
+
+  (void) state;
+  fleet_options_small (&options);
+  fleet_play (&options, &first);
+  fleet_play (&options, &second);
+  assert_int_equal (first.n_starts, second.n_starts);
+  assert_int_equal (first.kinds[FLEET_HEAVY].n_in_time, second.kinds[FLEET_HEAVY].n_in_time);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (callers_get_what_the_users_want),
+    cmocka_unit_test (nothing_is_late_without_interference),
+    cmocka_unit_test (seed_plays_the_same),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -37,6 +37,7 @@
 void mechanisms_run (const BenchOptions *options);
 void routing_run (const BenchOptions *options, BenchTargets *targets);
 void scale_run (const BenchOptions *options, BenchTargets *targets);
+void fleet_run (const BenchOptions *options, BenchTargets *targets);
 
 /** One run to be made by a pool of threads. */
 typedef struct
--- /dev/null
+++ b/tests/bench/fleet.c
@@ -0,0 +1,69 @@
+#include "support/fleet.h"
+
+#include "bench/bench.h"
+
+/** What the kinds of work earn in a second on the users' large installation. */
+static const double weights[FLEET_KINDS] = { 8, 40, 10 };
+/** The users' target there. */
+#define WORTH_WANTED 0.67
+#define LARGE_WORKERS 80
+
+static double
+in_time (const FleetKindResult *kind)
+{
+  return kind->n_jobs > 0 ? (double) kind->n_in_time / kind->n_jobs : 0;
+}
+
+/* Plays a fleet with all seeds and prints what callers got; returns the mean worth. */
+static double
+play (const BenchOptions *options, const FleetOptions *wanted, const char *name, FILE *file)
+{
+  double worth = 0;
+  double harmed_s = 0;
+  double kinds[FLEET_KINDS] = { 0 };
+
+  for (uint32_t seed = 1; seed <= options->seeds; seed++)
+    {
+      FleetOptions fleet = *wanted;
+      FleetResult result;
+      fleet.seed = seed;
+      fleet_play (&fleet, &result);
+      worth += fleet_worth (&result, weights);
+      harmed_s += result.harmed_s;
+      kinds[FLEET_SHORT] += in_time (&result.kinds[FLEET_SHORT]);
+      kinds[FLEET_HEAVY] += in_time (&result.kinds[FLEET_HEAVY]);
+      kinds[FLEET_SERVING] += result.serving_worth;
+      if (file != NULL)
+        (void) fprintf (file, "%s,%u,%.4f,%.4f,%.4f,%.4f,%.1f,%u,%u,%.3f\n", name, seed,
+                        fleet_worth (&result, weights), in_time (&result.kinds[FLEET_SHORT]),
+                        in_time (&result.kinds[FLEET_HEAVY]), result.serving_worth, result.harmed_s,
+                        result.n_starts, result.n_stops, (double) result.decide_us / 1e6);
+    }
+  (void) printf ("fleet %-12s worth %.3f; in time: short %.3f, heavy %.3f; serving %.3f; "
+                 "harmed %.0f s\n",
+                 name, worth / options->seeds, kinds[FLEET_SHORT] / options->seeds,
+                 kinds[FLEET_HEAVY] / options->seeds, kinds[FLEET_SERVING] / options->seeds,
+                 harmed_s / options->seeds);
+  return worth / options->seeds;
+}
+
+void
+fleet_run (const BenchOptions *options, BenchTargets *targets)
+{
+  FILE *file = bench_open (options, "fleet.csv");
+  FleetOptions fleet;
+
+  if (file != NULL)
+    (void) fprintf (file, "fleet,seed,worth,short,heavy,serving,harmed_s,starts,stops,decide_s\n");
+  fleet_options_small (&fleet);
+  (void) play (options, &fleet, "small", file);
+  fleet_options_large (&fleet, LARGE_WORKERS);
+  double worth = play (options, &fleet, "large", file);
+  bench_target (targets, worth >= WORTH_WANTED, "fleet large: worth %.3f of %.2f", worth,
+                WORTH_WANTED);
+  fleet.kinds[FLEET_SERVING].n_at_start = fleet.kinds[FLEET_SERVING].n_at_start * 6 / 5;
+  fleet.burst_x = 2.6;
+  (void) play (options, &fleet, "overloaded", file);
+  if (file != NULL)
+    (void) fclose (file);
+}
--- a/tests/bench/main.c
+++ b/tests/bench/main.c
@@ -84,6 +84,7 @@
       mechanisms_run (options);
       routing_run (options, &targets);
       scale_run (options, &targets);
+      fleet_run (options, &targets);
     }
   (void) fputs (targets.missed->str, stdout);
   (void) printf ("bench: %u of %u targets met\n", targets.met, targets.all);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -794,7 +794,7 @@
     .load = 0.45,
     .swing = 0.5,
     .swing_s = 14.0,
-    .press = 1.0,
+    .press = 2.0,
     .press_spread = 1.2,
     .length_ms = 34000,
     .burst_at_ms = 18000,
