A claim leaves the counts of waiting jobs as they were

The record that claims the jobs is written before its owner has counted any, and the fold took its empty list for zero.

Ruled out: an owner that writes before its first tick (take_over decides first); a reader that lags (the answer came 3 ms after the claim was read).

Change: the fold takes counts only from the owner whose term it already knows; the claim itself leaves the last ones. The test fails without it: 0 in place of 7.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -213,12 +213,14 @@
     return FALSE;
   if (owner->term == 0 || offset > owner->offset)
     {
+      /* A claim is written before its owner has counted anything. */
+      if (owner->term == 0 || owner->term == message->term)
+        take_loads (owner, message);
       g_free (owner->name);
       owner->term = message->term;
       owner->name = g_strdup (message->name);
       owner->boot = message->boot;
       owner->offset = offset;
-      take_loads (owner, message);
       take_addresses (owner, message);
       if (ledger->events.on_owner != NULL)
         ledger->events.on_owner (ledger->events.ctx, owner);
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -46,18 +46,31 @@
 }
 
 static void
-apply_owner (Ledger *ledger, int64_t offset, uint64_t term, const char *name)
+apply_owner_with_load (
+    Ledger *ledger, int64_t offset, uint64_t term, const char *name, uint32_t n_pending)
 {
   Batch__Owner message = BATCH__OWNER__INIT;
+  Batch__QueueLoad load = BATCH__QUEUE_LOAD__INIT;
+  Batch__QueueLoad *loads[] = { &load };
   uint8_t bytes[256];
 
   message.term = term;
   message.name = (char *) name;
   message.boot = term;
+  load.queue = "q";
+  load.pending = n_pending;
+  message.loads = loads;
+  message.n_loads = n_pending > 0;
   size_t size = batch__owner__pack (&message, bytes);
   assert_true (apply (ledger, offset, LEDGER_OWNER_KEY, bytes, size));
 }
 
+static void
+apply_owner (Ledger *ledger, int64_t offset, uint64_t term, const char *name)
+{
+  apply_owner_with_load (ledger, offset, term, name, 0);
+}
+
 static void
 job_that_comes_twice_is_one (void **state)
 {
@@ -117,6 +130,24 @@
   ledger_free (ledger);
 }
 
+/* An owner that has just claimed has counted no jobs yet; callers must not be told that none wait.
+ */
+static void
+claim_leaves_the_last_counts_of_waiting_jobs (void **state)
+{
+  Ledger *ledger = new_ledger ();
+
+  (void) state;
+  apply_owner_with_load (ledger, 1, 1, "old", 7);
+  apply_owner (ledger, 2, 2, "new");
+  assert_int_equal (ledger_pending (ledger, "q"), 7);
+  apply_owner_with_load (ledger, 3, 2, "new", 5);
+  assert_int_equal (ledger_pending (ledger, "q"), 5);
+  apply_owner (ledger, 4, 2, "new");
+  assert_int_equal (ledger_pending (ledger, "q"), 0);
+  ledger_free (ledger);
+}
+
 static void
 count_agent (void *ctx, const LedgerAgent *agent)
 {
@@ -219,6 +250,7 @@
     cmocka_unit_test (progress_before_its_job_is_kept),
     cmocka_unit_test (cancelled_job_that_was_done_stays_done),
     cmocka_unit_test (older_owner_record_changes_nothing),
+    cmocka_unit_test (claim_leaves_the_last_counts_of_waiting_jobs),
     cmocka_unit_test (forgotten_agent_comes_back_with_its_next_record),
     cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (dropped_job_is_unknown),
