Headroom of a service, takes and their doubt are estimated together

The old model gave each task a headroom of its own without a slope and spread an error over all neighbours by their doubt: it took harmless pairs for heavy ones and the other way round (take 15 to 21 learned for an image that is immune), and it held each fresh figure for 250 ms old though urgent ones are 10 ms old.

Tests: the emulator drew arrivals from the same numbers as errors of figures, so two policies never played the same load; it has two streams now.

--- a/lib/batch/interference.c
+++ b/lib/batch/interference.c
@@ -2,47 +2,107 @@
 
 #include <math.h>
 
+#include "batch/filter.h"
+
 #define US_PER_S 1e6
-/** Take of a pair that was never seen: its mean and its variance. */
-#define TAKE_MEAN 1.6
-#define TAKE_VARIANCE 8.0
+/** Take of any pair before one was seen, and for how many pairs that counts beside those seen. */
+#define TAKE_MEAN 4.0
+#define TAKE_VARIANCE 30.0
+#define TAKE_WEIGHT 2.0
+/** For how many pairs what is known of all images counts beside what is known of one that fills. */
+#define IMAGE_WEIGHT 1.0
+/** A pair counts by half if its take has this variance. */
+#define KNOWN_VARIANCE 3.0
+/** What is expected of pairs that were not seen has this variance at least. */
+#define EXPECTED_VARIANCE_MIN 2.0
+/** Figures after which that is computed anew. */
+#define EXPECTED_FIGURES 50
+/** More than any pair takes. */
+#define TAKE_MAX 60.0
 /** Growth of a take's variance with each figure, so that it is never taken for certain. */
 #define TAKE_DRIFT 0.002
 /** Doubt that is added to what an earlier owner learned. */
 #define RESTORED_VARIANCE 0.1
 /** Standard deviations above the mean that count as hardly exceeded. */
 #define TAKE_DEVIATIONS 2.0
-/** Variance of the headroom alone at first, and its growth in a second by changes of load. */
-#define ALONE_VARIANCE 2.0
-#define ALONE_VARIANCE_MAX 3.0
-#define ALONE_DRIFT 0.2
+/** A service's level before its first figure, as variances, and its slope's at any time. */
+#define LEVEL_VARIANCE 2.0
+#define SLOPE_VARIANCE 0.1
+/** A slope fades within this time, in seconds: loads do not rise for ever. */
+#define SLOPE_FADE_S 4.0
+/** Variance that a second adds to the level by itself. */
+#define LEVEL_DRIFT 0.01
+/** What is a replica's own: its variance when nothing is known, and how fast it fades, in seconds.
+ */
+#define OWN_VARIANCE 0.15
+#define OWN_FADE_S 1.5
 #define ALONE_MIN 0.3
 #define ALONE_MAX 8.0
 /** Variance of a figure's error, as a share of its square; figures are rough. */
-#define FIGURE_VARIANCE 0.01
-#define FIGURE_LEAST 0.3
+#define FIGURE_VARIANCE 0.003
+#define FIGURE_LEAST 0.5
 /** Tails stop growing at a multiple of the target: below this a headroom says "at most". */
 #define SATURATED 0.2
 
+/** What is known of one serving image: a filter of its takes and services. */
 typedef struct
 {
-  double take;
-  double variance;
-} Pair;
+  Filter *filter;
+  GHashTable *takes; /**< number of the filling image -> state and 1 */
+} Serving;
 
 struct Interference
 {
-  GHashTable *images; /**< name -> number */
-  GHashTable *pairs;  /**< both numbers -> Pair */
+  GHashTable *images;   /**< name -> number */
+  GHashTable *servings; /**< number -> Serving */
+  uint32_t n_pairs;
+  uint64_t n_figures;
+  GHashTable *expected; /**< number of the filling image -> Expected */
+};
+
+/** Take that is expected of an image that fills beside images where it was not seen. */
+typedef struct
+{
+  InterferenceEstimate take;
+  uint64_t n_figures; /**< of the model when it was computed */
+} Expected;
+
+/** A weighted sample of takes. */
+typedef struct
+{
+  double weight;
+  double sum;
+  double squares;
+} Sample;
+
+struct InterferenceService
+{
+  Interference *model;
+  Serving *serving;
+  uint32_t image;
+  uint32_t level;  /**< state */
+  uint32_t slope;  /**< state */
+  int64_t seen_us; /**< of the states; 0: no figure has come */
 };
 
+static void
+serving_free (gpointer data)
+{
+  Serving *serving = data;
+
+  filter_free (serving->filter);
+  g_hash_table_destroy (serving->takes);
+  g_free (serving);
+}
+
 Interference *
 interference_new (void)
 {
   Interference *model = g_new0 (Interference, 1);
 
   model->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  model->pairs = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  model->servings = g_hash_table_new_full (NULL, NULL, NULL, serving_free);
+  model->expected = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return model;
 }
 
@@ -52,7 +112,8 @@
   if (model == NULL)
     return;
   g_hash_table_destroy (model->images);
-  g_hash_table_destroy (model->pairs);
+  g_hash_table_destroy (model->servings);
+  g_hash_table_destroy (model->expected);
   g_free (model);
 }
 
@@ -71,49 +132,179 @@
   return next;
 }
 
-#define KEY_BASE (INTERFERENCE_IMAGES_MAX + 1)
+static Serving *
+find_serving (const Interference *model, uint32_t image)
+{
+  return g_hash_table_lookup (model->servings, GUINT_TO_POINTER (image));
+}
 
-static gpointer
-pair_key (uint32_t serving, uint32_t filling)
+static Serving *
+make_serving (Interference *model, uint32_t image)
 {
-  return GUINT_TO_POINTER (serving * KEY_BASE + filling);
+  Serving *serving = find_serving (model, image);
+
+  if (serving != NULL)
+    return serving;
+  serving = g_new0 (Serving, 1);
+  serving->filter = filter_new ();
+  serving->takes = g_hash_table_new (NULL, NULL);
+  g_hash_table_insert (model->servings, GUINT_TO_POINTER (image), serving);
+  return serving;
 }
 
-static const Pair *
-find_pair (const Interference *model, uint32_t serving, uint32_t filling)
+/* State of a take, or FILTER_NONE. */
+static uint32_t
+find_take (const Serving *serving, uint32_t filling)
 {
-  static const Pair unknown = { TAKE_MEAN, TAKE_VARIANCE };
-  const Pair *pair = g_hash_table_lookup (model->pairs, pair_key (serving, filling));
+  gpointer value = g_hash_table_lookup (serving->takes, GUINT_TO_POINTER (filling));
 
-  return pair != NULL ? pair : &unknown;
+  return value != NULL ? GPOINTER_TO_UINT (value) - 1 : FILTER_NONE;
+}
+
+static void
+sample_add (Sample *sample, double weight, double mean, double variance)
+{
+  sample->weight += weight;
+  sample->sum += weight * mean;
+  sample->squares += weight * (mean * mean + variance);
 }
 
-static Pair *
-make_pair (Interference *model, uint32_t serving, uint32_t filling)
+static InterferenceEstimate
+sample_estimate (const Sample *sample)
 {
-  gpointer key = pair_key (serving, filling);
-  Pair *pair = g_hash_table_lookup (model->pairs, key);
+  double mean = sample->sum / sample->weight;
+  double variance = sample->squares / sample->weight - mean * mean;
 
-  if (pair != NULL || g_hash_table_size (model->pairs) >= INTERFERENCE_PAIRS_MAX)
-    return pair;
-  pair = g_new (Pair, 1);
-  *pair = (Pair){ TAKE_MEAN, TAKE_VARIANCE };
-  g_hash_table_insert (model->pairs, key, pair);
-  return pair;
+  return (InterferenceEstimate){ mean, MAX (variance, EXPECTED_VARIANCE_MIN) };
+}
+
+static void
+sample_add_state (Sample *sample, const Filter *filter, uint32_t state)
+{
+  double variance = filter_covariance (filter, state, state);
+  double weight = KNOWN_VARIANCE / (KNOWN_VARIANCE + variance);
+
+  sample_add (sample, weight, filter_mean (filter, state), 0);
+}
+
+/* Take of an image that fills, by all pairs that were seen and most by its own. */
+static InterferenceEstimate
+compute_expected (const Interference *model, uint32_t filling)
+{
+  Sample all = { 0 };
+  Sample own = { 0 };
+  GHashTableIter servings;
+  gpointer value = NULL;
+
+  sample_add (&all, TAKE_WEIGHT, TAKE_MEAN, TAKE_VARIANCE);
+  g_hash_table_iter_init (&servings, model->servings);
+  while (g_hash_table_iter_next (&servings, NULL, &value))
+    {
+      const Serving *serving = value;
+      GHashTableIter takes;
+      gpointer image = NULL;
+      gpointer state = NULL;
+      g_hash_table_iter_init (&takes, serving->takes);
+      while (g_hash_table_iter_next (&takes, &image, &state))
+        {
+          uint32_t place = GPOINTER_TO_UINT (state) - 1;
+          sample_add_state (&all, serving->filter, place);
+          if (GPOINTER_TO_UINT (image) == filling)
+            sample_add_state (&own, serving->filter, place);
+        }
+    }
+  InterferenceEstimate any = sample_estimate (&all);
+  sample_add (&own, IMAGE_WEIGHT, any.mean, any.variance);
+  return sample_estimate (&own);
+}
+
+static InterferenceEstimate
+expected_take (const Interference *model, uint32_t filling)
+{
+  gpointer key = GUINT_TO_POINTER (filling);
+  Expected *row = g_hash_table_lookup (model->expected, key);
+
+  if (row != NULL && model->n_figures - row->n_figures < EXPECTED_FIGURES)
+    return row->take;
+  if (row == NULL)
+    {
+      row = g_new0 (Expected, 1);
+      g_hash_table_insert (model->expected, key, row);
+    }
+  row->take = compute_expected (model, filling);
+  row->n_figures = model->n_figures;
+  return row->take;
+}
+
+static uint32_t
+make_take (Interference *model, Serving *serving, uint32_t filling, double take, double variance)
+{
+  uint32_t state = find_take (serving, filling);
+
+  if (state != FILTER_NONE || model->n_pairs >= INTERFERENCE_PAIRS_MAX
+      || g_hash_table_size (serving->takes) >= INTERFERENCE_TAKES_MAX)
+    return state;
+  state = filter_add (serving->filter, take, variance);
+  if (state == FILTER_NONE)
+    return state;
+  model->n_pairs++;
+  g_hash_table_insert (serving->takes, GUINT_TO_POINTER (filling), GUINT_TO_POINTER (state + 1));
+  return state;
+}
+
+InterferenceEstimate
+interference_pair (const Interference *model, uint32_t serving, uint32_t filling)
+{
+  const Serving *row = find_serving (model, serving);
+  uint32_t state = row != NULL ? find_take (row, filling) : FILTER_NONE;
+
+  if (state == FILTER_NONE)
+    return expected_take (model, filling);
+  return (InterferenceEstimate){ filter_mean (row->filter, state),
+                                 filter_covariance (row->filter, state, state) };
 }
 
 double
 interference_take (const Interference *model, uint32_t serving, uint32_t filling)
 {
-  return find_pair (model, serving, filling)->take;
+  return interference_pair (model, serving, filling).mean;
 }
 
 double
 interference_take_most (const Interference *model, uint32_t serving, uint32_t filling)
 {
-  const Pair *pair = find_pair (model, serving, filling);
+  InterferenceEstimate pair = interference_pair (model, serving, filling);
 
-  return pair->take + TAKE_DEVIATIONS * sqrt (pair->variance);
+  return pair.mean + TAKE_DEVIATIONS * sqrt (pair.variance);
+}
+
+InterferenceService *
+interference_service_new (Interference *model, uint32_t serving)
+{
+  InterferenceService *service = g_new0 (InterferenceService, 1);
+
+  service->model = model;
+  service->image = serving;
+  service->serving = make_serving (model, serving);
+  service->level = FILTER_NONE;
+  service->slope = FILTER_NONE;
+  return service;
+}
+
+void
+interference_service_free (InterferenceService *service)
+{
+  if (service == NULL)
+    return;
+  filter_drop (service->serving->filter, service->level);
+  filter_drop (service->serving->filter, service->slope);
+  g_free (service);
+}
+
+gboolean
+interference_service_is_known (const InterferenceService *service)
+{
+  return service != NULL && service->seen_us != 0;
 }
 
 static gboolean
@@ -123,81 +314,152 @@
          && now_us - task->seen_us < INTERFERENCE_REPEAT_MS * 1000;
 }
 
-/* Takes of all that works beside the task. */
 static double
-sum_of_takes (const Interference *model,
-              uint32_t serving,
-              const InterferenceLoad *loads,
-              uint32_t n_loads)
+seconds_since (int64_t then_us, int64_t now_us)
 {
-  double sum = 0;
-
-  for (uint32_t i = 0; i < n_loads; i++)
-    sum += interference_take (model, serving, loads[i].image) * loads[i].share;
-  return sum;
+  return (double) MAX (now_us - then_us, 0) / US_PER_S;
 }
 
+/* How far a slope that fades carries in a time. */
 static double
-expected_variance (const Interference *model,
-                   uint32_t serving,
-                   const InterferenceTask *task,
-                   double headroom,
-                   const InterferenceLoad *loads,
-                   uint32_t n_loads)
+carried_s (double passed_s)
 {
-  double rough = MAX (headroom, FIGURE_LEAST);
-  double variance = task->variance + FIGURE_VARIANCE * rough * rough;
+  return SLOPE_FADE_S * (1.0 - exp (-passed_s / SLOPE_FADE_S));
+}
+
+static InterferenceTask
+task_at (const InterferenceTask *task, int64_t at_us)
+{
+  InterferenceTask next = *task;
+
+  if (task->seen_us == 0)
+    {
+      next.variance = OWN_VARIANCE;
+      return next;
+    }
+  double kept = exp (-seconds_since (task->seen_us, at_us) / OWN_FADE_S);
+  next.own *= kept;
+  next.variance = task->variance * kept * kept + OWN_VARIANCE * (1.0 - kept * kept);
+  return next;
+}
+
+InterferenceEstimate
+interference_alone (const InterferenceService *service, const InterferenceTask *task, int64_t at_us)
+{
+  const Filter *filter = service->serving->filter;
+  double passed_s = seconds_since (service->seen_us, at_us);
+  const FilterTerm terms[] = { { service->level, 1.0 }, { service->slope, carried_s (passed_s) } };
+  double level = filter_sum (filter, terms, G_N_ELEMENTS (terms));
+
+  return (InterferenceEstimate){ CLAMP (level, ALONE_MIN, ALONE_MAX) + task_at (task, at_us).own,
+                                 filter_sum_variance (filter, terms, G_N_ELEMENTS (terms))
+                                     + LEVEL_DRIFT * passed_s };
+}
+
+/* Brings the service's states to a later time. */
+static void
+advance_service (InterferenceService *service, int64_t now_us)
+{
+  Filter *filter = service->serving->filter;
+  double passed_s = seconds_since (service->seen_us, now_us);
+  double kept = exp (-passed_s / SLOPE_FADE_S);
+
+  filter_advance (filter, service->level, service->slope, carried_s (passed_s), kept);
+  filter_drift (filter, service->level, LEVEL_DRIFT * passed_s);
+  filter_drift (filter, service->slope, SLOPE_VARIANCE * (1.0 - kept * kept));
+  service->seen_us = MAX (service->seen_us, now_us);
+}
+
+static gboolean
+begin_service (InterferenceService *service, double headroom, int64_t now_us)
+{
+  Filter *filter = service->serving->filter;
+
+  service->level = filter_add (filter, CLAMP (headroom, ALONE_MIN, ALONE_MAX), LEVEL_VARIANCE);
+  service->slope = filter_add (filter, 0, SLOPE_VARIANCE);
+  if (service->level == FILTER_NONE || service->slope == FILTER_NONE)
+    {
+      filter_drop (filter, service->level);
+      service->level = FILTER_NONE;
+      return FALSE;
+    }
+  service->seen_us = now_us;
+  return TRUE;
+}
+
+/* Terms of a figure: what the service has, less what the loads take. */
+static uint32_t
+terms_of (InterferenceService *service,
+          const InterferenceLoad *loads,
+          uint32_t n_loads,
+          FilterTerm *terms)
+{
+  uint32_t n_terms = 0;
 
   for (uint32_t i = 0; i < n_loads; i++)
-    variance
-        += find_pair (model, serving, loads[i].image)->variance * loads[i].share * loads[i].share;
-  return variance;
+    {
+      InterferenceEstimate expected = expected_take (service->model, loads[i].image);
+      uint32_t take = make_take (service->model, service->serving, loads[i].image, expected.mean,
+                                 expected.variance);
+      if (take != FILTER_NONE)
+        terms[n_terms++] = (FilterTerm){ take, -loads[i].share };
+    }
+  return n_terms;
 }
 
 static void
-correct_take (Pair *pair, double share, double error, double variance)
+correct_takes (Filter *filter, const FilterTerm *terms, uint32_t n_terms)
 {
-  if (pair == NULL)
-    return;
-  double gain = pair->variance * share / variance;
+  for (uint32_t i = 0; i < n_terms; i++)
+    {
+      filter_clamp (filter, terms[i].state, 0, TAKE_MAX);
+      filter_drift (filter, terms[i].state, TAKE_DRIFT);
+    }
+}
+
+static void
+correct_task (InterferenceTask *task, double error, double variance)
+{
+  double gain = task->variance / variance;
 
-  pair->take = MAX (pair->take - gain * error, 0.0);
-  pair->variance = pair->variance * (1.0 - gain * share) + TAKE_DRIFT;
+  task->own += gain * error;
+  task->variance *= 1.0 - gain;
 }
 
 void
-interference_observe (Interference *model,
-                      uint32_t serving,
+interference_observe (InterferenceService *service,
                       InterferenceTask *task,
                       double headroom,
                       const InterferenceLoad *loads,
                       uint32_t n_loads,
                       int64_t now_us)
 {
-  double takes = sum_of_takes (model, serving, loads, n_loads);
-  gboolean is_first = task->seen_us == 0;
+  FilterTerm terms[INTERFERENCE_LOADS_MAX + 1];
+  Filter *filter = service->serving->filter;
 
+  g_assert (n_loads <= INTERFERENCE_LOADS_MAX);
   if (is_repeat (task, headroom, now_us))
     return;
-  double passed_s = (double) (now_us - task->seen_us) / US_PER_S;
+  service->model->n_figures++;
+  uint32_t n_takes = terms_of (service, loads, n_loads, terms);
+  *task = task_at (task, now_us);
   task->seen_us = now_us;
   task->figure = headroom;
-  if (is_first)
-    {
-      task->alone = CLAMP (headroom + takes, ALONE_MIN, ALONE_MAX);
-      task->variance = ALONE_VARIANCE;
-      return;
-    }
-  task->variance = MIN (task->variance + ALONE_DRIFT * passed_s, ALONE_VARIANCE_MAX);
-  double error = headroom - (task->alone - takes);
+  if (service->seen_us == 0
+      && !begin_service (service, headroom - filter_sum (filter, terms, n_takes), now_us))
+    return;
+  advance_service (service, now_us);
+  terms[n_takes] = (FilterTerm){ service->level, 1.0 };
+  double error = headroom - filter_sum (filter, terms, n_takes + 1) - task->own;
   if (headroom < SATURATED && error > 0)
     return;
-  double variance = expected_variance (model, serving, task, headroom, loads, n_loads);
-  double gain = task->variance / variance;
-  task->alone = CLAMP (task->alone + gain * error, ALONE_MIN, ALONE_MAX);
-  task->variance *= 1.0 - gain;
-  for (uint32_t i = 0; i < n_loads; i++)
-    correct_take (make_pair (model, serving, loads[i].image), loads[i].share, error, variance);
+  double rough = MAX (headroom, FIGURE_LEAST);
+  double variance = task->variance + FIGURE_VARIANCE * rough * rough;
+  double whole = filter_sum_variance (filter, terms, n_takes + 1) + variance;
+  filter_correct (filter, terms, n_takes + 1, error, variance);
+  filter_clamp (filter, service->level, ALONE_MIN, ALONE_MAX);
+  correct_takes (filter, terms, n_takes);
+  correct_task (task, error, whole);
 }
 
 /* Names by number; owned by the model. */
@@ -222,32 +484,41 @@
                         void *ctx)
 {
   g_autoptr (GPtrArray) names = image_names (model);
-  GHashTableIter iter;
+  GHashTableIter servings;
   gpointer key = NULL;
   gpointer value = NULL;
 
-  g_hash_table_iter_init (&iter, model->pairs);
-  while (g_hash_table_iter_next (&iter, &key, &value))
+  g_hash_table_iter_init (&servings, model->servings);
+  while (g_hash_table_iter_next (&servings, &key, &value))
     {
-      const Pair *pair = value;
-      uint32_t serving = GPOINTER_TO_UINT (key) / KEY_BASE;
-      uint32_t filling = GPOINTER_TO_UINT (key) % KEY_BASE;
-      if (serving >= names->len || filling >= names->len)
-        continue;
-      const InterferencePair row
-          = { names->pdata[serving], names->pdata[filling], pair->take, pair->variance };
-      each (ctx, &row);
+      const Serving *serving = value;
+      uint32_t image = GPOINTER_TO_UINT (key);
+      GHashTableIter takes;
+      gpointer filling = NULL;
+      gpointer state = NULL;
+      g_hash_table_iter_init (&takes, serving->takes);
+      while (g_hash_table_iter_next (&takes, &filling, &state))
+        {
+          uint32_t place = GPOINTER_TO_UINT (state) - 1;
+          if (image >= names->len || GPOINTER_TO_UINT (filling) >= names->len)
+            continue;
+          const InterferencePair row
+              = { names->pdata[image], names->pdata[GPOINTER_TO_UINT (filling)],
+                  filter_mean (serving->filter, place),
+                  filter_covariance (serving->filter, place, place) };
+          each (ctx, &row);
+        }
     }
 }
 
 void
 interference_restore (Interference *model, const InterferencePair *row)
 {
-  Pair *pair = make_pair (model, interference_image (model, row->serving),
-                          interference_image (model, row->filling));
+  uint32_t serving = interference_image (model, row->serving);
+  uint32_t filling = interference_image (model, row->filling);
 
-  if (pair == NULL || !isfinite (row->take) || !isfinite (row->variance))
+  if (!isfinite (row->take) || !isfinite (row->variance))
     return;
-  pair->take = MAX (row->take, 0.0);
-  pair->variance = CLAMP (row->variance, 0.0, TAKE_VARIANCE) + RESTORED_VARIANCE;
+  (void) make_take (model, make_serving (model, serving), filling, CLAMP (row->take, 0.0, TAKE_MAX),
+                    CLAMP (row->variance, 0.0, TAKE_VARIANCE) + RESTORED_VARIANCE);
 }
--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -3416,7 +3416,7 @@
   (ProtobufCMessageInit) batch__gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor batch__report__field_descriptors[14] =
 {
   {
     "epoch",
@@ -3574,6 +3574,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "looked_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, looked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -3584,6 +3596,7 @@
   12,   /* field[12] = gone */
   9,   /* field[9] = is_leaving */
   3,   /* field[3] = life */
+  13,   /* field[13] = looked_us */
   8,   /* field[8] = refused */
   6,   /* field[6] = running */
   11,   /* field[11] = since */
@@ -3593,7 +3606,7 @@
 static const ProtobufCIntRange batch__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor batch__report__descriptor =
 {
@@ -3603,7 +3616,7 @@
   "Batch__Report",
   "batch",
   sizeof(Batch__Report),
-  13,
+  14,
   batch__report__field_descriptors,
   batch__report__field_indices_by_name,
   1,  batch__report__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -585,10 +585,14 @@
    */
   size_t n_gone;
   Batch__Gone **gone;
+  /*
+   * when the worker told the newest of this, by the clock of clock_us
+   */
+  int64_t looked_us;
 };
 #define BATCH__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__report__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /* Batch__Submission methods */
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -60,11 +60,11 @@
   g_free (sched->forgetting);
   g_hash_table_destroy (sched->durations);
   g_hash_table_destroy (sched->workers);
-  interference_free (sched->interference);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
   g_queue_free (sched->ended);
   g_hash_table_destroy (sched->jobs);
+  interference_free (sched->interference);
   g_free (sched);
 }
 
--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -10,13 +10,13 @@
 /** Largest step up. */
 #define PACE_RISE 60
 /** Between two steps: tails are measured over half a second and told half a second later. */
-#define PACE_DOWN_MS 900
-#define PACE_UP_MS 500
+#define PACE_DOWN_MS 100
+#define PACE_UP_MS 300
 /** Tasks that fill are slowed down once a serving task's headroom is below this, to this one, and
  * get more as long as that would leave this one. */
-#define HEADROOM_FROM 1.0
-#define HEADROOM_GOAL 1.25
-#define HEADROOM_UP 1.4
+#define HEADROOM_FROM 1.05
+#define HEADROOM_GOAL 1.2
+#define HEADROOM_UP 1.15
 /** Tasks that fill are not the cause where they take less than this of a headroom. */
 #define BLAME_TAKE 0.08
 /** A tail that stays over its target for this long is put down to all that fill there, whatever was
@@ -108,14 +108,19 @@
 worst_harmed (const SchedWorker *worker)
 {
   SchedTask *worst = NULL;
+  double least = HEADROOM_FROM;
 
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (sched_is_serving (task) && is_over (task)
-          && sched_tails_takes (worker, task) >= BLAME_TAKE
-          && (worst == NULL || sched_headroom (task) < sched_headroom (worst)))
-        worst = task;
+      if (!sched_is_serving (task) || sched_headroom (task) <= 0)
+        continue;
+      double room = sched_tails_now (worker, task);
+      if (room < least && sched_tails_takes (worker, task) >= BLAME_TAKE)
+        {
+          worst = task;
+          least = room;
+        }
     }
   return worst;
 }
@@ -156,7 +161,7 @@
 static void
 slow_fills (Sched *sched, SchedWorker *worker, const SchedTask *serving)
 {
-  double missing = HEADROOM_GOAL - MIN (sched_headroom (serving), serving->alone.alone);
+  double missing = HEADROOM_GOAL - sched_tails_now (worker, serving);
   SchedTask *task = NULL;
 
   worker->pace_us = sched->now_us;
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -11,6 +11,7 @@
     g_free (part->tasks[i].saved);
   g_free (part->tasks);
   g_array_unref (part->failed);
+  interference_service_free (part->service);
   g_free (part);
 }
 
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -21,7 +21,7 @@
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
 #define FILL_PERCENT_MAX 115
 /** Tasks that fill start beside serving ones only if these keep this headroom. */
-#define HEADROOM_MIN 1.3
+#define HEADROOM_MIN 1.1
 #define HEADROOM_LEAST 0.1
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 40
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -1,9 +1,14 @@
 #include <string.h>
 
 #include "batch/sched_tables.h"
+#include "common/clk.h"
 
 /** Pace at which a task starts, in percent. */
 #define FULL_PACE 100
+/** Age of figures in a report that does not tell it: half of the time between two reports. */
+#define FIGURES_AGE_MS 200
+/** Agents that have not looked for longer do not report. */
+#define FIGURES_AGE_MAX_MS 1500
 /** Failures on end after which a worker is left alone for a while. */
 #define FAIL_STREAK_MAX 2
 
@@ -339,6 +344,14 @@
     drop_unlisted (sched, worker);
 }
 
+static int64_t
+figures_age_us (const Batch__Report *report)
+{
+  if (report->looked_us == 0)
+    return FIGURES_AGE_MS * CLK_US_PER_MS;
+  return CLAMP (report->clock_us - report->looked_us, 0, FIGURES_AGE_MAX_MS * CLK_US_PER_MS);
+}
+
 void
 sched_take_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us)
 {
@@ -362,6 +375,7 @@
   worker->report_version = report->version;
   worker->done_number = report->done_number;
   worker->report_us = now_us;
+  worker->figures_us = now_us - figures_age_us (report);
   worker->silent_us = 0;
   worker->has_news = TRUE;
   drop_done_orders (worker);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -14,6 +14,9 @@
 typedef struct SchedTask SchedTask;
 typedef struct SchedWorker SchedWorker;
 
+/** Activity of a task that fills before anything was told of it, as a share of the most. */
+#define SCHED_ACTIVITY_FIRST 0.7
+
 typedef enum
 {
   TASK_WAITING,
@@ -35,11 +38,13 @@
   int64_t percent;
   int64_t percent_us; /**< when the percent last changed */
   int64_t figure;
-  uint32_t pace;          /**< percent that it may work at */
-  int64_t pace_us;        /**< when that was last changed; 0: never */
-  int64_t over_us;        /**< of a serving task: since when it is over its target; 0: it is not */
-  InterferenceTask alone; /**< of a serving task: its headroom without tasks that fill */
-  double room;            /**< of a serving task: what they leave of it */
+  uint32_t pace;   /**< percent that it may work at */
+  int64_t pace_us; /**< when that was last changed; 0: never */
+  int64_t over_us; /**< of a serving task: since when it is over its target; 0: it is not */
+  InterferenceTask
+      alone; /**< of a serving task: its own share of its headroom without tasks that fill */
+  InterferenceEstimate room; /**< of a serving task: what they will leave of it */
+  double activity; /**< of a task that fills: how much it presses, as a share of the most */
   gboolean is_starting;
   gboolean is_stopping;
   gboolean
@@ -95,17 +100,18 @@
   uint32_t occurrence;
   uint32_t step_index;
   uint32_t n_done;
-  uint32_t n_waiting;     /**< tasks in TASK_WAITING */
-  SchedTask *tasks;       /**< step->n_tasks of them */
-  GArray *failed;         /**< FailedRow */
-  uint32_t n_timed;       /**< tasks that ran through at full pace */
-  int64_t timed_ms;       /**< sum of their durations */
-  int64_t ready_us;       /**< when its turn was first seen to have come; 0: not yet */
-  SchedChains chains;     /**< of the occurrence; kept with its first step */
-  uint64_t chains_change; /**< the job's changes that they are of */
-  gboolean is_planned;    /**< the occurrence was in a forecast; with its first step */
-  gboolean is_chosen;     /**< and can be done in time by it */
-  uint32_t image;         /**< number of its image, once has_image is set */
+  uint32_t n_waiting;           /**< tasks in TASK_WAITING */
+  SchedTask *tasks;             /**< step->n_tasks of them */
+  GArray *failed;               /**< FailedRow */
+  uint32_t n_timed;             /**< tasks that ran through at full pace */
+  int64_t timed_ms;             /**< sum of their durations */
+  int64_t ready_us;             /**< when its turn was first seen to have come; 0: not yet */
+  SchedChains chains;           /**< of the occurrence; kept with its first step */
+  uint64_t chains_change;       /**< the job's changes that they are of */
+  gboolean is_planned;          /**< the occurrence was in a forecast; with its first step */
+  gboolean is_chosen;           /**< and can be done in time by it */
+  InterferenceService *service; /**< headroom of a step that serves; NULL before its first figure */
+  uint32_t image;               /**< number of its image, once has_image is set */
   gboolean has_image;
 };
 
@@ -114,7 +120,8 @@
 {
   const SchedTask *task;
   uint32_t image;
-  double share; /**< of the worker's processors */
+  double share;    /**< of the worker's processors, at its pace */
+  double activity; /**< of the task, or its last one */
   int64_t from_us;
   int64_t to_us; /**< 0: it goes on */
 } SchedExposure;
@@ -162,6 +169,7 @@
   int64_t report_us;       /**< when the newest report came; 0: none in this term */
   int64_t silent_us;       /**< since when it has not reported; 0: it does */
   int64_t clock_us;        /**< of the agent in that report */
+  int64_t figures_us;      /**< when the figures in it were measured */
   uint64_t report_version; /**< of the newest report that was applied; 0: a whole one is needed */
   uint64_t done_number;
   uint64_t next_number;
@@ -280,17 +288,20 @@
 void sched_tails_attach (SchedWorker *worker, const SchedTask *task);
 void sched_tails_detach (SchedWorker *worker, const SchedTask *task);
 void sched_tails_pace (SchedWorker *worker, const SchedTask *task);
-/* Least headroom at the worker that @p share more of its processors at work for an image that
- * fills would leave, of serving tasks that would notice. */
+/* Least headroom, with little doubt, that the serving tasks of the worker that would notice keep
+ * for the next while if @p share more of its processors is at work for the task that fills. */
 double sched_tails_room (SchedWorker *worker, const SchedTask *fill, double share);
+/* Largest share of a serving task's room that the task would take. */
 double sched_tails_use (SchedWorker *worker, const SchedTask *fill);
-/* The same for a task that would start there. */
+/* sched_tails_room() of a task that would start there. */
 double sched_tails_room_beside (SchedWorker *worker, const SchedTask *fill);
+/* Headroom that the serving task has now beside all that was ordered. */
+double sched_tails_now (const SchedWorker *worker, const SchedTask *serving);
 /* Images other than the task's that serve at the worker. */
 uint32_t sched_tails_other_images (const SchedWorker *worker, const SchedTask *task);
 /* Share of the worker's processors that a task uses at @p percent of its pace. */
 double sched_tails_share (const SchedWorker *worker, const SchedTask *fill, uint32_t percent);
-/* What a task that fills takes of a serving task's headroom, and what all of them take. */
+/* What a task that fills takes of a serving task's headroom now, and what all of them take. */
 double
 sched_tails_take (const SchedWorker *worker, const SchedTask *serving, const SchedTask *fill);
 double sched_tails_takes (const SchedWorker *worker, const SchedTask *serving);
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -2,19 +2,18 @@
  * Tails of serving tasks beside tasks that fill. What fills at a worker is kept as exposures over
  * the last moments, since a worker's figures speak of the half second before them.
  */
+#include <math.h>
+
 #include "batch/sched_tables.h"
 #include "common/clk.h"
 
-/** A figure is averaged over this time, and is this old on average when it comes. */
+/** A figure is averaged over this time. */
 #define FIGURE_MS 500
-#define FIGURE_AGE_MS 250
 /** From an order to its effect at the worker. */
 #define START_LAG_MS 30
 #define PACE_LAG_MS 100
 /** Exposures that ended before this are in no figure that is still to come. */
 #define KEEP_MS 2000
-/** Images beside one task that are told apart; more are left out. */
-#define LOADS_MAX 32
 /** A smaller take does not count: it would forbid harmless neighbours beside a task in trouble. */
 #define HARMLESS 0.03
 /** Headroom of a worker where no serving task would notice. */
@@ -22,6 +21,19 @@
 /** A tail over this many targets comes from a worker in trouble, not from its neighbours. */
 #define TARGETS_MAX 30
 #define PERCENT 100.0
+/** A task that fills presses most while it uses all its processors; at the least use it presses by
+ * the least activity. Between both activity follows use. */
+#define USE_LEAST 0.66
+#define ACTIVITY_LEAST 0.25
+/** Expected activity, and the variance of any task's later one. */
+#define ACTIVITY_MEAN SCHED_ACTIVITY_FIRST
+#define ACTIVITY_VARIANCE 0.12
+/** A task's activity is taken to last for less than it runs: this share of it stays. */
+#define ACTIVITY_KEPT 0.5
+/** Room is looked for now and this much later: about as long as a short task runs. */
+#define AHEAD_MS 1500
+/** Deviations below the mean that a room has to have. */
+#define ROOM_DEVIATIONS 0.5
 
 gboolean
 sched_is_serving (const SchedTask *task)
@@ -46,6 +58,14 @@
   return part->image;
 }
 
+static InterferenceService *
+service_of (const SchedWorker *worker, SchedPart *part)
+{
+  if (part->service == NULL)
+    part->service = interference_service_new (worker->sched->interference, image_of (worker, part));
+  return part->service;
+}
+
 /* Share of the worker's processors at full pace. */
 static double
 full_share (const SchedWorker *worker, const SchedTask *fill)
@@ -59,6 +79,7 @@
   const SchedExposure row = { .task = fill,
                               .image = image_of (worker, fill->part),
                               .share = full_share (worker, fill) * fill->pace / PERCENT,
+                              .activity = fill->activity,
                               .from_us = from_us };
 
   g_array_append_val (worker->exposures, row);
@@ -115,6 +136,35 @@
     }
 }
 
+/* Activity by the use that a worker's figure tells of a task, which is averaged like a tail. */
+static double
+activity_of (const SchedExposure *row, const SchedTask *fill)
+{
+  double full_m = (double) fill->part->step->size.cpu_m * fill->pace / PERCENT;
+  double use = (double) fill->figure / MAX (full_m, 1.0);
+  double share = (use - USE_LEAST) / (1.0 - USE_LEAST);
+
+  (void) row;
+  return CLAMP (ACTIVITY_LEAST + share * (1.0 - ACTIVITY_LEAST), ACTIVITY_LEAST, 1.0);
+}
+
+static void
+renew_activities (SchedWorker *worker)
+{
+  int64_t before_us = worker->figures_us - FIGURE_MS * CLK_US_PER_MS;
+
+  for (guint i = 0; i < worker->exposures->len; i++)
+    {
+      SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
+      if (row->to_us != 0 || row->share <= 0 || row->task->figure <= 0)
+        continue;
+      SchedTask *fill = (SchedTask *) row->task;
+      if (row->from_us < before_us || fill->pace_us == 0)
+        fill->activity = activity_of (row, fill);
+      row->activity = fill->activity;
+    }
+}
+
 static uint32_t
 add_load (InterferenceLoad *loads, uint32_t n_loads, uint32_t image, double share)
 {
@@ -125,7 +175,7 @@
       loads[i].share += share;
       return n_loads;
     }
-  if (n_loads == LOADS_MAX)
+  if (n_loads == INTERFERENCE_LOADS_MAX)
     return n_loads;
   loads[n_loads] = (InterferenceLoad){ image, share };
   return n_loads + 1;
@@ -135,7 +185,7 @@
 static uint32_t
 loads_of_figures (const SchedWorker *worker, InterferenceLoad *loads)
 {
-  int64_t to_us = worker->sched->now_us - FIGURE_AGE_MS * CLK_US_PER_MS;
+  int64_t to_us = worker->figures_us;
   int64_t from_us = to_us - FIGURE_MS * CLK_US_PER_MS;
   uint32_t n_loads = 0;
 
@@ -146,7 +196,8 @@
       int64_t common_us = end_us - MAX (row->from_us, from_us);
       if (common_us > 0 && row->share > 0)
         n_loads = add_load (loads, n_loads, row->image,
-                            row->share * (double) common_us / (FIGURE_MS * CLK_US_PER_MS));
+                            row->share * row->activity * (double) common_us
+                                / (FIGURE_MS * CLK_US_PER_MS));
     }
   return n_loads;
 }
@@ -154,10 +205,11 @@
 void
 sched_tails_learn (SchedWorker *worker)
 {
-  InterferenceLoad loads[LOADS_MAX];
+  InterferenceLoad loads[INTERFERENCE_LOADS_MAX];
   uint32_t n_loads = 0;
 
   drop_old_exposures (worker);
+  renew_activities (worker);
   if (worker->n_serving == 0)
     return;
   n_loads = loads_of_figures (worker, loads);
@@ -167,28 +219,71 @@
       double headroom = sched_is_serving (task) ? sched_headroom (task) : 0;
       if (headroom <= 1.0 / TARGETS_MAX)
         continue;
-      interference_observe (worker->sched->interference, image_of (worker, task->part),
-                            &task->alone, headroom, loads, n_loads, worker->sched->now_us);
+      interference_observe (service_of (worker, task->part), &task->alone, headroom, loads, n_loads,
+                            worker->figures_us - FIGURE_MS * CLK_US_PER_MS / 2);
     }
   worker->has_old_rooms = TRUE;
 }
 
-/* What is left of a serving task's headroom beside all that fills now. */
+/* Activity that is expected of a task over the next while. */
 static double
+later_activity (const SchedExposure *row)
+{
+  return ACTIVITY_KEPT * row->activity + (1.0 - ACTIVITY_KEPT) * ACTIVITY_MEAN;
+}
+
+static InterferenceEstimate
+least_alone (const SchedTask *serving, int64_t now_us)
+{
+  const InterferenceService *service = serving->part->service;
+
+  if (!interference_service_is_known (service))
+    return (InterferenceEstimate){ UNBOUNDED, 0 };
+  InterferenceEstimate soon = interference_alone (service, &serving->alone, now_us);
+  InterferenceEstimate later
+      = interference_alone (service, &serving->alone, now_us + AHEAD_MS * CLK_US_PER_MS);
+  return soon.mean < later.mean ? soon : later;
+}
+
+/* Takes away what @p share of the worker's processors at work for an image takes. */
+static void
+take_from (InterferenceEstimate *room, InterferenceEstimate take, double share, double activity)
+{
+  double spread = take.mean * share;
+
+  room->mean -= take.mean * share * activity;
+  room->variance
+      += take.variance * share * share * activity * activity + spread * spread * ACTIVITY_VARIANCE;
+}
+
+/* What is left of a serving task's headroom beside all that fills now. */
+static InterferenceEstimate
 room_of (const SchedWorker *worker, const SchedTask *serving)
 {
   const Interference *model = worker->sched->interference;
-  double room = serving->alone.seen_us != 0 ? serving->alone.alone : UNBOUNDED;
+  InterferenceEstimate room = least_alone (serving, worker->sched->now_us);
 
   for (guint i = 0; i < worker->exposures->len; i++)
     {
       const SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
       if (row->to_us == 0)
-        room -= interference_take_most (model, serving->part->image, row->image) * row->share;
+        take_from (&room, interference_pair (model, serving->part->image, row->image), row->share,
+                   later_activity (row));
     }
   return room;
 }
 
+double
+sched_tails_now (const SchedWorker *worker, const SchedTask *serving)
+{
+  const InterferenceService *service = serving->part->service;
+
+  if (!interference_service_is_known (service))
+    return UNBOUNDED;
+  return interference_alone (service, &serving->alone, worker->sched->now_us).mean
+         - sched_tails_takes (worker, serving);
+}
+
 static void
 renew_rooms (SchedWorker *worker)
 {
@@ -234,6 +329,12 @@
   return count;
 }
 
+static double
+with_doubt (InterferenceEstimate room)
+{
+  return room.mean - ROOM_DEVIATIONS * sqrt (room.variance);
+}
+
 double
 sched_tails_room (SchedWorker *worker, const SchedTask *fill, double share)
 {
@@ -250,9 +351,12 @@
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (!sched_is_serving (task))
         continue;
-      double take = interference_take_most (model, task->part->image, image) * share;
-      if (take > HARMLESS)
-        least = MIN (least, task->room - take);
+      InterferenceEstimate take = interference_pair (model, task->part->image, image);
+      InterferenceEstimate room = task->room;
+      if ((take.mean + sqrt (take.variance)) * share <= HARMLESS)
+        continue;
+      take_from (&room, take, share, ACTIVITY_MEAN);
+      least = MIN (least, with_doubt (room));
     }
   return least;
 }
@@ -274,9 +378,10 @@
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (!sched_is_serving (task))
         continue;
-      double take = interference_take_most (model, task->part->image, image) * share;
+      InterferenceEstimate pair = interference_pair (model, task->part->image, image);
+      double take = (pair.mean + sqrt (pair.variance)) * share * ACTIVITY_MEAN;
       if (take > HARMLESS)
-        most = MAX (most, take / MAX (task->room - 1.0, 0.1));
+        most = MAX (most, take / MAX (with_doubt (task->room) - 1.0, 0.1));
     }
   return most;
 }
@@ -298,7 +403,7 @@
 {
   return interference_take (worker->sched->interference, image_of (worker, serving->part),
                             image_of (worker, fill->part))
-         * sched_tails_share (worker, fill, fill->pace);
+         * sched_tails_share (worker, fill, fill->pace) * fill->activity;
 }
 
 double
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -86,6 +86,7 @@
   task->pace = 100;
   task->pace_us = 0;
   task->alone = (InterferenceTask){ 0 };
+  task->activity = SCHED_ACTIVITY_FIRST;
   task->over_us = 0;
   task->is_starting = TRUE;
   task->is_stopping = FALSE;
--- a/lib/keeper/keeper_report.c
+++ b/lib/keeper/keeper_report.c
@@ -159,6 +159,7 @@
   report->epoch = keeper->epoch;
   report->boot = keeper->options.boot;
   report->clock_us = keeper_now_us (keeper);
+  report->looked_us = keeper->heard_us;
   report->life = keeper->life;
   report->done_number = keeper->done_number;
   report->is_leaving = keeper->is_leaving;
--- a/tests/batch/test_fleet.c
+++ b/tests/batch/test_fleet.c
@@ -38,7 +38,7 @@
   assert_true (sum / SEEDS >= WORTH_WANTED);
 }
 
-/* A fleet without interference does nearly all in time: nothing but room decides. */
+/* A fleet without interference and failures does nearly all in time: nothing but room decides. */
 static void
 nothing_is_late_without_interference (void **state)
 {
@@ -48,6 +48,8 @@
   (void) state;
   fleet_options_small (&options);
   options.press = 0;
+  for (uint32_t i = 0; i < FLEET_KINDS; i++)
+    options.kinds[i].fail_share = 0;
   fleet_play (&options, &result);
   assert_true (result.harmed_s == 0);
   assert_int_equal (result.n_stops, 0);
--- a/tests/batch/test_interference.c
+++ b/tests/batch/test_interference.c
@@ -17,6 +17,7 @@
 typedef struct
 {
   Interference *model;
+  InterferenceService *service;
   InterferenceTask task;
   GRand *rand;
   int64_t now_us;
@@ -29,6 +30,7 @@
   World *world = g_new0 (World, 1);
 
   world->model = interference_new ();
+  world->service = interference_service_new (world->model, SERVING);
   world->rand = g_rand_new_with_seed (seed);
   world->now_us = 1000 * 1000;
   world->takes[HEAVY] = 8.0;
@@ -40,6 +42,7 @@
 world_free (World *world)
 {
   g_rand_free (world->rand);
+  interference_service_free (world->service);
   interference_free (world->model);
   g_free (world);
 }
@@ -59,8 +62,7 @@
   for (uint32_t i = 0; i < n_loads; i++)
     headroom -= world->takes[loads[i].image] * loads[i].share;
   headroom = MAX (headroom, 0.1) * g_rand_double_range (world->rand, 0.95, 1.05);
-  interference_observe (world->model, SERVING, &world->task, headroom, loads, n_loads,
-                        world->now_us);
+  interference_observe (world->service, &world->task, headroom, loads, n_loads, world->now_us);
 }
 
 /* Both images come and go, at times together. */
@@ -121,7 +123,7 @@
   step (world, &load, 1);
   double take = interference_take (world->model, SERVING, HEAVY);
   for (int i = 0; i < 10; i++)
-    interference_observe (world->model, SERVING, &world->task, world->task.figure, &load, 1,
+    interference_observe (world->service, &world->task, world->task.figure, &load, 1,
                           world->now_us + i);
   assert_float_equal (interference_take (world->model, SERVING, HEAVY), take, 1e-9);
   world_free (world);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -103,7 +103,8 @@
 {
   const FleetOptions *options;
   FleetResult *result;
-  GRand *rand;
+  GRand *rand;  /**< of what callers hand in and what there is */
+  GRand *noise; /**< of what comes of decisions, so that it does not change the load */
   Sched *sched;
   QueueConfig *config;
   Worker *workers;
@@ -357,7 +358,7 @@
   if (task->figure_n * STEP_MS < FIGURE_MS)
     return;
   task->headroom
-      = task->figure_n / task->figure_sum * (1.0 + FIGURE_ERROR * draw_normal (fleet->rand));
+      = task->figure_n / task->figure_sum * (1.0 + FIGURE_ERROR * draw_normal (fleet->noise));
   task->figure_sum = 0;
   task->figure_n = 0;
   task->is_changed = TRUE;
@@ -527,9 +528,9 @@
   task.left_ms = task.all_ms - g_ascii_strtod (start->saved, NULL);
   task.begin_ms = fleet->now_ms + START_MS;
   task.saves = kind->saves;
-  task.will_fail = g_rand_double (fleet->rand) < kind->fail_share;
-  task.phase
-      = (double) job->image / (double) kind->n_images + g_rand_double_range (fleet->rand, 0.0, 0.2);
+  task.will_fail = g_rand_double (fleet->noise) < kind->fail_share;
+  task.phase = (double) job->image / (double) kind->n_images
+               + g_rand_double_range (fleet->noise, 0.0, 0.2);
   g_array_append_val (worker->tasks, task);
   fleet->result->n_starts++;
 }
@@ -704,6 +705,7 @@
       = { .fresh_ms = 1300, .lapse_ms = 5000, .gang_timeout_ms = 3000, .note = NULL };
 
   fleet->rand = g_rand_new_with_seed (fleet->options->seed);
+  fleet->noise = g_rand_new_with_seed (g_rand_int (fleet->rand));
   fleet->sched = sched_new (&options);
   fleet->config = queue_config_new (1);
   (void) queue_config_add_service (fleet->config, SERVICE);
@@ -731,6 +733,7 @@
   g_ptr_array_unref (fleet->list);
   sched_free (fleet->sched);
   queue_config_free (fleet->config);
+  g_rand_free (fleet->noise);
   g_rand_free (fleet->rand);
 }
 
