More tasks that fill at a worker; the count of other images that serve is gone

Change: half of what is reserved for serving tasks counts as idle, and what fills may want 130 percent of what is left (40 and 115 before).

Tried and reverted: tasks that fill start at 60 or 30 percent of their pace where there is room for no more, told with their start. Slow tasks hold what others could use, and steps end with their slowest task.

--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -7,8 +7,6 @@
 #define COST_FILL_BESIDE_SERVING 100000
 #define COST_SERVING_BESIDE_FILL 8000
 #define COST_SERVING_ALONE 40000
-/** Of each other image that serves there: what fills has to suit them all. */
-#define COST_SERVING_MIXED 0
 #define COST_AVOIDED 50000
 /** Of a headroom of 1, less where more is left. */
 #define COST_HEADROOM 100000
@@ -19,12 +17,11 @@
 /** Share of a worker's processors that only the most urgent queues may use, as a divisor. */
 #define RESERVE_DIVISOR 16
 /** Tasks that fill may want this share of what is left, in percent: they are seldom all at work. */
-#define FILL_PERCENT_MAX 115
+#define FILL_PERCENT_MAX 130
 /** Tasks that fill start beside serving ones only if these keep this headroom. */
 #define HEADROOM_MIN 1.1
-#define HEADROOM_LEAST 0.1
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
-#define SERVING_IDLE_PERCENT 40
+#define SERVING_IDLE_PERCENT 50
 /** A step whose turn came this long ago always has tasks at work, if less than this share of the
  * processors is reserved, in percent: it would otherwise wait for others' benefit without end. */
 #define STARVED_MS 1000
@@ -127,7 +124,6 @@
       /* Serving tasks keep together, so that other workers are left to tasks that fill. */
       cost += worker->fill_cpu_m > 0 ? COST_SERVING_BESIDE_FILL + worker->fill_cpu_m : 0;
       cost += worker->n_serving == 0 ? COST_SERVING_ALONE : 0;
-      cost += (int64_t) sched_tails_other_images (worker, task) * COST_SERVING_MIXED;
       cost += worker->used.cpu_m / 4;
     }
   else
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -297,8 +297,6 @@
 double sched_tails_room_beside (SchedWorker *worker, const SchedTask *fill);
 /* Headroom that the serving task has now beside all that was ordered. */
 double sched_tails_now (const SchedWorker *worker, const SchedTask *serving);
-/* Images other than the task's that serve at the worker. */
-uint32_t sched_tails_other_images (const SchedWorker *worker, const SchedTask *task);
 /* Share of the worker's processors that a task uses at @p percent of its pace. */
 double sched_tails_share (const SchedWorker *worker, const SchedTask *fill, uint32_t percent);
 /* What a task that fills takes of a serving task's headroom now, and what all of them take. */
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -298,37 +298,6 @@
   worker->has_old_rooms = FALSE;
 }
 
-/* Whether one of the worker's tasks before place @p n serves with the same image as that one. */
-static gboolean
-is_image_before (const SchedWorker *worker, guint n)
-{
-  const SchedTask *task = g_ptr_array_index (worker->tasks, n);
-
-  for (guint i = 0; i < n; i++)
-    {
-      const SchedTask *other = g_ptr_array_index (worker->tasks, i);
-      if (sched_is_serving (other)
-          && image_of (worker, other->part) == image_of (worker, task->part))
-        return TRUE;
-    }
-  return FALSE;
-}
-
-uint32_t
-sched_tails_other_images (const SchedWorker *worker, const SchedTask *task)
-{
-  uint32_t own = image_of (worker, task->part);
-  uint32_t count = 0;
-
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      const SchedTask *other = g_ptr_array_index (worker->tasks, i);
-      count += sched_is_serving (other) && image_of (worker, other->part) != own
-               && !is_image_before (worker, i);
-    }
-  return count;
-}
-
 static double
 with_doubt (InterferenceEstimate room)
 {
