Tests of the filter, of what is learned, and of what callers get while it is learned

The emulator plays images of two sorts, tasks that fill in two phases whose processor use tells them apart, services whose replicas share a swinging load, and bursts of single replicas, as they were fitted from the users' figures; it can hand the true takes to the scheduler.

--- a/tests/batch/test_fleet.c
+++ b/tests/batch/test_fleet.c
@@ -56,6 +56,46 @@
   assert_true (result.kinds[FLEET_HEAVY].n_in_time * 10 >= result.kinds[FLEET_HEAVY].n_jobs * 9);
 }
 
+/** Of what callers would get if all takes were known from the start, this percent is reached by
+ * learning them: what is learned holds for most of a day. */
+#define LEARNED_PERCENT 95
+/** The users' heaviest burst. */
+#define BURST_X 2.6
+
+static double
+worth_of_two_sorts (uint32_t seed, gboolean are_takes_told)
+{
+  /* Serving tasks earn about as much as what fills beside them. */
+  static const double even[FLEET_KINDS] = { 8, 40, 40 };
+  FleetOptions options;
+  FleetResult result;
+
+  fleet_options_two_sorts (&options);
+  options.burst_x = BURST_X;
+  options.seed = seed;
+  options.are_takes_told = are_takes_told;
+  fleet_play (&options, &result);
+  return fleet_worth (&result, even);
+}
+
+/* Load: a burst of wide steps that fill, of images that take next to nothing or a lot, in phases,
+ * beside services whose loads swing and replicas with bursts of their own. */
+static void
+learning_costs_callers_little (void **state)
+{
+  double learned = 0;
+  double told = 0;
+
+  (void) state;
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      learned += worth_of_two_sorts (seed, FALSE);
+      told += worth_of_two_sorts (seed, TRUE);
+    }
+  print_message ("worth %.3f learned, %.3f told\n", learned / SEEDS, told / SEEDS);
+  assert_true (learned * 100 >= told * LEARNED_PERCENT);
+}
+
 static void
 seed_plays_the_same (void **state)
 {
@@ -77,6 +117,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (callers_get_what_the_users_want),
     cmocka_unit_test (nothing_is_late_without_interference),
+    cmocka_unit_test (learning_costs_callers_little),
     cmocka_unit_test (seed_plays_the_same),
   };
 
--- a/tests/batch/test_interference.c
+++ b/tests/batch/test_interference.c
@@ -145,6 +145,119 @@
   world_free (world);
 }
 
+/* A replica that was never seen has the load of its service; one of another service has not. */
+static void
+new_replica_is_known_by_its_service (void **state)
+{
+  World *world = world_new (1);
+  const InterferenceTask fresh = { 0 };
+  InterferenceService *other = interference_service_new (world->model, SERVING);
+
+  (void) state;
+  for (int i = 0; i < 60; i++)
+    step (world, NULL, 0);
+  InterferenceEstimate alone = interference_alone (world->service, &fresh, world->now_us);
+  assert_true (interference_service_is_known (world->service));
+  assert_false (interference_service_is_known (other));
+  assert_true (fabs (alone.mean - alone_now (world)) < 0.5);
+  interference_service_free (other);
+  world_free (world);
+}
+
+#define REPLICAS 6
+
+/* One figure of each replica, 5 % off. */
+static void
+step_replicas (World *world, InterferenceTask *replicas)
+{
+  world->now_us += FIGURE_US;
+  for (size_t k = 0; k < REPLICAS; k++)
+    interference_observe (world->service, &replicas[k],
+                          alone_now (world) * g_rand_double_range (world->rand, 0.95, 1.05), NULL,
+                          0, world->now_us + (int64_t) k);
+}
+
+/* A load that rises is foreseen: placing by the headroom of now would harm in a second. */
+static void
+slope_of_a_load_is_foreseen (void **state)
+{
+  (void) state;
+  for (guint32 seed = 0; seed < 20; seed++)
+    {
+      World *world = world_new (seed);
+      InterferenceTask replicas[REPLICAS] = { { 0 } };
+      /* The load swings over 14 s; after 21 s its headroom falls fastest, by 0.6 in 1.5 s. */
+      while (world->now_us < 21 * 1000 * 1000)
+        step_replicas (world, replicas);
+      double now = interference_alone (world->service, &replicas[0], world->now_us).mean;
+      double later
+          = interference_alone (world->service, &replicas[0], world->now_us + 1500 * 1000).mean;
+      assert_true (later < now - 0.1);
+      world_free (world);
+    }
+}
+
+/* A burst of one replica is not put down to its service for more than a part. */
+static void
+burst_of_one_replica_is_its_own (void **state)
+{
+  World *world = world_new (1);
+  InterferenceTask replicas[REPLICAS] = { { 0 } };
+
+  (void) state;
+  for (int i = 0; i < 40; i++)
+    step_replicas (world, replicas);
+  for (int i = 0; i < 3; i++)
+    {
+      world->now_us += FIGURE_US;
+      for (size_t k = 0; k < REPLICAS; k++)
+        interference_observe (world->service, &replicas[k],
+                              alone_now (world) - (k == 0 ? 1.2 : 0.0), NULL, 0,
+                              world->now_us + (int64_t) k);
+    }
+  double struck = interference_alone (world->service, &replicas[0], world->now_us + 10).mean;
+  double other = interference_alone (world->service, &replicas[5], world->now_us + 10).mean;
+  assert_true (struck < alone_now (world) - 0.7);
+  assert_true (other > alone_now (world) - 0.3);
+  world_free (world);
+}
+
+/* Two images came together; once one is seen alone, the other one is cleared without being seen. */
+static void
+innocent_neighbour_is_cleared (void **state)
+{
+  (void) state;
+  for (guint32 seed = 0; seed < 20; seed++)
+    {
+      World *world = world_new (seed);
+      const InterferenceLoad both[] = { { HEAVY, 0.1 }, { LIGHT, 0.1 } };
+      for (int i = 0; i < 20; i++)
+        step (world, NULL, 0);
+      for (int i = 0; i < 8; i++)
+        step (world, both, 2);
+      double blamed = interference_take (world->model, SERVING, LIGHT);
+      for (int i = 0; i < 30; i++)
+        step (world, both, i % 3 != 0);
+      assert_true (blamed > 1.0);
+      assert_true (interference_take (world->model, SERVING, LIGHT) < blamed - 0.5);
+      world_free (world);
+    }
+}
+
+/* An image that takes much beside all that it was seen with is expected to do so beside others. */
+static void
+unseen_pair_is_expected_by_its_image (void **state)
+{
+  World *world = world_new (1);
+  double before = interference_take (world->model, 9, HEAVY);
+
+  (void) state;
+  play (world, 60);
+  assert_true (interference_take (world->model, 9, HEAVY) > before);
+  assert_true (interference_take (world->model, 9, LIGHT) < before);
+  world_free (world);
+}
+
 static void
 images_are_numbered_once_and_bounded (void **state)
 {
@@ -202,6 +315,11 @@
     cmocka_unit_test (unknown_pair_is_taken_for_heavier_than_a_known_light_one),
     cmocka_unit_test (repeated_figure_counts_once),
     cmocka_unit_test (saturated_figure_does_not_make_a_pair_lighter),
+    cmocka_unit_test (new_replica_is_known_by_its_service),
+    cmocka_unit_test (slope_of_a_load_is_foreseen),
+    cmocka_unit_test (burst_of_one_replica_is_its_own),
+    cmocka_unit_test (innocent_neighbour_is_cleared),
+    cmocka_unit_test (unseen_pair_is_expected_by_its_image),
     cmocka_unit_test (images_are_numbered_once_and_bounded),
     cmocka_unit_test (learned_pairs_are_taken_over),
   };
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -23,6 +23,10 @@
 #define LATE_FACTOR 3
 #define HARM_FACTOR 4.0
 #define HEADROOM_FLOOR 0.07
+/** Take of a light image, as a headroom. */
+#define LIGHT_PRESS 0.5
+/** Doubt of takes that are told. */
+#define TOLD_VARIANCE 0.01
 #define FIGURE_ERROR 0.03
 #define TASK_NAME_MAX 40
 #define SERVICE "service"
@@ -44,7 +48,12 @@
   int64_t begin_ms; /**< takes effect */
   gboolean will_fail;
   gboolean saves;
-  double phase; /**< of a serving task's load */
+  double phase;     /**< of a serving task's load */
+  gboolean is_less; /**< of a task that fills: in its lesser phase */
+  int64_t turn_ms;  /**< when the phase or burst ends */
+  double spike;     /**< own load now */
+  double use_sum;   /**< of a task that fills: its use over the figure's time */
+  double use;       /**< of the newest figure */
   double headroom;
   double figure_sum;
   uint32_t figure_n;
@@ -96,6 +105,7 @@
   GArray *durations; /**< double, by step and index in turn */
   GArray *steps;     /**< Step */
   uint32_t n_wanted; /**< of a serving job */
+  double phase;      /**< of a serving job's load */
   double sampled;
 } Job;
 
@@ -187,6 +197,11 @@
   for (uint32_t i = 0; i < n_serving * n_filling; i++)
     fleet->presses[i]
         = fleet->options->press * exp (fleet->options->press_spread * draw_normal (fleet->rand));
+  for (uint32_t i = 0; i < n_filling * fleet->options->light_share; i++)
+    {
+      for (uint32_t k = 0; k < n_serving; k++)
+        fleet->presses[k * n_filling + i] = LIGHT_PRESS;
+    }
 }
 
 static void
@@ -244,6 +259,7 @@
   (void) g_snprintf (job->id, sizeof job->id, "%016x", fleet->n_made++);
   job->kind = kind_index;
   job->image = (uint32_t) g_rand_int_range (fleet->rand, 0, (gint32) kind->n_images);
+  job->phase = fleet->options->is_load_shared ? g_rand_double (fleet->rand) : 0;
   job->arrival_ms = fleet->now_ms;
   job->objective_ms = kind->target_ms;
   job->durations = g_array_new (FALSE, FALSE, sizeof (double));
@@ -325,7 +341,28 @@
   const FleetOptions *options = fleet->options;
   double angle = 2.0 * G_PI * ((double) fleet->now_ms / 1000.0 / options->swing_s + task->phase);
 
-  return options->load * (1.0 + options->swing * sin (angle));
+  return options->load * (1.0 + options->swing * sin (angle)) + task->spike;
+}
+
+/* Turns a task to its other phase, or begins and ends a burst of a replica. */
+static void
+turn_phase (Fleet *fleet, Task *task)
+{
+  const FleetOptions *options = fleet->options;
+
+  if (fleet->now_ms < task->turn_ms)
+    return;
+  if (task->kind == FLEET_HEAVY && options->phase_s > 0)
+    {
+      task->is_less = g_rand_boolean (fleet->noise);
+      task->turn_ms = fleet->now_ms + (int64_t) (options->phase_s * 1000.0);
+    }
+  else if (task->kind == FLEET_SERVING && options->spike_share > 0)
+    {
+      gboolean is_spike = g_rand_double (fleet->noise) < options->spike_share;
+      task->spike = is_spike ? options->spike_load : 0;
+      task->turn_ms = fleet->now_ms + (int64_t) (options->spike_s * 1000.0);
+    }
 }
 
 static double
@@ -339,7 +376,8 @@
       const Task *task = &g_array_index (worker->tasks, Task, i);
       if (task->kind == FLEET_HEAVY && task->begin_ms <= fleet->now_ms)
         sum += fleet->presses[serving->image * n_filling + task->image] * task->cpu_m
-               / worker->cpu_m * task->pace / 100.0;
+               / worker->cpu_m * task->pace / 100.0
+               * (task->is_less ? fleet->options->phase_press : 1.0);
     }
   return sum;
 }
@@ -355,7 +393,7 @@
     fleet->result->harmed_s += STEP_MS / 1000.0;
   task->figure_sum += 1.0 / headroom;
   task->figure_n++;
-  if (task->figure_n * STEP_MS < FIGURE_MS)
+  if (fleet->now_ms % FIGURE_MS != 0)
     return;
   task->headroom
       = task->figure_n / task->figure_sum * (1.0 + FIGURE_ERROR * draw_normal (fleet->noise));
@@ -364,6 +402,18 @@
   task->is_changed = TRUE;
 }
 
+static void
+measure_use (const Fleet *fleet, Task *task)
+{
+  task->use_sum += task->pace / 100.0 * (task->is_less ? fleet->options->phase_use : 1.0);
+  task->figure_n++;
+  if (fleet->now_ms % FIGURE_MS != 0)
+    return;
+  task->use = task->use_sum / task->figure_n;
+  task->use_sum = 0;
+  task->figure_n = 0;
+}
+
 /* Speed of tasks that fill: they share what the others leave. */
 static double
 fill_speed (const Fleet *fleet, const Worker *worker)
@@ -393,6 +443,9 @@
     return;
   if (task->next_pace != task->pace && fleet->now_ms >= task->pace_at_ms)
     task->pace = task->next_pace;
+  turn_phase (fleet, task);
+  if (task->kind == FLEET_HEAVY && fleet->options->phase_s > 0)
+    measure_use (fleet, task);
   if (task->kind == FLEET_SERVING && task->left_ms <= 0)
     {
       measure (fleet, worker, task);
@@ -457,7 +510,8 @@
       row->run = task->run;
       row->saved = message_text ("");
       row->percent = (int32_t) percent_of (task);
-      row->figure = (int64_t) (task->headroom > 0 ? TARGET_MS / task->headroom : 0);
+      row->figure
+          = (int64_t) (task->headroom > 0 ? TARGET_MS / task->headroom : task->use * task->cpu_m);
       report->running[report->n_running++] = row;
     }
 }
@@ -497,6 +551,7 @@
   report->boot = 1;
   report->life = 1;
   report->clock_us = fleet->now_ms * 1000;
+  report->looked_us = fleet->now_ms / FIGURE_MS * FIGURE_MS * 1000;
   report->done_number = worker->done_number;
   report->since = worker->version;
   report->version = ++worker->version;
@@ -529,8 +584,9 @@
   task.begin_ms = fleet->now_ms + START_MS;
   task.saves = kind->saves;
   task.will_fail = g_rand_double (fleet->noise) < kind->fail_share;
-  task.phase = (double) job->image / (double) kind->n_images
-               + g_rand_double_range (fleet->noise, 0.0, 0.2);
+  task.phase = fleet->options->is_load_shared ? job->phase
+                                              : (double) job->image / (double) kind->n_images
+                                                    + g_rand_double_range (fleet->noise, 0.0, 0.2);
   g_array_append_val (worker->tasks, task);
   fleet->result->n_starts++;
 }
@@ -698,6 +754,43 @@
     fleet->result->serving_worth /= fleet->result->kinds[FLEET_SERVING].n_jobs;
 }
 
+static char *
+image_name (const Fleet *fleet, FleetKindIndex kind, uint32_t image)
+{
+  g_autofree char *name = g_strdup_printf ("%s-%u", fleet->options->kinds[kind].name, image);
+
+  return message_text (name);
+}
+
+/* Hands the true takes to the scheduler, as an earlier owner would. */
+static void
+tell_takes (const Fleet *fleet)
+{
+  uint32_t n_serving = fleet->options->kinds[FLEET_SERVING].n_images;
+  uint32_t n_filling = fleet->options->kinds[FLEET_HEAVY].n_images;
+  Batch__Learned *learned = message_part (sizeof *learned);
+
+  batch__learned__init (learned);
+  learned->images = message_part ((n_serving + n_filling) * sizeof *learned->images);
+  for (uint32_t i = 0; i < n_serving; i++)
+    learned->images[learned->n_images++] = image_name (fleet, FLEET_SERVING, i);
+  for (uint32_t i = 0; i < n_filling; i++)
+    learned->images[learned->n_images++] = image_name (fleet, FLEET_HEAVY, i);
+  learned->pairs = message_part ((size_t) n_serving * n_filling * sizeof *learned->pairs);
+  for (uint32_t i = 0; i < n_serving * n_filling; i++)
+    {
+      Batch__PairTake *row = message_part (sizeof *row);
+      batch__pair_take__init (row);
+      row->serving = i / n_filling;
+      row->filling = n_serving + i % n_filling;
+      row->take = (float) fleet->presses[i];
+      row->variance = TOLD_VARIANCE;
+      learned->pairs[learned->n_pairs++] = row;
+    }
+  sched_restore_learned (fleet->sched, learned);
+  batch__learned__free_unpacked (learned, NULL);
+}
+
 static void
 fleet_open (Fleet *fleet)
 {
@@ -716,6 +809,8 @@
   fleet->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   fleet->list = g_ptr_array_new_with_free_func (job_free);
   add_presses (fleet);
+  if (fleet->options->are_takes_told)
+    tell_takes (fleet);
   add_workers (fleet);
 }
 
@@ -935,3 +1030,22 @@
                                                .n_images = 4,
                                                .lasts = TRUE };
 }
+
+void
+fleet_options_two_sorts (FleetOptions *options)
+{
+  fleet_options_small (options);
+  options->target_headroom = 6.0;
+  options->load = 0.48;
+  options->swing_s = 20.0;
+  options->press = 15.0;
+  options->press_spread = 0.3;
+  options->light_share = 0.55;
+  options->phase_s = 1.5;
+  options->phase_use = 0.66;
+  options->phase_press = 0.25;
+  options->spike_load = 0.12;
+  options->spike_share = 0.15;
+  options->spike_s = 2.0;
+  options->is_load_shared = TRUE;
+}
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -59,10 +59,19 @@
   double load;            /**< mean of a serving task's load */
   double swing;           /**< of the load, as a share of it */
   double swing_s;
-  double press;        /**< median take of a pair of images, see batch/interference.h */
-  double press_spread; /**< of its logarithm */
-  int64_t length_ms;   /**< arrivals; the play goes on for fleet's own while after it */
-  int64_t burst_at_ms; /**< of the heavy kind */
+  double press;            /**< median take of a pair of images, see batch/interference.h */
+  double press_spread;     /**< of its logarithm */
+  double light_share;      /**< of the filling images, which take next to nothing */
+  double phase_s;          /**< tasks that fill change between two phases; 0: they have one */
+  double phase_use;        /**< processors in use in the lesser phase, as a share */
+  double phase_press;      /**< take in that phase, as a share */
+  double spike_load;       /**< own load of a replica in a burst */
+  double spike_share;      /**< of the time */
+  double spike_s;          /**< length of a burst */
+  gboolean is_load_shared; /**< all replicas of a job have one phase */
+  gboolean are_takes_told; /**< the scheduler knows all takes from the start */
+  int64_t length_ms;       /**< arrivals; the play goes on for fleet's own while after it */
+  int64_t burst_at_ms;     /**< of the heavy kind */
   int64_t burst_ms;
   double burst_x;
   uint32_t seed;
@@ -95,6 +104,9 @@
 /** A small fleet of large workers. */
 void fleet_options_small (FleetOptions *options);
 
+/** The small fleet with images of two sorts, tasks in two phases, and bursts of single replicas. */
+void fleet_options_two_sorts (FleetOptions *options);
+
 /** Plays one load. */
 void fleet_play (const FleetOptions *options, FleetResult *result);
 
