--- a/lib/batch/interference.c
+++ b/lib/batch/interference.c
@@ -5,26 +5,15 @@
 #include "batch/filter.h"
 
 #define US_PER_S 1e6
-/** Take of any pair before one was seen, and for how many pairs that counts beside those seen. */
+/** Take of a pair that was never seen: its mean and its variance. */
 #define TAKE_MEAN 4.0
 #define TAKE_VARIANCE 30.0
-#define TAKE_WEIGHT 2.0
-/** For how many pairs what is known of all images counts beside what is known of one that fills. */
-#define IMAGE_WEIGHT 1.0
-/** A pair counts by half if its take has this variance. */
-#define KNOWN_VARIANCE 3.0
-/** What is expected of pairs that were not seen has this variance at least. */
-#define EXPECTED_VARIANCE_MIN 2.0
-/** Figures after which that is computed anew. */
-#define EXPECTED_FIGURES 50
 /** More than any pair takes. */
 #define TAKE_MAX 60.0
 /** Growth of a take's variance with each figure, so that it is never taken for certain. */
 #define TAKE_DRIFT 0.002
 /** Doubt that is added to what an earlier owner learned. */
 #define RESTORED_VARIANCE 0.1
-/** Standard deviations above the mean that count as hardly exceeded. */
-#define TAKE_DEVIATIONS 2.0
 /** A service's level before its first figure, as variances, and its slope's at any time. */
 #define LEVEL_VARIANCE 2.0
 #define SLOPE_VARIANCE 0.1
@@ -56,25 +45,8 @@
   GHashTable *images;   /**< name -> number */
   GHashTable *servings; /**< number -> Serving */
   uint32_t n_pairs;
-  uint64_t n_figures;
-  GHashTable *expected; /**< number of the filling image -> Expected */
 };
 
-/** Take that is expected of an image that fills beside images where it was not seen. */
-typedef struct
-{
-  InterferenceEstimate take;
-  uint64_t n_figures; /**< of the model when it was computed */
-} Expected;
-
-/** A weighted sample of takes. */
-typedef struct
-{
-  double weight;
-  double sum;
-  double squares;
-} Sample;
-
 struct InterferenceService
 {
   Interference *model;
@@ -102,7 +74,6 @@
 
   model->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   model->servings = g_hash_table_new_full (NULL, NULL, NULL, serving_free);
-  model->expected = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return model;
 }
 
@@ -113,7 +84,6 @@
     return;
   g_hash_table_destroy (model->images);
   g_hash_table_destroy (model->servings);
-  g_hash_table_destroy (model->expected);
   g_free (model);
 }
 
@@ -161,81 +131,6 @@
   return value != NULL ? GPOINTER_TO_UINT (value) - 1 : FILTER_NONE;
 }
 
-static void
-sample_add (Sample *sample, double weight, double mean, double variance)
-{
-  sample->weight += weight;
-  sample->sum += weight * mean;
-  sample->squares += weight * (mean * mean + variance);
-}
-
-static InterferenceEstimate
-sample_estimate (const Sample *sample)
-{
-  double mean = sample->sum / sample->weight;
-  double variance = sample->squares / sample->weight - mean * mean;
-
-  return (InterferenceEstimate){ mean, MAX (variance, EXPECTED_VARIANCE_MIN) };
-}
-
-static void
-sample_add_state (Sample *sample, const Filter *filter, uint32_t state)
-{
-  double variance = filter_covariance (filter, state, state);
-  double weight = KNOWN_VARIANCE / (KNOWN_VARIANCE + variance);
-
-  sample_add (sample, weight, filter_mean (filter, state), 0);
-}
-
-/* Take of an image that fills, by all pairs that were seen and most by its own. */
-static InterferenceEstimate
-compute_expected (const Interference *model, uint32_t filling)
-{
-  Sample all = { 0 };
-  Sample own = { 0 };
-  GHashTableIter servings;
-  gpointer value = NULL;
-
-  sample_add (&all, TAKE_WEIGHT, TAKE_MEAN, TAKE_VARIANCE);
-  g_hash_table_iter_init (&servings, model->servings);
-  while (g_hash_table_iter_next (&servings, NULL, &value))
-    {
-      const Serving *serving = value;
-      GHashTableIter takes;
-      gpointer image = NULL;
-      gpointer state = NULL;
-      g_hash_table_iter_init (&takes, serving->takes);
-      while (g_hash_table_iter_next (&takes, &image, &state))
-        {
-          uint32_t place = GPOINTER_TO_UINT (state) - 1;
-          sample_add_state (&all, serving->filter, place);
-          if (GPOINTER_TO_UINT (image) == filling)
-            sample_add_state (&own, serving->filter, place);
-        }
-    }
-  InterferenceEstimate any = sample_estimate (&all);
-  sample_add (&own, IMAGE_WEIGHT, any.mean, any.variance);
-  return sample_estimate (&own);
-}
-
-static InterferenceEstimate
-expected_take (const Interference *model, uint32_t filling)
-{
-  gpointer key = GUINT_TO_POINTER (filling);
-  Expected *row = g_hash_table_lookup (model->expected, key);
-
-  if (row != NULL && model->n_figures - row->n_figures < EXPECTED_FIGURES)
-    return row->take;
-  if (row == NULL)
-    {
-      row = g_new0 (Expected, 1);
-      g_hash_table_insert (model->expected, key, row);
-    }
-  row->take = compute_expected (model, filling);
-  row->n_figures = model->n_figures;
-  return row->take;
-}
-
 static uint32_t
 make_take (Interference *model, Serving *serving, uint32_t filling, double take, double variance)
 {
@@ -259,7 +154,7 @@
   uint32_t state = row != NULL ? find_take (row, filling) : FILTER_NONE;
 
   if (state == FILTER_NONE)
-    return expected_take (model, filling);
+    return (InterferenceEstimate){ TAKE_MEAN, TAKE_VARIANCE };
   return (InterferenceEstimate){ filter_mean (row->filter, state),
                                  filter_covariance (row->filter, state, state) };
 }
@@ -270,14 +165,6 @@
   return interference_pair (model, serving, filling).mean;
 }
 
-double
-interference_take_most (const Interference *model, uint32_t serving, uint32_t filling)
-{
-  InterferenceEstimate pair = interference_pair (model, serving, filling);
-
-  return pair.mean + TAKE_DEVIATIONS * sqrt (pair.variance);
-}
-
 InterferenceService *
 interference_service_new (Interference *model, uint32_t serving)
 {
@@ -398,9 +285,8 @@
 
   for (uint32_t i = 0; i < n_loads; i++)
     {
-      InterferenceEstimate expected = expected_take (service->model, loads[i].image);
-      uint32_t take = make_take (service->model, service->serving, loads[i].image, expected.mean,
-                                 expected.variance);
+      uint32_t take
+          = make_take (service->model, service->serving, loads[i].image, TAKE_MEAN, TAKE_VARIANCE);
       if (take != FILTER_NONE)
         terms[n_terms++] = (FilterTerm){ take, -loads[i].share };
     }
@@ -440,7 +326,6 @@
   g_assert (n_loads <= INTERFERENCE_LOADS_MAX);
   if (is_repeat (task, headroom, now_us))
     return;
-  service->model->n_figures++;
   uint32_t n_takes = terms_of (service, loads, n_loads, terms);
   *task = task_at (task, now_us);
   task->seen_us = now_us;
--- a/lib/batch/interference.h
+++ b/lib/batch/interference.h
@@ -114,7 +114,4 @@
 /** Expected take of a pair. */
 double interference_take (const Interference *model, uint32_t serving, uint32_t filling);
 
-/** Take of a pair that is hardly exceeded: for decisions that harm if it is. */
-double interference_take_most (const Interference *model, uint32_t serving, uint32_t filling);
-
 G_END_DECLS
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -20,6 +20,7 @@
 #define FILL_PERCENT_MAX 130
 /** Tasks that fill start beside serving ones only if these keep this headroom. */
 #define HEADROOM_MIN 1.1
+#define FULL_PACE 100
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 50
 /** A step whose turn came this long ago always has tasks at work, if less than this share of the
@@ -73,7 +74,8 @@
   int64_t wanted_m = worker->fill_cpu_m + task->part->step->size.cpu_m;
 
   return wanted_m <= left_m * FILL_PERCENT_MAX / 100 && !worker->is_harmed
-         && (worker->n_serving == 0 || sched_tails_room_beside (worker, task) >= HEADROOM_MIN);
+         && sched_tails_room (worker, task, sched_tails_share (worker, task, FULL_PACE))
+                >= HEADROOM_MIN;
 }
 
 static gboolean
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -118,7 +118,7 @@
 /** A task that fills at a worker, at one pace. */
 typedef struct
 {
-  const SchedTask *task;
+  SchedTask *task; /**< valid while the exposure goes on */
   uint32_t image;
   double share;    /**< of the worker's processors, at its pace */
   double activity; /**< of the task, or its last one */
@@ -285,16 +285,14 @@
 /* Learns from the newest report of the worker. */
 void sched_tails_learn (SchedWorker *worker);
 /* To be called after a task was attached, before it is detached, and after its pace changed. */
-void sched_tails_attach (SchedWorker *worker, const SchedTask *task);
+void sched_tails_attach (SchedWorker *worker, SchedTask *task);
 void sched_tails_detach (SchedWorker *worker, const SchedTask *task);
-void sched_tails_pace (SchedWorker *worker, const SchedTask *task);
+void sched_tails_pace (SchedWorker *worker, SchedTask *task);
 /* Least headroom, with little doubt, that the serving tasks of the worker that would notice keep
  * for the next while if @p share more of its processors is at work for the task that fills. */
 double sched_tails_room (SchedWorker *worker, const SchedTask *fill, double share);
 /* Largest share of a serving task's room that the task would take. */
 double sched_tails_use (SchedWorker *worker, const SchedTask *fill);
-/* sched_tails_room() of a task that would start there. */
-double sched_tails_room_beside (SchedWorker *worker, const SchedTask *fill);
 /* Headroom that the serving task has now beside all that was ordered. */
 double sched_tails_now (const SchedWorker *worker, const SchedTask *serving);
 /* Share of the worker's processors that a task uses at @p percent of its pace. */
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -74,7 +74,7 @@
 }
 
 static void
-add_exposure (SchedWorker *worker, const SchedTask *fill, int64_t from_us)
+add_exposure (SchedWorker *worker, SchedTask *fill, int64_t from_us)
 {
   const SchedExposure row = { .task = fill,
                               .image = image_of (worker, fill->part),
@@ -99,7 +99,7 @@
 }
 
 void
-sched_tails_attach (SchedWorker *worker, const SchedTask *task)
+sched_tails_attach (SchedWorker *worker, SchedTask *task)
 {
   if (task->part->step->fills)
     add_exposure (worker, task, worker->sched->now_us + START_LAG_MS * CLK_US_PER_MS);
@@ -115,7 +115,7 @@
 }
 
 void
-sched_tails_pace (SchedWorker *worker, const SchedTask *task)
+sched_tails_pace (SchedWorker *worker, SchedTask *task)
 {
   int64_t at_us = worker->sched->now_us + PACE_LAG_MS * CLK_US_PER_MS;
 
@@ -138,13 +138,12 @@
 
 /* Activity by the use that a worker's figure tells of a task, which is averaged like a tail. */
 static double
-activity_of (const SchedExposure *row, const SchedTask *fill)
+activity_of (const SchedTask *fill)
 {
   double full_m = (double) fill->part->step->size.cpu_m * fill->pace / PERCENT;
   double use = (double) fill->figure / MAX (full_m, 1.0);
   double share = (use - USE_LEAST) / (1.0 - USE_LEAST);
 
-  (void) row;
   return CLAMP (ACTIVITY_LEAST + share * (1.0 - ACTIVITY_LEAST), ACTIVITY_LEAST, 1.0);
 }
 
@@ -158,10 +157,10 @@
       SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
       if (row->to_us != 0 || row->share <= 0 || row->task->figure <= 0)
         continue;
-      SchedTask *fill = (SchedTask *) row->task;
-      if (row->from_us < before_us || fill->pace_us == 0)
-        fill->activity = activity_of (row, fill);
-      row->activity = fill->activity;
+      /* A figure of before the pace changed says nothing of the new one. */
+      if (row->from_us < before_us || row->task->pace_us == 0)
+        row->task->activity = activity_of (row->task);
+      row->activity = row->task->activity;
     }
 }
 
@@ -355,12 +354,6 @@
   return most;
 }
 
-double
-sched_tails_room_beside (SchedWorker *worker, const SchedTask *fill)
-{
-  return sched_tails_room (worker, fill, full_share (worker, fill));
-}
-
 double
 sched_tails_share (const SchedWorker *worker, const SchedTask *fill, uint32_t percent)
 {
--- a/tests/keeper/test_keeper.c
+++ b/tests/keeper/test_keeper.c
@@ -334,6 +334,22 @@
   fake_free (fake);
 }
 
+/* The owner has to know which neighbours a figure speaks of. */
+static void
+report_tells_when_the_worker_was_looked_at (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  int64_t looked_us = fake->now_us;
+
+  (void) state;
+  fake->now_us += 300 * 1000;
+  Batch__Report *report = keeper_report (fake->keeper);
+  assert_int_equal (report->clock_us, fake->now_us);
+  assert_int_equal (report->looked_us, looked_us);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 static void
 start_without_a_live_grant_is_refused (void **state)
 {
@@ -698,6 +714,7 @@
     cmocka_unit_test (report_tells_what_changed),
     cmocka_unit_test (report_is_whole_for_a_new_owner),
     cmocka_unit_test (refused_start_is_told_as_gone),
+    cmocka_unit_test (report_tells_when_the_worker_was_looked_at),
     cmocka_unit_test (orders_behind_a_lost_one_wait),
   };
 
