--- a/lib/batch/interference.c
+++ b/lib/batch/interference.c
@@ -14,7 +14,11 @@
 #define TAKE_DRIFT 0.002
 /** Doubt that is added to what an earlier owner learned. */
 #define RESTORED_VARIANCE 0.1
-/** A service's level before its first figure, as variances, and its slope's at any time. */
+/** Headroom that a service is taken to have before its first figure: what fills beside it starts
+ * with little. Its mean and its variance. */
+#define FIRST_MEAN 2.5
+#define FIRST_VARIANCE 1.0
+/** Variances of a service's level at its first figure, and of its slope at any time. */
 #define LEVEL_VARIANCE 2.0
 #define SLOPE_VARIANCE 0.1
 /** A slope fades within this time, in seconds: loads do not rise for ever. */
@@ -188,12 +192,6 @@
   g_free (service);
 }
 
-gboolean
-interference_service_is_known (const InterferenceService *service)
-{
-  return service != NULL && service->seen_us != 0;
-}
-
 static gboolean
 is_repeat (const InterferenceTask *task, double headroom, int64_t now_us)
 {
@@ -233,6 +231,8 @@
 InterferenceEstimate
 interference_alone (const InterferenceService *service, const InterferenceTask *task, int64_t at_us)
 {
+  if (service == NULL || service->seen_us == 0)
+    return (InterferenceEstimate){ FIRST_MEAN, FIRST_VARIANCE };
   const Filter *filter = service->serving->filter;
   double passed_s = seconds_since (service->seen_us, at_us);
   const FilterTerm terms[] = { { service->level, 1.0 }, { service->slope, carried_s (passed_s) } };
--- a/lib/batch/interference.h
+++ b/lib/batch/interference.h
@@ -99,10 +99,8 @@
 /** Takes over what another model learned of a pair, with some doubt more. */
 void interference_restore (Interference *model, const InterferencePair *pair);
 
-/** Whether anything is known of the service. */
-gboolean interference_service_is_known (const InterferenceService *service);
-
-/** Headroom that the task would have alone at @p at_us, which is not before its newest figure. */
+/** Headroom that the task would have alone at @p at_us, which is not before its newest figure; a
+ * cautious guess for a service, or NULL, without figures. */
 InterferenceEstimate interference_alone (const InterferenceService *service,
                                          const InterferenceTask *task,
                                          int64_t at_us);
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -235,9 +235,6 @@
 least_alone (const SchedTask *serving, int64_t now_us)
 {
   const InterferenceService *service = serving->part->service;
-
-  if (!interference_service_is_known (service))
-    return (InterferenceEstimate){ UNBOUNDED, 0 };
   InterferenceEstimate soon = interference_alone (service, &serving->alone, now_us);
   InterferenceEstimate later
       = interference_alone (service, &serving->alone, now_us + AHEAD_MS * CLK_US_PER_MS);
@@ -275,11 +272,7 @@
 double
 sched_tails_now (const SchedWorker *worker, const SchedTask *serving)
 {
-  const InterferenceService *service = serving->part->service;
-
-  if (!interference_service_is_known (service))
-    return UNBOUNDED;
-  return interference_alone (service, &serving->alone, worker->sched->now_us).mean
+  return interference_alone (serving->part->service, &serving->alone, worker->sched->now_us).mean
          - sched_tails_takes (worker, serving);
 }
 
