--- a/lib/batch/interference.c
+++ b/lib/batch/interference.c
@@ -29,6 +29,7 @@
  */
 #define OWN_VARIANCE 0.15
 #define OWN_FADE_S 1.5
+/** Bounds of a service's level: beyond them a figure comes from a worker in trouble. */
 #define ALONE_MIN 0.3
 #define ALONE_MAX 8.0
 /** Variance of a figure's error, as a share of its square; figures are rough. */
@@ -55,7 +56,6 @@
 {
   Interference *model;
   Serving *serving;
-  uint32_t image;
   uint32_t level;  /**< state */
   uint32_t slope;  /**< state */
   int64_t seen_us; /**< of the states; 0: no figure has come */
@@ -175,7 +175,6 @@
   InterferenceService *service = g_new0 (InterferenceService, 1);
 
   service->model = model;
-  service->image = serving;
   service->serving = make_serving (model, serving);
   service->level = FILTER_NONE;
   service->slope = FILTER_NONE;
@@ -267,14 +266,16 @@
   if (service->level == FILTER_NONE || service->slope == FILTER_NONE)
     {
       filter_drop (filter, service->level);
+      filter_drop (filter, service->slope);
       service->level = FILTER_NONE;
+      service->slope = FILTER_NONE;
       return FALSE;
     }
   service->seen_us = now_us;
   return TRUE;
 }
 
-/* Terms of a figure: what the service has, less what the loads take. */
+/* Terms of a figure that the loads take from it. */
 static uint32_t
 terms_of (InterferenceService *service,
           const InterferenceLoad *loads,
--- a/lib/batch/interference.h
+++ b/lib/batch/interference.h
@@ -62,8 +62,9 @@
 void interference_service_free (InterferenceService *service);
 
 /**
- * Takes in a figure: the headroom of a replica of @p service beside @p loads. A figure that only
- * repeats the last one within #INTERFERENCE_REPEAT_MS changes nothing.
+ * Takes in a figure: the headroom of a replica of @p service beside @p loads, measured about
+ * @p now_us. A figure that only repeats the last one within #INTERFERENCE_REPEAT_MS changes
+ * nothing.
  */
 void interference_observe (InterferenceService *service,
                            InterferenceTask *task,
@@ -79,7 +80,8 @@
 #define INTERFERENCE_LOADS_MAX 32
 /** Filling images that are told apart beside one serving image. */
 #define INTERFERENCE_TAKES_MAX 64
-/** Pairs that are kept; figures beside more of them teach nothing about the others. */
+/** Pairs that are kept; figures beside more of them teach nothing about the others. With as many,
+ * the covariances take some 20 MB. */
 #define INTERFERENCE_PAIRS_MAX 10000
 
 /** What was learned of one pair. */
--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -9,7 +9,8 @@
 #define PACE_LEAST 20
 /** Largest step up. */
 #define PACE_RISE 60
-/** Between two steps: tails are measured over half a second and told half a second later. */
+/** Between two steps. The model counts what was ordered and is not yet seen in tails, so a step
+ * down need not wait for its effect. */
 #define PACE_DOWN_MS 100
 #define PACE_UP_MS 300
 /** Tasks that fill are slowed down once a serving task's headroom is below this, to this one, and
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -4,7 +4,6 @@
 
 /** What a choice costs, in thousandths of a core; the least costly worker is taken. */
 #define COST_FAR 20000
-#define COST_FILL_BESIDE_SERVING 100000
 #define COST_SERVING_BESIDE_FILL 8000
 #define COST_SERVING_ALONE 40000
 #define COST_AVOIDED 50000
@@ -20,6 +19,7 @@
 #define FILL_PERCENT_MAX 130
 /** Tasks that fill start beside serving ones only if these keep this headroom. */
 #define HEADROOM_MIN 1.1
+/** Pace at which a task starts, in percent. */
 #define FULL_PACE 100
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 50
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -38,11 +38,10 @@
   int64_t percent;
   int64_t percent_us; /**< when the percent last changed */
   int64_t figure;
-  uint32_t pace;   /**< percent that it may work at */
-  int64_t pace_us; /**< when that was last changed; 0: never */
-  int64_t over_us; /**< of a serving task: since when it is over its target; 0: it is not */
-  InterferenceTask
-      alone; /**< of a serving task: its own share of its headroom without tasks that fill */
+  uint32_t pace;        /**< percent that it may work at */
+  int64_t pace_us;      /**< when that was last changed; 0: never */
+  int64_t over_us;      /**< of a serving task: since when it is over its target; 0: it is not */
+  InterferenceTask own; /**< of a serving task: what it has beside its service */
   InterferenceEstimate room; /**< of a serving task: what they will leave of it */
   double activity; /**< of a task that fills: how much it presses, as a share of the most */
   gboolean is_starting;
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -218,7 +218,7 @@
       double headroom = sched_is_serving (task) ? sched_headroom (task) : 0;
       if (headroom <= 1.0 / TARGETS_MAX)
         continue;
-      interference_observe (service_of (worker, task->part), &task->alone, headroom, loads, n_loads,
+      interference_observe (service_of (worker, task->part), &task->own, headroom, loads, n_loads,
                             worker->figures_us - FIGURE_MS * CLK_US_PER_MS / 2);
     }
   worker->has_old_rooms = TRUE;
@@ -235,9 +235,9 @@
 least_alone (const SchedTask *serving, int64_t now_us)
 {
   const InterferenceService *service = serving->part->service;
-  InterferenceEstimate soon = interference_alone (service, &serving->alone, now_us);
+  InterferenceEstimate soon = interference_alone (service, &serving->own, now_us);
   InterferenceEstimate later
-      = interference_alone (service, &serving->alone, now_us + AHEAD_MS * CLK_US_PER_MS);
+      = interference_alone (service, &serving->own, now_us + AHEAD_MS * CLK_US_PER_MS);
   return soon.mean < later.mean ? soon : later;
 }
 
@@ -272,7 +272,7 @@
 double
 sched_tails_now (const SchedWorker *worker, const SchedTask *serving)
 {
-  return interference_alone (serving->part->service, &serving->alone, worker->sched->now_us).mean
+  return interference_alone (serving->part->service, &serving->own, worker->sched->now_us).mean
          - sched_tails_takes (worker, serving);
 }
 
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -85,7 +85,7 @@
   task->figure = 0;
   task->pace = 100;
   task->pace_us = 0;
-  task->alone = (InterferenceTask){ 0 };
+  task->own = (InterferenceTask){ 0 };
   task->activity = SCHED_ACTIVITY_FIRST;
   task->over_us = 0;
   task->is_starting = TRUE;
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -777,15 +777,18 @@
   for (uint32_t i = 0; i < n_filling; i++)
     learned->images[learned->n_images++] = image_name (fleet, FLEET_HEAVY, i);
   learned->pairs = message_part ((size_t) n_serving * n_filling * sizeof *learned->pairs);
-  for (uint32_t i = 0; i < n_serving * n_filling; i++)
+  for (uint32_t i = 0; i < n_serving; i++)
     {
-      Batch__PairTake *row = message_part (sizeof *row);
-      batch__pair_take__init (row);
-      row->serving = i / n_filling;
-      row->filling = n_serving + i % n_filling;
-      row->take = (float) fleet->presses[i];
-      row->variance = TOLD_VARIANCE;
-      learned->pairs[learned->n_pairs++] = row;
+      for (uint32_t k = 0; k < n_filling; k++)
+        {
+          Batch__PairTake *row = message_part (sizeof *row);
+          batch__pair_take__init (row);
+          row->serving = i;
+          row->filling = n_serving + k;
+          row->take = (float) fleet->presses[i * n_filling + k];
+          row->variance = TOLD_VARIANCE;
+          learned->pairs[learned->n_pairs++] = row;
+        }
     }
   sched_restore_learned (fleet->sched, learned);
   batch__learned__free_unpacked (learned, NULL);
