An entry whose record a claim follows on one page of the log is known to the owner

Whether an entry's record came before the claim was asked once a page; where one page brings both, the entry took itself for unknown, and waits outage_ms, two hours, unless a digest of the owner comes first.

Ruled out: shared ports (clusters lock their block), load alone (48 plays of the test passed, 36 of them six at a time beside eight busy processes), a stale view, consents.

Change: the fold keeps the offsets of both records, and the owner compares these. The new test fails without it (0 claims), its twin keeps the order that is not safe.

--- a/lib/entry/owner.c
+++ b/lib/entry/owner.c
@@ -105,6 +105,16 @@
   owner->known_offset = fold_next_offset (fold);
 }
 
+/* A claim after the own record: its owner has read both in this order. */
+static gboolean
+is_claim_after_own_entry (const Owner *owner, const Fold *fold, const FoldClaim *claim)
+{
+  const FoldEntry *self = find_entry (fold, owner->name);
+
+  return self != NULL && self->incarnation == owner->options.incarnation
+         && claim->offset > self->known_offset;
+}
+
 static void
 claim_changed (
     Owner *owner, uint32_t index, const FoldClaim *claim, gboolean was_known, int64_t now_us)
@@ -113,7 +123,6 @@
   gboolean was_mine = shard->is_mine;
   gboolean is_first = claim->epoch == 1;
 
-  /* A claim after the own record: its owner has read both in this order. */
   shard->knows_self = was_known;
   shard->epoch = claim->epoch;
   shard->owner_ok_us = now_us;
@@ -141,7 +150,8 @@
       const FoldClaim *claim = fold_claim (fold, i);
       FoldResult result = FOLD_APPLIED;
       if (claim->epoch != shard->epoch)
-        claim_changed (owner, i, claim, was_known, now_us);
+        claim_changed (owner, i, claim, was_known || is_claim_after_own_entry (owner, fold, claim),
+                       now_us);
       if (shard->is_claiming && fold_settled (fold, shard->claim_id, &result))
         shard->is_claiming = FALSE;
     }
--- a/lib/state/fold.c
+++ b/lib/state/fold.c
@@ -83,9 +83,9 @@
     case RECORD__RECORD__BODY_FENCE:
       return apply_fence (fold, record->fence);
     case RECORD__RECORD__BODY_ENTRY:
-      return fold_apply_entry (fold, record->entry);
+      return fold_apply_entry (fold, record->entry, offset);
     case RECORD__RECORD__BODY_CLAIM:
-      return fold_apply_claim (fold, record->claim);
+      return fold_apply_claim (fold, record->claim, offset);
     case RECORD__RECORD__BODY_JOB:
       return fold_apply_job (fold, record->job);
     case RECORD__RECORD__BODY_CANCEL:
--- a/lib/state/fold.h
+++ b/lib/state/fold.h
@@ -72,12 +72,16 @@
   GBytes *text; /**< NULL in older history rows */
 } FoldConfig;
 
+/** Offset of what came with a snapshot: before all that was folded here. */
+#define FOLD_NO_OFFSET (-1)
+
 typedef struct
 {
   uint64_t epoch; /**< 0: never claimed */
   char *entry;
   uint64_t incarnation;
   int64_t claimed_ms; /**< log time */
+  int64_t offset;     /**< of its record; #FOLD_NO_OFFSET if it came with a snapshot */
   gboolean released;  /**< the owner has left: the next claim need not wait */
 } FoldClaim;
 
@@ -87,9 +91,10 @@
   uint64_t incarnation;
   char *data_centre;
   char *wire_address;
-  int64_t known_ms; /**< log time of the first record of this incarnation */
-  gboolean leaving; /**< always FALSE: one that leaves is no longer known */
-  int64_t seen_ms;  /**< log time of its newest record */
+  int64_t known_ms;     /**< log time of the first record of this incarnation */
+  int64_t known_offset; /**< of that record; #FOLD_NO_OFFSET if it came with a snapshot */
+  gboolean leaving;     /**< always FALSE: one that leaves is no longer known */
+  int64_t seen_ms;      /**< log time of its newest record */
   uint32_t n_replaced;
   uint64_t replaced[FOLD_REPLACED_MAX]; /**< incarnations that came before, oldest first */
 } FoldEntry;
--- a/lib/state/fold_members.c
+++ b/lib/state/fold_members.c
@@ -206,7 +206,7 @@
 }
 
 FoldResult
-fold_apply_entry (Fold *fold, const Record__Entry *record)
+fold_apply_entry (Fold *fold, const Record__Entry *record, int64_t offset)
 {
   FoldEntry *entry = find_entry (fold, record->entry);
 
@@ -222,12 +222,14 @@
     {
       entry = g_new0 (FoldEntry, 1);
       entry->known_ms = fold->time_ms;
+      entry->known_offset = offset;
       g_ptr_array_add (fold->entries, entry);
     }
   else if (entry->incarnation != record->incarnation)
     {
       note_replaced (entry);
       entry->known_ms = fold->time_ms;
+      entry->known_offset = offset;
     }
   entry_set (entry, record);
   entry->seen_ms = fold->time_ms;
@@ -243,6 +245,7 @@
   FoldEntry *entry = g_new0 (FoldEntry, 1);
   entry_set (entry, row->entry);
   entry->known_ms = row->known_ms;
+  entry->known_offset = FOLD_NO_OFFSET;
   entry->seen_ms = row->seen_ms;
   entry->n_replaced = (uint32_t) row->n_replaced;
   for (uint32_t i = 0; i < entry->n_replaced; i++)
@@ -292,18 +295,19 @@
 }
 
 static void
-claim_set (FoldClaim *claim, const Record__Claim *record, int64_t claimed_ms)
+claim_set (FoldClaim *claim, const Record__Claim *record, int64_t claimed_ms, int64_t offset)
 {
   g_free (claim->entry);
   claim->entry = g_strdup (record->entry);
   claim->epoch = record->epoch;
   claim->incarnation = record->incarnation;
   claim->claimed_ms = claimed_ms;
+  claim->offset = offset;
   claim->released = FALSE;
 }
 
 FoldResult
-fold_apply_claim (Fold *fold, const Record__Claim *record)
+fold_apply_claim (Fold *fold, const Record__Claim *record, int64_t offset)
 {
   if (record->shard >= fold->options.shards || record->epoch == 0
       || !fold_text_fits (record->entry, 1, FOLD_NAME_BYTES_MAX))
@@ -311,7 +315,7 @@
   FoldClaim *claim = &fold->claims[record->shard];
   if (record->epoch != claim->epoch + 1 || !may_claim (fold, claim, record))
     return FOLD_REFUSED;
-  claim_set (claim, record, fold->time_ms);
+  claim_set (claim, record, fold->time_ms, offset);
   return FOLD_APPLIED;
 }
 
@@ -321,7 +325,7 @@
   if (row->claim == NULL || shard >= fold->options.shards || row->claim->shard != shard
       || !fold_text_fits (row->claim->entry, row->claim->epoch > 0 ? 1 : 0, FOLD_NAME_BYTES_MAX))
     return FALSE;
-  claim_set (&fold->claims[shard], row->claim, row->claimed_ms);
+  claim_set (&fold->claims[shard], row->claim, row->claimed_ms, FOLD_NO_OFFSET);
   fold->claims[shard].released = row->released;
   return TRUE;
 }
--- a/lib/state/fold_private.h
+++ b/lib/state/fold_private.h
@@ -68,8 +68,8 @@
 gboolean fold_text_fits (const char *text, size_t min, size_t max);
 
 FoldResult fold_apply_config (Fold *fold, const Record__Record *record, int64_t offset);
-FoldResult fold_apply_entry (Fold *fold, const Record__Entry *entry);
-FoldResult fold_apply_claim (Fold *fold, const Record__Claim *claim);
+FoldResult fold_apply_entry (Fold *fold, const Record__Entry *entry, int64_t offset);
+FoldResult fold_apply_claim (Fold *fold, const Record__Claim *claim, int64_t offset);
 FoldResult fold_apply_job (Fold *fold, const Record__Job *record);
 FoldResult fold_apply_cancel (Fold *fold, const Record__JobCancel *cancel);
 FoldResult fold_apply_tasks (Fold *fold, const Record__TaskBatch *batch);
--- a/tests/entry/test_owner.c
+++ b/tests/entry/test_owner.c
@@ -233,6 +233,33 @@
   assert_int_equal (fix->claims, 1);
 }
 
+/* Pages of the log may bring both records at once; the owner may be lost before its next digest. */
+static void
+an_entry_whose_record_the_claim_follows_is_known_to_the_owner (void **state)
+{
+  Fixture *fix = *state;
+
+  fold_entry (fix, "e0");
+  fold_entry (fix, "e1");
+  fold_claim_by (fix, "e0", 1);
+  pass (fix, LEASE_MS + SILENCE_MS + 500, TRUE);
+  assert_int_equal (fix->claims, 1);
+}
+
+static void
+an_entry_whose_record_follows_the_claim_on_its_page_waits_out_an_outage (void **state)
+{
+  Fixture *fix = *state;
+
+  fold_entry (fix, "e0");
+  fold_claim_by (fix, "e0", 1);
+  fold_entry (fix, "e1");
+  pass (fix, OUTAGE_MS - 100, TRUE);
+  assert_int_equal (fix->claims, 0);
+  pass (fix, 500, TRUE);
+  assert_int_equal (fix->claims, 1);
+}
+
 static void
 an_entry_that_the_owner_knows_waits_for_its_silence (void **state)
 {
@@ -404,6 +431,10 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (an_entry_that_the_owner_may_not_know_waits_out_an_outage,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (an_entry_whose_record_the_claim_follows_is_known_to_the_owner,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        an_entry_whose_record_follows_the_claim_on_its_page_waits_out_an_outage, set_up, tear_down),
     cmocka_unit_test_setup_teardown (an_entry_that_the_owner_knows_waits_for_its_silence, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (a_restarted_entry_waits_a_lease_time, set_up, tear_down),
