--- a/lib/batch/sched_care.c
+++ b/lib/batch/sched_care.c
@@ -32,7 +32,7 @@
   const JobStep *step = task->part->step;
   int64_t limit_ms = step->fills ? STALL_FILL_MS : STALL_MS;
 
-  if (task->is_starting || task->is_stopping || task->pace < 100)
+  if (task->is_starting || task->is_stopping || task->pace < SCHED_FULL_PACE)
     return FALSE;
   if (step->lasts && task->percent >= 100)
     return FALSE;
@@ -196,7 +196,7 @@
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (task->part->step->fills && !task->is_stopping && task->pace < 100
+      if (task->part->step->fills && !task->is_stopping && task->pace < SCHED_FULL_PACE
           && (slowest == NULL || task->pace < slowest->pace))
         slowest = task;
     }
@@ -211,7 +211,7 @@
 
   if (task == NULL)
     return;
-  uint32_t pace = MIN (task->pace + PACE_RISE, 100);
+  uint32_t pace = MIN (task->pace + PACE_RISE, SCHED_FULL_PACE);
   while (pace > task->pace
          && sched_tails_room (worker, task, sched_tails_share (worker, task, pace - task->pace))
                 < HEADROOM_UP)
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -91,7 +91,7 @@
     {
       part->tasks[i].part = part;
       part->tasks[i].index = i;
-      part->tasks[i].pace = 100;
+      part->tasks[i].pace = SCHED_FULL_PACE;
       part->tasks[i].state = job->is_old ? TASK_UNSURE : TASK_WAITING;
       part->tasks[i].saved = g_strdup ("");
     }
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -19,8 +19,6 @@
 #define FILL_PERCENT_MAX 130
 /** Tasks that fill start beside serving ones only if these keep this headroom. */
 #define HEADROOM_MIN 1.1
-/** Pace at which a task starts, in percent. */
-#define FULL_PACE 100
 /** Share of their reservation that serving tasks leave unused on average, in percent. */
 #define SERVING_IDLE_PERCENT 50
 /** A step whose turn came this long ago always has tasks at work, if less than this share of the
@@ -74,7 +72,7 @@
   int64_t wanted_m = worker->fill_cpu_m + task->part->step->size.cpu_m;
 
   return wanted_m <= left_m * FILL_PERCENT_MAX / 100 && !worker->is_harmed
-         && sched_tails_room (worker, task, sched_tails_share (worker, task, FULL_PACE))
+         && sched_tails_room (worker, task, sched_tails_share (worker, task, SCHED_FULL_PACE))
                 >= HEADROOM_MIN;
 }
 
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -3,8 +3,6 @@
 #include "batch/sched_tables.h"
 #include "common/clk.h"
 
-/** Pace at which a task starts, in percent. */
-#define FULL_PACE 100
 /** Age of figures in a report that does not tell it: half of the time between two reports. */
 #define FIGURES_AGE_MS 200
 /** Agents that have not looked for longer do not report. */
@@ -122,10 +120,10 @@
   if (row->pace_known == 0)
     {
       task->pace = 0;
-      sched_order_pace (sched, task, FULL_PACE);
+      sched_order_pace (sched, task, SCHED_FULL_PACE);
       return;
     }
-  task->pace = MIN (row->pace_known - 1, FULL_PACE);
+  task->pace = MIN (row->pace_known - 1, SCHED_FULL_PACE);
   sched_tails_pace (worker, task);
 }
 
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -14,6 +14,8 @@
 typedef struct SchedTask SchedTask;
 typedef struct SchedWorker SchedWorker;
 
+/** Pace at which a task starts, in percent. */
+#define SCHED_FULL_PACE 100
 /** Activity of a task that fills before anything was told of it, as a share of the most. */
 #define SCHED_ACTIVITY_FIRST 0.7
 
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -277,8 +277,10 @@
 }
 
 static void
-renew_rooms (SchedWorker *worker)
+renew_old_rooms (SchedWorker *worker)
 {
+  if (!worker->has_old_rooms)
+    return;
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
@@ -305,8 +307,7 @@
 
   if (worker->n_serving == 0)
     return least;
-  if (worker->has_old_rooms)
-    renew_rooms (worker);
+  renew_old_rooms (worker);
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
@@ -332,8 +333,7 @@
 
   if (worker->n_serving == 0)
     return 0;
-  if (worker->has_old_rooms)
-    renew_rooms (worker);
+  renew_old_rooms (worker);
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const SchedTask *task = g_ptr_array_index (worker->tasks, i);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -83,7 +83,7 @@
   task->percent = 0;
   task->percent_us = now_us;
   task->figure = 0;
-  task->pace = 100;
+  task->pace = SCHED_FULL_PACE;
   task->pace_us = 0;
   task->own = (InterferenceTask){ 0 };
   task->activity = SCHED_ACTIVITY_FIRST;
--- a/tests/batch/test_interference.c
+++ b/tests/batch/test_interference.c
@@ -271,6 +271,52 @@
     }
 }
 
+static void
+count_pair (void *ctx, const InterferencePair *pair)
+{
+  (void) pair;
+  (*(uint32_t *) ctx)++;
+}
+
+/* However many images fill and services come, one serving image keeps a bounded filter; what finds
+ * no place is taken for unknown, never for harmless. */
+static void
+filter_of_an_image_is_bounded (void **state)
+{
+  Interference *model = interference_new ();
+  g_autoptr (GPtrArray) services
+      = g_ptr_array_new_with_free_func ((GDestroyNotify) interference_service_free);
+  const InterferenceTask fresh = { 0 };
+  uint32_t n_pairs = 0;
+
+  (void) state;
+  for (uint32_t i = 0; i < 4 * INTERFERENCE_TAKES_MAX; i++)
+    {
+      const InterferenceLoad load = { interference_image (model, NULL) + i, 0.1 };
+      InterferenceTask task = { 0 };
+      g_ptr_array_add (services, interference_service_new (model, SERVING));
+      for (int k = 1; k <= 3; k++)
+        interference_observe (g_ptr_array_index (services, i), &task, 5.0 + 0.01 * k, &load, 1,
+                              (int64_t) (3 * i + (uint32_t) k) * FIGURE_US);
+    }
+  for (uint32_t i = 0; i < 4 * INTERFERENCE_TAKES_MAX; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("image-%u", i);
+      (void) interference_image (model, name);
+    }
+  interference_each_pair (model, count_pair, &n_pairs);
+  assert_int_equal (n_pairs, INTERFERENCE_TAKES_MAX);
+  InterferenceEstimate beyond = interference_pair (model, SERVING, 4 * INTERFERENCE_TAKES_MAX - 1);
+  InterferenceEstimate never = interference_pair (model, SERVING, INTERFERENCE_IMAGES_MAX - 1);
+  assert_float_equal (beyond.mean, never.mean, 0);
+  assert_float_equal (beyond.variance, never.variance, 0);
+  InterferenceEstimate last
+      = interference_alone (g_ptr_array_index (services, services->len - 1), &fresh, FIGURE_US);
+  assert_float_equal (last.mean, interference_alone (NULL, &fresh, FIGURE_US).mean, 0);
+  g_ptr_array_set_size (services, 0);
+  interference_free (model);
+}
+
 static void
 images_are_numbered_once_and_bounded (void **state)
 {
@@ -332,6 +378,7 @@
     cmocka_unit_test (slope_of_a_load_is_foreseen),
     cmocka_unit_test (burst_of_one_replica_is_its_own),
     cmocka_unit_test (innocent_neighbour_is_cleared),
+    cmocka_unit_test (filter_of_an_image_is_bounded),
     cmocka_unit_test (images_are_numbered_once_and_bounded),
     cmocka_unit_test (learned_pairs_are_taken_over),
   };
--- a/tests/bench/fleet.c
+++ b/tests/bench/fleet.c
@@ -3,7 +3,9 @@
 #include "bench/bench.h"
 
 /** What the kinds of work earn in a second on the users' large installation. */
-static const double weights[FLEET_KINDS] = { 8, 40, 10 };
+static const double large_weights[FLEET_KINDS] = { 8, 40, 10 };
+/** Serving tasks earn about as much as what fills beside them. */
+static const double even_weights[FLEET_KINDS] = { 8, 40, 40 };
 /** The users' target there. */
 #define WORTH_WANTED 0.67
 #define LARGE_WORKERS 80
@@ -16,7 +18,11 @@
 
 /* Plays a fleet with all seeds and prints what callers got; returns the mean worth. */
 static double
-play (const BenchOptions *options, const FleetOptions *wanted, const char *name, FILE *file)
+play (const BenchOptions *options,
+      const FleetOptions *wanted,
+      const double weights[FLEET_KINDS],
+      const char *name,
+      FILE *file)
 {
   double worth = 0;
   double harmed_s = 0;
@@ -47,6 +53,20 @@
   return worth / options->seeds;
 }
 
+/* What is lost by learning: the same load with and without the takes told. */
+static void
+play_regret (const BenchOptions *options, double burst_x, const char *const names[2], FILE *file)
+{
+  FleetOptions fleet;
+
+  fleet_options_two_sorts (&fleet);
+  if (burst_x > 0)
+    fleet.burst_x = burst_x;
+  (void) play (options, &fleet, even_weights, names[0], file);
+  fleet.are_takes_told = TRUE;
+  (void) play (options, &fleet, even_weights, names[1], file);
+}
+
 void
 fleet_run (const BenchOptions *options, BenchTargets *targets)
 {
@@ -56,14 +76,16 @@
   if (file != NULL)
     (void) fprintf (file, "fleet,seed,worth,short,heavy,serving,harmed_s,starts,stops,decide_s\n");
   fleet_options_small (&fleet);
-  (void) play (options, &fleet, "small", file);
+  (void) play (options, &fleet, large_weights, "small", file);
   fleet_options_large (&fleet, LARGE_WORKERS);
-  double worth = play (options, &fleet, "large", file);
+  double worth = play (options, &fleet, large_weights, "large", file);
   bench_target (targets, worth >= WORTH_WANTED, "fleet large: worth %.3f of %.2f", worth,
                 WORTH_WANTED);
   fleet.kinds[FLEET_SERVING].n_at_start = fleet.kinds[FLEET_SERVING].n_at_start * 6 / 5;
   fleet.burst_x = 2.6;
-  (void) play (options, &fleet, "overloaded", file);
+  (void) play (options, &fleet, large_weights, "overloaded", file);
+  play_regret (options, 0, (const char *const[]){ "two sorts", "and told" }, file);
+  play_regret (options, 2.6, (const char *const[]){ "burst", "and told" }, file);
   if (file != NULL)
     (void) fclose (file);
 }
