feed: events around a load of the newest records

Cause: a key whose record was removed while a feed could not read is only missing from the next load; a follower that keeps state by key could not tell. Change: on_load_begin and on_load_end around a load.

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -160,6 +160,8 @@
   feed->next = feed->load_end;
   feed->is_loading = FALSE;
   feed->is_loaded = TRUE;
+  if (feed->options.on_load_end != NULL)
+    feed->options.on_load_end (feed->options.ctx);
   line_add ("feed", "loaded", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic, feed->next);
   finish_batch (feed);
   send_waiting (feed);
@@ -172,6 +174,8 @@
   feed->is_loading = TRUE;
   feed->load_end = -1;
   g_clear_pointer (&feed->after_key, g_free);
+  if (feed->options.on_load_begin != NULL)
+    feed->options.on_load_begin (feed->options.ctx);
 }
 
 /* Applies the answer of a read; FALSE if it failed. */
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -22,6 +22,10 @@
   void (*on_record) (void *ctx, const StoreRecord *record);
   /** Called after the records of one answer. May be NULL. */
   void (*on_batch) (void *ctx);
+  /** Called before and after the newest record of each key is loaded. A key whose record is not
+   * delivered in between no longer exists. May be NULL. */
+  void (*on_load_begin) (void *ctx);
+  void (*on_load_end) (void *ctx);
   void *ctx;
 } FeedOptions;
 
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -616,6 +616,64 @@
   feed_free (feed);
 }
 
+/** Events of a feed in their order: '<' and '>' around a load, 'r' for a record. */
+static void
+note_load_begin (void *ctx)
+{
+  g_string_append_c (ctx, '<');
+}
+
+static void
+note_load_end (void *ctx)
+{
+  g_string_append_c (ctx, '>');
+}
+
+static void
+note_record (void *ctx, const StoreRecord *record)
+{
+  (void) record;
+  g_string_append_c (ctx, 'r');
+}
+
+/* A key that was removed meanwhile is only missing from the records of the next load. */
+static void
+load_is_enclosed_by_its_events (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  g_autoptr (GString) events = g_string_new ("");
+  const FeedOptions options = { .store = fixture->store,
+                                .topic = TOPIC,
+                                .wait_ms = 500,
+                                .pause_ms = 1000,
+                                .skips_missed = TRUE,
+                                .on_record = note_record,
+                                .on_load_begin = note_load_begin,
+                                .on_load_end = note_load_end,
+                                .ctx = events };
+  const NetReply expired
+      = { .status = 410, .content_type = "application/json", .body = "{\"first_offset\":40}" };
+
+  (void) state;
+  set_answer (fixture, 200,
+              "{\"items\":[{\"key\":\"k\",\"value\":\"AA==\",\"offset\":5}],"
+              "\"more\":false,\"end_offset\":6}");
+  Feed *feed = feed_new (&options);
+  while (!feed_is_loaded (feed))
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_string_equal (events->str, "<r>");
+  fixture->n_unanswered = 1;
+  while (fixture->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  set_answer (fixture, 200, "{\"items\":[],\"more\":false,\"end_offset\":50}");
+  net_request_reply (g_ptr_array_steal_index (fixture->held, 0), &expired);
+  while (feed_end (feed) < 50)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_string_equal (events->str, "<r><>");
+  fixture_free (fixture);
+  feed_free (feed);
+}
+
 int
 main (void)
 {
@@ -633,6 +691,7 @@
     cmocka_unit_test (doubt_is_reported_at_the_deadline),
     cmocka_unit_test (late_answer_does_not_rewind_the_feed),
     cmocka_unit_test (missed_records_of_few_keys_are_skipped),
+    cmocka_unit_test (load_is_enclosed_by_its_events),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
