Nothing starts in a data centre that operators evacuate

Cause: no part of the system knew of evacuations. Change: every entry folds the operators' requests (lib/batch/evacuations; removals that were missed are found by a load). The owner places nothing on workers there, and its messages tell their agents to drop starts that were ordered before and are received later. An owner that has not read the operators' records for jobs.evacuate_ms less a second starts nothing, and an entry claims only while it reads them. Why a worker accepts nothing is one function (sched_worker_refusal), counted in the room line. What runs in such a data centre goes on.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -2772,7 +2772,7 @@
   (ProtobufCMessageInit) batch__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__orders__field_descriptors[10] =
+static const ProtobufCFieldDescriptor batch__orders__field_descriptors[11] =
 {
   {
     "epoch",
@@ -2894,12 +2894,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forbids_starts",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, forbids_starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__orders__field_indices_by_name[] = {
   2,   /* field[2] = agent_boot */
   3,   /* field[3] = echo_us */
   5,   /* field[5] = ends_kept */
   0,   /* field[0] = epoch */
+  10,   /* field[10] = forbids_starts */
   4,   /* field[4] = life */
   7,   /* field[7] = order_before */
   6,   /* field[6] = orders */
@@ -2910,7 +2923,7 @@
 static const ProtobufCIntRange batch__orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor batch__orders__descriptor =
 {
@@ -2920,7 +2933,7 @@
   "Batch__Orders",
   "batch",
   sizeof(Batch__Orders),
-  10,
+  11,
   batch__orders__field_descriptors,
   batch__orders__field_indices_by_name,
   1,  batch__orders__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -462,10 +462,14 @@
    * least interval between two reports of an agent
    */
   uint32_t report_gap_ms;
+  /*
+   * nothing may start at this worker: starts are dropped and reported gone
+   */
+  protobuf_c_boolean forbids_starts;
 };
 #define BATCH__ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Batch__Worker
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -96,6 +96,21 @@
     }
 }
 
+void
+sched_set_evacuations (Sched *sched, const Evacuations *evacuations)
+{
+  sched->evacuations = evacuations;
+}
+
+void
+sched_hold_starts (Sched *sched, gboolean is_held)
+{
+  if (sched->are_starts_held != is_held)
+    sched_note (sched, is_held ? "starts_held" : "starts_resumed", "-", "open_jobs=%u",
+                g_hash_table_size (sched->open));
+  sched->are_starts_held = is_held;
+}
+
 void
 sched_begin_term (Sched *sched, uint64_t term, int64_t reconcile_until_us)
 {
@@ -220,6 +235,7 @@
   int64_t best_effort_m = 0;
   int64_t left_m = 0;
   uint32_t n_workers = 0;
+  uint32_t n_refusing[SCHED_REFUSALS] = { 0 };
 
   if (sched->now_us - sched->utilisation_noted_us < UTILISATION_NOTE_MS * 1000)
     return;
@@ -228,6 +244,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const SchedWorker *worker = value;
+      n_refusing[sched_worker_refusal (sched, worker)]++;
       if (worker->report_us == 0)
         continue;
       n_workers++;
@@ -240,9 +257,13 @@
   sched_note (sched, "room", "-",
               "workers=%u cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
               " fill_m=%" G_GINT64_FORMAT " left_without_serving_m=%" G_GINT64_FORMAT
-              " open_jobs=%u ready_tasks=%u",
+              " open_jobs=%u ready_tasks=%u not_reporting=%u draining=%u evacuated=%u"
+              " quarantined=%u",
               n_workers, capacity.cpu_m, used_m, best_effort_m, left_m,
-              g_hash_table_size (sched->open), n_waiting);
+              g_hash_table_size (sched->open), n_waiting,
+              n_refusing[SCHED_REFUSES_SILENT] + n_refusing[SCHED_REFUSES_OUTDATED],
+              n_refusing[SCHED_REFUSES_DRAINING], n_refusing[SCHED_REFUSES_EVACUATED],
+              n_refusing[SCHED_REFUSES_QUARANTINED]);
 }
 
 void
@@ -292,6 +313,7 @@
   orders->life = worker->incarnation;
   orders->ends_kept = worker->ends_written;
   orders->report_taken = worker->report_version;
+  orders->forbids_starts = sched_is_evacuated (sched, worker);
   add_orders (sched, worker, orders);
   return TRUE;
 }
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -9,6 +9,7 @@
  */
 #pragma once
 
+#include "batch/evacuations.h"
 #include "batch/job.h"
 #include "batch/ledger.pb-c.h"
 #include "batch/queues.h"
@@ -48,6 +49,13 @@
 /** Sets the configuration, which must stay valid until the next one is set. */
 void sched_set_config (Sched *sched, const QueueConfig *config);
 
+/** Sets the data centres whose workers start nothing; @p evacuations must stay valid and may change
+ * between ticks. NULL for none. */
+void sched_set_evacuations (Sched *sched, const Evacuations *evacuations);
+
+/** While held, nothing is started anywhere: the operators' newest requests may not be known. */
+void sched_hold_starts (Sched *sched, gboolean is_held);
+
 /**
  * Begins a term. Until @p reconcile_until_us, runs that previous owners started may exist at agents
  * that have not reported. Tasks of jobs added with may_have_started are not started before that
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -48,15 +48,6 @@
   return count;
 }
 
-static gboolean
-accepts_tasks (const Sched *sched, const SchedWorker *worker)
-{
-  return worker->report_us != 0 && worker->report_version != 0 && !worker->info->is_draining
-         && !worker->is_leaving && g_hash_table_size (worker->orphaned_runs) == 0
-         && sched->now_us >= worker->quarantine_until_us
-         && sched->now_us - worker->report_us <= sched->options.report_age_max_ms * 1000;
-}
-
 static gboolean
 may_run (const SchedWorker *worker, const SchedStage *stage)
 {
@@ -320,7 +311,7 @@
   g_hash_table_iter_init (&iter, sched->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (accepts_tasks (sched, value))
+      if (sched_worker_refusal (sched, value) == SCHED_ACCEPTS)
         g_ptr_array_add (workers, value);
     }
   return workers;
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -203,6 +203,8 @@
 {
   SchedOptions options;
   const QueueConfig *config;
+  const Evacuations *evacuations; /**< NULL for none */
+  gboolean are_starts_held;
   uint64_t term;
   int64_t reconcile_until_us;
   GHashTable *jobs;      /**< id -> SchedJob */
@@ -245,7 +247,25 @@
 /* Sets ended_us of the jobs that have ended since the last tick. */
 void sched_date_ended (Sched *sched);
 
+/** Why a worker accepts no tasks at all. */
+typedef enum
+{
+  SCHED_ACCEPTS,
+  SCHED_REFUSES_SILENT,   /**< it has not reported in full in this term */
+  SCHED_REFUSES_OUTDATED, /**< its newest report is too old */
+  SCHED_REFUSES_DRAINING,
+  SCHED_REFUSES_LEAVING, /**< its agent shuts down */
+  SCHED_REFUSES_EVACUATED,
+  SCHED_REFUSES_ORPHANED_RUNS, /**< it runs what should not exist */
+  SCHED_REFUSES_QUARANTINED,
+  SCHED_REFUSES_HELD, /**< all starts are held */
+  SCHED_REFUSALS,
+} SchedRefusal;
+
 /* sched_workers.c */
+SchedRefusal sched_worker_refusal (const Sched *sched, const SchedWorker *worker);
+/* Whether the data centre of the worker is evacuated; FALSE before its first report. */
+gboolean sched_is_evacuated (const Sched *sched, const SchedWorker *worker);
 SchedWorker *sched_worker_new (Sched *sched, const char *name);
 void sched_worker_free (gpointer data);
 void sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -42,6 +42,33 @@
   g_free (worker);
 }
 
+gboolean
+sched_is_evacuated (const Sched *sched, const SchedWorker *worker)
+{
+  return sched->evacuations != NULL && worker->info != NULL
+         && evacuations_contains (sched->evacuations, worker->info->data_centre);
+}
+
+SchedRefusal
+sched_worker_refusal (const Sched *sched, const SchedWorker *worker)
+{
+  if (worker->report_us == 0 || worker->report_version == 0)
+    return SCHED_REFUSES_SILENT;
+  if (sched->now_us - worker->report_us > sched->options.report_age_max_ms * 1000)
+    return SCHED_REFUSES_OUTDATED;
+  if (worker->info->is_draining)
+    return SCHED_REFUSES_DRAINING;
+  if (worker->is_leaving)
+    return SCHED_REFUSES_LEAVING;
+  if (sched_is_evacuated (sched, worker))
+    return SCHED_REFUSES_EVACUATED;
+  if (g_hash_table_size (worker->orphaned_runs) > 0)
+    return SCHED_REFUSES_ORPHANED_RUNS;
+  if (sched->now_us < worker->quarantine_until_us)
+    return SCHED_REFUSES_QUARANTINED;
+  return sched->are_starts_held ? SCHED_REFUSES_HELD : SCHED_ACCEPTS;
+}
+
 static Batch__Order *
 add_order (SchedWorker *worker)
 {
--- a/lib/node/node_settings.c
+++ b/lib/node/node_settings.c
@@ -33,6 +33,8 @@
     "IP:PORT of the platform's store." },
   { "jobs.state_s", SET_INTEGER, FIELD (state_s), 1, 86400, "120",
     "Seconds for which the state of an ended job can be queried." },
+  { "jobs.evacuate_ms", SET_INTEGER, FIELD (evacuate_ms), 1000, 600000, "5000",
+    "Nothing starts in a data centre this long after its evacuation was requested." },
   { "limits.cpu_share", SET_TEXT, FIELD (cpu_share), 1, 20, "1.0",
     "Share of a CPU core that this instance may use." },
   { "limits.leave_s", SET_TEXT, FIELD (leave_s), 1, 20, "6",
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -22,6 +22,8 @@
   char *worker_call_address; /**< "IP:PORT" where the worker accepts calls */
   char *store_address;
   int64_t state_s;      /**< how long the state of an ended job is reported to callers */
+  int64_t evacuate_ms;  /**< nothing starts in a data centre this long after its evacuation was
+                             requested */
   char *cpu_share;      /**< share of a core, a fraction */
   int64_t lease_max_ms; /**< longest lease that a worker accepts */
   int64_t gang_timeout_ms;
--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -323,6 +323,7 @@
     supervisor->applied_version = 0;
   if (orders->agent_boot != supervisor->options.boot)
     return TRUE;
+  supervisor->forbids_starts = orders->forbids_starts;
   apply_grant (supervisor, orders);
   apply_report_version (supervisor, orders);
   supervisor_poll_if_due (supervisor);
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -152,6 +152,11 @@
                         .ticket = order->ticket,
                         .until_ms = until_ms (supervisor) };
 
+  if (supervisor->forbids_starts)
+    {
+      add_refused (supervisor, order->task, order->run, RUNNER_NOT_SENT);
+      return;
+    }
   if (!may_start (supervisor))
     {
       add_refused (supervisor, order->task, order->run, RUNNER_LEASE_EXPIRED);
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -87,7 +87,8 @@
   int64_t next_poll_us;
   GHashTable *calls; /**< SupervisorCall under way, as a set */
   gboolean is_leaving;
-  gboolean is_gone; /**< the worker announced that it is shutting down */
+  gboolean forbids_starts; /**< the owner forbade starts in its newest message */
+  gboolean is_gone;        /**< the worker announced that it is shutting down */
 };
 
 typedef struct
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -85,13 +85,9 @@
 
 /* Ignores versions that are not newer, as records can be read in any order. */
 static void
-on_operator_record (void *ctx, const StoreRecord *record)
+apply_config (Entry *entry, const StoreRecord *record)
 {
-  Entry *entry = ctx;
   g_autoptr (GError) error = NULL;
-
-  if (!is_config_key (record) || record->value_size == 0)
-    return;
   g_autoptr (QueueConfig) config
       = operator_decode_config ((const char *) record->value, record->value_size, &error);
   if (config == NULL)
@@ -109,6 +105,49 @@
   entry->config = g_steal_pointer (&config);
 }
 
+static void
+apply_evacuation (Entry *entry, const StoreRecord *record, const char *data_centre)
+{
+  gboolean is_requested = record->value_size > 0;
+
+  if (!evacuations_apply (entry->evacuations, data_centre, record->offset, is_requested))
+    return;
+  line_add ("operator", is_requested ? "evacuation_requested" : "evacuation_removed",
+            "data_centre=%s offset=%" G_GINT64_FORMAT " evacuated=%u", data_centre, record->offset,
+            evacuations_count (entry->evacuations));
+  owner_evacuations_changed (entry->owner);
+}
+
+static void
+on_operator_record (void *ctx, const StoreRecord *record)
+{
+  Entry *entry = ctx;
+  g_autofree char *data_centre = operator_decode_evacuation (record->key, record->key_size);
+
+  if (data_centre != NULL)
+    apply_evacuation (entry, record, data_centre);
+  else if (is_config_key (record) && record->value_size > 0)
+    apply_config (entry, record);
+}
+
+static void
+on_operator_load_begin (void *ctx)
+{
+  evacuations_begin_load (((Entry *) ctx)->evacuations);
+}
+
+static void
+on_operator_load_end (void *ctx)
+{
+  Entry *entry = ctx;
+
+  if (!evacuations_end_load (entry->evacuations))
+    return;
+  line_add ("operator", "evacuation_removed", "data_centre=- reason=not_listed evacuated=%u",
+            evacuations_count (entry->evacuations));
+  owner_evacuations_changed (entry->owner);
+}
+
 static gboolean
 on_leave_check (gpointer data)
 {
@@ -154,6 +193,8 @@
                                .pause_ms = CONFIG_PAUSE_MS,
                                .skips_missed = TRUE,
                                .on_record = on_operator_record,
+                               .on_load_begin = on_operator_load_begin,
+                               .on_load_end = on_operator_load_end,
                                .ctx = entry };
 
   entry->ledger_feed = feed_new (&ledger);
@@ -182,6 +223,7 @@
     }
   entry->store = store_new (node_client (entry->node), settings->store_address);
   entry->ledger = ledger_new (&events);
+  entry->evacuations = evacuations_new ();
   entry->relay = relay_new (entry, error);
   const OutboxOptions outbox = { .store = entry->store,
                                  .topic = LEDGER_TOPIC,
@@ -220,5 +262,6 @@
   ledger_free (entry->ledger);
   store_free (entry->store);
   queue_config_free (entry->config);
+  evacuations_free (entry->evacuations);
   g_free (entry);
 }
--- a/programs/scheduler/entry_private.h
+++ b/programs/scheduler/entry_private.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "batch/evacuations.h"
 #include "batch/queues.h"
 #include "entry.h"
 #include "ledger/feed.h"
@@ -29,6 +30,7 @@
   Feed *ledger_feed;
   Feed *config_feed;
   QueueConfig *config; /**< NULL until the first configuration was read */
+  Evacuations *evacuations;
   Outbox *outbox;
   Owner *owner;
   Front *front;
@@ -52,6 +54,8 @@
 /** Handles a ledger record that names the owner: this entry, another one, or none. */
 void owner_handle_claim (Owner *owner, const LedgerOwner *claim);
 void owner_set_config (Owner *owner, const QueueConfig *config);
+/** Handles a change of entry->evacuations. */
+void owner_evacuations_changed (Owner *owner);
 /** Releases ownership, so that another entry can claim it at once. */
 void owner_leave (Owner *owner);
 /** Whether this entry is neither the owner nor claiming ownership. */
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -20,6 +20,9 @@
 #define EXPIRY_CLOCK_RATE 1.02
 /** Starts are sent only to agents that reported within this time. */
 #define FRESH_MS 1300
+/** Starts are held while the operators' records have not been read for the time within which an
+ * evacuation takes effect, less this: time for orders to reach the workers. */
+#define EVACUATE_RESERVE_MS 1000
 
 /* Whether no other entry can be the owner. One can be as soon as a release was sent. */
 static gboolean
@@ -52,11 +55,21 @@
   batch__report__free_unpacked (report, NULL);
 }
 
+static gboolean
+knows_evacuations (const Owner *owner)
+{
+  int64_t read_us = feed_fresh_us (owner->entry->config_feed);
+  int64_t age_max_ms = owner->entry->settings->evacuate_ms - EVACUATE_RESERVE_MS;
+
+  return read_us != 0 && clk_now_us () - read_us <= age_max_ms * CLK_US_PER_MS;
+}
+
 void
 owner_decide (Owner *owner)
 {
   if (!has_authority (owner))
     return;
+  sched_hold_starts (owner->sched, !knows_evacuations (owner));
   sched_tick (owner->sched, clk_now_us (), clk_wall_ms ());
   met_set (owner->open_jobs, sched_open_jobs (owner->sched));
   /* Authority can run out during the tick, so it is checked again before orders are sent. */
@@ -183,6 +196,7 @@
   owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
+  sched_set_evacuations (owner->sched, owner->entry->evacuations);
   sched_begin_term (owner->sched, owner->term, reconciled_us);
   if (ledger_learned (owner->entry->ledger) != NULL)
     sched_restore_learned (owner->sched, ledger_learned (owner->entry->ledger));
@@ -261,6 +275,12 @@
   schedule_tick (owner);
 }
 
+void
+owner_evacuations_changed (Owner *owner)
+{
+  schedule_tick (owner);
+}
+
 void
 owner_leave (Owner *owner)
 {
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -103,7 +103,8 @@
   int64_t now = clk_now_us ();
 
   if (owner->is_leaving || owner->is_appending || steady_us == 0
-      || !feed_is_loaded (owner->entry->ledger_feed) || owner->entry->config == NULL)
+      || !feed_is_loaded (owner->entry->ledger_feed) || owner->entry->config == NULL
+      || feed_steady_since_us (owner->entry->config_feed) == 0)
     return FALSE;
   int64_t quiet_us = now - MAX (owner->owner_seen_us, steady_us);
   int64_t needed_us = is_vacant (owner, last) ? 0 : NODE_OWNER_QUIET_MS * 1000;
--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -8,7 +8,7 @@
   machine-move machine-upkeep X-Target-Instance X-Request-Deadline-Ms X-Fencing-Token
   fencing_token last_seen last_checkpoint path_prefix max_per_server long_running
   enforces_capacity heartbeat_addr cold_left_ms required_label target_latency_ms
-  '"keyed\.'
+  '"keyed\.' '"evacuate/'
 )
 pattern=$(IFS='|'; echo "${names[*]}")
 if grep -rnE "$pattern" lib programs --include='*.[ch]' --include='*.cc' --include='*.proto'; then
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -45,6 +45,7 @@
   char name[16];
   char service[16];
   char rack[16];
+  char data_centre[16];
   uint64_t boot;
   uint64_t incarnation;
   uint64_t done_number;
@@ -58,6 +59,8 @@
   uint32_t n_reported;
   RigTask sent[RIG_TASKS_MAX]; /**< runs in the newest report */
   uint32_t n_sent;
+  RigTask dropped[RIG_TASKS_MAX]; /**< starts that were forbidden, until a report has them */
+  uint32_t n_dropped;
   RigTask tasks[RIG_TASKS_MAX];
   uint32_t n_tasks;
   RigEnd ends[RIG_TASKS_MAX];
@@ -103,6 +106,7 @@
   (void) g_snprintf (worker->name, sizeof worker->name, "w%u", rig->n_workers);
   (void) g_strlcpy (worker->service, "service", sizeof worker->service);
   (void) g_snprintf (worker->rack, sizeof worker->rack, "r%u", rig->n_workers / 2);
+  (void) g_snprintf (worker->data_centre, sizeof worker->data_centre, "dc%u", rig->n_workers / 2);
   worker->boot = 100 + rig->n_workers;
   worker->incarnation = 1;
   rig->n_workers++;
@@ -190,12 +194,27 @@
   *task = worker->tasks[--worker->n_tasks];
 }
 
+/** Drops a start that the owner forbade meanwhile, as agents do. */
 static inline void
-rig_execute (Rig *rig, RigWorker *worker, const Batch__Order *order)
+rig_drop_start (RigWorker *worker, const Batch__Start *start)
+{
+  RigTask *task = &worker->dropped[worker->n_dropped++];
+
+  (void) g_strlcpy (task->name, start->task, sizeof task->name);
+  task->run = start->run;
+}
+
+static inline void
+rig_execute (Rig *rig, RigWorker *worker, const Batch__Order *order, gboolean forbids_starts)
 {
   if (order->number <= worker->done_number)
     return;
   worker->done_number = order->number;
+  if (order->what_case == BATCH__ORDER__WHAT_START && forbids_starts)
+    {
+      rig_drop_start (worker, order->start);
+      return;
+    }
   if (order->what_case == BATCH__ORDER__WHAT_START)
     {
       RigTask *task = &worker->tasks[worker->n_tasks++];
@@ -229,7 +248,16 @@
   return FALSE;
 }
 
-/** Adds the runs that were reported to the owner and no longer exist. */
+static inline void
+rig_add_gone_run (const RigTask *task, Batch__Gone *gone, Batch__Gone **row)
+{
+  batch__gone__init (gone);
+  gone->task = (char *) task->name;
+  gone->run = task->run;
+  *row = gone;
+}
+
+/** Adds the runs that were reported to the owner and no longer exist, and the dropped starts. */
 static inline size_t
 rig_add_gone (const RigWorker *worker, Batch__Gone *gone, Batch__Gone **rows)
 {
@@ -239,10 +267,12 @@
     {
       if (rig_has_run (worker->tasks, worker->n_tasks, &worker->reported[i]))
         continue;
-      batch__gone__init (&gone[n_gone]);
-      gone[n_gone].task = (char *) worker->reported[i].name;
-      gone[n_gone].run = worker->reported[i].run;
-      rows[n_gone] = &gone[n_gone];
+      rig_add_gone_run (&worker->reported[i], &gone[n_gone], &rows[n_gone]);
+      n_gone++;
+    }
+  for (uint32_t i = 0; i < worker->n_dropped; i++)
+    {
+      rig_add_gone_run (&worker->dropped[i], &gone[n_gone], &rows[n_gone]);
       n_gone++;
     }
   return n_gone;
@@ -257,13 +287,14 @@
   Batch__Running *running_rows[RIG_TASKS_MAX];
   Batch__Ended ended[RIG_TASKS_MAX];
   Batch__Ended *ended_rows[RIG_TASKS_MAX];
-  Batch__Gone gone[RIG_TASKS_MAX];
-  Batch__Gone *gone_rows[RIG_TASKS_MAX];
+  Batch__Gone gone[2 * RIG_TASKS_MAX];
+  Batch__Gone *gone_rows[2 * RIG_TASKS_MAX];
   char kind[] = "a";
   char *labels[] = { kind, worker->rack };
 
   info.id = worker->name;
   info.service = worker->service;
+  info.data_centre = worker->data_centre;
   info.labels = labels;
   info.n_labels = 2;
   info.cpu_m = RIG_CPU_M;
@@ -281,6 +312,7 @@
   report.since = rig->sends_changes ? worker->applied : 0;
   if (report.since != 0)
     report.n_gone = rig_add_gone (worker, gone, gone_rows);
+  worker->n_dropped = 0;
   memcpy (worker->sent, worker->tasks, sizeof worker->tasks);
   worker->n_sent = worker->n_tasks;
   for (uint32_t i = 0; i < worker->n_tasks; i++)
@@ -347,7 +379,7 @@
       if (orders.order_before > worker->done_number)
         continue;
       for (size_t k = 0; k < orders.n_orders; k++)
-        rig_execute (rig, worker, orders.orders[k]);
+        rig_execute (rig, worker, orders.orders[k], orders.forbids_starts);
     }
 }
 
--- a/tests/batch/test_sched_props.cc
+++ b/tests/batch/test_sched_props.cc
@@ -1,8 +1,8 @@
 /**
  * @file test_sched_props.cc
  * Property test with random jobs, ends, partitions, failed writes and agent restarts against
- * in-memory workers: no task runs twice at a time, no worker exceeds its capacity, and no task
- * starts before its step is ready or after its end was acknowledged.
+ * in-memory workers: no task runs twice at a time, no worker exceeds its capacity, no task starts
+ * before its step is ready or after its end was acknowledged, and none in an evacuated data centre.
  */
 #include <cstdlib>
 #include <map>
@@ -32,16 +32,21 @@
       noted; /* completion was acknowledged by the owner before the lease expired */
   std::set<std::string> expired; /* "worker number" of ends whose lease has expired since */
   std::set<std::string> seen;    /* "task run" */
+  Evacuations *evacuations = nullptr;
+  int64_t offset = 0; /* of the operators' newest record */
 
   World ()
   {
     rig = rig_new (N_WORKERS);
+    evacuations = evacuations_new ();
+    sched_set_evacuations (rig->sched, evacuations);
   }
   World (const World &) = delete;
   World &operator= (const World &) = delete;
   ~World ()
   {
     rig_free (rig);
+    evacuations_free (evacuations);
   }
 };
 
@@ -100,7 +105,10 @@
           const RigTask &task = worker.tasks[k];
           RC_ASSERT (running.insert (task.name).second);
           if (world.seen.insert (std::string (task.name) + " " + std::to_string (task.run)).second)
-            RC_ASSERT (world.noted.count (task.name) == 0);
+            {
+              RC_ASSERT (world.noted.count (task.name) == 0);
+              RC_ASSERT (!evacuations_contains (world.evacuations, worker.data_centre));
+            }
           /* Tasks of step 1 wait for both tasks of step 0. */
           std::string name = task.name;
           if (name.substr (JOB_ID_CHARS, 5) == ".0.1.")
@@ -166,6 +174,10 @@
         sched_cancel_job (rig->sched,
                           std::to_string (1000000000000000 + pick % world.n_jobs).c_str ());
       break;
+    case 8:
+      (void) evacuations_apply (world.evacuations, worker.data_centre, world.offset++,
+                                !evacuations_contains (world.evacuations, worker.data_centre));
+      break;
     default:
       break;
     }
@@ -179,7 +191,7 @@
   world.rig->sends_changes = steps.size () % 2 == 0;
   for (const auto &[kind, pick] : steps)
     {
-      apply_step (world, kind % 9, pick);
+      apply_step (world, kind % 10, pick);
       for (uint32_t i = 0; i < N_WORKERS; i++)
         expire (world, world.rig->workers[i]);
       rig_round (world.rig, ROUND_MS, pick % 3 != 0);
@@ -199,10 +211,12 @@
 
   if (params.find ("max_success") == params.rfind ("max_success"))
     setenv ("RC_PARAMS", params.c_str (), 1);
-  bool is_good = rc::check ("no task runs twice, early, or beside too many others", [] {
-    const auto steps = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t> > > (
-        rc::gen::pair (rc::gen::inRange<uint32_t> (0, 9), rc::gen::inRange<uint32_t> (0, 100000)));
-    run_steps (steps);
-  });
+  bool is_good
+      = rc::check ("no task runs twice, early, beside too many others, or where it must not", [] {
+          const auto steps
+              = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t> > > (rc::gen::pair (
+                  rc::gen::inRange<uint32_t> (0, 10), rc::gen::inRange<uint32_t> (0, 100000)));
+          run_steps (steps);
+        });
   return is_good ? 0 : 1;
 }
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -38,6 +38,7 @@
   int64_t now_us;
   FakeCall calls[CALLS_MAX];
   uint32_t n_calls;
+  gboolean forbids_starts; /**< sent with all orders */
 } Fake;
 
 static int64_t
@@ -300,6 +301,7 @@
   orders.ends_kept = spec.ends_kept;
   orders.report_taken = spec.applied_version;
   orders.order_before = spec.order_before;
+  orders.forbids_starts = fake->forbids_starts;
   orders.orders = rows;
   start.task = TASK;
   start.run = 1;
@@ -318,6 +320,29 @@
   return supervisor_handle_orders (fake->supervisor, &orders);
 }
 
+/* The order was sent before the data centre was evacuated and is received after that. */
+static void
+forbidden_start_is_dropped_and_reported_gone (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  fake->forbids_starts = TRUE;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, version_of (fake), 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_int_equal (report->done_number, 1);
+  assert_int_equal (report->n_gone, 1);
+  assert_string_equal (report->gone[0]->task, TASK);
+  batch__report__free_unpacked (report, NULL);
+  fake->forbids_starts = FALSE;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 2, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
 static void
 start_carries_the_granted_lease (void **state)
 {
@@ -706,6 +731,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (start_carries_the_granted_lease),
+    cmocka_unit_test (forbidden_start_is_dropped_and_reported_gone),
     cmocka_unit_test (start_without_a_live_grant_is_refused),
     cmocka_unit_test (replaced_owner_is_ignored),
     cmocka_unit_test (start_without_an_answer_is_stopped_before_it_is_gone),
--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -167,6 +167,31 @@
   assert_null (queue_config_route (config, "other", "/a/b/1"));
 }
 
+static const struct
+{
+  const char *key;
+  const char *data_centre; /**< NULL if the key requests no evacuation */
+} evacuations[] = { { "evacuate/north", "north" },
+                    { "evacuate/a/b", "a/b" },
+                    { "evacuate/", NULL },
+                    { "evacuate", NULL },
+                    { "evacuates/north", NULL },
+                    { "config", NULL },
+                    { "", NULL } };
+
+static void
+evacuations_are_told_by_their_keys (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (evacuations); i++)
+    {
+      const char *key = evacuations[i].key;
+      g_autofree char *data_centre = operator_decode_evacuation (key, strlen (key));
+      assert_true (g_strcmp0 (data_centre, evacuations[i].data_centre) == 0);
+    }
+  assert_null (operator_decode_evacuation ("evacuate/a\0b", 12));
+}
+
 static void
 task_names_round_trip (void **state)
 {
@@ -192,6 +217,7 @@
     cmocka_unit_test (reports_are_decoded_or_refused),
     cmocka_unit_test (configurations_are_decoded_or_refused_whole),
     cmocka_unit_test (longest_matching_prefix_wins),
+    cmocka_unit_test (evacuations_are_told_by_their_keys),
     cmocka_unit_test (task_names_round_trip),
   };
 
