sched: log what tasks wait for

Cause: the room line told how much was reserved and how many tasks were ready, not why they were not started. Change: whether a worker admits a task is a file of its own (sched_admit) and says what is missing; the waiting time of tasks is logged once a second by kind of task and cause. The room line has what serving tasks reserve. Decisions are unchanged.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -10,6 +10,8 @@
 #define RESEND_MS 100
 /** Interval between two log lines about the utilisation of the workers. */
 #define UTILISATION_NOTE_MS 1000
+/** Longest time between two ticks that is counted as waiting. */
+#define PASS_MAX_MS 500
 
 struct SchedFlush
 {
@@ -232,6 +234,7 @@
   gpointer value = NULL;
   JobSize capacity = { 0 };
   int64_t used_m = 0;
+  int64_t serving_m = 0;
   int64_t best_effort_m = 0;
   int64_t left_m = 0;
   uint32_t n_workers = 0;
@@ -250,25 +253,30 @@
       n_workers++;
       capacity.cpu_m += worker->info->capacity.cpu_m;
       used_m += worker->used.cpu_m;
+      serving_m += worker->serving_cpu_m;
       best_effort_m += worker->best_effort_cpu_m;
       if (worker->n_serving == 0)
         left_m += worker->info->capacity.cpu_m - worker->used.cpu_m - worker->best_effort_cpu_m;
     }
   sched_note (sched, "room", "-",
               "workers=%u cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
-              " fill_m=%" G_GINT64_FORMAT " left_without_serving_m=%" G_GINT64_FORMAT
+              " serving_m=%" G_GINT64_FORMAT " fill_m=%" G_GINT64_FORMAT
+              " left_without_serving_m=%" G_GINT64_FORMAT
               " open_jobs=%u ready_tasks=%u not_reporting=%u draining=%u evacuated=%u"
               " quarantined=%u",
-              n_workers, capacity.cpu_m, used_m, best_effort_m, left_m,
+              n_workers, capacity.cpu_m, used_m, serving_m, best_effort_m, left_m,
               g_hash_table_size (sched->open), n_waiting,
               n_refusing[SCHED_REFUSES_SILENT] + n_refusing[SCHED_REFUSES_OUTDATED],
               n_refusing[SCHED_REFUSES_DRAINING], n_refusing[SCHED_REFUSES_EVACUATED],
               n_refusing[SCHED_REFUSES_QUARANTINED]);
+  sched_note_waiting (sched);
 }
 
 void
 sched_tick (Sched *sched, int64_t now_us, int64_t wall_ms)
 {
+  sched->pass_ms = MIN ((now_us - sched->tick_us) / CLK_US_PER_MS, PASS_MAX_MS);
+  sched->tick_us = now_us;
   sched->now_us = now_us;
   sched->wall_ms = wall_ms;
   expire_workers (sched);
--- /dev/null
+++ b/lib/batch/sched_admit.c
@@ -0,0 +1,150 @@
+/* Whether a worker admits a task, and what the task waits for if none does. */
+#include <string.h>
+
+#include "batch/sched_tables.h"
+
+/** One in this many of a worker's processors is reserved for the most urgent queues. */
+#define RESERVE_DIVISOR 16
+/** Best-effort tasks may request this percentage of the remaining CPU: they rarely all run at once.
+ */
+#define BEST_EFFORT_PERCENT_MAX 130
+/** Best-effort tasks start beside serving tasks only if these are predicted to keep this headroom.
+ */
+#define HEADROOM_MIN 1.1
+/** Share of their reservation that serving tasks leave idle on average, in percent. */
+#define SERVING_IDLE_PERCENT 50
+
+static const char *const wait_names[SCHED_WAITS]
+    = { "none", "worker", "memory", "processors", "over_target", "headroom" };
+
+gboolean
+sched_has_label (const WorkerInfo *info, const char *label)
+{
+  return g_strv_contains ((const char *const *) info->labels, label);
+}
+
+static uint32_t
+count_of_stage (const SchedWorker *worker, const SchedStage *stage)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    count += ((SchedTask *) g_ptr_array_index (worker->tasks, i))->stage == stage;
+  return count;
+}
+
+static gboolean
+may_run (const SchedWorker *worker, const SchedStage *stage)
+{
+  const JobStep *step = stage->step;
+
+  return strcmp (worker->info->service, stage->job->queue->service) == 0
+         && (step->label == NULL || sched_has_label (worker->info, step->label))
+         && (step->per_worker_max == 0 || count_of_stage (worker, stage) < step->per_worker_max);
+}
+
+static gboolean
+has_memory (const SchedWorker *worker, const JobStep *step)
+{
+  const JobSize *capacity = &worker->info->capacity;
+
+  return step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb
+         && step->size.gpus <= capacity->gpus - worker->used.gpus;
+}
+
+/* Best-effort tasks share what the others leave; with too many of them, all would be late. */
+static gboolean
+has_best_effort_processors (const SchedWorker *worker, const JobStep *step)
+{
+  int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
+                   + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
+  int64_t wanted_m = worker->best_effort_cpu_m + step->size.cpu_m;
+
+  return wanted_m <= left_m * BEST_EFFORT_PERCENT_MAX / 100;
+}
+
+static SchedWait
+admit_best_effort (SchedWorker *worker, const SchedTask *task)
+{
+  double share = sched_tails_share (worker, task, SCHED_CPU_LIMIT_NONE);
+
+  if (!has_best_effort_processors (worker, task->stage->step))
+    return SCHED_WAIT_PROCESSORS;
+  if (worker->is_over_target)
+    return SCHED_WAIT_OVER_TARGET;
+  return sched_tails_headroom_with (worker, task, share) >= HEADROOM_MIN ? SCHED_WAIT_NONE
+                                                                         : SCHED_WAIT_HEADROOM;
+}
+
+static SchedWait
+admit_reserved (const SchedWorker *worker, const SchedStage *stage)
+{
+  int64_t capacity_m = worker->info->capacity.cpu_m;
+  int64_t cpu_m = capacity_m - worker->used.cpu_m;
+
+  if (stage->job->queue->priority > 0 && !stage->step->is_continuous)
+    cpu_m -= capacity_m / RESERVE_DIVISOR;
+  return stage->step->size.cpu_m <= cpu_m ? SCHED_WAIT_NONE : SCHED_WAIT_PROCESSORS;
+}
+
+/* A task of a starved stage is admitted wherever it fits. */
+static SchedWait
+admit_starved (const SchedWorker *worker, const JobStep *step)
+{
+  if (step->is_best_effort)
+    return worker->is_over_target ? SCHED_WAIT_OVER_TARGET : SCHED_WAIT_NONE;
+  return step->size.cpu_m <= worker->info->capacity.cpu_m - worker->used.cpu_m
+             ? SCHED_WAIT_NONE
+             : SCHED_WAIT_PROCESSORS;
+}
+
+SchedWait
+sched_admit (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
+{
+  const SchedStage *stage = task->stage;
+
+  if (!may_run (worker, stage))
+    return SCHED_WAIT_WORKER;
+  if (!has_memory (worker, stage->step))
+    return SCHED_WAIT_MEMORY;
+  if (is_starved)
+    return admit_starved (worker, stage->step);
+  return stage->step->is_best_effort ? admit_best_effort (worker, task)
+                                     : admit_reserved (worker, stage);
+}
+
+static SchedWaitKind
+kind_of (const JobStep *step)
+{
+  if (step->is_continuous)
+    return SCHED_WAIT_SERVING;
+  return step->is_best_effort ? SCHED_WAIT_BEST_EFFORT : SCHED_WAIT_RESERVED;
+}
+
+void
+sched_count_waiting (Sched *sched, const SchedStage *stage)
+{
+  if (stage->n_waiting > 0)
+    sched->waited_ms[kind_of (stage->step)][stage->waits_for] += sched->pass_ms * stage->n_waiting;
+}
+
+void
+sched_note_waiting (Sched *sched)
+{
+  static const char *const kinds[SCHED_WAIT_KINDS] = { "reserved", "best_effort", "serving" };
+
+  for (guint kind = 0; kind < SCHED_WAIT_KINDS; kind++)
+    {
+      g_autoptr (GString) text = g_string_new (NULL);
+      int64_t sum_ms = 0;
+      for (guint wait = SCHED_WAIT_WORKER; wait < SCHED_WAITS; wait++)
+        {
+          sum_ms += sched->waited_ms[kind][wait];
+          g_string_append_printf (text, " %s_ms=%" G_GINT64_FORMAT, wait_names[wait],
+                                  sched->waited_ms[kind][wait]);
+        }
+      if (sum_ms > 0)
+        sched_note (sched, "waited", "-", "kind=%s%s", kinds[kind], text->str);
+    }
+  memset (sched->waited_ms, 0, sizeof sched->waited_ms);
+}
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -1,3 +1,4 @@
+/* Choice of a worker for each task that may start. */
 #include <string.h>
 
 #include "batch/sched_tables.h"
@@ -14,16 +15,6 @@
 #define COST_FREE 8000
 /** Run numbers of a task in one term. The runs of a term are higher than those of earlier terms. */
 #define RUNS_PER_TERM 1000
-/** One in this many of a worker's processors is reserved for the most urgent queues. */
-#define RESERVE_DIVISOR 16
-/** Best-effort tasks may request this percentage of the remaining CPU: they rarely all run at once.
- */
-#define BEST_EFFORT_PERCENT_MAX 130
-/** Best-effort tasks start beside serving tasks only if these are predicted to keep this headroom.
- */
-#define HEADROOM_MIN 1.1
-/** Share of their reservation that serving tasks leave idle on average, in percent. */
-#define SERVING_IDLE_PERCENT 50
 /** A stage that has been ready for this long always gets tasks started, if less than this
  * percentage of the processors is reserved. Otherwise it could wait indefinitely in favour of
  * others. */
@@ -32,69 +23,6 @@
 /** Tasks that such a stage has running: with only one there would be gaps between two tasks. */
 #define STARVED_TASKS 2
 
-static gboolean
-has_label (const WorkerInfo *info, const char *label)
-{
-  return g_strv_contains ((const char *const *) info->labels, label);
-}
-
-static uint32_t
-count_of_stage (const SchedWorker *worker, const SchedStage *stage)
-{
-  uint32_t count = 0;
-
-  for (guint i = 0; i < worker->tasks->len; i++)
-    count += ((SchedTask *) g_ptr_array_index (worker->tasks, i))->stage == stage;
-  return count;
-}
-
-static gboolean
-may_run (const SchedWorker *worker, const SchedStage *stage)
-{
-  const JobStep *step = stage->step;
-
-  return strcmp (worker->info->service, stage->job->queue->service) == 0
-         && (step->label == NULL || has_label (worker->info, step->label))
-         && (step->per_worker_max == 0 || count_of_stage (worker, stage) < step->per_worker_max);
-}
-
-/* Best-effort tasks share what the others leave; with too many of them, all would be late. */
-static gboolean
-has_best_effort_capacity (SchedWorker *worker, const SchedTask *task)
-{
-  int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
-                   + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
-  int64_t wanted_m = worker->best_effort_cpu_m + task->stage->step->size.cpu_m;
-
-  return wanted_m <= left_m * BEST_EFFORT_PERCENT_MAX / 100 && !worker->is_over_target
-         && sched_tails_headroom_with (worker, task,
-                                       sched_tails_share (worker, task, SCHED_CPU_LIMIT_NONE))
-                >= HEADROOM_MIN;
-}
-
-static gboolean
-has_memory (const SchedWorker *worker, const JobStep *step)
-{
-  const JobSize *capacity = &worker->info->capacity;
-
-  return step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb
-         && step->size.gpus <= capacity->gpus - worker->used.gpus;
-}
-
-static gboolean
-has_free_capacity (SchedWorker *worker, const SchedTask *task)
-{
-  const SchedStage *stage = task->stage;
-  int64_t capacity_m = worker->info->capacity.cpu_m;
-  int64_t cpu_m = capacity_m - worker->used.cpu_m;
-
-  if (stage->job->queue->priority > 0 && !stage->step->is_continuous)
-    cpu_m -= capacity_m / RESERVE_DIVISOR;
-  return (stage->step->is_best_effort ? has_best_effort_capacity (worker, task)
-                                      : stage->step->size.cpu_m <= cpu_m)
-         && has_memory (worker, stage->step);
-}
-
 static int64_t
 cost_of_headroom (SchedWorker *worker, const SchedTask *task)
 {
@@ -107,7 +35,7 @@
   const JobStep *step = task->stage->step;
   int64_t cost = 0;
 
-  if (step->rack != NULL && !has_label (worker->info, step->rack))
+  if (step->rack != NULL && !sched_has_label (worker->info, step->rack))
     cost += COST_OTHER_RACK;
   if (task->avoid == worker)
     cost += COST_AVOIDED;
@@ -134,38 +62,23 @@
   return cost;
 }
 
-static gboolean
-fits_capacity (const SchedWorker *worker, const JobStep *step)
-{
-  return (step->is_best_effort
-          || step->size.cpu_m <= worker->info->capacity.cpu_m - worker->used.cpu_m)
-         && has_memory (worker, step);
-}
-
-/* A task of a starved stage is placed wherever it fits; others are subject to the rules above. */
-static gboolean
-admits (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
-{
-  const JobStep *step = task->stage->step;
-
-  if (!may_run (worker, task->stage))
-    return FALSE;
-  if (!is_starved)
-    return has_free_capacity (worker, task);
-  return fits_capacity (worker, step) && !(step->is_best_effort && worker->is_over_target);
-}
-
+/* Returns the worker with the least cost, or NULL; then the stage has what its task waits for. */
 static SchedWorker *
 choose_worker (const GPtrArray *workers, const SchedTask *task, gboolean is_starved)
 {
   SchedWorker *best = NULL;
   int64_t best_cost = 0;
+  SchedWait nearest = SCHED_WAIT_WORKER;
 
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (!admits (worker, task, is_starved))
-        continue;
+      SchedWait wait = sched_admit (worker, task, is_starved);
+      if (wait != SCHED_WAIT_NONE)
+        {
+          nearest = MAX (nearest, wait);
+          continue;
+        }
       int64_t cost = cost_of (worker, task);
       if (best == NULL || cost < best_cost)
         {
@@ -173,6 +86,7 @@
           best_cost = cost;
         }
     }
+  task->stage->waits_for = best == NULL ? nearest : SCHED_WAIT_NONE;
   return best;
 }
 
@@ -342,6 +256,7 @@
         place_stage (sched, workers, stage);
       check_starved (sched, workers, stage);
       sched_plan_note_waiting (sched, stage);
+      sched_count_waiting (sched, stage);
       n_left += stage->n_waiting;
     }
   return n_left;
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -94,6 +94,28 @@
   double work; /**< core milliseconds of the tasks of the occurrence that are not done */
 } SchedReadyStage;
 
+/** What a task waits for that no worker admits: the last of the conditions, in this order, that
+ * some worker does not meet. */
+typedef enum
+{
+  SCHED_WAIT_NONE,
+  SCHED_WAIT_WORKER, /**< no worker of its service and label accepts tasks */
+  SCHED_WAIT_MEMORY,
+  SCHED_WAIT_PROCESSORS,
+  SCHED_WAIT_OVER_TARGET, /**< serving tasks are over their targets */
+  SCHED_WAIT_HEADROOM,    /**< serving tasks would be over their targets */
+  SCHED_WAITS,
+} SchedWait;
+
+/** Kinds of tasks whose waiting is counted apart. */
+typedef enum
+{
+  SCHED_WAIT_RESERVED,
+  SCHED_WAIT_BEST_EFFORT,
+  SCHED_WAIT_SERVING,
+  SCHED_WAIT_KINDS,
+} SchedWaitKind;
+
 /** One step of one occurrence of a job. */
 struct SchedStage
 {
@@ -103,6 +125,7 @@
   uint32_t step_index;
   uint32_t n_done;
   uint32_t n_waiting;     /**< tasks in TASK_WAITING */
+  SchedWait waits_for;    /**< what the last task that found no worker waits for */
   SchedTask *tasks;       /**< step->n_tasks of them */
   GArray *failed;         /**< FailedRow */
   uint32_t n_timed;       /**< tasks that completed without throttling */
@@ -219,6 +242,9 @@
   int64_t now_us;
   int64_t wall_ms;
   int64_t utilisation_noted_us;
+  int64_t tick_us;                                  /**< time of the newest tick */
+  int64_t pass_ms;                                  /**< time between it and the tick before */
+  int64_t waited_ms[SCHED_WAIT_KINDS][SCHED_WAITS]; /**< task time since it was last noted */
   Interference *interference;
   int64_t plan_us;                   /**< time of the newest forecast */
   double cores[SCHED_CLASSES];       /**< processors available to tasks of the class */
@@ -284,6 +310,16 @@
 /* Call it when a stage has been dispatched: the tasks that still wait exceed the free capacity. */
 void sched_plan_note_waiting (Sched *sched, const SchedStage *stage);
 
+/* sched_admit.c */
+gboolean sched_has_label (const WorkerInfo *info, const char *label);
+/* What the task waits for on this worker; SCHED_WAIT_NONE if it may start there. A task of a
+ * starved stage is subject to fewer conditions. */
+SchedWait sched_admit (SchedWorker *worker, const SchedTask *task, gboolean is_starved);
+/* Counts the time since the last pass for the tasks of the stage that still wait. */
+void sched_count_waiting (Sched *sched, const SchedStage *stage);
+/* Logs and resets the waiting times. */
+void sched_note_waiting (Sched *sched);
+
 /* sched_place.c */
 /* Starts tasks. Returns the number of ready tasks that could not be placed. */
 uint32_t sched_place (Sched *sched);
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -80,8 +80,16 @@
   gboolean is_stalled;         /**< tasks make no progress */
   gboolean reports_cpu_limits; /**< agents report the CPU limits of tasks */
   gboolean has_slow_stops;     /**< a stopped task ends in the next round */
+  GString *notes;              /**< "event text" of each decision that was logged, a line each */
 } Rig;
 
+static inline void
+rig_note (void *ctx, const char *event, const char *job, const char *text)
+{
+  (void) job;
+  g_string_append_printf (((Rig *) ctx)->notes, "%s %s\n", event, text);
+}
+
 static inline void
 rig_add_queue (Rig *rig, const char *name, uint32_t priority, uint32_t attempts_max)
 {
@@ -120,9 +128,10 @@
   const SchedOptions options = { .report_age_max_ms = 1300,
                                  .lease_expiry_ms = RIG_EXPIRY_MS,
                                  .gang_timeout_ms = 3000,
-                                 .note = NULL,
-                                 .ctx = NULL };
+                                 .note = rig_note,
+                                 .ctx = rig };
 
+  rig->notes = g_string_new (NULL);
   rig->sched = sched_new (&options);
   rig->config = queue_config_new (1);
   (void) queue_config_add_service (rig->config, "service");
@@ -141,6 +150,7 @@
 {
   sched_free (rig->sched);
   queue_config_free (rig->config);
+  g_string_free (rig->notes, TRUE);
   g_free (rig);
 }
 
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -193,6 +193,40 @@
   rig_free (rig);
 }
 
+/* The time of a task that waits is logged under what it waits for. */
+static void
+waiting_times_are_logged_by_cause (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_round (rig, 100, TRUE);
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":10,\"cpu\":2000}");
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":1,\"cpu\":10,\"mem_mb\":70000}");
+  for (int i = 0; i < 10; i++)
+    rig_round (rig, 100, TRUE);
+  /* Two of ten tasks wait for processors, one of another job for memory, from the round in which
+   * they came until the second is over. */
+  assert_non_null (strstr (rig->notes->str, "waited kind=reserved worker_ms=0 memory_ms=1000 "
+                                            "processors_ms=2000 over_target_ms=0 headroom_ms=0"));
+  rig_free (rig);
+}
+
+static void
+task_without_a_worker_waits_for_one (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_round (rig, 100, TRUE);
+  rig->workers[0].is_draining = TRUE;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":2000,\"fills\":true}");
+  for (int i = 0; i < 10; i++)
+    rig_round (rig, 100, TRUE);
+  assert_non_null (strstr (rig->notes->str, "waited kind=best_effort worker_ms=1000 memory_ms=0"));
+  rig_free (rig);
+}
+
 static void
 per_worker_limit_of_step_is_kept (void **state)
 {
@@ -802,6 +836,8 @@
     cmocka_unit_test (second_run_of_done_task_keeps_its_resources),
     cmocka_unit_test (draining_worker_gets_no_tasks),
     cmocka_unit_test (tasks_run_on_matching_service_and_label_only),
+    cmocka_unit_test (waiting_times_are_logged_by_cause),
+    cmocka_unit_test (task_without_a_worker_waits_for_one),
     cmocka_unit_test (per_worker_limit_of_step_is_kept),
     cmocka_unit_test (gang_starts_completely_or_not_at_all),
     cmocka_unit_test (gang_resumes_from_one_checkpoint),
