feed: a load counts as fresh from its begin

Cause: after a load the records were counted as fresh only with the next read, which waits up to 0.6 s for a record that does not come. Change: the load itself delivers all that was acknowledged before it began, and says so. Result: users/test_store load_is_fresh_from_its_begin, which failed before (fresh 0 after the load).

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -16,6 +16,7 @@
   gboolean is_loaded;
   gboolean is_loading; /**< pages of the newest records are being loaded */
   int64_t load_end;    /**< end of the topic when the load began; -1 before its first page */
+  int64_t load_us;     /**< when the load began */
   char *after_key;
   int64_t next;
   int64_t fresh_us;
@@ -160,6 +161,7 @@
   feed->next = feed->load_end;
   feed->is_loading = FALSE;
   feed->is_loaded = TRUE;
+  feed->fresh_us = MAX (feed->fresh_us, feed->load_us);
   if (feed->options.on_load_end != NULL)
     feed->options.on_load_end (feed->options.ctx);
   line_add ("feed", "loaded", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic, feed->next);
@@ -173,6 +175,7 @@
 {
   feed->is_loading = TRUE;
   feed->load_end = -1;
+  feed->load_us = clk_now_us ();
   g_clear_pointer (&feed->after_key, g_free);
   if (feed->options.on_load_begin != NULL)
     feed->options.on_load_begin (feed->options.ctx);
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -515,6 +515,27 @@
   feed_free (feed);
 }
 
+/* All records that were acknowledged before a load began are delivered once it has ended; no read
+ * has to wait for a further record first. */
+static void
+load_is_fresh_from_its_begin (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+
+  (void) state;
+  set_answer (fixture, 200, "{\"items\":[],\"more\":false,\"end_offset\":0}");
+  int64_t begin_us = clk_now_us ();
+  Feed *feed = open_feed (fixture, offsets);
+  assert_int_equal (feed_fresh_us (feed), 0);
+  int64_t begun_us = clk_now_us ();
+  while (!feed_is_loaded (feed))
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_in_range (feed_fresh_us (feed), begin_us, begun_us);
+  fixture_free (fixture);
+  feed_free (feed);
+}
+
 static void
 reply_page (Fixture *fixture, const char *body)
 {
@@ -690,6 +711,7 @@
     cmocka_unit_test (record_in_doubt_is_retried_until_written),
     cmocka_unit_test (doubt_is_reported_at_the_deadline),
     cmocka_unit_test (late_answer_does_not_rewind_the_feed),
+    cmocka_unit_test (load_is_fresh_from_its_begin),
     cmocka_unit_test (missed_records_of_few_keys_are_skipped),
     cmocka_unit_test (load_is_enclosed_by_its_events),
   };
