sched: serving tasks go where they leave the smallest gap

Among workers with serving tasks the emptiest was chosen, so gaps stayed that no further task fitted. Change: the fullest worker that a serving task fits is chosen.

--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -52,7 +52,8 @@
                   ? COST_SERVING_BESIDE_BEST_EFFORT + worker->best_effort_cpu_m
                   : 0;
       cost += worker->n_serving == 0 ? COST_SERVING_ALONE : 0;
-      cost += worker->used.cpu_m / 4;
+      /* Tightest fit first: gaps that no further task fits would cost whole workers. */
+      cost += worker->info->capacity.cpu_m - worker->used.cpu_m;
     }
   else
     {
--- /dev/null
+++ b/tests/batch/test_placing.c
@@ -0,0 +1,85 @@
+/* Placing of serving tasks where they reserve most processors. The load is that of a fleet whose
+ * best-effort work exceeds what serving tasks leave: only workers without serving tasks run it
+ * undisturbed. */
+#include "rig.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+#define JOB_C "00000000000000cc"
+#define JOB_D "00000000000000dd"
+#define ROUND_MS 100
+#define SERVING(count, cpu)                                                                        \
+  "{\"count\":" count ",\"cpu\":" cpu ",\"long_running\":true,\"target_ms\":50,\"image\":\"s\"}"
+
+static uint32_t
+clear_workers (const Rig *rig)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    count += rig->workers[i].n_tasks == 0;
+  return count;
+}
+
+/* Adds a job and lets it start. */
+static void
+start_job (Rig *rig, const char *id, const char *steps)
+{
+  rig_add_job (rig, id, "urgent", steps);
+  rig_round (rig, ROUND_MS, TRUE);
+}
+
+static void
+serving_tasks_fill_gaps_before_they_take_a_worker (void **state)
+{
+  Rig *rig = rig_new (4);
+
+  (void) state;
+  rig_round (rig, ROUND_MS, TRUE);
+  start_job (rig, JOB_A, SERVING ("5", "5000"));
+  assert_int_equal (clear_workers (rig), 2);
+  start_job (rig, JOB_B, SERVING ("1", "1000"));
+  start_job (rig, JOB_C, SERVING ("1", "6000"));
+  assert_int_equal (clear_workers (rig), 2);
+  rig_free (rig);
+}
+
+/* What callers get from it: a wide best-effort step beside serving tasks that are close to their
+ * targets starts whole, at once, on the workers that are left clear. */
+static void
+best_effort_step_starts_on_the_workers_left_clear (void **state)
+{
+  Rig *rig = rig_new (4);
+
+  (void) state;
+  rig_round (rig, ROUND_MS, TRUE);
+  start_job (rig, JOB_A, SERVING ("5", "5000"));
+  start_job (rig, JOB_B, SERVING ("1", "1000"));
+  start_job (rig, JOB_C, SERVING ("1", "6000"));
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      for (uint32_t k = 0; k < rig->workers[i].n_tasks; k++)
+        {
+          rig->workers[i].tasks[k].percent = 100;
+          rig->workers[i].tasks[k].measurement = 49;
+        }
+    }
+  for (int i = 0; i < 5; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+  uint32_t n_before = rig->n_starts;
+  rig_add_job (rig, JOB_D, "bulk", "{\"count\":8,\"cpu\":4000,\"fills\":true,\"image\":\"b\"}");
+  rig_round (rig, ROUND_MS, TRUE);
+  assert_int_equal (rig->n_starts - n_before, 8);
+  rig_free (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (serving_tasks_fill_gaps_before_they_take_a_worker),
+    cmocka_unit_test (best_effort_step_starts_on_the_workers_left_clear),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
