emulator: a crowded fleet, and value by work

Cause: none of the emulated fleets had serving tasks that reserve nearly all processors beside more best-effort work than what they leave, as the shifted work is; jobs counted alike whatever their work.

--- a/tests/bench/fleet.c
+++ b/tests/bench/fleet.c
@@ -9,6 +9,7 @@
 /** The users' target for the large deployment. */
 #define TARGET_WORTH 0.67
 #define LARGE_WORKERS 80
+#define CROWDED_WORKERS 57
 
 static double
 share_in_time (const FleetKindResult *kind)
@@ -54,6 +55,38 @@
   return worth / options->seeds;
 }
 
+/* Shares of the value that callers of the short and the heavy jobs get from a crowded fleet. Prints
+ * means over the seeds. */
+static void
+run_crowded (const BenchOptions *options, FILE *file)
+{
+  double short_value = 0;
+  double heavy_value = 0;
+  double serving_value = 0;
+
+  for (uint32_t seed = 1; seed <= options->seeds; seed++)
+    {
+      FleetOptions fleet;
+      FleetResult result;
+      fleet_options_crowded (&fleet, CROWDED_WORKERS);
+      fleet.seed = seed;
+      fleet_simulate (&fleet, &result);
+      short_value += result.kinds[FLEET_SHORT].value_earned / result.kinds[FLEET_SHORT].value_owed;
+      heavy_value += result.kinds[FLEET_HEAVY].value_earned / result.kinds[FLEET_HEAVY].value_owed;
+      serving_value += result.serving_value;
+      if (file != NULL)
+        (void) fprintf (
+            file, "crowded,%u,,%.4f,%.4f,%.4f,%.1f,%u,%u,%.3f\n", seed,
+            result.kinds[FLEET_SHORT].value_earned / result.kinds[FLEET_SHORT].value_owed,
+            result.kinds[FLEET_HEAVY].value_earned / result.kinds[FLEET_HEAVY].value_owed,
+            result.serving_value, result.interference_s, result.n_starts, result.n_stops,
+            (double) result.decide_us / 1e6);
+    }
+  (void) printf ("fleet crowded      value: short %.3f, heavy %.3f, serving %.3f\n",
+                 short_value / options->seeds, heavy_value / options->seeds,
+                 serving_value / options->seeds);
+}
+
 /* Measures the regret of learning: runs the same load with the impacts unknown and known. */
 static void
 run_learning_regret (const BenchOptions *options,
@@ -88,6 +121,7 @@
   fleet.kinds[FLEET_SERVING].n_at_start = fleet.kinds[FLEET_SERVING].n_at_start * 6 / 5;
   fleet.burst_factor = 2.6;
   (void) run_fleet (options, &fleet, large_weights, "overloaded", file);
+  run_crowded (options, file);
   run_learning_regret (options, 0, (const char *const[]){ "two sorts", "and told" }, file);
   run_learning_regret (options, 2.6, (const char *const[]){ "burst", "and told" }, file);
   if (file != NULL)
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -20,6 +20,11 @@
 #define START_MS 20
 #define THROTTLE_MS 100
 #define LATE_VALUE 0.15
+/** Value of a job to its caller: a fixed part, and one in proportion to its work, up to a maximum.
+ */
+#define VALUE_PER_JOB 0.3
+#define VALUE_WORK 0.7
+#define VALUE_MAX 4.0
 #define LATE_FACTOR 3
 #define OVER_TARGET_FACTOR 4.0
 #define HEADROOM_FLOOR 0.07
@@ -735,21 +740,72 @@
     }
 }
 
+/* Core milliseconds of a job on idle processors. */
+static double
+work_of (const Job *job)
+{
+  double work = 0;
+
+  for (guint i = 0; i < job->steps->len; i++)
+    {
+      const Step *step = &g_array_index (job->steps, Step, i);
+      guint end = i + 1 < job->steps->len ? g_array_index (job->steps, Step, i + 1).first
+                                          : job->durations->len;
+      for (guint k = step->first; k < end; k++)
+        work += step->cpu_m * g_array_index (job->durations, double, k) / 1000.0;
+    }
+  return work;
+}
+
+static double
+value_of (const Job *job, double mean_work)
+{
+  return MIN (VALUE_PER_JOB + VALUE_WORK * work_of (job) / mean_work, VALUE_MAX);
+}
+
+static void
+set_mean_work (const Fleet *fleet, double mean_work[FLEET_KINDS])
+{
+  uint32_t counts[FLEET_KINDS] = { 0 };
+
+  for (guint i = 0; i < fleet->list->len; i++)
+    {
+      const Job *job = g_ptr_array_index (fleet->list, i);
+      mean_work[job->kind] += work_of (job);
+      counts[job->kind]++;
+    }
+  for (guint i = 0; i < FLEET_KINDS; i++)
+    mean_work[i] /= MAX (counts[i], 1);
+}
+
 static void
 count_jobs (Fleet *fleet)
 {
+  double mean_work[FLEET_KINDS] = { 0 };
+
+  set_mean_work (fleet, mean_work);
   for (guint i = 0; i < fleet->list->len; i++)
     {
       const Job *job = g_ptr_array_index (fleet->list, i);
       FleetKindResult *kind = &fleet->result->kinds[job->kind];
       if (job->kind == FLEET_SERVING)
         continue;
+      double value = value_of (job, mean_work[job->kind]);
       kind->n_jobs++;
+      kind->value_owed += value;
       if (job->end_ms == 0)
         continue;
       int64_t took_ms = job->end_ms - job->arrival_ms;
-      kind->n_in_time += took_ms <= job->objective_ms;
-      kind->n_late += took_ms > job->objective_ms && took_ms <= job->objective_ms * LATE_FACTOR;
+      if (took_ms <= job->objective_ms)
+        {
+          kind->n_in_time++;
+          kind->value_earned += value;
+        }
+      else if (took_ms <= job->objective_ms * LATE_FACTOR)
+        {
+          kind->n_late++;
+          kind->value_earned += LATE_VALUE * value;
+        }
     }
   if (fleet->result->kinds[FLEET_SERVING].n_jobs > 0)
     fleet->result->serving_value /= fleet->result->kinds[FLEET_SERVING].n_jobs;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -84,6 +84,9 @@
   uint32_t n_jobs;
   uint32_t n_in_time;
   uint32_t n_late; /**< within three times the objective */
+  double
+      value_owed; /**< value of all jobs to their callers, in jobs with the mean work of the kind */
+  double value_earned; /**< value of those in time, and a share of that of late ones */
 } FleetKindResult;
 
 typedef struct
@@ -112,6 +115,11 @@
  * phases, and bursts of single replicas. */
 void fleet_options_two_classes (FleetOptions *options);
 
+/** Sets the options of a fleet like the small one with two classes of images, whose serving tasks
+ * reserve nearly all processors and whose best-effort work exceeds what they leave; @p n_workers
+ * scales the arrivals. */
+void fleet_options_crowded (FleetOptions *options, uint32_t n_workers);
+
 /** Runs one emulation. */
 void fleet_simulate (const FleetOptions *options, FleetResult *result);
 
--- a/tests/support/fleet_options.c
+++ b/tests/support/fleet_options.c
@@ -135,3 +135,47 @@
   options->spike_s = 2.0;
   options->is_load_shared = TRUE;
 }
+
+void
+fleet_options_crowded (FleetOptions *options, uint32_t n_workers)
+{
+  double scale = n_workers / 57.0;
+  FleetKind *brief = &options->kinds[FLEET_SHORT];
+  FleetKind *heavy = &options->kinds[FLEET_HEAVY];
+  FleetKind *serving = &options->kinds[FLEET_SERVING];
+
+  fleet_options_two_classes (options);
+  options->n_workers = n_workers;
+  options->cpu_m = 32000;
+  options->mem_mb = 125000;
+  options->per_rack = 7;
+  options->target_headroom = 5.0;
+  options->load = 0.45;
+  options->swing = 0.6;
+  options->swing_s = 14.0;
+  options->light_share = 0.4;
+  options->burst_at_ms = 8000;
+  options->burst_ms = 6000;
+  options->burst_factor = 1.4;
+  brief->per_s = 11.8 * scale;
+  brief->width = 9.5;
+  brief->width_spread = 0.8;
+  brief->width_max = 57;
+  brief->cpu_m = 610;
+  brief->work_ms = 800;
+  brief->work_max_ms = 2000;
+  heavy->per_s = 2.77 * scale;
+  heavy->width = 20;
+  heavy->width_max = 80;
+  heavy->cpu_m = 3500;
+  heavy->mem_mb = 6400;
+  heavy->work_ms = 2200;
+  heavy->work_max_ms = 5400;
+  heavy->n_images = 18;
+  serving->n_at_start = (uint32_t) (22 * scale + 0.5);
+  serving->width = 14;
+  serving->width_max = 28;
+  serving->cpu_m = 6400;
+  serving->mem_mb = 13000;
+  serving->n_images = 10;
+}
