pair-plays: the table in plain awk

Cause: mawk reads a comparison in printf as a redirection and has no (a, b) in array with a joined key.

--- a/scripts/pair-plays.sh
+++ b/scripts/pair-plays.sh
@@ -35,7 +35,7 @@
   local checkout=$1 site=$2 day=$3 seed=$4 file=$5
   [ -s "$file" ] && return 0
   (cd "$checkout" && "$bench" run "$site" "$day" --seed "$seed" --no-cpu --why "$why") >"$file.part" 2>&1
-  grep -q "^$day " "$file.part" && mv "$file.part" "$file"
+  grep -q "^$day " "$file.part" 2>/dev/null && mv "$file.part" "$file"
 }
 export -f play
 export bench why
@@ -63,12 +63,12 @@
   base=$(basename "$file" .txt)
   IFS=. read -r variant site day seed <<<"$base"
   awk -v key="$variant $site $day $seed" -v day="$day" \
-    '$1 == day && !seen { seen = 1; print key, $4, ($0 ~ /BROKEN/ ? 1 : 0) }' "$file"
+    '$1 == day && $4 + 0 == $4 && !seen { seen = 1; print key, $4, ($0 ~ /BROKEN/ ? 1 : 0) }' "$file"
 done | awk -v names="$names" '
   function row(site, variant,   i, n, sum, squares, mean, deviation, worth, broken, value) {
     for (i in plays) {
       split(i, key, SUBSEP)
-      if (key[1] != site || !((reference, i) in worths) || !((variant, i) in worths))
+      if (key[1] != site || !((reference SUBSEP i) in worths) || !((variant SUBSEP i) in worths))
         continue
       value = worths[variant, i] - worths[reference, i]
       n++; sum += value; squares += value * value
@@ -79,10 +79,10 @@
     mean = sum / n
     deviation = n > 1 ? sqrt((squares - n * mean * mean) / (n - 1)) : 0
     printf "%-24s %-12s %5d %8.4f %+9.4f %8.4f %7d\n", site, variant, n, worth / n, mean,
-           n > 1 ? 1.96 * deviation / sqrt(n) : 0, broken
+           1.96 * deviation / sqrt(n), broken
   }
   BEGIN { count = split(names, order, " "); reference = order[1] }
-  { plays[$2, $3, $4]; sites[$2]; worths[$1, $2, $3, $4] = $5; breaks[$1, $2, $3, $4] = $6 }
+  { plays[$2, $3, $4] = 1; sites[$2] = 1; worths[$1, $2, $3, $4] = $5; breaks[$1, $2, $3, $4] = $6 }
   END {
     printf "%-24s %-12s %5s %8s %9s %8s %7s\n", "site", "variant", "pairs", "worth", "against", "+/-", "broken"
     for (site in sites)
