supervisor: CPU limits are repeated until the worker has them

Cause: a call to limit a task's CPU that the worker refused or did not answer was logged and forgotten, while the owner went on as if the task were throttled and ordered nothing more: a serving task could stay over its target. Two limits in quick succession were two calls at once and could be carried out in either order. Change: one call for a run at a time; the newest limit is sent again after 0.3 s until it was answered, and for 12.5 s after a call without an answer, which may still take effect. Limits for runs that are not here, or are being stopped, are not sent. Ruled out: repeating at the owner (it would have to learn from reports what the agent knows at once). Result: cpu_limit_is_repeated_until_the_worker_has_it and newer_cpu_limit_follows_the_answer failed before.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -350,6 +350,7 @@
   if (supervisor->info == NULL || supervisor->is_gone)
     return;
   supervisor_repeat_stops (supervisor);
+  supervisor_repeat_limits (supervisor);
   supervisor_poll_if_due (supervisor);
 }
 
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -10,6 +10,8 @@
 #define REFUSED_MAX 32
 /** CPU limit at which a task starts, in percent. */
 #define FULL_CPU_PERCENT 100
+/** A call without an answer may take effect up to this much later. */
+#define LATE_EFFECT_MS 12500
 /** Increase of the fencing token after the worker refused a call because it knows a higher one. */
 #define TOKEN_STEP 1000000
 
@@ -216,34 +218,86 @@
     send_stop (supervisor, row);
 }
 
+static void send_cpu_limit (Supervisor *supervisor, SupervisorRow *row);
+
 static void
 on_cpu_limit_set (void *ctx, const RunnerAnswer *answer)
 {
   SupervisorCall *call = ctx;
-  SupervisorRow *row
-      = is_current (call) ? g_hash_table_lookup (call->supervisor->rows, call->key) : NULL;
+  Supervisor *supervisor = call->supervisor;
+  SupervisorRow *row = is_current (call) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
+  int64_t now = supervisor_now_us (supervisor);
 
   if (answer->outcome != RUNNER_OK)
-    supervisor_log (call->supervisor, "pace_failed", "run=\"%s\" outcome=%s", call->key,
+    supervisor_log (supervisor, "pace_failed", "run=\"%s\" outcome=%s", call->key,
                     runner_outcome_name (answer->outcome));
-  else if (row != NULL)
-    row->cpu_limit_known = call->percent + 1;
+  if (answer->outcome == RUNNER_FENCED)
+    raise_token (supervisor);
+  if (row != NULL)
+    {
+      row->is_limiting = FALSE;
+      row->cpu_limit_known = answer->outcome == RUNNER_OK ? call->percent + 1 : 0;
+      row->limit_retry_us = now + SUPERVISOR_RETRY_MS * 1000;
+      if (answer->outcome == RUNNER_IN_DOUBT)
+        row->limit_doubt_us = now + LATE_EFFECT_MS * 1000;
+      if (answer->outcome == RUNNER_OK && row->cpu_limit_known != row->cpu_limit_wanted)
+        send_cpu_limit (supervisor, row);
+    }
   call_free (call);
 }
 
+static void
+send_cpu_limit (Supervisor *supervisor, SupervisorRow *row)
+{
+  g_autofree char *key = supervisor_row_key (row->task, row->run);
+  RunnerTarget target = target_of (supervisor);
+  SupervisorCall *call = call_new (supervisor, key);
+
+  call->percent = row->cpu_limit_wanted - 1;
+  row->is_limiting = TRUE;
+  supervisor->options.set_cpu_limit (supervisor->options.ctx, &target, row->task, row->run,
+                                     call->percent, on_cpu_limit_set, call);
+}
+
+/* Calls for one run could be carried out in any order, so only one is under way. */
 static void
 execute_cpu_limit (Supervisor *supervisor, const Batch__Pace *order)
 {
   g_autofree char *key = supervisor_row_key (order->task, order->run);
-  RunnerTarget target = target_of (supervisor);
   SupervisorRow *row = g_hash_table_lookup (supervisor->rows, key);
-  SupervisorCall *call = call_new (supervisor, key);
 
-  call->percent = order->percent;
-  if (row != NULL)
-    row->cpu_limit_known = 0;
-  supervisor->options.set_cpu_limit (supervisor->options.ctx, &target, order->task, order->run,
-                                     order->percent, on_cpu_limit_set, call);
+  if (row == NULL)
+    {
+      supervisor_log (supervisor, "pace_skipped", "run=\"%s\" reason=not_here", key);
+      return;
+    }
+  row->cpu_limit_known = 0;
+  row->cpu_limit_wanted = order->percent + 1;
+  if (!row->is_limiting)
+    send_cpu_limit (supervisor, row);
+}
+
+static gboolean
+needs_limit (const SupervisorRow *row, int64_t now)
+{
+  return row->cpu_limit_wanted != 0 && !row->is_limiting && !row->stop_wanted
+         && now >= row->limit_retry_us
+         && (row->cpu_limit_known != row->cpu_limit_wanted || now < row->limit_doubt_us);
+}
+
+void
+supervisor_repeat_limits (Supervisor *supervisor)
+{
+  int64_t now = supervisor_now_us (supervisor);
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, supervisor->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (needs_limit (value, now))
+        send_cpu_limit (supervisor, value);
+    }
 }
 
 void
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -34,12 +34,16 @@
   gboolean is_stopping; /**< a call to stop it is under way */
   gboolean stop_answered;
   int64_t stop_retry_us;
-  gboolean is_listed;       /**< listed by the newest poll */
-  gboolean was_listed;      /**< listed by the poll before the newest one */
-  WorkerTask polled;        /**< state in the newest poll; texts owned */
-  uint32_t cpu_limit_known; /**< CPU limit in percent plus 1; 0: not known */
-  uint64_t version;         /**< version of the newest change that is reported */
-  int64_t reported_percent; /**< percent, measurement and time of that change */
+  gboolean is_listed;        /**< listed by the newest poll */
+  gboolean was_listed;       /**< listed by the poll before the newest one */
+  WorkerTask polled;         /**< state in the newest poll; texts owned */
+  uint32_t cpu_limit_known;  /**< CPU limit in percent plus 1; 0: not known */
+  uint32_t cpu_limit_wanted; /**< newest limit that was ordered, in percent plus 1; 0: none */
+  gboolean is_limiting;      /**< a call to limit it is under way */
+  int64_t limit_retry_us;    /**< no call to limit it before this time */
+  int64_t limit_doubt_us;    /**< until then an earlier limit may still take effect */
+  uint64_t version;          /**< version of the newest change that is reported */
+  int64_t reported_percent;  /**< percent, measurement and time of that change */
   int64_t reported_measurement;
   int64_t reported_us;
 } SupervisorRow;
@@ -137,6 +141,8 @@
 void supervisor_call_destroy (gpointer data);
 void supervisor_execute_order (Supervisor *supervisor, const Batch__Order *order);
 void supervisor_repeat_stops (Supervisor *supervisor);
+/* Repeats CPU limits that the worker may not have. */
+void supervisor_repeat_limits (Supervisor *supervisor);
 void supervisor_send_poll (Supervisor *supervisor);
 
 /* supervisor_poll.c: applies the answer of a poll. */
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -26,6 +26,7 @@
   int64_t run;
   int64_t until_ms;
   int64_t seen;
+  int64_t percent;
   int64_t token;
   RunnerDone done;
   void *done_ctx;
@@ -100,8 +101,7 @@
 {
   (void) task;
   (void) run;
-  (void) percent;
-  (void) add_call (ctx, CALL_CPU_LIMIT, target, done, done_ctx);
+  add_call (ctx, CALL_CPU_LIMIT, target, done, done_ctx)->percent = percent;
 }
 
 static void
@@ -343,6 +343,79 @@
   fake_free (fake);
 }
 
+/* Sends an order to limit the CPU of TASK run 1. */
+static void
+order_cpu_limit (const Fake *fake, uint64_t number, uint32_t percent)
+{
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+  Batch__Order order = BATCH__ORDER__INIT;
+  Batch__Pace pace = BATCH__PACE__INIT;
+  Batch__Order *rows[] = { &order };
+
+  orders.epoch = 1;
+  orders.owner = "owner";
+  orders.agent_boot = 5;
+  orders.life = incarnation_of (fake);
+  orders.echo_us = fake->now_us;
+  orders.orders = rows;
+  orders.n_orders = 1;
+  order.number = number;
+  order.what_case = BATCH__ORDER__WHAT_PACE;
+  order.pace = &pace;
+  pace.task = TASK;
+  pace.run = 1;
+  pace.percent = percent;
+  assert_true (supervisor_handle_orders (fake->supervisor, &orders));
+}
+
+/* The owner counts on a limit that it ordered. A worker that refused or did not answer is asked
+ * again. */
+static void
+cpu_limit_is_repeated_until_the_worker_has_it (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  order_cpu_limit (fake, 1, 40);
+  assert_true (take_call (fake, CALL_CPU_LIMIT, &call));
+  answer_call (&call, RUNNER_UNHEALTHY);
+  supervisor_tick (fake->supervisor);
+  assert_false (take_call (fake, CALL_CPU_LIMIT, &call));
+  fake->now_us += 400 * 1000;
+  supervisor_tick (fake->supervisor);
+  assert_true (take_call (fake, CALL_CPU_LIMIT, &call));
+  assert_int_equal (call.percent, 40);
+  answer_call (&call, RUNNER_OK);
+  fake->now_us += 400 * 1000;
+  supervisor_tick (fake->supervisor);
+  assert_false (take_call (fake, CALL_CPU_LIMIT, &call));
+  fake_free (fake);
+}
+
+/* Two calls for one run could be carried out in either order, so the newer limit waits for the
+ * answer. */
+static void
+newer_cpu_limit_follows_the_answer (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+  FakeCall second;
+
+  (void) state;
+  order_cpu_limit (fake, 1, 40);
+  order_cpu_limit (fake, 2, 0);
+  order_cpu_limit (fake, 3, 70);
+  assert_true (take_call (fake, CALL_CPU_LIMIT, &call));
+  assert_int_equal (call.percent, 40);
+  assert_false (take_call (fake, CALL_CPU_LIMIT, &second));
+  answer_call (&call, RUNNER_OK);
+  assert_true (take_call (fake, CALL_CPU_LIMIT, &second));
+  assert_int_equal (second.percent, 70);
+  answer_call (&second, RUNNER_OK);
+  fake_free (fake);
+}
+
 static void
 start_carries_the_granted_lease (void **state)
 {
@@ -730,6 +803,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (cpu_limit_is_repeated_until_the_worker_has_it),
+    cmocka_unit_test (newer_cpu_limit_follows_the_answer),
     cmocka_unit_test (start_carries_the_granted_lease),
     cmocka_unit_test (forbidden_start_is_dropped_and_reported_gone),
     cmocka_unit_test (start_without_a_live_grant_is_refused),
