Agents that do not report are published for the next owner

Cause: after a change of owner all tasks that no agent reports wait until every agent has reported, or for 4.8 s, as any of them may run at an agent that is missing. Ruled out: waiting for a lease counted from the last record (the last owner may act for 3 s after it); trusting a refused connection to the worker (a cut can refuse, too); what agents say of a worker that does not answer (a restarted one knows nothing).

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -772,6 +772,96 @@
   assert(message->base.descriptor == &batch__learned__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__silent_agent__init
+                     (Batch__SilentAgent         *message)
+{
+  static const Batch__SilentAgent init_value = BATCH__SILENT_AGENT__INIT;
+  *message = init_value;
+}
+size_t batch__silent_agent__get_packed_size
+                     (const Batch__SilentAgent *message)
+{
+  assert(message->base.descriptor == &batch__silent_agent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__silent_agent__pack
+                     (const Batch__SilentAgent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__silent_agent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__silent_agent__pack_to_buffer
+                     (const Batch__SilentAgent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__silent_agent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__SilentAgent *
+       batch__silent_agent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__SilentAgent *)
+     protobuf_c_message_unpack (&batch__silent_agent__descriptor,
+                                allocator, len, data);
+}
+void   batch__silent_agent__free_unpacked
+                     (Batch__SilentAgent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__silent_agent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__silent__init
+                     (Batch__Silent         *message)
+{
+  static const Batch__Silent init_value = BATCH__SILENT__INIT;
+  *message = init_value;
+}
+size_t batch__silent__get_packed_size
+                     (const Batch__Silent *message)
+{
+  assert(message->base.descriptor == &batch__silent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__silent__pack
+                     (const Batch__Silent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__silent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__silent__pack_to_buffer
+                     (const Batch__Silent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__silent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Silent *
+       batch__silent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Silent *)
+     protobuf_c_message_unpack (&batch__silent__descriptor,
+                                allocator, len, data);
+}
+void   batch__silent__free_unpacked
+                     (Batch__Silent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__silent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__member__init
                      (Batch__Member         *message)
 {
@@ -2426,6 +2516,108 @@
   (ProtobufCMessageInit) batch__learned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor batch__silent_agent__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__SilentAgent, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Batch__SilentAgent, n_tasks),
+    offsetof(Batch__SilentAgent, tasks),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__silent_agent__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = tasks */
+};
+static const ProtobufCIntRange batch__silent_agent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__silent_agent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.SilentAgent",
+  "SilentAgent",
+  "Batch__SilentAgent",
+  "batch",
+  sizeof(Batch__SilentAgent),
+  2,
+  batch__silent_agent__field_descriptors,
+  batch__silent_agent__field_indices_by_name,
+  1,  batch__silent_agent__number_ranges,
+  (ProtobufCMessageInit) batch__silent_agent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__silent__field_descriptors[2] =
+{
+  {
+    "agents",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Silent, n_agents),
+    offsetof(Batch__Silent, agents),
+    &batch__silent_agent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Silent, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__silent__field_indices_by_name[] = {
+  0,   /* field[0] = agents */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange batch__silent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__silent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Silent",
+  "Silent",
+  "Batch__Silent",
+  "batch",
+  sizeof(Batch__Silent),
+  2,
+  batch__silent__field_descriptors,
+  batch__silent__field_indices_by_name,
+  1,  batch__silent__number_ranges,
+  (ProtobufCMessageInit) batch__silent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor batch__member__field_descriptors[3] =
 {
   {
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -32,6 +32,8 @@
 typedef struct Batch__PairTake Batch__PairTake;
 typedef struct Batch__QueueDurations Batch__QueueDurations;
 typedef struct Batch__Learned Batch__Learned;
+typedef struct Batch__SilentAgent Batch__SilentAgent;
+typedef struct Batch__Silent Batch__Silent;
 typedef struct Batch__Member Batch__Member;
 typedef struct Batch__Start Batch__Start;
 typedef struct Batch__Stop Batch__Stop;
@@ -342,6 +344,40 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * An agent that does not report, and all tasks that may run at its worker.
+ */
+struct  Batch__SilentAgent
+{
+  ProtobufCMessage base;
+  char *name;
+  size_t n_tasks;
+  char **tasks;
+};
+#define BATCH__SILENT_AGENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__silent_agent__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * Key "silent". Written by the owner when the set of agents changes. No owner starts anything at these
+ * agents before it has written a record without them.
+ */
+struct  Batch__Silent
+{
+  ProtobufCMessage base;
+  size_t n_agents;
+  Batch__SilentAgent **agents;
+  /*
+   * term of the owner; never 0, since an empty value would drop the key
+   */
+  uint64_t term;
+};
+#define BATCH__SILENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__silent__descriptor) \
+    , 0,NULL, 0 }
+
+
 /*
  * Key "agent.NAME".
  */
@@ -924,6 +960,44 @@
 void   batch__learned__free_unpacked
                      (Batch__Learned *message,
                       ProtobufCAllocator *allocator);
+/* Batch__SilentAgent methods */
+void   batch__silent_agent__init
+                     (Batch__SilentAgent         *message);
+size_t batch__silent_agent__get_packed_size
+                     (const Batch__SilentAgent   *message);
+size_t batch__silent_agent__pack
+                     (const Batch__SilentAgent   *message,
+                      uint8_t             *out);
+size_t batch__silent_agent__pack_to_buffer
+                     (const Batch__SilentAgent   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__SilentAgent *
+       batch__silent_agent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__silent_agent__free_unpacked
+                     (Batch__SilentAgent *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Silent methods */
+void   batch__silent__init
+                     (Batch__Silent         *message);
+size_t batch__silent__get_packed_size
+                     (const Batch__Silent   *message);
+size_t batch__silent__pack
+                     (const Batch__Silent   *message,
+                      uint8_t             *out);
+size_t batch__silent__pack_to_buffer
+                     (const Batch__Silent   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Silent *
+       batch__silent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__silent__free_unpacked
+                     (Batch__Silent *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Member methods */
 void   batch__member__init
                      (Batch__Member         *message);
@@ -1205,6 +1279,12 @@
 typedef void (*Batch__Learned_Closure)
                  (const Batch__Learned *message,
                   void *closure_data);
+typedef void (*Batch__SilentAgent_Closure)
+                 (const Batch__SilentAgent *message,
+                  void *closure_data);
+typedef void (*Batch__Silent_Closure)
+                 (const Batch__Silent *message,
+                  void *closure_data);
 typedef void (*Batch__Member_Closure)
                  (const Batch__Member *message,
                   void *closure_data);
@@ -1264,6 +1344,8 @@
 extern const ProtobufCMessageDescriptor batch__pair_take__descriptor;
 extern const ProtobufCMessageDescriptor batch__queue_durations__descriptor;
 extern const ProtobufCMessageDescriptor batch__learned__descriptor;
+extern const ProtobufCMessageDescriptor batch__silent_agent__descriptor;
+extern const ProtobufCMessageDescriptor batch__silent__descriptor;
 extern const ProtobufCMessageDescriptor batch__member__descriptor;
 extern const ProtobufCMessageDescriptor batch__start__descriptor;
 extern const ProtobufCMessageDescriptor batch__stop__descriptor;
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -80,6 +80,19 @@
 /** Restores what a previous owner learned; call it before the first report. */
 void sched_restore_learned (Sched *sched, const Batch__Learned *learned);
 
+/**
+ * Encodes the agents that do not report, with the tasks that may run there, as a Batch__Silent, if
+ * they changed since they were last written; else NULL. Free the result with g_bytes_unref().
+ * Nothing is started at these agents until a record without them was written. Call
+ * sched_end_publish() with the result of writing it before the next call.
+ */
+GBytes *sched_publish_silent (Sched *sched);
+void sched_end_publish (Sched *sched, gboolean is_written);
+
+/** Restores the newest such record; call it after all agents were added and before the first
+ * report. Tasks of old jobs that cannot run at these agents need not wait for their reports. */
+void sched_restore_silent (Sched *sched, const Batch__Silent *silent);
+
 /** Adds a job; if its id is already known, only frees the spec. */
 void sched_add_job (Sched *sched, const SchedNewJob *job);
 
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -376,6 +376,8 @@
   worker->report_version = report->version;
   worker->done_number = report->done_number;
   worker->report_us = now_us;
+  worker->has_reported = TRUE;
+  g_clear_pointer (&worker->confined, g_hash_table_destroy);
   worker->measured_us = now_us - measurement_age_us (report);
   worker->no_report_us = 0;
   worker->is_message_due = TRUE;
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -207,7 +207,10 @@
   int64_t ends_applied;
   int64_t ends_written;
   gboolean is_leaving;
-  GPtrArray *tasks;          /**< SchedTask placed on this worker */
+  gboolean has_reported; /**< in this term */
+  GHashTable *confined;  /**< set of the tasks that may run there, as the previous owner published;
+                            NULL: not known */
+  GPtrArray *tasks;      /**< SchedTask placed on this worker */
   GHashTable *orphaned_runs; /**< set of "task run": runs that should not exist */
   JobSize used;              /**< reserved resources; CPU without that of best-effort tasks */
   int64_t best_effort_cpu_m; /**< CPU requested by best-effort tasks */
@@ -230,15 +233,17 @@
   gboolean are_starts_held;
   uint64_t term;
   int64_t reconcile_until_us;
-  GHashTable *jobs;      /**< id -> SchedJob */
-  GHashTable *open;      /**< set of SchedJob that are queued or running */
-  GQueue *ended;         /**< SchedJob that are not open, oldest end first */
-  GHashTable *workers;   /**< agent name -> SchedWorker */
-  char *forgetting;      /**< agent whose record is being deleted; NULL for none */
-  GHashTable *dirty;     /**< SchedJob whose progress has to be written */
-  GHashTable *flushing;  /**< SchedJob in the open flush, owned by it; NULL for none */
-  GHashTable *pending;   /**< queue name -> number of jobs that have not begun */
-  GHashTable *durations; /**< queue name -> SchedDurations */
+  GHashTable *published;  /**< set of agents in the newest written record of silent ones */
+  GHashTable *publishing; /**< the same for a record that is being written; NULL for none */
+  GHashTable *jobs;       /**< id -> SchedJob */
+  GHashTable *open;       /**< set of SchedJob that are queued or running */
+  GQueue *ended;          /**< SchedJob that are not open, oldest end first */
+  GHashTable *workers;    /**< agent name -> SchedWorker */
+  char *forgetting;       /**< agent whose record is being deleted; NULL for none */
+  GHashTable *dirty;      /**< SchedJob whose progress has to be written */
+  GHashTable *flushing;   /**< SchedJob in the open flush, owned by it; NULL for none */
+  GHashTable *pending;    /**< queue name -> number of jobs that have not begun */
+  GHashTable *durations;  /**< queue name -> SchedDurations */
   int64_t now_us;
   int64_t wall_ms;
   int64_t utilisation_noted_us;
@@ -277,8 +282,9 @@
 typedef enum
 {
   SCHED_ACCEPTS,
-  SCHED_REFUSES_SILENT,   /**< it has not reported in full in this term */
-  SCHED_REFUSES_OUTDATED, /**< its newest report is too old */
+  SCHED_REFUSES_SILENT,    /**< it has not reported in full in this term */
+  SCHED_REFUSES_OUTDATED,  /**< its newest report is too old */
+  SCHED_REFUSES_PUBLISHED, /**< the ledger says that it does not report */
   SCHED_REFUSES_DRAINING,
   SCHED_REFUSES_LEAVING, /**< its agent shuts down */
   SCHED_REFUSES_EVACUATED,
@@ -288,6 +294,12 @@
   SCHED_REFUSALS,
 } SchedRefusal;
 
+/* sched_silent.c */
+/* Whether the agent is published as silent, so that nothing may be started there. */
+gboolean sched_is_published (const Sched *sched, const SchedWorker *worker);
+/* Whether the task may run at a published agent that has not reported yet. */
+gboolean sched_may_run_unseen (const Sched *sched, const SchedTask *task);
+
 /* sched_workers.c */
 SchedRefusal sched_worker_refusal (const Sched *sched, const SchedWorker *worker);
 /* Whether the data centre of the worker is evacuated; FALSE before its first report. */
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -34,6 +34,7 @@
   SchedWorker *worker = data;
 
   g_array_unref (worker->exposures);
+  g_clear_pointer (&worker->confined, g_hash_table_destroy);
   g_ptr_array_unref (worker->tasks);
   g_hash_table_destroy (worker->orphaned_runs);
   g_ptr_array_unref (worker->orders);
@@ -56,6 +57,8 @@
     return SCHED_REFUSES_SILENT;
   if (sched->now_us - worker->report_us > sched->options.report_age_max_ms * 1000)
     return SCHED_REFUSES_OUTDATED;
+  if (sched_is_published (sched, worker))
+    return SCHED_REFUSES_PUBLISHED;
   if (worker->info->is_draining)
     return SCHED_REFUSES_DRAINING;
   if (worker->is_leaving)
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -13,6 +13,8 @@
   LedgerOwner owner;
   Batch__Learned *learned;
   int64_t learned_offset;
+  Batch__Silent *silent;
+  int64_t silent_offset;
 };
 
 static void
@@ -61,6 +63,8 @@
   g_free (ledger->owner.name);
   g_free (ledger->owner.address);
   g_strfreev (ledger->owner.deputies);
+  if (ledger->silent != NULL)
+    batch__silent__free_unpacked (ledger->silent, NULL);
   if (ledger->learned != NULL)
     batch__learned__free_unpacked (ledger->learned, NULL);
   g_free (ledger);
@@ -244,6 +248,21 @@
   return TRUE;
 }
 
+static gboolean
+apply_silent (Ledger *ledger, int64_t offset, const uint8_t *value, size_t size)
+{
+  if (ledger->silent != NULL && offset < ledger->silent_offset)
+    return TRUE;
+  Batch__Silent *silent = batch__silent__unpack (NULL, size, value);
+  if (silent == NULL)
+    return FALSE;
+  if (ledger->silent != NULL)
+    batch__silent__free_unpacked (ledger->silent, NULL);
+  ledger->silent = silent;
+  ledger->silent_offset = offset;
+  return TRUE;
+}
+
 gboolean
 ledger_apply (Ledger *ledger,
               int64_t offset,
@@ -259,6 +278,8 @@
     return apply_owner (ledger, offset, value, value_size);
   if (strcmp (text, LEDGER_LEARNED_KEY) == 0)
     return apply_learned (ledger, offset, value, value_size);
+  if (strcmp (text, LEDGER_SILENT_KEY) == 0)
+    return apply_silent (ledger, offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_JOB_PREFIX))
     return apply_job (ledger, text + strlen (LEDGER_JOB_PREFIX), offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_RUN_PREFIX))
@@ -294,6 +315,12 @@
   return ledger->learned;
 }
 
+const Batch__Silent *
+ledger_silent (const Ledger *ledger)
+{
+  return ledger->silent;
+}
+
 const LedgerOwner *
 ledger_owner (const Ledger *ledger)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -22,6 +22,7 @@
 #define LEDGER_AGENT_PREFIX "agent."
 #define LEDGER_OWNER_KEY "owner"
 #define LEDGER_LEARNED_KEY "learned"
+#define LEDGER_SILENT_KEY "silent"
 
 typedef struct
 {
@@ -90,6 +91,8 @@
                         void *ctx);
 /** Learned state of the owners; NULL until one wrote it. */
 const Batch__Learned *ledger_learned (const Ledger *ledger);
+/** Agents that did not report to the owner that wrote this last; NULL until one wrote it. */
+const Batch__Silent *ledger_silent (const Ledger *ledger);
 /** Number of a queue's jobs that have not begun, in the owner's newest record. */
 uint32_t ledger_pending (const Ledger *ledger, const char *queue);
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -203,6 +203,8 @@
   owner->learned_us = clk_now_us ();
   ledger_each_job (owner->entry->ledger, add_job, owner);
   ledger_each_agent (owner->entry->ledger, add_agent, owner);
+  if (ledger_silent (owner->entry->ledger) != NULL)
+    sched_restore_silent (owner->sched, ledger_silent (owner->entry->ledger));
   feed_set_pause (owner->entry->ledger_feed, OWNER_PAUSE_MS);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
   met_add (owner->terms, 1);
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -119,6 +119,19 @@
     store_add_record (owner->records, LEDGER_LEARNED_KEY, data, size);
 }
 
+/* Adds the agents that do not report, if they changed: the next owner need not wait for them. */
+static void
+add_silent (Owner *owner)
+{
+  g_autoptr (GBytes) bytes = sched_publish_silent (owner->sched);
+  size_t size = 0;
+
+  if (bytes == NULL)
+    return;
+  const void *data = g_bytes_get_data (bytes, &size);
+  store_add_record (owner->records, LEDGER_SILENT_KEY, data, size);
+}
+
 static void
 add_changes (GByteArray *records, const SchedFlush *flush)
 {
@@ -173,6 +186,7 @@
   add_agent_removal (owner);
   add_expired_jobs (owner);
   add_learned (owner);
+  add_silent (owner);
   if (owner->flush != NULL)
     add_changes (owner->records, owner->flush);
   send_append (owner);
@@ -203,6 +217,7 @@
   if (owner->removes_agent && !is_written)
     sched_cancel_forget_agent (owner->sched);
   owner->removes_agent = FALSE;
+  sched_end_publish (owner->sched, is_written);
   owner->flush = NULL;
   owner->is_in_doubt = FALSE;
   g_clear_pointer (&owner->records, g_byte_array_unref);
--- a/tests/batch/test_sched_props.cc
+++ b/tests/batch/test_sched_props.cc
@@ -2,7 +2,8 @@
  * @file test_sched_props.cc
  * Property test with random jobs, ends, partitions, failed writes and agent restarts against
  * in-memory workers: no task runs twice at a time, no worker exceeds its capacity, no task starts
- * before its step is ready or after its end was acknowledged, and none in an evacuated data centre.
+ * before its step is ready or after its end was acknowledged, none in an evacuated data centre, and
+ * none at an agent that the ledger names as silent but those that it names there.
  */
 #include <cstdlib>
 #include <map>
@@ -33,7 +34,8 @@
   std::set<std::string> expired; /* "worker number" of ends whose lease has expired since */
   std::set<std::string> seen;    /* "task run" */
   Evacuations *evacuations = nullptr;
-  int64_t offset = 0; /* of the operators' newest record */
+  int64_t offset = 0;                                   /* of the operators' newest record */
+  std::map<std::string, std::set<std::string> > listed; /* tasks of silent agents, as written */
 
   World ()
   {
@@ -108,6 +110,10 @@
             {
               RC_ASSERT (world.noted.count (task.name) == 0);
               RC_ASSERT (!evacuations_contains (world.evacuations, worker.data_centre));
+              auto silent = world.listed.find (worker.name);
+              bool is_known
+                  = silent == world.listed.end () || silent->second.count (task.name) == 1;
+              RC_ASSERT (is_known);
             }
           /* Tasks of step 1 wait for both tasks of step 0. */
           std::string name = task.name;
@@ -122,6 +128,35 @@
     }
 }
 
+/* Writes the record of silent agents, or fails to. */
+void
+publish (World &world, bool is_written)
+{
+  GBytes *bytes = sched_publish_silent (world.rig->sched);
+
+  if (bytes == nullptr)
+    return;
+  sched_end_publish (world.rig->sched, is_written);
+  if (is_written)
+    {
+      size_t size = 0;
+      const void *data = g_bytes_get_data (bytes, &size);
+      Batch__Silent *silent
+          = batch__silent__unpack (nullptr, size, static_cast<const uint8_t *> (data));
+      RC_ASSERT (silent != nullptr);
+      world.listed.clear ();
+      for (size_t i = 0; i < silent->n_agents; i++)
+        {
+          const Batch__SilentAgent *agent = silent->agents[i];
+          auto &tasks = world.listed[agent->name];
+          for (size_t k = 0; k < agent->n_tasks; k++)
+            tasks.insert (agent->tasks[k]);
+        }
+      batch__silent__free_unpacked (silent, nullptr);
+    }
+  g_bytes_unref (bytes);
+}
+
 void
 end_one (World &world, uint32_t pick)
 {
@@ -198,6 +233,8 @@
       check_runs (world);
       for (uint32_t i = 0; i < N_WORKERS; i++)
         record_acknowledged_ends (world, world.rig->workers[i]);
+      if (pick % 4 != 0)
+        publish (world, pick % 3 != 0);
     }
 }
 
