--- /dev/null
+++ b/lib/batch/sched_reconcile.c
@@ -0,0 +1,93 @@
+/* The first seconds of a term: tasks that a previous owner may have started. */
+#include "batch/sched_tables.h"
+
+static gboolean
+all_reported (const Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (((SchedWorker *) value)->report_us == 0)
+        return FALSE;
+    }
+  return g_hash_table_size (sched->workers) > 0;
+}
+
+/* Whether each agent has reported, or is known to run nothing but certain tasks. */
+static gboolean
+all_accounted (const Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->report_us == 0 && worker->confined == NULL)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+release_unconfirmed (const Sched *sched, SchedStage *stage, gboolean is_final)
+{
+  for (uint32_t i = 0; i < stage->step->n_tasks; i++)
+    {
+      SchedTask *task = &stage->tasks[i];
+      if (task->state != TASK_UNCONFIRMED || (!is_final && sched_may_run_unseen (sched, task)))
+        continue;
+      task->state = TASK_WAITING;
+      stage->n_waiting++;
+    }
+}
+
+static void
+release_all (Sched *sched, gboolean is_final)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      SchedJob *job = key;
+      job->is_old &= !is_final;
+      for (guint i = 0; i < job->stages->len; i++)
+        release_unconfirmed (sched, g_ptr_array_index (job->stages, i), is_final);
+    }
+}
+
+/* Nothing that earlier owners started runs any more, or it was reported. */
+static void
+forget_confined (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_clear_pointer (&((SchedWorker *) value)->confined, g_hash_table_destroy);
+}
+
+void
+sched_reconcile (Sched *sched)
+{
+  if (sched->reconcile_until_us == 0)
+    return;
+  if (sched->now_us < sched->reconcile_until_us && !all_reported (sched))
+    {
+      if (all_accounted (sched))
+        release_all (sched, FALSE);
+      return;
+    }
+  sched->reconcile_until_us = 0;
+  release_all (sched, TRUE);
+  forget_confined (sched);
+  sched_note (sched, "settled", "-", "term=%" G_GUINT64_FORMAT " open_jobs=%u", sched->term,
+              g_hash_table_size (sched->open));
+}
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -294,6 +294,12 @@
   SCHED_REFUSALS,
 } SchedRefusal;
 
+/* sched_reconcile.c */
+/* Ends the reconciliation once all agents have reported, or the leases of runs that previous owners
+ * started have expired. Before that, releases tasks that cannot run at the agents that are missing.
+ */
+void sched_reconcile (Sched *sched);
+
 /* sched_silent.c */
 /* Whether the agent is published as silent, so that nothing may be started there. */
 gboolean sched_is_published (const Sched *sched, const SchedWorker *worker);
