cluster.sh: a failed check ends with its message and with exit code 1

Ruled out: a kill from outside. Change: the message comes last, the clean-up runs without errexit and ERR trap. Result: a script that fails a command under 'set -eE': before exit 137 and no message at the end, now exit 1 and 'FAILED: a command of docs/OPERATING.md: ...' as last line.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -34,9 +34,10 @@
 
 say() { printf '%s\n' "$*"; }
 
+# The message comes last: reports show the end of a test's output.
 fail() {
-  printf 'FAILED: %s\n' "$*" >&2
   cluster_show_logs >&2
+  printf 'FAILED: %s\n' "$*" >&2
   exit 1
 }
 
@@ -140,7 +141,9 @@
 
 cluster_cleanup() {
   local status=$? pid
-  trap - EXIT
+  trap - EXIT ERR
+  # With errexit a process that was killed here would set the exit code.
+  set +e
   for pid in "${PID[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
