entry: a job whose shard has no owner is explained from the log

Operators meet the same for seconds after each death of an owner. Change: the entry answers with the tasks as the log has them and placement_unknown, the reason why the owner was not asked.

--- a/lib/entry/render.c
+++ b/lib/entry/render.c
@@ -146,8 +146,9 @@
   return row;
 }
 
-GBytes *
-render_job (const FoldJob *job)
+/* The job with its tasks, as the log has them. */
+static json_t *
+job_with_tasks (const FoldJob *job)
 {
   json_t *root = job_value (job);
   json_t *tasks = json_array ();
@@ -164,6 +165,21 @@
       json_array_append_new (tasks, row);
     }
   json_object_set_new (root, "task_list", tasks);
+  return root;
+}
+
+GBytes *
+render_job (const FoldJob *job)
+{
+  return dump_and_unref (job_with_tasks (job));
+}
+
+GBytes *
+render_unowned_job (const FoldJob *job, const char *why)
+{
+  json_t *root = job_with_tasks (job);
+
+  json_object_set_new (root, "placement_unknown", text_value (why));
   return dump_and_unref (root);
 }
 
--- a/lib/entry/render.h
+++ b/lib/entry/render.h
@@ -31,6 +31,10 @@
 GBytes *render_job_id (uint64_t job);
 
 GBytes *render_job (const FoldJob *job);
+
+/** Like render_job(), and "placement_unknown": @p why the owner of the job's shard was not asked.
+ */
+GBytes *render_unowned_job (const FoldJob *job, const char *why);
 GBytes *render_jobs (const Fold *fold);
 
 /** Input of render_status(). */
--- a/programs/entry/loop_operators.c
+++ b/programs/entry/loop_operators.c
@@ -171,16 +171,18 @@
   return g_strndup (data, size);
 }
 
-/* Used if the owner of the shard can't answer: a job that ended is explained from the log. */
+/* Used if the owner of the shard can't answer: the job is explained from the log. */
 static void
-explain_without_owner (Loop *loop, HttpRequest *request, const char *message)
+explain_without_owner (Loop *loop, HttpRequest *request, const char *why)
 {
   const FoldJob *job = fold_job (loop->fold, http_request_info (request)->job);
 
-  if (job != NULL && job->n_final == job->n_tasks)
+  if (job == NULL)
+    refuse (request, ERR_NOT_FOUND, "no such job");
+  else if (job->n_final == job->n_tasks)
     answer_json (request, render_job (job));
   else
-    refuse (request, ERR_NOT_OWNER, message);
+    answer_json (request, render_unowned_job (job, why));
 }
 
 static void
