sched: best-effort tasks give way to those of jobs with less work left

Wide jobs hold what headroom there is for seconds; a job of seven tasks, first in order, found no worker in 5 s.

--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -43,22 +43,23 @@
          && (step->per_worker_max == 0 || count_of_stage (worker, stage) < step->per_worker_max);
 }
 
+/* @p freed is what a best-effort task will have given back. */
 static gboolean
-has_memory (const SchedWorker *worker, const JobStep *step)
+has_memory (const SchedWorker *worker, const JobStep *step, JobSize freed)
 {
   const JobSize *capacity = &worker->info->capacity;
 
-  return step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb
-         && step->size.gpus <= capacity->gpus - worker->used.gpus;
+  return step->size.mem_mb <= capacity->mem_mb - worker->used.mem_mb + freed.mem_mb
+         && step->size.gpus <= capacity->gpus - worker->used.gpus + freed.gpus;
 }
 
 /* Best-effort tasks share what the others leave; with too many of them, all would be late. */
 static gboolean
-has_best_effort_processors (const SchedWorker *worker, const JobStep *step)
+has_best_effort_processors (const SchedWorker *worker, const JobStep *step, JobSize freed)
 {
   int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
                    + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
-  int64_t wanted_m = worker->best_effort_cpu_m + step->size.cpu_m;
+  int64_t wanted_m = worker->best_effort_cpu_m + step->size.cpu_m - freed.cpu_m;
 
   return wanted_m <= left_m * BEST_EFFORT_PERCENT_MAX / 100;
 }
@@ -68,7 +69,7 @@
 {
   double share = sched_tails_share (worker, task, SCHED_CPU_LIMIT_NONE);
 
-  if (!has_best_effort_processors (worker, task->stage->step))
+  if (!has_best_effort_processors (worker, task->stage->step, (JobSize){ 0 }))
     return SCHED_WAIT_PROCESSORS;
   if (worker->is_over_target)
     return SCHED_WAIT_OVER_TARGET;
@@ -105,7 +106,7 @@
 
   if (!may_run (worker, stage))
     return SCHED_WAIT_WORKER;
-  if (!has_memory (worker, stage->step))
+  if (!has_memory (worker, stage->step, (JobSize){ 0 }))
     return SCHED_WAIT_MEMORY;
   if (is_starved)
     return admit_starved (worker, stage->step);
@@ -113,6 +114,17 @@
                                      : admit_reserved (worker, stage);
 }
 
+gboolean
+sched_fits_instead (SchedWorker *worker, const SchedTask *task, const SchedTask *running)
+{
+  const JobStep *step = task->stage->step;
+  JobSize freed = running->stage->step->size;
+
+  return may_run (worker, task->stage) && has_memory (worker, step, freed)
+         && has_best_effort_processors (worker, step, freed)
+         && sched_tails_headroom_instead (worker, task, running) >= HEADROOM_MIN;
+}
+
 static SchedWaitKind
 kind_of (const JobStep *step)
 {
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -247,18 +247,23 @@
   uint32_t n_left = 0;
   g_autoptr (GArray) ready_stages = sched_ready_stages (sched);
   g_autoptr (GPtrArray) workers = accepting_workers (sched);
+  SchedPreemption *preemption = sched_preemption_new (sched, workers);
 
   for (guint i = 0; i < ready_stages->len; i++)
     {
-      SchedStage *stage = g_array_index (ready_stages, SchedReadyStage, i).stage;
+      const SchedReadyStage *ready_stage = &g_array_index (ready_stages, SchedReadyStage, i);
+      SchedStage *stage = ready_stage->stage;
       if (stage->step->is_gang)
         place_gang (sched, workers, stage);
       else
         place_stage (sched, workers, stage);
+      if (!is_mostly_free (workers, stage->job->queue->service))
+        sched_preempt (preemption, ready_stage);
       check_starved (sched, workers, stage);
       sched_plan_note_waiting (sched, stage);
       sched_count_waiting (sched, stage);
       n_left += stage->n_waiting;
     }
+  sched_preemption_free (preemption);
   return n_left;
 }
--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -116,8 +116,8 @@
                                                                    : SCHED_RANK_USELESS;
 }
 
-static SchedReadyStage
-ready_stage_of (const Sched *sched, SchedStage *stage)
+SchedReadyStage
+sched_ready_stage (const Sched *sched, SchedStage *stage)
 {
   const SchedJob *job = stage->job;
   SchedStage *first = sched_find_stage (job, stage->occurrence, 0);
@@ -159,7 +159,7 @@
       SchedStage *stage = g_ptr_array_index (job->stages, i);
       if (stage->n_waiting == 0 || !sched_stage_is_ready (stage))
         continue;
-      SchedReadyStage ready_stage = ready_stage_of (sched, stage);
+      SchedReadyStage ready_stage = sched_ready_stage (sched, stage);
       g_array_append_val (ready_stages, ready_stage);
     }
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -131,6 +131,7 @@
   uint32_t n_timed;       /**< tasks that completed without throttling */
   int64_t timed_ms;       /**< sum of their durations */
   int64_t ready_us;       /**< when it was first seen ready; 0: not yet */
+  int64_t preempted_us;   /**< when other tasks were last stopped for it; 0: never */
   SchedChains chains;     /**< estimates of the occurrence; stored in its first stage */
   uint64_t chains_change; /**< n_changes of the job when chains was computed */
   gboolean is_planned;    /**< the occurrence was in a forecast; stored in its first stage */
@@ -325,6 +326,8 @@
 /* Returns a SchedReadyStage for each stage with waiting tasks that may start, in dispatch order;
  * the caller frees the array. */
 GArray *sched_ready_stages (Sched *sched);
+/* Dispatch order of a stage, whether or not its tasks wait. The queue of its job is configured. */
+SchedReadyStage sched_ready_stage (const Sched *sched, SchedStage *stage);
 /* Call it when a stage has been dispatched: the tasks that still wait exceed the free capacity. */
 void sched_plan_note_waiting (Sched *sched, const SchedStage *stage);
 
@@ -333,11 +336,24 @@
 /* What the task waits for on this worker; SCHED_WAIT_NONE if it may start there. A task of a
  * starved stage is subject to fewer conditions. */
 SchedWait sched_admit (SchedWorker *worker, const SchedTask *task, gboolean is_starved);
+/* Whether the best-effort task would fit on the worker of the running one if that ended, and
+ * serving tasks would keep their headroom. */
+gboolean sched_fits_instead (SchedWorker *worker, const SchedTask *task, const SchedTask *running);
 /* Counts the time since the last pass for the tasks of the stage that still wait. */
 void sched_count_waiting (Sched *sched, const SchedStage *stage);
 /* Logs and resets the waiting times. */
 void sched_note_waiting (Sched *sched);
 
+/* sched_preempt.c */
+/** Preemptions of one pass over the ready stages. */
+typedef struct SchedPreemption SchedPreemption;
+/* @p workers accept tasks, and outlive the result. Free it with sched_preemption_free(). */
+SchedPreemption *sched_preemption_new (Sched *sched, const GPtrArray *workers);
+void sched_preemption_free (SchedPreemption *preemption);
+/* Stops best-effort tasks so that tasks of a stage that wait for headroom may start in their place.
+ */
+void sched_preempt (SchedPreemption *preemption, const SchedReadyStage *waiting);
+
 /* sched_place.c */
 /* Starts tasks. Returns the number of ready tasks that could not be placed. */
 uint32_t sched_place (Sched *sched);
@@ -372,6 +388,13 @@
  * worker if the best-effort task uses another @p share of its processors. Counts only serving tasks
  * that the image noticeably affects. */
 double sched_tails_headroom_with (SchedWorker *worker, const SchedTask *best_effort, double share);
+/* Like sched_tails_headroom_with(), if the best-effort task ran in place of a running one. Only
+ * impacts that are known from measurements count as spared. */
+double sched_tails_headroom_instead (SchedWorker *worker,
+                                     const SchedTask *best_effort,
+                                     const SchedTask *running);
+/* Whether the impact of the task on some serving task of the worker is known from measurements. */
+gboolean sched_tails_is_impact_known (const SchedWorker *worker, const SchedTask *best_effort);
 /* Largest share of a serving task's spare headroom that the best-effort task would use up. */
 double sched_tails_headroom_use (SchedWorker *worker, const SchedTask *best_effort);
 /* Predicted headroom of the serving task now, given all orders that were issued. */
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -20,6 +20,8 @@
 #define IMPACT_MIN 0.03
 /** Headroom of a worker without affected serving tasks. */
 #define UNBOUNDED 1000.0
+/** An impact is known once its standard deviation is below this share of it. */
+#define KNOWN_DEVIATION 0.5
 /** A tail over this multiple of its target comes from a faulty worker, not from interference. */
 #define TARGETS_MAX 30
 #define PERCENT 100.0
@@ -233,9 +235,9 @@
 
 /* Predicted activity of a task for the near future. */
 static double
-predicted_activity (const SchedExposure *row)
+predicted_activity (double activity)
 {
-  return ACTIVITY_KEPT * row->activity + (1.0 - ACTIVITY_KEPT) * ACTIVITY_MEAN;
+  return ACTIVITY_KEPT * activity + (1.0 - ACTIVITY_KEPT) * ACTIVITY_MEAN;
 }
 
 static InterferenceEstimate
@@ -274,7 +276,7 @@
       const SchedExposure *row = &g_array_index (worker->exposures, SchedExposure, i);
       if (row->to_us == 0)
         subtract_impact (&predicted, interference_pair (model, serving->stage->image, row->image),
-                         row->share, predicted_activity (row));
+                         row->share, predicted_activity (row->activity));
     }
   return predicted;
 }
@@ -333,6 +335,58 @@
   return least;
 }
 
+static gboolean
+is_known (InterferenceEstimate impact)
+{
+  return sqrt (impact.variance) <= KNOWN_DEVIATION * impact.mean;
+}
+
+gboolean
+sched_tails_is_impact_known (const SchedWorker *worker, const SchedTask *best_effort)
+{
+  const Interference *model = worker->sched->interference;
+  uint32_t image = image_of (worker, best_effort->stage);
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (sched_is_serving (task)
+          && is_known (interference_pair (model, image_of (worker, task->stage), image)))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+double
+sched_tails_headroom_instead (SchedWorker *worker,
+                              const SchedTask *best_effort,
+                              const SchedTask *running)
+{
+  const Interference *model = worker->sched->interference;
+  uint32_t image = image_of (worker, best_effort->stage);
+  uint32_t spared_image = image_of (worker, running->stage);
+  double share = full_share (worker, best_effort);
+  double spared_share = sched_tails_share (worker, running, running->cpu_limit)
+                        * predicted_activity (running->activity);
+  double least = UNBOUNDED;
+
+  update_predictions (worker);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      if (!sched_is_serving (task))
+        continue;
+      InterferenceEstimate impact = interference_pair (model, task->stage->image, image);
+      InterferenceEstimate spared = interference_pair (model, task->stage->image, spared_image);
+      InterferenceEstimate predicted = task->predicted;
+      subtract_impact (&predicted, impact, share, ACTIVITY_MEAN);
+      if (is_known (spared))
+        predicted.mean += spared.mean * spared_share;
+      least = MIN (least, lower_bound (predicted));
+    }
+  return least;
+}
+
 double
 sched_tails_headroom_use (SchedWorker *worker, const SchedTask *best_effort)
 {
