sched: best-effort steps of begun jobs go by least work left, too

Cause: begun jobs went first, by deadline, so that a large job that had begun kept its rank and smaller ones, though nearly done, waited behind it. Best-effort tasks can give way and go on. Change: only steps that reserve have the rank of begun jobs.

--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -111,7 +111,7 @@
   gboolean is_in_time = first->is_planned ? first->is_chosen : end_ms <= deadline_ms;
 
   if (stage->step->is_continuous || (is_in_time && end_ms <= deadline_ms))
-    return has_begun ? SCHED_RANK_BEGUN : SCHED_RANK_IN_TIME;
+    return has_begun && !stage->step->is_best_effort ? SCHED_RANK_BEGUN : SCHED_RANK_IN_TIME;
   return end_ms <= due_ms + (deadline_ms - due_ms) * USEFUL_FACTOR ? SCHED_RANK_LATE
                                                                    : SCHED_RANK_USELESS;
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -73,12 +73,13 @@
   uint32_t n_begun;           /**< tasks that are done or running */
 } SchedChains;
 
-/** Dispatch rank of a job, most urgent first. Under overload, jobs that have begun meet their
+/** Dispatch rank of a stage, most urgent first. Under overload, jobs that have begun meet their
  * deadlines and others are not begun. If new jobs were dispatched before those that have waited,
- * all jobs would be begun and all be late. */
+ * all jobs would be begun and all be late. Best-effort stages have no rank for begun jobs: their
+ * tasks can give way and go on later. */
 typedef enum
 {
-  SCHED_RANK_BEGUN,   /**< can meet its deadline, and has tasks that are done or running */
+  SCHED_RANK_BEGUN, /**< can meet its deadline, has tasks that are done or running, and reserves */
   SCHED_RANK_IN_TIME, /**< can meet its deadline */
   SCHED_RANK_LATE,    /**< will be late, but its result is still of use */
   SCHED_RANK_USELESS, /**< its result will be too late to be of use */
