acaciactl: invalid entries and documents over the limit are usage errors

Cause: the header promises exit code 2 where nothing was sent. Change: the addresses of all entries are checked before a command runs; a document that is too large counts like an invalid one. Result: tests/cli/test_cli.sh, four rows; the row of 'jobs' with an invalid entry expected 1 against the header and now expects 2. The first of them failed before the change.

--- a/programs/ctl/cli.c
+++ b/programs/ctl/cli.c
@@ -42,19 +42,40 @@
   return 0;
 }
 
+/* Free @p uri with ne_uri_free(), also on failure. */
+static gboolean
+parse_entry (const char *entry, ne_uri *uri, GError **error)
+{
+  if (ne_uri_parse (entry, uri) == 0 && g_strcmp0 (uri->scheme, "http") == 0 && uri->host != NULL
+      && uri->port != 0)
+    return TRUE;
+  err_set (error, ERR_BAD_CONFIG, "entry '%s': expected http://IP:PORT", entry);
+  return FALSE;
+}
+
+gboolean
+cli_check (const CliOptions *options, GError **error)
+{
+  gboolean ok = TRUE;
+
+  for (size_t i = 0; ok && options->entries[i] != NULL; i++)
+    {
+      ne_uri uri = { 0 };
+      ok = parse_entry (options->entries[i], &uri, error);
+      ne_uri_free (&uri);
+    }
+  return ok;
+}
+
 static ne_session *
 open_session (const CliOptions *options, const char *entry, GError **error)
 {
   ne_uri uri = { 0 };
   int timeout_s = (int) ((options->timeout_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S);
-
-  gboolean ok = ne_uri_parse (entry, &uri) == 0 && g_strcmp0 (uri.scheme, "http") == 0
-                && uri.host != NULL && uri.port != 0;
   ne_session *session = NULL;
-  if (ok)
+
+  if (parse_entry (entry, &uri, error))
     session = ne_session_create ("http", uri.host, uri.port);
-  else
-    err_set (error, ERR_BAD_CONFIG, "entry '%s': expected http://IP:PORT", entry);
   ne_uri_free (&uri);
   if (session == NULL)
     return NULL;
--- a/programs/ctl/cli.h
+++ b/programs/ctl/cli.h
@@ -43,6 +43,9 @@
 /** Initialises the HTTP library. Call it once per process, before cli_call(). */
 gboolean cli_start (GError **error);
 
+/** Checks the addresses of all entries; FALSE with #ERR_BAD_CONFIG that names the invalid one. */
+gboolean cli_check (const CliOptions *options, GError **error);
+
 /**
  * Sends @p request and reads the complete answer. Returns FALSE if no entry accepted it, with the
  * last failure: #ERR_REFUSED if nothing was sent, #ERR_TIMEOUT or #ERR_PROTOCOL if it may have
--- a/programs/ctl/cmd.c
+++ b/programs/ctl/cmd.c
@@ -284,7 +284,7 @@
 static gboolean
 is_usage_error (const Command *command, const GError *error)
 {
-  return err_kind (error) == ERR_BAD_CONFIG
+  return (err_kind (error) == ERR_BAD_CONFIG || err_kind (error) == ERR_TOO_LARGE)
          && (command->run == run_validate || command->run == run_apply);
 }
 
@@ -306,6 +306,11 @@
                       command->argument != NULL ? command->argument : "no argument");
       return CMD_EXIT_USAGE;
     }
+  if (!cli_check (&options->cli, &error))
+    {
+      print_failure (options, error);
+      return CMD_EXIT_USAGE;
+    }
   if (!command->run (options, &answer, &error))
     {
       print_failure (options, error);
--- a/tests/cli/test_cli.sh
+++ b/tests/cli/test_cli.sh
@@ -9,12 +9,14 @@
 bad=$CLUSTER_DIR/bad.toml
 settings=$CLUSTER_DIR/settings.toml
 crash=$CLUSTER_DIR/mark.toml
+large=$CLUSTER_DIR/large.toml
 node=$CLUSTER_DIR/node.toml
 taken=$CLUSTER_DIR/taken.toml
 printf '[job.a]\ntasks = 0\n' >"$bad"
 printf 'entries = [1]\n' >"$settings"
 printf '[job.a]\n\n[!x]\n' >"$crash"
 printf 'internal.port = 0\n' >"$node"
+head -c 262145 /dev/zero | tr '\0' '#' >"$large"
 printf 'name = "x"\nip = "192.0.2.1"\nstore.address = "127.0.0.1:1"\n' >"$taken"
 free=$(url_of entry-1)
 
@@ -37,7 +39,10 @@
 2|acaciactl validate /nowhere|No such file
 2|acaciactl --entry $free apply $bad|bad.toml:2: job.a.tasks
 1|acaciactl --entry $free jobs|jobs: refused: $free: Could not connect
-1|acaciactl --entry ftp://x jobs|entry 'ftp://x': expected http://IP:PORT
+2|acaciactl --entry ftp://x jobs|entry 'ftp://x': expected http://IP:PORT
+2|acaciactl --entry $free --entry ftp://x apply $good|entry 'ftp://x': expected http://IP:PORT
+2|acaciactl validate $large|large.toml: expected at most 262144 bytes
+2|acaciactl --entry $free apply $large|large.toml: expected at most 262144 bytes
 1|acaciactl --json --entry $free jobs|\"kind\": \"refused\"
 0|acacia-load --help|Exit codes: 0 done
 0|acacia-load --version|acacia-load 0.
