cluster.sh: a lock without a process id is taken over after a minute

Cause: without a pid file the id was read as 0, and 'kill -0 0' succeeds for the script's own process group, so such a block of ports was never used again. Change: an empty id is told apart. Result: tests/cli/test_cluster.sh; its last check failed before.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -84,12 +84,16 @@
 }
 
 # A block is reserved by a directory that holds the process id of its owner; it is taken over when that
-# process has exited.
+# process has exited, or did not write its id within a minute.
 reserve_block() {
-  local lock=/tmp/acacia-ports-$1
+  local lock=/tmp/acacia-ports-$1 owner
   if ! mkdir "$lock" 2>/dev/null; then
-    kill -0 "$(cat "$lock/pid" 2>/dev/null || echo 0)" 2>/dev/null && return 1
-    [ -n "$(find "$lock" -maxdepth 0 -mmin +1 2>/dev/null)" ] || [ -f "$lock/pid" ] || return 1
+    owner=$(cat "$lock/pid" 2>/dev/null)
+    if [ -n "$owner" ]; then
+      ! kill -0 "$owner" 2>/dev/null || return 1
+    else
+      [ -n "$(find "$lock" -maxdepth 0 -mmin +1 2>/dev/null)" ] || return 1
+    fi
   fi
   echo $$ >"$lock/pid"
   block_is_free "$1"
