line: each line lost at a broken standard output is counted

Cause: a failed write dropped the whole buffer and counted one line. Change: its lines are counted. Result: tests/common/test_line.c, failed before.

--- a/lib/common/line.c
+++ b/lib/common/line.c
@@ -81,6 +81,16 @@
   g_string_append_c (line_buffer, '\n');
 }
 
+static uint64_t
+buffered_lines (void)
+{
+  uint64_t count = 0;
+
+  for (gsize i = 0; i < line_buffer->len; i++)
+    count += line_buffer->str[i] == '\n';
+  return count;
+}
+
 void
 line_flush (void)
 {
@@ -92,7 +102,7 @@
   else if (written < 0 && errno != EAGAIN && errno != EINTR)
     {
       /* Standard output is broken, so the buffered lines can't be delivered. */
-      line_dropped_count++;
+      line_dropped_count += buffered_lines ();
       g_string_truncate (line_buffer, 0);
     }
 }
