--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -15,7 +15,7 @@
 #include "batch/sched.h"
 #include "platform/caller.h"
 
-#define RIG_WORKERS_MAX 8
+#define RIG_WORKERS_MAX 24
 #define RIG_TASKS_MAX 512
 #define RIG_CPU_M 16000
 #define RIG_MEM_MB 64000
--- a/tests/batch/test_takeover.c
+++ b/tests/batch/test_takeover.c
@@ -187,6 +187,57 @@
   rig_free (rig);
 }
 
+/** Bounds of the published record; with more silent agents a successor waits for the reports of
+ * all. */
+#define AGENTS_MAX 16
+#define TASKS_MAX 64
+
+static void
+record_is_empty_beyond_its_number_of_agents (void **state)
+{
+  Rig *rig = rig_new (AGENTS_MAX + 2);
+
+  (void) state;
+  run_rounds (rig, 1);
+  for (uint32_t i = 0; i < AGENTS_MAX; i++)
+    rig->workers[i].is_silent = TRUE;
+  run_rounds (rig, SILENT_ROUNDS);
+  Batch__Silent *silent = publish (rig);
+  assert_non_null (silent);
+  assert_int_equal (silent->n_agents, AGENTS_MAX);
+  batch__silent__free_unpacked (silent, NULL);
+  rig->workers[AGENTS_MAX].is_silent = TRUE;
+  run_rounds (rig, SILENT_ROUNDS);
+  silent = publish (rig);
+  assert_non_null (silent);
+  assert_int_equal (silent->n_agents, 0);
+  assert_null (publish (rig));
+  batch__silent__free_unpacked (silent, NULL);
+  rig_free (rig);
+}
+
+static void
+agent_with_too_many_tasks_is_not_published (void **state)
+{
+  (void) state;
+  for (uint32_t n_tasks = TASKS_MAX; n_tasks <= TASKS_MAX + 1; n_tasks++)
+    {
+      Rig *rig = rig_new (1);
+      g_autofree char *steps = g_strdup_printf ("{\"count\":%u,\"cpu\":100}", n_tasks);
+      run_rounds (rig, 1);
+      rig_add_job (rig, JOB_A, "urgent", steps);
+      run_rounds (rig, 2);
+      assert_int_equal (rig_running (rig), n_tasks);
+      rig->workers[0].is_silent = TRUE;
+      run_rounds (rig, SILENT_ROUNDS);
+      Batch__Silent *silent = publish (rig);
+      assert_int_equal (silent != NULL, n_tasks <= TASKS_MAX);
+      if (silent != NULL)
+        batch__silent__free_unpacked (silent, NULL);
+      rig_free (rig);
+    }
+}
+
 /* Before an agent has reported to the new owner, what runs there is not known. */
 static void
 agent_that_never_reported_is_not_published (void **state)
@@ -239,6 +290,8 @@
     cmocka_unit_test (only_tasks_of_silent_agents_wait),
     cmocka_unit_test (all_tasks_wait_without_a_record),
     cmocka_unit_test (nothing_starts_at_a_published_agent),
+    cmocka_unit_test (record_is_empty_beyond_its_number_of_agents),
+    cmocka_unit_test (agent_with_too_many_tasks_is_not_published),
     cmocka_unit_test (agent_that_never_reported_is_not_published),
     cmocka_unit_test (record_outlasts_a_second_change),
   };
