sched: one function for what has reported, one for outdated reports

all_reported and all_accounted walked the same table, and two files had the condition of an outdated report. No behaviour changes: batch/test_takeover, test_sched and test_sched_props pass, mutant silent-released is still killed.

--- a/lib/batch/sched_reconcile.c
+++ b/lib/batch/sched_reconcile.c
@@ -1,24 +1,10 @@
 /* The first seconds of a term: tasks that a previous owner may have started. */
 #include "batch/sched_tables.h"
 
+/* Whether each agent has reported, or, if @p or_confined, is known to run nothing but certain
+ * tasks. */
 static gboolean
-all_reported (const Sched *sched)
-{
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, sched->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      if (((SchedWorker *) value)->report_us == 0)
-        return FALSE;
-    }
-  return g_hash_table_size (sched->workers) > 0;
-}
-
-/* Whether each agent has reported, or is known to run nothing but certain tasks. */
-static gboolean
-all_accounted (const Sched *sched)
+all_reported (const Sched *sched, gboolean or_confined)
 {
   GHashTableIter iter;
   gpointer value = NULL;
@@ -27,10 +13,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const SchedWorker *worker = value;
-      if (worker->report_us == 0 && worker->confined == NULL)
+      if (worker->report_us == 0 && !(or_confined && worker->confined != NULL))
         return FALSE;
     }
-  return TRUE;
+  return or_confined || g_hash_table_size (sched->workers) > 0;
 }
 
 static void
@@ -79,9 +65,9 @@
 {
   if (sched->reconcile_until_us == 0)
     return;
-  if (sched->now_us < sched->reconcile_until_us && !all_reported (sched))
+  if (sched->now_us < sched->reconcile_until_us && !all_reported (sched, FALSE))
     {
-      if (all_accounted (sched))
+      if (all_reported (sched, TRUE))
         release_all (sched, FALSE);
       return;
     }
--- a/lib/batch/sched_silent.c
+++ b/lib/batch/sched_silent.c
@@ -16,8 +16,7 @@
 static gboolean
 is_silent (const Sched *sched, const SchedWorker *worker)
 {
-  return worker->report_us == 0
-         || sched->now_us - worker->report_us > sched->options.report_age_max_ms * 1000;
+  return worker->report_us == 0 || sched_is_report_outdated (sched, worker);
 }
 
 /* Whether all tasks that may run at the worker are known: from a report in this term, from the
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -309,6 +309,8 @@
 gboolean sched_may_run_unseen (const Sched *sched, const SchedTask *task);
 
 /* sched_workers.c */
+/* Whether the newest report of the worker is too old to start anything there. */
+gboolean sched_is_report_outdated (const Sched *sched, const SchedWorker *worker);
 SchedRefusal sched_worker_refusal (const Sched *sched, const SchedWorker *worker);
 /* Whether the data centre of the worker is evacuated; FALSE before its first report. */
 gboolean sched_is_evacuated (const Sched *sched, const SchedWorker *worker);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -50,12 +50,18 @@
          && evacuations_contains (sched->evacuations, worker->info->data_centre);
 }
 
+gboolean
+sched_is_report_outdated (const Sched *sched, const SchedWorker *worker)
+{
+  return sched->now_us - worker->report_us > sched->options.report_age_max_ms * 1000;
+}
+
 SchedRefusal
 sched_worker_refusal (const Sched *sched, const SchedWorker *worker)
 {
   if (worker->report_us == 0 || worker->report_version == 0)
     return SCHED_REFUSES_SILENT;
-  if (sched->now_us - worker->report_us > sched->options.report_age_max_ms * 1000)
+  if (sched_is_report_outdated (sched, worker))
     return SCHED_REFUSES_OUTDATED;
   if (sched_is_published (sched, worker))
     return SCHED_REFUSES_PUBLISHED;
