sched: a task gives way only to jobs of queues that are at least as urgent

Cause: the comparison of the two jobs left out the priorities of their queues, so a job of a less urgent queue could stop tasks of a more urgent one. Change: the candidate keeps its whole dispatch order, priority included. Beside that: the loop for the first waiting task of a stage is one function, and whether the fleet is mostly free is asked only for stages that wait for headroom.

--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -187,14 +187,20 @@
   return used_m * 100 < capacity_m * STARVED_USED_PERCENT;
 }
 
-static void
-start_starved (Sched *sched, const GPtrArray *workers, SchedStage *stage)
+SchedTask *
+sched_first_waiting (const SchedStage *stage)
 {
   uint32_t index = 0;
 
   while (stage->tasks[index].state != TASK_WAITING)
     index++;
-  SchedTask *task = &stage->tasks[index];
+  return &stage->tasks[index];
+}
+
+static void
+start_starved (Sched *sched, const GPtrArray *workers, SchedStage *stage)
+{
+  SchedTask *task = sched_first_waiting (stage);
   SchedWorker *worker = choose_worker (workers, task, TRUE);
   if (worker == NULL)
     return;
@@ -257,7 +263,8 @@
         place_gang (sched, workers, stage);
       else
         place_stage (sched, workers, stage);
-      if (!is_mostly_free (workers, stage->job->queue->service))
+      if (stage->waits_for == SCHED_WAIT_HEADROOM
+          && !is_mostly_free (workers, stage->job->queue->service))
         sched_preempt (preemption, ready_stage);
       check_starved (sched, workers, stage);
       sched_plan_note_waiting (sched, stage);
--- a/lib/batch/sched_preempt.c
+++ b/lib/batch/sched_preempt.c
@@ -16,6 +16,9 @@
 #define WORK_FACTOR 1.5
 /** A task that has come further than this, in percent, is left to end. */
 #define PERCENT_MAX 70
+/** Added to the progress of a task, in percent, when candidates are compared: how much a task that
+ * has just begun is preferred. */
+#define PROGRESS_OFFSET 20.0
 /** Time in which stops ordered for a stage take effect. */
 #define EFFECT_MS 300
 /** Preference for tasks whose jobs are late, as a multiple of the work. */
@@ -25,9 +28,8 @@
 typedef struct
 {
   SchedTask *task;
-  SchedRank rank;
-  double work;  /**< work that its job has left */
-  double score; /**< those with the highest score give way first */
+  SchedReadyStage place; /**< dispatch order of its stage */
+  double score;          /**< those with the highest score give way first */
 } Candidate;
 
 struct SchedPreemption
@@ -85,12 +87,9 @@
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
       if (!may_give_way (task))
         continue;
-      SchedReadyStage place = sched_ready_stage (preemption->sched, task->stage);
-      double lateness = place.rank >= SCHED_RANK_LATE ? LATE_FACTOR : 1.0;
-      const Candidate row = { .task = task,
-                              .rank = place.rank,
-                              .work = place.work,
-                              .score = place.work * lateness / (20.0 + (double) task->percent) };
+      Candidate row = { task, sched_ready_stage (preemption->sched, task->stage), 0 };
+      double lateness = row.place.rank >= SCHED_RANK_LATE ? LATE_FACTOR : 1.0;
+      row.score = row.place.work * lateness / (PROGRESS_OFFSET + (double) task->percent);
       g_array_append_val (preemption->candidates, row);
     }
 }
@@ -117,16 +116,6 @@
   g_array_sort (preemption->candidates, compare_candidates);
 }
 
-static SchedTask *
-first_waiting (const SchedStage *stage)
-{
-  uint32_t index = 0;
-
-  while (stage->tasks[index].state != TASK_WAITING)
-    index++;
-  return &stage->tasks[index];
-}
-
 /* Whether a measured impact of the image keeps the task from some worker. Impacts that are only
  * assumed are no reason to stop anything. */
 static gboolean
@@ -145,7 +134,10 @@
 static gboolean
 comes_later (const Candidate *row, const SchedReadyStage *waiting)
 {
-  return row->rank >= waiting->rank && row->work >= WORK_FACTOR * waiting->work;
+  const SchedReadyStage *place = &row->place;
+
+  return place->priority >= waiting->priority && place->rank >= waiting->rank
+         && place->work >= WORK_FACTOR * waiting->work;
 }
 
 /* Stops one task so that the waiting one fits where it ran; FALSE if there is none. */
@@ -176,7 +168,7 @@
   return stage->step->is_best_effort && !stage->step->is_gang && stage->n_waiting > 0
          && stage->waits_for == SCHED_WAIT_HEADROOM && waiting->rank <= SCHED_RANK_IN_TIME
          && preemption->sched->now_us >= stage->preempted_us + EFFECT_MS * CLK_US_PER_MS
-         && is_kept_off (preemption, first_waiting (stage));
+         && is_kept_off (preemption, sched_first_waiting (stage));
 }
 
 void
@@ -190,6 +182,7 @@
   if (preemption->candidates == NULL)
     find_candidates (preemption);
   uint32_t n_most = MIN (stage->n_waiting, STOPS_MAX - preemption->n_stops);
-  for (uint32_t i = 0; i < n_most && stop_one (preemption, waiting, first_waiting (stage)); i++)
+  for (uint32_t i = 0; i < n_most && stop_one (preemption, waiting, sched_first_waiting (stage));
+       i++)
     stage->preempted_us = preemption->sched->now_us;
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -358,6 +358,8 @@
 void sched_preempt (SchedPreemption *preemption, const SchedReadyStage *waiting);
 
 /* sched_place.c */
+/* First task of the stage that waits; there must be one. */
+SchedTask *sched_first_waiting (const SchedStage *stage);
 /* Starts tasks. Returns the number of ready tasks that could not be placed. */
 uint32_t sched_place (Sched *sched);
 
--- a/tests/batch/test_preempt.c
+++ b/tests/batch/test_preempt.c
@@ -118,7 +118,11 @@
 
 /* A fleet with one serving task a worker; the wide job runs one task a worker. */
 static Rig *
-make_fleet (uint32_t n_workers, const char *wide_step, double impact, const char *serving_cpu)
+make_fleet (uint32_t n_workers,
+            const char *wide_queue,
+            const char *wide_step,
+            double impact,
+            const char *serving_cpu)
 {
   Rig *rig = rig_new (n_workers);
   g_autofree char *serving
@@ -131,7 +135,7 @@
   run_round (rig);
   rig_add_job (rig, SERVING_JOB, "urgent", serving);
   run_rounds (rig, SETTLE_ROUNDS);
-  rig_add_job (rig, WIDE_JOB, "bulk", wide_step);
+  rig_add_job (rig, WIDE_JOB, wide_queue, wide_step);
   run_rounds (rig, SETTLE_ROUNDS);
   return rig;
 }
@@ -152,7 +156,7 @@
 static void
 wide_job_gives_way_to_a_small_one (void **state)
 {
-  Rig *rig = make_fleet (1, WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
+  Rig *rig = make_fleet (1, "bulk", WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
 
   (void) state;
   assert_int_equal (count_of (rig, WIDE_JOB), 1);
@@ -189,7 +193,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (keep_cases); i++)
     {
       const KeepCase *row = &keep_cases[i];
-      Rig *rig = make_fleet (1, row->wide_step, row->impact, row->serving_cpu);
+      Rig *rig = make_fleet (1, "bulk", row->wide_step, row->impact, row->serving_cpu);
       print_message ("%s\n", row->name);
       for (uint32_t k = 0; k < rig->workers[0].n_tasks && row->percent > 0; k++)
         {
@@ -207,7 +211,7 @@
 static void
 equal_jobs_do_not_give_way (void **state)
 {
-  Rig *rig = make_fleet (1, WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
+  Rig *rig = make_fleet (1, "bulk", WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
 
   (void) state;
   rig_add_job (rig, SMALL_JOB, "bulk", WIDE ("1600", CHECKPOINTS));
@@ -216,6 +220,20 @@
   rig_free (rig);
 }
 
+/* A job of a less urgent queue does not stop tasks of a more urgent one. */
+static void
+more_urgent_job_does_not_give_way (void **state)
+{
+  Rig *rig = make_fleet (1, "urgent", WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
+
+  (void) state;
+  assert_int_equal (count_of (rig, WIDE_JOB), 1);
+  add_small_job (rig, SMALL ("1600"));
+  run_rounds (rig, 5);
+  assert_null (strstr (rig->notes->str, "reason=preempted"));
+  rig_free (rig);
+}
+
 #define LOAD_WORKERS 4
 #define LOAD_JOBS 5
 #define LOAD_GAP_ROUNDS 10
@@ -263,7 +281,7 @@
 static void
 small_jobs_are_in_time_beside_a_wide_one (void **state)
 {
-  Rig *rig = make_fleet (LOAD_WORKERS, WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
+  Rig *rig = make_fleet (LOAD_WORKERS, "bulk", WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
   LoadJob jobs[LOAD_JOBS] = { 0 };
   int n_jobs = 0;
   uint32_t n_wide = 0;
@@ -297,6 +315,7 @@
     cmocka_unit_test (wide_job_gives_way_to_a_small_one),
     cmocka_unit_test (task_is_kept),
     cmocka_unit_test (equal_jobs_do_not_give_way),
+    cmocka_unit_test (more_urgent_job_does_not_give_way),
     cmocka_unit_test (small_jobs_are_in_time_beside_a_wide_one),
   };
 
