entry: the commit queue outlives the loop thread

With a pause of 400 ms in that place the same test fails at once: heap-use-after-free in commit_log_is_up <- loop_log_is_up <- publish_view <- tick. 80 runs without the pause, ten at a time, did not show it. Ruled out: HTTP answers, the RCU thread (the trace). Change: wire_stop() joins the loop thread and refuses posts; wire_free() closes the sockets later. The entry stops the loop, answers who still waits, then frees the commit queue, then the sockets.

--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -64,6 +64,7 @@
   Counters counters;
   pthread_t thread;
   gboolean is_started;
+  gboolean is_stopped;   /**< the loop thread was joined */
   pthread_t loop_thread; /**< set by the loop thread itself, since thread may be set later */
 };
 
@@ -454,15 +455,25 @@
 }
 
 void
-wire_free (Wire *wire)
+wire_stop (Wire *wire)
 {
-  if (wire == NULL)
+  if (wire->is_stopped)
     return;
+  wire->is_stopped = TRUE;
   wire_posts_close (wire->posts);
   if (wire->is_started)
     (void) pthread_join (wire->thread, NULL);
   else
     (void) wire_posts_run (wire->posts);
+  wire->loop_thread = pthread_self ();
+}
+
+void
+wire_free (Wire *wire)
+{
+  if (wire == NULL)
+    return;
+  wire_stop (wire);
   for (guint i = 0; i < wire->dealers->len; i++)
     {
       Dealer *dealer = &g_array_index (wire->dealers, Dealer, i);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -51,8 +51,11 @@
 /** Starts the loop thread. */
 void wire_start (Wire *wire);
 
-/** Stops and joins the loop thread and closes all sockets, dropping unsent messages. No callback
- * runs afterwards. */
+/** Stops and joins the loop thread. No callback runs afterwards, and posts are refused; messages
+ * may still be sent by the caller's thread. */
+void wire_stop (Wire *wire);
+
+/** Stops the loop thread unless that was done, and closes all sockets, dropping unsent messages. */
 void wire_free (Wire *wire);
 
 /**
--- a/programs/entry/loop.c
+++ b/programs/entry/loop.c
@@ -371,9 +371,11 @@
     return;
   g_atomic_int_set (&loop->stopping, 1);
   follow_free (loop->follow);
-  commit_free (loop->commit);
   loop_join_snapshot (loop);
-  wire_free (loop->wire);
+  /* The loop thread appends to the log until it has stopped. */
+  wire_stop (loop->wire);
   answer_waiting_requests (loop);
+  commit_free (loop->commit);
+  wire_free (loop->wire);
   free_state (loop);
 }
--- a/tests/wire/test_wire.c
+++ b/tests/wire/test_wire.c
@@ -399,6 +399,24 @@
   close_process (process);
 }
 
+/* What the callbacks use can be freed between the stop and the release of the sockets. */
+static void
+no_callback_runs_after_a_stop (void **state)
+{
+  Process *process = open_process ("agent-1", 1, NULL, NULL);
+  Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+  (void) state;
+  assert_true (wire_post (process->wire, count_post, process, NULL));
+  wire_stop (process->wire);
+  assert_int_equal (process->n_posts, 1);
+  assert_false (wire_post (process->wire, count_post, process, NULL));
+  assert_false (wire_send (process->wire, "nobody", &envelope));
+  wire_stop (process->wire);
+  assert_int_equal (process->n_posts, 1);
+  close_process (process);
+}
+
 static void
 invalid_options_return_typed_errors (void **state)
 {
@@ -466,6 +484,7 @@
     cmocka_unit_test (parse_memory_is_limited),
     cmocka_unit_test (full_queue_refuses_and_counts),
     cmocka_unit_test (posts_are_bounded_and_all_run),
+    cmocka_unit_test (no_callback_runs_after_a_stop),
     cmocka_unit_test (invalid_options_return_typed_errors),
     cmocka_unit_test (zero_byte_in_name_is_rejected),
     cmocka_unit_test (peer_table_expires_and_is_bounded),
