--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -320,6 +320,21 @@
     }
 }
 
+/* Logs what makes the lists of an answer doubtful. */
+static void
+note_doubtful_lists (const Supervisor *supervisor, const RunnerAnswer *answer)
+{
+  if (answer->born_wall_ms != 0 && answer->born_wall_ms != supervisor->info->started_wall_ms)
+    supervisor_log (supervisor, "other_incarnation",
+                    "id=%s born=%" G_GINT64_FORMAT " answer_born=%" G_GINT64_FORMAT
+                    " running=%u ended=%u ends_written=%" G_GINT64_FORMAT,
+                    supervisor->info->id, supervisor->info->started_wall_ms, answer->born_wall_ms,
+                    answer->running->len, answer->ended->len, supervisor->ends_written);
+  if (answer->n_unreadable > 0)
+    supervisor_log (supervisor, "rows_unreadable", "rows=%u running=%u ended=%u",
+                    answer->n_unreadable, answer->running->len, answer->ended->len);
+}
+
 static void
 on_polled (void *ctx, const RunnerAnswer *answer)
 {
@@ -334,6 +349,7 @@
   supervisor->is_polling = FALSE;
   if (answer->outcome == RUNNER_OK && answer->running != NULL)
     {
+      note_doubtful_lists (supervisor, answer);
       update_clock (supervisor, answer);
       supervisor_handle_poll (supervisor, answer, call->sent_us);
       if (supervisor->ended->len > 0)
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -179,6 +179,19 @@
   };
 }
 
+static void
+restore_silent (Owner *owner)
+{
+  const Batch__Silent *silent = ledger_silent (owner->entry->ledger);
+
+  if (silent == NULL)
+    return;
+  line_add ("owner", "silent_agents",
+            "term=%" G_GUINT64_FORMAT " written_in_term=%" G_GUINT64_FORMAT " agents=%zu",
+            owner->term, silent->term, silent->n_agents);
+  sched_restore_silent (owner->sched, silent);
+}
+
 /* Begins the term, after its claim was read back from the ledger. */
 static void
 take_over (Owner *owner)
@@ -203,8 +216,7 @@
   owner->learned_us = clk_now_us ();
   ledger_each_job (owner->entry->ledger, add_job, owner);
   ledger_each_agent (owner->entry->ledger, add_agent, owner);
-  if (ledger_silent (owner->entry->ledger) != NULL)
-    sched_restore_silent (owner->sched, ledger_silent (owner->entry->ledger));
+  restore_silent (owner);
   feed_set_pause (owner->entry->ledger_feed, OWNER_PAUSE_MS);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
   met_add (owner->terms, 1);
