supervisor: lists of another start of the worker are not applied

What callers saw: a task that had ended ran again, or was started after its attempts were spent.

Cause: a worker that restarts under its id numbers its ends from 1 again. Until its first report, the agent polled it in the name of the start before: ends up to the number that had been written counted as acknowledged, were left out of the report, and were acknowledged to the worker with the next poll. A completed task was then started again, a failed run was not counted. The worker names its start in every answer (born), but nothing compared it.

Change: an answer of another start drops what is known of the worker; the next poll waits for the worker's report. A report that is older by the wall clock is ignored only once the newer worker has answered: a clock that was set back made a worker unusable for good.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -167,6 +167,23 @@
   g_array_set_size (supervisor->gone, 0);
 }
 
+static void
+reset_incarnation (Supervisor *supervisor)
+{
+  drop_incarnation_state (supervisor);
+  supervisor->incarnation = 0;
+  supervisor->clock_ms = -1;
+  supervisor->lease_end_us = 0;
+  supervisor->ends_written = 0;
+}
+
+void
+supervisor_await_info (Supervisor *supervisor)
+{
+  reset_incarnation (supervisor);
+  supervisor->next_poll_us = G_MAXINT64;
+}
+
 /* Handles another worker, or a new incarnation of the same one. */
 static void
 begin_incarnation (Supervisor *supervisor, WorkerInfo *info)
@@ -181,11 +198,7 @@
     }
   worker_info_free (supervisor->info);
   supervisor->info = info;
-  drop_incarnation_state (supervisor);
-  supervisor->incarnation = 0;
-  supervisor->clock_ms = -1;
-  supervisor->lease_end_us = 0;
-  supervisor->ends_written = 0;
+  reset_incarnation (supervisor);
   supervisor->is_gone = FALSE;
   supervisor->next_poll_us = 0;
 }
@@ -198,7 +211,8 @@
       if (strcmp (g_ptr_array_index (supervisor->replaced, i), info->id) == 0)
         return TRUE;
     }
-  return supervisor->info != NULL && info->started_wall_ms < supervisor->info->started_wall_ms;
+  /* Without its lists, nothing shows that the newer one is there. */
+  return supervisor->incarnation != 0 && info->started_wall_ms < supervisor->info->started_wall_ms;
 }
 
 void
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -320,16 +320,30 @@
     }
 }
 
-/* Logs what makes the lists of an answer doubtful. */
+static gboolean
+is_of_other_incarnation (const Supervisor *supervisor, const RunnerAnswer *answer)
+{
+  return answer->outcome == RUNNER_OK && answer->born_wall_ms != 0
+         && supervisor->info->started_wall_ms != 0
+         && answer->born_wall_ms != supervisor->info->started_wall_ms;
+}
+
+/* A worker can restart under its id, and its ends are then numbered from 1 again. Its lists would
+ * be taken for those of the incarnation before. */
+static void
+handle_other_incarnation (Supervisor *supervisor, const RunnerAnswer *answer)
+{
+  supervisor_log (supervisor, "other_incarnation",
+                  "id=%s born=%" G_GINT64_FORMAT " answer_born=%" G_GINT64_FORMAT
+                  " ends_written=%" G_GINT64_FORMAT,
+                  supervisor->info->id, supervisor->info->started_wall_ms, answer->born_wall_ms,
+                  supervisor->ends_written);
+  supervisor_await_info (supervisor);
+}
+
 static void
-note_doubtful_lists (const Supervisor *supervisor, const RunnerAnswer *answer)
+note_unreadable_rows (const Supervisor *supervisor, const RunnerAnswer *answer)
 {
-  if (answer->born_wall_ms != 0 && answer->born_wall_ms != supervisor->info->started_wall_ms)
-    supervisor_log (supervisor, "other_incarnation",
-                    "id=%s born=%" G_GINT64_FORMAT " answer_born=%" G_GINT64_FORMAT
-                    " running=%u ended=%u ends_written=%" G_GINT64_FORMAT,
-                    supervisor->info->id, supervisor->info->started_wall_ms, answer->born_wall_ms,
-                    answer->running->len, answer->ended->len, supervisor->ends_written);
   if (answer->n_unreadable > 0)
     supervisor_log (supervisor, "rows_unreadable", "rows=%u running=%u ended=%u",
                     answer->n_unreadable, answer->running->len, answer->ended->len);
@@ -347,9 +361,11 @@
       return;
     }
   supervisor->is_polling = FALSE;
-  if (answer->outcome == RUNNER_OK && answer->running != NULL)
+  if (is_of_other_incarnation (supervisor, answer))
+    handle_other_incarnation (supervisor, answer);
+  else if (answer->outcome == RUNNER_OK && answer->running != NULL)
     {
-      note_doubtful_lists (supervisor, answer);
+      note_unreadable_rows (supervisor, answer);
       update_clock (supervisor, answer);
       supervisor_handle_poll (supervisor, answer, call->sent_us);
       if (supervisor->ended->len > 0)
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -115,6 +115,8 @@
 
 /* supervisor.c */
 int64_t supervisor_now_us (const Supervisor *supervisor);
+/* Drops what is known of the worker, which has restarted, until it reports again. */
+void supervisor_await_info (Supervisor *supervisor);
 /* Whether a worker has registered and its lists were read. */
 gboolean supervisor_is_known (const Supervisor *supervisor);
 /* Whether the worker answered a poll within SUPERVISOR_SILENCE_MS. */
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -164,11 +164,13 @@
   int64_t end_number;  /**< number of the end of TASK run 1; 0: none */
 } Lists;
 
+/* The worker that answers started at @p born; 0 if the answer does not say. */
 static void
-answer_poll (Fake *fake, Lists lists)
+answer_poll_as (Fake *fake, Lists lists, int64_t born)
 {
   FakeCall call;
-  RunnerAnswer reply = { .outcome = RUNNER_OK, .clock_ms = fake->now_us / 1000 };
+  RunnerAnswer reply
+      = { .outcome = RUNNER_OK, .clock_ms = fake->now_us / 1000, .born_wall_ms = born };
 
   assert_true (take_call (fake, CALL_POLL, &call));
   assert_non_null (call.done);
@@ -190,6 +192,12 @@
   g_array_unref (reply.ended);
 }
 
+static void
+answer_poll (Fake *fake, Lists lists)
+{
+  answer_poll_as (fake, lists, 0);
+}
+
 static WorkerInfo *
 info_of (const char *id, int64_t born, int64_t sequence)
 {
@@ -611,6 +619,34 @@
   fake_free (fake);
 }
 
+/* The worker restarted under its id, and its ends are numbered from 1 again. */
+static void
+answer_of_another_incarnation_is_not_applied (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  answer_poll_as (fake, (Lists){ NULL, 9 }, 1);
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
+  fake->now_us += 100 * 1000;
+  supervisor_tick (fake->supervisor);
+  answer_poll_as (fake, (Lists){ NULL, 1 }, 2);
+  assert_null (supervisor_report (fake->supervisor));
+  fake->now_us += 1000 * 1000;
+  supervisor_tick (fake->supervisor);
+  assert_false (take_call (fake, CALL_POLL, &call));
+  supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
+  assert_int_equal (fake->calls[0].seen, 0);
+  answer_poll_as (fake, (Lists){ NULL, 1 }, 2);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_int_equal (report->n_ended, 1);
+  assert_int_equal (report->ended[0]->number, 1);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -814,6 +850,7 @@
     cmocka_unit_test (end_is_dropped_only_after_it_is_written),
     cmocka_unit_test (new_incarnation_drops_the_old_state),
     cmocka_unit_test (late_report_of_a_replaced_worker_is_ignored),
+    cmocka_unit_test (answer_of_another_incarnation_is_not_applied),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
