Rows of a worker's lists that cannot be read no longer count as gone

What callers saw, if it happened: two runs of one task, or more starts than its attempts.

Cause: a listed run that could not be decoded was left out without a line. A run that is not listed counts as gone, so its task was started elsewhere while it ran. An end that could not be decoded, also one of a kind that this build does not know, was left out and acknowledged with a later end.

An end of an unknown kind is one of its own kind and not counted as a failure. If a row can't be read, the lists are incomplete: nothing that is not listed counts as gone, and ends behind that row are not taken. The first lists of an incarnation must be complete. Logged when it begins and ends.

Evidence: with the poll's code of before, supervisor/test_supervisor failed in run_is_not_gone_while_the_lists_are_incomplete and worker_is_not_known_before_its_lists_are_complete; now 23 passed there and 11 in users/test_formats.

--- a/lib/batch/worker.c
+++ b/lib/batch/worker.c
@@ -31,7 +31,7 @@
 worker_end_name (WorkerEndHow how)
 {
   static const char *const names[WORKER_END_COUNT]
-      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone", "other" };
 
   return names[how];
 }
--- a/lib/batch/worker.h
+++ b/lib/batch/worker.h
@@ -51,6 +51,7 @@
   WORKER_END_EXPIRED,      /**< its lease expired */
   WORKER_END_GANG_BROKEN,  /**< another member of its gang ended */
   WORKER_END_GANG_TIMEOUT, /**< the other members of its gang did not arrive in time */
+  WORKER_END_OTHER,        /**< a kind that this build does not know; not counted as a failure */
   WORKER_END_COUNT,
 } WorkerEndHow;
 
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -341,14 +341,6 @@
   supervisor_await_info (supervisor);
 }
 
-static void
-note_unreadable_rows (const Supervisor *supervisor, const RunnerAnswer *answer)
-{
-  if (answer->n_unreadable > 0)
-    supervisor_log (supervisor, "rows_unreadable", "rows=%u running=%u ended=%u",
-                    answer->n_unreadable, answer->running->len, answer->ended->len);
-}
-
 static void
 on_polled (void *ctx, const RunnerAnswer *answer)
 {
@@ -365,7 +357,6 @@
     handle_other_incarnation (supervisor, answer);
   else if (answer->outcome == RUNNER_OK && answer->running != NULL)
     {
-      note_unreadable_rows (supervisor, answer);
       update_clock (supervisor, answer);
       supervisor_handle_poll (supervisor, answer, call->sent_us);
       if (supervisor->ended->len > 0)
--- a/lib/supervisor/supervisor_poll.c
+++ b/lib/supervisor/supervisor_poll.c
@@ -84,7 +84,8 @@
     }
 }
 
-/* Whether a run is over: the poll would have listed it if it were still at the worker. */
+/* Whether a run is over: a poll with complete lists would have listed it if it were still at the
+ * worker. */
 static gboolean
 has_run_ended (const Supervisor *supervisor, const SupervisorRow *row, int64_t sent_us)
 {
@@ -92,8 +93,8 @@
     return FALSE;
   if (is_ended (supervisor, row))
     return TRUE;
-  return row->state == ROW_STARTED && row->answered_us < sent_us
-         && (!row->stop_wanted || row->stop_answered);
+  return !supervisor->has_incomplete_lists && row->state == ROW_STARTED
+         && row->answered_us < sent_us && (!row->stop_wanted || row->stop_answered);
 }
 
 static void
@@ -170,9 +171,29 @@
     }
 }
 
+/* Logs when the lists become incomplete, and when they are complete again. */
+static void
+note_completeness (Supervisor *supervisor, const RunnerAnswer *answer)
+{
+  gboolean is_incomplete = answer->n_unreadable > 0;
+
+  if (is_incomplete != supervisor->has_incomplete_lists)
+    supervisor_log (supervisor, is_incomplete ? "lists_incomplete" : "lists_complete",
+                    "unreadable=%u running=%u ended=%u", answer->n_unreadable, answer->running->len,
+                    answer->ended->len);
+  supervisor->has_incomplete_lists = is_incomplete;
+}
+
 void
 supervisor_handle_poll (Supervisor *supervisor, const RunnerAnswer *answer, int64_t sent_us)
 {
+  note_completeness (supervisor, answer);
+  /* The owner takes the first lists of an incarnation for all that runs there. */
+  if (supervisor->incarnation == 0 && supervisor->has_incomplete_lists)
+    {
+      supervisor->next_poll_us = supervisor_now_us (supervisor) + SUPERVISOR_RETRY_MS * 1000;
+      return;
+    }
   supervisor->polled_us = supervisor_now_us (supervisor);
   if (supervisor->incarnation == 0)
     {
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -91,8 +91,9 @@
   int64_t next_poll_us;
   GHashTable *calls; /**< SupervisorCall under way, as a set */
   gboolean is_leaving;
-  gboolean forbids_starts; /**< the owner forbade starts in its newest message */
-  gboolean is_gone;        /**< the worker announced that it is shutting down */
+  gboolean has_incomplete_lists; /**< the newest poll listed what could not be decoded */
+  gboolean forbids_starts;       /**< the owner forbade starts in its newest message */
+  gboolean is_gone;              /**< the worker announced that it is shutting down */
 };
 
 typedef struct
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -164,13 +164,21 @@
   int64_t end_number;  /**< number of the end of TASK run 1; 0: none */
 } Lists;
 
-/* The worker that answers started at @p born; 0 if the answer does not say. */
+/** Members of an answer beside the lists. */
+typedef struct
+{
+  int64_t born;          /**< when the worker that answers started; 0 if it does not say */
+  uint32_t n_unreadable; /**< rows that could not be decoded */
+} Answer;
+
 static void
-answer_poll_as (Fake *fake, Lists lists, int64_t born)
+answer_poll_with (Fake *fake, Lists lists, Answer answer)
 {
   FakeCall call;
-  RunnerAnswer reply
-      = { .outcome = RUNNER_OK, .clock_ms = fake->now_us / 1000, .born_wall_ms = born };
+  RunnerAnswer reply = { .outcome = RUNNER_OK,
+                         .clock_ms = fake->now_us / 1000,
+                         .born_wall_ms = answer.born,
+                         .n_unreadable = answer.n_unreadable };
 
   assert_true (take_call (fake, CALL_POLL, &call));
   assert_non_null (call.done);
@@ -195,7 +203,7 @@
 static void
 answer_poll (Fake *fake, Lists lists)
 {
-  answer_poll_as (fake, lists, 0);
+  answer_poll_with (fake, lists, (Answer){ 0, 0 });
 }
 
 static WorkerInfo *
@@ -627,18 +635,18 @@
   FakeCall call;
 
   (void) state;
-  answer_poll_as (fake, (Lists){ NULL, 9 }, 1);
+  answer_poll_with (fake, (Lists){ NULL, 9 }, (Answer){ 1, 0 });
   assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
   fake->now_us += 100 * 1000;
   supervisor_tick (fake->supervisor);
-  answer_poll_as (fake, (Lists){ NULL, 1 }, 2);
+  answer_poll_with (fake, (Lists){ NULL, 1 }, (Answer){ 2, 0 });
   assert_null (supervisor_report (fake->supervisor));
   fake->now_us += 1000 * 1000;
   supervisor_tick (fake->supervisor);
   assert_false (take_call (fake, CALL_POLL, &call));
   supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
   assert_int_equal (fake->calls[0].seen, 0);
-  answer_poll_as (fake, (Lists){ NULL, 1 }, 2);
+  answer_poll_with (fake, (Lists){ NULL, 1 }, (Answer){ 2, 0 });
   Batch__Report *report = supervisor_report (fake->supervisor);
   assert_non_null (report);
   assert_int_equal (report->n_ended, 1);
@@ -647,6 +655,48 @@
   fake_free (fake);
 }
 
+static void
+run_is_not_gone_while_the_lists_are_incomplete (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  static const uint32_t unreadable[] = { 1, 0 };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (unreadable); i++)
+    {
+      uint32_t n_unreadable = unreadable[i];
+      fake->now_us += 1000 * 1000;
+      supervisor_tick (fake->supervisor);
+      answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 0, n_unreadable });
+      Batch__Report *report = supervisor_report (fake->supervisor);
+      assert_non_null (report);
+      assert_int_equal (report->n_running, n_unreadable);
+      batch__report__free_unpacked (report, NULL);
+    }
+  fake_free (fake);
+}
+
+static void
+worker_is_not_known_before_its_lists_are_complete (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
+  FakeCall call;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_OTHER_INCARNATION);
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 2, 1 });
+  assert_null (supervisor_report (fake->supervisor));
+  fake->now_us += 1000 * 1000;
+  supervisor_tick (fake->supervisor);
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 2, 0 });
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -851,6 +901,8 @@
     cmocka_unit_test (new_incarnation_drops_the_old_state),
     cmocka_unit_test (late_report_of_a_replaced_worker_is_ignored),
     cmocka_unit_test (answer_of_another_incarnation_is_not_applied),
+    cmocka_unit_test (run_is_not_gone_while_the_lists_are_incomplete),
+    cmocka_unit_test (worker_is_not_known_before_its_lists_are_complete),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -122,6 +122,66 @@
     }
 }
 
+static RunnerAnswer
+decode_lists (const char *running, const char *ended)
+{
+  g_autofree char *body
+      = g_strdup_printf ("{\"clock_ms\":9,\"running\":%s,\"ended\":%s}", running, ended);
+  const NetAnswer net = { .status = 200, .body = body, .size = strlen (body) };
+
+  return runner_decode_answer (&net);
+}
+
+static void
+unknown_kind_of_end_is_an_end_of_its_own_kind (void **state)
+{
+  RunnerAnswer answer = decode_lists (
+      "[]", "[[1,\"t\",1,\"evicted\",\"\"],[2,\"t\",2,\"failed\",\"\",7,{}],[3,\"t\",3,9]]");
+
+  (void) state;
+  assert_int_equal (answer.n_unreadable, 0);
+  assert_int_equal (answer.ended->len, 3);
+  assert_int_equal (g_array_index (answer.ended, WorkerEnd, 0).how, WORKER_END_OTHER);
+  assert_int_equal (g_array_index (answer.ended, WorkerEnd, 1).how, WORKER_END_FAILED);
+  assert_int_equal (g_array_index (answer.ended, WorkerEnd, 2).how, WORKER_END_OTHER);
+  runner_answer_clear (&answer);
+}
+
+static void
+end_behind_one_that_cannot_be_read_is_not_taken (void **state)
+{
+  RunnerAnswer answer = decode_lists (
+      "[]", "[[1,\"t\",1,\"done\",\"\"],[2,7,1,\"done\",\"\"],[3,\"u\",1,\"done\",\"\"]]");
+
+  (void) state;
+  assert_int_equal (answer.n_unreadable, 2);
+  assert_int_equal (answer.ended->len, 1);
+  runner_answer_clear (&answer);
+}
+
+static void
+run_that_cannot_be_read_is_counted (void **state)
+{
+  RunnerAnswer answer = decode_lists (
+      "[[\"t\",1,\"\",10],[\"u\",\"1\",\"\",10],[\"v\",2,null],{},[\"w\",3,\"\",1,2,\"new\"]]",
+      "[]");
+
+  (void) state;
+  assert_int_equal (answer.n_unreadable, 2);
+  assert_int_equal (answer.running->len, 3);
+  runner_answer_clear (&answer);
+}
+
+static void
+answer_without_both_lists_has_none (void **state)
+{
+  RunnerAnswer answer = decode_lists ("[]", "{}");
+
+  (void) state;
+  assert_null (answer.running);
+  assert_null (answer.ended);
+}
+
 static const Case configs[] = {
   { "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/"
     "\",\"service\":\"s\","
@@ -215,6 +275,10 @@
     cmocka_unit_test (jobs_are_decoded_or_refused),
     cmocka_unit_test (every_member_of_a_step_is_read),
     cmocka_unit_test (reports_are_decoded_or_refused),
+    cmocka_unit_test (unknown_kind_of_end_is_an_end_of_its_own_kind),
+    cmocka_unit_test (end_behind_one_that_cannot_be_read_is_not_taken),
+    cmocka_unit_test (run_that_cannot_be_read_is_counted),
+    cmocka_unit_test (answer_without_both_lists_has_none),
     cmocka_unit_test (configurations_are_decoded_or_refused_whole),
     cmocka_unit_test (longest_matching_prefix_wins),
     cmocka_unit_test (evacuations_are_told_by_their_keys),
