supervisor: only the worker that answers replaces one that answers

What callers saw, if it happened: a worker that was never used again, and two runs of its tasks if its lease outlasted the owner's wait; it could not be told from a lost instance.

Cause: any well-formed report with another id, or with a later start, replaced the known worker at once. What ran was no longer polled, and the worker's own reports were ignored from then on as those of a replaced one. A worker that came back under an id that it had had before, or after its clock was set back, was ignored for good, too.

Change: while the known worker answers, a report of another incarnation is a candidate. It is dropped when a poll that was sent after it is answered by the known one. Reports of replaced incarnations are told by id and start, and only once their successor has answered.

Two tests assumed that a report alone replaces a worker that answers; they now answer the call under way as the new incarnation does (421) and check the same.

Found by reading.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -4,7 +4,7 @@
 
 #include "supervisor/supervisor_private.h"
 
-/** Most ids of replaced workers that are kept. Late reports with these ids are ignored. */
+/** Most replaced incarnations that are kept. Their late reports are ignored. */
 #define REPLACED_MAX 16
 
 static void
@@ -35,6 +35,14 @@
   worker_end_clear (&((SupervisorEnd *) data)->end);
 }
 
+static void
+identity_clear (gpointer data)
+{
+  SupervisorIdentity *identity = data;
+
+  g_clear_pointer (&identity->id, g_free);
+}
+
 static GArray *
 rows_new (guint size, GDestroyNotify clear)
 {
@@ -62,7 +70,7 @@
   supervisor->ended = supervisor_ends_new ();
   supervisor->refused = rows_new (sizeof (SupervisorRefused), refused_clear);
   supervisor->gone = rows_new (sizeof (SupervisorGone), gone_clear);
-  supervisor->replaced = g_ptr_array_new_with_free_func (g_free);
+  supervisor->replaced = rows_new (sizeof (SupervisorIdentity), identity_clear);
   supervisor->calls = g_hash_table_new_full (NULL, NULL, supervisor_call_destroy, NULL);
   return supervisor;
 }
@@ -73,11 +81,13 @@
   if (supervisor == NULL)
     return;
   worker_info_free (supervisor->info);
+  worker_info_free (supervisor->candidate);
+  identity_clear (&supervisor->last);
   g_hash_table_destroy (supervisor->rows);
   g_array_unref (supervisor->ended);
   g_array_unref (supervisor->refused);
   g_array_unref (supervisor->gone);
-  g_ptr_array_unref (supervisor->replaced);
+  g_array_unref (supervisor->replaced);
   g_hash_table_destroy (supervisor->calls);
   g_free (supervisor);
 }
@@ -177,30 +187,75 @@
   supervisor->ends_written = 0;
 }
 
-void
-supervisor_await_info (Supervisor *supervisor)
-{
-  reset_incarnation (supervisor);
-  supervisor->next_poll_us = G_MAXINT64;
-}
-
 /* Handles another worker, or a new incarnation of the same one. */
 static void
 begin_incarnation (Supervisor *supervisor, WorkerInfo *info)
 {
   supervisor_log (supervisor, "worker_life", "id=%s born=%" G_GINT64_FORMAT " rows=%u", info->id,
                   info->started_wall_ms, g_hash_table_size (supervisor->rows));
-  if (supervisor->info != NULL && strcmp (supervisor->info->id, info->id) != 0)
+  if (supervisor_is_known (supervisor))
     {
-      g_ptr_array_add (supervisor->replaced, g_strdup (supervisor->info->id));
-      if (supervisor->replaced->len > REPLACED_MAX)
-        g_ptr_array_remove_index (supervisor->replaced, 0);
+      identity_clear (&supervisor->last);
+      supervisor->last = (SupervisorIdentity){ g_strdup (supervisor->info->id),
+                                               supervisor->info->started_wall_ms };
     }
   worker_info_free (supervisor->info);
   supervisor->info = info;
   reset_incarnation (supervisor);
   supervisor->is_gone = FALSE;
   supervisor->next_poll_us = 0;
+  supervisor_tick (supervisor);
+}
+
+void
+supervisor_begin_candidate (Supervisor *supervisor)
+{
+  if (supervisor->candidate != NULL)
+    begin_incarnation (supervisor, g_steal_pointer (&supervisor->candidate));
+}
+
+void
+supervisor_worker_changed (Supervisor *supervisor)
+{
+  if (supervisor->candidate != NULL)
+    {
+      supervisor_begin_candidate (supervisor);
+      return;
+    }
+  reset_incarnation (supervisor);
+  supervisor->next_poll_us = G_MAXINT64;
+}
+
+static gboolean
+is_identity_of (const SupervisorIdentity *identity, const WorkerInfo *info)
+{
+  return g_strcmp0 (identity->id, info->id) == 0
+         && identity->started_wall_ms == info->started_wall_ms;
+}
+
+void
+supervisor_confirm (Supervisor *supervisor, int64_t sent_us)
+{
+  SupervisorIdentity last = supervisor->last;
+
+  if (supervisor->candidate != NULL && sent_us > supervisor->candidate_us)
+    {
+      supervisor_log (supervisor, "report_ignored",
+                      "id=%s born=%" G_GINT64_FORMAT " reason=other_answers",
+                      supervisor->candidate->id, supervisor->candidate->started_wall_ms);
+      g_clear_pointer (&supervisor->candidate, worker_info_free);
+    }
+  if (last.id == NULL)
+    return;
+  supervisor->last = (SupervisorIdentity){ 0 };
+  if (is_identity_of (&last, supervisor->info))
+    {
+      identity_clear (&last);
+      return;
+    }
+  g_array_append_val (supervisor->replaced, last);
+  if (supervisor->replaced->len > REPLACED_MAX)
+    g_array_remove_index (supervisor->replaced, 0);
 }
 
 static gboolean
@@ -208,11 +263,28 @@
 {
   for (guint i = 0; i < supervisor->replaced->len; i++)
     {
-      if (strcmp (g_ptr_array_index (supervisor->replaced, i), info->id) == 0)
+      if (is_identity_of (&g_array_index (supervisor->replaced, SupervisorIdentity, i), info))
         return TRUE;
     }
-  /* Without its lists, nothing shows that the newer one is there. */
-  return supervisor->incarnation != 0 && info->started_wall_ms < supervisor->info->started_wall_ms;
+  return FALSE;
+}
+
+/* Another writer may report as a worker. Only the one that answers replaces one that answers. */
+static void
+handle_other_info (Supervisor *supervisor, WorkerInfo *info)
+{
+  if (!supervisor_is_known (supervisor) || supervisor->is_gone
+      || !supervisor_is_responsive (supervisor))
+    {
+      g_clear_pointer (&supervisor->candidate, worker_info_free);
+      begin_incarnation (supervisor, info);
+      return;
+    }
+  worker_info_free (supervisor->candidate);
+  supervisor->candidate = info;
+  supervisor->candidate_us = supervisor_now_us (supervisor);
+  supervisor->next_poll_us = 0;
+  supervisor_tick (supervisor);
 }
 
 void
@@ -228,8 +300,7 @@
     }
   if (supervisor->info == NULL || !worker_info_same_incarnation (supervisor->info, info))
     {
-      begin_incarnation (supervisor, info);
-      supervisor_tick (supervisor);
+      handle_other_info (supervisor, info);
       return;
     }
   if (info->sequence < supervisor->info->sequence)
@@ -363,6 +434,8 @@
 {
   if (supervisor->info == NULL || supervisor->is_gone)
     return;
+  if (!supervisor_is_responsive (supervisor))
+    supervisor_begin_candidate (supervisor);
   supervisor_repeat_stops (supervisor);
   supervisor_repeat_limits (supervisor);
   supervisor_poll_if_due (supervisor);
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -8,6 +8,8 @@
 #define LEASE_LEFT_MIN_MS 500
 /** Most refusals kept for reports. */
 #define REFUSED_MAX 32
+/** Pause before a failed poll is repeated while it is open which incarnation the worker is. */
+#define CANDIDATE_RETRY_MS 50
 /** CPU limit at which a task starts, in percent. */
 #define FULL_CPU_PERCENT 100
 /** A call without an answer may take effect up to this much later. */
@@ -338,7 +340,7 @@
                   " ends_written=%" G_GINT64_FORMAT,
                   supervisor->info->id, supervisor->info->started_wall_ms, answer->born_wall_ms,
                   supervisor->ends_written);
-  supervisor_await_info (supervisor);
+  supervisor_worker_changed (supervisor);
 }
 
 static void
@@ -359,16 +361,20 @@
     {
       update_clock (supervisor, answer);
       supervisor_handle_poll (supervisor, answer, call->sent_us);
+      supervisor_confirm (supervisor, call->sent_us);
       if (supervisor->ended->len > 0)
         supervisor->next_poll_us = supervisor_now_us (supervisor) + SUPERVISOR_POLL_GAP_MS * 1000;
     }
   else
     {
-      supervisor->next_poll_us = supervisor_now_us (supervisor) + SUPERVISOR_RETRY_MS * 1000;
+      int64_t pause_ms = supervisor->candidate != NULL ? CANDIDATE_RETRY_MS : SUPERVISOR_RETRY_MS;
+      supervisor->next_poll_us = supervisor_now_us (supervisor) + pause_ms * 1000;
       supervisor_log (supervisor, "look_failed", "outcome=%s",
                       runner_outcome_name (answer->outcome));
       if (answer->outcome == RUNNER_FENCED)
         raise_token (supervisor);
+      if (answer->outcome == RUNNER_OTHER_INCARNATION || answer->outcome == RUNNER_NOT_SENT)
+        supervisor_begin_candidate (supervisor);
     }
   call_free (call);
   supervisor_tick (supervisor);
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -48,6 +48,13 @@
   int64_t reported_us;
 } SupervisorRow;
 
+/** Identity of an incarnation of a worker. */
+typedef struct
+{
+  char *id;
+  int64_t started_wall_ms;
+} SupervisorIdentity;
+
 /** A run that is no longer at this worker, or was refused. */
 typedef struct
 {
@@ -70,7 +77,11 @@
   WorkerInfo *info;
   uint64_t incarnation;       /**< fencing token when it began; 0 until the lists were read */
   uint64_t incarnation_count; /**< counts incarnations, to recognise late answers of earlier ones */
-  GPtrArray *replaced;        /**< ids of earlier workers */
+  WorkerInfo *candidate; /**< newest report of another incarnation, while the known one answers */
+  int64_t candidate_us;  /**< when it was received */
+  SupervisorIdentity
+      last;         /**< incarnation that answered last, once another one was begun; no id: none */
+  GArray *replaced; /**< SupervisorIdentity of earlier incarnations */
   uint64_t epoch;
   uint64_t done_number;
   int64_t lease_end_us;
@@ -116,8 +127,14 @@
 
 /* supervisor.c */
 int64_t supervisor_now_us (const Supervisor *supervisor);
-/* Drops what is known of the worker, which has restarted, until it reports again. */
-void supervisor_await_info (Supervisor *supervisor);
+/* Handles that the worker is another incarnation than the known one: begins that of the candidate,
+ * or waits for its report. */
+void supervisor_worker_changed (Supervisor *supervisor);
+/* Begins the incarnation of the candidate, if there is one. */
+void supervisor_begin_candidate (Supervisor *supervisor);
+/* Handles that the worker answered: it is the known incarnation. @p sent_us is when it was called.
+ */
+void supervisor_confirm (Supervisor *supervisor, int64_t sent_us);
 /* Whether a worker has registered and its lists were read. */
 gboolean supervisor_is_known (const Supervisor *supervisor);
 /* Whether the worker answered a poll within SUPERVISOR_SILENCE_MS. */
