owner: the record of silent agents holds only while all owners keep it

What callers saw: two runs of one task, after instances had been replaced by a newer build and an owner of the older one had owned the jobs in between.

Cause: an owner starts nothing at an agent that the record names before it has written a record without it; so a new owner does not wait for that agent. An owner of a build that does not know the record starts tasks there, and its successor relied on the record all the same. The class of fault is an invariant that holds only if every owner keeps it.

Change: owners announce the level of their build and the term since which all owners were of that level or a higher one. A record from before that term does not release tasks; its agents still get nothing until a record without them was written, since owners of the released build rely on it.

Evidence: with the record relied on, batch/test_takeover failed in record_is_not_relied_on_after_an_owner_that_does_not_keep_it (one task at two workers); now 9 passed, and 11 in ledger/test_ledger.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -2169,7 +2169,7 @@
   (ProtobufCMessageInit) batch__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__owner__field_descriptors[6] =
+static const ProtobufCFieldDescriptor batch__owner__field_descriptors[8] =
 {
   {
     "term",
@@ -2243,11 +2243,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Owner, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level_since",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Owner, level_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__owner__field_indices_by_name[] = {
   4,   /* field[4] = address */
   2,   /* field[2] = boot */
   5,   /* field[5] = deputies */
+  6,   /* field[6] = level */
+  7,   /* field[7] = level_since */
   3,   /* field[3] = loads */
   1,   /* field[1] = name */
   0,   /* field[0] = term */
@@ -2255,7 +2281,7 @@
 static const ProtobufCIntRange batch__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor batch__owner__descriptor =
 {
@@ -2265,7 +2291,7 @@
   "Batch__Owner",
   "batch",
   sizeof(Batch__Owner),
-  6,
+  8,
   batch__owner__field_descriptors,
   batch__owner__field_indices_by_name,
   1,  batch__owner__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -283,10 +283,18 @@
    */
   size_t n_deputies;
   char **deputies;
+  /*
+   * level of the owner's build; see level.h
+   */
+  uint32_t level;
+  /*
+   * all owners from this term on were of that level or a higher one
+   */
+  uint64_t level_since;
 };
 #define BATCH__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__owner__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
 
 
 /*
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -90,8 +90,10 @@
 void sched_end_publish (Sched *sched, gboolean is_written);
 
 /** Restores the newest such record; call it after all agents were added and before the first
- * report. Tasks of old jobs that cannot run at these agents need not wait for their reports. */
-void sched_restore_silent (Sched *sched, const Batch__Silent *silent);
+ * report. Nothing is started at these agents until a record without them was written. If all owners
+ * since it was written have kept it, tasks of old jobs that cannot run at these agents need not
+ * wait for their reports. */
+void sched_restore_silent (Sched *sched, const Batch__Silent *silent, gboolean is_kept);
 
 /** Adds a job; if its id is already known, only frees the spec. */
 void sched_add_job (Sched *sched, const SchedNewJob *job);
--- a/lib/batch/sched_silent.c
+++ b/lib/batch/sched_silent.c
@@ -156,14 +156,14 @@
 }
 
 void
-sched_restore_silent (Sched *sched, const Batch__Silent *silent)
+sched_restore_silent (Sched *sched, const Batch__Silent *silent, gboolean is_kept)
 {
   for (size_t i = 0; i < silent->n_agents; i++)
     {
       const Batch__SilentAgent *row = silent->agents[i];
       SchedWorker *worker = g_hash_table_lookup (sched->workers, row->name);
       (void) g_hash_table_add (sched->published, g_strdup (row->name));
-      if (worker == NULL || worker->confined != NULL)
+      if (!is_kept || worker == NULL || worker->confined != NULL)
         continue;
       worker->confined = name_set_new ();
       for (size_t k = 0; k < row->n_tasks; k++)
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -225,6 +225,8 @@
       owner->name = g_strdup (message->name);
       owner->boot = message->boot;
       owner->offset = offset;
+      owner->level = message->level;
+      owner->level_since = message->level_since;
       set_addresses (owner, message);
       if (ledger->events.on_owner != NULL)
         ledger->events.on_owner (ledger->events.ctx, owner);
@@ -327,6 +329,12 @@
   return &ledger->owner;
 }
 
+uint64_t
+ledger_level_since (const LedgerOwner *last, uint32_t level, uint64_t term)
+{
+  return last->term != 0 && last->level >= level ? last->level_since : term;
+}
+
 static gint
 compare_jobs (gconstpointer a, gconstpointer b)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -45,11 +45,13 @@
 {
   uint64_t term; /**< 0: there has been no owner */
   char *name;
-  uint64_t boot;       /**< 0: the last owner released its ownership */
-  int64_t offset;      /**< offset of the newest owner record */
-  char *address;       /**< where the owner receives requests of other entries; may be empty */
-  char **deputies;     /**< addresses of some other entries; NULL-terminated */
-  GHashTable *pending; /**< queue name -> jobs not yet begun, in the owner's newest record */
+  uint64_t boot;        /**< 0: the last owner released its ownership */
+  int64_t offset;       /**< offset of the newest owner record */
+  char *address;        /**< where the owner receives requests of other entries; may be empty */
+  char **deputies;      /**< addresses of some other entries; NULL-terminated */
+  GHashTable *pending;  /**< queue name -> jobs not yet begun, in the owner's newest record */
+  uint32_t level;       /**< level of its build; 0 if it did not say */
+  uint64_t level_since; /**< first term since which all owners were of that level or a higher one */
 } LedgerOwner;
 
 typedef struct Ledger Ledger;
@@ -83,6 +85,10 @@
 /** The state that callers get; FALSE if @p job is NULL or was not submitted. */
 gboolean ledger_job_state (const LedgerJob *job, SchedJobState *state);
 const LedgerOwner *ledger_owner (const Ledger *ledger);
+/** Returns the first term since which all owners were of @p level or a higher one, up to the owner
+ * of
+ * @p term, which is of that level and follows @p last. */
+uint64_t ledger_level_since (const LedgerOwner *last, uint32_t level, uint64_t term);
 /** Calls @p each for all jobs that were submitted, oldest first. */
 void
 ledger_each_job (const Ledger *ledger, void (*each) (void *ctx, const LedgerJob *job), void *ctx);
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -186,10 +186,12 @@
 
   if (silent == NULL)
     return;
+  gboolean is_kept = silent->term >= owner->level_since;
   line_add ("owner", "silent_agents",
-            "term=%" G_GUINT64_FORMAT " written_in_term=%" G_GUINT64_FORMAT " agents=%zu",
-            owner->term, silent->term, silent->n_agents);
-  sched_restore_silent (owner->sched, silent);
+            "term=%" G_GUINT64_FORMAT " written_in_term=%" G_GUINT64_FORMAT
+            " level_since=%" G_GUINT64_FORMAT " agents=%zu relied_on=%d",
+            owner->term, silent->term, owner->level_since, silent->n_agents, is_kept);
+  sched_restore_silent (owner->sched, silent, is_kept);
 }
 
 /* Begins the term, after its claim was read back from the ledger. */
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "batch/level.h"
 #include "common/clk.h"
 #include "common/ids.h"
 #include "common/line.h"
@@ -53,6 +54,7 @@
   owner->phase = OWNER_CLAIMING;
   owner->claim_us = clk_now_us ();
   owner->term = last->term + 1;
+  owner->level_since = ledger_level_since (last, LEVEL_CURRENT, owner->term);
   /* Only one append can succeed at this end offset, so each epoch has one claimant. The random
    * first sequence number distinguishes a repeat of this append from another entry's. */
   owner->epoch = end + 1;
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -30,6 +30,7 @@
   OwnerPhase phase;
   int64_t claim_us; /**< when the claim was sent */
   uint64_t term;
+  uint64_t level_since; /**< first term since which all owners were of this build's level */
   int64_t epoch;
   int64_t sequence;      /**< sequence number of the next append */
   int64_t authority_us;  /**< when the newest acknowledged append was sent */
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -1,3 +1,4 @@
+#include "batch/level.h"
 #include "common/clk.h"
 #include "common/line.h"
 #include "owner_private.h"
@@ -48,6 +49,8 @@
   message.term = owner->term;
   message.name = owner->entry->settings->name;
   message.boot = boot;
+  message.level = LEVEL_CURRENT;
+  message.level_since = owner->level_since;
   const char *deputies[RELAY_DEPUTIES_MAX];
   message.address = (char *) relay_address (owner->entry->relay);
   message.n_deputies = relay_deputies (owner->entry->relay, deputies);
--- a/tests/batch/test_takeover.c
+++ b/tests/batch/test_takeover.c
@@ -52,9 +52,10 @@
     }
 }
 
-/* Replaces the owner by one that knows the job and @p silent. */
+/* Replaces the owner by one that knows the job and @p silent, which all owners since have kept if
+ * @p is_kept. */
 static void
-replace_owner (Rig *rig, const Batch__Silent *silent)
+replace_owner_with (Rig *rig, const Batch__Silent *silent, gboolean is_kept)
 {
   const SchedOptions options = { .report_age_max_ms = 1300,
                                  .lease_expiry_ms = RIG_EXPIRY_MS,
@@ -74,7 +75,13 @@
       rig->workers[i].applied = 0;
     }
   if (silent != NULL)
-    sched_restore_silent (rig->sched, silent);
+    sched_restore_silent (rig->sched, silent, is_kept);
+}
+
+static void
+replace_owner (Rig *rig, const Batch__Silent *silent)
+{
+  replace_owner_with (rig, silent, TRUE);
 }
 
 static void
@@ -282,6 +289,32 @@
   rig_free (rig);
 }
 
+/* The owner in between is of a build that does not know the record: it starts tasks at the agent.
+ */
+static void
+record_is_not_relied_on_after_an_owner_that_does_not_keep_it (void **state)
+{
+  Rig *rig = rig_with_silent_worker ();
+  Batch__Silent *silent = publish (rig);
+
+  (void) state;
+  rig->workers[3].is_silent = FALSE;
+  replace_owner (rig, NULL);
+  run_rounds (rig, 2);
+  rig->workers[0].incarnation++;
+  rig->workers[0].n_tasks = 0;
+  rig->workers[0].is_draining = TRUE;
+  run_rounds (rig, 3);
+  assert_true (rig->workers[3].n_tasks > silent->agents[0]->n_tasks);
+  rig->workers[0].is_draining = FALSE;
+  rig->workers[3].is_silent = TRUE;
+  replace_owner_with (rig, silent, FALSE);
+  run_rounds (rig, 3);
+  assert_no_task_runs_twice (rig);
+  batch__silent__free_unpacked (silent, NULL);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -294,6 +327,7 @@
     cmocka_unit_test (agent_with_too_many_tasks_is_not_published),
     cmocka_unit_test (agent_that_never_reported_is_not_published),
     cmocka_unit_test (record_outlasts_a_second_change),
+    cmocka_unit_test (record_is_not_relied_on_after_an_owner_that_does_not_keep_it),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -130,6 +130,44 @@
   ledger_free (ledger);
 }
 
+static void
+level_counts_from_the_first_owner_of_an_unbroken_sequence (void **state)
+{
+  static const struct
+  {
+    uint64_t term;
+    uint32_t level;
+    uint64_t since;
+  } cases[] = { { 0, 0, 4 }, { 3, 0, 4 }, { 3, 1, 4 }, { 3, 2, 2 }, { 3, 7, 2 } };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const LedgerOwner last = { .term = cases[i].term, .level = cases[i].level, .level_since = 2 };
+      assert_int_equal (ledger_level_since (&last, 2, 4), cases[i].since);
+    }
+}
+
+static void
+owner_record_without_a_level_ends_the_sequence (void **state)
+{
+  Ledger *ledger = new_ledger ();
+  Batch__Owner message = BATCH__OWNER__INIT;
+  uint8_t bytes[64];
+
+  (void) state;
+  message.term = 1;
+  message.name = (char *) "a";
+  message.level = 1;
+  message.level_since = 1;
+  size_t size = batch__owner__pack (&message, bytes);
+  assert_true (apply (ledger, 1, LEDGER_OWNER_KEY, bytes, size));
+  assert_int_equal (ledger_level_since (ledger_owner (ledger), 1, 2), 1);
+  apply_owner (ledger, 2, 2, "b");
+  assert_int_equal (ledger_level_since (ledger_owner (ledger), 1, 3), 3);
+  ledger_free (ledger);
+}
+
 /* A claim is written before its owner has counted the jobs. Callers must not get a count of 0. */
 static void
 claim_leaves_the_last_counts_of_waiting_jobs (void **state)
@@ -253,6 +291,8 @@
     cmocka_unit_test (claim_leaves_the_last_counts_of_waiting_jobs),
     cmocka_unit_test (removed_agent_returns_with_its_next_record),
     cmocka_unit_test (older_progress_changes_nothing),
+    cmocka_unit_test (level_counts_from_the_first_owner_of_an_unbroken_sequence),
+    cmocka_unit_test (owner_record_without_a_level_ends_the_sequence),
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
   };
