supervisor: after a failed poll the next one acknowledges nothing

What callers saw: a completed task ran again, or a failed run was not counted.

Cause: the start of the worker that answers is compared only after the poll was carried out. The poll itself carried the last end that had been written and the end of the lease, both of the incarnation before. A worker that had restarted under its id dropped ends up to that number, which nobody had seen, and ran what it had under a lease by another clock.

After a failed poll the next one says nothing of ends and lease, and is answered at once; nothing is started before that. The poll that follows goes on as before.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -170,6 +170,7 @@
   supervisor->incarnation_count++;
   supervisor->token++;
   supervisor->is_polling = FALSE;
+  supervisor->is_verified = FALSE;
   supervisor->applied_version = 0;
   supervisor->info_version = supervisor_next_version (supervisor);
   g_hash_table_remove_all (supervisor->rows);
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -138,8 +138,8 @@
 static gboolean
 may_start (const Supervisor *supervisor)
 {
-  return supervisor_is_known (supervisor) && !supervisor->info->is_draining
-         && !supervisor->is_leaving && supervisor->clock_ms >= 0
+  return supervisor_is_known (supervisor) && supervisor->is_verified
+         && !supervisor->info->is_draining && !supervisor->is_leaving && supervisor->clock_ms >= 0
          && supervisor->lease_end_us - supervisor_now_us (supervisor) >= LEASE_LEFT_MIN_MS * 1000
          && supervisor_is_responsive (supervisor);
 }
@@ -360,6 +360,7 @@
   else if (answer->outcome == RUNNER_OK && answer->running != NULL)
     {
       update_clock (supervisor, answer);
+      supervisor->is_verified = TRUE;
       supervisor_handle_poll (supervisor, answer, call->sent_us);
       supervisor_confirm (supervisor, call->sent_us);
       if (supervisor->ended->len > 0)
@@ -367,6 +368,7 @@
     }
   else
     {
+      supervisor->is_verified = FALSE;
       int64_t pause_ms = supervisor->candidate != NULL ? CANDIDATE_RETRY_MS : SUPERVISOR_RETRY_MS;
       supervisor->next_poll_us = supervisor_now_us (supervisor) + pause_ms * 1000;
       supervisor_log (supervisor, "look_failed", "outcome=%s",
@@ -380,14 +382,24 @@
   supervisor_tick (supervisor);
 }
 
+/* After a poll without an answer the worker may have restarted under its id. What the next poll
+ * says about its ends and its clock would be about those of another incarnation, so it says
+ * nothing. */
+static RunnerPoll
+poll_request (const Supervisor *supervisor)
+{
+  if (!supervisor->is_verified)
+    return (RunnerPoll){ 0 };
+  return (RunnerPoll){ .until_ms = until_ms (supervisor),
+                       .acked_end = supervisor->ends_written,
+                       .wait_ms = supervisor->options.poll_wait_ms };
+}
+
 void
 supervisor_send_poll (Supervisor *supervisor)
 {
   RunnerTarget target = target_of (supervisor);
-  RunnerPoll request
-      = { .until_ms = until_ms (supervisor),
-          .acked_end = supervisor->ends_written,
-          .wait_ms = supervisor->incarnation != 0 ? supervisor->options.poll_wait_ms : 0 };
+  RunnerPoll request = poll_request (supervisor);
 
   target.timeout_ms += request.wait_ms;
   supervisor->is_polling = TRUE;
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -99,6 +99,7 @@
   uint64_t info_version;    /**< version of the newest change of info */
   int64_t full_report_us;   /**< when the newest full report was built */
   gboolean is_polling;
+  gboolean is_verified; /**< the newest poll was answered by this incarnation */
   int64_t next_poll_us;
   GHashTable *calls; /**< SupervisorCall under way, as a set */
   gboolean is_leaving;
