supervisor: any call can show that the worker restarted

What callers saw: two runs of one task, or a completed task that ran again.

A start in the name of the old one carried a lease by the old clock, which a worker with a new clock cuts to its longest lease: it outlived the time after which the owner starts the task elsewhere. Answers to starts, stops and limits were not compared at all, and after a refused connection or a call without an answer starts went on.

Change: the start time and the clock of each answer are compared with those of the known incarnation; a clock that has gone back is another one. After a call without an answer, a refused connection or a call that another incarnation answered, nothing is started until a poll was answered.

With the code of before, supervisor/test_supervisor failed in start_that_another_incarnation_answers_ends_the_known_one and in the refusal case of nothing_starts_after_a_failed_call_before_a_poll_is_answered; now 29 passed.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -204,6 +204,7 @@
   supervisor->info = info;
   reset_incarnation (supervisor);
   supervisor->is_gone = FALSE;
+  supervisor->awaits_info = FALSE;
   supervisor->next_poll_us = 0;
   supervisor_tick (supervisor);
 }
@@ -224,7 +225,7 @@
       return;
     }
   reset_incarnation (supervisor);
-  supervisor->next_poll_us = G_MAXINT64;
+  supervisor->awaits_info = TRUE;
 }
 
 static gboolean
@@ -299,7 +300,8 @@
       worker_info_free (info);
       return;
     }
-  if (supervisor->info == NULL || !worker_info_same_incarnation (supervisor->info, info))
+  if (supervisor->info == NULL || supervisor->awaits_info
+      || !worker_info_same_incarnation (supervisor->info, info))
     {
       handle_other_info (supervisor, info);
       return;
@@ -424,7 +426,8 @@
 void
 supervisor_poll_if_due (Supervisor *supervisor)
 {
-  if (supervisor->info == NULL || supervisor->is_gone || supervisor->is_polling)
+  if (supervisor->info == NULL || supervisor->is_gone || supervisor->is_polling
+      || supervisor->awaits_info)
     return;
   if (supervisor_now_us (supervisor) >= supervisor->next_poll_us)
     supervisor_send_poll (supervisor);
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -43,6 +43,7 @@
   call->incarnation_count = supervisor->incarnation_count;
   call->key = g_strdup (key);
   call->sent_us = supervisor_now_us (supervisor);
+  call->clock_ms = supervisor->clock_ms;
   g_hash_table_add (supervisor->calls, call);
   return call;
 }
@@ -98,12 +99,49 @@
   return call->incarnation_count == call->supervisor->incarnation_count;
 }
 
+/* Each incarnation says when it started in some of its answers, and has a clock of its own that
+ * only goes forward. */
+static gboolean
+is_of_other_incarnation (const SupervisorCall *call, const RunnerAnswer *answer)
+{
+  int64_t started_ms = call->supervisor->info->started_wall_ms;
+
+  return (answer->born_wall_ms != 0 && started_ms != 0 && answer->born_wall_ms != started_ms)
+         || (answer->clock_ms >= 0 && answer->clock_ms < call->clock_ms);
+}
+
+/* Returns FALSE if the answer is of no use: the call was sent to an earlier incarnation, or another
+ * one answered. A worker can restart under its id, and its ends are then numbered from 1 again; its
+ * lists would be taken for those of the incarnation before. */
+static gboolean
+check_answer (const SupervisorCall *call, const RunnerAnswer *answer)
+{
+  Supervisor *supervisor = call->supervisor;
+
+  if (!is_current (call))
+    return FALSE;
+  if (answer->outcome == RUNNER_OTHER_INCARNATION || answer->outcome == RUNNER_NOT_SENT
+      || answer->outcome == RUNNER_IN_DOUBT)
+    supervisor->is_verified = FALSE;
+  if (!is_of_other_incarnation (call, answer))
+    return TRUE;
+  supervisor_log (supervisor, "other_incarnation",
+                  "id=%s born=%" G_GINT64_FORMAT " answer_born=%" G_GINT64_FORMAT
+                  " clock_ms=%" G_GINT64_FORMAT " answer_clock_ms=%" G_GINT64_FORMAT
+                  " ends_written=%" G_GINT64_FORMAT,
+                  supervisor->info->id, supervisor->info->started_wall_ms, answer->born_wall_ms,
+                  call->clock_ms, answer->clock_ms, supervisor->ends_written);
+  supervisor_worker_changed (supervisor);
+  return FALSE;
+}
+
 static void
 on_started (void *ctx, const RunnerAnswer *answer)
 {
   SupervisorCall *call = ctx;
   Supervisor *supervisor = call->supervisor;
-  SupervisorRow *row = is_current (call) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
+  SupervisorRow *row
+      = check_answer (call, answer) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
 
   if (row == NULL)
     {
@@ -177,7 +215,8 @@
 {
   SupervisorCall *call = ctx;
   Supervisor *supervisor = call->supervisor;
-  SupervisorRow *row = is_current (call) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
+  SupervisorRow *row
+      = check_answer (call, answer) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
 
   if (row != NULL)
     {
@@ -227,7 +266,8 @@
 {
   SupervisorCall *call = ctx;
   Supervisor *supervisor = call->supervisor;
-  SupervisorRow *row = is_current (call) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
+  SupervisorRow *row
+      = check_answer (call, answer) ? g_hash_table_lookup (supervisor->rows, call->key) : NULL;
   int64_t now = supervisor_now_us (supervisor);
 
   if (answer->outcome != RUNNER_OK)
@@ -322,42 +362,19 @@
     }
 }
 
-static gboolean
-is_of_other_incarnation (const Supervisor *supervisor, const RunnerAnswer *answer)
-{
-  return answer->outcome == RUNNER_OK && answer->born_wall_ms != 0
-         && supervisor->info->started_wall_ms != 0
-         && answer->born_wall_ms != supervisor->info->started_wall_ms;
-}
-
-/* A worker can restart under its id, and its ends are then numbered from 1 again. Its lists would
- * be taken for those of the incarnation before. */
-static void
-handle_other_incarnation (Supervisor *supervisor, const RunnerAnswer *answer)
-{
-  supervisor_log (supervisor, "other_incarnation",
-                  "id=%s born=%" G_GINT64_FORMAT " answer_born=%" G_GINT64_FORMAT
-                  " ends_written=%" G_GINT64_FORMAT,
-                  supervisor->info->id, supervisor->info->started_wall_ms, answer->born_wall_ms,
-                  supervisor->ends_written);
-  supervisor_worker_changed (supervisor);
-}
-
 static void
 on_polled (void *ctx, const RunnerAnswer *answer)
 {
   SupervisorCall *call = ctx;
   Supervisor *supervisor = call->supervisor;
 
-  if (!is_current (call))
+  if (!check_answer (call, answer))
     {
       call_free (call);
       return;
     }
   supervisor->is_polling = FALSE;
-  if (is_of_other_incarnation (supervisor, answer))
-    handle_other_incarnation (supervisor, answer);
-  else if (answer->outcome == RUNNER_OK && answer->running != NULL)
+  if (answer->outcome == RUNNER_OK && answer->running != NULL)
     {
       update_clock (supervisor, answer);
       supervisor->is_verified = TRUE;
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -98,6 +98,7 @@
                                full report */
   uint64_t info_version;    /**< version of the newest change of info */
   int64_t full_report_us;   /**< when the newest full report was built */
+  gboolean awaits_info;     /**< the worker restarted and has not reported since */
   gboolean is_polling;
   gboolean is_verified; /**< the newest poll was answered by this incarnation */
   int64_t next_poll_us;
@@ -123,6 +124,7 @@
   uint64_t incarnation_count;
   char *key;
   int64_t sent_us;
+  int64_t clock_ms; /**< newest time of the worker's clock that was known then; -1: none */
   uint32_t percent; /**< CPU limit that the call sets */
 } SupervisorCall;
 
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -697,7 +697,65 @@
   batch__report__free_unpacked (report, NULL);
 }
 
-/* Another writer reports as another worker, and as another start of this one. */
+/* The answer to a start shows it first, by the start time or by a clock that began anew. */
+static void
+start_that_another_incarnation_answers_ends_the_known_one (void **state)
+{
+  static const struct
+  {
+    int64_t born;
+    int64_t clock_ms;
+  } answers[] = { { 2, -1 }, { 0, 5 } };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      Fake *fake = fake_new ((Lists){ NULL, 0 });
+      FakeCall call;
+      const RunnerAnswer reply = { .outcome = RUNNER_OK,
+                                   .clock_ms = answers[i].clock_ms,
+                                   .born_wall_ms = answers[i].born };
+      assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+      assert_true (take_call (fake, CALL_START, &call));
+      call.done (call.done_ctx, &reply);
+      assert_null (supervisor_report (fake->supervisor));
+      supervisor_handle_info (fake->supervisor, info_of ("i1", 1 + answers[i].born, 2));
+      while (fake->n_calls > 1)
+        {
+          assert_true (take_call (fake, CALL_POLL, &call));
+          answer_call (&call, RUNNER_OTHER_INCARNATION);
+        }
+      answer_poll (fake, (Lists){ TASK, 0 });
+      assert_runs_at (fake, "i1");
+      fake_free (fake);
+    }
+}
+
+/* The worker may have restarted: a lease by the clock of before could be too long. */
+static void
+nothing_starts_after_a_failed_call_before_a_poll_is_answered (void **state)
+{
+  static const RunnerOutcome outcomes[]
+      = { RUNNER_OTHER_INCARNATION, RUNNER_NOT_SENT, RUNNER_IN_DOUBT };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      Fake *fake = fake_new ((Lists){ NULL, 0 });
+      FakeCall call;
+      assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+      assert_true (take_call (fake, CALL_START, &call));
+      answer_call (&call, outcomes[i]);
+      assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 2, 0, 0, 0 }));
+      assert_false (take_call (fake, CALL_START, &call));
+      answer_poll (fake, (Lists){ NULL, 0 });
+      assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 3, 0, 0, 0 }));
+      assert_true (take_call (fake, CALL_START, &call));
+      answer_call (&call, RUNNER_OK);
+      fake_free (fake);
+    }
+}
+
 static void
 report_of_another_writer_does_not_replace_the_worker (void **state)
 {
@@ -1015,6 +1073,8 @@
     cmocka_unit_test (late_report_of_a_replaced_worker_is_ignored),
     cmocka_unit_test (answer_of_another_incarnation_is_not_applied),
     cmocka_unit_test (poll_after_a_failed_one_acknowledges_nothing),
+    cmocka_unit_test (start_that_another_incarnation_answers_ends_the_known_one),
+    cmocka_unit_test (nothing_starts_after_a_failed_call_before_a_poll_is_answered),
     cmocka_unit_test (report_of_another_writer_does_not_replace_the_worker),
     cmocka_unit_test (worker_returns_after_a_report_of_another_writer),
     cmocka_unit_test (worker_that_returns_under_an_earlier_id_is_used),
