sched: the pause after refused starts is at most 0.8 s

Two pauses in a row of 1.6 s would keep a job of one task waiting for over 3 s beside a free worker.

--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -11,7 +11,7 @@
 /** Shortest and longest pause after a refused start; each one is twice as long as the previous one.
  */
 #define REFUSAL_PAUSE_MIN_MS 200
-#define REFUSAL_PAUSE_MAX_MS 1600
+#define REFUSAL_PAUSE_MAX_MS 800
 /** Consecutive failures after which a worker is quarantined. */
 #define FAIL_STREAK_MAX 2
 
