sched: a task that failed starts again once its failure is written

What callers saw: a task was started after max_attempts of its runs had failed.

Cause: the next attempt was ordered as soon as the owner had read the end, while the record of it was still to be written. An owner lost in between, or cut off from the store, left a successor that did not know of the failure: the agent that listed it had not reported yet, and the new attempt, which had failed elsewhere, counted as the first one.

One test expected the second start before anything was written; it now expects none until then, and still that an end that is reported repeatedly counts once.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -335,6 +335,7 @@
       SchedChange *change = g_new (SchedChange, 1);
       change->job = g_strdup (((SchedJob *) key)->id);
       change->progress = sched_encode_progress (key);
+      sched_flush_failures (key);
       g_ptr_array_add (flush->changes, change);
       (void) g_hash_table_add (flush->jobs, key);
     }
@@ -369,6 +370,17 @@
     }
 }
 
+static void
+note_failures_flushed (const SchedFlush *flush, gboolean is_written)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, flush->jobs);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    sched_failures_flushed (key, is_written);
+}
+
 static void
 mark_dirty_again (Sched *sched, const SchedFlush *flush)
 {
@@ -384,6 +396,7 @@
 sched_flush_end (Sched *sched, SchedFlush *flush, gboolean is_written)
 {
   sched->flushing = NULL;
+  note_failures_flushed (flush, is_written);
   if (is_written)
     acknowledge_ends (sched, flush);
   else
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -242,7 +242,7 @@
 void
 sched_complete_if_done_elsewhere (Sched *sched, SchedTask *task)
 {
-  if (task->is_done_elsewhere && task->state == TASK_WAITING)
+  if (task->is_done_elsewhere && (task->state == TASK_WAITING || task->state == TASK_UNWRITTEN))
     sched_task_done (sched, task);
 }
 
@@ -273,6 +273,81 @@
     task->stage->tasks[i].n_failed++;
 }
 
+void
+sched_release_task (SchedTask *task)
+{
+  task->state = task->failure == SCHED_FAILURE_WRITTEN ? TASK_WAITING : TASK_UNWRITTEN;
+  if (task->state == TASK_WAITING)
+    task->stage->n_waiting++;
+}
+
+static void
+hold_task (SchedTask *task)
+{
+  task->failure = SCHED_FAILURE_PENDING;
+  if (task->state != TASK_WAITING)
+    return;
+  task->stage->n_waiting--;
+  task->state = TASK_UNWRITTEN;
+}
+
+/* The next attempt starts once the failure is written. An owner that follows before that might
+ * start one attempt too many. */
+static void
+hold_until_written (SchedTask *task)
+{
+  SchedStage *stage = task->stage;
+
+  stage->job->has_unwritten_failures = TRUE;
+  if (!stage->step->is_gang)
+    {
+      hold_task (task);
+      return;
+    }
+  for (uint32_t i = 0; i < stage->step->n_tasks; i++)
+    hold_task (&stage->tasks[i]);
+}
+
+void
+sched_flush_failures (SchedJob *job)
+{
+  for (guint i = 0; job->has_unwritten_failures && i < job->stages->len; i++)
+    {
+      SchedStage *stage = g_ptr_array_index (job->stages, i);
+      for (uint32_t k = 0; k < stage->step->n_tasks; k++)
+        {
+          if (stage->tasks[k].failure == SCHED_FAILURE_PENDING)
+            stage->tasks[k].failure = SCHED_FAILURE_FLUSHING;
+        }
+    }
+}
+
+/* Returns whether the task still has an unwritten failure. */
+static gboolean
+failure_flushed (SchedTask *task, gboolean is_written)
+{
+  if (task->failure != SCHED_FAILURE_FLUSHING)
+    return task->failure == SCHED_FAILURE_PENDING;
+  task->failure = is_written ? SCHED_FAILURE_WRITTEN : SCHED_FAILURE_PENDING;
+  if (is_written && task->state == TASK_UNWRITTEN)
+    sched_release_task (task);
+  return !is_written;
+}
+
+void
+sched_failures_flushed (SchedJob *job, gboolean is_written)
+{
+  gboolean has_unwritten = FALSE;
+
+  for (guint i = 0; job->has_unwritten_failures && i < job->stages->len; i++)
+    {
+      SchedStage *stage = g_ptr_array_index (job->stages, i);
+      for (uint32_t k = 0; k < stage->step->n_tasks; k++)
+        has_unwritten |= failure_flushed (&stage->tasks[k], is_written);
+    }
+  job->has_unwritten_failures = has_unwritten;
+}
+
 void
 sched_task_failed (Sched *sched, SchedTask *task, int64_t run)
 {
@@ -281,6 +356,7 @@
   if (task->stage->step->is_continuous || is_known_failure (task->stage, task->index, run))
     return;
   count_failure (task, run);
+  hold_until_written (task);
   sched_mark_dirty (sched, job);
   if (sched_job_is_open (job) && job->queue != NULL && task->n_failed >= job->queue->attempts_max)
     {
--- a/lib/batch/sched_reconcile.c
+++ b/lib/batch/sched_reconcile.c
@@ -27,8 +27,7 @@
       SchedTask *task = &stage->tasks[i];
       if (task->state != TASK_UNCONFIRMED || (!is_final && sched_may_run_unseen (sched, task)))
         continue;
-      task->state = TASK_WAITING;
-      stage->n_waiting++;
+      sched_release_task (task);
     }
 }
 
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -113,8 +113,9 @@
 static gboolean
 may_adopt (const SchedTask *task, int64_t run)
 {
-  return (task->state == TASK_UNCONFIRMED || task->state == TASK_WAITING) && run >= task->run
-         && sched_job_is_open (task->stage->job);
+  return (task->state == TASK_UNCONFIRMED || task->state == TASK_WAITING
+          || task->state == TASK_UNWRITTEN)
+         && run >= task->run && sched_job_is_open (task->stage->job);
 }
 
 /* A previous owner may have throttled a best-effort task, which would otherwise stay throttled. */
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -22,11 +22,20 @@
 typedef enum
 {
   TASK_WAITING,
+  TASK_UNWRITTEN, /**< its newest failure is not in the ledger: the next owner would not count it */
   TASK_UNCONFIRMED, /**< a previous owner may have started it at an agent that has not reported */
   TASK_PLACED,      /**< a start was ordered, or it runs */
   TASK_DONE,
 } TaskState;
 
+/** Whether the newest failure of a task is in the ledger. */
+typedef enum
+{
+  SCHED_FAILURE_WRITTEN, /**< it is, or there is none */
+  SCHED_FAILURE_PENDING,
+  SCHED_FAILURE_FLUSHING, /**< in the open flush */
+} SchedFailure;
+
 struct SchedTask
 {
   SchedStage *stage;
@@ -34,6 +43,7 @@
   TaskState state;
   int64_t run; /**< highest run number that was used */
   uint32_t n_failed;
+  SchedFailure failure;
   SchedWorker *worker;   /**< worker of a placed task */
   uint64_t order_number; /**< number of the start order; 0 if the run was adopted */
   int64_t placed_us;
@@ -181,6 +191,7 @@
   SchedJobState state;
   gboolean is_old;
   gboolean has_begun;
+  gboolean has_unwritten_failures;
   int64_t ended_us;          /**< when the end was seen in this term; 0: not yet */
   GPtrArray *stages;         /**< SchedStage of the current occurrences, by occurrence and step */
   uint32_t occurrences_done; /**< occurrences before this one are done */
@@ -275,6 +286,11 @@
 /* Call it after sched_detach(): completes the task if another run of it completed. */
 void sched_complete_if_done_elsewhere (Sched *sched, SchedTask *task);
 void sched_task_failed (Sched *sched, SchedTask *task, int64_t run);
+/* Marks the failures that a flush of the job's progress contains, and handles its end. */
+void sched_flush_failures (SchedJob *job);
+void sched_failures_flushed (SchedJob *job, gboolean is_written);
+/* Makes a task that is not at a worker wait for one, or for its failure to be written. */
+void sched_release_task (SchedTask *task);
 gboolean sched_job_is_open (const SchedJob *job);
 GBytes *sched_encode_progress (const SchedJob *job);
 
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -149,7 +149,7 @@
   task->order_number = 0;
   task->is_stopping = FALSE;
   if (state == TASK_WAITING)
-    task->stage->n_waiting++;
+    sched_release_task (task);
 }
 
 void
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -83,6 +83,9 @@
   /* The end is reported repeatedly until it is written. */
   for (int i = 0; i < 3; i++)
     rig_round (rig, 100, FALSE);
+  assert_int_equal (rig->n_starts, 1);
+  for (int i = 0; i < 3; i++)
+    rig_round (rig, 100, TRUE);
   assert_int_equal (sched_open_jobs (rig->sched), 1);
   assert_int_equal (rig->n_starts, 2);
   rig_end (rig_worker_of (rig, JOB_A ".0.0.0"), JOB_A ".0.0.0", WORKER_END_FAILED);
@@ -364,6 +367,28 @@
   rig_free (rig);
 }
 
+/* An owner that follows before the failure was written would not count it. */
+static void
+failed_task_waits_until_its_failure_is_written (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":1000}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  RigWorker *first = rig_worker_of (rig, JOB_A ".0.0.0");
+  assert_non_null (first);
+  rig_end (first, JOB_A ".0.0.0", WORKER_END_FAILED);
+  for (int i = 0; i < 5; i++)
+    rig_round (rig, 100, FALSE);
+  assert_int_equal (rig_running (rig), 0);
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 1);
+  rig_free (rig);
+}
+
 /* Otherwise ended jobs would fill the store and the memory of a long-running deployment. */
 static void
 ended_job_expires (void **state)
@@ -873,6 +898,7 @@
     cmocka_unit_test (agent_without_reports_is_forgotten),
     cmocka_unit_test (agent_being_forgotten_gets_no_tasks),
     cmocka_unit_test (agent_that_was_forgotten_executes_orders_again),
+    cmocka_unit_test (failed_task_waits_until_its_failure_is_written),
     cmocka_unit_test (ended_job_expires),
     cmocka_unit_test (job_being_written_is_kept),
     cmocka_unit_test (new_owner_adopts_running_tasks),
