supervisor: messages that newer ones have overtaken are not executed

What callers saw, if it happened: two runs of one task.

Cause: an agent checked the epoch, the incarnation and the number of an order, and the newest grant, but not how old the message was that carried it. The owner makes a silent connection anew; what was under way on the old one can be delivered after that. By then the owner may have given up the worker and started its tasks elsewhere; the agent, granted a new lease over the new connection, executed the late start.

Change: a message that echoes an older report than one before it of the same owner is ignored.

Evidence: found by reading (net_link.h: a reconnect may deliver a few messages late). With the code of before, supervisor/test_supervisor failed in start_in_an_outdated_message_is_refused; now 30 passed.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -403,6 +403,7 @@
                       orders->epoch);
       supervisor->epoch = orders->epoch;
       supervisor->done_number = 0;
+      supervisor->echo_us = 0;
       supervisor->applied_version = 0;
       supervisor_changed (supervisor);
     }
@@ -411,6 +412,11 @@
     supervisor->applied_version = 0;
   if (orders->agent_boot != supervisor->options.boot)
     return TRUE;
+  /* Messages over a connection that was replaced may come late. Meanwhile the owner may have given
+   * up this worker and started its tasks elsewhere. */
+  if (orders->echo_us < supervisor->echo_us)
+    return FALSE;
+  supervisor->echo_us = orders->echo_us;
   supervisor->forbids_starts = orders->forbids_starts;
   apply_grant (supervisor, orders);
   apply_report_version (supervisor, orders);
--- a/lib/supervisor/supervisor.h
+++ b/lib/supervisor/supervisor.h
@@ -61,7 +61,8 @@
 void supervisor_handle_info (Supervisor *supervisor, WorkerInfo *info);
 /** Handles the message of the worker @p id that it is shutting down. */
 void supervisor_worker_left (Supervisor *supervisor, const char *id);
-/** Handles orders of an owner; FALSE if they come from an owner that was replaced. */
+/** Handles orders of an owner; FALSE if they are outdated: another owner, or a newer message, came
+ * before them. */
 gboolean supervisor_handle_orders (Supervisor *supervisor, const Batch__Orders *orders);
 /** Starts the next poll when one is due, and repeats stops. Call it about every 100 ms. */
 void supervisor_tick (Supervisor *supervisor);
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -84,6 +84,7 @@
   GArray *replaced; /**< SupervisorIdentity of earlier incarnations */
   uint64_t epoch;
   uint64_t done_number;
+  int64_t echo_us; /**< newest report time that this owner's messages echoed */
   int64_t lease_end_us;
   int64_t clock_ms; /**< the worker's clock at clock_us; -1: not known */
   int64_t clock_us;
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -376,7 +376,7 @@
   agent->orders_received
       = met_counter (metrics, "acacia_orders_total", NULL, "Messages with orders");
   agent->orders_stale = met_counter (metrics, "acacia_orders_stale_total", NULL,
-                                     "Messages with orders of a replaced owner");
+                                     "Outdated messages with orders");
   agent->reports_sent
       = met_counter (metrics, "acacia_reports_sent_total", NULL, "Reports to the owner");
   agent->reports_unsent = met_counter (metrics, "acacia_reports_unsent_total", NULL,
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -868,6 +868,28 @@
   fake_free (fake);
 }
 
+/* It came late, over a connection that was replaced; the task may run elsewhere by then. */
+static void
+start_in_an_outdated_message_is_refused (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+  int64_t echo_us = fake->now_us;
+
+  (void) state;
+  fake->now_us += 5000 * 1000;
+  supervisor_tick (fake->supervisor);
+  answer_poll (fake, (Lists){ NULL, 0 });
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, 0, 0 }));
+  supervisor_tick (fake->supervisor);
+  (void) send_orders (fake, (OrdersSpec){ 1, echo_us, 0, 7, 0, 0, 0 });
+  assert_false (take_call (fake, CALL_START, &call));
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 7, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1080,6 +1102,7 @@
     cmocka_unit_test (worker_that_returns_under_an_earlier_id_is_used),
     cmocka_unit_test (run_is_not_gone_while_the_lists_are_incomplete),
     cmocka_unit_test (worker_is_not_known_before_its_lists_are_complete),
+    cmocka_unit_test (start_in_an_outdated_message_is_refused),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
