supervisor: a report without a start time stands for no worker that states one

What callers saw, if it happened: a worker whose own reports were ignored for good: its drain was not seen, and its size and service were those of another writer's report.

Cause: start times were not compared if the report that began the incarnation had none. Such a report with the id of the worker, while it did not answer or before its first one, took its place, and the worker's own reports were then those of a replaced one, or of one that does not answer.

Change: an answer that states a start time is never one of an incarnation without.

Evidence: found by reading. With the code of before, supervisor/test_supervisor failed in worker_is_known_by_its_own_report_after_one_without_a_start_time; now 31 passed.

--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -106,7 +106,7 @@
 {
   int64_t started_ms = call->supervisor->info->started_wall_ms;
 
-  return (answer->born_wall_ms != 0 && started_ms != 0 && answer->born_wall_ms != started_ms)
+  return (answer->born_wall_ms != 0 && answer->born_wall_ms != started_ms)
          || (answer->clock_ms >= 0 && answer->clock_ms < call->clock_ms);
 }
 
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -890,6 +890,35 @@
   fake_free (fake);
 }
 
+/* Another writer's report has the worker's id, but no start time. */
+static void
+worker_is_known_by_its_own_report_after_one_without_a_start_time (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_IN_DOUBT);
+  fake->now_us += 2000 * 1000;
+  WorkerInfo *odd = info_of ("i1", 0, 1);
+  odd->capacity.cpu_m = 1;
+  supervisor_handle_info (fake->supervisor, odd);
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  for (int64_t i = 2; i < 5; i++)
+    {
+      supervisor_handle_info (fake->supervisor, info_of ("i1", 1, i));
+      fake->now_us += 500 * 1000;
+      supervisor_tick (fake->supervisor);
+      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+    }
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_int_equal (report->worker->cpu_m, 16000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1103,6 +1132,7 @@
     cmocka_unit_test (run_is_not_gone_while_the_lists_are_incomplete),
     cmocka_unit_test (worker_is_not_known_before_its_lists_are_complete),
     cmocka_unit_test (start_in_an_outdated_message_is_refused),
+    cmocka_unit_test (worker_is_known_by_its_own_report_after_one_without_a_start_time),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
