supervisor: a poll sent before a call failed does not verify the worker

Cause: a poll is nearly always under way. If its answer was handled after that of a call that had failed, the worker counted as verified, although the answer was sent before the worker restarted: the next poll acknowledged ends of the incarnation before, and starts carried a lease by its clock.

Change: only a poll that was sent after the newest failed call verifies the worker. The test nothing_starts_after_a_failed_call_before_a_poll_is_answered answered a poll that had been sent before the failure and expected a start after it; it now expects none, and one after the next poll.

Evidence: found by reading.

--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -41,6 +41,7 @@
 
   call->supervisor = supervisor;
   call->incarnation_count = supervisor->incarnation_count;
+  call->n_failed_calls = supervisor->n_failed_calls;
   call->key = g_strdup (key);
   call->sent_us = supervisor_now_us (supervisor);
   call->clock_ms = supervisor->clock_ms;
@@ -110,6 +111,14 @@
          || (answer->clock_ms >= 0 && answer->clock_ms < call->clock_ms);
 }
 
+/* The worker may have restarted. What it answered to a poll before that says nothing of it now. */
+static void
+note_failed_call (Supervisor *supervisor)
+{
+  supervisor->is_verified = FALSE;
+  supervisor->n_failed_calls++;
+}
+
 /* Returns FALSE if the answer is of no use: the call was sent to an earlier incarnation, or another
  * one answered. A worker can restart under its id, and its ends are then numbered from 1 again; its
  * lists would be taken for those of the incarnation before. */
@@ -122,7 +131,7 @@
     return FALSE;
   if (answer->outcome == RUNNER_OTHER_INCARNATION || answer->outcome == RUNNER_NOT_SENT
       || answer->outcome == RUNNER_IN_DOUBT)
-    supervisor->is_verified = FALSE;
+    note_failed_call (supervisor);
   if (!is_of_other_incarnation (call, answer))
     return TRUE;
   supervisor_log (supervisor, "other_incarnation",
@@ -377,7 +386,7 @@
   if (answer->outcome == RUNNER_OK && answer->running != NULL)
     {
       update_clock (supervisor, answer);
-      supervisor->is_verified = TRUE;
+      supervisor->is_verified = call->n_failed_calls == supervisor->n_failed_calls;
       supervisor_handle_poll (supervisor, answer, call->sent_us);
       supervisor_confirm (supervisor, call->sent_us);
       if (supervisor->ended->len > 0)
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -101,7 +101,8 @@
   int64_t full_report_us;   /**< when the newest full report was built */
   gboolean awaits_info;     /**< the worker restarted and has not reported since */
   gboolean is_polling;
-  gboolean is_verified; /**< the newest poll was answered by this incarnation */
+  gboolean is_verified;    /**< a poll that was sent after the last failed call was answered */
+  uint64_t n_failed_calls; /**< calls without an answer of the known incarnation */
   int64_t next_poll_us;
   GHashTable *calls; /**< SupervisorCall under way, as a set */
   gboolean is_leaving;
@@ -123,6 +124,7 @@
 {
   Supervisor *supervisor;
   uint64_t incarnation_count;
+  uint64_t n_failed_calls; /**< as it was when the call was sent */
   char *key;
   int64_t sent_us;
   int64_t clock_ms; /**< newest time of the worker's clock that was known then; -1: none */
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -750,6 +750,9 @@
       assert_false (take_call (fake, CALL_START, &call));
       answer_poll (fake, (Lists){ NULL, 0 });
       assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 3, 0, 0, 0 }));
+      assert_false (take_call (fake, CALL_START, &call));
+      answer_poll (fake, (Lists){ NULL, 0 });
+      assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 4, 0, 0, 0 }));
       assert_true (take_call (fake, CALL_START, &call));
       answer_call (&call, RUNNER_OK);
       fake_free (fake);
@@ -919,6 +922,31 @@
   fake_free (fake);
 }
 
+/* Its answer is that of the worker before it restarted. */
+static void
+answer_of_a_poll_sent_before_a_failed_call_verifies_nothing (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  answer_poll (fake, (Lists){ NULL, 9 });
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
+  fake->now_us += 100 * 1000;
+  supervisor_tick (fake->supervisor);
+  fake->now_us += 10 * 1000;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  fake->now_us += 10 * 1000;
+  answer_call (&call, RUNNER_NOT_SENT);
+  answer_poll (fake, (Lists){ NULL, 0 });
+  assert_int_equal (fake->calls[0].seen, 0);
+  assert_int_equal (fake->calls[0].until_ms, 0);
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 2, 0, 0, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1133,6 +1161,7 @@
     cmocka_unit_test (worker_is_not_known_before_its_lists_are_complete),
     cmocka_unit_test (start_in_an_outdated_message_is_refused),
     cmocka_unit_test (worker_is_known_by_its_own_report_after_one_without_a_start_time),
+    cmocka_unit_test (answer_of_a_poll_sent_before_a_failed_call_verifies_nothing),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
