supervisor: polls pause while an end can't be read

What operators saw, if it happened: an agent that polled its worker without a pause, hundreds of times a second.

Cause: a worker answers at once while it lists ends that were not acknowledged. The pause between such polls depended on the ends that were read; if the first one can't be, there are none.

Change: after lists that are incomplete the next poll waits 300 ms.

Evidence: found by reading. With the code of before, supervisor/test_supervisor failed in polls_pause_while_the_first_end_cannot_be_read; now 33 passed.

--- a/lib/supervisor/supervisor_poll.c
+++ b/lib/supervisor/supervisor_poll.c
@@ -188,12 +188,12 @@
 supervisor_handle_poll (Supervisor *supervisor, const RunnerAnswer *answer, int64_t sent_us)
 {
   note_completeness (supervisor, answer);
+  /* Polls return at once while an end is listed, also if it can't be read. */
+  if (supervisor->has_incomplete_lists)
+    supervisor->next_poll_us = supervisor_now_us (supervisor) + SUPERVISOR_RETRY_MS * 1000;
   /* The owner takes the first lists of an incarnation for all that runs there. */
   if (supervisor->incarnation == 0 && supervisor->has_incomplete_lists)
-    {
-      supervisor->next_poll_us = supervisor_now_us (supervisor) + SUPERVISOR_RETRY_MS * 1000;
-      return;
-    }
+    return;
   supervisor->polled_us = supervisor_now_us (supervisor);
   if (supervisor->incarnation == 0)
     {
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -947,6 +947,21 @@
   fake_free (fake);
 }
 
+/* The worker answers at once as long as it lists an end. */
+static void
+polls_pause_while_the_first_end_cannot_be_read (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 0, 1 });
+  assert_int_equal (fake->n_calls, 0);
+  fake->now_us += 400 * 1000;
+  supervisor_tick (fake->supervisor);
+  assert_int_equal (fake->n_calls, 1);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1162,6 +1177,7 @@
     cmocka_unit_test (start_in_an_outdated_message_is_refused),
     cmocka_unit_test (worker_is_known_by_its_own_report_after_one_without_a_start_time),
     cmocka_unit_test (answer_of_a_poll_sent_before_a_failed_call_verifies_nothing),
+    cmocka_unit_test (polls_pause_while_the_first_end_cannot_be_read),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
