supervisor: a worker that left counts as gone once it does not answer

What callers saw, if it happened: two runs of the tasks of a worker, and that worker never used again.

Cause: the message that a worker leaves names its id, not its start. One of an earlier incarnation can be read after the report of the one that followed under that id: the agent was frozen, or the message was late. The agent dropped the rows of the running worker, so that the owner started its tasks elsewhere at once, and did not poll it again: reports of the known incarnation did not end that state.

Change: after that message nothing is started, and the worker is polled. It counts as gone once a poll shows that nothing listens or that another worker answers; its next report that does not say draining ends that. A worker that reports after it counted as gone begins a new incarnation.

Evidence: found by reading. With the code of before, supervisor/test_supervisor failed in worker_is_used_after_a_late_leave_of_its_earlier_incarnation, runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave and worker_that_reports_after_it_counted_as_gone_is_used; now 36 passed.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -203,6 +203,7 @@
   worker_info_free (supervisor->info);
   supervisor->info = info;
   reset_incarnation (supervisor);
+  supervisor->has_left = FALSE;
   supervisor->is_gone = FALSE;
   supervisor->awaits_info = FALSE;
   supervisor->next_poll_us = 0;
@@ -300,7 +301,8 @@
       worker_info_free (info);
       return;
     }
-  if (supervisor->info == NULL || supervisor->awaits_info
+  gboolean is_back = supervisor->is_gone && info->sequence > supervisor->info->sequence;
+  if (supervisor->info == NULL || supervisor->awaits_info || is_back
       || !worker_info_same_incarnation (supervisor->info, info))
     {
       handle_other_info (supervisor, info);
@@ -314,6 +316,7 @@
   gboolean is_changed = info->is_draining != supervisor->info->is_draining;
   worker_info_free (supervisor->info);
   supervisor->info = info;
+  supervisor->has_left &= info->is_draining;
   if (!is_changed)
     return;
   supervisor->info_version = supervisor_next_version (supervisor);
@@ -324,14 +327,33 @@
 void
 supervisor_worker_left (Supervisor *supervisor, const char *id)
 {
-  if (supervisor->info == NULL || strcmp (supervisor->info->id, id) != 0)
+  if (supervisor->info == NULL || supervisor->has_left || strcmp (supervisor->info->id, id) != 0)
     return;
   supervisor_log (supervisor, "worker_left", "id=%s rows=%u", id,
                   g_hash_table_size (supervisor->rows));
+  supervisor->has_left = TRUE;
+  supervisor->info->is_draining = TRUE;
+  supervisor->info_version = supervisor_next_version (supervisor);
+  supervisor->next_poll_us = 0;
+  supervisor_changed (supervisor);
+  supervisor_tick (supervisor);
+}
+
+void
+supervisor_worker_ended (Supervisor *supervisor)
+{
+  if (supervisor->candidate != NULL)
+    {
+      supervisor_begin_candidate (supervisor);
+      return;
+    }
+  if (!supervisor->has_left)
+    return;
+  supervisor_log (supervisor, "worker_gone", "id=%s rows=%u", supervisor->info->id,
+                  g_hash_table_size (supervisor->rows));
   drop_incarnation_state (supervisor);
   supervisor->incarnation = (uint64_t) supervisor->token;
   supervisor->is_gone = TRUE;
-  supervisor->info->is_draining = TRUE;
   supervisor_changed (supervisor);
 }
 
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -395,14 +395,16 @@
   else
     {
       supervisor->is_verified = FALSE;
-      int64_t pause_ms = supervisor->candidate != NULL ? CANDIDATE_RETRY_MS : SUPERVISOR_RETRY_MS;
+      int64_t pause_ms = supervisor->candidate != NULL || supervisor->has_left
+                             ? CANDIDATE_RETRY_MS
+                             : SUPERVISOR_RETRY_MS;
       supervisor->next_poll_us = supervisor_now_us (supervisor) + pause_ms * 1000;
       supervisor_log (supervisor, "look_failed", "outcome=%s",
                       runner_outcome_name (answer->outcome));
       if (answer->outcome == RUNNER_FENCED)
         raise_token (supervisor);
       if (answer->outcome == RUNNER_OTHER_INCARNATION || answer->outcome == RUNNER_NOT_SENT)
-        supervisor_begin_candidate (supervisor);
+        supervisor_worker_ended (supervisor);
     }
   call_free (call);
   supervisor_tick (supervisor);
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -108,7 +108,8 @@
   gboolean is_leaving;
   gboolean has_incomplete_lists; /**< the newest poll listed what could not be decoded */
   gboolean forbids_starts;       /**< the owner forbade starts in its newest message */
-  gboolean is_gone;              /**< the worker announced that it is shutting down */
+  gboolean has_left;             /**< the worker said that it shuts down; it may still answer */
+  gboolean is_gone;              /**< it has left, and does not answer any more */
 };
 
 typedef struct
@@ -138,6 +139,9 @@
 void supervisor_worker_changed (Supervisor *supervisor);
 /* Begins the incarnation of the candidate, if there is one. */
 void supervisor_begin_candidate (Supervisor *supervisor);
+/* Handles that the known worker does not answer any more: begins the incarnation of the candidate;
+ * without one, nothing of the worker runs any more if it had left. */
+void supervisor_worker_ended (Supervisor *supervisor);
 /* Handles that the worker answered: it is the known incarnation. @p sent_us is when it was called.
  */
 void supervisor_confirm (Supervisor *supervisor, int64_t sent_us);
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -962,6 +962,84 @@
   fake_free (fake);
 }
 
+static gboolean
+take_poll_of (Fake *fake, const char *worker_id)
+{
+  FakeCall call;
+  gboolean is_found = FALSE;
+
+  while (take_call (fake, CALL_POLL, &call))
+    {
+      is_found |= strcmp (call.worker_id, worker_id) == 0;
+      answer_call (&call, RUNNER_IN_DOUBT);
+    }
+  return is_found;
+}
+
+/* The agent was frozen, and reads the first report of the new incarnation first. */
+static void
+worker_is_used_after_a_late_leave_of_its_earlier_incarnation (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  fake->now_us += 2000 * 1000;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_NOT_SENT);
+  supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 2, 0 });
+  assert_runs_at (fake, "i1");
+  supervisor_worker_left (fake->supervisor, "i1");
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 2, 0 });
+  for (int64_t i = 2; i < 6; i++)
+    {
+      fake->now_us += 1500 * 1000;
+      supervisor_handle_info (fake->supervisor, info_of ("i1", 2, i));
+      supervisor_tick (fake->supervisor);
+    }
+  assert_true (take_poll_of (fake, "i1"));
+  fake_free (fake);
+}
+
+/* A leave says nothing of what runs while the worker still answers. */
+static void
+runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+
+  (void) state;
+  supervisor_worker_left (fake->supervisor, "i1");
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  if (report != NULL)
+    {
+      assert_int_equal (report->n_running, 1);
+      batch__report__free_unpacked (report, NULL);
+    }
+  fake_free (fake);
+}
+
+static void
+worker_that_reports_after_it_counted_as_gone_is_used (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  supervisor_worker_left (fake->supervisor, "i1");
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_NOT_SENT);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_true (report->worker->is_draining);
+  assert_int_equal (report->n_running, 0);
+  batch__report__free_unpacked (report, NULL);
+  supervisor_handle_info (fake->supervisor, info_of ("i1", 1, 2));
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  assert_runs_at (fake, "i1");
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1178,6 +1256,9 @@
     cmocka_unit_test (worker_is_known_by_its_own_report_after_one_without_a_start_time),
     cmocka_unit_test (answer_of_a_poll_sent_before_a_failed_call_verifies_nothing),
     cmocka_unit_test (polls_pause_while_the_first_end_cannot_be_read),
+    cmocka_unit_test (worker_is_used_after_a_late_leave_of_its_earlier_incarnation),
+    cmocka_unit_test (runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave),
+    cmocka_unit_test (worker_that_reports_after_it_counted_as_gone_is_used),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
