supervisor: a change of capacity is reported at once

What callers saw, if it happened: starts at a worker whose capacity had shrunk (LIMIT), or refused ones.

Cause: a report of the worker about itself was passed on only if it began or ended to drain; another capacity reached the owner with the next full report, up to 4 s later.

Evidence: found by reading. With the code of before, supervisor/test_supervisor failed in capacity_that_shrinks_is_reported_at_once; now 37 passed.

--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -290,6 +290,13 @@
   supervisor_tick (supervisor);
 }
 
+static gboolean
+has_changed (const WorkerInfo *before, const WorkerInfo *info)
+{
+  return info->is_draining != before->is_draining
+         || memcmp (&info->capacity, &before->capacity, sizeof info->capacity) != 0;
+}
+
 void
 supervisor_handle_info (Supervisor *supervisor, WorkerInfo *info)
 {
@@ -313,14 +320,18 @@
       worker_info_free (info);
       return;
     }
-  gboolean is_changed = info->is_draining != supervisor->info->is_draining;
+  gboolean is_changed = has_changed (supervisor->info, info);
   worker_info_free (supervisor->info);
   supervisor->info = info;
   supervisor->has_left &= info->is_draining;
   if (!is_changed)
     return;
   supervisor->info_version = supervisor_next_version (supervisor);
-  supervisor_log (supervisor, "worker_state", "id=%s draining=%d", info->id, info->is_draining);
+  supervisor_log (supervisor, "worker_state",
+                  "id=%s draining=%d cpu_m=%" G_GINT64_FORMAT " mem_mb=%" G_GINT64_FORMAT
+                  " gpus=%" G_GINT64_FORMAT,
+                  info->id, info->is_draining, info->capacity.cpu_m, info->capacity.mem_mb,
+                  info->capacity.gpus);
   supervisor_changed (supervisor);
 }
 
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -1040,6 +1040,24 @@
   fake_free (fake);
 }
 
+static void
+capacity_that_shrinks_is_reported_at_once (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  WorkerInfo *info = info_of ("i1", 1, 2);
+  info->capacity.cpu_m = 8000;
+  supervisor_handle_info (fake->supervisor, info);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_non_null (report->worker);
+  assert_int_equal (report->worker->cpu_m, 8000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1259,6 +1277,7 @@
     cmocka_unit_test (worker_is_used_after_a_late_leave_of_its_earlier_incarnation),
     cmocka_unit_test (runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave),
     cmocka_unit_test (worker_that_reports_after_it_counted_as_gone_is_used),
+    cmocka_unit_test (capacity_that_shrinks_is_reported_at_once),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
