--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -203,6 +203,7 @@
   worker_info_free (supervisor->info);
   supervisor->info = info;
   reset_incarnation (supervisor);
+  supervisor->has_left = FALSE;
   supervisor->is_gone = FALSE;
   supervisor->awaits_info = FALSE;
   supervisor->next_poll_us = 0;
@@ -289,6 +290,13 @@
   supervisor_tick (supervisor);
 }
 
+static gboolean
+has_changed (const WorkerInfo *before, const WorkerInfo *info)
+{
+  return info->is_draining != before->is_draining
+         || memcmp (&info->capacity, &before->capacity, sizeof info->capacity) != 0;
+}
+
 void
 supervisor_handle_info (Supervisor *supervisor, WorkerInfo *info)
 {
@@ -300,7 +308,8 @@
       worker_info_free (info);
       return;
     }
-  if (supervisor->info == NULL || supervisor->awaits_info
+  gboolean is_back = supervisor->is_gone && info->sequence > supervisor->info->sequence;
+  if (supervisor->info == NULL || supervisor->awaits_info || is_back
       || !worker_info_same_incarnation (supervisor->info, info))
     {
       handle_other_info (supervisor, info);
@@ -311,27 +320,51 @@
       worker_info_free (info);
       return;
     }
-  gboolean is_changed = info->is_draining != supervisor->info->is_draining;
+  gboolean is_changed = has_changed (supervisor->info, info);
   worker_info_free (supervisor->info);
   supervisor->info = info;
+  supervisor->has_left &= info->is_draining;
   if (!is_changed)
     return;
   supervisor->info_version = supervisor_next_version (supervisor);
-  supervisor_log (supervisor, "worker_state", "id=%s draining=%d", info->id, info->is_draining);
+  supervisor_log (supervisor, "worker_state",
+                  "id=%s draining=%d cpu_m=%" G_GINT64_FORMAT " mem_mb=%" G_GINT64_FORMAT
+                  " gpus=%" G_GINT64_FORMAT,
+                  info->id, info->is_draining, info->capacity.cpu_m, info->capacity.mem_mb,
+                  info->capacity.gpus);
   supervisor_changed (supervisor);
 }
 
 void
 supervisor_worker_left (Supervisor *supervisor, const char *id)
 {
-  if (supervisor->info == NULL || strcmp (supervisor->info->id, id) != 0)
+  if (supervisor->info == NULL || supervisor->has_left || strcmp (supervisor->info->id, id) != 0)
     return;
   supervisor_log (supervisor, "worker_left", "id=%s rows=%u", id,
                   g_hash_table_size (supervisor->rows));
+  supervisor->has_left = TRUE;
+  supervisor->info->is_draining = TRUE;
+  supervisor->info_version = supervisor_next_version (supervisor);
+  supervisor->next_poll_us = 0;
+  supervisor_changed (supervisor);
+  supervisor_tick (supervisor);
+}
+
+void
+supervisor_worker_ended (Supervisor *supervisor)
+{
+  if (supervisor->candidate != NULL)
+    {
+      supervisor_begin_candidate (supervisor);
+      return;
+    }
+  if (!supervisor->has_left)
+    return;
+  supervisor_log (supervisor, "worker_gone", "id=%s rows=%u", supervisor->info->id,
+                  g_hash_table_size (supervisor->rows));
   drop_incarnation_state (supervisor);
   supervisor->incarnation = (uint64_t) supervisor->token;
   supervisor->is_gone = TRUE;
-  supervisor->info->is_draining = TRUE;
   supervisor_changed (supervisor);
 }
 
@@ -403,6 +436,7 @@
                       orders->epoch);
       supervisor->epoch = orders->epoch;
       supervisor->done_number = 0;
+      supervisor->echo_us = 0;
       supervisor->applied_version = 0;
       supervisor_changed (supervisor);
     }
@@ -411,6 +445,11 @@
     supervisor->applied_version = 0;
   if (orders->agent_boot != supervisor->options.boot)
     return TRUE;
+  /* Messages over a connection that was replaced may come late. Meanwhile the owner may have given
+   * up this worker and started its tasks elsewhere. */
+  if (orders->echo_us < supervisor->echo_us)
+    return FALSE;
+  supervisor->echo_us = orders->echo_us;
   supervisor->forbids_starts = orders->forbids_starts;
   apply_grant (supervisor, orders);
   apply_report_version (supervisor, orders);
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -84,6 +84,7 @@
   GArray *replaced; /**< SupervisorIdentity of earlier incarnations */
   uint64_t epoch;
   uint64_t done_number;
+  int64_t echo_us; /**< newest report time that this owner's messages echoed */
   int64_t lease_end_us;
   int64_t clock_ms; /**< the worker's clock at clock_us; -1: not known */
   int64_t clock_us;
@@ -100,13 +101,15 @@
   int64_t full_report_us;   /**< when the newest full report was built */
   gboolean awaits_info;     /**< the worker restarted and has not reported since */
   gboolean is_polling;
-  gboolean is_verified; /**< the newest poll was answered by this incarnation */
+  gboolean is_verified;    /**< a poll that was sent after the last failed call was answered */
+  uint64_t n_failed_calls; /**< calls without an answer of the known incarnation */
   int64_t next_poll_us;
   GHashTable *calls; /**< SupervisorCall under way, as a set */
   gboolean is_leaving;
   gboolean has_incomplete_lists; /**< the newest poll listed what could not be decoded */
   gboolean forbids_starts;       /**< the owner forbade starts in its newest message */
-  gboolean is_gone;              /**< the worker announced that it is shutting down */
+  gboolean has_left;             /**< the worker said that it shuts down; it may still answer */
+  gboolean is_gone;              /**< it has left, and does not answer any more */
 };
 
 typedef struct
@@ -122,6 +125,7 @@
 {
   Supervisor *supervisor;
   uint64_t incarnation_count;
+  uint64_t n_failed_calls; /**< as it was when the call was sent */
   char *key;
   int64_t sent_us;
   int64_t clock_ms; /**< newest time of the worker's clock that was known then; -1: none */
@@ -135,6 +139,9 @@
 void supervisor_worker_changed (Supervisor *supervisor);
 /* Begins the incarnation of the candidate, if there is one. */
 void supervisor_begin_candidate (Supervisor *supervisor);
+/* Handles that the known worker does not answer any more: begins the incarnation of the candidate;
+ * without one, nothing of the worker runs any more if it had left. */
+void supervisor_worker_ended (Supervisor *supervisor);
 /* Handles that the worker answered: it is the known incarnation. @p sent_us is when it was called.
  */
 void supervisor_confirm (Supervisor *supervisor, int64_t sent_us);
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -750,6 +750,9 @@
       assert_false (take_call (fake, CALL_START, &call));
       answer_poll (fake, (Lists){ NULL, 0 });
       assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 3, 0, 0, 0 }));
+      assert_false (take_call (fake, CALL_START, &call));
+      answer_poll (fake, (Lists){ NULL, 0 });
+      assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 4, 0, 0, 0 }));
       assert_true (take_call (fake, CALL_START, &call));
       answer_call (&call, RUNNER_OK);
       fake_free (fake);
@@ -868,6 +871,193 @@
   fake_free (fake);
 }
 
+/* It came late, over a connection that was replaced; the task may run elsewhere by then. */
+static void
+start_in_an_outdated_message_is_refused (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+  int64_t echo_us = fake->now_us;
+
+  (void) state;
+  fake->now_us += 5000 * 1000;
+  supervisor_tick (fake->supervisor);
+  answer_poll (fake, (Lists){ NULL, 0 });
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, 0, 0 }));
+  supervisor_tick (fake->supervisor);
+  (void) send_orders (fake, (OrdersSpec){ 1, echo_us, 0, 7, 0, 0, 0 });
+  assert_false (take_call (fake, CALL_START, &call));
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 7, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
+/* Another writer's report has the worker's id, but no start time. */
+static void
+worker_is_known_by_its_own_report_after_one_without_a_start_time (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_IN_DOUBT);
+  fake->now_us += 2000 * 1000;
+  WorkerInfo *odd = info_of ("i1", 0, 1);
+  odd->capacity.cpu_m = 1;
+  supervisor_handle_info (fake->supervisor, odd);
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  for (int64_t i = 2; i < 5; i++)
+    {
+      supervisor_handle_info (fake->supervisor, info_of ("i1", 1, i));
+      fake->now_us += 500 * 1000;
+      supervisor_tick (fake->supervisor);
+      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+    }
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_int_equal (report->worker->cpu_m, 16000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+/* Its answer is that of the worker before it restarted. */
+static void
+answer_of_a_poll_sent_before_a_failed_call_verifies_nothing (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  answer_poll (fake, (Lists){ NULL, 9 });
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
+  fake->now_us += 100 * 1000;
+  supervisor_tick (fake->supervisor);
+  fake->now_us += 10 * 1000;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  fake->now_us += 10 * 1000;
+  answer_call (&call, RUNNER_NOT_SENT);
+  answer_poll (fake, (Lists){ NULL, 0 });
+  assert_int_equal (fake->calls[0].seen, 0);
+  assert_int_equal (fake->calls[0].until_ms, 0);
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 2, 0, 0, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  fake_free (fake);
+}
+
+/* The worker answers at once as long as it lists an end. */
+static void
+polls_pause_while_the_first_end_cannot_be_read (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 0, 1 });
+  assert_int_equal (fake->n_calls, 0);
+  fake->now_us += 400 * 1000;
+  supervisor_tick (fake->supervisor);
+  assert_int_equal (fake->n_calls, 1);
+  fake_free (fake);
+}
+
+static gboolean
+take_poll_of (Fake *fake, const char *worker_id)
+{
+  FakeCall call;
+  gboolean is_found = FALSE;
+
+  while (take_call (fake, CALL_POLL, &call))
+    {
+      is_found |= strcmp (call.worker_id, worker_id) == 0;
+      answer_call (&call, RUNNER_IN_DOUBT);
+    }
+  return is_found;
+}
+
+/* The agent was frozen, and reads the first report of the new incarnation first. */
+static void
+worker_is_used_after_a_late_leave_of_its_earlier_incarnation (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  fake->now_us += 2000 * 1000;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_NOT_SENT);
+  supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 2, 0 });
+  assert_runs_at (fake, "i1");
+  supervisor_worker_left (fake->supervisor, "i1");
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 2, 0 });
+  for (int64_t i = 2; i < 6; i++)
+    {
+      fake->now_us += 1500 * 1000;
+      supervisor_handle_info (fake->supervisor, info_of ("i1", 2, i));
+      supervisor_tick (fake->supervisor);
+    }
+  assert_true (take_poll_of (fake, "i1"));
+  fake_free (fake);
+}
+
+/* A leave says nothing of what runs while the worker still answers. */
+static void
+runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+
+  (void) state;
+  supervisor_worker_left (fake->supervisor, "i1");
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  if (report != NULL)
+    {
+      assert_int_equal (report->n_running, 1);
+      batch__report__free_unpacked (report, NULL);
+    }
+  fake_free (fake);
+}
+
+static void
+worker_that_reports_after_it_counted_as_gone_is_used (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  supervisor_worker_left (fake->supervisor, "i1");
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_NOT_SENT);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_true (report->worker->is_draining);
+  assert_int_equal (report->n_running, 0);
+  batch__report__free_unpacked (report, NULL);
+  supervisor_handle_info (fake->supervisor, info_of ("i1", 1, 2));
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  assert_runs_at (fake, "i1");
+  fake_free (fake);
+}
+
+static void
+capacity_that_shrinks_is_reported_at_once (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  WorkerInfo *info = info_of ("i1", 1, 2);
+  info->capacity.cpu_m = 8000;
+  supervisor_handle_info (fake->supervisor, info);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_non_null (report);
+  assert_non_null (report->worker);
+  assert_int_equal (report->worker->cpu_m, 8000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1080,6 +1270,14 @@
     cmocka_unit_test (worker_that_returns_under_an_earlier_id_is_used),
     cmocka_unit_test (run_is_not_gone_while_the_lists_are_incomplete),
     cmocka_unit_test (worker_is_not_known_before_its_lists_are_complete),
+    cmocka_unit_test (start_in_an_outdated_message_is_refused),
+    cmocka_unit_test (worker_is_known_by_its_own_report_after_one_without_a_start_time),
+    cmocka_unit_test (answer_of_a_poll_sent_before_a_failed_call_verifies_nothing),
+    cmocka_unit_test (polls_pause_while_the_first_end_cannot_be_read),
+    cmocka_unit_test (worker_is_used_after_a_late_leave_of_its_earlier_incarnation),
+    cmocka_unit_test (runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave),
+    cmocka_unit_test (worker_that_reports_after_it_counted_as_gone_is_used),
+    cmocka_unit_test (capacity_that_shrinks_is_reported_at_once),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
