batch: a worker without processors gets no best-effort task

Cause: a report with capacity 0 is valid JSON, and a best-effort step without cpu asks for 0 processors, so it was admitted. Choosing the worker then divides by its capacity: on x86-64 the owner ends with SIGFPE, and so does each later owner that the agent reports to; on arm64 the result is 0 and the task starts where it gets no processor time. Change: best-effort tasks are admitted only where there are processors. Measured: batch/test_odd_reports failed before (one start ordered, and 'sched_place.c:45: division by zero' with UBSan), passes now.

--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -108,6 +108,8 @@
     return SCHED_WAIT_WORKER;
   if (!has_memory (worker, stage->step, (JobSize){ 0 }))
     return SCHED_WAIT_MEMORY;
+  if (stage->step->is_best_effort && worker->info->capacity.cpu_m <= 0)
+    return SCHED_WAIT_PROCESSORS;
   if (is_starved)
     return admit_starved (worker, stage->step);
   return stage->step->is_best_effort ? admit_best_effort (worker, task)
--- /dev/null
+++ b/tests/batch/test_odd_reports.c
@@ -0,0 +1,105 @@
+/* Reports, jobs and records with values that no worker, caller or owner of this build writes. */
+#include <math.h>
+
+#include "rig.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+#define TASK_A JOB_A ".0.0.0"
+#define RUN_MAX (INT64_C (1) << 53)
+
+/* The report of a worker that is altered by the test before it is applied. */
+typedef struct
+{
+  Batch__Report report;
+  Batch__Worker info;
+  Batch__Running running;
+  Batch__Running *running_row;
+  Batch__Ended ended;
+  Batch__Ended *ended_row;
+} OddReport;
+
+static void
+odd_report_init (OddReport *odd, const Rig *rig, RigWorker *worker)
+{
+  static char label[] = "a";
+  static char *labels[] = { label };
+
+  batch__report__init (&odd->report);
+  batch__worker__init (&odd->info);
+  batch__running__init (&odd->running);
+  batch__ended__init (&odd->ended);
+  odd->info.id = worker->name;
+  odd->info.service = worker->service;
+  odd->info.data_centre = worker->data_centre;
+  odd->info.labels = labels;
+  odd->info.n_labels = 1;
+  odd->info.cpu_m = RIG_CPU_M;
+  odd->info.mem_mb = RIG_MEM_MB;
+  odd->running.task = TASK_A;
+  odd->running.run = 1;
+  odd->ended.task = TASK_A;
+  odd->ended.run = 1;
+  odd->ended.number = 1;
+  odd->report.worker = &odd->info;
+  odd->report.boot = worker->boot;
+  odd->report.life = worker->incarnation;
+  odd->report.clock_us = rig->now_us;
+  odd->report.version = ++worker->version;
+  odd->running_row = &odd->running;
+  odd->ended_row = &odd->ended;
+  odd->report.running = &odd->running_row;
+  odd->report.ended = &odd->ended_row;
+}
+
+static void
+apply_and_tick (Rig *rig, const RigWorker *worker, const OddReport *odd)
+{
+  sched_apply_report (rig->sched, worker->name, &odd->report, rig->now_us);
+  sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
+}
+
+/* Number of start orders for the agent; @p run, if not NULL, gets the run of the first one. */
+static uint32_t
+count_starts (const Rig *rig, const RigWorker *worker, int64_t *run)
+{
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+  uint32_t n_starts = 0;
+
+  (void) sched_orders (rig->sched, worker->name, &orders);
+  for (size_t i = 0; i < orders.n_orders; i++)
+    {
+      if (orders.orders[i]->what_case != BATCH__ORDER__WHAT_START)
+        continue;
+      if (run != NULL && n_starts == 0)
+        *run = orders.orders[i]->start->run;
+      n_starts++;
+    }
+  return n_starts;
+}
+
+/* Placing a best-effort task divides by the processors of its worker. */
+static void
+worker_without_processors_gets_no_best_effort_task (void **state)
+{
+  Rig *rig = rig_new (1);
+  OddReport odd;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"fills\":true}");
+  odd_report_init (&odd, rig, &rig->workers[0]);
+  odd.info.cpu_m = 0;
+  apply_and_tick (rig, &rig->workers[0], &odd);
+  assert_int_equal (count_starts (rig, &rig->workers[0], NULL), 0);
+  rig_free (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (worker_without_processors_gets_no_best_effort_task),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
