ledger: an owner record of another writer does not reset the term

Cause: the fold took any record with a higher offset. One with term 0, for instance an empty value, made every entry believe that there was no owner; the next claim began term 1, in which tasks start without waiting for reports of what runs, with run numbers that workers have seen. One with the highest term made the next one 0. Change: terms of 0, above 2^40 or below the newest one are malformed. An entry that starts while the key is dropped still sees no owner until the owner's next heartbeat. Measured: ledger/test_ledger failed before (the empty value was applied), passes now.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -207,6 +207,14 @@
     owner->deputies[i] = g_strdup (message->deputies[i]);
 }
 
+/* Each claim raises the term. */
+static gboolean
+is_valid_owner (const LedgerOwner *owner, int64_t offset, const Batch__Owner *message)
+{
+  return message->term > 0 && message->term <= LEDGER_TERM_MAX
+         && (offset <= owner->offset || message->term >= owner->term);
+}
+
 static gboolean
 apply_owner (Ledger *ledger, int64_t offset, const uint8_t *value, size_t size)
 {
@@ -215,6 +223,11 @@
 
   if (message == NULL)
     return FALSE;
+  if (!is_valid_owner (owner, offset, message))
+    {
+      batch__owner__free_unpacked (message, NULL);
+      return FALSE;
+    }
   if (owner->term == 0 || offset > owner->offset)
     {
       /* The loads of a claim are ignored: it is written before its owner has counted its jobs. */
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -23,6 +23,8 @@
 #define LEDGER_OWNER_KEY "owner"
 #define LEDGER_LEARNED_KEY "learned"
 #define LEDGER_SILENT_KEY "silent"
+/** Highest term of an owner record; the run numbers of that term are still exact in JSON. */
+#define LEDGER_TERM_MAX (UINT64_C (1) << 40)
 
 typedef struct
 {
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -242,6 +242,38 @@
   ledger_free (ledger);
 }
 
+static void
+assert_owner_is_kept (const uint8_t *value, size_t size)
+{
+  Ledger *ledger = new_ledger ();
+
+  apply_owner (ledger, 4, 7, "first");
+  assert_false (apply (ledger, 5, LEDGER_OWNER_KEY, value, size));
+  assert_int_equal (ledger_owner (ledger)->term, 7);
+  assert_string_equal (ledger_owner (ledger)->name, "first");
+  apply_owner (ledger, 6, 8, "second");
+  assert_int_equal (ledger_owner (ledger)->term, 8);
+  ledger_free (ledger);
+}
+
+/* Terms number the runs, and the first term starts tasks without waiting for reports. */
+static void
+owner_record_of_another_writer_does_not_reset_the_term (void **state)
+{
+  static const uint64_t terms[] = { 0, 6, LEDGER_TERM_MAX + 1, UINT64_MAX };
+  uint8_t bytes[64] = { 0 };
+
+  (void) state;
+  assert_owner_is_kept (bytes, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (terms); i++)
+    {
+      Batch__Owner message = BATCH__OWNER__INIT;
+      message.term = terms[i];
+      message.name = "odd";
+      assert_owner_is_kept (bytes, batch__owner__pack (&message, bytes));
+    }
+}
+
 int
 main (void)
 {
@@ -255,6 +287,7 @@
     cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
+    cmocka_unit_test (owner_record_of_another_writer_does_not_reset_the_term),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
