--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -28,6 +28,7 @@
   uint32_t n_unanswered; /**< number of next calls that get no answer */
   GPtrArray *held;
   GByteArray *last_body;
+  const char *expected_after; /**< argument "after" of requests that have one; NULL: any */
 } Fixture;
 
 static void
@@ -40,6 +41,8 @@
       = { .status = fixture->status, .content_type = "application/json", .body = fixture->body };
 
   fixture->n_calls++;
+  if (fixture->expected_after != NULL && net_request_argument (request, "after") != NULL)
+    assert_string_equal (net_request_argument (request, "after"), fixture->expected_after);
   g_byte_array_set_size (fixture->last_body, 0);
   g_byte_array_append (fixture->last_body, (const guint8 *) body, (guint) size);
   if (fixture->n_unanswered > 0)
@@ -544,6 +547,40 @@
   net_request_reply (g_ptr_array_steal_index (fixture->held, 0), &reply);
 }
 
+/* Loads a topic of two pages. @p items are on the first one, one record is on the second one. */
+static void
+load_two_pages (Fixture *fixture, const char *items, guint n_expected)
+{
+  g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  g_autofree char *page
+      = g_strdup_printf ("{\"items\":[%s],\"more\":true,\"end_offset\":6}", items);
+
+  fixture->n_unanswered = 1;
+  set_answer (fixture, 200,
+              "{\"items\":[{\"key\":\"z\",\"value\":\"AA==\",\"offset\":9}],"
+              "\"more\":false,\"end_offset\":6}");
+  Feed *feed = open_feed (fixture, offsets);
+  while (fixture->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  reply_page (fixture, page);
+  run_loop_for (100);
+  assert_true (feed_is_loaded (feed));
+  assert_int_equal (offsets->len, n_expected);
+  fixture_free (fixture);
+  feed_free (feed);
+}
+
+static void
+load_goes_on_after_a_key_with_special_characters (void **state)
+{
+  Fixture *fixture = fixture_new ();
+
+  (void) state;
+  fixture->expected_after = "a b&part=1%41#\303\251";
+  load_two_pages (
+      fixture, "{\"key\":\"a b&part=1%41#\303\251\",\"value\":\"AA==\",\"offset\":5}", 2);
+}
+
 /* A refresh is requested while the newest records are still being loaded page by page. Reading the
  * topic from its start would deliver older records after newer ones of the same key. */
 static void
@@ -711,6 +748,7 @@
     cmocka_unit_test (record_in_doubt_is_retried_until_written),
     cmocka_unit_test (doubt_is_reported_at_the_deadline),
     cmocka_unit_test (late_answer_does_not_rewind_the_feed),
+    cmocka_unit_test (load_goes_on_after_a_key_with_special_characters),
     cmocka_unit_test (load_is_fresh_from_its_begin),
     cmocka_unit_test (missed_records_of_few_keys_are_skipped),
     cmocka_unit_test (load_is_enclosed_by_its_events),
