store: a key that is not text does not end the load of a topic

Cause: a page of the newest records is one JSON document, and a key of another writer with a zero byte, with bytes that are not UTF-8 or with a lone surrogate made the parser refuse all of it. Each entry that started from then on asked for the page again and again, and never became ready.

--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -581,6 +581,21 @@
       fixture, "{\"key\":\"a b&part=1%41#\303\251\",\"value\":\"AA==\",\"offset\":5}", 2);
 }
 
+static const char *const odd_items[] = {
+  "{\"key\":\"a\\u0000b\",\"value\":\"AA==\",\"offset\":5}",
+  "{\"key\":\"a\377\",\"value\":\"AA==\",\"offset\":5}",
+  "{\"key\":\"a\\udcff\",\"value\":\"AA==\",\"offset\":5}",
+};
+
+/* The keys of another writer are arbitrary bytes. */
+static void
+key_that_is_not_text_does_not_end_the_load (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_items); i++)
+    load_two_pages (fixture_new (), odd_items[i], 2);
+}
+
 /* A refresh is requested while the newest records are still being loaded page by page. Reading the
  * topic from its start would deliver older records after newer ones of the same key. */
 static void
@@ -749,6 +764,7 @@
     cmocka_unit_test (doubt_is_reported_at_the_deadline),
     cmocka_unit_test (late_answer_does_not_rewind_the_feed),
     cmocka_unit_test (load_goes_on_after_a_key_with_special_characters),
+    cmocka_unit_test (key_that_is_not_text_does_not_end_the_load),
     cmocka_unit_test (load_is_fresh_from_its_begin),
     cmocka_unit_test (missed_records_of_few_keys_are_skipped),
     cmocka_unit_test (load_is_enclosed_by_its_events),
