store: a page without a readable record does not end the load

Cause: a load went on after the last record that could be read. Without one on a page it ended there, and jobs on later pages were unknown. A page that names itself as the next one ends the load, with a line. Measured: users/test_store failed before (0 records in place of 1), passes now.

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -17,7 +17,7 @@
   gboolean is_loading; /**< pages of the newest records are being loaded */
   int64_t load_end;    /**< end of the topic when the load began; -1 before its first page */
   int64_t load_us;     /**< when the load began */
-  char *after_key;
+  char *page; /**< page that is loaded next; NULL: the first one */
   int64_t next;
   int64_t fresh_us;
   int64_t answered_us;
@@ -147,16 +147,15 @@
   deliver_all (feed, answer);
   if (feed->load_end < 0)
     feed->load_end = answer->end_offset;
-  g_free (feed->after_key);
-  feed->after_key = NULL;
-  if (answer->has_more && answer->records->len > 0)
+  if (answer->next_page != NULL && g_strcmp0 (answer->next_page, feed->page) != 0)
     {
-      const StoreRecord *last
-          = &g_array_index (answer->records, StoreRecord, answer->records->len - 1);
-      feed->after_key = g_strndup (last->key, last->key_size);
+      g_free (feed->page);
+      feed->page = g_strdup (answer->next_page);
       send_read (feed);
       return;
     }
+  if (answer->next_page != NULL)
+    line_add ("feed", "page_repeats", "topic=%s page=%s", feed->options.topic, feed->page);
   /* The pages are not a snapshot, so records appended since the load began are read again. */
   feed->next = feed->load_end;
   feed->is_loading = FALSE;
@@ -176,7 +175,7 @@
   feed->is_loading = TRUE;
   feed->load_end = -1;
   feed->load_us = clk_now_us ();
-  g_clear_pointer (&feed->after_key, g_free);
+  g_clear_pointer (&feed->page, g_free);
   if (feed->options.on_load_begin != NULL)
     feed->options.on_load_begin (feed->options.ctx);
 }
@@ -228,7 +227,7 @@
 
   feed->sent_us = clk_now_us ();
   if (feed->is_loading)
-    store_newest (feed->options.store, feed->options.topic, feed->after_key, TIMEOUT_MS, on_page,
+    store_newest (feed->options.store, feed->options.topic, feed->page, TIMEOUT_MS, on_page,
                   feed);
   else
     store_read (feed->options.store, &read, on_read, feed);
@@ -256,7 +255,7 @@
     g_source_remove (feed->timer);
   g_ptr_array_unref (feed->waiting);
   g_hash_table_destroy (feed->refreshes);
-  g_free (feed->after_key);
+  g_free (feed->page);
   g_free (feed);
 }
 
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -596,6 +596,15 @@
     load_two_pages (fixture_new (), odd_items[i], 2);
 }
 
+/* The first page has no record that can be read, and the second one has. */
+static void
+page_without_a_readable_record_does_not_end_the_load (void **state)
+{
+  (void) state;
+  load_two_pages (fixture_new (), "{\"key\":\"a\",\"value\":7,\"offset\":5}", 1);
+  load_two_pages (fixture_new (), "{\"key\":\"a\",\"value\":\"!\",\"offset\":5}", 1);
+}
+
 /* A refresh is requested while the newest records are still being loaded page by page. Reading the
  * topic from its start would deliver older records after newer ones of the same key. */
 static void
@@ -765,6 +774,7 @@
     cmocka_unit_test (late_answer_does_not_rewind_the_feed),
     cmocka_unit_test (load_goes_on_after_a_key_with_special_characters),
     cmocka_unit_test (key_that_is_not_text_does_not_end_the_load),
+    cmocka_unit_test (page_without_a_readable_record_does_not_end_the_load),
     cmocka_unit_test (load_is_fresh_from_its_begin),
     cmocka_unit_test (missed_records_of_few_keys_are_skipped),
     cmocka_unit_test (load_is_enclosed_by_its_events),
