ledger: a key with a zero byte names nothing

Cause: the fold compared keys up to a zero byte. A record of another writer with the key "job.ID" and more after a zero byte was applied to job ID; without a value it removed the job, or an agent. Change: such a key is unknown. Measured: ledger/test_ledger failed before (applied), passes now.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -284,7 +284,7 @@
               const uint8_t *value,
               size_t value_size)
 {
-  if (key_size == 0 || key_size > NAME_MAX_CHARS)
+  if (key_size == 0 || key_size > NAME_MAX_CHARS || memchr (key, '\0', key_size) != NULL)
     return FALSE;
   g_autofree char *text = g_strndup (key, key_size);
   if (strcmp (text, LEDGER_OWNER_KEY) == 0)
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -242,6 +242,19 @@
   ledger_free (ledger);
 }
 
+/* The rest of a key after a zero byte must not be ignored. */
+static void
+key_with_a_zero_byte_names_nothing (void **state)
+{
+  Ledger *ledger = new_ledger ();
+
+  (void) state;
+  apply_submission (ledger, 3, "first");
+  assert_false (ledger_apply (ledger, 4, "job." JOB "\0b", strlen ("job." JOB) + 2, NULL, 0));
+  assert_non_null (ledger_job (ledger, JOB));
+  ledger_free (ledger);
+}
+
 static void
 assert_owner_is_kept (const uint8_t *value, size_t size)
 {
@@ -287,6 +300,7 @@
     cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
+    cmocka_unit_test (key_with_a_zero_byte_names_nothing),
     cmocka_unit_test (owner_record_of_another_writer_does_not_reset_the_term),
   };
 
