platform: numbers of a job are bounded

Cause: integers were accepted up to 2^63, and sizes, durations and times of a job are then added and multiplied by the owner. Occurrence K of a job with a start or an interval near 2^63 fell due at a time that overflowed, at each owner in turn.

--- a/lib/batch/job.h
+++ b/lib/batch/job.h
@@ -16,6 +16,11 @@
 #define JOB_STEP_TASKS_MAX 10000
 #define JOB_REPEATS_MAX 100000
 #define JOB_SPEC_BYTES_MAX 4000
+/** Largest amount of one resource, longest duration, and latest time: sums and products of them
+ * stay within 64 bits. */
+#define JOB_SIZE_MAX (INT64_C (1) << 40)
+#define JOB_DURATION_MAX_MS (INT64_C (1) << 40)
+#define JOB_WALL_MAX_MS (INT64_C (1) << 48)
 
 /** Resources that a task needs, or capacity of a worker. */
 typedef struct
