--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -118,6 +118,13 @@
     "member \"capacity\": expected an object" },
   { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4," CAPACITY ",\"labels\":[1]}",
     "member \"labels\": expected strings" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4,\"capacity\":{\"cpu\":-1,"
+    "\"mem_mb\":1}}",
+    "member \"capacity\": a number is out of range" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4,\"capacity\":{\"cpu\":1,\"mem_"
+    "mb\":"
+    "9007199254740992}}",
+    "member \"capacity\": a number is out of range" },
   { "\xff\xfe", "malformed JSON: '[' or '{' expected near '\\xff'" },
 };
 
