batch: numbers in an agent's report are bounded

Cause: the run number of an end or of a listed run was taken over as it was; at 2^63 - 1 the next run got a negative number, which no worker starts. An end with such a number hid all later ends of the worker, and was acknowledged, so that the worker forgot them. Change: ends and runs outside 1 to 2^53 change nothing, with a line; capacities, progress and ages are bounded. Measured: batch/test_odd_reports failed before (run -2^63, ends kept up to 2^63 - 1), passes now.

--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -8,8 +8,11 @@
 #define MEASUREMENT_AGE_MS 200
 /** Largest age of the measurements: agents that have not polled for longer do not report. */
 #define MEASUREMENT_AGE_MAX_MS 1500
+#define PERCENT_MAX 100
 /** Consecutive failures after which a worker is quarantined. */
 #define FAIL_STREAK_MAX 2
+/** Largest number of a run or an end: larger ones are not exact in JSON. */
+#define NUMBER_MAX (INT64_C (1) << 53)
 
 static WorkerInfo *
 to_info (const Batch__Worker *row)
@@ -24,7 +27,9 @@
   info->labels = g_new0 (char *, row->n_labels + 1);
   for (size_t i = 0; i < row->n_labels; i++)
     info->labels[i] = g_strdup (row->labels[i]);
-  info->capacity = (JobSize){ row->cpu_m, row->mem_mb, row->gpus };
+  info->capacity
+      = (JobSize){ CLAMP (row->cpu_m, 0, JOB_SIZE_MAX), CLAMP (row->mem_mb, 0, JOB_SIZE_MAX),
+                   CLAMP (row->gpus, 0, JOB_SIZE_MAX) };
   info->is_draining = row->is_draining;
   info->remaining_ms = row->remaining_ms;
   return info;
@@ -39,6 +44,12 @@
   task->checkpoint = g_strdup (checkpoint);
 }
 
+static gboolean
+is_in_range (int64_t number)
+{
+  return number > 0 && number <= NUMBER_MAX;
+}
+
 static gboolean
 is_placed_as (const SchedTask *task, const SchedWorker *worker, int64_t run)
 {
@@ -110,7 +121,7 @@
 may_adopt (const SchedTask *task, int64_t run)
 {
   return (task->state == TASK_UNCONFIRMED || task->state == TASK_WAITING) && run >= task->run
-         && sched_job_is_open (task->stage->job);
+         && is_in_range (run) && sched_job_is_open (task->stage->job);
 }
 
 /* A previous owner may have throttled a best-effort task, which would otherwise stay throttled. */
@@ -177,9 +188,10 @@
   task->is_starting = row->is_starting;
   task->measurement = row->figure;
   keep_checkpoint (task, row->saved);
-  if (task->percent != row->percent || row->is_starting)
+  int32_t percent = CLAMP (row->percent, 0, PERCENT_MAX);
+  if (task->percent != percent || row->is_starting)
     task->percent_us = sched->now_us;
-  task->percent = row->percent;
+  task->percent = percent;
   if (!sched_job_is_open (task->stage->job))
     sched_order_stop (sched, task, "job_ended");
 }
@@ -318,13 +330,23 @@
 static void
 apply_ends (Sched *sched, SchedWorker *worker, const Batch__Report *report)
 {
+  int64_t newest = worker->ends_applied;
+
   for (size_t i = 0; i < report->n_ended; i++)
     {
-      if (report->ended[i]->number > worker->ends_applied)
-        apply_end (sched, worker, report->ended[i]);
+      const Batch__Ended *end = report->ended[i];
+      if (!is_in_range (end->number) || !is_in_range (end->run))
+        {
+          sched_note (sched, "end_malformed", "-",
+                      "worker=%s number=%" G_GINT64_FORMAT " run=%" G_GINT64_FORMAT, worker->name,
+                      end->number, end->run);
+          continue;
+        }
+      newest = MAX (newest, end->number);
+      if (end->number > worker->ends_applied)
+        apply_end (sched, worker, end);
     }
-  for (size_t i = 0; i < report->n_ended; i++)
-    worker->ends_applied = MAX (worker->ends_applied, report->ended[i]->number);
+  worker->ends_applied = newest;
 }
 
 static void
@@ -348,9 +370,13 @@
 static int64_t
 measurement_age_us (const Batch__Report *report)
 {
+  uint64_t age_us = (uint64_t) report->clock_us - (uint64_t) report->looked_us;
+
   if (report->looked_us == 0)
     return MEASUREMENT_AGE_MS * CLK_US_PER_MS;
-  return CLAMP (report->clock_us - report->looked_us, 0, MEASUREMENT_AGE_MAX_MS * CLK_US_PER_MS);
+  if (report->looked_us > report->clock_us)
+    return 0;
+  return (int64_t) MIN (age_us, MEASUREMENT_AGE_MAX_MS * CLK_US_PER_MS);
 }
 
 void
--- a/tests/batch/test_odd_reports.c
+++ b/tests/batch/test_odd_reports.c
@@ -1,6 +1,4 @@
 /* Reports, jobs and records with values that no worker, caller or owner of this build writes. */
-#include <math.h>
-
 #include "rig.h"
 
 #define JOB_A "00000000000000aa"
@@ -94,11 +92,104 @@
   rig_free (rig);
 }
 
+/* The next run number is one higher. */
+static void
+run_number_out_of_range_is_not_continued (void **state)
+{
+  Rig *rig = rig_new (1);
+  OddReport odd;
+  int64_t run = 0;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":500}");
+  odd_report_init (&odd, rig, &rig->workers[0]);
+  odd.report.n_ended = 1;
+  odd.ended.run = INT64_MAX;
+  odd.ended.how = WORKER_END_STOPPED;
+  apply_and_tick (rig, &rig->workers[0], &odd);
+  assert_int_equal (count_starts (rig, &rig->workers[0], &run), 1);
+  assert_in_range (run, 1, RUN_MAX);
+  rig_free (rig);
+}
+
+/* The same for a run that is listed, and gone in the next report. */
+static void
+listed_run_out_of_range_is_not_adopted (void **state)
+{
+  Rig *rig = rig_new (1);
+  OddReport odd;
+  int64_t run = 0;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":500}");
+  odd_report_init (&odd, rig, &rig->workers[0]);
+  odd.report.n_running = 1;
+  odd.running.run = INT64_MAX;
+  odd.running.percent = INT32_MIN;
+  apply_and_tick (rig, &rig->workers[0], &odd);
+  odd_report_init (&odd, rig, &rig->workers[0]);
+  odd.report.done_number = 1;
+  apply_and_tick (rig, &rig->workers[0], &odd);
+  assert_int_equal (count_starts (rig, &rig->workers[0], &run), 1);
+  assert_in_range (run, 1, RUN_MAX);
+  rig_free (rig);
+}
+
+/* Ends with lower numbers count as applied. */
+static void
+end_number_out_of_range_does_not_hide_later_ends (void **state)
+{
+  Rig *rig = rig_new (1);
+  OddReport odd;
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  (void) state;
+  odd_report_init (&odd, rig, &rig->workers[0]);
+  odd.report.n_ended = 1;
+  odd.ended.number = INT64_MAX;
+  apply_and_tick (rig, &rig->workers[0], &odd);
+  SchedFlush *flush = sched_flush_begin (rig->sched);
+  if (flush != NULL)
+    sched_flush_end (rig->sched, flush, TRUE);
+  (void) sched_orders (rig->sched, rig->workers[0].name, &orders);
+  assert_int_equal (orders.ends_kept, 0);
+  rig_free (rig);
+}
+
+/* Sums of capacities must not overflow. */
+static void
+capacity_out_of_range_is_bounded (void **state)
+{
+  static const int64_t values[] = { INT64_MIN, INT64_MAX };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      Rig *rig = rig_new (2);
+      OddReport odd;
+      rig_add_job (rig, JOB_A, "urgent", "{\"count\":2,\"cpu\":500,\"fills\":true}");
+      rig_add_job (rig, JOB_B, "bulk", "{\"count\":2,\"cpu\":500}");
+      odd_report_init (&odd, rig, &rig->workers[0]);
+      odd.info.cpu_m = odd.info.mem_mb = odd.info.gpus = values[i];
+      sched_apply_report (rig->sched, rig->workers[0].name, &odd.report, rig->now_us);
+      odd_report_init (&odd, rig, &rig->workers[1]);
+      apply_and_tick (rig, &rig->workers[1], &odd);
+      uint32_t n_odd = count_starts (rig, &rig->workers[0], NULL);
+      assert_int_equal (n_odd + count_starts (rig, &rig->workers[1], NULL), 4);
+      assert_true (values[i] > 0 || n_odd == 0);
+      rig_free (rig);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (worker_without_processors_gets_no_best_effort_task),
+    cmocka_unit_test (run_number_out_of_range_is_not_continued),
+    cmocka_unit_test (listed_run_out_of_range_is_not_adopted),
+    cmocka_unit_test (end_number_out_of_range_does_not_hide_later_ends),
+    cmocka_unit_test (capacity_out_of_range_is_bounded),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
