batch: learned durations that are no numbers are not restored

Cause: a record "learned" with a value that is not finite was restored; the conversion of the expected duration to an integer is then undefined, and the owner wrote the value again for all its successors. Change: such rows are left out, and expected durations are bounded. Measured: batch/test_odd_reports failed before (restored and written again), passes now.

--- a/lib/batch/sched_learn.c
+++ b/lib/batch/sched_learn.c
@@ -68,6 +68,6 @@
   if (row == NULL)
     return (int64_t) declared_ms (step);
   if (row->ratio_error <= row->ms_error)
-    return (int64_t) (declared_ms (step) * exp (row->log_ratio));
-  return (int64_t) exp (row->log_ms);
+    return (int64_t) MIN (declared_ms (step) * exp (row->log_ratio), (double) JOB_DURATION_MAX_MS);
+  return (int64_t) MIN (exp (row->log_ms), (double) JOB_DURATION_MAX_MS);
 }
--- a/lib/batch/sched_learned.c
+++ b/lib/batch/sched_learned.c
@@ -1,7 +1,12 @@
 /* Encodes and restores what was learned about images and durations, for the next owner. */
+#include <math.h>
+
 #include "batch/message.h"
 #include "batch/sched_tables.h"
 
+/** Largest logarithm of a duration in ms, of a ratio of two, or of their errors. */
+#define LOG_MAX 40.0F
+
 typedef struct
 {
   Batch__Learned *message;
@@ -79,11 +84,19 @@
   return g_bytes_new_take (bytes, size);
 }
 
+static gboolean
+is_log (float value)
+{
+  return isfinite (value) && fabsf (value) <= LOG_MAX;
+}
+
 static void
 restore_queue (Sched *sched, const Batch__QueueDurations *row)
 {
+  if (!is_log (row->log_ms) || !is_log (row->log_ratio) || !is_log (row->ms_error)
+      || !is_log (row->ratio_error))
+    return;
   SchedDurations *learned = g_new (SchedDurations, 1);
-
   *learned = (SchedDurations){ .count = row->count,
                                .log_ms = row->log_ms,
                                .log_ratio = row->log_ratio,
--- a/tests/batch/test_odd_reports.c
+++ b/tests/batch/test_odd_reports.c
@@ -1,4 +1,6 @@
 /* Reports, jobs and records with values that no worker, caller or owner of this build writes. */
+#include <math.h>
+
 #include "rig.h"
 
 #define JOB_A "00000000000000aa"
@@ -181,6 +183,36 @@
     }
 }
 
+/* Durations that were restored are written to the ledger again by each later owner. */
+static void
+learned_durations_that_are_no_numbers_are_not_restored (void **state)
+{
+  static const float values[] = { NAN, INFINITY, -INFINITY, 1e30F };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      Rig *rig = rig_new (1);
+      Batch__Learned message = BATCH__LEARNED__INIT;
+      Batch__QueueDurations row = BATCH__QUEUE_DURATIONS__INIT;
+      Batch__QueueDurations *rows[] = { &row };
+      row.queue = "urgent";
+      row.count = 5;
+      row.log_ms = values[i];
+      row.log_ratio = values[i];
+      message.queues = rows;
+      message.n_queues = 1;
+      sched_restore_learned (rig->sched, &message);
+      g_autoptr (GBytes) bytes = sched_encode_learned (rig->sched);
+      Batch__Learned *written
+          = batch__learned__unpack (NULL, g_bytes_get_size (bytes), g_bytes_get_data (bytes, NULL));
+      assert_non_null (written);
+      assert_int_equal (written->n_queues, 0);
+      batch__learned__free_unpacked (written, NULL);
+      rig_free (rig);
+    }
+}
+
 int
 main (void)
 {
@@ -190,6 +222,7 @@
     cmocka_unit_test (listed_run_out_of_range_is_not_adopted),
     cmocka_unit_test (end_number_out_of_range_does_not_hide_later_ends),
     cmocka_unit_test (capacity_out_of_range_is_bounded),
+    cmocka_unit_test (learned_durations_that_are_no_numbers_are_not_restored),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
