batch: the tasks of a job in memory are bounded

Cause: all occurrences that are due were made at once. One job with 100,000 occurrences without an interval, each of 10,000 tasks, ended the owner for want of memory, and each later owner that read its record. Change: a job has at most 100,000 tasks in its steps, and a further occurrence is made only while the open ones have fewer. The rest follows as occurrences are done.

--- a/lib/batch/job.h
+++ b/lib/batch/job.h
@@ -16,6 +16,8 @@
 #define JOB_STEP_TASKS_MAX 10000
 #define JOB_REPEATS_MAX 100000
 #define JOB_SPEC_BYTES_MAX 4000
+/** Tasks of all steps of one occurrence. */
+#define JOB_TASKS_MAX 100000
 /** Largest amount of one resource, longest duration, and latest time: sums and products of them
  * stay within 64 bits. */
 #define JOB_SIZE_MAX (INT64_C (1) << 40)
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -108,6 +108,19 @@
   job->occurrences_made++;
 }
 
+/* Whether the tasks of another occurrence may be in memory beside those of the job's open ones. */
+static gboolean
+can_make_occurrence (const SchedJob *job)
+{
+  uint64_t n_tasks = 0;
+
+  if (job->occurrences_made >= job_spec_occurrences (job->spec))
+    return FALSE;
+  for (guint i = 0; i < job->spec->steps->len; i++)
+    n_tasks += ((const JobStep *) g_ptr_array_index (job->spec->steps, i))->n_tasks;
+  return n_tasks * (job->stages->len / job->spec->steps->len + 1) <= JOB_TASKS_MAX;
+}
+
 int64_t
 sched_due_wall_ms (const SchedJob *job, uint32_t occurrence)
 {
@@ -119,9 +132,7 @@
 void
 sched_make_occurrences (Sched *sched, SchedJob *job)
 {
-  uint32_t n_occurrences = job_spec_occurrences (job->spec);
-
-  while (job->occurrences_made < n_occurrences)
+  while (can_make_occurrence (job))
     {
       if (job->spec->n_repeats > 0
           && sched_due_wall_ms (job, job->occurrences_made) > sched->wall_ms)
@@ -416,8 +427,7 @@
   for (size_t i = 0; i < progress->n_parts; i++)
     {
       const Batch__Part *row = progress->parts[i];
-      while (row->occurrence >= job->occurrences_made
-             && job->occurrences_made < job_spec_occurrences (job->spec))
+      while (row->occurrence >= job->occurrences_made && can_make_occurrence (job))
         make_occurrence (job);
       SchedStage *stage = sched_find_stage (job, row->occurrence, row->step);
       if (stage != NULL)
@@ -437,7 +447,7 @@
   job->id = g_strdup (wanted->id);
   job->queue_name = g_strdup (wanted->queue);
   job->queue = sched->config != NULL ? queue_config_find (sched->config, wanted->queue) : NULL;
-  job->accepted_wall_ms = wanted->accepted_wall_ms;
+  job->accepted_wall_ms = CLAMP (wanted->accepted_wall_ms, 0, JOB_WALL_MAX_MS);
   job->spec = wanted->spec;
   job->is_old = wanted->may_have_started;
   job->stages = g_ptr_array_new_with_free_func (stage_free);
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -17,7 +17,7 @@
   gboolean is_loading; /**< pages of the newest records are being loaded */
   int64_t load_end;    /**< end of the topic when the load began; -1 before its first page */
   int64_t load_us;     /**< when the load began */
-  char *page; /**< page that is loaded next; NULL: the first one */
+  char *page;          /**< page that is loaded next; NULL: the first one */
   int64_t next;
   int64_t fresh_us;
   int64_t answered_us;
@@ -227,8 +227,7 @@
 
   feed->sent_us = clk_now_us ();
   if (feed->is_loading)
-    store_newest (feed->options.store, feed->options.topic, feed->page, TIMEOUT_MS, on_page,
-                  feed);
+    store_newest (feed->options.store, feed->options.topic, feed->page, TIMEOUT_MS, on_page, feed);
   else
     store_read (feed->options.store, &read, on_read, feed);
 }
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -577,8 +577,8 @@
 
   (void) state;
   fixture->expected_after = "a b&part=1%41#\303\251";
-  load_two_pages (
-      fixture, "{\"key\":\"a b&part=1%41#\303\251\",\"value\":\"AA==\",\"offset\":5}", 2);
+  load_two_pages (fixture, "{\"key\":\"a b&part=1%41#\303\251\",\"value\":\"AA==\",\"offset\":5}",
+                  2);
 }
 
 static const char *const odd_items[] = {
