net: addresses of peers are checked before they are connected

Cause: the addresses of agents and entries come from records of the ledger. ZeroMQ accepts a port out of range and any name; it tries again several times a second, and resolves names in the one thread that serves the connections to all agents. Change: an address that is not IP:PORT with a port of 1 to 65535 is refused by name, as net_link.h states.

--- a/lib/net/net_link.c
+++ b/lib/net/net_link.c
@@ -1,5 +1,6 @@
 #include "net/net_link.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <zmq.h>
@@ -200,10 +201,36 @@
   return link;
 }
 
+/* Whether the text is an IP address and a port that can be connected to. ZeroMQ accepts any port,
+ * and resolves names in the thread that serves all connections. */
+static gboolean
+is_peer_address (const char *address)
+{
+  g_autofree char *host = g_strdup (address);
+  uint8_t bytes[sizeof (struct in6_addr)];
+  char *colon = strrchr (host, ':');
+  guint64 port = 0;
+
+  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 1, UINT16_MAX, &port, NULL))
+    return FALSE;
+  *colon = '\0';
+  if (inet_pton (AF_INET, host, bytes) == 1)
+    return TRUE;
+  if (*host != '[' || colon[-1] != ']')
+    return FALSE;
+  colon[-1] = '\0';
+  return inet_pton (AF_INET6, host + 1, bytes) == 1;
+}
+
 GBytes *
 net_link_add_peer (NetLink *link, const char *address, GError **error)
 {
   g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
+  if (!is_peer_address (address))
+    {
+      err_set (error, ERR_BAD_CONFIG, "cannot connect to \"%s\": expected IP:PORT", address);
+      return NULL;
+    }
   /* ZeroMQ aborts if an id is reused while its old connection is still being closed. */
   g_autofree char *id = g_strdup_printf ("%u", ++link->n_added);
 
@@ -219,6 +246,8 @@
 {
   g_autofree char *endpoint = g_strdup_printf ("tcp://%s", address);
 
+  if (!is_peer_address (address))
+    return;
   (void) zmq_disconnect (link->socket, endpoint);
 }
 
