--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -375,8 +375,8 @@
                                           "Reports that could not be read");
   agent->orders_received
       = met_counter (metrics, "acacia_orders_total", NULL, "Messages with orders");
-  agent->orders_stale = met_counter (metrics, "acacia_orders_stale_total", NULL,
-                                     "Outdated messages with orders");
+  agent->orders_stale
+      = met_counter (metrics, "acacia_orders_stale_total", NULL, "Outdated messages with orders");
   agent->reports_sent
       = met_counter (metrics, "acacia_reports_sent_total", NULL, "Reports to the owner");
   agent->reports_unsent = met_counter (metrics, "acacia_reports_unsent_total", NULL,
--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -32,6 +32,20 @@
   { "{\"spec\":\"x\",\"steps\":[{\"count\":0}]}", "a number of a step is out of range" },
   { "{\"spec\":\"x\",\"steps\":[{\"count\":1.5}]}", "member \"count\": expected a whole number" },
   { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-1}]}", "a number of a step is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":9007199254740993}]}",
+    "member \"cpu\": expected a whole number" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":9007199254740992}]}",
+    "a number of a step is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"target_ms\":-1}]}",
+    "a number of a step is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"estimate_ms\":9007199254740992}]}",
+    "a number of a step is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"repeat_count\":2,\"interval_ms\":"
+    "9007199254740992}",
+    "a time of the job is out of range" },
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"repeat_count\":2,\"start_at_ms\":"
+    "9007199254740992}",
+    "a time of the job is out of range" },
   { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
     "member \"after\": not an earlier step" },
   { "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"gang\":1}]}",
@@ -104,6 +118,13 @@
     "member \"capacity\": expected an object" },
   { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4," CAPACITY ",\"labels\":[1]}",
     "member \"labels\": expected strings" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4,\"capacity\":{\"cpu\":-1,"
+    "\"mem_mb\":1}}",
+    "member \"capacity\": a number is out of range" },
+  { "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"seq\":4,\"capacity\":{\"cpu\":1,\"mem_"
+    "mb\":"
+    "9007199254740992}}",
+    "member \"capacity\": a number is out of range" },
   { "\xff\xfe", "malformed JSON: '[' or '{' expected near '\\xff'" },
 };
 
