--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -547,6 +547,96 @@
   assert(message->base.descriptor == &batch__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__crashed_run__init
+                     (Batch__CrashedRun         *message)
+{
+  static const Batch__CrashedRun init_value = BATCH__CRASHED_RUN__INIT;
+  *message = init_value;
+}
+size_t batch__crashed_run__get_packed_size
+                     (const Batch__CrashedRun *message)
+{
+  assert(message->base.descriptor == &batch__crashed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__crashed_run__pack
+                     (const Batch__CrashedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__crashed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__crashed_run__pack_to_buffer
+                     (const Batch__CrashedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__crashed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__CrashedRun *
+       batch__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__CrashedRun *)
+     protobuf_c_message_unpack (&batch__crashed_run__descriptor,
+                                allocator, len, data);
+}
+void   batch__crashed_run__free_unpacked
+                     (Batch__CrashedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__crashed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   batch__crashes__init
+                     (Batch__Crashes         *message)
+{
+  static const Batch__Crashes init_value = BATCH__CRASHES__INIT;
+  *message = init_value;
+}
+size_t batch__crashes__get_packed_size
+                     (const Batch__Crashes *message)
+{
+  assert(message->base.descriptor == &batch__crashes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__crashes__pack
+                     (const Batch__Crashes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__crashes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__crashes__pack_to_buffer
+                     (const Batch__Crashes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__crashes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Crashes *
+       batch__crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Crashes *)
+     protobuf_c_message_unpack (&batch__crashes__descriptor,
+                                allocator, len, data);
+}
+void   batch__crashes__free_unpacked
+                     (Batch__Crashes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__crashes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__queue_load__init
                      (Batch__QueueLoad         *message)
 {
@@ -1357,6 +1447,51 @@
   assert(message->base.descriptor == &batch__gone__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__crash__init
+                     (Batch__Crash         *message)
+{
+  static const Batch__Crash init_value = BATCH__CRASH__INIT;
+  *message = init_value;
+}
+size_t batch__crash__get_packed_size
+                     (const Batch__Crash *message)
+{
+  assert(message->base.descriptor == &batch__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__crash__pack
+                     (const Batch__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__crash__pack_to_buffer
+                     (const Batch__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Crash *
+       batch__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Crash *)
+     protobuf_c_message_unpack (&batch__crash__descriptor,
+                                allocator, len, data);
+}
+void   batch__crash__free_unpacked
+                     (Batch__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__report__init
                      (Batch__Report         *message)
 {
@@ -2118,6 +2253,186 @@
   (ProtobufCMessageInit) batch__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor batch__crashed_run__field_descriptors[9] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_alone",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, is_alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, crash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_shared",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, is_shared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_cleared",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__CrashedRun, is_cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__crashed_run__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  6,   /* field[6] = crash */
+  2,   /* field[2] = index */
+  5,   /* field[5] = is_alone */
+  8,   /* field[8] = is_cleared */
+  7,   /* field[7] = is_shared */
+  0,   /* field[0] = occurrence */
+  3,   /* field[3] = run */
+  1,   /* field[1] = step */
+};
+static const ProtobufCIntRange batch__crashed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor batch__crashed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.CrashedRun",
+  "CrashedRun",
+  "Batch__CrashedRun",
+  "batch",
+  sizeof(Batch__CrashedRun),
+  9,
+  batch__crashed_run__field_descriptors,
+  batch__crashed_run__field_indices_by_name,
+  1,  batch__crashed_run__number_ranges,
+  (ProtobufCMessageInit) batch__crashed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__crashes__field_descriptors[1] =
+{
+  {
+    "runs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Crashes, n_runs),
+    offsetof(Batch__Crashes, runs),
+    &batch__crashed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__crashes__field_indices_by_name[] = {
+  0,   /* field[0] = runs */
+};
+static const ProtobufCIntRange batch__crashes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor batch__crashes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Crashes",
+  "Crashes",
+  "Batch__Crashes",
+  "batch",
+  sizeof(Batch__Crashes),
+  1,
+  batch__crashes__field_descriptors,
+  batch__crashes__field_indices_by_name,
+  1,  batch__crashes__number_ranges,
+  (ProtobufCMessageInit) batch__crashes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor batch__queue_load__field_descriptors[2] =
 {
   {
@@ -2964,7 +3279,7 @@
   (ProtobufCMessageInit) batch__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__orders__field_descriptors[11] =
+static const ProtobufCFieldDescriptor batch__orders__field_descriptors[12] =
 {
   {
     "epoch",
@@ -3098,9 +3413,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes_kept",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, crashes_kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__orders__field_indices_by_name[] = {
   2,   /* field[2] = agent_boot */
+  11,   /* field[11] = crashes_kept */
   3,   /* field[3] = echo_us */
   5,   /* field[5] = ends_kept */
   0,   /* field[0] = epoch */
@@ -3115,7 +3443,7 @@
 static const ProtobufCIntRange batch__orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor batch__orders__descriptor =
 {
@@ -3125,7 +3453,7 @@
   "Batch__Orders",
   "batch",
   sizeof(Batch__Orders),
-  11,
+  12,
   batch__orders__field_descriptors,
   batch__orders__field_indices_by_name,
   1,  batch__orders__number_ranges,
@@ -3621,7 +3949,123 @@
   (ProtobufCMessageInit) batch__gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor batch__crash__field_descriptors[7] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_others",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, n_others),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ago_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Crash, ago_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__crash__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  6,   /* field[6] = ago_ms */
+  5,   /* field[5] = life */
+  4,   /* field[4] = n_others */
+  0,   /* field[0] = number */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange batch__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor batch__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Crash",
+  "Crash",
+  "Batch__Crash",
+  "batch",
+  sizeof(Batch__Crash),
+  7,
+  batch__crash__field_descriptors,
+  batch__crash__field_indices_by_name,
+  1,  batch__crash__number_ranges,
+  (ProtobufCMessageInit) batch__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__report__field_descriptors[16] =
 {
   {
     "epoch",
@@ -3791,15 +4235,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Report, n_crashes),
+    offsetof(Batch__Report, crashes),
+    &batch__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   2,   /* field[2] = clock_us */
+  15,   /* field[15] = crashes */
   4,   /* field[4] = done_number */
   7,   /* field[7] = ended */
   0,   /* field[0] = epoch */
   12,   /* field[12] = gone */
   9,   /* field[9] = is_leaving */
+  14,   /* field[14] = level */
   3,   /* field[3] = life */
   13,   /* field[13] = looked_us */
   8,   /* field[8] = refused */
@@ -3811,7 +4281,7 @@
 static const ProtobufCIntRange batch__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor batch__report__descriptor =
 {
@@ -3821,7 +4291,7 @@
   "Batch__Report",
   "batch",
   sizeof(Batch__Report),
-  14,
+  16,
   batch__report__field_descriptors,
   batch__report__field_indices_by_name,
   1,  batch__report__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -27,6 +27,8 @@
 typedef struct Batch__FailedRun Batch__FailedRun;
 typedef struct Batch__Part Batch__Part;
 typedef struct Batch__Progress Batch__Progress;
+typedef struct Batch__CrashedRun Batch__CrashedRun;
+typedef struct Batch__Crashes Batch__Crashes;
 typedef struct Batch__QueueLoad Batch__QueueLoad;
 typedef struct Batch__Owner Batch__Owner;
 typedef struct Batch__PairTake Batch__PairTake;
@@ -45,6 +47,7 @@
 typedef struct Batch__Ended Batch__Ended;
 typedef struct Batch__Refused Batch__Refused;
 typedef struct Batch__Gone Batch__Gone;
+typedef struct Batch__Crash Batch__Crash;
 typedef struct Batch__Report Batch__Report;
 
 
@@ -249,6 +252,57 @@
     , 0, 0,NULL, 0 }
 
 
+/*
+ * A run that was lost when its worker crashed.
+ */
+struct  Batch__CrashedRun
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  int64_t run;
+  /*
+   * time from its start to the crash
+   */
+  int64_t age_ms;
+  /*
+   * nothing else ran at the worker
+   */
+  protobuf_c_boolean is_alone;
+  /*
+   * identifies the crash
+   */
+  uint64_t crash;
+  /*
+   * many workers were lost at that time
+   */
+  protobuf_c_boolean is_shared;
+  /*
+   * a later run of the task went on for longer
+   */
+  protobuf_c_boolean is_cleared;
+};
+#define BATCH__CRASHED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__crashed_run__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Key "crash.ID". Written by the owner. Apart from Progress, since an owner of an older build writes that
+ * without the fields that it does not know.
+ */
+struct  Batch__Crashes
+{
+  ProtobufCMessage base;
+  size_t n_runs;
+  Batch__CrashedRun **runs;
+};
+#define BATCH__CRASHES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__crashes__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Number of jobs of a queue of which no task has started.
  */
@@ -502,10 +556,14 @@
    * nothing may start at this worker: starts are dropped and reported gone
    */
   protobuf_c_boolean forbids_starts;
+  /*
+   * crashed runs of that agent boot up to this number are in the ledger
+   */
+  uint64_t crashes_kept;
 };
 #define BATCH__ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Batch__Worker
@@ -588,6 +646,40 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A run that was lost when the worker crashed.
+ */
+struct  Batch__Crash
+{
+  ProtobufCMessage base;
+  /*
+   * increases while the agent runs
+   */
+  uint64_t number;
+  char *task;
+  int64_t run;
+  /*
+   * time from its start to the crash
+   */
+  int64_t age_ms;
+  /*
+   * other runs that were lost
+   */
+  uint32_t n_others;
+  /*
+   * incarnation of the worker that crashed
+   */
+  uint64_t life;
+  /*
+   * time since the crash
+   */
+  int64_t ago_ms;
+};
+#define BATCH__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__crash__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
 /*
  * Agent to owner: changes at the worker since the report of version `since`; the full state if that
  * is 0.
@@ -631,10 +723,16 @@
    * time of the newest poll of the worker, by the clock of clock_us
    */
   int64_t looked_us;
+  /*
+   * 1: the agent reports crashes
+   */
+  uint32_t level;
+  size_t n_crashes;
+  Batch__Crash **crashes;
 };
 #define BATCH__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__report__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /* Batch__Submission methods */
@@ -865,6 +963,44 @@
 void   batch__progress__free_unpacked
                      (Batch__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Batch__CrashedRun methods */
+void   batch__crashed_run__init
+                     (Batch__CrashedRun         *message);
+size_t batch__crashed_run__get_packed_size
+                     (const Batch__CrashedRun   *message);
+size_t batch__crashed_run__pack
+                     (const Batch__CrashedRun   *message,
+                      uint8_t             *out);
+size_t batch__crashed_run__pack_to_buffer
+                     (const Batch__CrashedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__CrashedRun *
+       batch__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__crashed_run__free_unpacked
+                     (Batch__CrashedRun *message,
+                      ProtobufCAllocator *allocator);
+/* Batch__Crashes methods */
+void   batch__crashes__init
+                     (Batch__Crashes         *message);
+size_t batch__crashes__get_packed_size
+                     (const Batch__Crashes   *message);
+size_t batch__crashes__pack
+                     (const Batch__Crashes   *message,
+                      uint8_t             *out);
+size_t batch__crashes__pack_to_buffer
+                     (const Batch__Crashes   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Crashes *
+       batch__crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__crashes__free_unpacked
+                     (Batch__Crashes *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__QueueLoad methods */
 void   batch__queue_load__init
                      (Batch__QueueLoad         *message);
@@ -1207,6 +1343,25 @@
 void   batch__gone__free_unpacked
                      (Batch__Gone *message,
                       ProtobufCAllocator *allocator);
+/* Batch__Crash methods */
+void   batch__crash__init
+                     (Batch__Crash         *message);
+size_t batch__crash__get_packed_size
+                     (const Batch__Crash   *message);
+size_t batch__crash__pack
+                     (const Batch__Crash   *message,
+                      uint8_t             *out);
+size_t batch__crash__pack_to_buffer
+                     (const Batch__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Crash *
+       batch__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__crash__free_unpacked
+                     (Batch__Crash *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Report methods */
 void   batch__report__init
                      (Batch__Report         *message);
@@ -1264,6 +1419,12 @@
 typedef void (*Batch__Progress_Closure)
                  (const Batch__Progress *message,
                   void *closure_data);
+typedef void (*Batch__CrashedRun_Closure)
+                 (const Batch__CrashedRun *message,
+                  void *closure_data);
+typedef void (*Batch__Crashes_Closure)
+                 (const Batch__Crashes *message,
+                  void *closure_data);
 typedef void (*Batch__QueueLoad_Closure)
                  (const Batch__QueueLoad *message,
                   void *closure_data);
@@ -1318,6 +1479,9 @@
 typedef void (*Batch__Gone_Closure)
                  (const Batch__Gone *message,
                   void *closure_data);
+typedef void (*Batch__Crash_Closure)
+                 (const Batch__Crash *message,
+                  void *closure_data);
 typedef void (*Batch__Report_Closure)
                  (const Batch__Report *message,
                   void *closure_data);
@@ -1339,6 +1503,8 @@
 extern const ProtobufCMessageDescriptor batch__failed_run__descriptor;
 extern const ProtobufCMessageDescriptor batch__part__descriptor;
 extern const ProtobufCMessageDescriptor batch__progress__descriptor;
+extern const ProtobufCMessageDescriptor batch__crashed_run__descriptor;
+extern const ProtobufCMessageDescriptor batch__crashes__descriptor;
 extern const ProtobufCMessageDescriptor batch__queue_load__descriptor;
 extern const ProtobufCMessageDescriptor batch__owner__descriptor;
 extern const ProtobufCMessageDescriptor batch__pair_take__descriptor;
@@ -1357,6 +1523,7 @@
 extern const ProtobufCMessageDescriptor batch__ended__descriptor;
 extern const ProtobufCMessageDescriptor batch__refused__descriptor;
 extern const ProtobufCMessageDescriptor batch__gone__descriptor;
+extern const ProtobufCMessageDescriptor batch__crash__descriptor;
 extern const ProtobufCMessageDescriptor batch__report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -22,8 +22,10 @@
 
 typedef struct
 {
+  uint64_t boot;
   uint64_t incarnation;
   int64_t ends_applied;
+  uint64_t crashes_applied;
 } EndMark;
 
 static void
@@ -33,6 +35,8 @@
 
   g_free (change->job);
   g_bytes_unref (change->progress);
+  if (change->crashes != NULL)
+    g_bytes_unref (change->crashes);
   g_free (change);
 }
 
@@ -49,6 +53,7 @@
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sched->published = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->interference = interference_new ();
+  sched->lost_workers = g_array_new (FALSE, FALSE, sizeof (SchedLostWorker));
   sched->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->ended = g_queue_new ();
   return sched;
@@ -68,6 +73,7 @@
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
   g_queue_free (sched->ended);
+  g_array_unref (sched->lost_workers);
   g_hash_table_destroy (sched->jobs);
   interference_free (sched->interference);
   g_free (sched);
@@ -271,6 +277,7 @@
   orders->echo_us = worker->clock_us;
   orders->life = worker->incarnation;
   orders->ends_kept = worker->ends_written;
+  orders->crashes_kept = worker->crashes_written;
   orders->report_taken = worker->report_version;
   orders->forbids_starts = sched_is_evacuated (sched, worker);
   add_orders (sched, worker, orders);
@@ -283,6 +290,13 @@
   return GPOINTER_TO_UINT (g_hash_table_lookup (sched->pending, queue));
 }
 
+static gboolean
+has_unwritten (const SchedWorker *worker)
+{
+  return worker->ends_applied > worker->ends_written
+         || worker->crashes_applied > worker->crashes_written;
+}
+
 static void
 mark_ends (SchedFlush *flush, const Sched *sched)
 {
@@ -293,10 +307,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const SchedWorker *worker = value;
-      if (worker->ends_applied <= worker->ends_written)
+      if (!has_unwritten (worker))
         continue;
       EndMark *mark = g_new (EndMark, 1);
-      *mark = (EndMark){ worker->incarnation, worker->ends_applied };
+      *mark = (EndMark){ worker->boot, worker->incarnation, worker->ends_applied,
+                         worker->crashes_applied };
       g_hash_table_insert (flush->ends, worker->name, mark);
     }
 }
@@ -311,7 +326,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const SchedWorker *worker = value;
-      if (worker->ends_applied > worker->ends_written)
+      if (has_unwritten (worker))
         return TRUE;
     }
   return FALSE;
@@ -335,6 +350,8 @@
       SchedChange *change = g_new (SchedChange, 1);
       change->job = g_strdup (((SchedJob *) key)->id);
       change->progress = sched_encode_progress (key);
+      change->crashes = ((SchedJob *) key)->has_new_crashes ? sched_encode_crashes (key) : NULL;
+      ((SchedJob *) key)->has_new_crashes = FALSE;
       g_ptr_array_add (flush->changes, change);
       (void) g_hash_table_add (flush->jobs, key);
     }
@@ -362,22 +379,28 @@
     {
       SchedWorker *worker = g_hash_table_lookup (sched->workers, key);
       const EndMark *mark = value;
-      if (worker == NULL || worker->incarnation != mark->incarnation)
+      if (worker == NULL || worker->boot != mark->boot)
         continue;
-      worker->ends_written = MAX (worker->ends_written, mark->ends_applied);
+      worker->crashes_written = MAX (worker->crashes_written, mark->crashes_applied);
       worker->is_message_due = TRUE;
+      if (worker->incarnation != mark->incarnation)
+        continue;
+      worker->ends_written = MAX (worker->ends_written, mark->ends_applied);
     }
 }
 
 static void
 mark_dirty_again (Sched *sched, const SchedFlush *flush)
 {
-  GHashTableIter iter;
-  gpointer key = NULL;
-
-  g_hash_table_iter_init (&iter, flush->jobs);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    sched_mark_dirty (sched, key);
+  for (guint i = 0; i < flush->changes->len; i++)
+    {
+      const SchedChange *change = g_ptr_array_index (flush->changes, i);
+      SchedJob *job = g_hash_table_lookup (sched->jobs, change->job);
+      if (job == NULL)
+        continue;
+      job->has_new_crashes |= change->crashes != NULL;
+      sched_mark_dirty (sched, job);
+    }
 }
 
 void
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -70,6 +70,7 @@
   int64_t accepted_wall_ms;
   JobSpec *spec;                   /**< ownership is taken */
   const Batch__Progress *progress; /**< NULL for none */
+  const Batch__Crashes *crashes;   /**< NULL for none */
   gboolean may_have_started;       /**< a previous owner may have started tasks of it */
 } SchedNewJob;
 
@@ -148,6 +149,7 @@
 {
   char *job;
   GBytes *progress;
+  GBytes *crashes; /**< crashed runs of its tasks, a Batch__Crashes; NULL if unchanged */
 } SchedChange;
 
 typedef struct SchedFlush SchedFlush;
--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -106,6 +106,8 @@
 
   if (!may_run (worker, stage))
     return SCHED_WAIT_WORKER;
+  if (sched_is_guarded (worker, task))
+    return SCHED_WAIT_WORKER;
   if (!has_memory (worker, stage->step, (JobSize){ 0 }))
     return SCHED_WAIT_MEMORY;
   if (is_starved)
@@ -120,8 +122,8 @@
   const JobStep *step = task->stage->step;
   JobSize freed = running->stage->step->size;
 
-  return may_run (worker, task->stage) && has_memory (worker, step, freed)
-         && has_best_effort_processors (worker, step, freed)
+  return may_run (worker, task->stage) && !sched_is_guarded (worker, task)
+         && has_memory (worker, step, freed) && has_best_effort_processors (worker, step, freed)
          && sched_tails_headroom_instead (worker, task, running) >= HEADROOM_MIN;
 }
 
--- /dev/null
+++ b/lib/batch/sched_crashes.c
@@ -0,0 +1,406 @@
+/*
+ * Runs that were lost when their workers crashed, and which tasks are to blame.
+ *
+ * All runs of a worker that crashes are suspects. Those that are to blame crash the next worker
+ * too, so a task that was alone at its second crash, or that is the only one there that has been in
+ * a crash before, is given up: its job fails. Others are tried alone. A task is cleared of a crash
+ * once a run of it goes on for longer than the one that was lost.
+ */
+#include "batch/message.h"
+#include "batch/sched_tables.h"
+#include "common/clk.h"
+
+/** Crashes after which a task is given up, if it was alone or the only suspect there. Serving tasks
+ * run for long and workers also crash by themselves, so they may be in more. */
+#define ONLY_SUSPECT_CRASHES 2
+#define SERVING_CRASHES_MAX 3
+/** Crashes after which a task is tried alone, and after which it is given up, whether it was
+ * cleared of them or not. Serving tasks are in more crashes without being to blame. */
+#define TRIAL_CRASHES 3
+#define CRASHES_MAX 4
+/** Members of a gang can't be tried alone. */
+#define GANG_CRASHES_MAX 3
+/** A run that is at most this old when its worker crashes is likely to be the cause. */
+#define YOUNG_MS 1000
+/** A serving run that is older is not to blame, even if it was alone. */
+#define SERVING_AGE_MAX_MS 5000
+/** A task is cleared of a crash by a run that goes on for this much longer than the one that was
+ * lost had gone on, or twice as long if that is more, up to a limit. */
+#define CLEAR_MARGIN_MS 300
+#define CLEAR_MARGIN_MAX_MS 2000
+/** Crashes within this time of each other may have one cause, if this share of the workers is lost,
+ * and at least this many. */
+#define SHARED_MS 1000
+#define SHARED_DIVISOR 2
+#define SHARED_MIN 3
+/** Time for which crashes of workers are remembered for that. */
+#define LOST_WORKERS_MS 10000
+/** Most crashed runs of a task that are kept, and of a job that are written. */
+#define RUNS_MAX 8
+#define RECORD_RUNS_MAX 2048
+
+/** A crashed run in a report. */
+typedef struct
+{
+  SchedTask *task;
+  gboolean is_suspected; /**< the task was a suspect before */
+} CrashRow;
+
+/* Whether a run that went on for @p ran_ms clears the task of the crash. */
+static gboolean
+outlives (const SchedCrashedRun *row, int64_t ran_ms)
+{
+  return ran_ms > row->age_ms + CLAMP (row->age_ms, CLEAR_MARGIN_MS, CLEAR_MARGIN_MAX_MS);
+}
+
+/* How long the task has run, as far as its worker was polled. */
+static int64_t
+seen_running_ms (const SchedTask *task)
+{
+  return task->state == TASK_PLACED && task->is_listed && !task->is_starting
+             ? (task->worker->measured_us - task->placed_us) / CLK_US_PER_MS
+             : 0;
+}
+
+static gboolean
+is_suspicion (const SchedTask *task, const SchedCrashedRun *row)
+{
+  return !row->is_cleared && !outlives (row, seen_running_ms (task));
+}
+
+static uint32_t
+suspicions (const SchedTask *task)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    count += is_suspicion (task, &g_array_index (task->crashes, SchedCrashedRun, i));
+  return count;
+}
+
+static uint32_t
+young_suspicions (const SchedTask *task)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    {
+      const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
+      count += row->age_ms <= YOUNG_MS && is_suspicion (task, row);
+    }
+  return count;
+}
+
+gboolean
+sched_is_suspect (const SchedTask *task)
+{
+  return task->crashes != NULL && (young_suspicions (task) > 0 || suspicions (task) > 1);
+}
+
+gboolean
+sched_needs_trial (const SchedTask *task)
+{
+  const JobStep *step = task->stage->step;
+
+  return task->crashes != NULL && !step->is_gang && !step->is_continuous
+         && task->crashes->len >= TRIAL_CRASHES;
+}
+
+static void
+mark_new_crashes (Sched *sched, SchedTask *task)
+{
+  task->stage->job->has_new_crashes = TRUE;
+  sched_mark_dirty (sched, task->stage->job);
+}
+
+/* Clears the task of crashes that a run of it has outlived. */
+static void
+clear (Sched *sched, SchedTask *task, int64_t ran_ms)
+{
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    {
+      SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
+      if (row->is_cleared || !outlives (row, ran_ms))
+        continue;
+      row->is_cleared = TRUE;
+      mark_new_crashes (sched, task);
+      sched_note (sched, "crash_cleared", task->stage->job->id,
+                  "task=%u.%u.%u crashed_run=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT
+                  " ran_ms=%" G_GINT64_FORMAT,
+                  task->stage->occurrence, task->stage->step_index, task->index, row->run,
+                  row->age_ms, ran_ms);
+    }
+}
+
+void
+sched_clear_by_end (Sched *sched, SchedTask *task)
+{
+  clear (sched, task, (sched->now_us - task->placed_us) / CLK_US_PER_MS);
+}
+
+static gboolean
+is_counted (const SchedTask *task, int64_t run)
+{
+  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+    {
+      if (g_array_index (task->crashes, SchedCrashedRun, i).run == run)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+add_run (SchedTask *task, const SchedCrashedRun *row)
+{
+  if (task->crashes == NULL)
+    task->crashes = g_array_new (FALSE, FALSE, sizeof (SchedCrashedRun));
+  if (task->crashes->len >= RUNS_MAX)
+    g_array_remove_index (task->crashes, 0);
+  g_array_append_val (task->crashes, *row);
+}
+
+static void
+give_up (Sched *sched, SchedTask *task, const char *reason)
+{
+  sched_note (sched, "given_up", task->stage->job->id,
+              "task=%u.%u.%u crashes=%u suspicions=%u reason=%s", task->stage->occurrence,
+              task->stage->step_index, task->index, task->crashes != NULL ? task->crashes->len : 0,
+              suspicions (task), reason);
+  sched_end_job (sched, task->stage->job, SCHED_FAILED);
+}
+
+/* Whether the task is likely to have caused the crash, if nothing else there was suspected. Serving
+ * tasks run for long, so that they are in crashes that workers have by themselves. */
+static gboolean
+is_likely (const SchedTask *task, const SchedCrashedRun *row, gboolean needs_alone)
+{
+  if (row->is_cleared || row->is_shared)
+    return FALSE;
+  if (row->is_alone)
+    return !task->stage->step->is_continuous || row->age_ms <= SERVING_AGE_MAX_MS;
+  return !needs_alone && row->age_ms <= YOUNG_MS;
+}
+
+static uint32_t
+likely_crashes (const SchedTask *task, gboolean needs_alone)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    count += is_likely (task, &g_array_index (task->crashes, SchedCrashedRun, i), needs_alone);
+  return count;
+}
+
+/* Why the task is given up after its newest crash; NULL if it is not. @p n_suspected tasks there
+ * had been suspects before. */
+static const char *
+verdict (const CrashRow *crash, uint32_t n_suspected)
+{
+  const SchedTask *task = crash->task;
+  const JobStep *step = task->stage->step;
+
+  if (!step->is_continuous
+      && task->crashes->len >= (step->is_gang ? GANG_CRASHES_MAX : CRASHES_MAX))
+    return "most_crashes";
+  uint32_t n_most = step->is_continuous ? SERVING_CRASHES_MAX : ONLY_SUSPECT_CRASHES;
+  if (likely_crashes (task, TRUE) >= n_most)
+    return "alone";
+  return crash->is_suspected && n_suspected == 1 && likely_crashes (task, FALSE) >= n_most
+             ? "only_suspect"
+             : NULL;
+}
+
+static void
+add_row (Sched *sched, GArray *rows, SchedTask *task, const SchedCrashedRun *row)
+{
+  CrashRow crash = { task, FALSE };
+
+  if (!sched_job_is_open (task->stage->job) || task->state == TASK_DONE
+      || is_counted (task, row->run))
+    return;
+  /* The run that was lost had itself outlived earlier ones. */
+  clear (sched, task, row->age_ms);
+  crash.is_suspected = sched_is_suspect (task);
+  add_run (task, row);
+  mark_new_crashes (sched, task);
+  g_array_append_val (rows, crash);
+  sched_note (sched, "crash_counted", task->stage->job->id,
+              "task=%u.%u.%u run=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
+              " alone=%d shared=%d crashes=%u suspicions=%u",
+              task->stage->occurrence, task->stage->step_index, task->index, row->run, row->age_ms,
+              row->is_alone, row->is_shared, task->crashes->len, suspicions (task));
+}
+
+/* Gives up the tasks that are to blame. */
+static void
+judge (Sched *sched, const GArray *rows)
+{
+  uint32_t n_suspected = 0;
+
+  for (guint i = 0; i < rows->len; i++)
+    n_suspected += g_array_index (rows, CrashRow, i).is_suspected;
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const CrashRow *crash = &g_array_index (rows, CrashRow, i);
+      const char *reason = verdict (crash, n_suspected);
+      if (reason != NULL && sched_job_is_open (crash->task->stage->job))
+        give_up (sched, crash->task, reason);
+    }
+}
+
+/* Remembers the crash, and returns whether many workers were lost at that time. */
+static gboolean
+is_shared (Sched *sched, uint64_t id, int64_t crash_us)
+{
+  uint32_t n_near = 1;
+
+  for (guint i = sched->lost_workers->len; i-- > 0;)
+    {
+      const SchedLostWorker *row = &g_array_index (sched->lost_workers, SchedLostWorker, i);
+      if (sched->now_us - row->crash_us > LOST_WORKERS_MS * CLK_US_PER_MS || row->crash == id)
+        g_array_remove_index (sched->lost_workers, i);
+      else
+        n_near += ABS (row->crash_us - crash_us) <= SHARED_MS * CLK_US_PER_MS;
+    }
+  const SchedLostWorker lost = { id, crash_us };
+  g_array_append_val (sched->lost_workers, lost);
+  return n_near >= SHARED_MIN && n_near * SHARED_DIVISOR >= g_hash_table_size (sched->workers);
+}
+
+static uint64_t
+crash_id (const SchedWorker *worker, uint64_t incarnation)
+{
+  return ((uint64_t) g_str_hash (worker->name) << 32) ^ incarnation;
+}
+
+static void
+apply_crash (Sched *sched, const SchedWorker *worker, GArray *rows, const Batch__Crash *crash)
+{
+  SchedTask *task = sched_find_task (sched, crash->task);
+  uint64_t id = crash_id (worker, crash->life);
+  const SchedCrashedRun row
+      = { .run = crash->run,
+          .crash = id,
+          .age_ms = MAX (crash->age_ms, 0),
+          .is_alone = crash->n_others == 0,
+          .is_shared = is_shared (sched, id, sched->now_us - crash->ago_ms * CLK_US_PER_MS) };
+
+  if (task != NULL)
+    add_row (sched, rows, task, &row);
+}
+
+void
+sched_apply_crashes (Sched *sched, SchedWorker *worker, const Batch__Report *report)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (CrashRow));
+  uint64_t applied = worker->crashes_applied;
+  uint64_t incarnation = 0;
+
+  for (size_t i = 0; i < report->n_crashes; i++)
+    {
+      const Batch__Crash *crash = report->crashes[i];
+      if (crash->number <= applied)
+        continue;
+      if (crash->life != incarnation)
+        {
+          judge (sched, rows);
+          g_array_set_size (rows, 0);
+          incarnation = crash->life;
+        }
+      apply_crash (sched, worker, rows, crash);
+      worker->crashes_applied = MAX (worker->crashes_applied, crash->number);
+    }
+  judge (sched, rows);
+}
+
+void
+sched_assume_crash (Sched *sched, SchedWorker *worker)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (CrashRow));
+  uint64_t id = crash_id (worker, worker->incarnation);
+  gboolean shared = is_shared (sched, id, worker->report_us);
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      SchedTask *task = g_ptr_array_index (worker->tasks, i);
+      const SchedCrashedRun row
+          = { .run = task->run,
+              .crash = id,
+              .age_ms = MAX (worker->report_us - task->placed_us, 0) / CLK_US_PER_MS,
+              .is_alone = worker->tasks->len == 1,
+              .is_shared = shared };
+      if (task->order_number <= worker->done_number)
+        add_row (sched, rows, task, &row);
+    }
+  judge (sched, rows);
+}
+
+/* The record. */
+
+static Batch__CrashedRun *
+encode_run (const SchedTask *task, const SchedCrashedRun *row)
+{
+  Batch__CrashedRun *entry = message_alloc (sizeof *entry);
+
+  batch__crashed_run__init (entry);
+  entry->occurrence = task->stage->occurrence;
+  entry->step = task->stage->step_index;
+  entry->index = task->index;
+  entry->run = row->run;
+  entry->age_ms = row->age_ms;
+  entry->is_alone = row->is_alone;
+  entry->crash = row->crash;
+  entry->is_shared = row->is_shared;
+  entry->is_cleared = row->is_cleared;
+  return entry;
+}
+
+static void
+encode_stage (const SchedStage *stage, Batch__Crashes *message)
+{
+  for (uint32_t i = 0; i < stage->step->n_tasks; i++)
+    {
+      const SchedTask *task = &stage->tasks[i];
+      if (task->state == TASK_DONE || task->crashes == NULL)
+        continue;
+      for (guint k = 0; k < task->crashes->len && message->n_runs < RECORD_RUNS_MAX; k++)
+        message->runs[message->n_runs++]
+            = encode_run (task, &g_array_index (task->crashes, SchedCrashedRun, k));
+    }
+}
+
+GBytes *
+sched_encode_crashes (const SchedJob *job)
+{
+  Batch__Crashes *message = message_alloc (sizeof *message);
+
+  batch__crashes__init (message);
+  message->runs = message_alloc (RECORD_RUNS_MAX * sizeof *message->runs);
+  for (guint i = 0; sched_job_is_open (job) && i < job->stages->len; i++)
+    encode_stage (g_ptr_array_index (job->stages, i), message);
+  size_t size = batch__crashes__get_packed_size (message);
+  uint8_t *bytes = g_malloc (MAX (size, 1));
+  (void) batch__crashes__pack (message, bytes);
+  batch__crashes__free_unpacked (message, NULL);
+  return g_bytes_new_take (bytes, size);
+}
+
+void
+sched_restore_crashes (SchedJob *job, const Batch__Crashes *crashes)
+{
+  for (size_t i = 0; i < crashes->n_runs; i++)
+    {
+      const Batch__CrashedRun *entry = crashes->runs[i];
+      sched_make_occurrences_to (job, entry->occurrence);
+      SchedStage *stage = sched_find_stage (job, entry->occurrence, entry->step);
+      if (stage == NULL || entry->index >= stage->step->n_tasks)
+        continue;
+      const SchedCrashedRun row = { .run = entry->run,
+                                    .crash = entry->crash,
+                                    .age_ms = entry->age_ms,
+                                    .is_alone = entry->is_alone,
+                                    .is_shared = entry->is_shared,
+                                    .is_cleared = entry->is_cleared };
+      add_run (&stage->tasks[entry->index], &row);
+    }
+}
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -8,7 +8,10 @@
   SchedStage *stage = data;
 
   for (uint32_t i = 0; i < stage->step->n_tasks; i++)
-    g_free (stage->tasks[i].checkpoint);
+    {
+      g_free (stage->tasks[i].checkpoint);
+      g_clear_pointer (&stage->tasks[i].crashes, g_array_unref);
+    }
   g_free (stage->tasks);
   g_array_unref (stage->failed);
   interference_service_free (stage->service);
@@ -130,6 +133,14 @@
     }
 }
 
+void
+sched_make_occurrences_to (SchedJob *job, uint32_t occurrence)
+{
+  while (occurrence >= job->occurrences_made
+         && job->occurrences_made < job_spec_occurrences (job->spec))
+    make_occurrence (job);
+}
+
 gboolean
 sched_stage_is_ready (const SchedStage *stage)
 {
@@ -416,9 +427,7 @@
   for (size_t i = 0; i < progress->n_parts; i++)
     {
       const Batch__Part *row = progress->parts[i];
-      while (row->occurrence >= job->occurrences_made
-             && job->occurrences_made < job_spec_occurrences (job->spec))
-        make_occurrence (job);
+      sched_make_occurrences_to (job, row->occurrence);
       SchedStage *stage = sched_find_stage (job, row->occurrence, row->step);
       if (stage != NULL)
         restore_stage (stage, row);
@@ -453,6 +462,8 @@
   (void) g_hash_table_add (sched->open, job);
   if (job->spec->n_repeats == 0)
     sched_make_occurrences (sched, job);
+  if (wanted->crashes != NULL)
+    sched_restore_crashes (job, wanted->crashes);
   if (is_complete (job))
     sched_end_job (sched, job, SCHED_COMPLETED);
 }
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -9,6 +9,9 @@
 #define COST_SERVING_BESIDE_BEST_EFFORT 8000
 #define COST_SERVING_ALONE 40000
 #define COST_AVOIDED 50000
+/** For a suspect: each task that its worker would lose, and each serving one besides. */
+#define COST_LOST_WITH_IT 2000
+#define COST_SERVING_LOST 4000
 /** Multiplied by the share of a serving task's spare headroom that the placement would use up. */
 #define COST_HEADROOM 100000
 #define COST_FULL 30000
@@ -29,6 +32,13 @@
   return (int64_t) (COST_HEADROOM * sched_tails_headroom_use (worker, task));
 }
 
+static int64_t
+cost_of_crash (const SchedWorker *worker)
+{
+  return (int64_t) worker->tasks->len * COST_LOST_WITH_IT
+         + (int64_t) worker->n_serving * COST_SERVING_LOST;
+}
+
 static int64_t
 cost_of (SchedWorker *worker, const SchedTask *task)
 {
@@ -39,6 +49,8 @@
     cost += COST_OTHER_RACK;
   if (task->avoid == worker)
     cost += COST_AVOIDED;
+  if (sched_is_suspect (task))
+    cost += cost_of_crash (worker);
   if (step->is_best_effort)
     {
       cost += COST_FULL * (worker->used.cpu_m + worker->best_effort_cpu_m)
@@ -91,26 +103,38 @@
   return best;
 }
 
-static int64_t
-next_run (const Sched *sched, const SchedTask *task)
+int64_t
+sched_next_run (const Sched *sched, const SchedTask *task)
 {
   int64_t first = (int64_t) (sched->term - 1) * RUNS_PER_TERM + 1;
 
   return MAX (task->run + 1, first);
 }
 
+/* Tries the task alone if that is possible; returns whether it may run beside others. */
+static gboolean
+may_share (Sched *sched, const GPtrArray *workers, SchedTask *task)
+{
+  return sched_start_trial (sched, workers, task) == SCHED_TRIAL_IMPOSSIBLE;
+}
+
 static void
 place_stage (Sched *sched, const GPtrArray *workers, SchedStage *stage)
 {
-  for (uint32_t i = 0; i < stage->step->n_tasks && stage->n_waiting > 0; i++)
+  for (uint32_t i = 0;
+       i < stage->step->n_tasks && stage->n_waiting > 0 && sched_job_is_open (stage->job); i++)
     {
       SchedTask *task = &stage->tasks[i];
       if (task->state != TASK_WAITING)
         continue;
+      if (sched_needs_trial (task) && !may_share (sched, workers, task))
+        continue;
       SchedWorker *worker = choose_worker (workers, task, FALSE);
+      if (worker == NULL && sched_is_suspect (task))
+        continue;
       if (worker == NULL)
         return;
-      task->run = next_run (sched, task);
+      task->run = sched_next_run (sched, task);
       sched_order_start (sched, worker, task);
     }
 }
@@ -143,7 +167,7 @@
           undo_gang (stage);
           return;
         }
-      run = MAX (run, next_run (sched, &stage->tasks[i]));
+      run = MAX (run, sched_next_run (sched, &stage->tasks[i]));
       sched_attach (worker, &stage->tasks[i], sched->now_us);
       g_ptr_array_add (chosen, worker);
     }
@@ -201,10 +225,10 @@
 start_starved (Sched *sched, const GPtrArray *workers, SchedStage *stage)
 {
   SchedTask *task = sched_first_waiting (stage);
-  SchedWorker *worker = choose_worker (workers, task, TRUE);
+  SchedWorker *worker = sched_needs_trial (task) ? NULL : choose_worker (workers, task, TRUE);
   if (worker == NULL)
     return;
-  task->run = next_run (sched, task);
+  task->run = sched_next_run (sched, task);
   sched_note (sched, "starved", stage->job->id, "ready_ms=%" G_GINT64_FORMAT,
               (sched->now_us - stage->ready_us) / 1000);
   sched_order_start (sched, worker, task);
@@ -253,16 +277,22 @@
   uint32_t n_left = 0;
   g_autoptr (GArray) ready_stages = sched_ready_stages (sched);
   g_autoptr (GPtrArray) workers = accepting_workers (sched);
+  sched->pass++;
   SchedPreemption *preemption = sched_preemption_new (sched, workers);
 
   for (guint i = 0; i < ready_stages->len; i++)
     {
       const SchedReadyStage *ready_stage = &g_array_index (ready_stages, SchedReadyStage, i);
       SchedStage *stage = ready_stage->stage;
+      /* A task that was given up in this pass may have ended the job. */
+      if (!sched_job_is_open (stage->job))
+        continue;
       if (stage->step->is_gang)
         place_gang (sched, workers, stage);
       else
         place_stage (sched, workers, stage);
+      if (!sched_job_is_open (stage->job))
+        continue;
       if (stage->waits_for == SCHED_WAIT_HEADROOM
           && !is_mostly_free (workers, stage->job->queue->service))
         sched_preempt (preemption, ready_stage);
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -97,6 +97,7 @@
     keep_checkpoint (task, end->saved);
   if (is_ours)
     {
+      sched_clear_by_end (sched, task);
       sched_detach (task, TASK_WAITING);
       sched_complete_if_done_elsewhere (sched, task);
     }
@@ -136,6 +137,7 @@
   sched_attach (worker, task, sched->now_us);
   task->stage->job->has_begun = TRUE;
   adopt_cpu_limit (sched, worker, task, row);
+  worker->has_suspect |= sched_is_suspect (task);
   sched_note (sched, "adopt", task->stage->job->id, "task=%s run=%" G_GINT64_FORMAT " worker=%s",
               row->task, row->run, worker->name);
 }
@@ -239,6 +241,11 @@
 static void
 begin_incarnation (Sched *sched, SchedWorker *worker, const Batch__Report *report)
 {
+  if (worker->boot != report->boot)
+    {
+      worker->crashes_applied = 0;
+      worker->crashes_written = 0;
+    }
   worker->boot = report->boot;
   worker->incarnation = report->life;
   worker->report_version = 0;
@@ -357,6 +364,7 @@
 sched_apply_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us)
 {
   SchedWorker *worker = g_hash_table_lookup (sched->workers, agent);
+  gboolean was_draining = worker != NULL && worker->info != NULL && worker->info->is_draining;
 
   sched->now_us = now_us;
   if (worker == NULL || report->life == 0 || is_older (worker, report))
@@ -372,7 +380,12 @@
   worker->clock_us = report->clock_us;
   worker->is_leaving = report->is_leaving;
   if (!is_same_incarnation (worker, report))
-    begin_incarnation (sched, worker, report);
+    {
+      if (report->level == 0 && worker->boot == report->boot && !was_draining
+          && !worker->info->is_draining)
+        sched_assume_crash (sched, worker);
+      begin_incarnation (sched, worker, report);
+    }
   worker->report_version = report->version;
   worker->done_number = report->done_number;
   worker->report_us = now_us;
@@ -385,5 +398,6 @@
   note_refusals (sched, worker, report);
   apply_ends (sched, worker, report);
   apply_rows (sched, worker, report);
+  sched_apply_crashes (sched, worker, report);
   sched_tails_learn (worker);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -53,8 +53,20 @@
   gboolean is_listed;         /**< listed in the newest full report, or a later one */
   char *checkpoint;
   SchedWorker *avoid; /**< worker where it last failed or stalled */
+  GArray *crashes;    /**< SchedCrashedRun, oldest first; NULL for none */
 };
 
+/** A run that was lost when its worker crashed. */
+typedef struct
+{
+  int64_t run;
+  uint64_t crash; /**< identifies the crash */
+  int64_t age_ms; /**< time from its start to the crash */
+  gboolean is_alone;
+  gboolean is_shared;  /**< many workers were lost at that time */
+  gboolean is_cleared; /**< a later run went on for longer */
+} SchedCrashedRun;
+
 /** How tasks get CPU time: by reservation, or best-effort from what others leave. */
 typedef enum
 {
@@ -185,7 +197,8 @@
   GPtrArray *stages;         /**< SchedStage of the current occurrences, by occurrence and step */
   uint32_t occurrences_done; /**< occurrences before this one are done */
   uint32_t occurrences_made;
-  uint64_t n_changes; /**< number of changes of its tasks; starts at 1 */
+  uint64_t n_changes;       /**< number of changes of its tasks; starts at 1 */
+  gboolean has_new_crashes; /**< crashed runs of its tasks are not in the ledger */
 };
 
 struct SchedWorker
@@ -208,6 +221,10 @@
   gboolean is_message_due;
   int64_t ends_applied;
   int64_t ends_written;
+  uint64_t crashes_applied; /**< number of the newest crashed run that was applied */
+  uint64_t crashes_written;
+  gboolean has_suspect;   /**< a suspect was started here; it may have been cleared since */
+  uint64_t reserved_pass; /**< pass in which it was last kept for such a task */
   gboolean is_leaving;
   gboolean has_reported; /**< in this term */
   GHashTable *confined;  /**< set of the tasks that may run there, as the previous owner published;
@@ -252,6 +269,8 @@
   int64_t tick_us;                                  /**< time of the newest tick */
   int64_t pass_ms;                                  /**< time between it and the tick before */
   int64_t waited_ms[SCHED_WAIT_KINDS][SCHED_WAITS]; /**< task time since it was last noted */
+  GArray *lost_workers;                             /**< SchedLostWorker of the last seconds */
+  uint64_t pass;                                    /**< number of the pass over the ready stages */
   Interference *interference;
   int64_t plan_us;                   /**< time of the newest forecast */
   double cores[SCHED_CLASSES];       /**< processors available to tasks of the class */
@@ -267,6 +286,8 @@
 /* Time at which the occurrence is due; of a job that does not repeat, the time of acceptance. */
 int64_t sched_due_wall_ms (const SchedJob *job, uint32_t occurrence);
 gboolean sched_stage_is_ready (const SchedStage *stage);
+/* Makes the occurrences up to that one. */
+void sched_make_occurrences_to (SchedJob *job, uint32_t occurrence);
 SchedStage *sched_find_stage (const SchedJob *job, uint32_t occurrence, uint32_t step);
 void sched_end_job (Sched *sched, SchedJob *job, SchedJobState state);
 void sched_task_done (Sched *sched, SchedTask *task);
@@ -302,6 +323,43 @@
  */
 void sched_reconcile (Sched *sched);
 
+/* sched_crashes.c: runs that were lost when their workers crashed, and which tasks are to blame. */
+/** A worker that crashed lately. */
+typedef struct
+{
+  uint64_t crash;
+  int64_t crash_us;
+} SchedLostWorker;
+/* Counts the crashed runs of a report; call it once its runs were applied. */
+void sched_apply_crashes (Sched *sched, SchedWorker *worker, const Batch__Report *report);
+/* Counts the runs at a worker of which an agent that does not report crashes has found another
+ * incarnation. */
+void sched_assume_crash (Sched *sched, SchedWorker *worker);
+/* Call it when a run ended in another way than by a crash. */
+void sched_clear_by_end (Sched *sched, SchedTask *task);
+/* Whether the task is likely to crash its worker; FALSE once it has run for longer than the runs
+ * that were lost. */
+gboolean sched_is_suspect (const SchedTask *task);
+/* Whether the task has been in so many crashes that it is tried alone. */
+gboolean sched_needs_trial (const SchedTask *task);
+/* Returns a Batch__Crashes of the job. */
+GBytes *sched_encode_crashes (const SchedJob *job);
+void sched_restore_crashes (SchedJob *job, const Batch__Crashes *crashes);
+
+/* sched_trials.c: workers on which a suspect runs. */
+/* Whether the task must not run there because of a suspect: two of them are kept apart, so that a
+ * crash shows which one is to blame, and nothing is started beside one that is tried alone. */
+gboolean sched_is_guarded (const SchedWorker *worker, const SchedTask *task);
+typedef enum
+{
+  SCHED_TRIAL_STARTED,
+  SCHED_TRIAL_WAITS,
+  SCHED_TRIAL_IMPOSSIBLE, /**< serving tasks run on all workers */
+} SchedTrial;
+/* Starts the task alone on one of the workers, or keeps one free for it; @p workers accept tasks.
+ */
+SchedTrial sched_start_trial (Sched *sched, const GPtrArray *workers, SchedTask *task);
+
 /* sched_silent.c */
 /* Whether the agent is published as silent, so that nothing may be started there. */
 gboolean sched_is_published (const Sched *sched, const SchedWorker *worker);
@@ -360,6 +418,8 @@
 /* sched_place.c */
 /* First task of the stage that waits; there must be one. */
 SchedTask *sched_first_waiting (const SchedStage *stage);
+/* Run number of the next start of the task. */
+int64_t sched_next_run (const Sched *sched, const SchedTask *task);
 /* Starts tasks. Returns the number of ready tasks that could not be placed. */
 uint32_t sched_place (Sched *sched);
 
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -141,6 +141,7 @@
   sched_tails_detach (worker, task);
   account (worker, task, -1);
   (void) g_ptr_array_remove_fast (worker->tasks, task);
+  worker->has_suspect &= worker->tasks->len > 0;
   task->stage->job->n_changes++;
   task->worker = NULL;
   task->state = state;
@@ -167,6 +168,7 @@
   order->start->ticket = message_strdup ("");
   sched_attach (worker, task, sched->now_us);
   task->order_number = order->number;
+  worker->has_suspect |= sched_is_suspect (task);
   sched_note (sched, "start", job->id,
               "task=%s run=%" G_GINT64_FORMAT " worker=%s used_cpu_m=%" G_GINT64_FORMAT
               " report_age_ms=%" G_GINT64_FORMAT,
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -8,8 +8,9 @@
 struct Ledger
 {
   LedgerEvents events;
-  GHashTable *jobs;   /**< id -> LedgerJob */
-  GHashTable *agents; /**< name -> LedgerAgent */
+  GHashTable *jobs;    /**< id -> LedgerJob */
+  GHashTable *agents;  /**< name -> LedgerAgent */
+  GHashTable *crashes; /**< job id -> CrashRecord */
   LedgerOwner owner;
   Batch__Learned *learned;
   int64_t learned_offset;
@@ -17,6 +18,21 @@
   int64_t silent_offset;
 };
 
+typedef struct
+{
+  Batch__Crashes *crashes;
+  int64_t offset;
+} CrashRecord;
+
+static void
+crash_record_free (gpointer data)
+{
+  CrashRecord *record = data;
+
+  batch__crashes__free_unpacked (record->crashes, NULL);
+  g_free (record);
+}
+
 static void
 job_free (gpointer data)
 {
@@ -48,6 +64,7 @@
   ledger->events = *events;
   ledger->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   ledger->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, agent_free);
+  ledger->crashes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, crash_record_free);
   ledger->owner.pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return ledger;
 }
@@ -59,6 +76,7 @@
     return;
   g_hash_table_destroy (ledger->jobs);
   g_hash_table_destroy (ledger->agents);
+  g_hash_table_destroy (ledger->crashes);
   g_hash_table_destroy (ledger->owner.pending);
   g_free (ledger->owner.name);
   g_free (ledger->owner.address);
@@ -263,6 +281,27 @@
   return TRUE;
 }
 
+static gboolean
+apply_crashes (Ledger *ledger, const char *id, int64_t offset, const uint8_t *value, size_t size)
+{
+  const CrashRecord *older = g_hash_table_lookup (ledger->crashes, id);
+
+  if (older != NULL && offset < older->offset)
+    return TRUE;
+  if (size == 0)
+    {
+      (void) g_hash_table_remove (ledger->crashes, id);
+      return TRUE;
+    }
+  Batch__Crashes *crashes = batch__crashes__unpack (NULL, size, value);
+  if (crashes == NULL)
+    return FALSE;
+  CrashRecord *record = g_new (CrashRecord, 1);
+  *record = (CrashRecord){ crashes, offset };
+  g_hash_table_replace (ledger->crashes, g_strdup (id), record);
+  return TRUE;
+}
+
 gboolean
 ledger_apply (Ledger *ledger,
               int64_t offset,
@@ -284,6 +323,8 @@
     return apply_job (ledger, text + strlen (LEDGER_JOB_PREFIX), offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_RUN_PREFIX))
     return apply_run (ledger, text + strlen (LEDGER_RUN_PREFIX), offset, value, value_size);
+  if (g_str_has_prefix (text, LEDGER_CRASH_PREFIX))
+    return apply_crashes (ledger, text + strlen (LEDGER_CRASH_PREFIX), offset, value, value_size);
   if (g_str_has_prefix (text, LEDGER_CANCEL_PREFIX))
     return apply_cancel (ledger, text + strlen (LEDGER_CANCEL_PREFIX), value_size);
   if (g_str_has_prefix (text, LEDGER_AGENT_PREFIX))
@@ -321,6 +362,29 @@
   return ledger->silent;
 }
 
+const Batch__Crashes *
+ledger_crashes (const Ledger *ledger, const char *id)
+{
+  const CrashRecord *record = g_hash_table_lookup (ledger->crashes, id);
+
+  return record != NULL ? record->crashes : NULL;
+}
+
+void
+ledger_orphaned_crashes (const Ledger *ledger, GPtrArray *ids, guint n_most)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, ledger->crashes);
+  while (ids->len < n_most && g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const LedgerJob *job = ledger_job (ledger, key);
+      if (job == NULL || job->submission == NULL)
+        g_ptr_array_add (ids, key);
+    }
+}
+
 const LedgerOwner *
 ledger_owner (const Ledger *ledger)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -19,6 +19,7 @@
 #define LEDGER_JOB_PREFIX "job."
 #define LEDGER_RUN_PREFIX "run."
 #define LEDGER_CANCEL_PREFIX "cancel."
+#define LEDGER_CRASH_PREFIX "crash."
 #define LEDGER_AGENT_PREFIX "agent."
 #define LEDGER_OWNER_KEY "owner"
 #define LEDGER_LEARNED_KEY "learned"
@@ -93,6 +94,11 @@
 const Batch__Learned *ledger_learned (const Ledger *ledger);
 /** Agents that did not report to the owner that wrote this last; NULL until one wrote it. */
 const Batch__Silent *ledger_silent (const Ledger *ledger);
+/** Crashed runs of a job's tasks; NULL until an owner wrote some. */
+const Batch__Crashes *ledger_crashes (const Ledger *ledger, const char *id);
+/** Appends to @p ids, up to a length of @p n_most, jobs of which only crashed runs are known: an
+ * owner that does not know that key has removed them. The ids are owned by the ledger. */
+void ledger_orphaned_crashes (const Ledger *ledger, GPtrArray *ids, guint n_most);
 /** Number of a queue's jobs that have not begun, in the owner's newest record. */
 uint32_t ledger_pending (const Ledger *ledger, const char *queue);
 
--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -62,6 +62,7 @@
   supervisor->ended = supervisor_ends_new ();
   supervisor->refused = rows_new (sizeof (SupervisorRefused), refused_clear);
   supervisor->gone = rows_new (sizeof (SupervisorGone), gone_clear);
+  supervisor->crashes = supervisor_crashes_new ();
   supervisor->replaced = g_ptr_array_new_with_free_func (g_free);
   supervisor->calls = g_hash_table_new_full (NULL, NULL, supervisor_call_destroy, NULL);
   return supervisor;
@@ -77,6 +78,7 @@
   g_array_unref (supervisor->ended);
   g_array_unref (supervisor->refused);
   g_array_unref (supervisor->gone);
+  g_array_unref (supervisor->crashes);
   g_ptr_array_unref (supervisor->replaced);
   g_hash_table_destroy (supervisor->calls);
   g_free (supervisor);
@@ -145,6 +147,7 @@
   row->task = g_strdup (task);
   row->run = run;
   row->state = state;
+  row->added_us = supervisor_now_us (supervisor);
   row->version = supervisor_next_version (supervisor);
   row->polled.task = g_strdup (task);
   row->polled.run = run;
@@ -170,8 +173,10 @@
 static void
 reset_incarnation (Supervisor *supervisor)
 {
+  supervisor_note_crash (supervisor);
   drop_incarnation_state (supervisor);
   supervisor->incarnation = 0;
+  supervisor->unanswered_us = 0;
   supervisor->clock_ms = -1;
   supervisor->lease_end_us = 0;
   supervisor->ends_written = 0;
@@ -196,9 +201,9 @@
       if (supervisor->replaced->len > REPLACED_MAX)
         g_ptr_array_remove_index (supervisor->replaced, 0);
     }
+  reset_incarnation (supervisor);
   worker_info_free (supervisor->info);
   supervisor->info = info;
-  reset_incarnation (supervisor);
   supervisor->is_gone = FALSE;
   supervisor->next_poll_us = 0;
 }
@@ -338,6 +343,7 @@
   if (orders->agent_boot != supervisor->options.boot)
     return TRUE;
   supervisor->forbids_starts = orders->forbids_starts;
+  supervisor_drop_crashes (supervisor, orders->crashes_kept);
   apply_grant (supervisor, orders);
   apply_report_version (supervisor, orders);
   supervisor_poll_if_due (supervisor);
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -374,6 +374,8 @@
   else
     {
       supervisor->next_poll_us = supervisor_now_us (supervisor) + SUPERVISOR_RETRY_MS * 1000;
+      if (supervisor->unanswered_us == 0)
+        supervisor->unanswered_us = supervisor_now_us (supervisor);
       supervisor_log (supervisor, "look_failed", "outcome=%s",
                       runner_outcome_name (answer->outcome));
       if (answer->outcome == RUNNER_FENCED)
--- a/lib/supervisor/supervisor_poll.c
+++ b/lib/supervisor/supervisor_poll.c
@@ -11,8 +11,8 @@
 /** Growth of the tail latency that is reported at once. */
 #define TAIL_GROWTH_FACTOR 1.3
 
-static gboolean
-is_ended (const Supervisor *supervisor, const SupervisorRow *row)
+gboolean
+supervisor_has_ended (const Supervisor *supervisor, const SupervisorRow *row)
 {
   for (guint i = 0; i < supervisor->ended->len; i++)
     {
@@ -90,7 +90,7 @@
 {
   if (row->is_listed || row->state == ROW_STARTING)
     return FALSE;
-  if (is_ended (supervisor, row))
+  if (supervisor_has_ended (supervisor, row))
     return TRUE;
   return row->state == ROW_STARTED && row->answered_us < sent_us
          && (!row->stop_wanted || row->stop_answered);
@@ -174,6 +174,7 @@
 supervisor_handle_poll (Supervisor *supervisor, const RunnerAnswer *answer, int64_t sent_us)
 {
   supervisor->polled_us = supervisor_now_us (supervisor);
+  supervisor->unanswered_us = 0;
   if (supervisor->incarnation == 0)
     {
       supervisor->incarnation = (uint64_t) supervisor->token;
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -23,12 +23,16 @@
   ROW_STARTED,  /**< it runs, or has ended */
 } SupervisorRowState;
 
+/** Level that reports announce: crashes of the worker are reported. */
+#define SUPERVISOR_LEVEL 1
+
 /** A run that was ordered at this worker, or that the worker lists. */
 typedef struct
 {
   char *task;
   int64_t run;
   SupervisorRowState state;
+  int64_t added_us;    /**< when it was ordered or first listed */
   int64_t answered_us; /**< when the newest call for this run was answered */
   gboolean stop_wanted;
   gboolean is_stopping; /**< a call to stop it is under way */
@@ -56,6 +60,19 @@
   uint64_t version;
 } SupervisorGone;
 
+/** A run that was lost when the worker crashed. */
+typedef struct
+{
+  uint64_t number;
+  char *task;
+  int64_t run;
+  int64_t age_ms;
+  uint32_t n_others;
+  uint64_t incarnation;
+  int64_t crash_us;
+  uint64_t version;
+} SupervisorCrash;
+
 /** An end that the worker lists, and the version of the change that added it. */
 typedef struct
 {
@@ -77,11 +94,14 @@
   int64_t clock_ms; /**< the worker's clock at clock_us; -1: not known */
   int64_t clock_us;
   int64_t polled_us;        /**< when the newest poll was answered */
+  int64_t unanswered_us;    /**< when the first poll after that failed; 0: none did */
   GHashTable *rows;         /**< "task run" -> SupervisorRow */
   GArray *ended;            /**< SupervisorEnd that the worker still lists */
   int64_t ends_written;     /**< the worker may drop ends up to this number */
   GArray *refused;          /**< SupervisorRefused that the owner has not applied */
   GArray *gone;             /**< SupervisorGone that the owner has not applied */
+  GArray *crashes;          /**< SupervisorCrash that no owner has written */
+  uint64_t n_crashes;       /**< number of the newest of them */
   uint64_t version;         /**< version of the newest change */
   uint64_t applied_version; /**< the owner has applied changes up to this version; 0: it needs a
                                full report */
@@ -147,7 +167,19 @@
 void supervisor_repeat_limits (Supervisor *supervisor);
 void supervisor_send_poll (Supervisor *supervisor);
 
+/* supervisor_crashes.c: runs that were lost when the worker crashed. */
+/* Returns an array of SupervisorCrash that owns its elements. */
+GArray *supervisor_crashes_new (void);
+/* Call it when the worker turns out to have started anew, before its rows are dropped. Keeps the
+ * runs that were lost, unless the worker had announced its end. */
+void supervisor_note_crash (Supervisor *supervisor);
+/* Drops the crashed runs up to a number: an owner wrote them. */
+void supervisor_drop_crashes (Supervisor *supervisor, uint64_t number);
+void supervisor_report_crashes (const Supervisor *supervisor, Batch__Report *report);
+
 /* supervisor_poll.c: applies the answer of a poll. */
+/* Whether the worker lists an end of the run. */
+gboolean supervisor_has_ended (const Supervisor *supervisor, const SupervisorRow *row);
 void supervisor_handle_poll (Supervisor *supervisor, const RunnerAnswer *answer, int64_t sent_us);
 
 G_END_DECLS
--- a/lib/supervisor/supervisor_report.c
+++ b/lib/supervisor/supervisor_report.c
@@ -174,5 +174,7 @@
   add_ended (supervisor, report);
   add_refused_rows (supervisor, report);
   add_gone_rows (supervisor, report);
+  report->level = SUPERVISOR_LEVEL;
+  supervisor_report_crashes (supervisor, report);
   return report;
 }
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -148,6 +148,7 @@
                                .accepted_wall_ms = job->submission->accepted_wall_ms,
                                .spec = spec,
                                .progress = job->progress,
+                               .crashes = ledger_crashes (owner->entry->ledger, job->id),
                                .may_have_started = job->offset < owner->epoch - 1 };
   sched_add_job (owner->sched, &wanted);
   if (job->is_cancelled)
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -96,12 +96,25 @@
       add_removal (owner->records, LEDGER_JOB_PREFIX, id);
       add_removal (owner->records, LEDGER_RUN_PREFIX, id);
       add_removal (owner->records, LEDGER_CANCEL_PREFIX, id);
+      if (ledger_crashes (owner->entry->ledger, id) != NULL)
+        add_removal (owner->records, LEDGER_CRASH_PREFIX, id);
     }
   if (ids->len > 0)
     line_add ("owner", "jobs_dropped", "count=%u ended_before_ms=%" G_GINT64_FORMAT, ids->len,
               retention_ms);
 }
 
+/* Removes what an owner of an older build left of jobs that it removed. */
+static void
+add_orphaned_crashes (Owner *owner)
+{
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+
+  ledger_orphaned_crashes (owner->entry->ledger, ids, EXPIRED_JOBS_MAX);
+  for (guint i = 0; i < ids->len; i++)
+    add_removal (owner->records, LEDGER_CRASH_PREFIX, g_ptr_array_index (ids, i));
+}
+
 /* Writes the learned state. Without it, the next owner would have to measure interference again,
  * at the cost of serving tasks. */
 static void
@@ -132,6 +145,16 @@
   store_add_record (owner->records, LEDGER_SILENT_KEY, data, size);
 }
 
+static void
+add_bytes (GByteArray *records, const char *prefix, const char *id, GBytes *value)
+{
+  g_autofree char *key = g_strconcat (prefix, id, NULL);
+  size_t size = 0;
+  const void *bytes = g_bytes_get_data (value, &size);
+
+  store_add_record (records, key, bytes, size);
+}
+
 static void
 add_changes (GByteArray *records, const SchedFlush *flush)
 {
@@ -140,10 +163,9 @@
   for (guint i = 0; i < changes->len; i++)
     {
       const SchedChange *change = g_ptr_array_index (changes, i);
-      g_autofree char *key = g_strconcat (LEDGER_RUN_PREFIX, change->job, NULL);
-      size_t size = 0;
-      const void *bytes = g_bytes_get_data (change->progress, &size);
-      store_add_record (records, key, bytes, size);
+      add_bytes (records, LEDGER_RUN_PREFIX, change->job, change->progress);
+      if (change->crashes != NULL)
+        add_bytes (records, LEDGER_CRASH_PREFIX, change->job, change->crashes);
     }
 }
 
@@ -185,6 +207,7 @@
   owner_add_record (owner, owner->records, owner->is_release ? 0 : node_boot (owner->entry->node));
   add_agent_removal (owner);
   add_expired_jobs (owner);
+  add_orphaned_crashes (owner);
   add_learned (owner);
   add_silent (owner);
   if (owner->flush != NULL)
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -30,8 +30,21 @@
   int64_t measurement;
   uint32_t cpu_limit;
   gboolean is_stopping;
+  int64_t started_us;
 } RigTask;
 
+/** A run that was lost when its worker crashed. */
+typedef struct
+{
+  uint64_t number;
+  char name[40];
+  int64_t run;
+  int64_t age_ms;
+  uint32_t n_others;
+  uint64_t incarnation;
+  int64_t crash_us;
+} RigCrash;
+
 typedef struct
 {
   int64_t number;
@@ -65,6 +78,9 @@
   uint32_t n_tasks;
   RigEnd ends[RIG_TASKS_MAX];
   uint32_t n_ends;
+  RigCrash crashes[RIG_TASKS_MAX];
+  uint32_t n_crashes;
+  uint64_t crashes_acked;
 } RigWorker;
 
 typedef struct
@@ -80,6 +96,8 @@
   gboolean is_stalled;         /**< tasks make no progress */
   gboolean reports_cpu_limits; /**< agents report the CPU limits of tasks */
   gboolean has_slow_stops;     /**< a stopped task ends in the next round */
+  gboolean is_older_build;     /**< agents do not report crashes */
+  GHashTable *crash_records;   /**< job -> newest written record of its crashes */
   GString *notes;              /**< "event text" of each decision that was logged, a line each */
 } Rig;
 
@@ -132,6 +150,8 @@
                                  .ctx = rig };
 
   rig->notes = g_string_new (NULL);
+  rig->crash_records
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   rig->sched = sched_new (&options);
   rig->config = queue_config_new (1);
   (void) queue_config_add_service (rig->config, "service");
@@ -151,9 +171,21 @@
   sched_free (rig->sched);
   queue_config_free (rig->config);
   g_string_free (rig->notes, TRUE);
+  g_hash_table_destroy (rig->crash_records);
   g_free (rig);
 }
 
+/** The written record of the job's crashes, or NULL; the caller frees it. */
+static inline Batch__Crashes *
+rig_crash_record (const Rig *rig, const char *id)
+{
+  GBytes *bytes = (GBytes *) g_hash_table_lookup (rig->crash_records, id);
+  size_t size = 0;
+  const void *data = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
+
+  return size > 0 ? batch__crashes__unpack (NULL, size, (const uint8_t *) data) : NULL;
+}
+
 /** Adds a job from JSON steps; if @p may_have_started, a previous owner may have started it. */
 static inline void
 rig_add_job_as (
@@ -168,8 +200,11 @@
                             .accepted_wall_ms = rig->now_us / 1000,
                             .spec = spec,
                             .progress = NULL,
+                            .crashes = rig_crash_record (rig, id),
                             .may_have_started = may_have_started };
   sched_add_job (rig->sched, &job);
+  if (job.crashes != NULL)
+    batch__crashes__free_unpacked ((Batch__Crashes *) job.crashes, NULL);
 }
 
 static inline void
@@ -204,6 +239,30 @@
   *task = worker->tasks[--worker->n_tasks];
 }
 
+/** The worker crashes and is back at once. */
+static inline void
+rig_crash (const Rig *rig, RigWorker *worker)
+{
+  for (uint32_t i = 0; i < worker->n_tasks; i++)
+    {
+      const RigTask *task = &worker->tasks[i];
+      RigCrash *crash = &worker->crashes[worker->n_crashes++];
+      crash->number = worker->n_crashes;
+      (void) g_strlcpy (crash->name, task->name, sizeof crash->name);
+      crash->run = task->run;
+      crash->age_ms = (rig->now_us - task->started_us) / 1000;
+      crash->n_others = worker->n_tasks - 1;
+      crash->incarnation = worker->incarnation;
+      crash->crash_us = rig->now_us;
+    }
+  worker->n_tasks = 0;
+  worker->n_ends = 0;
+  worker->next_end = 0;
+  worker->ends_acked = 0;
+  worker->applied = 0;
+  worker->incarnation++;
+}
+
 /** Drops a start that the owner forbade meanwhile, as agents do. */
 static inline void
 rig_drop_start (RigWorker *worker, const Batch__Start *start)
@@ -232,6 +291,7 @@
       (void) g_strlcpy (task->name, order->start->task, sizeof task->name);
       task->run = order->start->run;
       task->cpu_limit = 100;
+      task->started_us = rig->now_us;
       rig->n_starts++;
     }
   else if (order->what_case == BATCH__ORDER__WHAT_STOP)
@@ -288,6 +348,34 @@
   return n_gone;
 }
 
+/** Adds the crashed runs that the owner has not written. */
+static inline size_t
+rig_add_crashes (const Rig *rig,
+                 const RigWorker *worker,
+                 Batch__Crash *crashes,
+                 Batch__Crash **rows)
+{
+  size_t n_rows = 0;
+
+  for (uint32_t i = 0; !rig->is_older_build && i < worker->n_crashes; i++)
+    {
+      const RigCrash *crash = &worker->crashes[i];
+      if (crash->number <= worker->crashes_acked)
+        continue;
+      batch__crash__init (&crashes[n_rows]);
+      crashes[n_rows].number = crash->number;
+      crashes[n_rows].task = (char *) crash->name;
+      crashes[n_rows].run = crash->run;
+      crashes[n_rows].age_ms = crash->age_ms;
+      crashes[n_rows].n_others = crash->n_others;
+      crashes[n_rows].life = crash->incarnation;
+      crashes[n_rows].ago_ms = (rig->now_us - crash->crash_us) / 1000;
+      rows[n_rows] = &crashes[n_rows];
+      n_rows++;
+    }
+  return n_rows;
+}
+
 static inline void
 rig_report (Rig *rig, RigWorker *worker)
 {
@@ -299,6 +387,8 @@
   Batch__Ended *ended_rows[RIG_TASKS_MAX];
   Batch__Gone gone[2 * RIG_TASKS_MAX];
   Batch__Gone *gone_rows[2 * RIG_TASKS_MAX];
+  Batch__Crash crashes[RIG_TASKS_MAX];
+  Batch__Crash *crash_rows[RIG_TASKS_MAX];
   char kind[] = "a";
   char *labels[] = { kind, worker->rack };
 
@@ -318,6 +408,9 @@
   report.running = running_rows;
   report.ended = ended_rows;
   report.gone = gone_rows;
+  report.level = rig->is_older_build ? 0 : 1;
+  report.crashes = crash_rows;
+  report.n_crashes = rig_add_crashes (rig, worker, crashes, crash_rows);
   report.version = ++worker->version;
   report.since = rig->sends_changes ? worker->applied : 0;
   if (report.since != 0)
@@ -351,6 +444,20 @@
   sched_apply_report (rig->sched, worker->name, &report, rig->now_us);
 }
 
+static inline void
+rig_keep_crash_records (Rig *rig, const SchedFlush *flush)
+{
+  const GPtrArray *changes = sched_flush_changes (flush);
+
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const SchedChange *change = (const SchedChange *) g_ptr_array_index (changes, i);
+      if (change->crashes != NULL)
+        g_hash_table_replace (rig->crash_records, g_strdup (change->job),
+                              g_bytes_ref (change->crashes));
+    }
+}
+
 /** Simulates a round of @p ms: reports, decisions, execution of orders. @p is_written is the result
  * of writing the progress. */
 static inline void
@@ -370,6 +477,8 @@
     }
   sched_tick (rig->sched, rig->now_us, rig->now_us / 1000);
   SchedFlush *flush = sched_flush_begin (rig->sched);
+  if (flush != NULL && is_written)
+    rig_keep_crash_records (rig, flush);
   if (flush != NULL)
     sched_flush_end (rig->sched, flush, is_written);
   for (uint32_t i = 0; i < rig->n_workers; i++)
@@ -383,6 +492,7 @@
       if (orders.agent_boot != worker->boot)
         continue;
       worker->ends_acked = MAX (worker->ends_acked, orders.ends_kept);
+      worker->crashes_acked = MAX (worker->crashes_acked, orders.crashes_kept);
       worker->applied = orders.report_taken;
       memcpy (worker->reported, worker->sent, sizeof worker->reported);
       worker->n_reported = worker->n_sent;
@@ -393,6 +503,28 @@
     }
 }
 
+/** Replaces the owner by one that knows no job; the agents go on. */
+static inline void
+rig_replace_owner (Rig *rig, uint64_t term)
+{
+  const SchedOptions options = { .report_age_max_ms = 1300,
+                                 .lease_expiry_ms = RIG_EXPIRY_MS,
+                                 .gang_timeout_ms = 3000,
+                                 .note = rig_note,
+                                 .ctx = rig };
+
+  sched_free (rig->sched);
+  rig->sched = sched_new (&options);
+  sched_set_config (rig->sched, rig->config);
+  sched_begin_term (rig->sched, term, rig->now_us + RIG_EXPIRY_MS * 1000);
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      rig->workers[i].applied = 0;
+      rig->workers[i].done_number = 0;
+      sched_add_agent (rig->sched, rig->workers[i].name);
+    }
+}
+
 static inline uint32_t
 rig_running (const Rig *rig)
 {
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -242,6 +242,57 @@
   ledger_free (ledger);
 }
 
+static void
+apply_crash (Ledger *ledger, int64_t offset, int64_t run)
+{
+  Batch__Crashes message = BATCH__CRASHES__INIT;
+  Batch__CrashedRun row = BATCH__CRASHED_RUN__INIT;
+  Batch__CrashedRun *rows[] = { &row };
+  uint8_t bytes[64];
+
+  row.run = run;
+  message.runs = rows;
+  message.n_runs = 1;
+  size_t size = batch__crashes__pack (&message, bytes);
+  assert_true (apply (ledger, offset, "crash." JOB, bytes, size));
+}
+
+static void
+newest_crashes_of_a_job_are_kept (void **state)
+{
+  Ledger *ledger = new_ledger ();
+
+  (void) state;
+  assert_null (ledger_crashes (ledger, JOB));
+  apply_submission (ledger, 1, "q");
+  apply_crash (ledger, 8, 5);
+  apply_crash (ledger, 3, 4);
+  assert_int_equal (ledger_crashes (ledger, JOB)->runs[0]->run, 5);
+  assert_true (apply (ledger, 9, "crash." JOB, NULL, 0));
+  assert_null (ledger_crashes (ledger, JOB));
+  assert_false (apply (ledger, 10, "crash." JOB, (const uint8_t *) "\xff", 1));
+  ledger_free (ledger);
+}
+
+/* An owner that does not know the key removes the job without it. */
+static void
+crashes_of_a_job_that_is_gone_are_found (void **state)
+{
+  Ledger *ledger = new_ledger ();
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+
+  (void) state;
+  apply_submission (ledger, 1, "q");
+  apply_crash (ledger, 2, 1);
+  ledger_orphaned_crashes (ledger, ids, 10);
+  assert_int_equal (ids->len, 0);
+  assert_true (apply (ledger, 3, "job." JOB, NULL, 0));
+  ledger_orphaned_crashes (ledger, ids, 10);
+  assert_int_equal (ids->len, 1);
+  assert_string_equal (g_ptr_array_index (ids, 0), JOB);
+  ledger_free (ledger);
+}
+
 int
 main (void)
 {
@@ -255,6 +306,8 @@
     cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
+    cmocka_unit_test (newest_crashes_of_a_job_are_kept),
+    cmocka_unit_test (crashes_of_a_job_that_is_gone_are_found),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -835,6 +835,145 @@
   fake_free (fake);
 }
 
+/* Starts TASK under a grant; the worker confirms it and lists it. */
+static Fake *
+fake_with_run (void)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  return fake;
+}
+
+/* The worker is back as another incarnation, whose first poll is answered. */
+static void
+restart_worker (Fake *fake, int64_t born)
+{
+  FakeCall call;
+
+  while (take_call (fake, CALL_POLL, &call))
+    answer_call (&call, RUNNER_NOT_SENT);
+  supervisor_handle_info (fake->supervisor, info_of ("i1", born, 1));
+  answer_poll (fake, (Lists){ NULL, 0 });
+}
+
+static size_t
+reported_crashes (const Fake *fake)
+{
+  Batch__Report *report = supervisor_report (fake->supervisor);
+
+  assert_non_null (report);
+  assert_int_equal (report->level, 1);
+  size_t n_crashes = report->n_crashes;
+  batch__report__free_unpacked (report, NULL);
+  return n_crashes;
+}
+
+static void
+confirm_crashes (Fake *fake, uint64_t number)
+{
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  orders.epoch = 1;
+  orders.owner = "owner";
+  orders.agent_boot = 5;
+  orders.life = incarnation_of (fake);
+  orders.crashes_kept = number;
+  assert_true (supervisor_handle_orders (fake->supervisor, &orders));
+}
+
+static void
+run_lost_in_a_crash_is_reported_until_it_is_written (void **state)
+{
+  Fake *fake = fake_with_run ();
+
+  (void) state;
+  fake->now_us += 250 * 1000;
+  restart_worker (fake, 2);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_int_equal (report->n_crashes, 1);
+  assert_string_equal (report->crashes[0]->task, TASK);
+  assert_int_equal (report->crashes[0]->run, 1);
+  assert_int_equal (report->crashes[0]->age_ms, 250);
+  assert_int_equal (report->crashes[0]->n_others, 0);
+  uint64_t number = report->crashes[0]->number;
+  batch__report__free_unpacked (report, NULL);
+  confirm_crashes (fake, 0);
+  assert_int_equal (reported_crashes (fake), 1);
+  confirm_crashes (fake, number);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
+static void
+crash_is_dated_by_the_first_poll_that_failed (void **state)
+{
+  Fake *fake = fake_with_run ();
+  FakeCall call;
+
+  (void) state;
+  fake->now_us += 10 * 1000;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_IN_DOUBT);
+  fake->now_us += 2000 * 1000;
+  restart_worker (fake, 2);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_int_equal (report->n_crashes, 1);
+  assert_int_equal (report->crashes[0]->age_ms, 10);
+  assert_int_equal (report->crashes[0]->ago_ms, 2000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+static void
+worker_that_drains_or_left_did_not_crash (void **state)
+{
+  Fake *fake = fake_with_run ();
+  WorkerInfo *info = info_of ("i1", 1, 2);
+
+  (void) state;
+  info->is_draining = TRUE;
+  supervisor_handle_info (fake->supervisor, info);
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+
+  fake = fake_with_run ();
+  supervisor_worker_left (fake->supervisor, "i1");
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
+static void
+expired_lease_is_not_a_crash (void **state)
+{
+  Fake *fake = fake_with_run ();
+
+  (void) state;
+  fake->now_us += (GRANT_MS + 1000) * 1000;
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
+static void
+run_that_had_ended_did_not_crash (void **state)
+{
+  Fake *fake = fake_with_run ();
+
+  (void) state;
+  fake->now_us += 100 * 1000;
+  supervisor_tick (fake->supervisor);
+  answer_poll (fake, (Lists){ NULL, 1 });
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
 int
 main (void)
 {
@@ -860,6 +999,11 @@
     cmocka_unit_test (refused_start_is_reported_as_gone),
     cmocka_unit_test (report_contains_the_time_of_the_poll),
     cmocka_unit_test (orders_after_a_lost_one_wait),
+    cmocka_unit_test (run_lost_in_a_crash_is_reported_until_it_is_written),
+    cmocka_unit_test (crash_is_dated_by_the_first_poll_that_failed),
+    cmocka_unit_test (worker_that_drains_or_left_did_not_crash),
+    cmocka_unit_test (expired_lease_is_not_a_crash),
+    cmocka_unit_test (run_that_had_ended_did_not_crash),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
