A changed capacity is reported at once, and no start goes beyond it

A worker's capacity may shrink while it runs. The agent told the owner at once only of draining; a changed capacity waited for the next full report, up to 4 s, in which the owner started tasks that brought the worker over it. Orders that were under way at the shrink were carried out as well.

A start says what all tasks of the worker need once it runs, by the owner's account, which includes what is being stopped; the agent refuses it if the capacity that it knows is smaller. Orders of owners of older builds do not say it and are not checked. Best-effort tasks count by memory. The cost of placing a best-effort task on a worker without processors divided by zero.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -2997,7 +2997,7 @@
   (ProtobufCMessageInit) batch__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__start__field_descriptors[5] =
+static const ProtobufCFieldDescriptor batch__start__field_descriptors[9] =
 {
   {
     "task",
@@ -3059,8 +3059,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_needs",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Start, has_needs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs_cpu_m",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Start, needs_cpu_m),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs_mem_mb",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Start, needs_mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs_gpus",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Start, needs_gpus),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__start__field_indices_by_name[] = {
+  5,   /* field[5] = has_needs */
+  6,   /* field[6] = needs_cpu_m */
+  8,   /* field[8] = needs_gpus */
+  7,   /* field[7] = needs_mem_mb */
   1,   /* field[1] = run */
   3,   /* field[3] = saved */
   2,   /* field[2] = spec */
@@ -3070,7 +3122,7 @@
 static const ProtobufCIntRange batch__start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor batch__start__descriptor =
 {
@@ -3080,7 +3132,7 @@
   "Batch__Start",
   "batch",
   sizeof(Batch__Start),
-  5,
+  9,
   batch__start__field_descriptors,
   batch__start__field_indices_by_name,
   1,  batch__start__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -455,10 +455,18 @@
   char *spec;
   char *saved;
   char *ticket;
+  /*
+   * What all tasks of the worker need once this one runs, as far as they count against its capacity. Not
+   * checked if has_needs is not set.
+   */
+  protobuf_c_boolean has_needs;
+  int64_t needs_cpu_m;
+  int64_t needs_mem_mb;
+  int64_t needs_gpus;
 };
 #define BATCH__START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__start__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Batch__Stop
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -54,7 +54,7 @@
   if (step->is_best_effort)
     {
       cost += COST_FULL * (worker->used.cpu_m + worker->best_effort_cpu_m)
-              / worker->info->capacity.cpu_m;
+              / MAX (worker->info->capacity.cpu_m, 1);
       cost += worker->n_serving > 0 ? cost_of_headroom (worker, task) : COST_FREE;
     }
   else if (step->is_continuous)
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -289,6 +289,18 @@
                 worker->name, worker->info->remaining_ms);
 }
 
+static void
+note_capacity (Sched *sched, const SchedWorker *worker, JobSize before)
+{
+  const JobSize *now = &worker->info->capacity;
+
+  if (before.cpu_m != now->cpu_m || before.mem_mb != now->mem_mb || before.gpus != now->gpus)
+    sched_note (sched, "worker_resized", "-",
+                "worker=%s cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
+                " mem_mb=%" G_GINT64_FORMAT " used_mem_mb=%" G_GINT64_FORMAT,
+                worker->name, now->cpu_m, worker->used.cpu_m, now->mem_mb, worker->used.mem_mb);
+}
+
 static gboolean
 is_same_incarnation (const SchedWorker *worker, const Batch__Report *report)
 {
@@ -316,10 +328,14 @@
 apply_info (Sched *sched, SchedWorker *worker, const Batch__Worker *row)
 {
   gboolean was_draining = worker->info != NULL && worker->info->is_draining;
+  gboolean is_known = worker->info != NULL;
+  JobSize before = is_known ? worker->info->capacity : (JobSize){ 0 };
 
   worker_info_free (worker->info);
   worker->info = to_info (row);
   note_draining (sched, worker, was_draining);
+  if (is_known)
+    note_capacity (sched, worker, before);
 }
 
 static void
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -151,6 +151,17 @@
     task->stage->n_waiting++;
 }
 
+/* The agent refuses the start if the worker's capacity has shrunk below that meanwhile. The
+ * processors of a best-effort task do not count. */
+static void
+add_needs (Batch__Start *start, const SchedWorker *worker, const SchedTask *task)
+{
+  start->has_needs = TRUE;
+  start->needs_cpu_m = task->stage->step->is_best_effort ? 0 : worker->used.cpu_m;
+  start->needs_mem_mb = worker->used.mem_mb;
+  start->needs_gpus = worker->used.gpus;
+}
+
 void
 sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task)
 {
@@ -167,6 +178,7 @@
   order->start->saved = message_strdup (task->checkpoint);
   order->start->ticket = message_strdup ("");
   sched_attach (worker, task, sched->now_us);
+  add_needs (order->start, worker, task);
   task->order_number = order->number;
   worker->has_suspect |= sched_is_suspect (task);
   sched_note (sched, "start", job->id,
--- a/lib/batch/worker.c
+++ b/lib/batch/worker.c
@@ -27,6 +27,14 @@
   return strcmp (a->id, b->id) == 0 && a->started_wall_ms == b->started_wall_ms;
 }
 
+gboolean
+worker_info_same_offer (const WorkerInfo *a, const WorkerInfo *b)
+{
+  return a->is_draining == b->is_draining && a->capacity.cpu_m == b->capacity.cpu_m
+         && a->capacity.mem_mb == b->capacity.mem_mb && a->capacity.gpus == b->capacity.gpus
+         && g_strv_equal ((const char *const *) a->labels, (const char *const *) b->labels);
+}
+
 const char *
 worker_end_name (WorkerEndHow how)
 {
--- a/lib/batch/worker.h
+++ b/lib/batch/worker.h
@@ -31,6 +31,9 @@
 /** Whether both describe the same incarnation of the same worker. */
 gboolean worker_info_same_incarnation (const WorkerInfo *a, const WorkerInfo *b);
 
+/** Whether tasks may be started under the same conditions: draining, capacity, labels. */
+gboolean worker_info_same_offer (const WorkerInfo *a, const WorkerInfo *b);
+
 /** A task that a worker runs. */
 typedef struct
 {
--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -242,13 +242,17 @@
       worker_info_free (info);
       return;
     }
-  gboolean is_changed = info->is_draining != supervisor->info->is_draining;
+  gboolean is_changed = !worker_info_same_offer (info, supervisor->info);
   worker_info_free (supervisor->info);
   supervisor->info = info;
   if (!is_changed)
     return;
   supervisor->info_version = supervisor_next_version (supervisor);
-  supervisor_log (supervisor, "worker_state", "id=%s draining=%d", info->id, info->is_draining);
+  supervisor_log (supervisor, "worker_state",
+                  "id=%s draining=%d cpu_m=%" G_GINT64_FORMAT " mem_mb=%" G_GINT64_FORMAT
+                  " gpus=%" G_GINT64_FORMAT,
+                  info->id, info->is_draining, info->capacity.cpu_m, info->capacity.mem_mb,
+                  info->capacity.gpus);
   supervisor_changed (supervisor);
 }
 
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -142,6 +142,17 @@
          && supervisor_is_responsive (supervisor);
 }
 
+/* The worker's capacity may have shrunk since the order was sent. */
+static gboolean
+has_capacity (const Supervisor *supervisor, const Batch__Start *order)
+{
+  const JobSize *capacity = &supervisor->info->capacity;
+
+  return !order->has_needs
+         || (order->needs_cpu_m <= capacity->cpu_m && order->needs_mem_mb <= capacity->mem_mb
+             && order->needs_gpus <= capacity->gpus);
+}
+
 static void
 execute_start (Supervisor *supervisor, const Batch__Start *order)
 {
@@ -164,6 +175,11 @@
       add_refused (supervisor, order->task, order->run, RUNNER_LEASE_EXPIRED);
       return;
     }
+  if (!has_capacity (supervisor, order))
+    {
+      add_refused (supervisor, order->task, order->run, RUNNER_NO_CAPACITY);
+      return;
+    }
   supervisor_add_row (supervisor, order->task, order->run, ROW_STARTING)->cpu_limit_known
       = FULL_CPU_PERCENT + 1;
   supervisor->options.start (supervisor->options.ctx, &target, &start, on_started,
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -31,6 +31,8 @@
   uint32_t cpu_limit;
   gboolean is_stopping;
   int64_t started_us;
+  int64_t needs_cpu_m; /**< of all tasks there, as the order to start it said; -1: it did not */
+  int64_t needs_mem_mb;
 } RigTask;
 
 /** A run that was lost when its worker crashed. */
@@ -66,6 +68,8 @@
   int64_t ends_acked;
   gboolean is_silent;
   gboolean is_draining;
+  int64_t cpu_m; /**< capacity */
+  int64_t mem_mb;
   uint64_t version;                /**< version of its newest report */
   uint64_t applied;                /**< report version that the owner applied */
   RigTask reported[RIG_TASKS_MAX]; /**< runs in the report of that version */
@@ -135,6 +139,8 @@
   (void) g_snprintf (worker->data_centre, sizeof worker->data_centre, "dc%u", rig->n_workers / 2);
   worker->boot = 100 + rig->n_workers;
   worker->incarnation = 1;
+  worker->cpu_m = RIG_CPU_M;
+  worker->mem_mb = RIG_MEM_MB;
   rig->n_workers++;
   sched_add_agent (rig->sched, worker->name);
 }
@@ -292,6 +298,8 @@
       task->run = order->start->run;
       task->cpu_limit = 100;
       task->started_us = rig->now_us;
+      task->needs_cpu_m = order->start->has_needs ? order->start->needs_cpu_m : -1;
+      task->needs_mem_mb = order->start->has_needs ? order->start->needs_mem_mb : -1;
       rig->n_starts++;
     }
   else if (order->what_case == BATCH__ORDER__WHAT_STOP)
@@ -397,8 +405,8 @@
   info.data_centre = worker->data_centre;
   info.labels = labels;
   info.n_labels = 2;
-  info.cpu_m = RIG_CPU_M;
-  info.mem_mb = RIG_MEM_MB;
+  info.cpu_m = worker->cpu_m;
+  info.mem_mb = worker->mem_mb;
   info.is_draining = worker->is_draining;
   report.worker = &info;
   report.boot = worker->boot;
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -40,6 +40,8 @@
   FakeCall calls[CALLS_MAX];
   uint32_t n_calls;
   gboolean forbids_starts; /**< sent with all orders */
+  int64_t needs_cpu_m;     /**< sent with starts; 0: not sent */
+  uint32_t n_changes;
 } Fake;
 
 static int64_t
@@ -118,9 +120,9 @@
 }
 
 static void
-ignore_change (void *ctx)
+count_change (void *ctx)
 {
-  (void) ctx;
+  ((Fake *) ctx)->n_changes++;
 }
 
 static void
@@ -229,7 +231,7 @@
                                       .stop = fake_stop,
                                       .set_cpu_limit = fake_set_cpu_limit,
                                       .poll = fake_poll,
-                                      .changed = ignore_change,
+                                      .changed = count_change,
                                       .log = ignore_log,
                                       .ctx = fake };
 
@@ -313,6 +315,8 @@
   orders.orders = rows;
   start.task = TASK;
   start.run = 1;
+  start.has_needs = fake->needs_cpu_m > 0;
+  start.needs_cpu_m = fake->needs_cpu_m;
   order.number = spec.number;
   order.what_case = BATCH__ORDER__WHAT_START;
   order.start = &start;
@@ -835,6 +839,73 @@
   fake_free (fake);
 }
 
+static WorkerInfo *
+info_with_cpu (int64_t sequence, int64_t cpu_m)
+{
+  WorkerInfo *info = info_of ("i1", 1, sequence);
+
+  info->capacity.cpu_m = cpu_m;
+  return info;
+}
+
+static void
+changed_capacity_is_reported_at_once (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  uint32_t n_changes = fake->n_changes;
+  supervisor_handle_info (fake->supervisor, info_with_cpu (2, 16000));
+  assert_int_equal (fake->n_changes, n_changes);
+  supervisor_handle_info (fake->supervisor, info_with_cpu (3, 4000));
+  assert_int_equal (fake->n_changes, n_changes + 1);
+  Batch__Report *report = next_report (fake);
+  assert_int_not_equal (report->since, 0);
+  assert_non_null (report->worker);
+  assert_int_equal (report->worker->cpu_m, 4000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+/* The order was under way when the capacity shrank. */
+static void
+start_beyond_a_shrunk_capacity_is_refused (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  supervisor_handle_info (fake->supervisor, info_with_cpu (2, 4000));
+  fake->needs_cpu_m = 4001;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  Batch__Report *report = next_report (fake);
+  assert_int_equal (report->n_refused, 1);
+  assert_int_equal (report->refused[0]->outcome, RUNNER_NO_CAPACITY);
+  batch__report__free_unpacked (report, NULL);
+  fake->needs_cpu_m = 4000;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 2, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
+static void
+start_of_an_older_owner_is_not_checked (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  supervisor_handle_info (fake->supervisor, info_with_cpu (2, 1));
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
 /* Starts TASK under a grant; the worker confirms it and lists it. */
 static Fake *
 fake_with_run (void)
@@ -1004,6 +1075,9 @@
     cmocka_unit_test (worker_that_drains_or_left_did_not_crash),
     cmocka_unit_test (expired_lease_is_not_a_crash),
     cmocka_unit_test (run_that_had_ended_did_not_crash),
+    cmocka_unit_test (changed_capacity_is_reported_at_once),
+    cmocka_unit_test (start_beyond_a_shrunk_capacity_is_refused),
+    cmocka_unit_test (start_of_an_older_owner_is_not_checked),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
