sched: suspects are kept apart for a bounded time only

A run older than 5 s now makes no suspect of its task, and a suspect waits 6 s at most for a worker without another one, a serving task 1.5 s. A trial keeps other tasks off for 10 s at most. A serving task is given up after four crashes soon after its starts, whatever ran beside it.

--- a/lib/batch/sched_crashes.c
+++ b/lib/batch/sched_crashes.c
@@ -18,12 +18,15 @@
  * cleared of them or not. Serving tasks are in more crashes without being to blame. */
 #define TRIAL_CRASHES 3
 #define CRASHES_MAX 4
+/** Longest time for which nothing is started beside a task that is tried alone. */
+#define TRIAL_MS 10000
 /** Members of a gang can't be tried alone. */
 #define GANG_CRASHES_MAX 3
 /** A run that is at most this old when its worker crashes is likely to be the cause. */
 #define YOUNG_MS 1000
-/** A serving run that is older is not to blame, even if it was alone. */
-#define SERVING_AGE_MAX_MS 5000
+/** An older run makes no suspect of its task. A serving one that is older is not to blame, even if
+ * it was alone: workers also crash by themselves. */
+#define SUSPECT_AGE_MAX_MS 5000
 /** A task is cleared of a crash by a run that goes on for this much longer than the one that was
  * lost had gone on, or twice as long if that is more, up to a limit. */
 #define CLEAR_MARGIN_MS 300
@@ -78,15 +81,16 @@
   return count;
 }
 
+/* Number of crashes with a run that was at most @p age_ms old. */
 static uint32_t
-young_suspicions (const SchedTask *task)
+suspicions_of_age (const SchedTask *task, int64_t age_ms)
 {
   uint32_t count = 0;
 
-  for (guint i = 0; task->crashes != NULL && i < task->crashes->len; i++)
+  for (guint i = 0; i < task->crashes->len; i++)
     {
       const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
-      count += row->age_ms <= YOUNG_MS && is_suspicion (task, row);
+      count += row->age_ms <= age_ms && is_suspicion (task, row);
     }
   return count;
 }
@@ -94,7 +98,16 @@
 gboolean
 sched_is_suspect (const SchedTask *task)
 {
-  return task->crashes != NULL && (young_suspicions (task) > 0 || suspicions (task) > 1);
+  return task->crashes != NULL
+         && (suspicions_of_age (task, YOUNG_MS) > 0
+             || suspicions_of_age (task, SUSPECT_AGE_MAX_MS) > 1);
+}
+
+gboolean
+sched_is_on_trial (const Sched *sched, const SchedTask *task)
+{
+  return sched_needs_trial (task) && task->state == TASK_PLACED && suspicions (task) > 0
+         && sched->now_us - task->placed_us < TRIAL_MS * CLK_US_PER_MS;
 }
 
 gboolean
@@ -177,7 +190,7 @@
   if (row->is_cleared || row->is_shared)
     return FALSE;
   if (row->is_alone)
-    return !task->stage->step->is_continuous || row->age_ms <= SERVING_AGE_MAX_MS;
+    return !task->stage->step->is_continuous || row->age_ms <= SUSPECT_AGE_MAX_MS;
   return !needs_alone && row->age_ms <= YOUNG_MS;
 }
 
@@ -199,8 +212,9 @@
   const SchedTask *task = crash->task;
   const JobStep *step = task->stage->step;
 
-  if (!step->is_continuous
-      && task->crashes->len >= (step->is_gang ? GANG_CRASHES_MAX : CRASHES_MAX))
+  uint32_t n_crashes
+      = step->is_continuous ? suspicions_of_age (task, YOUNG_MS) : task->crashes->len;
+  if (n_crashes >= (step->is_gang ? GANG_CRASHES_MAX : CRASHES_MAX))
     return "most_crashes";
   uint32_t n_most = step->is_continuous ? SERVING_CRASHES_MAX : ONLY_SUSPECT_CRASHES;
   if (likely_crashes (task, TRUE) >= n_most)
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -131,7 +131,10 @@
         continue;
       SchedWorker *worker = choose_worker (workers, task, FALSE);
       if (worker == NULL && sched_is_suspect (task))
-        continue;
+        {
+          task->kept_us = task->kept_us != 0 ? task->kept_us : sched->now_us;
+          continue;
+        }
       if (worker == NULL)
         return;
       task->run = sched_next_run (sched, task);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -54,6 +54,7 @@
   char *checkpoint;
   SchedWorker *avoid; /**< worker where it last failed or stalled */
   GArray *crashes;    /**< SchedCrashedRun, oldest first; NULL for none */
+  int64_t kept_us; /**< since when it waits for a worker without another suspect; 0: it does not */
 };
 
 /** A run that was lost when its worker crashed. */
@@ -342,6 +343,8 @@
 gboolean sched_is_suspect (const SchedTask *task);
 /* Whether the task has been in so many crashes that it is tried alone. */
 gboolean sched_needs_trial (const SchedTask *task);
+/* Whether such a task runs and may still crash its worker. */
+gboolean sched_is_on_trial (const Sched *sched, const SchedTask *task);
 /* Returns a Batch__Crashes of the job. */
 GBytes *sched_encode_crashes (const SchedJob *job);
 void sched_restore_crashes (SchedJob *job, const Batch__Crashes *crashes);
--- a/lib/batch/sched_trials.c
+++ b/lib/batch/sched_trials.c
@@ -6,15 +6,29 @@
 #include <string.h>
 
 #include "batch/sched_tables.h"
+#include "common/clk.h"
 
 /** Trials of a service may use one in this many of its workers, and at least one. */
 #define TRIALS_DIVISOR 4
+/** A suspect waits this long for a worker without another suspect; a serving one less, since its
+ * users wait as well. */
+#define APART_MAX_MS 6000
+#define APART_SERVING_MAX_MS 1500
 static gboolean
 is_reserved (const Sched *sched, const SchedWorker *worker)
 {
   return worker->reserved_pass != 0 && worker->reserved_pass + 1 >= sched->pass;
 }
 
+/* A task must not wait for long because of others that may be to blame. */
+static gboolean
+has_waited_long (const Sched *sched, const SchedTask *task)
+{
+  int64_t most_ms = task->stage->step->is_continuous ? APART_SERVING_MAX_MS : APART_MAX_MS;
+
+  return task->kept_us != 0 && sched->now_us - task->kept_us > most_ms * CLK_US_PER_MS;
+}
+
 gboolean
 sched_is_guarded (const SchedWorker *worker, const SchedTask *task)
 {
@@ -22,11 +36,11 @@
     return TRUE;
   if (!worker->has_suspect)
     return FALSE;
-  gboolean is_suspect = sched_is_suspect (task);
+  gboolean is_kept_apart = sched_is_suspect (task) && !has_waited_long (worker->sched, task);
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const SchedTask *other = g_ptr_array_index (worker->tasks, i);
-      if (is_suspect ? sched_is_suspect (other) : sched_needs_trial (other))
+      if (sched_is_on_trial (worker->sched, other) || (is_kept_apart && sched_is_suspect (other)))
         return TRUE;
     }
   return FALSE;
@@ -58,7 +72,7 @@
   gboolean is_kept = is_reserved (sched, worker);
 
   found->n_workers++;
-  if (worker->tasks->len == 1 && sched_needs_trial (g_ptr_array_index (worker->tasks, 0)))
+  if (worker->tasks->len == 1 && sched_is_on_trial (sched, g_ptr_array_index (worker->tasks, 0)))
     {
       found->n_trials++;
       return;
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -121,6 +121,7 @@
   task->measurement = 0;
   task->cpu_limit = SCHED_CPU_LIMIT_NONE;
   task->cpu_limit_us = 0;
+  task->kept_us = 0;
   task->offset = (InterferenceTask){ 0 };
   task->activity = SCHED_ACTIVITY_DEFAULT;
   task->over_us = 0;
