--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -123,6 +123,7 @@
   task->measurement = 0;
   task->cpu_limit = SCHED_CPU_LIMIT_NONE;
   task->cpu_limit_us = 0;
+  task->kept_us = 0;
   task->offset = (InterferenceTask){ 0 };
   task->activity = SCHED_ACTIVITY_DEFAULT;
   task->over_us = 0;
@@ -143,6 +144,7 @@
   sched_tails_detach (worker, task);
   account (worker, task, -1);
   (void) g_ptr_array_remove_fast (worker->tasks, task);
+  worker->has_suspect &= worker->tasks->len > 0;
   task->stage->job->n_changes++;
   task->worker = NULL;
   task->state = state;
@@ -152,6 +154,17 @@
     sched_release_task (task);
 }
 
+/* The agent refuses the start if the worker's capacity has shrunk below that meanwhile. The
+ * processors of a best-effort task do not count. */
+static void
+add_needs (Batch__Start *start, const SchedWorker *worker, const SchedTask *task)
+{
+  start->has_needs = TRUE;
+  start->needs_cpu_m = task->stage->step->is_best_effort ? 0 : worker->used.cpu_m;
+  start->needs_mem_mb = worker->used.mem_mb;
+  start->needs_gpus = worker->used.gpus;
+}
+
 void
 sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task)
 {
@@ -168,7 +181,9 @@
   order->start->saved = message_strdup (task->checkpoint);
   order->start->ticket = message_strdup ("");
   sched_attach (worker, task, sched->now_us);
+  add_needs (order->start, worker, task);
   task->order_number = order->number;
+  worker->has_suspect |= sched_is_suspect (task);
   sched_note (sched, "start", job->id,
               "task=%s run=%" G_GINT64_FORMAT " worker=%s used_cpu_m=%" G_GINT64_FORMAT
               " report_age_ms=%" G_GINT64_FORMAT,
--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -71,6 +71,7 @@
   supervisor->refused = rows_new (sizeof (SupervisorRefused), refused_clear);
   supervisor->gone = rows_new (sizeof (SupervisorGone), gone_clear);
   supervisor->replaced = rows_new (sizeof (SupervisorIdentity), identity_clear);
+  supervisor->crashes = supervisor_crashes_new ();
   supervisor->calls = g_hash_table_new_full (NULL, NULL, supervisor_call_destroy, NULL);
   return supervisor;
 }
@@ -88,6 +89,7 @@
   g_array_unref (supervisor->refused);
   g_array_unref (supervisor->gone);
   g_array_unref (supervisor->replaced);
+  g_array_unref (supervisor->crashes);
   g_hash_table_destroy (supervisor->calls);
   g_free (supervisor);
 }
@@ -155,6 +157,7 @@
   row->task = g_strdup (task);
   row->run = run;
   row->state = state;
+  row->added_us = supervisor_now_us (supervisor);
   row->version = supervisor_next_version (supervisor);
   row->polled.task = g_strdup (task);
   row->polled.run = run;
@@ -181,8 +184,10 @@
 static void
 reset_incarnation (Supervisor *supervisor)
 {
+  supervisor_note_crash (supervisor);
   drop_incarnation_state (supervisor);
   supervisor->incarnation = 0;
+  supervisor->unanswered_us = 0;
   supervisor->clock_ms = -1;
   supervisor->lease_end_us = 0;
   supervisor->ends_written = 0;
@@ -200,9 +205,9 @@
       supervisor->last = (SupervisorIdentity){ g_strdup (supervisor->info->id),
                                                supervisor->info->started_wall_ms };
     }
+  reset_incarnation (supervisor);
   worker_info_free (supervisor->info);
   supervisor->info = info;
-  reset_incarnation (supervisor);
   supervisor->has_left = FALSE;
   supervisor->is_gone = FALSE;
   supervisor->awaits_info = FALSE;
@@ -290,13 +295,6 @@
   supervisor_tick (supervisor);
 }
 
-static gboolean
-has_changed (const WorkerInfo *before, const WorkerInfo *info)
-{
-  return info->is_draining != before->is_draining
-         || memcmp (&info->capacity, &before->capacity, sizeof info->capacity) != 0;
-}
-
 void
 supervisor_handle_info (Supervisor *supervisor, WorkerInfo *info)
 {
@@ -320,7 +318,7 @@
       worker_info_free (info);
       return;
     }
-  gboolean is_changed = has_changed (supervisor->info, info);
+  gboolean is_changed = !worker_info_same_offer (info, supervisor->info);
   worker_info_free (supervisor->info);
   supervisor->info = info;
   supervisor->has_left &= info->is_draining;
@@ -451,6 +449,7 @@
     return FALSE;
   supervisor->echo_us = orders->echo_us;
   supervisor->forbids_starts = orders->forbids_starts;
+  supervisor_drop_crashes (supervisor, orders->crashes_kept);
   apply_grant (supervisor, orders);
   apply_report_version (supervisor, orders);
   supervisor_poll_if_due (supervisor);
--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -191,6 +191,17 @@
          && supervisor_is_responsive (supervisor);
 }
 
+/* The worker's capacity may have shrunk since the order was sent. */
+static gboolean
+has_capacity (const Supervisor *supervisor, const Batch__Start *order)
+{
+  const JobSize *capacity = &supervisor->info->capacity;
+
+  return !order->has_needs
+         || (order->needs_cpu_m <= capacity->cpu_m && order->needs_mem_mb <= capacity->mem_mb
+             && order->needs_gpus <= capacity->gpus);
+}
+
 static void
 execute_start (Supervisor *supervisor, const Batch__Start *order)
 {
@@ -213,6 +224,11 @@
       add_refused (supervisor, order->task, order->run, RUNNER_LEASE_EXPIRED);
       return;
     }
+  if (!has_capacity (supervisor, order))
+    {
+      add_refused (supervisor, order->task, order->run, RUNNER_NO_CAPACITY);
+      return;
+    }
   supervisor_add_row (supervisor, order->task, order->run, ROW_STARTING)->cpu_limit_known
       = FULL_CPU_PERCENT + 1;
   supervisor->options.start (supervisor->options.ctx, &target, &start, on_started,
@@ -399,6 +415,8 @@
                              ? CANDIDATE_RETRY_MS
                              : SUPERVISOR_RETRY_MS;
       supervisor->next_poll_us = supervisor_now_us (supervisor) + pause_ms * 1000;
+      if (supervisor->unanswered_us == 0)
+        supervisor->unanswered_us = supervisor_now_us (supervisor);
       supervisor_log (supervisor, "look_failed", "outcome=%s",
                       runner_outcome_name (answer->outcome));
       if (answer->outcome == RUNNER_FENCED)
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -41,6 +41,8 @@
   FakeCall calls[CALLS_MAX];
   uint32_t n_calls;
   gboolean forbids_starts; /**< sent with all orders */
+  int64_t needs_cpu_m;     /**< sent with starts; 0: not sent */
+  uint32_t n_changes;
 } Fake;
 
 static int64_t
@@ -120,9 +122,9 @@
 }
 
 static void
-ignore_change (void *ctx)
+count_change (void *ctx)
 {
-  (void) ctx;
+  ((Fake *) ctx)->n_changes++;
 }
 
 static void
@@ -239,7 +241,7 @@
                                       .stop = fake_stop,
                                       .set_cpu_limit = fake_set_cpu_limit,
                                       .poll = fake_poll,
-                                      .changed = ignore_change,
+                                      .changed = count_change,
                                       .log = ignore_log,
                                       .ctx = fake };
 
@@ -323,6 +325,8 @@
   orders.orders = rows;
   start.task = TASK;
   start.run = 1;
+  start.has_needs = fake->needs_cpu_m > 0;
+  start.needs_cpu_m = fake->needs_cpu_m;
   order.number = spec.number;
   order.what_case = BATCH__ORDER__WHAT_START;
   order.start = &start;
@@ -1246,6 +1250,219 @@
   fake_free (fake);
 }
 
+static WorkerInfo *
+info_with_cpu (int64_t sequence, int64_t cpu_m)
+{
+  WorkerInfo *info = info_of ("i1", 1, sequence);
+
+  info->capacity.cpu_m = cpu_m;
+  return info;
+}
+
+static void
+changed_capacity_is_reported_at_once (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, version_of (fake), 0 }));
+  uint32_t n_changes = fake->n_changes;
+  supervisor_handle_info (fake->supervisor, info_with_cpu (2, 16000));
+  assert_int_equal (fake->n_changes, n_changes);
+  supervisor_handle_info (fake->supervisor, info_with_cpu (3, 4000));
+  assert_int_equal (fake->n_changes, n_changes + 1);
+  Batch__Report *report = next_report (fake);
+  assert_int_not_equal (report->since, 0);
+  assert_non_null (report->worker);
+  assert_int_equal (report->worker->cpu_m, 4000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+/* The order was under way when the capacity shrank. */
+static void
+start_beyond_a_shrunk_capacity_is_refused (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  supervisor_handle_info (fake->supervisor, info_with_cpu (2, 4000));
+  fake->needs_cpu_m = 4001;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_false (take_call (fake, CALL_START, &call));
+  Batch__Report *report = next_report (fake);
+  assert_int_equal (report->n_refused, 1);
+  assert_int_equal (report->refused[0]->outcome, RUNNER_NO_CAPACITY);
+  batch__report__free_unpacked (report, NULL);
+  fake->needs_cpu_m = 4000;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 2, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
+static void
+start_of_an_older_owner_is_not_checked (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  (void) state;
+  supervisor_handle_info (fake->supervisor, info_with_cpu (2, 1));
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
+/* Starts TASK under a grant; the worker confirms it and lists it. */
+static Fake *
+fake_with_run (void)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_OK);
+  return fake;
+}
+
+/* The worker is back as another incarnation, whose first poll is answered. */
+static void
+restart_worker (Fake *fake, int64_t born)
+{
+  FakeCall call;
+
+  while (take_call (fake, CALL_POLL, &call))
+    answer_call (&call, RUNNER_NOT_SENT);
+  supervisor_handle_info (fake->supervisor, info_of ("i1", born, 1));
+  /* The poll that is under way may be one for the incarnation before. */
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ born, 0 });
+  if (report == NULL)
+    return;
+  batch__report__free_unpacked (report, NULL);
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ born, 0 });
+}
+
+static size_t
+reported_crashes (const Fake *fake)
+{
+  Batch__Report *report = supervisor_report (fake->supervisor);
+
+  assert_non_null (report);
+  assert_int_equal (report->level, 1);
+  size_t n_crashes = report->n_crashes;
+  batch__report__free_unpacked (report, NULL);
+  return n_crashes;
+}
+
+static void
+confirm_crashes (Fake *fake, uint64_t number)
+{
+  Batch__Orders orders = BATCH__ORDERS__INIT;
+
+  orders.epoch = 1;
+  orders.owner = "owner";
+  orders.agent_boot = 5;
+  orders.life = incarnation_of (fake);
+  orders.echo_us = fake->now_us;
+  orders.crashes_kept = number;
+  assert_true (supervisor_handle_orders (fake->supervisor, &orders));
+}
+
+static void
+run_lost_in_a_crash_is_reported_until_it_is_written (void **state)
+{
+  Fake *fake = fake_with_run ();
+
+  (void) state;
+  fake->now_us += 250 * 1000;
+  restart_worker (fake, 2);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_int_equal (report->n_crashes, 1);
+  assert_string_equal (report->crashes[0]->task, TASK);
+  assert_int_equal (report->crashes[0]->run, 1);
+  assert_int_equal (report->crashes[0]->age_ms, 250);
+  assert_int_equal (report->crashes[0]->n_others, 0);
+  uint64_t number = report->crashes[0]->number;
+  batch__report__free_unpacked (report, NULL);
+  confirm_crashes (fake, 0);
+  assert_int_equal (reported_crashes (fake), 1);
+  confirm_crashes (fake, number);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
+static void
+crash_is_dated_by_the_first_poll_that_failed (void **state)
+{
+  Fake *fake = fake_with_run ();
+  FakeCall call;
+
+  (void) state;
+  fake->now_us += 10 * 1000;
+  assert_true (take_call (fake, CALL_POLL, &call));
+  answer_call (&call, RUNNER_IN_DOUBT);
+  fake->now_us += 2000 * 1000;
+  restart_worker (fake, 2);
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_int_equal (report->n_crashes, 1);
+  assert_int_equal (report->crashes[0]->age_ms, 10);
+  assert_int_equal (report->crashes[0]->ago_ms, 2000);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
+static void
+worker_that_drains_or_left_did_not_crash (void **state)
+{
+  Fake *fake = fake_with_run ();
+  WorkerInfo *info = info_of ("i1", 1, 2);
+
+  (void) state;
+  info->is_draining = TRUE;
+  supervisor_handle_info (fake->supervisor, info);
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+
+  fake = fake_with_run ();
+  supervisor_worker_left (fake->supervisor, "i1");
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
+static void
+expired_lease_is_not_a_crash (void **state)
+{
+  Fake *fake = fake_with_run ();
+
+  (void) state;
+  fake->now_us += (GRANT_MS + 1000) * 1000;
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
+static void
+run_that_had_ended_did_not_crash (void **state)
+{
+  Fake *fake = fake_with_run ();
+
+  (void) state;
+  fake->now_us += 100 * 1000;
+  supervisor_tick (fake->supervisor);
+  answer_poll (fake, (Lists){ NULL, 1 });
+  restart_worker (fake, 2);
+  assert_int_equal (reported_crashes (fake), 0);
+  fake_free (fake);
+}
+
 int
 main (void)
 {
@@ -1287,6 +1504,14 @@
     cmocka_unit_test (refused_start_is_reported_as_gone),
     cmocka_unit_test (report_contains_the_time_of_the_poll),
     cmocka_unit_test (orders_after_a_lost_one_wait),
+    cmocka_unit_test (run_lost_in_a_crash_is_reported_until_it_is_written),
+    cmocka_unit_test (crash_is_dated_by_the_first_poll_that_failed),
+    cmocka_unit_test (worker_that_drains_or_left_did_not_crash),
+    cmocka_unit_test (expired_lease_is_not_a_crash),
+    cmocka_unit_test (run_that_had_ended_did_not_crash),
+    cmocka_unit_test (changed_capacity_is_reported_at_once),
+    cmocka_unit_test (start_beyond_a_shrunk_capacity_is_refused),
+    cmocka_unit_test (start_of_an_older_owner_is_not_checked),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
