node: signals wait until they are handled

Cause: a process that got SIGTERM in its first milliseconds ended with status 15 instead of leaving (docs/incidents/term-at-launch.md); a SIGHUP would have ended it, too.

Change: SIGTERM, SIGINT and SIGHUP are blocked first in main() and unblocked once their handlers stand.

Between exec and main() no program can handle a signal.

--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -67,6 +67,25 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Blocks or unblocks the signals that a node handles. */
+static void
+set_signals (int how)
+{
+  sigset_t signals;
+
+  (void) sigemptyset (&signals);
+  (void) sigaddset (&signals, SIGTERM);
+  (void) sigaddset (&signals, SIGINT);
+  (void) sigaddset (&signals, SIGHUP);
+  (void) pthread_sigmask (how, &signals, NULL);
+}
+
+void
+node_block_signals (void)
+{
+  set_signals (SIG_BLOCK);
+}
+
 Node *
 node_new (const NodeOptions *options, GError **error)
 {
@@ -95,6 +114,7 @@
   node->sources[0] = g_unix_signal_add (SIGTERM, on_term, node);
   node->sources[1] = g_unix_signal_add (SIGINT, on_term, node);
   node->sources[2] = g_unix_signal_add (SIGHUP, on_hup, node);
+  set_signals (SIG_UNBLOCK);
   node->sources[3] = g_timeout_add (LOG_FLUSH_MS, on_flush, NULL);
   return node;
 }
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -40,4 +40,8 @@
 /** Random id of this process; never 0. */
 uint64_t node_boot (const Node *node);
 
+/** Defers SIGTERM, SIGINT and SIGHUP until node_new() handles them. Call it first in main(): their
+ * default action ends a process that could still leave in order. */
+void node_block_signals (void);
+
 G_END_DECLS
--- a/lib/node/node_program.c
+++ b/lib/node/node_program.c
@@ -1,6 +1,7 @@
 #include "node/node_program.h"
 
 #include "common/line.h"
+#include "node/node.h"
 
 static OptExit
 load_and_run (void *ctx, const char *config, gboolean check)
@@ -34,5 +35,6 @@
           .run = load_and_run,
           .ctx = (void *) program };
 
+  node_block_signals ();
   return opt_main (argc, argv, &options);
 }
