--- a/tests/batch/test_crashes.c
+++ b/tests/batch/test_crashes.c
@@ -139,6 +139,29 @@
   rig_free (rig);
 }
 
+static void
+crash_that_two_owners_are_told_of_counts_once (void **state)
+{
+  Rig *rig = rig_new (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  rig_round (rig, ROUND_MS, TRUE);
+  assert_true (crash_under (rig, DEADLY));
+  rig_round (rig, ROUND_MS, TRUE);
+  assert_non_null (g_hash_table_lookup (rig->crash_records, JOB_A));
+  /* The confirmation was lost. */
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    rig->workers[i].crashes_acked = 0;
+  rig_replace_owner (rig, 2);
+  rig_add_job_as (rig, JOB_A, "bulk", ONE_TASK, TRUE);
+  for (uint32_t i = 0; i < 5; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+  assert_false (has_note (rig, "crashes=2"));
+  assert_false (has_failed (rig));
+  rig_free (rig);
+}
+
 static void
 crash_is_counted_for_agents_that_do_not_report_it (void **state)
 {
@@ -321,6 +344,7 @@
     cmocka_unit_test (crashes_count_over_a_change_of_owner),
     cmocka_unit_test (crash_that_no_owner_wrote_is_reported_to_the_next),
     cmocka_unit_test (crash_that_is_reported_twice_counts_once),
+    cmocka_unit_test (crash_that_two_owners_are_told_of_counts_once),
     cmocka_unit_test (crash_is_counted_for_agents_that_do_not_report_it),
     cmocka_unit_test (worker_that_announced_its_end_did_not_crash),
     cmocka_unit_test (suspects_of_one_crash_are_kept_apart),
