--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -105,8 +105,13 @@
 static void
 log_sched_event (void *ctx, const char *event, const char *job, const char *text)
 {
-  (void) ctx;
+  const Owner *owner = ctx;
+
   line_add ("sched", event, "job=%s %s", job, text);
+  if (strcmp (event, "crash_counted") == 0)
+    met_add (owner->crashed_runs, 1);
+  else if (strcmp (event, "given_up") == 0)
+    met_add (owner->given_up, 1);
 }
 
 void
@@ -167,7 +172,7 @@
 }
 
 static SchedOptions
-sched_options (const Owner *owner)
+sched_options (Owner *owner)
 {
   const NodeSettings *settings = owner->entry->settings;
   double grant_ms = (double) node_settings_grant_ms (settings);
@@ -177,6 +182,7 @@
     .lease_expiry_ms = (int64_t) (grant_ms * EXPIRY_CLOCK_RATE) + EXPIRY_MARGIN_MS,
     .gang_timeout_ms = settings->gang_timeout_ms,
     .note = log_sched_event,
+    .ctx = owner,
   };
 }
 
@@ -322,6 +328,10 @@
   owner->check_timer = g_timeout_add (CHECK_MS, owner_check, owner);
   owner->terms = met_counter (metrics, "acacia_owner_terms_total", NULL, "Terms begun here");
   owner->open_jobs = met_gauge (metrics, "acacia_open_jobs", NULL, "Jobs under way, at the owner");
+  owner->crashed_runs = met_counter (metrics, "acacia_crashed_runs_total", NULL,
+                                     "Runs lost when their workers crashed");
+  owner->given_up = met_counter (metrics, "acacia_crash_given_up_total", NULL,
+                                 "Tasks given up since they crash workers");
   owner->append_time
       = met_histogram (metrics, "acacia_owner_append_us", NULL, "Time of the owner's appends");
   return owner;
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -54,6 +54,8 @@
   guint flush_timer;
   MetSeries *terms;
   MetSeries *open_jobs;
+  MetSeries *crashed_runs;
+  MetSeries *given_up;
   MetHistogram *append_time;
 };
 
