--- a/lib/batch/sched_crashes.c
+++ b/lib/batch/sched_crashes.c
@@ -1,10 +1,10 @@
 /*
  * Runs that were lost when their workers crashed, and which tasks are to blame.
  *
- * All runs of a worker that crashes are suspects. Those that are to blame crash the next worker
- * too, so a task that was alone at its second crash, or that is the only one there that has been in
- * a crash before, is given up: its job fails. Others are tried alone. A task is cleared of a crash
- * once a run of it goes on for longer than the one that was lost.
+ * All runs of a worker that crashes are counted; the young ones are suspects. A task that is to
+ * blame crashes the next worker too, so one that was alone at its second crash, or the only suspect
+ * there, is given up: its job fails. A task is cleared of a crash once a run of it goes on for
+ * longer than the one that was lost.
  */
 #include "batch/message.h"
 #include "batch/sched_tables.h"
@@ -15,7 +15,8 @@
 #define ONLY_SUSPECT_CRASHES 2
 #define SERVING_CRASHES_MAX 3
 /** Crashes after which a task is tried alone, and after which it is given up, whether it was
- * cleared of them or not. Serving tasks are in more crashes without being to blame. */
+ * cleared of them or not. Of a serving task only those soon after its start count towards the
+ * second bound. */
 #define TRIAL_CRASHES 3
 #define CRASHES_MAX 4
 /** Longest time for which nothing is started beside a task that is tried alone. */
--- a/lib/batch/sched_trials.c
+++ b/lib/batch/sched_trials.c
@@ -1,7 +1,8 @@
 /*
- * Trials: a task that has been in several crashes runs alone on a worker, so that another crash
- * shows that it is to blame and takes nothing else with it. An empty worker is used at once; one
- * worker of a service at a time is kept free of new tasks until it is empty.
+ * Two suspects are kept on different workers. Trials: a task that has been in several crashes runs
+ * alone on a worker, so that another crash shows that it is to blame and takes nothing else with
+ * it. An empty worker is used at once; one worker of a service at a time is kept free of new tasks
+ * until it is empty.
  */
 #include <string.h>
 
@@ -14,6 +15,7 @@
  * users wait as well. */
 #define APART_MAX_MS 6000
 #define APART_SERVING_MAX_MS 1500
+
 static gboolean
 is_reserved (const Sched *sched, const SchedWorker *worker)
 {
