--- a/Makefile
+++ b/Makefile
@@ -152,9 +152,9 @@
 $(BUILD)/fuzz/fuzz_%: tests/fuzz/fuzz_%.c $(LIB_SRC)
 	@mkdir -p $(@D)
 	$(MAKE) BUILD=$(BUILD)/fuzz-lib CC=clang CXX=clang++ \
-	  SANITIZE="-fsanitize=address,undefined,fuzzer-no-link" $(BUILD)/fuzz-lib/libacacia.a
-	clang $(CFLAGS) -fsanitize=address,undefined,fuzzer -o $@.o -c $<
-	clang++ -fsanitize=address,undefined,fuzzer -o $@ $@.o $(BUILD)/fuzz-lib/libacacia.a $(LDLIBS)
+	  SANITIZE="-fsanitize=address,undefined,float-cast-overflow,fuzzer-no-link" $(BUILD)/fuzz-lib/libacacia.a
+	clang $(CFLAGS) -fsanitize=address,undefined,float-cast-overflow,fuzzer -o $@.o -c $<
+	clang++ -fsanitize=address,undefined,float-cast-overflow,fuzzer -o $@ $@.o $(BUILD)/fuzz-lib/libacacia.a $(LDLIBS)
 
 fuzz: $(FUZZERS)
 	BUILD=$(BUILD) scripts/fuzz.sh $(FUZZERS)
--- a/scripts/check-fuzz-corpus.sh
+++ b/scripts/check-fuzz-corpus.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+# Without this, undefined behaviour is printed and the run goes on.
+export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 targets=(tests/fuzz/fuzz_*.c)
 if [ ! -e "${targets[0]}" ]; then
   echo "fuzz corpus: no targets found"
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -8,6 +8,8 @@
 seconds=${FUZZ_SECONDS:-60}
 seed=${FUZZ_SEED:-$RANDOM}
 status=0
+# Without this, undefined behaviour is printed and the run goes on.
+export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 
 [ $# -gt 0 ] || { echo "fuzz: no targets"; exit 0; }
 for target in "$@"; do
--- a/tests/fuzz/fuzz_users.c
+++ b/tests/fuzz/fuzz_users.c
@@ -34,8 +34,13 @@
 static void
 fold_records (const uint8_t *data, size_t size)
 {
-  static const char *const keys[] = { "job.00000000000000aa", "run.00000000000000aa",
-                                      "cancel.00000000000000aa", "owner", "agent.a" };
+  static const char *const keys[] = { "job.00000000000000aa",
+                                      "run.00000000000000aa",
+                                      "cancel.00000000000000aa",
+                                      "owner",
+                                      "agent.a",
+                                      "learned",
+                                      "silent" };
   const LedgerEvents events = { 0 };
   Ledger *ledger = ledger_new (&events);
 
