platform: texts that are not UTF-8 do not end the agent

Cause: a protobuf string is not checked for UTF-8, and JSON cannot hold such a text: the body of the call to the worker was NULL, and its length was taken. An order of another build would end the agent each time that it is repeated.

--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -229,6 +229,37 @@
   assert_false (job_task_name_parse ("", &name));
 }
 
+static void
+note_outcome (void *ctx, const RunnerAnswer *answer)
+{
+  *(RunnerOutcome *) ctx = answer->outcome;
+}
+
+/* The texts come from messages of another process, which may be of another build. */
+static void
+texts_that_are_not_utf8_do_not_end_the_agent (void **state)
+{
+  NetClient *client = net_client_new ();
+  const RunnerTarget target
+      = { .client = client, .address = "127.0.0.1:1", .worker_id = "w", .timeout_ms = 500 };
+  const RunnerStart start = { .task = "\xff", .spec = "\xff", .checkpoint = "\xff", .ticket = "" };
+  RunnerOutcome outcomes[3];
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    outcomes[i] = RUNNER_OUTCOME_COUNT;
+  runner_start (&target, &start, note_outcome, &outcomes[0]);
+  runner_stop (&target, "\xff", 1, note_outcome, &outcomes[1]);
+  runner_set_cpu_limit (&target, "\xff", 1, 50, note_outcome, &outcomes[2]);
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      while (outcomes[i] == RUNNER_OUTCOME_COUNT)
+        (void) g_main_context_iteration (NULL, TRUE);
+      assert_int_equal (outcomes[i], RUNNER_NOT_SENT);
+    }
+  net_client_free (client);
+}
+
 int
 main (void)
 {
@@ -236,6 +267,7 @@
     cmocka_unit_test (jobs_are_decoded_or_refused),
     cmocka_unit_test (every_member_of_a_step_is_read),
     cmocka_unit_test (reports_are_decoded_or_refused),
+    cmocka_unit_test (texts_that_are_not_utf8_do_not_end_the_agent),
     cmocka_unit_test (configurations_are_decoded_or_refused_whole),
     cmocka_unit_test (longest_matching_prefix_wins),
     cmocka_unit_test (evacuations_are_told_by_their_keys),
