ledger: only records with the id of a job are forwarded

Cause: an entry wrote any record with the prefix of a job or a cancel that another entry forwarded. The length of a key has one byte in the store's format, so a key of more than 255 bytes would be cut: the rest of it becomes part of the value, under another key. Change: the key has to name a valid job id.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -304,6 +304,15 @@
   return FALSE;
 }
 
+gboolean
+ledger_is_job_key (const char *key)
+{
+  if (g_str_has_prefix (key, LEDGER_JOB_PREFIX))
+    return job_id_is_valid (key + strlen (LEDGER_JOB_PREFIX));
+  return g_str_has_prefix (key, LEDGER_CANCEL_PREFIX)
+         && job_id_is_valid (key + strlen (LEDGER_CANCEL_PREFIX));
+}
+
 const LedgerJob *
 ledger_job (const Ledger *ledger, const char *id)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -72,6 +72,9 @@
 /** NULL is allowed. */
 void ledger_free (Ledger *ledger);
 
+/** Whether the key is that of a job or of a cancel, which entries forward to each other. */
+gboolean ledger_is_job_key (const char *key);
+
 /** Applies one record; FALSE without a change if its key is unknown or its value malformed. */
 gboolean ledger_apply (Ledger *ledger,
                        int64_t offset,
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -191,12 +191,6 @@
   (void) g_hash_table_remove (peer_request->relay->peer_requests, peer_request);
 }
 
-static gboolean
-may_be_forwarded (const char *key)
-{
-  return g_str_has_prefix (key, LEDGER_JOB_PREFIX) || g_str_has_prefix (key, LEDGER_CANCEL_PREFIX);
-}
-
 static void
 handle_record (Relay *relay, GBytes *peer, const Batch__Record *record)
 {
@@ -207,7 +201,7 @@
                              .is_forwarded = TRUE };
 
   met_add (relay->received, 1);
-  if (!may_be_forwarded (record->key) || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
+  if (!ledger_is_job_key (record->key) || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
     {
       send_write_result (relay, peer, record->key, OUTBOX_REFUSED, -1);
       return;
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -255,6 +255,33 @@
   ledger_free (ledger);
 }
 
+static const struct
+{
+  const char *key;
+  gboolean is_job_key;
+} forwarded_keys[] = { { "job." JOB, TRUE },
+                       { "cancel." JOB, TRUE },
+                       { "job.", FALSE },
+                       { "job." JOB "0", FALSE },
+                       { "cancel." JOB ".0", FALSE },
+                       { "cancel.000000000000000g", FALSE },
+                       { "run." JOB, FALSE },
+                       { "owner", FALSE },
+                       { "", FALSE } };
+
+/* A key of more than 255 bytes would be cut when it is written. */
+static void
+only_records_of_jobs_are_forwarded (void **state)
+{
+  g_autofree char *id = g_strnfill (256 + strlen (JOB), '0');
+  g_autofree char *key = g_strconcat (LEDGER_CANCEL_PREFIX, id, NULL);
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (forwarded_keys); i++)
+    assert_true (ledger_is_job_key (forwarded_keys[i].key) == forwarded_keys[i].is_job_key);
+  assert_false (ledger_is_job_key (key));
+}
+
 static void
 assert_owner_is_kept (const uint8_t *value, size_t size)
 {
@@ -301,6 +328,7 @@
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
     cmocka_unit_test (key_with_a_zero_byte_names_nothing),
+    cmocka_unit_test (only_records_of_jobs_are_forwarded),
     cmocka_unit_test (owner_record_of_another_writer_does_not_reset_the_term),
   };
 
