batch: count open occurrences by their numbers

Measured: batch/test_odd_reports and batch/test_sched pass; without the bound the former ends for want of memory (mutant odd-occurrences).

--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -118,7 +118,7 @@
     return FALSE;
   for (guint i = 0; i < job->spec->steps->len; i++)
     n_tasks += ((const JobStep *) g_ptr_array_index (job->spec->steps, i))->n_tasks;
-  return n_tasks * (job->stages->len / job->spec->steps->len + 1) <= JOB_TASKS_MAX;
+  return n_tasks * (job->occurrences_made - job->occurrences_done + 1) <= JOB_TASKS_MAX;
 }
 
 int64_t
