--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -11,6 +11,8 @@
 #include "platform/operator.h"
 #include "platform/runner.h"
 
+#define DEPTH 100000
+
 typedef struct
 {
   const char *body;
@@ -229,6 +231,38 @@
   assert_false (job_task_name_parse ("", &name));
 }
 
+static const struct
+{
+  const char *value; /**< NULL: arrays nested DEPTH times */
+  const char *message;
+} unreadable[] = { { NULL, "maximum parsing depth" },
+                   { "1e999", "real number overflow" },
+                   { "99999999999999999999", "too big integer" },
+                   { "\"\\u0000\"", "\\u0000 is not allowed" } };
+
+/* Each of them is refused whole: the process goes on, and other reports and jobs hold. */
+static void
+bodies_that_json_cannot_hold_are_refused (void **state)
+{
+  g_autofree char *nested = g_strnfill (DEPTH, '[');
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (unreadable); i++)
+    {
+      const char *value = unreadable[i].value != NULL ? unreadable[i].value : nested;
+      g_autofree char *body = g_strdup_printf ("{\"version\":1,\"odd\":%s}", value);
+      GError *errors[3] = { NULL };
+      assert_null (caller_decode_job (body, strlen (body), &errors[0]));
+      assert_null (runner_decode_report ("i", body, strlen (body), &errors[1]));
+      assert_null (operator_decode_config (body, strlen (body), &errors[2]));
+      for (size_t k = 0; k < G_N_ELEMENTS (errors); k++)
+        {
+          assert_non_null (strstr (errors[k]->message, unreadable[i].message));
+          g_clear_error (&errors[k]);
+        }
+    }
+}
+
 static void
 note_outcome (void *ctx, const RunnerAnswer *answer)
 {
@@ -267,6 +301,7 @@
     cmocka_unit_test (jobs_are_decoded_or_refused),
     cmocka_unit_test (every_member_of_a_step_is_read),
     cmocka_unit_test (reports_are_decoded_or_refused),
+    cmocka_unit_test (bodies_that_json_cannot_hold_are_refused),
     cmocka_unit_test (texts_that_are_not_utf8_do_not_end_the_agent),
     cmocka_unit_test (configurations_are_decoded_or_refused_whole),
     cmocka_unit_test (longest_matching_prefix_wins),
