batch: a clock or version out of range does not hide an agent's reports

Cause: a report with an earlier clock or a lower version than the newest one is out of order and ignored. After one near 2^63 all later reports of the same start of the agent were, and its worker was given up. Change: such a report is ignored itself, with a line. Measured: batch/test_odd_reports failed before (no start after the next report), passes now; test_sched, test_takeover, test_placing and test_evacuations pass.

--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -11,7 +11,9 @@
 #define PERCENT_MAX 100
 /** Consecutive failures after which a worker is quarantined. */
 #define FAIL_STREAK_MAX 2
-/** Largest number of a run or an end: larger ones are not exact in JSON. */
+/** Largest number of a run, an end or a report, and latest clock: larger ones are not exact in
+ * JSON.
+ */
 #define NUMBER_MAX (INT64_C (1) << 53)
 
 static WorkerInfo *
@@ -309,6 +311,18 @@
   return is_same_incarnation (worker, report) && report->since <= worker->report_version;
 }
 
+/* Whether later reports can have a later clock and a higher version. */
+static gboolean
+is_dated (Sched *sched, const SchedWorker *worker, const Batch__Report *report)
+{
+  if (report->clock_us >= 0 && report->clock_us <= NUMBER_MAX && report->version <= NUMBER_MAX)
+    return TRUE;
+  sched_note (sched, "report_malformed", "-",
+              "worker=%s clock_us=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT, worker->name,
+              report->clock_us, report->version);
+  return FALSE;
+}
+
 static gboolean
 is_older (const SchedWorker *worker, const Batch__Report *report)
 {
@@ -385,7 +399,8 @@
   SchedWorker *worker = g_hash_table_lookup (sched->workers, agent);
 
   sched->now_us = now_us;
-  if (worker == NULL || report->life == 0 || is_older (worker, report))
+  if (worker == NULL || report->life == 0 || !is_dated (sched, worker, report)
+      || is_older (worker, report))
     return;
   if (!can_apply (worker, report))
     {
--- a/tests/batch/test_odd_reports.c
+++ b/tests/batch/test_odd_reports.c
@@ -158,6 +158,32 @@
   rig_free (rig);
 }
 
+/* Reports with an earlier clock or a lower version are out of order. */
+static void
+clock_and_version_out_of_range_do_not_hide_later_reports (void **state)
+{
+  (void) state;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      Rig *rig = rig_new (1);
+      OddReport odd;
+      rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":500}");
+      odd_report_init (&odd, rig, &rig->workers[0]);
+      odd.info.is_draining = TRUE;
+      if (i == 0)
+        odd.report.clock_us = INT64_MAX;
+      else if (i == 1)
+        odd.report.clock_us = -1;
+      else
+        odd.report.version = UINT64_MAX;
+      apply_and_tick (rig, &rig->workers[0], &odd);
+      odd_report_init (&odd, rig, &rig->workers[0]);
+      apply_and_tick (rig, &rig->workers[0], &odd);
+      assert_int_equal (count_starts (rig, &rig->workers[0], NULL), 1);
+      rig_free (rig);
+    }
+}
+
 /* Sums of capacities must not overflow. */
 static void
 capacity_out_of_range_is_bounded (void **state)
@@ -242,6 +268,7 @@
     cmocka_unit_test (run_number_out_of_range_is_not_continued),
     cmocka_unit_test (listed_run_out_of_range_is_not_adopted),
     cmocka_unit_test (end_number_out_of_range_does_not_hide_later_ends),
+    cmocka_unit_test (clock_and_version_out_of_range_do_not_hide_later_reports),
     cmocka_unit_test (capacity_out_of_range_is_bounded),
     cmocka_unit_test (learned_durations_that_are_no_numbers_are_not_restored),
     cmocka_unit_test (due_occurrences_of_a_job_are_made_in_parts),
