--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -263,6 +263,24 @@
     }
 }
 
+static void
+note_clock (void *ctx, const RunnerAnswer *answer)
+{
+  *(int64_t *) ctx = answer->clock_ms;
+}
+
+static void
+clock_of_a_worker_out_of_range_is_not_taken (void **state)
+{
+  static const char body[] = "{\"clock_ms\":9223372036854775807}";
+  const NetAnswer answer = { .status = 200, .body = body, .size = strlen (body) };
+  int64_t clock_ms = 0;
+
+  (void) state;
+  runner_decode_answer (&answer, note_clock, &clock_ms);
+  assert_int_equal (clock_ms, -1);
+}
+
 static void
 note_outcome (void *ctx, const RunnerAnswer *answer)
 {
@@ -302,6 +320,7 @@
     cmocka_unit_test (every_member_of_a_step_is_read),
     cmocka_unit_test (reports_are_decoded_or_refused),
     cmocka_unit_test (bodies_that_json_cannot_hold_are_refused),
+    cmocka_unit_test (clock_of_a_worker_out_of_range_is_not_taken),
     cmocka_unit_test (texts_that_are_not_utf8_do_not_end_the_agent),
     cmocka_unit_test (configurations_are_decoded_or_refused_whole),
     cmocka_unit_test (longest_matching_prefix_wins),
