--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -11,6 +11,8 @@
 #include "platform/operator.h"
 #include "platform/runner.h"
 
+#define DEPTH 100000
+
 typedef struct
 {
   const char *body;
@@ -289,6 +291,81 @@
   assert_false (job_task_name_parse ("", &name));
 }
 
+static const struct
+{
+  const char *value; /**< NULL: arrays nested DEPTH times */
+  const char *message;
+} unreadable[] = { { NULL, "maximum parsing depth" },
+                   { "1e999", "real number overflow" },
+                   { "99999999999999999999", "too big integer" },
+                   { "\"\\u0000\"", "\\u0000 is not allowed" } };
+
+/* Each of them is refused whole: the process goes on, and other reports and jobs hold. */
+static void
+bodies_that_json_cannot_hold_are_refused (void **state)
+{
+  g_autofree char *nested = g_strnfill (DEPTH, '[');
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (unreadable); i++)
+    {
+      const char *value = unreadable[i].value != NULL ? unreadable[i].value : nested;
+      g_autofree char *body = g_strdup_printf ("{\"version\":1,\"odd\":%s}", value);
+      GError *errors[3] = { NULL };
+      assert_null (caller_decode_job (body, strlen (body), &errors[0]));
+      assert_null (runner_decode_report ("i", body, strlen (body), &errors[1]));
+      assert_null (operator_decode_config (body, strlen (body), &errors[2]));
+      for (size_t k = 0; k < G_N_ELEMENTS (errors); k++)
+        {
+          assert_non_null (strstr (errors[k]->message, unreadable[i].message));
+          g_clear_error (&errors[k]);
+        }
+    }
+}
+
+static void
+clock_of_a_worker_out_of_range_is_not_taken (void **state)
+{
+  static const char body[] = "{\"clock_ms\":9223372036854775807}";
+  const NetAnswer answer = { .status = 200, .body = body, .size = strlen (body) };
+  RunnerAnswer decoded = runner_decode_answer (&answer);
+
+  (void) state;
+  assert_int_equal (decoded.clock_ms, -1);
+  runner_answer_clear (&decoded);
+}
+
+static void
+note_outcome (void *ctx, const RunnerAnswer *answer)
+{
+  *(RunnerOutcome *) ctx = answer->outcome;
+}
+
+/* The texts come from messages of another process, which may be of another build. */
+static void
+texts_that_are_not_utf8_do_not_end_the_agent (void **state)
+{
+  NetClient *client = net_client_new ();
+  const RunnerTarget target
+      = { .client = client, .address = "127.0.0.1:1", .worker_id = "w", .timeout_ms = 500 };
+  const RunnerStart start = { .task = "\xff", .spec = "\xff", .checkpoint = "\xff", .ticket = "" };
+  RunnerOutcome outcomes[3];
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    outcomes[i] = RUNNER_OUTCOME_COUNT;
+  runner_start (&target, &start, note_outcome, &outcomes[0]);
+  runner_stop (&target, "\xff", 1, note_outcome, &outcomes[1]);
+  runner_set_cpu_limit (&target, "\xff", 1, 50, note_outcome, &outcomes[2]);
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      while (outcomes[i] == RUNNER_OUTCOME_COUNT)
+        (void) g_main_context_iteration (NULL, TRUE);
+      assert_int_equal (outcomes[i], RUNNER_NOT_SENT);
+    }
+  net_client_free (client);
+}
+
 int
 main (void)
 {
@@ -300,6 +377,9 @@
     cmocka_unit_test (end_behind_one_that_cannot_be_read_is_not_taken),
     cmocka_unit_test (run_that_cannot_be_read_is_counted),
     cmocka_unit_test (answer_without_both_lists_has_none),
+    cmocka_unit_test (bodies_that_json_cannot_hold_are_refused),
+    cmocka_unit_test (clock_of_a_worker_out_of_range_is_not_taken),
+    cmocka_unit_test (texts_that_are_not_utf8_do_not_end_the_agent),
     cmocka_unit_test (configurations_are_decoded_or_refused_whole),
     cmocka_unit_test (longest_matching_prefix_wins),
     cmocka_unit_test (evacuations_are_told_by_their_keys),
