--- a/scripts/fault-soak.sh
+++ b/scripts/fault-soak.sh
@@ -2,21 +2,27 @@
 # Runs the fault soak (tests/soak) with several seeds in parallel; exits 1 if any run fails.
 #   scripts/fault-soak.sh [SEED...]     without seeds: SOAK_COUNT (50) random ones
 # SOAK_JOBS (4) seeds run at once, each with a fault phase of SOAK_FAULT_S (20) seconds; SOAK_ARGS is passed
-# to acacia-soak. Logs of failed seeds are kept in $BUILD/soak/SEED.
+# to acacia-soak. With SOAK_PREVIOUS=DIR, programs of an older build (scripts/build-previous.sh), odd seeds
+# roll from it to the newer build and even seeds back to it. Logs of failed seeds are kept in $BUILD/soak/SEED.
 set -uo pipefail
 
 BUILD=${BUILD:-build}
 jobs=${SOAK_JOBS:-4}
 count=${SOAK_COUNT:-50}
-export BUILD SOAK_FAULT_S=${SOAK_FAULT_S:-20} SOAK_ARGS=${SOAK_ARGS:-}
+export BUILD SOAK_FAULT_S=${SOAK_FAULT_S:-20} SOAK_ARGS=${SOAK_ARGS:-} SOAK_PREVIOUS=${SOAK_PREVIOUS:-}
 
 run_seed() {
   local seed=$1 slot=$2 out=$BUILD/soak/$1
+  local roll=()
+  if [ -n "$SOAK_PREVIOUS" ]; then
+    roll=(--previous "$SOAK_PREVIOUS")
+    [ $((seed % 2)) -eq 1 ] || roll+=(--back)
+  fi
   rm -rf "$out"
   mkdir -p "$out"
   # shellcheck disable=SC2086
   if "$BUILD/bin/acacia-soak" --seed "$seed" --slot "$slot" --seconds "$SOAK_FAULT_S" \
-    --bin "$BUILD/bin" --out "$out" $SOAK_ARGS; then
+    --bin "$BUILD/bin" --out "$out" "${roll[@]}" $SOAK_ARGS; then
     rm -rf "$out"
     return 0
   fi
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -16,6 +16,7 @@
 #include "faults.h"
 #include "platform/operator.h"
 #include "platform/store.h"
+#include "roll.h"
 
 #define STORE_PORT 29100
 #define WORKER_PORT 29165
@@ -44,8 +45,10 @@
   Workers *workers;
   Callers *callers;
   FaultTargets targets;
+  Roll *roll; /**< NULL: all processes run one build */
   GMainLoop *loop;
   uint32_t n_unexpected_exits;
+  uint32_t n_not_rolled;
   int64_t clock_checked_ms;
   int64_t calm_since_ms; /**< start of the phase without faults and new jobs; 0: not reached */
   gboolean was_stopped;
@@ -60,29 +63,22 @@
   soak_log (&run->soak, "BROKEN: %s exited unexpectedly with status %d", name, status);
 }
 
-static Process *
-start_process (Run *run, const char *name, const char *const *argv, GError **error)
-{
-  const ProcessOptions options = { .soak = &run->soak,
-                                   .name = name,
-                                   .argv = argv,
-                                   .on_unexpected_exit = on_unexpected_exit,
-                                   .ctx = run };
-
-  return process_new (&options, error);
-}
-
 static gboolean
 start_store (Run *run, GError **error)
 {
-  const SoakOptions *options = run->soak.options;
   g_autofree char *ip = soak_ip (&run->soak, SOAK_STORE, 0);
   g_autofree char *address = g_strdup_printf ("%s:%d", ip, STORE_PORT);
-  g_autofree char *program = g_build_filename (options->bin, "standin-store", NULL);
-  const char *const argv[] = { program, address, "2", NULL };
+  const char *const arguments[] = { address, "2", NULL };
+  const ProcessOptions options = { .soak = &run->soak,
+                                   .name = "store",
+                                   .program = "standin-store",
+                                   .build = SOAK_NEWER,
+                                   .arguments = arguments,
+                                   .on_unexpected_exit = on_unexpected_exit,
+                                   .ctx = run };
 
   run->store = store_new (run->client, address);
-  run->targets.store = start_process (run, "store", argv, error);
+  run->targets.store = process_new (&options, error);
   return run->targets.store != NULL;
 }
 
@@ -115,14 +111,19 @@
                GPtrArray *into,
                GError **error)
 {
-  const SoakOptions *options = run->soak.options;
-  g_autofree char *file = g_strdup_printf ("%s/%s.toml", options->folder, name);
-  g_autofree char *path = g_build_filename (options->bin, program, NULL);
-  const char *const argv[] = { path, "--config", file, NULL };
+  g_autofree char *file = g_strdup_printf ("%s/%s.toml", run->soak.options->folder, name);
+  const char *const arguments[] = { "--config", file, NULL };
+  const ProcessOptions options = { .soak = &run->soak,
+                                   .name = name,
+                                   .program = program,
+                                   .build = soak_first_build (&run->soak),
+                                   .arguments = arguments,
+                                   .on_unexpected_exit = on_unexpected_exit,
+                                   .ctx = run };
 
   if (!g_file_set_contents (file, settings, -1, error))
     return FALSE;
-  Process *process = start_process (run, name, argv, error);
+  Process *process = process_new (&options, error);
   if (process == NULL)
     return FALSE;
   g_ptr_array_add (into, process);
@@ -258,6 +259,8 @@
 {
   Run *run = data;
 
+  if (run->roll != NULL)
+    run->n_not_rolled = roll_count_unfinished (run->roll);
   callers_stop (run->callers);
   run->calm_since_ms = soak_now_ms (&run->soak);
   soak_log (&run->soak, "no new jobs");
@@ -271,6 +274,8 @@
   Run *run = data;
 
   faults_end (&run->targets);
+  if (run->roll != NULL)
+    roll_finish (run->roll);
   (void) g_timeout_add (RECOVERY_MS, on_recovered, run);
   return G_SOURCE_REMOVE;
 }
@@ -294,6 +299,15 @@
     process_free (run->targets.store);
 }
 
+static void
+begin_roll (Run *run)
+{
+  const RollOptions options = { &run->soak, run->targets.entries, run->targets.agents };
+
+  if (run->soak.options->previous != NULL)
+    run->roll = roll_new (&options);
+}
+
 static int
 run_phases (Run *run)
 {
@@ -310,16 +324,20 @@
   (void) write_config (run);
   (void) g_timeout_add (CLOCK_CHECK_MS, on_clock_check, run);
   run->callers = callers_new (&callers);
-  faults_begin (&run->targets);
+  if (!options->is_roll_only)
+    faults_begin (&run->targets);
+  begin_roll (run);
   (void) g_unix_signal_add (SIGTERM, on_signal, run);
   (void) g_unix_signal_add (SIGINT, on_signal, run);
   (void) g_timeout_add_seconds (options->fault_s, on_faults_over, run);
   g_main_loop_run (run->loop);
   end_processes (run);
   g_autofree char *summary = checker_summary (run->checker);
-  (void) printf ("seed=%u %s own_ends=%u%s\n", options->seed, summary, run->n_unexpected_exits,
-                 run->was_stopped ? " stopped" : "");
-  return run->was_stopped || checker_n_violations (run->checker) > 0 || run->n_unexpected_exits > 0;
+  const char *roll = run->roll == NULL ? "" : options->is_back ? " roll=back" : " roll=forward";
+  (void) printf ("seed=%u %s own_ends=%u%s%s\n", options->seed, summary, run->n_unexpected_exits,
+                 roll, run->was_stopped ? " stopped" : "");
+  return run->was_stopped || checker_n_violations (run->checker) > 0 || run->n_unexpected_exits > 0
+         || run->n_not_rolled > 0;
 }
 
 static int
@@ -345,6 +363,8 @@
   store_free (run.store);
   checker_free (run.checker);
   callers_free (run.callers);
+  if (run.roll != NULL)
+    roll_free (run.roll);
   g_rand_free (run.soak.rand);
   g_main_loop_unref (run.loop);
   (void) fclose (run.soak.journal);
@@ -368,9 +388,16 @@
   struct arg_int *workers = arg_int0 (NULL, "workers", "N", "workers, each with an agent (4)");
   struct arg_int *seconds = arg_int0 (NULL, "seconds", "N", "duration of the fault phase (20)");
   struct arg_str *bin = arg_str1 (NULL, "bin", "DIR", "directory of the programs");
+  struct arg_str *previous
+      = arg_str0 (NULL, "previous", "DIR", "programs of an older build; processes are rolled");
+  struct arg_lit *back = arg_lit0 (NULL, "back", "roll from --bin to --previous");
+  struct arg_int *successions
+      = arg_int0 (NULL, "successions", "N", "successions of owners in the roll (0 or 1, by seed)");
+  struct arg_lit *roll_only = arg_lit0 (NULL, "roll-only", "no faults but those of the roll");
   struct arg_str *folder = arg_str1 (NULL, "out", "DIR", "existing directory for logs");
   struct arg_end *end = arg_end (8);
-  void *table[] = { seed, slot, entries, workers, seconds, bin, folder, end };
+  void *table[] = { seed,     slot, entries,     workers,   seconds, bin,
+                    previous, back, successions, roll_only, folder,  end };
 
   if (arg_parse (argc, argv, table) > 0)
     {
@@ -389,7 +416,19 @@
                                 .n_workers = MAX (count_of (workers, 4, SOAK_WORKERS_MAX), 1),
                                 .fault_s = count_of (seconds, 20, 3600),
                                 .bin = bin->sval[0],
+                                .previous = previous->count > 0 ? previous->sval[0] : NULL,
+                                .is_back = back->count > 0,
+                                .n_successions = count_of (successions, 0, 100),
+                                .is_roll_only = roll_only->count > 0,
                                 .folder = folder->sval[0] };
+  if (options.previous == NULL
+      && (options.is_back || options.is_roll_only || options.n_successions > 0))
+    {
+      (void) fprintf (stderr,
+                      "acacia-soak: --back, --successions and --roll-only need --previous\n");
+      arg_freetable (table, G_N_ELEMENTS (table));
+      return 2;
+    }
   int code = soak_run (&options);
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -12,7 +12,10 @@
 {
   const Soak *soak;
   char *name;
-  char **argv;
+  char *program;
+  char **arguments;
+  SoakBuild build;
+  SoakBuild running_build;
   void (*on_unexpected_exit) (void *ctx, const char *name, int status);
   void *ctx;
   GPid pid; /**< 0: not running */
@@ -39,14 +42,22 @@
 {
   g_autofree char *path
       = g_strdup_printf ("%s/%s.log", process->soak->options->folder, process->name);
+  g_autofree char *program = soak_program (process->soak, process->build, process->program);
+  g_autoptr (GStrvBuilder) builder = g_strv_builder_new ();
   int log = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  gboolean is_started
-      = g_spawn_async_with_fds (NULL, process->argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, in_child,
-                                NULL, &process->pid, -1, log, log, error);
 
+  g_strv_builder_add (builder, program);
+  g_strv_builder_addv (builder, (const char **) process->arguments);
+  g_auto (GStrv) argv = g_strv_builder_end (builder);
+  gboolean is_started = g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+                                                in_child, NULL, &process->pid, -1, log, log, error);
   (void) close (log);
   if (!is_started)
     return FALSE;
+  if (process->soak->options->previous != NULL)
+    soak_log (process->soak, "%s runs the %s build, process %d", process->name,
+              soak_build_name (process->build), process->pid);
+  process->running_build = process->build;
   process->sent_signal = 0;
   process->watch = g_child_watch_add (process->pid, on_ended, process);
   return TRUE;
@@ -89,7 +100,9 @@
 
   process->soak = options->soak;
   process->name = g_strdup (options->name);
-  process->argv = g_strdupv ((char **) options->argv);
+  process->program = g_strdup (options->program);
+  process->arguments = g_strdupv ((char **) options->arguments);
+  process->build = options->build;
   process->on_unexpected_exit = options->on_unexpected_exit;
   process->ctx = options->ctx;
   if (launch (process, error))
@@ -110,11 +123,36 @@
       (void) kill (process->pid, SIGKILL);
       (void) waitpid (process->pid, NULL, 0);
     }
-  g_strfreev (process->argv);
+  g_strfreev (process->arguments);
+  g_free (process->program);
   g_free (process->name);
   g_free (process);
 }
 
+void
+process_set_build (Process *process, SoakBuild build)
+{
+  process->build = build;
+}
+
+SoakBuild
+process_build (const Process *process)
+{
+  return process->build;
+}
+
+SoakBuild
+process_running_build (const Process *process)
+{
+  return process->running_build;
+}
+
+const char *
+process_name (const Process *process)
+{
+  return process->name;
+}
+
 static gboolean
 on_pause_over (gpointer data)
 {
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -13,8 +13,10 @@
 typedef struct
 {
   const Soak *soak;
-  const char *name;        /**< names the log file and the journal's lines */
-  const char *const *argv; /**< NULL-terminated */
+  const char *name;             /**< names the log file and the journal's lines */
+  const char *program;          /**< file name of the program */
+  SoakBuild build;              /**< build of the program */
+  const char *const *arguments; /**< NULL-terminated */
   /** The process exited without a signal from the soak. May be NULL. */
   void (*on_unexpected_exit) (void *ctx, const char *name, int status);
   void *ctx;
@@ -27,6 +29,13 @@
 
 /** Sends SIGKILL or SIGTERM and restarts the program @p restart_delay_ms after it has exited. */
 void process_restart (Process *process, int signal_number, uint32_t restart_delay_ms);
+/** The program starts from this build from its next start on. */
+void process_set_build (Process *process, SoakBuild build);
+/** Build of the next start. */
+SoakBuild process_build (const Process *process);
+/** Build of the newest start. */
+SoakBuild process_running_build (const Process *process);
+const char *process_name (const Process *process);
 /** Suspends the process with SIGSTOP for @p for_ms. */
 void process_pause (Process *process, uint32_t for_ms);
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,6 +12,26 @@
   return g_strdup_printf ("127.%u.%d.%u", FIRST_NETWORK + soak->options->slot, kind, index + 1);
 }
 
+const char *
+soak_build_name (SoakBuild build)
+{
+  return build == SOAK_OLDER ? "older" : "newer";
+}
+
+char *
+soak_program (const Soak *soak, SoakBuild build, const char *name)
+{
+  const SoakOptions *options = soak->options;
+
+  return g_build_filename (build == SOAK_OLDER ? options->previous : options->bin, name, NULL);
+}
+
+SoakBuild
+soak_first_build (const Soak *soak)
+{
+  return soak->options->previous != NULL && !soak->options->is_back ? SOAK_OLDER : SOAK_NEWER;
+}
+
 int64_t
 soak_now_ms (const Soak *soak)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,11 +23,22 @@
   uint32_t slot; /**< selects the loopback addresses, so that several runs can share a machine */
   uint32_t n_entries;
   uint32_t n_workers;
-  uint32_t fault_s;   /**< duration of the fault phase */
-  const char *bin;    /**< directory of the programs */
-  const char *folder; /**< directory for settings and logs of all processes */
+  uint32_t fault_s;       /**< duration of the fault phase */
+  const char *bin;        /**< directory of the programs */
+  const char *previous;   /**< directory of the programs of an older build; NULL: there is none */
+  uint32_t n_successions; /**< successions of owners in the roll; 0: drawn from the seed */
+  gboolean is_roll_only;  /**< no faults but those of the roll */
+  gboolean is_back;       /**< processes are rolled from the newer to the older build */
+  const char *folder;     /**< directory for settings and logs of all processes */
 } SoakOptions;
 
+/** Build of the programs that a process runs. */
+typedef enum
+{
+  SOAK_OLDER, /**< programs in SoakOptions.previous */
+  SOAK_NEWER, /**< programs in SoakOptions.bin */
+} SoakBuild;
+
 /** Kinds of addresses; each process has its own address of each kind that it needs. */
 typedef enum
 {
@@ -51,6 +62,12 @@
 /** Returns loopback address number @p index of @p kind; free with g_free(). */
 char *soak_ip (const Soak *soak, SoakAddressKind kind, uint32_t index);
 
+const char *soak_build_name (SoakBuild build);
+/** Returns the path of a program; free with g_free(). */
+char *soak_program (const Soak *soak, SoakBuild build, const char *name);
+/** Build that entries and agents start on. */
+SoakBuild soak_first_build (const Soak *soak);
+
 /** Milliseconds since the run began. */
 int64_t soak_now_ms (const Soak *soak);
 
