scripts: build-previous.sh refuses commits without the platform's programs

Cause: in a commit without the target "programs", make finds the folder of that name and succeeds without building anything; build-previous.sh build/x reported success with an empty folder. Change: the scheduler and the worker program must exist after the build.

--- a/scripts/build-previous.sh
+++ b/scripts/build-previous.sh
@@ -39,5 +39,8 @@
   tail -n 20 "$dir/make.log" >&2
   fail "commit $hash does not build, see $dir/make.log"
 fi
+for program in acacia-scheduler acacia-worker; do
+  [ -x "$dir/bin/$program" ] || fail "commit $hash has no program $program"
+done
 echo "$hash" >"$dir/commit"
 echo "build-previous: $dir/bin holds $hash"
