--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -2,22 +2,30 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "common/err.h"
 
+/** Interval at which a new process is asked whether it handles SIGTERM. */
+#define TERM_POLL_MS 1
+
 struct Process
 {
   const Soak *soak;
   char *name;
-  char **argv;
+  char *program;
+  char **arguments;
+  SoakBuild build;
+  SoakBuild running_build;
   void (*on_unexpected_exit) (void *ctx, const char *name, int status);
   void *ctx;
   GPid pid; /**< 0: not running */
   guint watch;
   guint pause;
+  guint term;      /**< SIGTERM waits until the process handles it; 0: none waits */
   int sent_signal; /**< signal that was sent; 0: none */
   uint32_t restart_delay_ms;
 };
@@ -34,19 +42,35 @@
 
 static void on_ended (GPid pid, gint status, gpointer data);
 
+static void
+cancel_term (Process *process)
+{
+  if (process->term != 0)
+    g_source_remove (process->term);
+  process->term = 0;
+}
+
 static gboolean
 launch (Process *process, GError **error)
 {
   g_autofree char *path
       = g_strdup_printf ("%s/%s.log", process->soak->options->folder, process->name);
+  g_autofree char *program = soak_program (process->soak, process->build, process->program);
+  g_autoptr (GStrvBuilder) builder = g_strv_builder_new ();
   int log = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  gboolean is_started
-      = g_spawn_async_with_fds (NULL, process->argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, in_child,
-                                NULL, &process->pid, -1, log, log, error);
 
+  g_strv_builder_add (builder, program);
+  g_strv_builder_addv (builder, (const char **) process->arguments);
+  g_auto (GStrv) argv = g_strv_builder_end (builder);
+  gboolean is_started = g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+                                                in_child, NULL, &process->pid, -1, log, log, error);
   (void) close (log);
   if (!is_started)
     return FALSE;
+  if (process->soak->options->previous != NULL)
+    soak_log (process->soak, "%s runs the %s build, process %d", process->name,
+              soak_build_name (process->build), process->pid);
+  process->running_build = process->build;
   process->sent_signal = 0;
   process->watch = g_child_watch_add (process->pid, on_ended, process);
   return TRUE;
@@ -75,6 +99,7 @@
   if (process->pause != 0)
     g_source_remove (process->pause);
   process->pause = 0;
+  cancel_term (process);
   gboolean is_clean
       = process->sent_signal == SIGKILL || (process->sent_signal == SIGTERM && status == 0);
   if (!is_clean && process->on_unexpected_exit != NULL)
@@ -89,7 +114,9 @@
 
   process->soak = options->soak;
   process->name = g_strdup (options->name);
-  process->argv = g_strdupv ((char **) options->argv);
+  process->program = g_strdup (options->program);
+  process->arguments = g_strdupv ((char **) options->arguments);
+  process->build = options->build;
   process->on_unexpected_exit = options->on_unexpected_exit;
   process->ctx = options->ctx;
   if (launch (process, error))
@@ -105,16 +132,42 @@
     g_source_remove (process->watch);
   if (process->pause != 0)
     g_source_remove (process->pause);
+  cancel_term (process);
   if (process->pid != 0)
     {
       (void) kill (process->pid, SIGKILL);
       (void) waitpid (process->pid, NULL, 0);
     }
-  g_strfreev (process->argv);
+  g_strfreev (process->arguments);
+  g_free (process->program);
   g_free (process->name);
   g_free (process);
 }
 
+void
+process_set_build (Process *process, SoakBuild build)
+{
+  process->build = build;
+}
+
+SoakBuild
+process_build (const Process *process)
+{
+  return process->build;
+}
+
+SoakBuild
+process_running_build (const Process *process)
+{
+  return process->running_build;
+}
+
+const char *
+process_name (const Process *process)
+{
+  return process->name;
+}
+
 static gboolean
 on_pause_over (gpointer data)
 {
@@ -137,14 +190,53 @@
   process->pause = g_timeout_add (for_ms, on_pause_over, process);
 }
 
+/* Until a process handles SIGTERM, the signal ends it with status 15. */
+static gboolean
+handles_term (const Process *process)
+{
+  const char *set = "\nSigCgt:";
+  g_autofree char *path = g_strdup_printf ("/proc/%d/status", process->pid);
+  g_autofree char *status = NULL;
+
+  if (!g_file_get_contents (path, &status, NULL, NULL))
+    return FALSE;
+  const char *row = strstr (status, set);
+  return row != NULL
+         && (g_ascii_strtoull (row + strlen (set), NULL, 16) & (1ULL << (SIGTERM - 1))) != 0;
+}
+
+static void
+send_signal (Process *process, int signal_number)
+{
+  soak_log (process->soak, "%s gets signal %d, restarts after %u ms", process->name, signal_number,
+            process->restart_delay_ms);
+  process->sent_signal = signal_number;
+  (void) kill (process->pid, signal_number);
+}
+
+static gboolean
+on_term_due (gpointer data)
+{
+  Process *process = data;
+
+  if (!handles_term (process))
+    return G_SOURCE_CONTINUE;
+  process->term = 0;
+  send_signal (process, SIGTERM);
+  return G_SOURCE_REMOVE;
+}
+
 void
 process_restart (Process *process, int signal_number, uint32_t restart_delay_ms)
 {
-  if (process->pid == 0 || (process->sent_signal != 0 && signal_number != SIGKILL))
+  gboolean is_ending = process->sent_signal != 0 || process->term != 0;
+
+  if (process->pid == 0 || (is_ending && signal_number != SIGKILL))
     return;
-  soak_log (process->soak, "%s gets signal %d, restarts after %u ms", process->name, signal_number,
-            restart_delay_ms);
-  process->sent_signal = signal_number;
+  cancel_term (process);
   process->restart_delay_ms = restart_delay_ms;
-  (void) kill (process->pid, signal_number);
+  if (signal_number == SIGTERM && !handles_term (process))
+    process->term = g_timeout_add (TERM_POLL_MS, on_term_due, process);
+  else
+    send_signal (process, signal_number);
 }
