soak: workers that restart, shrink, are impersonated or of a newer build; deadly tasks

The stand-in workers knew crashes and late calls only. New kinds, drawn from the seed apart from the other faults, so that known seeds keep theirs:

- restarts under the same id after 50 to 1,500 ms, up to four in a row, at times with the wall clock set back;
- capacity that shrinks for 2 to 10 s, shown by the next report;
- reports of another writer: nested deeply, numbers out of range, members missing or of another type, an unknown state or service, bytes that aren't JSON, and a sound report of a worker that is not there;
- additional columns and members in the lists of runs, and an end of an unknown kind;

New checks: a start fits a capacity that shrank 3.5 s before, memory included; a task that has crashed three workers is not started three times more; only a job with such a task may be shown as failed for crashes, after two of them; a worker is polled less than 100 times a second; at the end a job with one task per worker, each larger than half of one, runs on all workers.

A poll whose last_seen is lost waited for nothing: the stand-in answered at once though it listed no end. It now waits.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -16,11 +16,22 @@
 #define CANCEL_PERCENT 10
 #define CONTINUOUS_PERCENT 2
 #define FAILING_PERCENT 3
+/** Share of the tasks that crash their workers at once rather than after seconds, in percent. */
+#define CRASH_SOON_PERCENT 80
+#define CRASH_SOON_MS 10
+#define CRASH_LATE_MIN_MS 1000
+#define CRASH_LATE_MAX_MS 4000
+/** A task of the wide job: more than half of a worker, and what long-running tasks leave of one. */
+#define WIDE_CPU_M 8100
+#define WIDE_MEM_MB 100
+#define WIDE_WORK_MS 3000
+#define WIDE_CHECK_MS 200
 
 struct Callers
 {
   CallersOptions options;
   gboolean is_stopped;
+  const CheckerJob *wide_job; /**< NULL until it was submitted */
 };
 
 /** State of a caller's requests for one job. */
@@ -145,7 +156,7 @@
   session->job->is_accepted = TRUE;
   soak_log (callers->options.soak, "job %s accepted", session->job->id);
   (void) g_timeout_add (poll_delay_ms (), poll_state, session);
-  if (g_random_int_range (0, 100) < CANCEL_PERCENT)
+  if (session->job != callers->wide_job && g_random_int_range (0, 100) < CANCEL_PERCENT)
     (void) g_timeout_add ((guint) g_random_int_range (CANCEL_MIN_MS, CANCEL_MAX_MS), cancel,
                           session_new (callers, session->job));
 }
@@ -194,8 +205,19 @@
   g_array_append_val (steps, step);
 }
 
+/* Lets a task of one step crash its workers. */
+static void
+make_deadly (GArray *steps)
+{
+  gint32 index = g_random_int_range (0, (gint32) steps->len);
+  gboolean is_soon = g_random_int_range (0, 100) < CRASH_SOON_PERCENT;
+
+  g_array_index (steps, CheckerStep, index).crash_ms
+      = is_soon ? CRASH_SOON_MS : g_random_int_range (CRASH_LATE_MIN_MS, CRASH_LATE_MAX_MS);
+}
+
 static GArray *
-plan_steps (void)
+plan_steps (const Soak *soak)
 {
   GArray *steps = g_array_new (FALSE, FALSE, sizeof (CheckerStep));
   gboolean is_continuous = g_random_int_range (0, 100) < CONTINUOUS_PERCENT;
@@ -205,6 +227,9 @@
     add_step (steps, is_continuous);
   if (!is_continuous && g_random_int_range (0, 100) < FAILING_PERCENT)
     g_array_index (steps, CheckerStep, 0).fails = TRUE;
+  else if (!is_continuous && soak->options->deadly_percent > 0 && !soak->is_fault_phase_over
+           && (uint32_t) g_random_int_range (0, 100) < soak->options->deadly_percent)
+    make_deadly (steps);
   return steps;
 }
 
@@ -238,26 +263,53 @@
   return text;
 }
 
-static gboolean
-on_new_job (gpointer data)
+static CheckerJob *
+submit_job (Callers *callers, GArray *steps)
 {
-  Callers *callers = data;
-
-  if (callers->is_stopped)
-    return G_SOURCE_REMOVE;
   char *id = g_strdup_printf ("%08x%08x", g_random_int (), g_random_int ());
   char *spec = g_strdup_printf ("spec of %s", id);
   Session *session
-      = session_new (callers, checker_add_job (callers->options.checker, id, spec, plan_steps ()));
+      = session_new (callers, checker_add_job (callers->options.checker, id, spec, steps));
   char *body = encode_job (session->job);
+
   session->body = g_strdup (body);
   free (body);
   submit (session);
+  return session->job;
+}
+
+static gboolean
+on_new_job (gpointer data)
+{
+  Callers *callers = data;
+
+  if (callers->is_stopped)
+    return G_SOURCE_REMOVE;
+  (void) submit_job (callers, plan_steps (callers->options.soak));
   (void) g_timeout_add ((guint) g_random_int_range (JOB_INTERVAL_MS / 2, JOB_INTERVAL_MS * 3 / 2),
                         on_new_job, callers);
   return G_SOURCE_REMOVE;
 }
 
+static gboolean
+submit_wide_job (gpointer data)
+{
+  Callers *callers = data;
+  const CheckerStep step = { .n_tasks = callers->options.soak->options->n_workers,
+                             .cpu_m = WIDE_CPU_M,
+                             .mem_mb = WIDE_MEM_MB,
+                             .work_ms = WIDE_WORK_MS };
+
+  if (!checker_all_ended (callers->options.checker))
+    return G_SOURCE_CONTINUE;
+  GArray *steps = g_array_new (FALSE, FALSE, sizeof (CheckerStep));
+  g_array_append_val (steps, step);
+  callers->wide_job = submit_job (callers, steps);
+  soak_log (callers->options.soak, "wide job %s", callers->wide_job->id);
+  checker_set_wide_job (callers->options.checker, callers->wide_job);
+  return G_SOURCE_REMOVE;
+}
+
 Callers *
 callers_new (const CallersOptions *options)
 {
@@ -278,4 +330,5 @@
 callers_stop (Callers *callers)
 {
   callers->is_stopped = TRUE;
+  (void) g_timeout_add (WIDE_CHECK_MS, submit_wide_job, callers);
 }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -22,7 +22,8 @@
 /** Must not be called while the main loop runs. */
 void callers_free (Callers *callers);
 
-/** Stops the submission of new jobs. */
+/** Stops the submission of new jobs. Once all have ended, the wide job follows: a task for each
+ * worker, each of which needs more than half of one. */
 void callers_stop (Callers *callers);
 
 G_END_DECLS
--- a/tests/soak/checker.c
+++ b/tests/soak/checker.c
@@ -5,6 +5,11 @@
 
 /** Longest time that a due job may have no running task while workers are free. */
 #define IDLE_MAX_MS 3000
+/** A job may be given up once this many workers have crashed under one of its tasks. */
+#define GIVEN_UP_CRASHES 2
+/** After so many workers have crashed under it, a task may be started less than so many times. */
+#define CRASHES_MAX 3
+#define STARTS_AFTER_CRASHES 3
 
 typedef struct
 {
@@ -18,12 +23,16 @@
   const CheckerStep *step;
   uint32_t step_index;
   GArray *runs;                 /**< CheckerRun, running */
+  GArray *workers;              /**< uint32_t, where it was started */
   gboolean is_done;             /**< a run has completed */
   gboolean is_end_acknowledged; /**< the completed end was acknowledged */
   int64_t done_start;           /**< n_starts at the newest completed end */
   int64_t n_starts;
   uint32_t n_failed_acknowledged; /**< failed ends that were acknowledged */
   uint32_t n_failed;
+  uint32_t n_crashes;              /**< crashes of a worker on which it ran */
+  uint32_t n_crashes_caused;       /**< those that it caused */
+  uint32_t n_starts_after_crashes; /**< starts after CRASHES_MAX of these */
   GHashTable *checkpoints;
 };
 
@@ -34,6 +43,7 @@
   GHashTable *by_id; /**< CheckerJob */
   uint32_t n_violations;
   uint32_t n_starts;
+  const CheckerJob *wide_job;
 };
 
 static void
@@ -42,6 +52,7 @@
   CheckerTask *task = data;
 
   g_array_unref (task->runs);
+  g_array_unref (task->workers);
   g_hash_table_unref (task->checkpoints);
   g_free (task);
 }
@@ -115,6 +126,7 @@
   task->step = &g_array_index (job->steps, CheckerStep, step_index);
   task->step_index = step_index;
   task->runs = g_array_new (FALSE, FALSE, sizeof (CheckerRun));
+  task->workers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   task->checkpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return task;
 }
@@ -231,14 +243,49 @@
                       task->n_failed_acknowledged);
   task->n_starts++;
   g_array_append_val (task->runs, entry);
+  g_array_append_val (task->workers, worker);
 }
 
 void
-checker_over_capacity (Checker *checker, uint32_t worker, int64_t used_m, int64_t capacity_m)
+checker_check_capacity (Checker *checker,
+                        uint32_t worker,
+                        const CheckerCapacity *used,
+                        const CheckerCapacity *capacity)
+{
+  if (used->cpu_m > capacity->cpu_m || used->mem_mb > capacity->mem_mb)
+    report_violation (checker, "over_capacity",
+                      "worker %u has %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+                      " m and %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT " MB in use",
+                      worker, used->cpu_m, capacity->cpu_m, used->mem_mb, capacity->mem_mb);
+}
+
+gboolean
+checker_check_crashes (Checker *checker, const char *name)
 {
-  report_violation (checker, "over_capacity",
-                    "worker %u has %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT " m in use", worker,
-                    used_m, capacity_m);
+  CheckerTask *task = find_task (checker, name);
+
+  if (task == NULL || task->n_crashes_caused < CRASHES_MAX
+      || ++task->n_starts_after_crashes < STARTS_AFTER_CRASHES)
+    return TRUE;
+  report_violation (checker, "budget", "task %s was started %u times after %u workers crashed",
+                    name, task->n_starts_after_crashes, CRASHES_MAX);
+  return FALSE;
+}
+
+void
+checker_polled_too_often (Checker *checker, uint32_t worker, uint32_t n_polls)
+{
+  report_violation (checker, "polls", "worker %u was polled %u times within a second", worker,
+                    n_polls);
+}
+
+void
+checker_worker_crashed_by (Checker *checker, const char *name)
+{
+  CheckerTask *task = find_task (checker, name);
+
+  if (task != NULL)
+    task->n_crashes_caused++;
 }
 
 static void
@@ -256,7 +303,7 @@
 checker_run_ended (
     Checker *checker, uint32_t worker, const char *name, int64_t run, CheckerRunEnd end)
 {
-  static const char *const names[] = { "done", "failed", "stopped", "lapsed", "crashed" };
+  static const char *const names[] = { "done", "failed", "stopped", "lapsed", "crashed", "moved" };
   CheckerTask *task = find_task (checker, name);
 
   soak_log (checker->soak, "end %s run %" G_GINT64_FORMAT " at worker %u: %s", name, run, worker,
@@ -270,6 +317,7 @@
       task->done_start = task->n_starts;
     }
   task->n_failed += end == CHECKER_FAILED;
+  task->n_crashes += end == CHECKER_CRASHED;
 }
 
 void
@@ -315,6 +363,23 @@
   return FALSE;
 }
 
+/* Whether a task of the job crashes its workers and has done so often enough to be given up. */
+static gboolean
+may_be_given_up (const CheckerJob *job)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, job->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CheckerTask *task = value;
+      if (task->n_crashes_caused > 0 && task->n_crashes >= GIVEN_UP_CRASHES)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static gboolean
 is_done (const CheckerJob *job)
 {
@@ -338,9 +403,10 @@
   if (strcmp (state, "completed") == 0 && !is_done (job))
     report_violation (checker, "wrong_state",
                       "job %s is reported as completed before its tasks were done", job->id);
-  if (strcmp (state, "failed") == 0 && !has_failed (job))
+  if (strcmp (state, "failed") == 0 && !has_failed (job) && !may_be_given_up (job))
     report_violation (checker, "wrong_state",
-                      "job %s is reported as failed without a task that used up its attempts",
+                      "job %s is reported as failed without a task that used up its attempts or "
+                      "crashed two workers",
                       job->id);
   if (strcmp (state, "cancelled") == 0 && !job->was_cancelled)
     report_violation (checker, "wrong_state",
@@ -362,12 +428,23 @@
   return n_running;
 }
 
-/* Whether the job is expected to end: not long-running, not cancelled, and not known to have ended.
- */
+static gboolean
+is_deadly (const CheckerJob *job)
+{
+  for (guint i = 0; i < job->steps->len; i++)
+    {
+      if (g_array_index (job->steps, CheckerStep, i).crash_ms > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Whether the job is expected to end: not long-running, not cancelled, without a task that crashes
+ * its workers, and not known to have ended. */
 static gboolean
 is_due (const CheckerJob *job)
 {
-  return job->is_accepted && !job->was_cancelled && !job->has_ended
+  return job->is_accepted && !job->was_cancelled && !job->has_ended && !is_deadly (job)
          && !g_array_index (job->steps, CheckerStep, 0).is_continuous;
 }
 
@@ -406,6 +483,46 @@
   return TRUE;
 }
 
+void
+checker_set_wide_job (Checker *checker, const CheckerJob *job)
+{
+  checker->wide_job = job;
+}
+
+gboolean
+checker_is_finished (const Checker *checker)
+{
+  return checker->wide_job != NULL && checker->wide_job->has_ended && checker_all_ended (checker);
+}
+
+/* Counts the workers on which a task of the job has run. */
+static uint32_t
+count_workers (const CheckerJob *job)
+{
+  g_autoptr (GHashTable) workers = g_hash_table_new (NULL, NULL);
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, job->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CheckerTask *task = value;
+      for (guint i = 0; i < task->workers->len; i++)
+        g_hash_table_add (workers, GUINT_TO_POINTER (g_array_index (task->workers, uint32_t, i)));
+    }
+  return g_hash_table_size (workers);
+}
+
+static void
+check_wide_job (Checker *checker)
+{
+  uint32_t n_workers = checker->soak->options->n_workers;
+
+  if (checker->wide_job != NULL && count_workers (checker->wide_job) != n_workers)
+    report_violation (checker, "lost", "the tasks of the wide job %s ran on %u of %u workers",
+                      checker->wide_job->id, count_workers (checker->wide_job), n_workers);
+}
+
 static void
 check_job_at_end (Checker *checker, const CheckerJob *job)
 {
@@ -428,6 +545,7 @@
 {
   for (guint i = 0; i < checker->jobs->len; i++)
     check_job_at_end (checker, g_ptr_array_index (checker->jobs, i));
+  check_wide_job (checker);
 }
 
 uint32_t
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -22,7 +22,8 @@
   gboolean has_after; /**< waits for the preceding step */
   gboolean has_checkpoints;
   gboolean is_continuous;
-  gboolean fails; /**< its first task always fails */
+  gboolean fails;   /**< its first task always fails */
+  int64_t crash_ms; /**< its first task crashes each worker this long after its start; 0: never */
 } CheckerStep;
 
 typedef struct
@@ -41,7 +42,8 @@
 
 typedef struct CheckerTask CheckerTask;
 
-/** How a run ended. #CHECKER_CRASHED is never listed by a worker. */
+/** How a run ended. #CHECKER_CRASHED is never listed by a worker; #CHECKER_MOVED is listed with a
+ * name that this build does not know. */
 typedef enum
 {
   CHECKER_DONE,
@@ -49,8 +51,15 @@
   CHECKER_STOPPED,
   CHECKER_EXPIRED,
   CHECKER_CRASHED,
+  CHECKER_MOVED,
 } CheckerRunEnd;
 
+typedef struct
+{
+  int64_t cpu_m;
+  int64_t mem_mb;
+} CheckerCapacity;
+
 Checker *checker_new (const Soak *soak);
 void checker_free (Checker *checker);
 
@@ -67,8 +76,18 @@
                           int64_t run,
                           const char *spec,
                           const char *checkpoint);
-/** Records that a worker's running tasks exceed its capacity. */
-void checker_over_capacity (Checker *checker, uint32_t worker, int64_t used_m, int64_t capacity_m);
+/** Checks that what a worker's tasks use, including those being stopped, fits its capacity. */
+void checker_check_capacity (Checker *checker,
+                             uint32_t worker,
+                             const CheckerCapacity *used,
+                             const CheckerCapacity *capacity);
+/** Checks how often a task was started after it has crashed its workers; returns FALSE for one that
+ * must not start any more. Not called for starts that a worker executed late. */
+gboolean checker_check_crashes (Checker *checker, const char *task);
+/** Records that an agent polled its worker @p n_polls times within a second. */
+void checker_polled_too_often (Checker *checker, uint32_t worker, uint32_t n_polls);
+/** Records that a task crashed its worker. */
+void checker_worker_crashed_by (Checker *checker, const char *task);
 void checker_run_ended (
     Checker *checker, uint32_t worker, const char *task, int64_t run, CheckerRunEnd end);
 /** The agent acknowledged an end. Not called if the worker's lease expired after it was listed. */
@@ -84,6 +103,11 @@
 
 /** Whether every accepted job that can end has ended. */
 gboolean checker_all_ended (const Checker *checker);
+/** Sets the job whose tasks each need a worker of their own; checked at the end is that every
+ * worker has run one. */
+void checker_set_wide_job (Checker *checker, const CheckerJob *job);
+/** Whether all have ended, the wide job included. */
+gboolean checker_is_finished (const Checker *checker);
 
 /** At the end of the run: checks that every accepted job has ended or runs all its tasks. */
 void checker_check_end (Checker *checker);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -2,6 +2,8 @@
 
 #include <signal.h>
 
+#include "worker_faults.h"
+
 #define FIRST_MS 4000
 #define GAP_MIN_MS 50
 #define GAP_MAX_MS 1400
@@ -144,7 +146,9 @@
 void
 faults_begin (const FaultTargets *targets)
 {
-  (void) g_timeout_add (FIRST_MS, on_fault, (gpointer) targets);
+  worker_faults_begin (targets->workers);
+  if (targets->soak->options->only == NULL)
+    (void) g_timeout_add (FIRST_MS, on_fault, (gpointer) targets);
 }
 
 void
@@ -153,6 +157,7 @@
   targets->soak->is_fault_phase_over = TRUE;
   for (guint i = 0; i < targets->proxies->len; i++)
     proxy_set (g_ptr_array_index (targets->proxies, i), PROXY_PASS, 0);
+  worker_faults_end (targets->workers);
   for (uint32_t i = 0; i < targets->soak->options->n_workers; i++)
     workers_delay_calls (targets->workers, i, 0);
   soak_log (targets->soak, "no more faults");
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -16,6 +16,7 @@
 #include "faults.h"
 #include "platform/operator.h"
 #include "platform/store.h"
+#include "worker_faults.h"
 
 #define STORE_PORT 29100
 #define WORKER_PORT 29165
@@ -233,6 +234,11 @@
         run->calm_since_ms = now_ms;
       checker_check_idle (run->checker, now_ms, FALSE);
     }
+  if (workers_take_crash (run->workers) && run->calm_since_ms != 0)
+    {
+      run->calm_since_ms = now_ms;
+      checker_check_idle (run->checker, now_ms, FALSE);
+    }
   run->clock_checked_ms = now_ms;
   if (run->calm_since_ms != 0 && now_ms - run->calm_since_ms > UNDISTURBED_MS)
     checker_check_idle (run->checker, now_ms, workers_half_free (run->workers));
@@ -246,7 +252,7 @@
   int64_t now_ms = soak_now_ms (&run->soak);
 
   int64_t calm_ms = now_ms - run->calm_since_ms;
-  if (calm_ms < CALM_MIN_MS || (calm_ms < FINISH_MS && !checker_all_ended (run->checker)))
+  if (calm_ms < CALM_MIN_MS || (calm_ms < FINISH_MS && !checker_is_finished (run->checker)))
     return G_SOURCE_CONTINUE;
   checker_check_end (run->checker);
   g_main_loop_quit (run->loop);
@@ -369,8 +375,13 @@
   struct arg_int *seconds = arg_int0 (NULL, "seconds", "N", "duration of the fault phase (20)");
   struct arg_str *bin = arg_str1 (NULL, "bin", "DIR", "directory of the programs");
   struct arg_str *folder = arg_str1 (NULL, "out", "DIR", "existing directory for logs");
+  struct arg_int *deadly
+      = arg_int0 (NULL, "deadly", "PERCENT", "jobs with a task that crashes its workers (0)");
+  struct arg_str *only
+      = arg_str0 (NULL, "only", "KIND", "inject only " WORKER_FAULT_KINDS " (all kinds of faults)");
+  struct arg_lit *open = arg_lit0 (NULL, "open", "also inject worker faults that show open faults");
   struct arg_end *end = arg_end (8);
-  void *table[] = { seed, slot, entries, workers, seconds, bin, folder, end };
+  void *table[] = { seed, slot, entries, workers, seconds, bin, folder, deadly, only, open, end };
 
   if (arg_parse (argc, argv, table) > 0)
     {
@@ -388,8 +399,18 @@
                                 .n_entries = MAX (count_of (entries, 3, SOAK_ENTRIES_MAX), 1),
                                 .n_workers = MAX (count_of (workers, 4, SOAK_WORKERS_MAX), 1),
                                 .fault_s = count_of (seconds, 20, 3600),
+                                .deadly_percent = count_of (deadly, 0, 100),
+                                .has_open_faults = open->count > 0,
+                                .only = only->count > 0 ? only->sval[0] : NULL,
                                 .bin = bin->sval[0],
                                 .folder = folder->sval[0] };
+  if (options.only != NULL && !worker_faults_is_kind (options.only))
+    {
+      (void) fprintf (stderr, "acacia-soak: --only %s: expected " WORKER_FAULT_KINDS "\n",
+                      options.only);
+      arg_freetable (table, G_N_ELEMENTS (table));
+      return 2;
+    }
   int code = soak_run (&options);
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,9 +23,12 @@
   uint32_t slot; /**< selects the loopback addresses, so that several runs can share a machine */
   uint32_t n_entries;
   uint32_t n_workers;
-  uint32_t fault_s;   /**< duration of the fault phase */
-  const char *bin;    /**< directory of the programs */
-  const char *folder; /**< directory for settings and logs of all processes */
+  uint32_t fault_s;         /**< duration of the fault phase */
+  uint32_t deadly_percent;  /**< share of jobs with a task that crashes its workers */
+  gboolean has_open_faults; /**< also inject worker faults that show open faults */
+  const char *only;         /**< inject only this kind of worker fault; NULL: all faults */
+  const char *bin;          /**< directory of the programs */
+  const char *folder;       /**< directory for settings and logs of all processes */
 } SoakOptions;
 
 /** Kinds of addresses; each process has its own address of each kind that it needs. */
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -27,6 +27,9 @@
 /** Calls that arrive within @p for_ms are executed and answered only seconds later. */
 void workers_delay_calls (Workers *workers, uint32_t index, uint32_t for_ms);
 
+/** Whether a worker has crashed since the last call. */
+gboolean workers_take_crash (Workers *workers);
+
 /** Whether less than half of the workers' processors is in use. */
 gboolean workers_half_free (const Workers *workers);
 
--- a/tests/soak/worker_calls.c
+++ b/tests/soak/worker_calls.c
@@ -8,6 +8,9 @@
 #define DELAY_MIN_MS 2000
 #define DELAY_MAX_MS 6000
 #define ENDINGS_PER_ANSWER 500
+/** Ten times the polls of an agent that polls at its shortest interval of 100 ms. */
+#define POLLS_MAX 100
+#define POLLS_PERIOD_MS 1000
 
 typedef struct
 {
@@ -105,7 +108,10 @@
   advance_all (worker->workers);
   checker_run_started (worker->workers->options.checker, worker->index, task, run,
                        text (body, "spec"), text (body, "last_checkpoint"));
-  worker_begin_run (worker, task, run, text (body, "last_checkpoint"));
+  WorkerRun *begun = worker_begin_run (worker, task, run, text (body, "last_checkpoint"));
+  /* A task that is started too often crashes no further workers, so that the soak can end. */
+  if (!worker->is_call_late && !checker_check_crashes (worker->workers->options.checker, task))
+    begun->crash_us = 0;
   worker_check_capacity (worker);
   reply (worker, request, 200, json_object ());
 }
@@ -134,6 +140,24 @@
   reply (worker, request, 200, json_object ());
 }
 
+static gboolean
+has_new_rows (const Worker *worker)
+{
+  return clk_now_us () < worker->new_rows_until_us;
+}
+
+/* Adds a row to a list, with columns of a newer build if the worker is one. */
+static void
+add_row (const Worker *worker, json_t *rows, json_t *row)
+{
+  if (has_new_rows (worker))
+    {
+      (void) json_array_append_new (row, json_string ("r-1"));
+      (void) json_array_append_new (row, json_pack ("{s:[i, n]}", "usage", 1));
+    }
+  (void) json_array_append_new (rows, row);
+}
+
 static json_t *
 running_rows (const Worker *worker)
 {
@@ -143,9 +167,9 @@
     {
       const WorkerRun *run = g_ptr_array_index (worker->runs, i);
       int64_t percent = run->need_us > 0 ? MIN (run->done_us * 100 / run->need_us, 100) : 0;
-      (void) json_array_append_new (rows, json_pack ("[s, I, s, I, I]", run->task,
-                                                     (json_int_t) run->run, run->checkpoint,
-                                                     (json_int_t) percent, (json_int_t) 0));
+      add_row (worker, rows,
+               json_pack ("[s, I, s, I, I]", run->task, (json_int_t) run->run, run->checkpoint,
+                          (json_int_t) percent, (json_int_t) 0));
     }
   return rows;
 }
@@ -153,15 +177,15 @@
 static json_t *
 ended_rows (const Worker *worker)
 {
-  static const char *const names[] = { "done", "failed", "stopped", "lapsed" };
+  static const char *const names[] = { "done", "failed", "stopped", "lapsed", NULL, "moved" };
   json_t *rows = json_array ();
 
   for (guint i = 0; i < MIN (worker->endings->len, ENDINGS_PER_ANSWER); i++)
     {
       const WorkerEnding *ending = g_ptr_array_index (worker->endings, i);
-      (void) json_array_append_new (rows, json_pack ("[I, s, I, s, s]", (json_int_t) ending->number,
-                                                     ending->task, (json_int_t) ending->run,
-                                                     names[ending->end], ending->checkpoint));
+      add_row (worker, rows,
+               json_pack ("[I, s, I, s, s]", (json_int_t) ending->number, ending->task,
+                          (json_int_t) ending->run, names[ending->end], ending->checkpoint));
     }
   return rows;
 }
@@ -169,8 +193,27 @@
 static void
 reply_lists (const Worker *worker, NetRequest *request)
 {
-  reply (worker, request, 200,
-         json_pack ("{s:o, s:o}", "running", running_rows (worker), "ended", ended_rows (worker)));
+  json_t *body
+      = json_pack ("{s:o, s:o}", "running", running_rows (worker), "ended", ended_rows (worker));
+
+  if (has_new_rows (worker))
+    (void) json_object_set_new (body, "waiting", json_pack ("[[s, i], {}]", "x", 1));
+  reply (worker, request, 200, body);
+}
+
+/* An agent that polls without a pause takes a processor from its worker. */
+static void
+count_poll (Worker *worker)
+{
+  int64_t now_us = clk_now_us ();
+
+  if (now_us - worker->polls_since_us > POLLS_PERIOD_MS * CLK_US_PER_MS)
+    {
+      worker->polls_since_us = now_us;
+      worker->n_polls = 0;
+    }
+  if (++worker->n_polls == POLLS_MAX)
+    checker_polled_too_often (worker->workers->options.checker, worker->index, POLLS_MAX);
 }
 
 static void
@@ -179,6 +222,7 @@
   int64_t last_seen = number (body, "last_seen");
   int64_t wait_ms = number (body, "wait_ms");
 
+  count_poll (worker);
   extend_lease (worker, body);
   worker_acknowledge (worker, last_seen);
   if (wait_ms == 0 || worker_has_new_endings (worker, last_seen))
@@ -240,7 +284,9 @@
 
   soak_log (call->worker->workers->options.soak, "delayed call %s %s at worker %u", call->path,
             text (call->body, "task"), call->worker->index);
+  call->worker->is_call_late = TRUE;
   execute_call (call->worker, call);
+  call->worker->is_call_late = FALSE;
   call_free (call);
   return G_SOURCE_REMOVE;
 }
--- a/tests/soak/worker_runs.c
+++ b/tests/soak/worker_runs.c
@@ -6,6 +6,8 @@
 #define CHECKPOINT_MS 1000
 /** Probability that a run of a task that can succeed fails, in percent. */
 #define FAIL_PERCENT 3
+/** A capacity that has shrunk counts once the contact time and one report interval have passed. */
+#define SHRUNK_COUNTS_MS (3000 + WORKER_REPORT_MS)
 
 void
 worker_run_free (gpointer data)
@@ -76,7 +78,7 @@
   (void) g_ptr_array_remove_fast (worker->runs, run);
 }
 
-void
+WorkerRun *
 worker_begin_run (Worker *worker, const char *task, int64_t number, const char *checkpoint)
 {
   Checker *checker = worker->workers->options.checker;
@@ -93,11 +95,26 @@
       run->need_us = run->step->work_ms * CLK_US_PER_MS;
       run->fails = (run->step->fails && index == 0)
                    || (!run->step->is_continuous && g_random_int_range (0, 100) < FAIL_PERCENT);
+      if (run->step->crash_ms > 0 && index == 0)
+        run->crash_us = clk_now_us () + run->step->crash_ms * CLK_US_PER_MS;
     }
   if (*checkpoint != '\0')
     run->done_us = g_ascii_strtoll (strrchr (checkpoint, '-') + 1, NULL, 10);
   run->checkpoint_us = run->done_us;
   g_ptr_array_add (worker->runs, run);
+  return run;
+}
+
+const char *
+worker_deadly_task (const Worker *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const WorkerRun *run = g_ptr_array_index (worker->runs, i);
+      if (run->crash_us != 0 && clk_now_us () >= run->crash_us)
+        return run->task;
+    }
+  return NULL;
 }
 
 int64_t
@@ -113,13 +130,29 @@
   return used_m;
 }
 
+static int64_t
+used_mem_mb (const Worker *worker)
+{
+  int64_t used_mb = 0;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const WorkerRun *run = g_ptr_array_index (worker->runs, i);
+      used_mb += run->step != NULL ? run->step->mem_mb : 0;
+    }
+  return used_mb;
+}
+
 void
 worker_check_capacity (Worker *worker)
 {
-  int64_t used_m = worker_used_m (worker);
+  gboolean counts_shrunk = !worker->is_call_late
+                           && clk_now_us () - worker->shrunk_us > SHRUNK_COUNTS_MS * CLK_US_PER_MS;
+  const CheckerCapacity capacity = { counts_shrunk ? worker->cpu_m : WORKER_CPU_M,
+                                     counts_shrunk ? worker->mem_mb : WORKER_MEM_MB };
+  const CheckerCapacity used = { worker_used_m (worker), used_mem_mb (worker) };
 
-  if (used_m > WORKER_CPU_M)
-    checker_over_capacity (worker->workers->options.checker, worker->index, used_m, WORKER_CPU_M);
+  checker_check_capacity (worker->workers->options.checker, worker->index, &used, &capacity);
 }
 
 static void
@@ -150,6 +183,8 @@
       save_checkpoint (worker, run);
       worker_end_run (worker, run, CHECKER_STOPPED);
     }
+  else if (run->crash_us != 0)
+    return;
   else if (run->fails && run->done_us >= run->need_us / 2)
     worker_end_run (worker, run, CHECKER_FAILED);
   else if (run->step != NULL && !run->step->is_continuous && run->done_us >= run->need_us)
@@ -209,5 +244,6 @@
 gboolean
 worker_has_new_endings (const Worker *worker, int64_t last_seen)
 {
-  return worker->n_endings > last_seen;
+  /* Ends that were acknowledged before last_seen was lost are no longer listed. */
+  return worker->endings->len > 0 && worker->n_endings > last_seen;
 }
