--- a/tests/soak/worker_calls.c
+++ b/tests/soak/worker_calls.c
@@ -246,7 +246,10 @@
       WorkerWait *wait = g_ptr_array_index (worker->waiting, i - 1);
       if (!all && clk_now_us () < wait->end_us && !worker_has_new_endings (worker, wait->last_seen))
         continue;
-      reply_lists (worker, wait->request);
+      if (worker->is_down)
+        reply (worker, wait->request, 421, json_object ());
+      else
+        reply_lists (worker, wait->request);
       g_ptr_array_remove_index_fast (worker->waiting, i - 1);
     }
 }
