--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,13 +23,16 @@
   uint32_t slot; /**< selects the loopback addresses, so that several runs can share a machine */
   uint32_t n_entries;
   uint32_t n_workers;
-  uint32_t fault_s;       /**< duration of the fault phase */
-  const char *bin;        /**< directory of the programs */
-  const char *previous;   /**< directory of the programs of an older build; NULL: there is none */
-  uint32_t n_successions; /**< successions of owners in the roll; 0: drawn from the seed */
-  gboolean is_roll_only;  /**< no faults but those of the roll */
-  gboolean is_back;       /**< processes are rolled from the newer to the older build */
-  const char *folder;     /**< directory for settings and logs of all processes */
+  uint32_t fault_s;         /**< duration of the fault phase */
+  uint32_t deadly_percent;  /**< share of jobs with a task that crashes its workers */
+  gboolean has_open_faults; /**< also inject worker faults that show open faults */
+  const char *only;         /**< inject only this kind of worker fault; NULL: all faults */
+  const char *bin;          /**< directory of the programs */
+  const char *previous;     /**< directory of the programs of an older build; NULL: there is none */
+  uint32_t n_successions;   /**< successions of owners in the roll; 0: drawn from the seed */
+  gboolean is_roll_only;    /**< no faults but those of the roll */
+  gboolean is_back;         /**< processes are rolled from the newer to the older build */
+  const char *folder;       /**< directory for settings and logs of all processes */
 } SoakOptions;
 
 /** Build of the programs that a process runs. */
