sched: orders to an agent that was forgotten and came back are executed

Callers saw jobs that stay `running` although there is capacity: a task was started again and again at one agent and never ran. Cause: an agent that is silent for 5 s loses its record. When the same process registers again in the same term, the owner's table counts its orders from 1, while the agent skips numbers up to the highest that it has executed. Starts and stops were skipped without a line, and the owner took them as executed. Change: the first report of an incarnation raises the next order number above the agent's.

--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -247,6 +247,8 @@
   worker->sent_number = 0;
   worker->fail_streak = 0;
   worker->is_message_due = TRUE;
+  /* An agent that was forgotten and added again skips the numbers that it has executed. */
+  worker->next_number = MAX (worker->next_number, report->done_number + 1);
   g_ptr_array_set_size (worker->orders, 0);
   for (guint i = 0; i < worker->tasks->len; i++)
     {
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -336,6 +336,34 @@
   rig_free (rig);
 }
 
+/* The agent's process still counts the orders that it received earlier in this term. */
+static void
+agent_that_was_forgotten_executes_orders_again (void **state)
+{
+  Rig *rig = rig_new (1);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":2,\"cpu\":5000}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 2);
+  rig_end (&rig->workers[0], JOB_A ".0.0.0", WORKER_END_DONE);
+  rig_end (&rig->workers[0], JOB_A ".0.0.1", WORKER_END_DONE);
+  rig_round (rig, 100, TRUE);
+  rig->workers[0].is_silent = TRUE;
+  for (int64_t ms = 0; ms < RIG_EXPIRY_MS + SCHED_FORGET_MS + 300; ms += 100)
+    rig_round (rig, 100, TRUE);
+  assert_string_equal (sched_forget_agent (rig->sched), "w0");
+  sched_remove_agent (rig->sched, "w0");
+  assert_true (sched_add_agent (rig->sched, "w0"));
+  rig->workers[0].is_silent = FALSE;
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":1,\"cpu\":100}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  assert_non_null (rig_worker_of (rig, JOB_B ".0.0.0"));
+  rig_free (rig);
+}
+
 /* Otherwise ended jobs would fill the store and the memory of a long-running deployment. */
 static void
 ended_job_expires (void **state)
@@ -844,6 +872,7 @@
     cmocka_unit_test (new_owner_waits_for_agents_that_have_not_reported),
     cmocka_unit_test (agent_without_reports_is_forgotten),
     cmocka_unit_test (agent_being_forgotten_gets_no_tasks),
+    cmocka_unit_test (agent_that_was_forgotten_executes_orders_again),
     cmocka_unit_test (ended_job_expires),
     cmocka_unit_test (job_being_written_is_kept),
     cmocka_unit_test (new_owner_adopts_running_tasks),
