tests: an emulator of the whole path with simulated time

Change: tests/emulator links lib/batch, lib/supervisor and the fold of lib/ledger as they are, and emulates the store, connections, entries, agent processes and workers (tests/support/emulator*). Entries and agents are rolled between this build and one without the record of silent agents. A failed seed prints its trace, with EMULATOR_SHRINK=1 that of a schedule with fewer faults.

--- /dev/null
+++ b/tests/emulator/test_emulator.c
@@ -0,0 +1,77 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "support/emulator.h"
+
+#define SEEDS_DEFAULT 150
+#define FIRST_SEED_DEFAULT 1
+
+static uint64_t
+read_number (const char *name, uint64_t fallback)
+{
+  const char *text = g_getenv (name);
+
+  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : fallback;
+}
+
+/* Prints a failed schedule, with as few faults as it needs if EMULATOR_SHRINK is set. */
+static void
+print_failure (const EmulatorOptions *options, const EmulatorResult *result)
+{
+  printf ("seed %" G_GUINT64_FORMAT ":\n%s", options->seed, result->violations->str);
+  if (g_getenv ("EMULATOR_QUIET") != NULL)
+    return;
+  if (g_getenv ("EMULATOR_SHRINK") == NULL)
+    {
+      printf ("%s", result->trace->str);
+      return;
+    }
+  EmulatorOptions smallest = emulator_shrink (options);
+  g_autoptr (EmulatorResult) shrunk = emulator_play (&smallest);
+  printf ("shrunk, skipped faults %#" G_GINT64_MODIFIER "x:\n%s%s", smallest.skipped_faults,
+          shrunk->violations->str, shrunk->trace->str);
+}
+
+static gboolean
+holds (uint64_t seed)
+{
+  EmulatorOptions options = emulator_options (seed);
+
+  options.skipped_faults = read_number ("EMULATOR_SKIP", 0);
+  g_autoptr (EmulatorResult) result = emulator_play (&options);
+  if (result->violations->len > 0)
+    print_failure (&options, result);
+  return result->violations->len == 0;
+}
+
+static void
+test_rules_hold_in_random_schedules (void **state)
+{
+  uint64_t first = read_number ("EMULATOR_FIRST_SEED", FIRST_SEED_DEFAULT);
+  uint64_t n_seeds = read_number ("EMULATOR_SEEDS", SEEDS_DEFAULT);
+  uint64_t n_broken = 0;
+  int64_t begin_us = g_get_monotonic_time ();
+
+  (void) state;
+  for (uint64_t i = 0; i < n_seeds; i++)
+    n_broken += !holds (first + i);
+  printf ("%" G_GUINT64_FORMAT " schedules, %" G_GUINT64_FORMAT " broken, %.1f s\n", n_seeds,
+          n_broken, (double) (g_get_monotonic_time () - begin_us) / G_USEC_PER_SEC);
+  assert_int_equal (n_broken, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_rules_hold_in_random_schedules),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/support/emulator_owner.c
@@ -0,0 +1,526 @@
+/* The owner: what programs/scheduler/owner*.c does around the scheduler. */
+#include <string.h>
+
+#include "ledger/feed.h"
+#include "net/net_link.h"
+#include "node/node_settings.h"
+#include "platform/caller.h"
+#include "support/emulator_private.h"
+
+#define AUTHORITY_MS 3000
+#define RENEW_MS 500
+#define TIMEOUT_MS 900
+#define TICK_MS 100
+#define TICK_SOON_MS 5
+#define FLUSH_DELAY_MS 15
+#define BACKOFF_MIN_MS 50
+#define BACKOFF_MAX_MS 400
+#define OWNER_PAUSE_MS 2
+#define OTHER_PAUSE_MS 150
+#define EXPIRY_MARGIN_MS 250
+#define EXPIRY_CLOCK_RATE 1.02
+#define FRESH_MS 1300
+
+static void write_changes (EmuEntry *entry);
+static void decide (EmuEntry *entry);
+
+static gboolean
+has_authority (const EmuEntry *entry)
+{
+  return entry->phase == EMU_OWNER_ACTIVE && entry->sched != NULL && !entry->is_release
+         && entry->emu->now_us - entry->authority_us < AUTHORITY_MS * CLK_US_PER_MS;
+}
+
+static uint32_t
+agent_index (const char *name)
+{
+  return (uint32_t) g_ascii_strtoull (strchr (name, '-') + 1, NULL, 10);
+}
+
+static gboolean
+is_of_term (const EmuEntry *entry, gpointer serial)
+{
+  return entry->phase == EMU_OWNER_ACTIVE && GPOINTER_TO_SIZE (serial) == entry->term_serial;
+}
+
+static void
+after (EmuEntry *entry, int64_t delay_ms, EmuFn fn)
+{
+  emu_after (entry->emu, delay_ms * CLK_US_PER_MS, &entry->process, fn, entry,
+             GSIZE_TO_POINTER (entry->term_serial), NULL);
+}
+
+/* Records. */
+
+static void
+add_owner_record (EmuEntry *entry, GByteArray *records, uint64_t boot)
+{
+  Batch__Owner message = BATCH__OWNER__INIT;
+  uint8_t data[256];
+
+  message.term = entry->term;
+  message.name = entry->process.name;
+  message.boot = boot;
+  message.address = entry->process.name;
+  store_add_record (records, LEDGER_OWNER_KEY, data, batch__owner__pack (&message, data));
+}
+
+static void
+add_bytes (GByteArray *records, const char *key, GBytes *bytes)
+{
+  size_t size = 0;
+  const void *data = g_bytes_get_data (bytes, &size);
+
+  store_add_record (records, key, data, size);
+}
+
+static void
+add_agent_removal (EmuEntry *entry)
+{
+  const char *name = sched_forget_agent (entry->sched);
+
+  if (name == NULL)
+    return;
+  entry->removes_agent = TRUE;
+  emu_link_disconnect (entry, agent_index (name));
+  g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
+  emu_trace (entry->emu, entry->process.name, "agent_forgotten %s", name);
+  store_add_record (entry->records, key, NULL, 0);
+}
+
+static void
+add_silent (EmuEntry *entry)
+{
+  g_autoptr (GBytes) bytes = entry->is_older ? NULL : sched_publish_silent (entry->sched);
+
+  if (bytes == NULL)
+    return;
+  emu_trace (entry->emu, entry->process.name, "writes silent");
+  add_bytes (entry->records, LEDGER_SILENT_KEY, bytes);
+}
+
+static void
+add_changes (EmuEntry *entry)
+{
+  const GPtrArray *changes = sched_flush_changes (entry->flush);
+
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const SchedChange *change = g_ptr_array_index (changes, i);
+      g_autofree char *key = g_strconcat (LEDGER_RUN_PREFIX, change->job, NULL);
+      add_bytes (entry->records, key, change->progress);
+    }
+}
+
+static void
+end_append (EmuEntry *entry, gboolean is_written)
+{
+  if (entry->flush != NULL)
+    sched_flush_end (entry->sched, entry->flush, is_written);
+  if (entry->removes_agent && !is_written)
+    sched_cancel_forget_agent (entry->sched);
+  entry->removes_agent = FALSE;
+  sched_end_publish (entry->sched, is_written);
+  entry->flush = NULL;
+  entry->is_in_doubt = FALSE;
+  g_clear_pointer (&entry->records, g_byte_array_unref);
+}
+
+static void
+handle_written (EmuEntry *entry)
+{
+  entry->authority_us = MAX (entry->authority_us, entry->append_us);
+  entry->append_backoff_ms = 0;
+  entry->append_not_before_us = 0;
+  entry->sequence++;
+  end_append (entry, TRUE);
+  if (entry->is_release)
+    emu_owner_resign (entry, "leaving");
+  else if (entry->is_leaving)
+    write_changes (entry);
+  else
+    decide (entry);
+}
+
+static void
+on_appended (void *ctx, const StoreAnswer *answer)
+{
+  EmuEntry *entry = ctx;
+
+  entry->is_appending = FALSE;
+  if (entry->phase != EMU_OWNER_ACTIVE || entry->records == NULL)
+    return;
+  if (answer->outcome == STORE_OK
+      || (answer->outcome == STORE_SEQUENCE && answer->expected_sequence == entry->sequence + 1))
+    {
+      handle_written (entry);
+      return;
+    }
+  emu_trace (entry->emu, entry->process.name, "append_failed %s",
+             store_outcome_name (answer->outcome));
+  if (answer->outcome == STORE_FENCED || answer->outcome == STORE_SEQUENCE)
+    {
+      emu_owner_resign (entry, store_outcome_name (answer->outcome));
+      return;
+    }
+  entry->append_backoff_ms = CLAMP (entry->append_backoff_ms * 2, BACKOFF_MIN_MS, BACKOFF_MAX_MS);
+  entry->append_not_before_us = entry->emu->now_us + entry->append_backoff_ms * CLK_US_PER_MS;
+  if (answer->outcome == STORE_IN_DOUBT)
+    entry->is_in_doubt = TRUE;
+  else if (!entry->is_in_doubt)
+    end_append (entry, FALSE);
+}
+
+static void
+send_append (EmuEntry *entry, GByteArray *records, int64_t expected_end, StoreDone done)
+{
+  EmuStoreCall *call = emu_store_call (entry->emu, EMU_STORE_APPEND, &entry->process);
+
+  call->records = g_byte_array_ref (records);
+  call->expected_end = expected_end;
+  call->has_producer = TRUE;
+  call->epoch = entry->epoch;
+  call->sequence = entry->sequence;
+  call->done = done;
+  call->ctx = entry;
+  entry->is_appending = TRUE;
+  emu_store_send (call, entry->store_cut_until_us, TIMEOUT_MS);
+}
+
+static void
+send_records (EmuEntry *entry)
+{
+  entry->append_us = entry->emu->now_us;
+  send_append (entry, entry->records, -1, on_appended);
+}
+
+static void
+write_changes (EmuEntry *entry)
+{
+  int64_t now = entry->emu->now_us;
+
+  if (entry->phase != EMU_OWNER_ACTIVE || entry->is_appending || now < entry->append_not_before_us)
+    return;
+  if (entry->is_in_doubt)
+    {
+      send_records (entry);
+      return;
+    }
+  entry->flush = sched_flush_begin (entry->sched);
+  if (entry->flush == NULL && now < entry->renew_us)
+    return;
+  entry->records = g_byte_array_new ();
+  entry->renew_us = now + RENEW_MS * CLK_US_PER_MS;
+  entry->is_release = entry->is_leaving;
+  add_owner_record (entry, entry->records, entry->is_release ? 0 : entry->boot);
+  add_agent_removal (entry);
+  add_silent (entry);
+  if (entry->flush != NULL)
+    add_changes (entry);
+  send_records (entry);
+}
+
+/* Decisions. */
+
+static void
+send_orders (EmuEntry *entry, uint32_t index, const Batch__Orders *orders)
+{
+  size_t size = batch__orders__get_packed_size (orders);
+  uint8_t *data = g_malloc (size);
+
+  (void) batch__orders__pack (orders, data);
+  g_autoptr (GBytes) bytes = g_bytes_new_take (data, size);
+  entry->links[index].sent_us = entry->emu->now_us;
+  emu_link_to_agent (entry, index, bytes);
+}
+
+static void
+send_all_orders (EmuEntry *entry)
+{
+  Emulator *emu = entry->emu;
+
+  for (uint32_t i = 0; i < emu->options.n_agents; i++)
+    {
+      EmuLink *link = &entry->links[i];
+      Batch__Orders orders = BATCH__ORDERS__INIT;
+      if (link->connection == 0)
+        continue;
+      orders.epoch = (uint64_t) entry->epoch;
+      orders.owner = entry->process.name;
+      if (sched_orders (entry->sched, emu->agents[i].process.name, &orders)
+          || emu->now_us - link->sent_us >= RENEW_MS * CLK_US_PER_MS)
+        send_orders (entry, i, &orders);
+      if (emu->now_us - link->received_us >= NET_LINK_PEER_TIMEOUT_MS * CLK_US_PER_MS)
+        emu_link_connect (entry, i);
+    }
+}
+
+static void
+on_flush_due (gpointer ctx, gpointer data)
+{
+  EmuEntry *entry = ctx;
+
+  if (!is_of_term (entry, data))
+    return;
+  entry->is_flush_due = FALSE;
+  write_changes (entry);
+}
+
+static void
+decide (EmuEntry *entry)
+{
+  int64_t now = entry->emu->now_us;
+
+  if (!has_authority (entry))
+    return;
+  sched_tick (entry->sched, now, EMU_WALL_MS + now / CLK_US_PER_MS);
+  send_all_orders (entry);
+  if (entry->is_flush_due)
+    return;
+  entry->is_flush_due = TRUE;
+  after (entry, FLUSH_DELAY_MS, on_flush_due);
+}
+
+static void
+on_tick (gpointer ctx, gpointer data)
+{
+  EmuEntry *entry = ctx;
+
+  if (!is_of_term (entry, data))
+    return;
+  after (entry, TICK_MS, on_tick);
+  decide (entry);
+}
+
+static void
+on_tick_soon (gpointer ctx, gpointer data)
+{
+  EmuEntry *entry = ctx;
+
+  if (!is_of_term (entry, data))
+    return;
+  entry->is_tick_due = FALSE;
+  decide (entry);
+}
+
+static void
+schedule_tick (EmuEntry *entry)
+{
+  if (entry->is_tick_due)
+    return;
+  entry->is_tick_due = TRUE;
+  after (entry, TICK_SOON_MS, on_tick_soon);
+}
+
+static void
+note (void *ctx, const char *event, const char *job, const char *text)
+{
+  EmuEntry *entry = ctx;
+
+  emu_trace (entry->emu, entry->process.name, "%s job=%s %s", event, job, text);
+}
+
+void
+emu_owner_add_job (EmuEntry *entry, const LedgerJob *job)
+{
+  if (entry->sched == NULL)
+    return;
+  JobSpec *spec = caller_decode_job ((const char *) job->submission->body.data,
+                                     job->submission->body.len, NULL);
+  const SchedNewJob wanted = { .id = job->id,
+                               .queue = job->submission->queue,
+                               .accepted_wall_ms = job->submission->accepted_wall_ms,
+                               .spec = spec,
+                               .progress = job->progress,
+                               .may_have_started = job->offset < entry->epoch - 1 };
+  sched_add_job (entry->sched, &wanted);
+  if (job->is_cancelled)
+    sched_cancel_job (entry->sched, job->id);
+  if (entry->phase == EMU_OWNER_ACTIVE)
+    schedule_tick (entry);
+}
+
+void
+emu_owner_add_agent (EmuEntry *entry, const LedgerAgent *agent)
+{
+  if (entry->sched == NULL)
+    return;
+  uint32_t index = agent_index (agent->name);
+  if (sched_add_agent (entry->sched, agent->name) && entry->links[index].connection == 0)
+    emu_link_connect (entry, index);
+}
+
+void
+emu_owner_remove_agent (EmuEntry *entry, const char *name)
+{
+  if (entry->sched == NULL)
+    return;
+  emu_link_disconnect (entry, agent_index (name));
+  sched_remove_agent (entry->sched, name);
+}
+
+static void
+add_job (void *ctx, const LedgerJob *job)
+{
+  emu_owner_add_job (ctx, job);
+}
+
+static void
+add_agent (void *ctx, const LedgerAgent *agent)
+{
+  emu_owner_add_agent (ctx, agent);
+}
+
+static void
+take_over (EmuEntry *entry)
+{
+  Emulator *emu = entry->emu;
+  const SchedOptions options
+      = { .report_age_max_ms = FRESH_MS,
+          .lease_expiry_ms = (int64_t) (EMU_GRANT_MS * EXPIRY_CLOCK_RATE) + EXPIRY_MARGIN_MS,
+          .gang_timeout_ms = 3000,
+          .note = note,
+          .ctx = entry };
+  int64_t reconcile_ms = entry->term == 1 ? 0 : options.lease_expiry_ms;
+
+  emu->result->n_terms++;
+  entry->phase = EMU_OWNER_ACTIVE;
+  entry->is_release = entry->is_in_doubt = entry->removes_agent = FALSE;
+  entry->authority_us = entry->claim_us;
+  entry->append_backoff_ms = 0;
+  entry->append_not_before_us = 0;
+  entry->sequence++;
+  entry->renew_us = emu->now_us + RENEW_MS * CLK_US_PER_MS;
+  entry->term_serial = emu_serial (emu);
+  entry->is_tick_due = entry->is_flush_due = FALSE;
+  entry->sched = sched_new (&options);
+  sched_set_config (entry->sched, emu->config);
+  sched_begin_term (entry->sched, entry->term, emu->now_us + reconcile_ms * CLK_US_PER_MS);
+  ledger_each_job (entry->ledger, add_job, entry);
+  ledger_each_agent (entry->ledger, add_agent, entry);
+  if (!entry->is_older && ledger_silent (entry->ledger) != NULL)
+    sched_restore_silent (entry->sched, ledger_silent (entry->ledger));
+  entry->pause_ms = OWNER_PAUSE_MS;
+  emu_trace (emu, entry->process.name, "took_over term=%" G_GUINT64_FORMAT " build=%s", entry->term,
+             entry->is_older ? "older" : "current");
+  after (entry, TICK_MS, on_tick);
+  decide (entry);
+}
+
+void
+emu_owner_resign (EmuEntry *entry, const char *reason)
+{
+  if (entry->phase == EMU_OWNER_NONE)
+    return;
+  emu_trace (entry->emu, entry->process.name, "resigned term=%" G_GUINT64_FORMAT " reason=%s",
+             entry->term, reason);
+  entry->phase = EMU_OWNER_NONE;
+  if (entry->flush != NULL)
+    sched_flush_end (entry->sched, entry->flush, FALSE);
+  entry->flush = NULL;
+  g_clear_pointer (&entry->records, g_byte_array_unref);
+  entry->is_in_doubt = FALSE;
+  entry->removes_agent = FALSE;
+  g_clear_pointer (&entry->sched, sched_free);
+  for (uint32_t i = 0; i < entry->emu->options.n_agents; i++)
+    emu_link_disconnect (entry, i);
+  entry->pause_ms = OTHER_PAUSE_MS;
+}
+
+void
+emu_owner_report (EmuEntry *entry, uint32_t agent, GBytes *bytes)
+{
+  size_t size = 0;
+  const uint8_t *data = g_bytes_get_data (bytes, &size);
+  Batch__Report *report = batch__report__unpack (NULL, size, data);
+
+  if (entry->sched != NULL && report->epoch == (uint64_t) entry->epoch)
+    {
+      sched_apply_report (entry->sched, entry->emu->agents[agent].process.name, report,
+                          entry->emu->now_us);
+      schedule_tick (entry);
+    }
+  batch__report__free_unpacked (report, NULL);
+}
+
+/* Claims. */
+
+void
+emu_owner_claimed (EmuEntry *entry, const LedgerOwner *claim)
+{
+  gboolean is_ours = claim->boot == entry->boot;
+
+  entry->owner_seen_us = entry->emu->now_us;
+  if (is_ours && entry->phase == EMU_OWNER_CLAIMING && claim->offset == entry->epoch - 1)
+    take_over (entry);
+  else if (!is_ours && entry->phase != EMU_OWNER_NONE && claim->offset >= entry->epoch
+           && !entry->is_leaving)
+    emu_owner_resign (entry, "replaced");
+}
+
+static void
+on_claimed (void *ctx, const StoreAnswer *answer)
+{
+  EmuEntry *entry = ctx;
+
+  entry->is_appending = FALSE;
+  if (entry->phase != EMU_OWNER_CLAIMING || answer->outcome == STORE_OK
+      || answer->outcome == STORE_IN_DOUBT)
+    return;
+  entry->phase = EMU_OWNER_NONE;
+  if (answer->outcome != STORE_REFUSED)
+    emu_entry_refresh (entry);
+}
+
+static void
+claim (EmuEntry *entry)
+{
+  g_autoptr (GByteArray) records = g_byte_array_new ();
+
+  entry->phase = EMU_OWNER_CLAIMING;
+  entry->claim_us = entry->emu->now_us;
+  entry->term = ledger_owner (entry->ledger)->term + 1;
+  entry->epoch = entry->next + 1;
+  entry->sequence = (int64_t) (emu_random (entry->emu) & 0x3fffffff);
+  emu_trace (entry->emu, entry->process.name,
+             "claim term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT, entry->term, entry->next);
+  add_owner_record (entry, records, entry->boot);
+  send_append (entry, records, entry->next, on_claimed);
+}
+
+static gboolean
+may_claim (const EmuEntry *entry)
+{
+  int64_t now = entry->emu->now_us;
+
+  if (entry->is_leaving || entry->is_appending || !entry->is_loaded || entry->steady_us == 0
+      || now - entry->answered_us > FEED_GAP_MS * CLK_US_PER_MS)
+    return FALSE;
+  const LedgerOwner *last = ledger_owner (entry->ledger);
+  gboolean is_own = last->term > 0 && strcmp (last->name, entry->process.name) == 0;
+  gboolean is_vacant = last->term == 0 || last->boot == 0 || (is_own && last->boot != entry->boot);
+  if (is_vacant && is_own)
+    return TRUE;
+  int64_t quiet_us = now - MAX (entry->owner_seen_us, entry->steady_us);
+  return quiet_us >= (is_vacant ? 0 : NODE_OWNER_QUIET_MS * CLK_US_PER_MS) + entry->claim_delay_us;
+}
+
+void
+emu_owner_check (EmuEntry *entry)
+{
+  if (entry->phase == EMU_OWNER_CLAIMING
+      && entry->emu->now_us - entry->claim_us > NODE_OWNER_QUIET_MS * CLK_US_PER_MS)
+    entry->phase = EMU_OWNER_NONE;
+  if (entry->phase == EMU_OWNER_NONE && may_claim (entry))
+    claim (entry);
+  if (entry->phase == EMU_OWNER_ACTIVE)
+    write_changes (entry);
+}
+
+void
+emu_owner_leave (EmuEntry *entry)
+{
+  entry->is_leaving = TRUE;
+  entry->renew_us = 0;
+  write_changes (entry);
+}
