tests: a failed schedule of the emulator prints its rules last

run-tests.sh shows the last 40 lines of a failed test, which were those of the quiet time after the fault.

--- a/tests/emulator/test_emulator.c
+++ b/tests/emulator/test_emulator.c
@@ -20,22 +20,30 @@
   return text != NULL ? g_ascii_strtoull (text, NULL, 10) : fallback;
 }
 
+/* Prints a schedule up to the last broken rule. */
+static void
+print_trace (const EmulatorResult *result)
+{
+  const char *last = g_strrstr (result->trace->str, " BROKEN ");
+  size_t size = last != NULL ? (size_t) (strchr (last, '\n') - result->trace->str) : 0;
+
+  printf ("%.*s\n", (int) size, result->trace->str);
+}
+
 /* Prints a failed schedule, with as few faults as it needs if EMULATOR_SHRINK is set. */
 static void
 print_failure (const EmulatorOptions *options, const EmulatorResult *result)
 {
-  printf ("seed %" G_GUINT64_FORMAT ":\n%s", options->seed, result->violations->str);
-  if (g_getenv ("EMULATOR_QUIET") != NULL)
-    return;
-  if (g_getenv ("EMULATOR_SHRINK") == NULL)
+  if (g_getenv ("EMULATOR_SHRINK") != NULL)
     {
-      printf ("%s", result->trace->str);
-      return;
+      EmulatorOptions smallest = emulator_shrink (options);
+      g_autoptr (EmulatorResult) shrunk = emulator_play (&smallest);
+      print_trace (shrunk);
+      printf ("EMULATOR_SKIP=%" G_GUINT64_FORMAT "\n", smallest.skipped_faults);
     }
-  EmulatorOptions smallest = emulator_shrink (options);
-  g_autoptr (EmulatorResult) shrunk = emulator_play (&smallest);
-  printf ("shrunk, skipped faults %#" G_GINT64_MODIFIER "x:\n%s%s", smallest.skipped_faults,
-          shrunk->violations->str, shrunk->trace->str);
+  else if (g_getenv ("EMULATOR_QUIET") == NULL)
+    print_trace (result);
+  printf ("seed %" G_GUINT64_FORMAT ":\n%s", options->seed, result->violations->str);
 }
 
 static gboolean
