--- a/lib/batch/sched_crashes.c
+++ b/lib/batch/sched_crashes.c
@@ -28,6 +28,9 @@
 /** An older run makes no suspect of its task. A serving one that is older is not to blame, even if
  * it was alone: workers also crash by themselves. */
 #define SUSPECT_AGE_MAX_MS 5000
+/** Ages of runs that count as the same: they differ by no more than this and a share of the age. */
+#define SAME_AGE_MS 50
+#define SAME_AGE_DIVISOR 8
 /** A task is cleared of a crash by a run that goes on for this much longer than the one that was
  * lost had gone on, or twice as long if that is more, up to a limit. */
 #define CLEAR_MARGIN_MS 300
@@ -195,13 +198,27 @@
   return !needs_alone && row->age_ms <= YOUNG_MS;
 }
 
+/* A task that crashes its workers does so at the same point of each run; crashes that workers have
+ * by themselves come at any time. */
+static gboolean
+is_as_old (const SchedCrashedRun *row, const SchedCrashedRun *newest)
+{
+  return ABS (row->age_ms - newest->age_ms)
+         <= SAME_AGE_MS + MAX (row->age_ms, newest->age_ms) / SAME_AGE_DIVISOR;
+}
+
 static uint32_t
 likely_crashes (const SchedTask *task, gboolean needs_alone)
 {
+  const SchedCrashedRun *newest
+      = &g_array_index (task->crashes, SchedCrashedRun, task->crashes->len - 1);
   uint32_t count = 0;
 
   for (guint i = 0; i < task->crashes->len; i++)
-    count += is_likely (task, &g_array_index (task->crashes, SchedCrashedRun, i), needs_alone);
+    {
+      const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
+      count += is_likely (task, row, needs_alone) && is_as_old (row, newest);
+    }
   return count;
 }
 
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -409,6 +409,12 @@
     }
 }
 
+gboolean
+ledger_is_silent_kept (const Ledger *ledger, uint64_t level_since)
+{
+  return ledger->silent != NULL && ledger->silent->term >= level_since;
+}
+
 const LedgerOwner *
 ledger_owner (const Ledger *ledger)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -110,6 +110,8 @@
 /** Appends to @p ids, up to a length of @p n_most, jobs of which only crashed runs are known: an
  * owner that does not know that key has removed them. The ids are owned by the ledger. */
 void ledger_orphaned_crashes (const Ledger *ledger, GPtrArray *ids, guint n_most);
+/** Whether that record was written since the term from which all owners have kept it. */
+gboolean ledger_is_silent_kept (const Ledger *ledger, uint64_t level_since);
 /** Number of a queue's jobs that have not begun, in the owner's newest record. */
 uint32_t ledger_pending (const Ledger *ledger, const char *queue);
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -193,7 +193,7 @@
 
   if (silent == NULL)
     return;
-  gboolean is_kept = silent->term >= owner->level_since;
+  gboolean is_kept = ledger_is_silent_kept (owner->entry->ledger, owner->level_since);
   line_add ("owner", "silent_agents",
             "term=%" G_GUINT64_FORMAT " written_in_term=%" G_GUINT64_FORMAT
             " level_since=%" G_GUINT64_FORMAT " agents=%zu relied_on=%d",
--- a/tests/batch/test_crashes.c
+++ b/tests/batch/test_crashes.c
@@ -95,6 +95,7 @@
   (void) state;
   rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
   rig_round (rig, ROUND_MS, TRUE);
+  rig_round (rig, ROUND_MS, TRUE);
   assert_true (crash_under (rig, DEADLY));
   /* This round writes the crash, and starts the task again. */
   rig_round (rig, ROUND_MS, TRUE);
@@ -113,6 +114,7 @@
   (void) state;
   rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
   rig_round (rig, ROUND_MS, TRUE);
+  rig_round (rig, ROUND_MS, TRUE);
   assert_true (crash_under (rig, DEADLY));
   rig_round (rig, ROUND_MS, FALSE);
   assert_null (g_hash_table_lookup (rig->crash_records, JOB_A));
@@ -335,12 +337,33 @@
   rig_free (rig);
 }
 
+/* Workers crash by themselves, at any time of a run. */
+static void
+task_under_two_crashes_at_different_ages_is_not_given_up (void **state)
+{
+  Rig *rig = rig_new (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  rig_round (rig, ROUND_MS, TRUE);
+  assert_true (crash_under (rig, DEADLY));
+  for (int i = 0; i < 3; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+  assert_true (crash_under (rig, DEADLY));
+  for (int i = 0; i < 3; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+  assert_false (has_failed (rig));
+  assert_non_null (rig_worker_of (rig, DEADLY));
+  rig_free (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (task_that_crashes_two_workers_is_given_up),
     cmocka_unit_test (task_that_crashes_workers_seconds_after_its_start_is_given_up),
+    cmocka_unit_test (task_under_two_crashes_at_different_ages_is_not_given_up),
     cmocka_unit_test (crashes_count_over_a_change_of_owner),
     cmocka_unit_test (crash_that_no_owner_wrote_is_reported_to_the_next),
     cmocka_unit_test (crash_that_is_reported_twice_counts_once),
