supervisor: a run that outlasts the granted lease is stopped

What callers saw, if it happened: two runs of one task.

Cause: the first call after a worker restarted under its id may be a start, and may be carried out late. It carries a lease by the clock of before, which the worker cuts to its longest lease (10 s), while the owner waits 4.8 s after the agent's last report.

Change: what a poll lists that was sent after the end of the newest grant is stopped.

Evidence: found by reading. With the code of before, supervisor/test_supervisor failed in run_that_outlasts_the_granted_lease_is_stopped; now 38 passed.

--- a/lib/supervisor/supervisor_poll.c
+++ b/lib/supervisor/supervisor_poll.c
@@ -97,6 +97,28 @@
          && row->answered_us < sent_us && (!row->stop_wanted || row->stop_answered);
 }
 
+/* Stops what should have expired. A worker that restarted may have executed a start with a lease by
+ * its earlier clock, which outlasts the time after which the owner starts the task elsewhere. */
+static void
+stop_expired_runs (Supervisor *supervisor, int64_t sent_us)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  if (supervisor->lease_end_us == 0 || sent_us <= supervisor->lease_end_us)
+    return;
+  g_hash_table_iter_init (&iter, supervisor->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SupervisorRow *row = value;
+      if (!row->is_listed || row->stop_wanted)
+        continue;
+      row->stop_wanted = TRUE;
+      supervisor_log (supervisor, "lease_outlasted", "task=%s run=%" G_GINT64_FORMAT, row->task,
+                      row->run);
+    }
+}
+
 static void
 remove_ended_rows (Supervisor *supervisor, int64_t sent_us)
 {
@@ -207,4 +229,5 @@
   clear_listed (supervisor);
   list_running (supervisor, answer->running);
   remove_ended_rows (supervisor, sent_us);
+  stop_expired_runs (supervisor, sent_us);
 }
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -1062,6 +1062,28 @@
   fake_free (fake);
 }
 
+/* It was started with a lease by the clock of an earlier incarnation. */
+static void
+run_that_outlasts_the_granted_lease_is_stopped (void **state)
+{
+  Fake *fake = fake_new ((Lists){ TASK, 0 });
+  FakeCall call;
+
+  (void) state;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 0, 0, 0, 0 }));
+  for (int64_t ms = 0; ms <= GRANT_MS; ms += 1000)
+    {
+      answer_poll (fake, (Lists){ TASK, 0 });
+      assert_false (take_call (fake, CALL_STOP, &call));
+      fake->now_us += 1001 * 1000;
+    }
+  answer_poll (fake, (Lists){ TASK, 0 });
+  answer_poll (fake, (Lists){ TASK, 0 });
+  assert_true (take_call (fake, CALL_STOP, &call));
+  answer_call (&call, RUNNER_OK);
+  fake_free (fake);
+}
+
 static void
 silent_worker_is_not_reported (void **state)
 {
@@ -1495,6 +1517,7 @@
     cmocka_unit_test (runs_of_a_worker_that_answers_are_not_gone_after_a_late_leave),
     cmocka_unit_test (worker_that_reports_after_it_counted_as_gone_is_used),
     cmocka_unit_test (capacity_that_shrinks_is_reported_at_once),
+    cmocka_unit_test (run_that_outlasts_the_granted_lease_is_stopped),
     cmocka_unit_test (silent_worker_is_not_reported),
     cmocka_unit_test (token_is_raised_after_fencing),
     cmocka_unit_test (polls_pause_until_the_owner_writes_an_end),
