sched: a refusal of one task does not pause a worker for all

What callers saw, if it happened: a gang that never starts beside idle workers.

Cause: since each refused start pauses its worker. A task that every worker refuses, whatever their state, paused one after the other, so that several were never free at the same moment.

Change: only refusals that say something of the worker pause it. What remains: such a task uses up a run number with each try, as before; a pause of the task itself would end that.

Evidence: with the code of before, batch/test_placing failed in gang_starts_beside_a_task_that_all_workers_refuse; now 5 passed.

--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -2,6 +2,7 @@
 
 #include "batch/sched_tables.h"
 #include "common/clk.h"
+#include "platform/runner.h"
 
 /** Assumed age of the measurements in a report that does not state it: half of the report interval.
  */
@@ -207,11 +208,18 @@
     sched_order_stop (sched, task, "job_ended");
 }
 
+/* Whether the refusal is about the task or the run, not about the state of the worker. */
+static gboolean
+is_refusal_of_task (uint32_t outcome)
+{
+  return outcome == RUNNER_MALFORMED || outcome == RUNNER_NO_TICKET || outcome == RUNNER_OLD_RUN;
+}
+
 /* Ordered again at once, a start would be refused again, and each try uses up a run number. */
 static void
-pause_starts (const Sched *sched, SchedWorker *worker)
+pause_starts (const Sched *sched, SchedWorker *worker, uint32_t outcome)
 {
-  if (sched->now_us < worker->refused_until_us)
+  if (sched->now_us < worker->refused_until_us || is_refusal_of_task (outcome))
     return;
   worker->refused_ms = CLAMP (worker->refused_ms * 2, REFUSAL_PAUSE_MIN_MS, REFUSAL_PAUSE_MAX_MS);
   worker->refused_until_us = sched->now_us + worker->refused_ms * CLK_US_PER_MS;
@@ -227,7 +235,7 @@
       if (task == NULL || task->run != row->run || task->worker != worker)
         continue;
       task->avoid = task->worker;
-      pause_starts (sched, worker);
+      pause_starts (sched, worker, row->outcome);
       sched_note (sched, "refused", task->stage->job->id,
                   "task=%s run=%" G_GINT64_FORMAT " worker=%s outcome=%u", row->task, row->run,
                   worker->name, row->outcome);
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -14,6 +14,7 @@
 
 #include "batch/sched.h"
 #include "platform/caller.h"
+#include "platform/runner.h"
 
 #define RIG_WORKERS_MAX 24
 #define RIG_TASKS_MAX 512
@@ -100,6 +101,7 @@
   gboolean sends_changes;       /**< reports contain the changes since the one that was applied */
   gboolean is_stalled;          /**< tasks make no progress */
   gboolean reports_cpu_limits;  /**< agents report the CPU limits of tasks */
+  const char *refused_task;     /**< all workers refuse this one as malformed */
   gboolean has_slow_stops;      /**< a stopped task ends in the next round */
   gboolean is_older_build;      /**< agents do not report crashes */
   GHashTable *crash_records;    /**< job -> newest written record of its crashes */
@@ -303,7 +305,9 @@
   if (order->number <= worker->done_number)
     return;
   worker->done_number = order->number;
-  if (order->what_case == BATCH__ORDER__WHAT_START && (forbids_starts || worker->refuses_starts))
+  if (order->what_case == BATCH__ORDER__WHAT_START
+      && (forbids_starts || worker->refuses_starts
+          || g_strcmp0 (rig->refused_task, order->start->task) == 0))
     {
       rig_drop_start (worker, order->start);
       return;
@@ -376,13 +380,19 @@
 
 /** Adds the dropped starts as refused ones. */
 static inline size_t
-rig_add_refused (const RigWorker *worker, Batch__Refused *refused, Batch__Refused **rows)
+rig_add_refused (const Rig *rig,
+                 const RigWorker *worker,
+                 Batch__Refused *refused,
+                 Batch__Refused **rows)
 {
   for (uint32_t i = 0; i < worker->n_dropped; i++)
     {
       batch__refused__init (&refused[i]);
       refused[i].task = (char *) worker->dropped[i].name;
       refused[i].run = worker->dropped[i].run;
+      refused[i].outcome = g_strcmp0 (rig->refused_task, worker->dropped[i].name) == 0
+                               ? RUNNER_MALFORMED
+                               : RUNNER_LEASE_EXPIRED;
       rows[i] = &refused[i];
     }
   return worker->n_dropped;
@@ -458,7 +468,7 @@
   report.since = rig->sends_changes ? worker->applied : 0;
   if (report.since != 0)
     report.n_gone = rig_add_gone (worker, gone, gone_rows);
-  report.n_refused = rig_add_refused (worker, refused, refused_rows);
+  report.n_refused = rig_add_refused (rig, worker, refused, refused_rows);
   worker->n_dropped = 0;
   memcpy (worker->sent, worker->tasks, sizeof worker->tasks);
   worker->n_sent = worker->n_tasks;
--- a/tests/batch/test_placing.c
+++ b/tests/batch/test_placing.c
@@ -93,10 +93,52 @@
   rig_free (rig);
 }
 
+/* Its workers would never be free at the same moment. */
+static void
+gang_starts_beside_a_task_that_all_workers_refuse (void **state)
+{
+  Rig *rig = rig_new (8);
+
+  (void) state;
+  rig->refused_task = "00000000000000aa.0.0.0";
+  rig_round (rig, 10, TRUE);
+  rig_add_job (rig, "00000000000000aa", "urgent", "{\"count\":1,\"cpu\":1000}");
+  for (int i = 0; i < 300; i++)
+    rig_round (rig, 10, TRUE);
+  rig_add_job (rig, "00000000000000cc", "urgent", "{\"count\":4,\"cpu\":9000,\"gang\":true}");
+  for (int i = 0; i < 100; i++)
+    rig_round (rig, 10, TRUE);
+  assert_non_null (rig_worker_of (rig, "00000000000000cc.0.0.0"));
+  rig_free (rig);
+}
+
+/* A worker's capacity may shrink to nothing while it runs. */
+static void
+best_effort_step_waits_beside_a_worker_without_capacity (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig->workers[0].is_without_capacity = TRUE;
+  rig_round (rig, 100, TRUE);
+  rig_add_job (rig, "00000000000000aa", "bulk",
+               "{\"count\":200,\"cpu\":2000,\"estimate_ms\":5000,\"fills\":true}");
+  rig_round (rig, 100, TRUE);
+  rig_add_job (rig, "00000000000000bb", "bulk",
+               "{\"count\":2,\"cpu\":2000,\"estimate_ms\":5000,\"fills\":true}");
+  for (int i = 0; i < 30; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->workers[0].n_tasks, 0);
+  assert_true (rig->workers[1].n_tasks > 0);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (best_effort_step_waits_beside_a_worker_without_capacity),
+    cmocka_unit_test (gang_starts_beside_a_task_that_all_workers_refuse),
     cmocka_unit_test (refused_starts_are_not_ordered_again_at_once),
     cmocka_unit_test (serving_tasks_fill_gaps_before_they_take_a_worker),
     cmocka_unit_test (best_effort_step_starts_on_the_workers_left_clear),
