--- a/tests/soak/worker_faults.c
+++ b/tests/soak/worker_faults.c
@@ -238,9 +238,9 @@
   Inject inject;    /**< NULL: not injected here */
   gboolean is_open; /**< shows a fault of the product that is open */
 } kinds[] = { { "restarts", inject_restarts, TRUE },
-              { "capacity", inject_capacity, TRUE },
-              { "reports", inject_report, TRUE },
-              { "lists", inject_lists, TRUE },
+              { "capacity", inject_capacity, FALSE },
+              { "reports", inject_report, FALSE },
+              { "lists", inject_lists, FALSE },
               { "deadly", NULL, TRUE } };
 
 gboolean
