--- a/tests/batch/test_placing.c
+++ b/tests/batch/test_placing.c
@@ -119,7 +119,8 @@
   Rig *rig = rig_new (2);
 
   (void) state;
-  rig->workers[0].is_without_capacity = TRUE;
+  rig->workers[0].cpu_m = 0;
+  rig->workers[0].mem_mb = 0;
   rig_round (rig, 100, TRUE);
   rig_add_job (rig, "00000000000000aa", "bulk",
                "{\"count\":200,\"cpu\":2000,\"estimate_ms\":5000,\"fills\":true}");
