--- a/tests/fuzz/fuzz_lists.c
+++ b/tests/fuzz/fuzz_lists.c
@@ -135,7 +135,7 @@
   add_job (sched, JOB, (const uint8_t *) job_body, strlen (job_body), NULL);
   (void) sched_add_agent (sched, AGENT);
   if (ledger_silent (ledger) != NULL)
-    sched_restore_silent (sched, ledger_silent (ledger));
+    sched_restore_silent (sched, ledger_silent (ledger), ledger_is_silent_kept (ledger, 1));
   for (uint32_t i = 0; i < N_TICKS; i++)
     {
       int64_t now_us = START_US + i * TICK_US;
