--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -91,9 +91,8 @@
 /** The state that callers get; FALSE if @p job is NULL or was not submitted. */
 gboolean ledger_job_state (const LedgerJob *job, SchedJobState *state);
 const LedgerOwner *ledger_owner (const Ledger *ledger);
-/** Returns the first term since which all owners were of @p level or a higher one, up to the owner
- * of
- * @p term, which is of that level and follows @p last. */
+/** Returns the first term since which all owners were of @p level or a higher one. The owner of
+ * @p term is of that level and follows @p last. */
 uint64_t ledger_level_since (const LedgerOwner *last, uint32_t level, uint64_t term);
 /** Calls @p each for all jobs that were submitted, oldest first. */
 void
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -95,11 +95,11 @@
   uint64_t incarnation;       /**< fencing token when it began; 0 until the lists were read */
   uint64_t incarnation_count; /**< counts incarnations, to recognise late answers of earlier ones */
   WorkerInfo *candidate; /**< newest report of another incarnation, while the known one answers */
-  WorkerInfo
-      *doubted; /**< newest report of the known incarnation, if it does not follow the known one */
-  int64_t candidate_us; /**< when it was received */
-  SupervisorIdentity
-      last;         /**< incarnation that answered last, once another one was begun; no id: none */
+  int64_t candidate_us;  /**< when it was received */
+  WorkerInfo *doubted;   /**< newest report that does not follow the one in info */
+  /** Incarnation that answered before the one that was begun last; its id is NULL if there is none,
+   * or once the newer one has answered. */
+  SupervisorIdentity last;
   GArray *replaced; /**< SupervisorIdentity of earlier incarnations */
   uint64_t epoch;
   uint64_t done_number;
