sched: beside others two crashes blame a task only right after its start

What callers saw: a sound job shown as failed, after two workers had crashed by themselves under one of its tasks, with runs of 334 and 398 ms.

Cause: runs of the same age within a second of the start were taken for proof, though a run may have been there by chance.

--- a/lib/batch/sched_crashes.c
+++ b/lib/batch/sched_crashes.c
@@ -28,6 +28,9 @@
 /** An older run makes no suspect of its task. A serving one that is older is not to blame, even if
  * it was alone: workers also crash by themselves. */
 #define SUSPECT_AGE_MAX_MS 5000
+/** A run that is at most this old crashed its worker by starting. Older ones may only have been
+ * there when it crashed, so beside others they are no proof. */
+#define AT_START_MS 100
 /** Ages of runs that count as the same: they differ by no more than this and a share of the age. */
 #define SAME_AGE_MS 50
 #define SAME_AGE_DIVISOR 8
@@ -222,6 +225,12 @@
   return count;
 }
 
+static int64_t
+newest_age_ms (const SchedTask *task)
+{
+  return g_array_index (task->crashes, SchedCrashedRun, task->crashes->len - 1).age_ms;
+}
+
 /* Why the task is given up after its newest crash; NULL if it is not. @p n_suspected tasks there
  * had been suspects before. */
 static const char *
@@ -237,7 +246,8 @@
   uint32_t n_most = step->is_continuous ? SERVING_CRASHES_MAX : ONLY_SUSPECT_CRASHES;
   if (likely_crashes (task, TRUE) >= n_most)
     return "alone";
-  return crash->is_suspected && n_suspected == 1 && likely_crashes (task, FALSE) >= n_most
+  return crash->is_suspected && n_suspected == 1 && newest_age_ms (task) <= AT_START_MS
+                 && likely_crashes (task, FALSE) >= n_most
              ? "only_suspect"
              : NULL;
 }
--- a/tests/batch/test_crashes.c
+++ b/tests/batch/test_crashes.c
@@ -357,6 +357,28 @@
   rig_free (rig);
 }
 
+static void
+task_beside_others_in_two_crashes_later_than_its_start_is_not_given_up (void **state)
+{
+  Rig *rig = rig_new (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_B, "bulk", WIDE_STEP);
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      for (uint32_t k = 0; k < 30 && rig_worker_of (rig, DEADLY) == NULL; k++)
+        rig_round (rig, ROUND_MS, TRUE);
+      for (uint32_t k = 0; k < 4; k++)
+        rig_round (rig, ROUND_MS, TRUE);
+      assert_true (crash_under (rig, DEADLY));
+      rig_round (rig, ROUND_MS, TRUE);
+    }
+  assert_false (has_failed (rig));
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -364,6 +386,7 @@
     cmocka_unit_test (task_that_crashes_two_workers_is_given_up),
     cmocka_unit_test (task_that_crashes_workers_seconds_after_its_start_is_given_up),
     cmocka_unit_test (task_under_two_crashes_at_different_ages_is_not_given_up),
+    cmocka_unit_test (task_beside_others_in_two_crashes_later_than_its_start_is_not_given_up),
     cmocka_unit_test (crashes_count_over_a_change_of_owner),
     cmocka_unit_test (crash_that_no_owner_wrote_is_reported_to_the_next),
     cmocka_unit_test (crash_that_is_reported_twice_counts_once),
