tests: the load of two pages is waited for, not 100 ms

users/test_store failed once under the sanitizers beside other work (load 25): the second page had not been read after 100 ms. The test now waits for the end of the load, for 5 s at most; a load that does not end, or ends without the second page's record, still fails.

--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -547,6 +547,9 @@
   net_request_reply (g_ptr_array_steal_index (fixture->held, 0), &reply);
 }
 
+/** Longest time that a load of two pages may take. */
+#define LOAD_MAX_MS 5000
+
 /* Loads a topic of two pages. @p items are on the first one, one record is on the second one. */
 static void
 load_two_pages (Fixture *fixture, const char *items, guint n_expected)
@@ -563,7 +566,8 @@
   while (fixture->held->len < 1)
     (void) g_main_context_iteration (NULL, TRUE);
   reply_page (fixture, page);
-  run_loop_for (100);
+  for (int i = 0; i < LOAD_MAX_MS / 100 && !feed_is_loaded (feed); i++)
+    run_loop_for (100);
   assert_true (feed_is_loaded (feed));
   assert_int_equal (offsets->len, n_expected);
   fixture_free (fixture);
