--- a/review/common.sh
+++ b/review/common.sh
@@ -132,7 +132,7 @@
 # both.
 ask() {
   local answer
-  answer=$(curl -s -m 5 -X "$2" -H "Host: ${5:-$host}" -H 'Content-Type: application/json' \
+  answer=$(curl -s -m 3 -X "$2" -H "Host: ${5:-$host}" -H 'Content-Type: application/json' \
     -H 'X-Request-Deadline-Ms: 3000' ${4:+--data-binary "$4"} -w ' %{http_code}' \
     "http://127.$net.4.$1:8161$3")
   answer="${answer##* } ${answer% *}"
