--- a/review/common.sh
+++ b/review/common.sh
@@ -111,7 +111,7 @@
 # start_deployment FRONTENDS RUNNERS [STORE of the frontends]: starts all, waits until it serves.
 start_deployment() {
   [ -x target/bin/acacia-scheduler ] && [ -x "$bin/runners" ] || finish 2 "the build is missing"
-  : >"$record"
+  [ -s "$record" ] || : >"$record"
   start_standin standin-store "$store" 2
   for _ in $(seq 100); do
     curl -s -o /dev/null "http://$store/" && break
