--- a/review/common.sh
+++ b/review/common.sh
@@ -5,6 +5,7 @@
 cd "$case_dir/../.." || exit 2
 bin=review/bin
 record=$case_dir/record.txt
+: >"$record"
 dir=$(mktemp -d)
 # All addresses are 127.$net.KIND.N: 1 the store, 2 runners, 3 side machines, 4 frontends.
 net=$((20 + $$ % 200))
@@ -111,7 +112,6 @@
 # start_deployment FRONTENDS RUNNERS [STORE of the frontends]: starts all, waits until it serves.
 start_deployment() {
   [ -x target/bin/acacia-scheduler ] && [ -x "$bin/runners" ] || finish 2 "the build is missing"
-  [ -s "$record" ] || : >"$record"
   start_standin standin-store "$store" 2
   for _ in $(seq 100); do
     curl -s -o /dev/null "http://$store/" && break
@@ -132,7 +132,7 @@
 # both.
 ask() {
   local answer
-  answer=$(curl -s -m 3 -X "$2" -H "Host: ${5:-$host}" -H 'Content-Type: application/json' \
+  answer=$(curl -s -m "${client_wait_s:-3}" -X "$2" -H "Host: ${5:-$host}" -H 'Content-Type: application/json' \
     -H 'X-Request-Deadline-Ms: 3000' ${4:+--data-binary "$4"} -w ' %{http_code}' \
     "http://127.$net.4.$1:8161$3")
   answer="${answer##* } ${answer% *}"
