--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,7 @@
 # With TROUBLE=0 the store does not go down; the owner is restarted alike.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
+record=$case_dir/record.txt
 source "$case_dir/../common.sh"
 
 down_ms=2000
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,6 +3,7 @@
 # it answers.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
+record=$case_dir/record.txt
 source "$case_dir/../common.sh"
 
 n_tasks=8000
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,6 +2,7 @@
 # A scheduled job many of whose times lie in the past; see claim.txt. With TROUBLE=0 it has three.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
+record=$case_dir/record.txt
 source "$case_dir/../common.sh"
 
 repeats=40000
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,9 +3,10 @@
 # frontend freezes.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
+record=$case_dir/record.txt
 source "$case_dir/../common.sh"
 
-freeze_ms=2000
+freeze_ms=1000
 cancel_ms=3000
 
 start_deployment 4 11
--- a/review/common.sh
+++ b/review/common.sh
@@ -1,14 +1,19 @@
 # Common functions of the scripts: a small deployment on loopback addresses of its own, with the
-# programs and settings of the deploy file. The sourcing script sets $case_dir.
+# programs and settings of the deploy file. The sourcing script sets $case_dir and $record.
 # shellcheck shell=bash
 
 cd "$case_dir/../.." || exit 2
 bin=review/bin
-record=$case_dir/record.txt
 : >"$record"
 dir=$(mktemp -d)
 # All addresses are 127.$net.KIND.N: 1 the store, 2 runners, 3 side machines, 4 frontends.
-net=$((20 + $$ % 200))
+# A folder marks a net as taken, for scripts that run at the same time.
+for _ in $(seq 200); do
+  net=$((20 + RANDOM % 200))
+  mkdir "$(dirname "$dir")/review-net-$net" 2>/dev/null && break
+  net=
+done
+[ -n "$net" ] || exit 2
 store=127.$net.1.1:8100
 host=nony24.example
 pids=()
@@ -21,6 +26,7 @@
   done
   wait 2>/dev/null
   rm -rf "$dir"
+  rmdir "$(dirname "$dir")/review-net-$net"
   exit "$status"
 }
 trap cleanup EXIT
