net: a request is sent at most once

Callers saw tasks started again whose ends had been taken note of (TWICE), attempts beyond the limit (BUDGET), and submissions refused with 503 that ran (REFUSED).

Cause: libcurl sends a request again by itself when a reused connection breaks before the first byte of the answer. If the new connection was refused, the client reported that the request had never left; if the repeat was answered with 503, it reported that answer. Both are about the repeat. The owner then gave the append's sequence number to other records, which the store dropped as a repeat; an agent reported a start as refused that ran.

The client now hears of each transmission (CURLOPT_PREREQFUNCTION). A second one of a request that is not a GET is aborted, and a call without an answer has certainly not run only if there was no transmission. CURLE_* codes are no longer read as proof of anything.

--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -34,6 +34,8 @@
   int64_t progress_us;       /**< when a byte was last sent or received */
   curl_off_t progress_bytes; /**< bytes sent and received until then */
   guint timer;
+  gboolean is_safe;     /**< may be sent again */
+  gboolean was_started; /**< a connection was there, and the request may have left over it */
   NetDone done;
   GDestroyNotify drop; /**< frees ctx if done is never called; NULL for none */
   void *ctx;
@@ -55,15 +57,28 @@
   g_free (call);
 }
 
-static gboolean
-is_never_sent (CURLcode code, CURL *easy)
+/* libcurl calls this before each transmission of a request, also before those that it repeats over
+ * a new connection because the old one broke. */
+static int
+on_transmission (void *data, char *peer_ip, char *own_ip, int peer_port, int own_port)
 {
-  long sent = 0;
+  Call *call = data;
 
-  if (code == CURLE_COULDNT_CONNECT)
-    return TRUE;
-  (void) curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &sent);
-  return sent == 0;
+  (void) peer_ip;
+  (void) own_ip;
+  (void) peer_port;
+  (void) own_port;
+  if (call->was_started && !call->is_safe)
+    return CURL_PREREQFUNC_ABORT;
+  call->was_started = TRUE;
+  return CURL_PREREQFUNC_OK;
+}
+
+static const char *
+failure_reason (CURLcode code)
+{
+  return code == CURLE_ABORTED_BY_CALLBACK ? "the connection broke before an answer"
+                                           : curl_easy_strerror (code);
 }
 
 static void
@@ -79,8 +94,8 @@
     }
   else
     {
-      answer.may_have_run = !is_never_sent (code, call->easy);
-      answer.reason = curl_easy_strerror (code);
+      answer.may_have_run = call->was_started;
+      answer.reason = failure_reason (code);
     }
   const guint8 zero = 0;
   answer.size = call->answer->len;
@@ -285,6 +300,7 @@
   call->done = done;
   call->drop = drop;
   call->ctx = ctx;
+  call->is_safe = strcmp (wanted->method, "GET") == 0;
   call->body = g_byte_array_new ();
   call->answer = g_byte_array_new ();
   if (wanted->size > 0)
@@ -297,10 +313,12 @@
   (void) curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
   (void) curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, on_progress);
   (void) curl_easy_setopt (easy, CURLOPT_XFERINFODATA, call);
+  (void) curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_transmission);
+  (void) curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   (void) curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  if (strcmp (wanted->method, "GET") != 0)
+  if (!call->is_safe)
     {
       (void) curl_easy_setopt (easy, CURLOPT_POST, 1L);
       (void) curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, wanted->method);
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -5,6 +5,9 @@
  * All calls are asynchronous and run on the thread of the main loop. A call fails when no byte is
  * sent or received for its time-out. A dead connection therefore fails only one call and is then
  * closed, and a large body over a slow link is not cut short.
+ *
+ * A request other than GET is sent at most once: libcurl's own repeats over another connection are
+ * suppressed, since their answers say nothing of the first transmission.
  */
 #pragma once
 
@@ -34,7 +37,7 @@
 typedef struct
 {
   uint32_t status;       /**< HTTP status; 0 when no complete answer arrived */
-  gboolean may_have_run; /**< without an answer: the peer may have received the request */
+  gboolean may_have_run; /**< without an answer: FALSE only if no connection was established */
   const char *body;
   size_t size;
   const char *reason; /**< why there is no answer; static storage */
