ledger: a sequence number belongs to its records until they are acknowledged

Cause: an append that was reported as refused was dropped, and its sequence number given to other records; one wrong report anywhere below, and the store answers them as the repeat of the first ones and does not store them.

The appends of a term move into lib/ledger/appender, shared by the owner and the emulator (two copies before). An append stays open, unchanged, until it is acknowledged or the term ends. A number that was used up counts as written only after an earlier transmission; an acknowledged offset before the known end of the topic ends the term (displaced). The log line append_answered names result, transmissions and ages.

--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -5,7 +5,7 @@
 #include "owner_private.h"
 #include "platform/caller.h"
 
-/** An owner may act for this long after it sent its newest acknowledged append. */
+/** An owner may act for this long after it first sent its newest acknowledged append. */
 #define AUTHORITY_MS 3000
 /** Longest time between checks for due claims and appends, and between scheduling passes. */
 #define CHECK_MS 50
@@ -29,7 +29,7 @@
 has_authority (const Owner *owner)
 {
   return owner->phase == OWNER_ACTIVE && owner->sched != NULL && !owner->is_release
-         && clk_now_us () - owner->authority_us < AUTHORITY_MS * 1000;
+         && clk_now_us () - appender_authority_us (&owner->appender) < AUTHORITY_MS * 1000;
 }
 
 static void schedule_tick (Owner *owner);
@@ -127,8 +127,7 @@
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, FALSE);
   owner->flush = NULL;
-  g_clear_pointer (&owner->records, g_byte_array_unref);
-  owner->is_in_doubt = FALSE;
+  appender_drop (&owner->appender);
   owner->removes_agent = FALSE;
   g_clear_pointer (&owner->sched, sched_free);
   peers_clear (owner->peers);
@@ -211,10 +210,11 @@
 
   owner->phase = OWNER_ACTIVE;
   owner->is_release = FALSE;
-  owner->authority_us = owner->claim_us;
-  owner->append_backoff_ms = 0;
-  owner->append_not_before_us = 0;
-  owner->sequence++;
+  const AppenderClaim claim = { .epoch = owner->epoch,
+                                .sequence = owner->sequence,
+                                .end_offset = owner->epoch,
+                                .sent_us = owner->claim_us };
+  appender_begin (&owner->appender, &claim);
   owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
@@ -350,8 +350,7 @@
   g_clear_handle_id (&owner->flush_timer, g_source_remove);
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, FALSE);
-  if (owner->records != NULL)
-    g_byte_array_unref (owner->records);
+  appender_drop (&owner->appender);
   peers_free (owner->peers);
   sched_free (owner->sched);
   g_free (owner);
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -30,7 +30,7 @@
 {
   Owner *owner = ctx;
 
-  owner->is_appending = FALSE;
+  owner->is_calling = FALSE;
   if (owner->phase != OWNER_CLAIMING)
     return;
   line_add ("owner", "claim_answered", "term=%" G_GUINT64_FORMAT " outcome=%s", owner->term,
@@ -72,7 +72,7 @@
             " last_owner=%s quiet_ms=%" G_GINT64_FORMAT,
             owner->term, end, last->name != NULL ? last->name : "-",
             (owner->claim_us - owner->owner_seen_us) / 1000);
-  owner->is_appending = TRUE;
+  owner->is_calling = TRUE;
   store_append (owner->entry->store, &append, on_claimed, owner);
 }
 
@@ -104,7 +104,7 @@
   int64_t steady_us = feed_steady_since_us (owner->entry->ledger_feed);
   int64_t now = clk_now_us ();
 
-  if (owner->is_leaving || owner->is_appending || steady_us == 0
+  if (owner->is_leaving || owner->is_calling || steady_us == 0
       || !feed_is_loaded (owner->entry->ledger_feed) || owner->entry->config == NULL
       || feed_steady_since_us (owner->entry->config_feed) == 0)
     return FALSE;
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "entry_private.h"
+#include "ledger/appender.h"
 
 G_BEGIN_DECLS
 
@@ -32,23 +33,18 @@
   uint64_t term;
   uint64_t level_since; /**< first term since which all owners were of this build's level */
   int64_t epoch;
-  int64_t sequence;      /**< sequence number of the next append */
-  int64_t authority_us;  /**< when the newest acknowledged append was sent */
+  int64_t sequence; /**< sequence number of the claim */
+  Appender appender;
   int64_t owner_seen_us; /**< when the newest owner record was read */
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
   Peers *peers;
-  SchedFlush *flush;   /**< changes in the append under way; NULL for none */
-  GByteArray *records; /**< records of the append under way or in doubt; NULL for none */
-  gboolean is_appending;
-  gboolean is_in_doubt;         /**< the append is repeated unchanged */
-  gboolean is_release;          /**< the append releases ownership */
-  gboolean removes_agent;       /**< the append removes an agent's record */
-  int64_t append_us;            /**< when the append was sent */
-  int64_t append_not_before_us; /**< no append before this time, as the last one failed */
-  int64_t append_backoff_ms;    /**< length of that pause; 0: the last append did not fail */
-  int64_t renew_us;             /**< when the next heartbeat record is due */
-  int64_t learned_us;           /**< when learned state was last written, or the term began */
+  SchedFlush *flush;      /**< changes in the open append; NULL for none */
+  gboolean is_calling;    /**< a claim or a transmission of an append has not been answered */
+  gboolean is_release;    /**< the open append releases ownership */
+  gboolean removes_agent; /**< the open append removes an agent's record */
+  int64_t renew_us;       /**< when the next heartbeat record is due */
+  int64_t learned_us;     /**< when learned state was last written, or the term began */
   guint check_timer;
   guint tick_timer;
   guint tick_soon_timer;
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -12,9 +12,6 @@
 #define LEARNED_INTERVAL_MS 3000
 /** Changes are collected for this long before they are appended. */
 #define FLUSH_DELAY_MS 15
-/** First and longest pause after a failed append. */
-#define APPEND_BACKOFF_MIN_MS 50
-#define APPEND_BACKOFF_MAX_MS 400
 
 static void
 add_loads (const Owner *owner, Batch__Owner *message, GPtrArray *allocations)
@@ -64,7 +61,7 @@
 
 /* Removes agents that have not reported for long; each new owner would wait for them. */
 static void
-add_agent_removal (Owner *owner)
+add_agent_removal (Owner *owner, GByteArray *records)
 {
   const char *name = sched_forget_agent (owner->sched);
 
@@ -74,7 +71,7 @@
   peers_remove (owner->peers, name);
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
   line_add ("owner", "agent_forgotten", "agent=%s", name);
-  store_add_record (owner->records, key, NULL, 0);
+  store_add_record (records, key, NULL, 0);
 }
 
 static void
@@ -87,7 +84,7 @@
 
 /* Removes jobs whose retention has passed, so that the store does not fill up. */
 static void
-add_expired_jobs (Owner *owner)
+add_expired_jobs (Owner *owner, GByteArray *records)
 {
   int64_t retention_ms = owner->entry->settings->state_s * CLK_MS_PER_S * RETENTION_FACTOR;
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
@@ -96,11 +93,11 @@
   for (guint i = 0; i < ids->len; i++)
     {
       const char *id = g_ptr_array_index (ids, i);
-      add_removal (owner->records, LEDGER_JOB_PREFIX, id);
-      add_removal (owner->records, LEDGER_RUN_PREFIX, id);
-      add_removal (owner->records, LEDGER_CANCEL_PREFIX, id);
+      add_removal (records, LEDGER_JOB_PREFIX, id);
+      add_removal (records, LEDGER_RUN_PREFIX, id);
+      add_removal (records, LEDGER_CANCEL_PREFIX, id);
       if (ledger_crashes (owner->entry->ledger, id) != NULL)
-        add_removal (owner->records, LEDGER_CRASH_PREFIX, id);
+        add_removal (records, LEDGER_CRASH_PREFIX, id);
     }
   if (ids->len > 0)
     line_add ("owner", "jobs_dropped", "count=%u ended_before_ms=%" G_GINT64_FORMAT, ids->len,
@@ -109,19 +106,19 @@
 
 /* Removes what an owner of an older build left of jobs that it removed. */
 static void
-add_orphaned_crashes (Owner *owner)
+add_orphaned_crashes (const Owner *owner, GByteArray *records)
 {
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
 
   ledger_orphaned_crashes (owner->entry->ledger, ids, EXPIRED_JOBS_MAX);
   for (guint i = 0; i < ids->len; i++)
-    add_removal (owner->records, LEDGER_CRASH_PREFIX, g_ptr_array_index (ids, i));
+    add_removal (records, LEDGER_CRASH_PREFIX, g_ptr_array_index (ids, i));
 }
 
 /* Writes the learned state. Without it, the next owner would have to measure interference again,
  * at the cost of serving tasks. */
 static void
-add_learned (Owner *owner)
+add_learned (Owner *owner, GByteArray *records)
 {
   int64_t now = clk_now_us ();
 
@@ -132,12 +129,12 @@
   size_t size = 0;
   const void *data = g_bytes_get_data (bytes, &size);
   if (size > 0)
-    store_add_record (owner->records, LEDGER_LEARNED_KEY, data, size);
+    store_add_record (records, LEDGER_LEARNED_KEY, data, size);
 }
 
 /* Adds the agents that do not report, if they changed: the next owner need not wait for them. */
 static void
-add_silent (Owner *owner)
+add_silent (Owner *owner, GByteArray *records)
 {
   g_autoptr (GBytes) bytes = sched_publish_silent (owner->sched);
   size_t size = 0;
@@ -145,7 +142,7 @@
   if (bytes == NULL)
     return;
   const void *data = g_bytes_get_data (bytes, &size);
-  store_add_record (owner->records, LEDGER_SILENT_KEY, data, size);
+  store_add_record (records, LEDGER_SILENT_KEY, data, size);
 }
 
 static void
@@ -175,47 +172,42 @@
 static void on_appended (void *ctx, const StoreAnswer *answer);
 
 static void
-send_append (Owner *owner)
+transmit (Owner *owner)
 {
-  const StoreAppend append = { .topic = LEDGER_TOPIC,
-                               .records = owner->records,
-                               .expected_end = -1,
-                               .producer = OWNER_PRODUCER,
-                               .epoch = owner->epoch,
-                               .sequence = owner->sequence,
-                               .timeout_ms = OWNER_TIMEOUT_MS };
-
-  owner->is_appending = TRUE;
-  owner->append_us = clk_now_us ();
+  StoreAppend append
+      = { .topic = LEDGER_TOPIC, .producer = OWNER_PRODUCER, .timeout_ms = OWNER_TIMEOUT_MS };
+
+  owner->is_calling = TRUE;
+  appender_transmit (&owner->appender, clk_now_us (), &append);
   store_append (owner->entry->store, &append, on_appended, owner);
 }
 
 void
 owner_write_changes (Owner *owner)
 {
-  if (owner->phase != OWNER_ACTIVE || owner->is_appending
-      || clk_now_us () < owner->append_not_before_us)
+  if (owner->phase != OWNER_ACTIVE || !appender_may_send (&owner->appender, clk_now_us ()))
     return;
-  if (owner->is_in_doubt)
+  if (appender_is_open (&owner->appender))
     {
-      send_append (owner);
+      transmit (owner);
       return;
     }
   owner->flush = sched_flush_begin (owner->sched);
   if (owner->flush == NULL && clk_now_us () < owner->renew_us)
     return;
-  owner->records = g_byte_array_new ();
+  GByteArray *records = g_byte_array_new ();
   owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
   owner->is_release = owner->is_leaving;
-  owner_add_record (owner, owner->records, owner->is_release ? 0 : node_boot (owner->entry->node));
-  add_agent_removal (owner);
-  add_expired_jobs (owner);
-  add_orphaned_crashes (owner);
-  add_learned (owner);
-  add_silent (owner);
+  owner_add_record (owner, records, owner->is_release ? 0 : node_boot (owner->entry->node));
+  add_agent_removal (owner, records);
+  add_expired_jobs (owner, records);
+  add_orphaned_crashes (owner, records);
+  add_learned (owner, records);
+  add_silent (owner, records);
   if (owner->flush != NULL)
-    add_changes (owner->records, owner->flush);
-  send_append (owner);
+    add_changes (records, owner->flush);
+  appender_add (&owner->appender, records);
+  transmit (owner);
 }
 
 static gboolean
@@ -235,29 +227,21 @@
     owner->flush_timer = g_timeout_add (FLUSH_DELAY_MS, on_flush_due, owner);
 }
 
+/* The changes in the append were written. */
 static void
-end_append (Owner *owner, gboolean is_written)
+end_append (Owner *owner)
 {
   if (owner->flush != NULL)
-    sched_flush_end (owner->sched, owner->flush, is_written);
-  if (owner->removes_agent && !is_written)
-    sched_cancel_forget_agent (owner->sched);
-  owner->removes_agent = FALSE;
-  sched_end_publish (owner->sched, is_written);
+    sched_flush_end (owner->sched, owner->flush, TRUE);
   owner->flush = NULL;
-  owner->is_in_doubt = FALSE;
-  g_clear_pointer (&owner->records, g_byte_array_unref);
+  owner->removes_agent = FALSE;
+  sched_end_publish (owner->sched, TRUE);
 }
 
 static void
 handle_written (Owner *owner)
 {
-  met_observe (owner->append_time, clk_now_us () - owner->append_us);
-  owner->authority_us = MAX (owner->authority_us, owner->append_us);
-  owner->append_backoff_ms = 0;
-  owner->append_not_before_us = 0;
-  owner->sequence++;
-  end_append (owner, TRUE);
+  end_append (owner);
   if (owner->is_release)
     owner_resign (owner, "leaving");
   else if (owner->is_leaving)
@@ -266,47 +250,34 @@
     owner_decide (owner);
 }
 
-static void
-back_off_appends (Owner *owner)
-{
-  owner->append_backoff_ms
-      = CLAMP (owner->append_backoff_ms * 2, APPEND_BACKOFF_MIN_MS, APPEND_BACKOFF_MAX_MS);
-  owner->append_not_before_us = clk_now_us () + owner->append_backoff_ms * CLK_US_PER_MS;
-}
-
 static void
 on_appended (void *ctx, const StoreAnswer *answer)
 {
   Owner *owner = ctx;
+  Appender *appender = &owner->appender;
+  int64_t now = clk_now_us ();
 
-  owner->is_appending = FALSE;
-  if (owner->phase != OWNER_ACTIVE || owner->records == NULL)
+  owner->is_calling = FALSE;
+  if (owner->phase != OWNER_ACTIVE || !appender_is_open (appender))
     return;
-  if (answer->outcome == STORE_OK
-      || (answer->outcome == STORE_SEQUENCE && answer->expected_sequence == owner->sequence + 1))
+  int64_t first_sent_us = appender->first_sent_us;
+  uint32_t n_transmitted = appender->n_transmitted;
+  int64_t sequence = appender->sequence;
+  AppenderResult result = appender_handle_answer (appender, answer, now);
+  if (result != APPENDER_WRITTEN || n_transmitted > 1)
+    line_add ("owner", "append_answered",
+              "term=%" G_GUINT64_FORMAT " result=%s outcome=%s sequence=%" G_GINT64_FORMAT
+              " expected=%" G_GINT64_FORMAT " offset=%" G_GINT64_FORMAT
+              " transmissions=%u age_ms=%" G_GINT64_FORMAT " authority_age_ms=%" G_GINT64_FORMAT,
+              owner->term, appender_result_name (result), store_outcome_name (answer->outcome),
+              sequence, answer->expected_sequence, answer->offset, n_transmitted,
+              (now - first_sent_us) / CLK_US_PER_MS,
+              (now - appender_authority_us (appender)) / CLK_US_PER_MS);
+  if (result == APPENDER_WRITTEN)
     {
+      met_observe (owner->append_time, now - first_sent_us);
       handle_written (owner);
-      return;
-    }
-  line_add ("owner", "append_failed",
-            "term=%" G_GUINT64_FORMAT " outcome=%s sequence=%" G_GINT64_FORMAT
-            " expected=%" G_GINT64_FORMAT,
-            owner->term, store_outcome_name (answer->outcome), owner->sequence,
-            answer->expected_sequence);
-  if (answer->outcome == STORE_FENCED)
-    {
-      owner_resign (owner, "fenced");
-      return;
-    }
-  /* The store expects another sequence number, so this term can't append any more. */
-  if (answer->outcome == STORE_SEQUENCE)
-    {
-      owner_resign (owner, "sequence");
-      return;
     }
-  back_off_appends (owner);
-  if (answer->outcome == STORE_IN_DOUBT)
-    owner->is_in_doubt = TRUE;
-  else if (!owner->is_in_doubt)
-    end_append (owner, FALSE);
+  else if (result != APPENDER_UNRESOLVED)
+    owner_resign (owner, appender_result_name (result));
 }
--- a/tests/support/emulator_entry.c
+++ b/tests/support/emulator_entry.c
@@ -168,7 +168,7 @@
   entry->answered_us = entry->steady_us = entry->owner_seen_us = 0;
   entry->pause_ms = OTHER_PAUSE_MS;
   entry->phase = EMU_OWNER_NONE;
-  entry->is_leaving = entry->is_appending = FALSE;
+  entry->is_leaving = entry->is_calling = FALSE;
   emu_trace (emu, entry->process.name, "up build=%s", entry->is_older ? "older" : "current");
   send_read (entry, NULL);
   on_check (entry, NULL);
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -14,8 +14,6 @@
 #define TICK_MS 100
 #define TICK_SOON_MS 5
 #define FLUSH_DELAY_MS 15
-#define BACKOFF_MIN_MS 50
-#define BACKOFF_MAX_MS 400
 #define OWNER_PAUSE_MS 2
 #define OTHER_PAUSE_MS 150
 #define EXPIRY_MARGIN_MS 250
@@ -29,7 +27,8 @@
 has_authority (const EmuEntry *entry)
 {
   return entry->phase == EMU_OWNER_ACTIVE && entry->sched != NULL && !entry->is_release
-         && entry->emu->now_us - entry->authority_us < AUTHORITY_MS * CLK_US_PER_MS;
+         && entry->emu->now_us - appender_authority_us (&entry->appender)
+                < AUTHORITY_MS * CLK_US_PER_MS;
 }
 
 static uint32_t
@@ -78,7 +77,7 @@
 }
 
 static void
-add_agent_removal (EmuEntry *entry)
+add_agent_removal (EmuEntry *entry, GByteArray *records)
 {
   const char *name = sched_forget_agent (entry->sched);
 
@@ -88,22 +87,22 @@
   emu_link_disconnect (entry, agent_index (name));
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
   emu_trace (entry->emu, entry->process.name, "agent_forgotten %s", name);
-  store_add_record (entry->records, key, NULL, 0);
+  store_add_record (records, key, NULL, 0);
 }
 
 static void
-add_silent (EmuEntry *entry)
+add_silent (EmuEntry *entry, GByteArray *records)
 {
   g_autoptr (GBytes) bytes = entry->is_older ? NULL : sched_publish_silent (entry->sched);
 
   if (bytes == NULL)
     return;
   emu_trace (entry->emu, entry->process.name, "writes silent");
-  add_bytes (entry->records, LEDGER_SILENT_KEY, bytes);
+  add_bytes (records, LEDGER_SILENT_KEY, bytes);
 }
 
 static void
-add_changes (EmuEntry *entry)
+add_changes (const EmuEntry *entry, GByteArray *records)
 {
   const GPtrArray *changes = sched_flush_changes (entry->flush);
 
@@ -111,36 +110,28 @@
     {
       const SchedChange *change = g_ptr_array_index (changes, i);
       g_autofree char *key = g_strconcat (LEDGER_RUN_PREFIX, change->job, NULL);
-      add_bytes (entry->records, key, change->progress);
+      add_bytes (records, key, change->progress);
       if (change->crashes == NULL || entry->is_older)
         continue;
       g_autofree char *crash_key = g_strconcat (LEDGER_CRASH_PREFIX, change->job, NULL);
-      add_bytes (entry->records, crash_key, change->crashes);
+      add_bytes (records, crash_key, change->crashes);
     }
 }
 
 static void
-end_append (EmuEntry *entry, gboolean is_written)
+end_append (EmuEntry *entry)
 {
   if (entry->flush != NULL)
-    sched_flush_end (entry->sched, entry->flush, is_written);
-  if (entry->removes_agent && !is_written)
-    sched_cancel_forget_agent (entry->sched);
-  entry->removes_agent = FALSE;
-  sched_end_publish (entry->sched, is_written);
+    sched_flush_end (entry->sched, entry->flush, TRUE);
   entry->flush = NULL;
-  entry->is_in_doubt = FALSE;
-  g_clear_pointer (&entry->records, g_byte_array_unref);
+  entry->removes_agent = FALSE;
+  sched_end_publish (entry->sched, TRUE);
 }
 
 static void
 handle_written (EmuEntry *entry)
 {
-  entry->authority_us = MAX (entry->authority_us, entry->append_us);
-  entry->append_backoff_ms = 0;
-  entry->append_not_before_us = 0;
-  entry->sequence++;
-  end_append (entry, TRUE);
+  end_append (entry);
   if (entry->is_release)
     emu_owner_resign (entry, "leaving");
   else if (entry->is_leaving)
@@ -154,51 +145,42 @@
 {
   EmuEntry *entry = ctx;
 
-  entry->is_appending = FALSE;
-  if (entry->phase != EMU_OWNER_ACTIVE || entry->records == NULL)
+  entry->is_calling = FALSE;
+  if (entry->phase != EMU_OWNER_ACTIVE || !appender_is_open (&entry->appender))
     return;
-  if (answer->outcome == STORE_OK
-      || (answer->outcome == STORE_SEQUENCE && answer->expected_sequence == entry->sequence + 1))
-    {
-      handle_written (entry);
-      return;
-    }
-  emu_trace (entry->emu, entry->process.name, "append_failed %s",
-             store_outcome_name (answer->outcome));
-  if (answer->outcome == STORE_FENCED || answer->outcome == STORE_SEQUENCE)
-    {
-      emu_owner_resign (entry, store_outcome_name (answer->outcome));
-      return;
-    }
-  entry->append_backoff_ms = CLAMP (entry->append_backoff_ms * 2, BACKOFF_MIN_MS, BACKOFF_MAX_MS);
-  entry->append_not_before_us = entry->emu->now_us + entry->append_backoff_ms * CLK_US_PER_MS;
-  if (answer->outcome == STORE_IN_DOUBT)
-    entry->is_in_doubt = TRUE;
-  else if (!entry->is_in_doubt)
-    end_append (entry, FALSE);
+  AppenderResult result = appender_handle_answer (&entry->appender, answer, entry->emu->now_us);
+  if (result != APPENDER_WRITTEN)
+    emu_trace (entry->emu, entry->process.name, "append_answered %s %s",
+               appender_result_name (result), store_outcome_name (answer->outcome));
+  if (result == APPENDER_WRITTEN)
+    handle_written (entry);
+  else if (result != APPENDER_UNRESOLVED)
+    emu_owner_resign (entry, appender_result_name (result));
 }
 
 static void
-send_append (EmuEntry *entry, GByteArray *records, int64_t expected_end, StoreDone done)
+send_append (EmuEntry *entry, const StoreAppend *append, StoreDone done)
 {
   EmuStoreCall *call = emu_store_call (entry->emu, EMU_STORE_APPEND, &entry->process);
 
-  call->records = g_byte_array_ref (records);
-  call->expected_end = expected_end;
+  call->records = g_byte_array_ref (append->records);
+  call->expected_end = append->expected_end;
   call->has_producer = TRUE;
-  call->epoch = entry->epoch;
-  call->sequence = entry->sequence;
+  call->epoch = append->epoch;
+  call->sequence = append->sequence;
   call->done = done;
   call->ctx = entry;
-  entry->is_appending = TRUE;
+  entry->is_calling = TRUE;
   emu_store_send (call, entry->store_cut_until_us, TIMEOUT_MS);
 }
 
 static void
-send_records (EmuEntry *entry)
+transmit (EmuEntry *entry)
 {
-  entry->append_us = entry->emu->now_us;
-  send_append (entry, entry->records, -1, on_appended);
+  StoreAppend append = { 0 };
+
+  appender_transmit (&entry->appender, entry->emu->now_us, &append);
+  send_append (entry, &append, on_appended);
 }
 
 static void
@@ -206,25 +188,26 @@
 {
   int64_t now = entry->emu->now_us;
 
-  if (entry->phase != EMU_OWNER_ACTIVE || entry->is_appending || now < entry->append_not_before_us)
+  if (entry->phase != EMU_OWNER_ACTIVE || !appender_may_send (&entry->appender, now))
     return;
-  if (entry->is_in_doubt)
+  if (appender_is_open (&entry->appender))
     {
-      send_records (entry);
+      transmit (entry);
       return;
     }
   entry->flush = sched_flush_begin (entry->sched);
   if (entry->flush == NULL && now < entry->renew_us)
     return;
-  entry->records = g_byte_array_new ();
+  GByteArray *records = g_byte_array_new ();
   entry->renew_us = now + RENEW_MS * CLK_US_PER_MS;
   entry->is_release = entry->is_leaving;
-  add_owner_record (entry, entry->records, entry->is_release ? 0 : entry->boot);
-  add_agent_removal (entry);
-  add_silent (entry);
+  add_owner_record (entry, records, entry->is_release ? 0 : entry->boot);
+  add_agent_removal (entry, records);
+  add_silent (entry, records);
   if (entry->flush != NULL)
-    add_changes (entry);
-  send_records (entry);
+    add_changes (entry, records);
+  appender_add (&entry->appender, records);
+  transmit (entry);
 }
 
 /* Decisions. */
@@ -394,11 +377,12 @@
 
   emu->result->n_terms++;
   entry->phase = EMU_OWNER_ACTIVE;
-  entry->is_release = entry->is_in_doubt = entry->removes_agent = FALSE;
-  entry->authority_us = entry->claim_us;
-  entry->append_backoff_ms = 0;
-  entry->append_not_before_us = 0;
-  entry->sequence++;
+  const AppenderClaim claim = { .epoch = entry->epoch,
+                                .sequence = entry->sequence,
+                                .end_offset = entry->epoch,
+                                .sent_us = entry->claim_us };
+  appender_begin (&entry->appender, &claim);
+  entry->is_release = entry->removes_agent = FALSE;
   entry->renew_us = emu->now_us + RENEW_MS * CLK_US_PER_MS;
   entry->term_serial = emu_serial (emu);
   entry->is_tick_due = entry->is_flush_due = FALSE;
@@ -428,8 +412,7 @@
   if (entry->flush != NULL)
     sched_flush_end (entry->sched, entry->flush, FALSE);
   entry->flush = NULL;
-  g_clear_pointer (&entry->records, g_byte_array_unref);
-  entry->is_in_doubt = FALSE;
+  appender_drop (&entry->appender);
   entry->removes_agent = FALSE;
   g_clear_pointer (&entry->sched, sched_free);
   for (uint32_t i = 0; i < entry->emu->options.n_agents; i++)
@@ -473,7 +456,7 @@
 {
   EmuEntry *entry = ctx;
 
-  entry->is_appending = FALSE;
+  entry->is_calling = FALSE;
   if (entry->phase != EMU_OWNER_CLAIMING || answer->outcome == STORE_OK
       || answer->outcome == STORE_IN_DOUBT)
     return;
@@ -497,7 +480,11 @@
   emu_trace (entry->emu, entry->process.name,
              "claim term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT, entry->term, entry->next);
   add_owner_record (entry, records, entry->boot);
-  send_append (entry, records, entry->next, on_claimed);
+  const StoreAppend append = { .records = records,
+                               .expected_end = entry->next,
+                               .epoch = entry->epoch,
+                               .sequence = entry->sequence };
+  send_append (entry, &append, on_claimed);
 }
 
 static gboolean
@@ -505,7 +492,7 @@
 {
   int64_t now = entry->emu->now_us;
 
-  if (entry->is_leaving || entry->is_appending || !entry->is_loaded || entry->steady_us == 0
+  if (entry->is_leaving || entry->is_calling || !entry->is_loaded || entry->steady_us == 0
       || now - entry->answered_us > FEED_GAP_MS * CLK_US_PER_MS)
     return FALSE;
   const LedgerOwner *last = ledger_owner (entry->ledger);
--- a/tests/support/emulator_private.h
+++ b/tests/support/emulator_private.h
@@ -6,6 +6,7 @@
 
 #include "batch/sched.h"
 #include "common/clk.h"
+#include "ledger/appender.h"
 #include "ledger/ledger.h"
 #include "platform/store.h"
 #include "support/emulator.h"
@@ -241,19 +242,14 @@
   uint64_t term;
   int64_t epoch;
   int64_t sequence;
-  int64_t authority_us;
+  Appender appender;
   int64_t owner_seen_us;
   gboolean is_leaving;
   Sched *sched;
   SchedFlush *flush;
-  GByteArray *records;
-  gboolean is_appending;
-  gboolean is_in_doubt;
+  gboolean is_calling;
   gboolean is_release;
   gboolean removes_agent;
-  int64_t append_us;
-  int64_t append_not_before_us;
-  int64_t append_backoff_ms;
   int64_t renew_us;
   uint64_t term_serial; /**< timers of an earlier term do nothing */
   gboolean is_tick_due;
