store: a 5xx other than 503 and 507 proves nothing

A 500, 502 or 504 was an outcome like a malformed request, and the outbox reported such a record as refused: a submission could be answered with 503 and run. All other 5xx are in doubt now, as they are in platform/runner already.

users/test_store, answers_map_to_outcomes, failed before with 500, 502, 504.

--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -153,6 +153,9 @@
   { 503, "", STORE_REFUSED },
   { 507, "", STORE_REFUSED },
   { 418, "", STORE_MALFORMED },
+  { 500, "", STORE_IN_DOUBT },
+  { 502, "", STORE_IN_DOUBT },
+  { 504, "", STORE_IN_DOUBT },
 };
 
 static void
