owner: one call of a producer at a time, also across terms

Since the appends moved to the appender, an append could be sent while the answer to the term's claim was still out. The claim's time-out then freed the way for the next term while that append was under way, and its late answer would have been handled in the new term: a false fence, records counted as written, or an abort. The owner waits for the answer again, as it did before.

--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -185,7 +185,8 @@
 void
 owner_write_changes (Owner *owner)
 {
-  if (owner->phase != OWNER_ACTIVE || !appender_may_send (&owner->appender, clk_now_us ()))
+  if (owner->phase != OWNER_ACTIVE || owner->is_calling
+      || !appender_may_send (&owner->appender, clk_now_us ()))
     return;
   if (appender_is_open (&owner->appender))
     {
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -188,7 +188,8 @@
 {
   int64_t now = entry->emu->now_us;
 
-  if (entry->phase != EMU_OWNER_ACTIVE || !appender_may_send (&entry->appender, now))
+  if (entry->phase != EMU_OWNER_ACTIVE || entry->is_calling
+      || !appender_may_send (&entry->appender, now))
     return;
   if (appender_is_open (&entry->appender))
     {
