ledger: an append that the store never accepts ends the term

Such an answer ends the term now, which is safe with an earlier transmission in doubt, as the next term has an epoch of its own.

The rows MALFORMED, MOVED and EXPIRED of unacknowledged_append_keeps_number_and_records asked for the blocked term; append_that_is_never_accepted_ends_the_term takes them, after a transmission in doubt, and failed before.

--- a/lib/ledger/appender.c
+++ b/lib/ledger/appender.c
@@ -8,7 +8,7 @@
 const char *
 appender_result_name (AppenderResult result)
 {
-  static const char *const names[] = { "written", "unresolved", "fenced", "displaced" };
+  static const char *const names[] = { "written", "unresolved", "fenced", "rejected", "displaced" };
 
   return names[result];
 }
@@ -117,6 +117,10 @@
       return close_failed (appender, APPENDER_DISPLACED);
     case STORE_FENCED:
       return close_failed (appender, APPENDER_FENCED);
+    case STORE_MOVED:
+    case STORE_EXPIRED:
+    case STORE_MALFORMED:
+      return close_failed (appender, APPENDER_REJECTED);
     default:
       appender->backoff_ms
           = CLAMP (appender->backoff_ms * 2, APPENDER_BACKOFF_MIN_MS, APPENDER_BACKOFF_MAX_MS);
--- a/lib/ledger/appender.h
+++ b/lib/ledger/appender.h
@@ -23,6 +23,7 @@
   APPENDER_WRITTEN,    /**< the records are in the topic */
   APPENDER_UNRESOLVED, /**< they may be; the append is to be transmitted again */
   APPENDER_FENCED,     /**< another term has begun; this one can't append any more */
+  APPENDER_REJECTED,   /**< the store does not take these records; the term must end */
   APPENDER_DISPLACED,  /**< the sequence number was used for other records; the term must end */
 } AppenderResult;
 
