owner: a claim that may still be executed is repeated unchanged

After a claim without an answer was given up, the next one at the same end of the topic had the same epoch, another sequence number and a later time. A claim at the same end is now the same append, and its authority is that of the first transmission.

sched_cancel_forget_agent() and removes_agent go: an append that removes an agent stays open until it is written, so nothing calls or reads them any more.

--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -117,9 +117,6 @@
  */
 const char *sched_forget_agent (Sched *sched);
 
-/** Ends the removal begun by sched_forget_agent() without a deletion: the ledger record remains. */
-void sched_cancel_forget_agent (Sched *sched);
-
 /** Agents without a report for this long are forgotten. Longer than any lease and any restart. */
 #define SCHED_FORGET_MS 5000
 
--- a/lib/batch/sched_forget.c
+++ b/lib/batch/sched_forget.c
@@ -44,12 +44,6 @@
     drop_worker (sched, worker);
 }
 
-void
-sched_cancel_forget_agent (Sched *sched)
-{
-  g_clear_pointer (&sched->forgetting, g_free);
-}
-
 static SchedWorker *
 find_not_reporting (const Sched *sched)
 {
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -128,7 +128,6 @@
     sched_flush_end (owner->sched, owner->flush, FALSE);
   owner->flush = NULL;
   appender_drop (&owner->appender);
-  owner->removes_agent = FALSE;
   g_clear_pointer (&owner->sched, sched_free);
   peers_clear (owner->peers);
   feed_set_pause (owner->entry->ledger_feed, OTHER_PAUSE_MS);
@@ -215,6 +214,7 @@
                                 .end_offset = owner->epoch,
                                 .sent_us = owner->claim_us };
   appender_begin (&owner->appender, &claim);
+  g_clear_pointer (&owner->claim_records, g_byte_array_unref);
   owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
@@ -351,6 +351,7 @@
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, FALSE);
   appender_drop (&owner->appender);
+  g_clear_pointer (&owner->claim_records, g_byte_array_unref);
   peers_free (owner->peers);
   sched_free (owner->sched);
   g_free (owner);
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -44,14 +44,21 @@
     feed_refresh (owner->entry->ledger_feed, on_caught_up, owner);
 }
 
+static const char *
+last_owner_name (const Owner *owner)
+{
+  const char *name = ledger_owner (owner->entry->ledger)->name;
+
+  return name != NULL ? name : "-";
+}
+
 static void
-claim (Owner *owner)
+prepare_claim (Owner *owner, int64_t end)
 {
   const LedgerOwner *last = ledger_owner (owner->entry->ledger);
-  g_autoptr (GByteArray) records = g_byte_array_new ();
-  int64_t end = feed_end (owner->entry->ledger_feed);
 
-  owner->phase = OWNER_CLAIMING;
+  g_clear_pointer (&owner->claim_records, g_byte_array_unref);
+  owner->claim_records = g_byte_array_new ();
   owner->claim_us = clk_now_us ();
   owner->term = last->term + 1;
   owner->level_since = ledger_level_since (last, LEVEL_CURRENT, owner->term);
@@ -59,9 +66,22 @@
    * first sequence number distinguishes a repeat of this append from another entry's. */
   owner->epoch = end + 1;
   owner->sequence = (int64_t) (ids_new ().low & 0x3fffffff);
-  owner_add_record (owner, records, node_boot (owner->entry->node));
+  owner_add_record (owner, owner->claim_records, node_boot (owner->entry->node));
+}
+
+static void
+claim (Owner *owner)
+{
+  int64_t end = feed_end (owner->entry->ledger_feed);
+
+  /* An earlier claim at this end may still be executed, so this one is the same: its record is as
+   * old as the first transmission. */
+  if (owner->claim_records == NULL || owner->epoch != end + 1)
+    prepare_claim (owner, end);
+  owner->phase = OWNER_CLAIMING;
+  owner->claim_sent_us = clk_now_us ();
   const StoreAppend append = { .topic = LEDGER_TOPIC,
-                               .records = records,
+                               .records = owner->claim_records,
                                .expected_end = end,
                                .producer = OWNER_PRODUCER,
                                .epoch = owner->epoch,
@@ -69,9 +89,10 @@
                                .timeout_ms = OWNER_TIMEOUT_MS };
   line_add ("owner", "claim",
             "term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT
-            " last_owner=%s quiet_ms=%" G_GINT64_FORMAT,
-            owner->term, end, last->name != NULL ? last->name : "-",
-            (owner->claim_us - owner->owner_seen_us) / 1000);
+            " last_owner=%s quiet_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+            owner->term, end, last_owner_name (owner),
+            (owner->claim_sent_us - owner->owner_seen_us) / CLK_US_PER_MS,
+            (owner->claim_sent_us - owner->claim_us) / CLK_US_PER_MS);
   owner->is_calling = TRUE;
   store_append (owner->entry->store, &append, on_claimed, owner);
 }
@@ -128,7 +149,7 @@
   Owner *owner = data;
 
   if (owner->phase == OWNER_CLAIMING
-      && clk_now_us () - owner->claim_us > NODE_OWNER_QUIET_MS * 1000)
+      && clk_now_us () - owner->claim_sent_us > NODE_OWNER_QUIET_MS * 1000)
     {
       line_add ("owner", "claim_given_up", "term=%" G_GUINT64_FORMAT, owner->term);
       owner->phase = OWNER_NONE;
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -29,7 +29,9 @@
 {
   Entry *entry;
   OwnerPhase phase;
-  int64_t claim_us; /**< when the claim was sent */
+  int64_t claim_us;          /**< when the claim was first sent */
+  int64_t claim_sent_us;     /**< when it was last sent */
+  GByteArray *claim_records; /**< records of the newest claim; NULL once its term began */
   uint64_t term;
   uint64_t level_since; /**< first term since which all owners were of this build's level */
   int64_t epoch;
@@ -39,12 +41,11 @@
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
   Peers *peers;
-  SchedFlush *flush;      /**< changes in the open append; NULL for none */
-  gboolean is_calling;    /**< a claim or a transmission of an append has not been answered */
-  gboolean is_release;    /**< the open append releases ownership */
-  gboolean removes_agent; /**< the open append removes an agent's record */
-  int64_t renew_us;       /**< when the next heartbeat record is due */
-  int64_t learned_us;     /**< when learned state was last written, or the term began */
+  SchedFlush *flush;   /**< changes in the open append; NULL for none */
+  gboolean is_calling; /**< a claim or a transmission of an append has not been answered */
+  gboolean is_release; /**< the open append releases ownership */
+  int64_t renew_us;    /**< when the next heartbeat record is due */
+  int64_t learned_us;  /**< when learned state was last written, or the term began */
   guint check_timer;
   guint tick_timer;
   guint tick_soon_timer;
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -67,7 +67,6 @@
 
   if (name == NULL)
     return;
-  owner->removes_agent = TRUE;
   peers_remove (owner->peers, name);
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
   line_add ("owner", "agent_forgotten", "agent=%s", name);
@@ -235,7 +234,6 @@
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, TRUE);
   owner->flush = NULL;
-  owner->removes_agent = FALSE;
   sched_end_publish (owner->sched, TRUE);
 }
 
--- a/tests/support/emulator_entry.c
+++ b/tests/support/emulator_entry.c
@@ -181,6 +181,7 @@
     return;
   emu_trace (entry->emu, entry->process.name, "down");
   emu_owner_resign (entry, "killed");
+  g_clear_pointer (&entry->claim_records, g_byte_array_unref);
   emu_process_end (entry->emu, &entry->process);
   g_clear_pointer (&entry->ledger, ledger_free);
 }
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -83,7 +83,6 @@
 
   if (name == NULL)
     return;
-  entry->removes_agent = TRUE;
   emu_link_disconnect (entry, agent_index (name));
   g_autofree char *key = g_strconcat (LEDGER_AGENT_PREFIX, name, NULL);
   emu_trace (entry->emu, entry->process.name, "agent_forgotten %s", name);
@@ -124,7 +123,6 @@
   if (entry->flush != NULL)
     sched_flush_end (entry->sched, entry->flush, TRUE);
   entry->flush = NULL;
-  entry->removes_agent = FALSE;
   sched_end_publish (entry->sched, TRUE);
 }
 
@@ -383,7 +381,8 @@
                                 .end_offset = entry->epoch,
                                 .sent_us = entry->claim_us };
   appender_begin (&entry->appender, &claim);
-  entry->is_release = entry->removes_agent = FALSE;
+  g_clear_pointer (&entry->claim_records, g_byte_array_unref);
+  entry->is_release = FALSE;
   entry->renew_us = emu->now_us + RENEW_MS * CLK_US_PER_MS;
   entry->term_serial = emu_serial (emu);
   entry->is_tick_due = entry->is_flush_due = FALSE;
@@ -414,7 +413,6 @@
     sched_flush_end (entry->sched, entry->flush, FALSE);
   entry->flush = NULL;
   appender_drop (&entry->appender);
-  entry->removes_agent = FALSE;
   g_clear_pointer (&entry->sched, sched_free);
   for (uint32_t i = 0; i < entry->emu->options.n_agents; i++)
     emu_link_disconnect (entry, i);
@@ -467,21 +465,30 @@
 }
 
 static void
-claim (EmuEntry *entry)
+prepare_claim (EmuEntry *entry)
 {
-  g_autoptr (GByteArray) records = g_byte_array_new ();
+  const LedgerOwner *last = ledger_owner (entry->ledger);
 
-  entry->phase = EMU_OWNER_CLAIMING;
+  g_clear_pointer (&entry->claim_records, g_byte_array_unref);
+  entry->claim_records = g_byte_array_new ();
   entry->claim_us = entry->emu->now_us;
-  entry->term = ledger_owner (entry->ledger)->term + 1;
-  entry->level_since
-      = ledger_level_since (ledger_owner (entry->ledger), LEVEL_CURRENT, entry->term);
+  entry->term = last->term + 1;
+  entry->level_since = ledger_level_since (last, LEVEL_CURRENT, entry->term);
   entry->epoch = entry->next + 1;
   entry->sequence = (int64_t) (emu_random (entry->emu) & 0x3fffffff);
+  add_owner_record (entry, entry->claim_records, entry->boot);
+}
+
+static void
+claim (EmuEntry *entry)
+{
+  if (entry->claim_records == NULL || entry->epoch != entry->next + 1)
+    prepare_claim (entry);
+  entry->phase = EMU_OWNER_CLAIMING;
+  entry->claim_sent_us = entry->emu->now_us;
   emu_trace (entry->emu, entry->process.name,
              "claim term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT, entry->term, entry->next);
-  add_owner_record (entry, records, entry->boot);
-  const StoreAppend append = { .records = records,
+  const StoreAppend append = { .records = entry->claim_records,
                                .expected_end = entry->next,
                                .epoch = entry->epoch,
                                .sequence = entry->sequence };
@@ -509,7 +516,7 @@
 emu_owner_check (EmuEntry *entry)
 {
   if (entry->phase == EMU_OWNER_CLAIMING
-      && entry->emu->now_us - entry->claim_us > NODE_OWNER_QUIET_MS * CLK_US_PER_MS)
+      && entry->emu->now_us - entry->claim_sent_us > NODE_OWNER_QUIET_MS * CLK_US_PER_MS)
     entry->phase = EMU_OWNER_NONE;
   if (entry->phase == EMU_OWNER_NONE && may_claim (entry))
     claim (entry);
--- a/tests/support/emulator_private.h
+++ b/tests/support/emulator_private.h
@@ -239,6 +239,8 @@
   /* Owner: the fields of programs/scheduler/owner_private.h. */
   EmuOwnerPhase phase;
   int64_t claim_us;
+  int64_t claim_sent_us;
+  GByteArray *claim_records;
   uint64_t term;
   int64_t epoch;
   int64_t sequence;
@@ -249,7 +251,6 @@
   SchedFlush *flush;
   gboolean is_calling;
   gboolean is_release;
-  gboolean removes_agent;
   int64_t renew_us;
   uint64_t term_serial; /**< timers of an earlier term do nothing */
   gboolean is_tick_due;
