agent: a refused repeat does not prove that a request did not run

Callers of a repeatable request could be told "ran: no" for one that had passed to the endpoint, and an entry could refuse it as not run.

Cause: when a kept connection breaks before an answer, neon opens another one and sends the request again. The agent read the answer to that repeat, 503 with "Acacia-Ran: no", as being about the request. It is about the repeat only. Requests with kind "once" are sent over a new connection and were not affected.

The caller of the endpoint now notes a second connection of one request, and reports such a refusal as in doubt (protocol, 502). A connection that the endpoint closed while it was idle looks the same, and is in doubt as well.

agent/test_endpoint, refusal_of_a_repeat_is_in_doubt, failed before: three requests arrived, and ran was "no" (0 != 2). Its server, support/reset_server.h, resets a kept connection when a request has passed.

--- a/lib/agent/agent_call.c
+++ b/lib/agent/agent_call.c
@@ -20,6 +20,7 @@
   int64_t once_read_ms;
   gboolean is_connected;
   gboolean was_connected; /**< at any time during the call */
+  gboolean was_repeated;  /**< neon may have sent the request twice */
 };
 
 void
@@ -47,8 +48,12 @@
   AgentCaller *caller = ctx;
 
   (void) info;
+  /* neon replaces a kept connection that broke, and sends the request again. */
   if (status == ne_status_connected)
-    caller->is_connected = caller->was_connected = TRUE;
+    {
+      caller->was_repeated = caller->was_connected;
+      caller->is_connected = caller->was_connected = TRUE;
+    }
   else if (status == ne_status_disconnected)
     caller->is_connected = FALSE;
 }
@@ -152,7 +157,7 @@
 }
 
 static void
-classify_answer (ne_request *request, AgentCall *call)
+classify_answer (const AgentCaller *caller, ne_request *request, AgentCall *call)
 {
   uint32_t status = (uint32_t) ne_get_status (request)->code;
   const char *type = ne_get_response_header (request, "Content-Type");
@@ -160,7 +165,10 @@
 
   call->status = status;
   call->answer_type = g_strdup (type != NULL ? type : "");
-  if (status == STATUS_UNAVAILABLE && g_strcmp0 (ran, "no") == 0)
+  gboolean is_refusal = status == STATUS_UNAVAILABLE && g_strcmp0 (ran, "no") == 0;
+  if (is_refusal && caller->was_repeated)
+    fail (call, ERR_PROTOCOL, ERR_RAN_DOUBT, "endpoint: busy, but the request was sent before");
+  else if (is_refusal)
     fail (call, ERR_ALL_BUSY, ERR_RAN_NO, "endpoint: busy, request refused");
   else if (status >= STATUS_SERVER_ERROR)
     fail (call, ERR_ENDPOINT_FAILED, ERR_RAN_YES, "endpoint: server error");
@@ -228,11 +236,12 @@
   ne_set_session_flag (caller->session, NE_SESSFLAG_PERSIST, call->once ? 0 : 1);
   ne_set_read_timeout (caller->session, round_up_to_seconds (left_us));
   caller->was_connected = caller->is_connected;
+  caller->was_repeated = FALSE;
   call->answer = g_byte_array_new ();
   ne_request *request = make_request (caller, call);
   gboolean ok = exchange (caller, request, call, start_us + left_us);
   if (ok)
-    classify_answer (request, call);
+    classify_answer (caller, request, call);
   ne_request_destroy (request);
   if (!ok)
     ne_close_connection (caller->session);
--- a/tests/agent/test_endpoint.c
+++ b/tests/agent/test_endpoint.c
@@ -7,6 +7,7 @@
 #include "agent/agent_call.h"
 #include "agent/canned_server.h"
 #include "common/clk.h"
+#include "support/reset_server.h"
 
 #define ANY_STATUS 0
 
@@ -170,6 +171,32 @@
   canned_free (server);
 }
 
+/* The answer to the repeat that neon sends over a new connection says nothing about the request
+ * that passed before. */
+static void
+refusal_of_a_repeat_is_in_doubt (void **state)
+{
+  ResetServer server;
+  AgentCall *first = make_call (FALSE, 900);
+  AgentCall *second = make_call (FALSE, 900);
+
+  (void) state;
+  reset_server_start (&server, CANNED_OK,
+                      "HTTP/1.1 503 Busy\r\nAcacia-Ran: no\r\nContent-Length: 0\r\n\r\n");
+  AgentCaller *caller = open_caller (server.port);
+  agent_caller_run (caller, first);
+  assert_true (first->has_answer);
+  agent_caller_run (caller, second);
+  agent_caller_free (caller);
+  reset_server_stop (&server);
+  assert_int_equal (server.n_requests, 3);
+  assert_false (second->has_answer);
+  assert_int_equal (second->kind, ERR_PROTOCOL);
+  assert_int_equal (second->ran, ERR_RAN_DOUBT);
+  agent_call_free (first);
+  agent_call_free (second);
+}
+
 int
 main (void)
 {
@@ -178,6 +205,7 @@
     cmocka_unit_test (refused_connection_is_not_run),
     cmocka_unit_test (expired_call_is_not_sent),
     cmocka_unit_test (once_request_is_sent_once_despite_a_kept_connection),
+    cmocka_unit_test (refusal_of_a_repeat_is_in_doubt),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
