platform: a refused repeat does not prove that nothing was done

What callers can see is a task that is reported as refused and runs, and a record that is said not to be on the log ("log_down", ran: no) and is.

Cause: when a kept connection breaks before an answer, neon opens another one and sends the request again, also a POST or PUT. If the repeat was refused, plat_http_call() returned that status; agent_work takes refused, no_capacity or fenced for a start that did not happen, and state/commit takes log_down for a record that was not appended.

A failure status of a request that may have been sent twice is now ERR_PROTOCOL, which both read as in doubt. A GET is exempt since it has no effect. A connection that was closed while it was idle looks the same, and is in doubt as well.

--- a/lib/platform/plat_http.c
+++ b/lib/platform/plat_http.c
@@ -3,6 +3,7 @@
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
+#include <string.h>
 
 #include "common/clk.h"
 #include "common/err.h"
@@ -10,6 +11,7 @@
 /** Size limit of an answer. */
 #define ANSWER_BYTES_MAX ((size_t) 16 * 1024 * 1024)
 #define READ_CHUNK_BYTES 16384
+#define STATUS_FAILURE_FIRST 300
 
 struct PlatHttp
 {
@@ -17,6 +19,7 @@
   int64_t read_ms;
   gboolean is_connected;
   gboolean was_connected; /**< at any time during the call */
+  gboolean was_repeated;  /**< neon may have sent the request twice */
 };
 
 static void
@@ -25,8 +28,10 @@
   PlatHttp *http = ctx;
 
   (void) info;
+  /* neon replaces a kept connection that broke, and sends the request again. */
   if (status == ne_status_connected)
     {
+      http->was_repeated = http->was_connected;
       http->is_connected = TRUE;
       http->was_connected = TRUE;
     }
@@ -163,6 +168,14 @@
   return NULL;
 }
 
+/* Whether the answer to a repeat leaves open what the first transmission did. A read did nothing,
+ * and a success says the same of both. */
+static gboolean
+is_in_doubt (const PlatHttp *http, const PlatHttpCall *call, uint32_t status)
+{
+  return http->was_repeated && strcmp (call->method, "GET") != 0 && status >= STATUS_FAILURE_FIRST;
+}
+
 uint32_t
 plat_http_call (PlatHttp *http, const PlatHttpCall *call, json_t **answer, GError **error)
 {
@@ -175,6 +188,7 @@
 
   ne_set_read_timeout (http->session, seconds_up (limit_ms));
   http->was_connected = http->is_connected;
+  http->was_repeated = FALSE;
   if (text != NULL)
     {
       ne_add_request_header (request, "Content-Type", "application/json");
@@ -189,6 +203,12 @@
       http->is_connected = FALSE;
       return 0;
     }
+  if (is_in_doubt (http, call, status))
+    {
+      err_set (error, ERR_PROTOCOL, "platform: status %u to a request that was sent before",
+               status);
+      return 0;
+    }
   *answer = parse_answer (body, error);
   return *answer != NULL ? status : 0;
 }
--- a/lib/platform/plat_http.h
+++ b/lib/platform/plat_http.h
@@ -38,7 +38,7 @@
  * Sends @p call and waits for the complete answer. Returns the status and sets @p answer to the
  * JSON object, which the caller unrefs. Returns 0 with an error: #ERR_REFUSED when nothing was
  * sent, #ERR_TIMEOUT when no complete answer arrived in time, #ERR_PROTOCOL when it is truncated or
- * not a JSON object.
+ * not a JSON object, or refuses the repeat of a request that may have been executed before.
  */
 uint32_t plat_http_call (PlatHttp *http, const PlatHttpCall *call, json_t **answer, GError **error);
 
