ledger: a record that was written is not refused when it comes again

What callers can see is 503 (never runs) for a job that was accepted, when its submission arrives once more before the entry has read the record back and the store refuses appends meanwhile.

Cause: the outbox judged a record by the appends and forwards since it was last added. The refusal of a repeat is about the repeat only. An answer to a forward carries only the key, so a late refusal of an earlier forward was read as being about the newest one, too.

The outbox now remembers the keys that it wrote for 30 s to 60 s, and treats a record with such a key as in doubt from the start: it is appended until it is written or its deadline passes, and is never reported as refused. A repeat at another entry is not covered, which can't know of the first.

users/test_store, repeat_of_a_written_record_is_not_refused, failed before: the repeat was reported as refused (1) and not in doubt (2).

--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -14,6 +14,9 @@
 #define FORWARD_RETRY_MS 600
 /** Interval of checking deadlines. */
 #define CHECK_MS 50
+/** A written key is remembered for this long, and forgotten within twice that time. By then an
+ * entry reads the record from its ledger, and does not add it again. */
+#define WRITTEN_KEEP_MS 30000
 /** Most records and bytes of one append. */
 #define BATCH_RECORDS_MAX 200
 #define BATCH_BYTES_MAX (512 * 1024)
@@ -31,7 +34,7 @@
   GBytes *value;
   GArray *waiters;       /**< Waiter */
   gboolean is_forwarded; /**< must not be forwarded */
-  gboolean is_in_doubt;  /**< an append with it had no answer */
+  gboolean is_in_doubt;  /**< an append with it had no answer, or its key was written before */
   gboolean is_sent;      /**< contained in the append under way */
   int64_t added_us;
   int64_t forwarded_us; /**< when it was last forwarded */
@@ -41,8 +44,11 @@
 struct Outbox
 {
   OutboxOptions options;
-  GPtrArray *items; /**< Item, oldest first */
-  int64_t retry_ms; /**< length of the last pause; 0: the last append succeeded */
+  GPtrArray *items;          /**< Item, oldest first */
+  GHashTable *written;       /**< keys written lately */
+  GHashTable *written_older; /**< keys written in the period before */
+  int64_t written_since_us;  /**< when the newer period began */
+  int64_t retry_ms;          /**< length of the last pause; 0: the last append succeeded */
   gboolean is_busy;
   guint retry_timer;
   guint check_timer;
@@ -66,6 +72,9 @@
 
   outbox->options = *options;
   outbox->items = g_ptr_array_new_with_free_func (item_free);
+  outbox->written = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  outbox->written_older = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  outbox->written_since_us = clk_now_us ();
   return outbox;
 }
 
@@ -77,6 +86,8 @@
   g_clear_handle_id (&outbox->retry_timer, g_source_remove);
   g_clear_handle_id (&outbox->check_timer, g_source_remove);
   g_ptr_array_unref (outbox->items);
+  g_hash_table_unref (outbox->written);
+  g_hash_table_unref (outbox->written_older);
   g_free (outbox);
 }
 
@@ -87,10 +98,37 @@
 }
 
 static void
-answer_waiters (Item *item, OutboxResult result, int64_t offset)
+forget_written (Outbox *outbox)
+{
+  int64_t now = clk_now_us ();
+
+  if (now - outbox->written_since_us < WRITTEN_KEEP_MS * CLK_US_PER_MS)
+    return;
+  g_hash_table_remove_all (outbox->written_older);
+  GHashTable *empty = outbox->written_older;
+  outbox->written_older = outbox->written;
+  outbox->written = empty;
+  outbox->written_since_us = now;
+}
+
+static gboolean
+was_written (Outbox *outbox, const char *key)
+{
+  forget_written (outbox);
+  return g_hash_table_contains (outbox->written, key)
+         || g_hash_table_contains (outbox->written_older, key);
+}
+
+static void
+answer_waiters (Outbox *outbox, Item *item, OutboxResult result, int64_t offset)
 {
   g_autoptr (GArray) waiters = g_steal_pointer (&item->waiters);
 
+  if (result == OUTBOX_WRITTEN)
+    {
+      forget_written (outbox);
+      (void) g_hash_table_add (outbox->written, g_strdup (item->key));
+    }
   item->waiters = g_array_new (FALSE, FALSE, sizeof (Waiter));
   for (guint i = 0; i < waiters->len; i++)
     {
@@ -160,7 +198,7 @@
         i++;
     }
   for (guint i = 0; i < resolved->len; i++)
-    answer_waiters (g_ptr_array_index (resolved, i),
+    answer_waiters (outbox, g_ptr_array_index (resolved, i),
                     answer->outcome == STORE_OK ? OUTBOX_WRITTEN : OUTBOX_REFUSED, answer->offset);
 }
 
@@ -294,6 +332,7 @@
   if (item == NULL)
     {
       item = item_new (record);
+      item->is_in_doubt = was_written (outbox, record->key);
       g_ptr_array_add (outbox->items, item);
     }
   item->is_forwarded &= record->is_forwarded;
@@ -319,6 +358,6 @@
         return;
     }
   (void) g_ptr_array_steal_index (outbox->items, find_index (outbox, item));
-  answer_waiters (item, result, offset);
+  answer_waiters (outbox, item, result, offset);
   item_free (item);
 }
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -4,7 +4,8 @@
  *
  * An append without an answer may have taken effect. Its records are appended again until an answer
  * comes; appending a record twice does no harm. If the store refuses a record or is slow, another
- * entry can be asked to write it too.
+ * entry can be asked to write it too. A record whose key this outbox wrote within the last 30 s is
+ * never reported as refused.
  */
 #pragma once
 
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -349,6 +349,38 @@
   fixture_free (fixture);
 }
 
+/* The record was written. Its repeat is refused by the store, and an answer to the first forward
+ * comes late: neither says that the record is not there. */
+static void
+repeat_of_a_written_record_is_not_refused (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  PeerEntry peer = { .is_available = TRUE };
+  Outbox *outbox = open_outbox (fixture, &peer);
+  Completion first = { 0 };
+  Completion repeat = { 0 };
+
+  (void) state;
+  set_answer (fixture, 503, "");
+  add_record (outbox, INT64_MAX, &first);
+  while (peer.n_records == 0)
+    (void) g_main_context_iteration (NULL, TRUE);
+  set_answer (fixture, 200, "{\"offset\":4,\"end_offset\":5}");
+  wait_for (&first);
+  assert_int_equal (first.last, OUTBOX_WRITTEN);
+  set_answer (fixture, 503, "");
+  add_record (outbox, clk_now_us () + 600 * CLK_US_PER_MS, &repeat);
+  while (peer.n_records == 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  peer.is_available = FALSE;
+  outbox_handle_forward_result (outbox, "k", OUTBOX_REFUSED, -1);
+  wait_for (&repeat);
+  assert_int_equal (repeat.last, OUTBOX_IN_DOUBT);
+  run_loop_for (200);
+  outbox_free (outbox);
+  fixture_free (fixture);
+}
+
 /* While the store does not answer, the record is forwarded and another entry writes it. */
 static void
 unanswered_record_is_forwarded (void **state)
@@ -774,6 +806,7 @@
     cmocka_unit_test (refused_record_is_forwarded),
     cmocka_unit_test (record_refused_by_store_and_peer_is_refused),
     cmocka_unit_test (record_forwarded_twice_is_not_refused_by_one_answer),
+    cmocka_unit_test (repeat_of_a_written_record_is_not_refused),
     cmocka_unit_test (unanswered_record_is_forwarded),
     cmocka_unit_test (refused_record_is_never_written),
     cmocka_unit_test (record_in_doubt_is_retried_until_written),
