standin/store: a sequence number used again for other records is reported

Cause: the store answers the repeat of an append without a comparison, and so did the stand-in. A caller that gave a used number to other records lost them, and no test could see it.

The stand-in keeps the last five appends of a producer, as the platform's store does, answers a repeat with its first response (with the end offset of that time, not the present one), and writes a line that begins with 'standin-store: BROKEN' when the records differ.

By hand with curl: repeats of the last five get their first offset and end_offset, a sixth gets 409, other records under two used numbers give two lines, a new epoch none. fault/test_owner_roll, test_drop and test_turned_away pass.

--- a/tests/standin/store/main.c
+++ b/tests/standin/store/main.c
@@ -4,6 +4,10 @@
  * metadata store that acaciadale uses: keyed topics with conditional appends, producers, long polls
  * and the newest record of each key.
  *
+ * An append that repeats one of the last five of its producer is answered like the first one. If
+ * its records differ from that one's, the caller has broken the store's rules: a line that begins
+ * with "standin-store: BROKEN" goes to stderr.
+ *
  * Appends are answered after APPEND_MS. SECOND is another address of the same store. After SIGUSR1
  * all calls to SECOND are answered with 503; after SIGUSR2 they are not answered.
  */
@@ -19,14 +23,24 @@
 #define IDLE_S 60
 #define BODY_MAX (4 * 1024 * 1024)
 #define RECORD_HEAD 4
+/** Number of appends whose repeats receive the first response again. */
+#define APPENDS_KEPT 5
+
+/** An append of a producer. */
+typedef struct
+{
+  int64_t sequence;
+  int64_t offset;
+  int64_t end_offset; /**< offset after its records */
+  GBytes *body;
+} Append;
 
 typedef struct
 {
   GPtrArray *records; /**< GBytes */
   int64_t epoch;      /**< epoch of the topic's only producer */
-  int64_t sequence;
-  int64_t last_offset; /**< offset of that producer's last append */
-  GPtrArray *waiting;  /**< Waiting */
+  GQueue *appends;    /**< Append of that epoch, at most #APPENDS_KEPT, the newest first */
+  GPtrArray *waiting; /**< Waiting */
 } Topic;
 
 typedef struct
@@ -57,6 +71,7 @@
     {
       topic = g_new0 (Topic, 1);
       topic->epoch = -1;
+      topic->appends = g_queue_new ();
       topic->records = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
       topic->waiting = g_ptr_array_new ();
       g_hash_table_insert (topics, g_strdup (name), topic);
@@ -163,32 +178,88 @@
     }
 }
 
+static void
+append_free (gpointer data)
+{
+  Append *append = data;
+
+  g_bytes_unref (append->body);
+  g_free (append);
+}
+
+static const Append *
+find_append (const Topic *topic, int64_t sequence)
+{
+  for (const GList *item = topic->appends->head; item != NULL; item = item->next)
+    {
+      const Append *append = item->data;
+      if (append->sequence == sequence)
+        return append;
+    }
+  return NULL;
+}
+
+static void
+keep_append (Topic *topic, int64_t epoch, Append *append)
+{
+  if (epoch != topic->epoch)
+    g_queue_clear_full (topic->appends, append_free);
+  topic->epoch = epoch;
+  g_queue_push_head (topic->appends, append);
+  if (topic->appends->length > APPENDS_KEPT)
+    append_free (g_queue_pop_tail (topic->appends));
+}
+
+static char *
+describe_append (int64_t offset, int64_t end_offset)
+{
+  return g_strdup_printf ("{\"offset\":%" G_GINT64_FORMAT ",\"end_offset\":%" G_GINT64_FORMAT "}",
+                          offset, end_offset);
+}
+
+/* The store answers without a comparison, so records that differ are lost. */
+static void
+reply_repeat (NetRequest *request, const Append *append, int64_t epoch)
+{
+  size_t size = 0;
+  const char *body = net_request_body (request, &size);
+  g_autoptr (GBytes) bytes = g_bytes_new (body, size);
+  g_autofree char *text = describe_append (append->offset, append->end_offset);
+
+  if (!g_bytes_equal (bytes, append->body))
+    (void) fprintf (stderr,
+                    "standin-store: BROKEN: topic %s epoch %" G_GINT64_FORMAT
+                    " sequence %" G_GINT64_FORMAT " is used again for other records\n",
+                    net_request_argument (request, "topic"), epoch, append->sequence);
+  reply_json (request, 200, text);
+}
+
 /* Returns FALSE after an answer to a producer that is fenced, out of sequence or repeats an append.
  */
 static gboolean
-check_producer (NetRequest *request, Topic *topic)
+check_producer (NetRequest *request, const Topic *topic)
 {
   int64_t epoch = argument (request, "epoch", -1);
   int64_t sequence = argument (request, "seq", -1);
 
-  if (epoch < 0)
+  if (epoch < 0 || epoch > topic->epoch)
     return TRUE;
   if (epoch < topic->epoch)
     {
       reply_json (request, 409, "{\"reason\":\"fenced\"}");
       return FALSE;
     }
-  if (epoch == topic->epoch && sequence == topic->sequence)
+  const Append *repeated = find_append (topic, sequence);
+  if (repeated != NULL)
     {
-      g_autofree char *text = g_strdup_printf ("{\"offset\":%d,\"end_offset\":%d}",
-                                               (int) topic->last_offset, (int) topic->records->len);
-      reply_json (request, 200, text);
+      reply_repeat (request, repeated, epoch);
       return FALSE;
     }
-  if (epoch == topic->epoch && sequence != topic->sequence + 1)
+  const Append *newest = g_queue_peek_head (topic->appends);
+  if (sequence != newest->sequence + 1)
     {
-      g_autofree char *text
-          = g_strdup_printf ("{\"reason\":\"seq\",\"expected\":%d}", (int) topic->sequence + 1);
+      g_autofree char *text = g_strdup_printf (
+          "{\"reason\":\"seq\",\"expected\":%" G_GINT64_FORMAT "}", newest->sequence + 1);
       reply_json (request, 409, text);
       return FALSE;
     }
@@ -218,8 +289,7 @@
   Delayed *delayed = g_new (Delayed, 1);
 
   delayed->request = request;
-  delayed->body = g_strdup_printf ("{\"offset\":%d,\"end_offset\":%d}", (int) offset,
-                                   (int) topic->records->len);
+  delayed->body = describe_append (offset, topic->records->len);
   if (append_ms > 0)
     (void) g_timeout_add (append_ms, on_delay_over, delayed);
   else
@@ -230,6 +300,7 @@
 append_records (NetRequest *request, Topic *topic)
 {
   int64_t at = argument (request, "at", -1);
+  int64_t epoch = argument (request, "epoch", -1);
   int64_t offset = topic->records->len;
   size_t size = 0;
   const char *body = net_request_body (request, &size);
@@ -242,13 +313,16 @@
       reply_json (request, 412, moved);
       return;
     }
-  if (argument (request, "epoch", -1) >= 0)
+  add_records (topic, (const uint8_t *) body, size);
+  if (epoch >= 0)
     {
-      topic->epoch = argument (request, "epoch", -1);
-      topic->sequence = argument (request, "seq", -1);
-      topic->last_offset = offset;
+      Append *append = g_new0 (Append, 1);
+      append->sequence = argument (request, "seq", -1);
+      append->offset = offset;
+      append->end_offset = topic->records->len;
+      append->body = g_bytes_new (body, size);
+      keep_append (topic, epoch, append);
     }
-  add_records (topic, (const uint8_t *) body, size);
   reply_appended (request, offset, topic);
   while (topic->waiting->len > 0)
     end_wait (g_ptr_array_steal_index (topic->waiting, 0));
