soak: connections are reset and then refused

Cause: the proxy reset connections and accepted the next one at once, so that what a layer below sent again was never refused, and nothing noticed when the store dropped records under a used sequence number.

reset_and_refuse: for 250 ms requests pass and their answers are held back, then all connections are reset (the server's ends are closed, so that no request is discarded) and the listener is closed until the mode changes. Should it not open again, each tick tries. These faults come every 0.5 to 2.5 s, 70 % of them at an entry's link to the store, the others at any link to the store or to a worker; they are drawn apart, so the draws of the other faults stay the same. The proxy moves to tests/support, for a stand-in.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -14,6 +14,11 @@
 #define DELAY_MAX_MS 700
 /** Probability that another fault follows at once, in percent. */
 #define SERIES_PERCENT 30
+/** Pauses between links that reset and refuse connections. */
+#define REFUSE_GAP_MIN_MS 500
+#define REFUSE_GAP_MAX_MS 2500
+/** Share of them that are an entry's link to the store, in percent. */
+#define REFUSE_ENTRY_PERCENT 70
 
 typedef struct
 {
@@ -50,7 +55,7 @@
 inject_link_fault (const FaultTargets *targets)
 {
   LinkRecovery *recovery = g_new0 (LinkRecovery, 1);
-  ProxyMode mode = (ProxyMode) draw (targets, PROXY_DELAY, PROXY_MODE_COUNT);
+  ProxyMode mode = (ProxyMode) draw (targets, PROXY_DELAY, PROXY_RESET_AND_REFUSE);
   uint32_t for_ms = draw (targets, LONG_MIN_MS, LONG_MAX_MS);
 
   recovery->proxy = pick (targets, targets->proxies, &recovery->index);
@@ -61,6 +66,35 @@
   (void) g_timeout_add (for_ms, on_link_recovered, recovery);
 }
 
+/* Drawn apart from the other faults, whose draws stay the same. */
+static gboolean
+on_refusal (gpointer data)
+{
+  const FaultTargets *targets = data;
+  static GRand *rand;
+  gint32 n_links = (gint32) targets->proxies->len;
+
+  if (targets->soak->is_fault_phase_over)
+    return G_SOURCE_REMOVE;
+  if (rand == NULL)
+    rand = g_rand_new_with_seed (targets->soak->options->seed);
+  /* The entries' links to the store come first. */
+  if (g_rand_int_range (rand, 0, 100) < REFUSE_ENTRY_PERCENT)
+    n_links = (gint32) targets->entries->len;
+  LinkRecovery *recovery = g_new0 (LinkRecovery, 1);
+  uint32_t for_ms = (uint32_t) g_rand_int_range (rand, LONG_MIN_MS, LONG_MAX_MS);
+  recovery->index = (uint32_t) g_rand_int_range (rand, 0, n_links);
+  recovery->proxy = g_ptr_array_index (targets->proxies, recovery->index);
+  recovery->soak = targets->soak;
+  soak_log (targets->soak, "proxy %u: %s for %u ms", recovery->index,
+            proxy_mode_name (PROXY_RESET_AND_REFUSE), for_ms);
+  proxy_set (recovery->proxy, PROXY_RESET_AND_REFUSE, 0);
+  (void) g_timeout_add (for_ms, on_link_recovered, recovery);
+  (void) g_timeout_add ((guint) g_rand_int_range (rand, REFUSE_GAP_MIN_MS, REFUSE_GAP_MAX_MS),
+                        on_refusal, data);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 end_process (const FaultTargets *targets, const GPtrArray *from)
 {
@@ -146,9 +180,15 @@
 void
 faults_begin (const FaultTargets *targets)
 {
+  const SoakOptions *options = targets->soak->options;
+
   worker_faults_begin (targets->workers);
-  if (targets->soak->options->only == NULL)
-    (void) g_timeout_add (FIRST_MS, on_fault, (gpointer) targets);
+  if (options->only != NULL)
+    return;
+  (void) g_timeout_add (FIRST_MS, on_fault, (gpointer) targets);
+  /* Builds before 43afb37 take a refusal for a proof that nothing was written, and lose appends. */
+  if (options->previous == NULL)
+    (void) g_timeout_add (FIRST_MS, on_refusal, (gpointer) targets);
 }
 
 void
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "process.h"
-#include "proxy.h"
+#include "support/proxy.h"
 #include "worker.h"
 
 G_BEGIN_DECLS
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -36,6 +36,8 @@
 /** Interval of the clock check; a gap above #STALL_MS means that the soak itself was suspended. */
 #define CLOCK_CHECK_MS 100
 #define STALL_MS 1000
+/** Start of the lines that the store stand-in writes when an entry has broken the store's rules. */
+#define STORE_BROKEN "standin-store: BROKEN"
 
 typedef struct
 {
@@ -50,6 +52,7 @@
   GMainLoop *loop;
   uint32_t n_unexpected_exits;
   uint32_t n_not_rolled;
+  uint32_t n_store_broken; /**< lines of the store stand-in that were noted */
   int64_t clock_checked_ms;
   int64_t calm_since_ms; /**< start of the phase without faults and new jobs; 0: not reached */
   gboolean was_stopped;
@@ -220,6 +223,26 @@
   return run->workers != NULL;
 }
 
+/* Notes what the store stand-in has newly reported. */
+static void
+check_store_log (Run *run)
+{
+  g_autofree char *path = g_build_filename (run->soak.options->folder, "store.log", NULL);
+  g_autofree char *text = NULL;
+  uint32_t n_broken = 0;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return;
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      if (!g_str_has_prefix (*line, STORE_BROKEN) || ++n_broken <= run->n_store_broken)
+        continue;
+      run->n_store_broken = n_broken;
+      soak_log (&run->soak, "BROKEN: %s", *line);
+    }
+}
+
 /* A suspended machine disturbs all processes, so the undisturbed period starts again. */
 static gboolean
 on_clock_check (gpointer data)
@@ -227,6 +250,7 @@
   Run *run = data;
   int64_t now_ms = soak_now_ms (&run->soak);
 
+  check_store_log (run);
   if (now_ms - run->clock_checked_ms > STALL_MS)
     {
       soak_log (&run->soak, "the soak was suspended for %" G_GINT64_FORMAT " ms",
@@ -338,12 +362,14 @@
   (void) g_timeout_add_seconds (options->fault_s, on_faults_over, run);
   g_main_loop_run (run->loop);
   end_processes (run);
+  check_store_log (run);
   g_autofree char *summary = checker_summary (run->checker);
   const char *roll = run->roll == NULL ? "" : options->is_back ? " roll=back" : " roll=forward";
-  (void) printf ("seed=%u %s own_ends=%u%s%s\n", options->seed, summary, run->n_unexpected_exits,
-                 roll, run->was_stopped ? " stopped" : "");
+  (void) printf ("seed=%u %s own_ends=%u store_broken=%u%s%s\n", options->seed, summary,
+                 run->n_unexpected_exits, run->n_store_broken, roll,
+                 run->was_stopped ? " stopped" : "");
   return run->was_stopped || checker_n_violations (run->checker) > 0 || run->n_unexpected_exits > 0
-         || run->n_not_rolled > 0;
+         || run->n_not_rolled > 0 || run->n_store_broken > 0;
 }
 
 static int
--- a/tests/soak/proxy.c
+++ b/tests/support/proxy.c
@@ -40,12 +40,14 @@
 
 struct Proxy
 {
-  int listener;
+  int listener; /**< -1: connections are refused */
   guint source;
   guint tick;
+  struct sockaddr_in address;
   struct sockaddr_in server;
   ProxyMode mode;
   uint32_t delay_ms;
+  int64_t refuse_from_us; /**< end of the time in which #PROXY_RESET_AND_REFUSE passes requests */
   GPtrArray *connections; /**< Connection */
 };
 
@@ -53,7 +55,7 @@
 proxy_mode_name (ProxyMode mode)
 {
   static const char *const names[PROXY_MODE_COUNT]
-      = { "pass", "delay", "hold_out", "hold_back", "hold", "reset" };
+      = { "pass", "delay", "hold_out", "hold_back", "hold", "reset", "reset_and_refuse" };
 
   return names[mode];
 }
@@ -80,7 +82,9 @@
       if (direction->source != 0)
         g_source_remove (direction->source);
       g_queue_free_full (direction->chunks, chunk_free);
-      (void) setsockopt (direction->from, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      /* A reset could discard a request that the server has not read yet. */
+      if (direction->is_out || connection->proxy->mode != PROXY_RESET_AND_REFUSE)
+        (void) setsockopt (direction->from, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
       (void) close (direction->from);
     }
   g_free (connection);
@@ -89,6 +93,8 @@
 static gboolean
 is_held (const Proxy *proxy, const Direction *direction)
 {
+  if (proxy->mode == PROXY_RESET_AND_REFUSE)
+    return !direction->is_out;
   return proxy->mode == PROXY_HOLD
          || proxy->mode == (direction->is_out ? PROXY_HOLD_OUT : PROXY_HOLD_BACK);
 }
@@ -114,7 +120,7 @@
   while (!g_queue_is_empty (direction->chunks) && !is_held (proxy, direction))
     {
       Chunk *chunk = g_queue_peek_head (direction->chunks);
-      if (chunk->due_us > clk_now_us ())
+      if (chunk->due_us > clk_now_us () && proxy->mode != PROXY_RESET_AND_REFUSE)
         return TRUE;
       if (chunk->bytes == NULL)
         return FALSE;
@@ -162,16 +168,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-static gboolean
-on_tick (gpointer data)
-{
-  Proxy *proxy = data;
-
-  for (guint i = proxy->connections->len; i > 0; i--)
-    forward_connection (proxy, g_ptr_array_index (proxy->connections, i - 1));
-  return G_SOURCE_CONTINUE;
-}
-
 static void
 add_connection (Proxy *proxy, int client, int server)
 {
@@ -217,6 +213,56 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Returns FALSE when the address can't be listened on. */
+static gboolean
+open_listener (Proxy *proxy)
+{
+  const int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  (void) setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (const struct sockaddr *) &proxy->address, sizeof proxy->address) != 0
+      || listen (fd, BACKLOG) != 0)
+    {
+      (void) close (fd);
+      return FALSE;
+    }
+  proxy->listener = fd;
+  proxy->source = g_unix_fd_add (fd, G_IO_IN, on_client, proxy);
+  return TRUE;
+}
+
+static void
+close_listener (Proxy *proxy)
+{
+  if (proxy->listener < 0)
+    return;
+  g_source_remove (proxy->source);
+  (void) close (proxy->listener);
+  proxy->listener = -1;
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  Proxy *proxy = data;
+
+  for (guint i = proxy->connections->len; i > 0; i--)
+    forward_connection (proxy, g_ptr_array_index (proxy->connections, i - 1));
+  if (proxy->mode != PROXY_RESET_AND_REFUSE)
+    {
+      /* Retried on the next tick while something holds the address. */
+      if (proxy->listener < 0)
+        (void) open_listener (proxy);
+    }
+  else if (clk_now_us () >= proxy->refuse_from_us)
+    {
+      close_listener (proxy);
+      g_ptr_array_set_size (proxy->connections, 0);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
 static gboolean
 set_address (struct sockaddr_in *address, const char *ip, uint16_t port)
 {
@@ -228,23 +274,15 @@
 proxy_new (const char *ip, const char *server_ip, uint16_t port, GError **error)
 {
   Proxy *proxy = g_new0 (Proxy, 1);
-  struct sockaddr_in address;
-  const int on = 1;
 
-  proxy->connections = g_ptr_array_new_with_free_func (connection_free);
-  proxy->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  (void) setsockopt (proxy->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (!set_address (&address, ip, port) || !set_address (&proxy->server, server_ip, port)
-      || bind (proxy->listener, (const struct sockaddr *) &address, sizeof address) != 0
-      || listen (proxy->listener, BACKLOG) != 0)
+  if (!set_address (&proxy->address, ip, port) || !set_address (&proxy->server, server_ip, port)
+      || !open_listener (proxy))
     {
       err_set (error, ERR_REFUSED, "cannot listen on %s:%u", ip, port);
-      (void) close (proxy->listener);
-      g_ptr_array_unref (proxy->connections);
       g_free (proxy);
       return NULL;
     }
-  proxy->source = g_unix_fd_add (proxy->listener, G_IO_IN, on_client, proxy);
+  proxy->connections = g_ptr_array_new_with_free_func (connection_free);
   proxy->tick = g_timeout_add (TICK_MS, on_tick, proxy);
   return proxy;
 }
@@ -252,10 +290,9 @@
 void
 proxy_free (Proxy *proxy)
 {
-  g_source_remove (proxy->source);
+  close_listener (proxy);
   g_source_remove (proxy->tick);
   g_ptr_array_unref (proxy->connections);
-  (void) close (proxy->listener);
   g_free (proxy);
 }
 
@@ -264,4 +301,8 @@
 {
   proxy->mode = mode;
   proxy->delay_ms = delay_ms;
+  proxy->refuse_from_us = clk_now_us () + (int64_t) PROXY_PASS_MS * CLK_US_PER_MS;
+  /* A listener that can't be opened at once is opened on a tick. */
+  if (mode != PROXY_RESET_AND_REFUSE && proxy->listener < 0)
+    (void) open_listener (proxy);
 }
--- a/tests/soak/proxy.h
+++ b/tests/support/proxy.h
@@ -1,15 +1,18 @@
 /**
  * @file proxy.h
- * TCP proxy on the loopback that can delay, block or reset its connections.
+ * TCP proxy on the loopback that can delay, block, reset or refuse its connections.
  */
 #pragma once
 
-#include "soak.h"
+#include <glib.h>
+#include <stdint.h>
 
 G_BEGIN_DECLS
 
 typedef struct Proxy Proxy;
 
+#define PROXY_PASS_MS 250
+
 typedef enum
 {
   PROXY_PASS,
@@ -18,6 +21,9 @@
   PROXY_HOLD_BACK, /**< bytes to the client are buffered */
   PROXY_HOLD,      /**< bytes of both directions are buffered */
   PROXY_RESET,     /**< all connections are reset, also new ones */
+  /** Answers are lost, while requests still pass, for #PROXY_PASS_MS; then all connections are
+   * reset and new ones refused until the mode changes. */
+  PROXY_RESET_AND_REFUSE,
   PROXY_MODE_COUNT,
 } ProxyMode;
 
