--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -2,6 +2,8 @@
 # shellcheck shell=bash
 
 BUILD=${BUILD:-build}
+# The programs under test; with those of an older build, a test shows whether it finds their faults.
+PROGRAMS=${PROGRAMS:-$BUILD/bin}
 dir=$(mktemp -d)
 pids=()
 store=127.0.0.1:29100
@@ -50,7 +52,7 @@
 store.address = "$from"
 ${entry_settings:-}
 TOML
-  "$BUILD/bin/acacia-scheduler" --config "$dir/$name.toml" >"$dir/$name.log" 2>&1 &
+  "$PROGRAMS/acacia-scheduler" --config "$dir/$name.toml" >"$dir/$name.log" 2>&1 &
   pids+=($!)
 }
 
