emulator: workers that leave live on behind a cut that refuses connections

The rigs could not see the fault that mends: the emulator's workers refused connections only when they were down. With the new option a leave arrives, its answer is lost, and the worker refuses everything for 3 s.

--- a/tests/emulator/test_emulator.c
+++ b/tests/emulator/test_emulator.c
@@ -47,10 +47,11 @@
 }
 
 static gboolean
-holds (uint64_t seed)
+holds (uint64_t seed, gboolean has_cut_leaves)
 {
   EmulatorOptions options = emulator_options (seed);
 
+  options.has_cut_leaves = has_cut_leaves;
   options.skipped_faults = read_number ("EMULATOR_SKIP", 0);
   g_autoptr (EmulatorResult) result = emulator_play (&options);
   if (result->violations->len > 0)
@@ -59,26 +60,40 @@
 }
 
 static void
-test_rules_hold_in_random_schedules (void **state)
+play_schedules (gboolean has_cut_leaves)
 {
   uint64_t first = read_number ("EMULATOR_FIRST_SEED", FIRST_SEED_DEFAULT);
   uint64_t n_seeds = read_number ("EMULATOR_SEEDS", SEEDS_DEFAULT);
   uint64_t n_broken = 0;
   int64_t begin_us = g_get_monotonic_time ();
 
-  (void) state;
   for (uint64_t i = 0; i < n_seeds; i++)
-    n_broken += !holds (first + i);
+    n_broken += !holds (first + i, has_cut_leaves);
   printf ("%" G_GUINT64_FORMAT " schedules, %" G_GUINT64_FORMAT " broken, %.1f s\n", n_seeds,
           n_broken, (double) (g_get_monotonic_time () - begin_us) / G_USEC_PER_SEC);
   assert_int_equal (n_broken, 0);
 }
 
+static void
+test_rules_hold_in_random_schedules (void **state)
+{
+  (void) state;
+  play_schedules (FALSE);
+}
+
+static void
+test_leaving_workers_that_refuse_are_not_taken_for_gone (void **state)
+{
+  (void) state;
+  play_schedules (TRUE);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rules_hold_in_random_schedules),
+    cmocka_unit_test (test_leaving_workers_that_refuse_are_not_taken_for_gone),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/support/emulator.h
+++ b/tests/support/emulator.h
@@ -21,6 +21,7 @@
   int64_t quiet_ms;          /**< time after it, in which all jobs must end */
   gboolean has_older_builds; /**< processes are rolled between the current and an older build */
   gboolean has_late_calls;   /**< calls without an answer may be carried out seconds later */
+  gboolean has_cut_leaves;   /**< workers that leave live on for a while and refuse connections */
   uint64_t skipped_faults;   /**< bit i: fault i of the schedule is left out */
 } EmulatorOptions;
 
--- a/tests/support/emulator_private.h
+++ b/tests/support/emulator_private.h
@@ -147,6 +147,7 @@
   gboolean is_draining;
   gboolean guards_capacity;
   int64_t trouble_until_us; /**< calls stay without an answer */
+  int64_t refused_until_us; /**< connections are refused, also those to its agent */
   uint64_t n_lives;
 } EmuWorker;
 
--- a/tests/support/emulator_worker.c
+++ b/tests/support/emulator_worker.c
@@ -13,6 +13,8 @@
 #define UNANSWERED_PERCENT 15
 #define LATE_PERCENT 20
 #define DRAIN_MS 2500
+/** How long a worker lives on after its leave if it does not learn that the leave arrived. */
+#define CUT_LEAVE_MS 3000
 #define RESET_PERCENT 80
 
 static int64_t
@@ -364,6 +366,12 @@
   EmuWorker *worker = ctx;
   EmuCall *call = data;
 
+  if (worker->emu->now_us < worker->refused_until_us)
+    {
+      call->answer = (RunnerAnswer){ .outcome = RUNNER_NOT_SENT, .clock_ms = -1 };
+      answer (call);
+      return;
+    }
   call->answer.outcome = judge_call (worker, call);
   call->answer.clock_ms = worker->process.is_up ? clock_ms (worker) : -1;
   if (call->answer.outcome == RUNNER_OK && call->kind == EMU_CALL_POLL)
@@ -463,16 +471,18 @@
 {
   EmuWorker *worker = ctx;
   Emulator *emu = worker->emu;
-  Beat *message = g_new0 (Beat, 1);
   gboolean is_late = emu->now_us < worker->trouble_until_us && emu_chance (emu, 15);
   EmuProcess *agent = &emu->agents[worker->index].process;
 
   (void) data;
+  emu_after (emu, BEAT_MS * CLK_US_PER_MS, &worker->process, beat, worker, NULL, NULL);
+  if (emu->now_us < worker->refused_until_us)
+    return;
+  Beat *message = g_new0 (Beat, 1);
   *message = (Beat){ worker, describe (worker) };
   emu_after (emu,
              is_late ? emu_between (emu, 500, 6000) * CLK_US_PER_MS : emu_between (emu, 200, 2500),
              agent->is_up ? agent : NULL, on_beat_arrived, worker, message, beat_free);
-  emu_after (emu, BEAT_MS * CLK_US_PER_MS, &worker->process, beat, worker, NULL, NULL);
 }
 
 void
@@ -495,6 +505,7 @@
   worker->clock_base_ms = emu_chance (emu, 50) ? 0 : emu_between (emu, 0, 500000);
   worker->start_us = emu->now_us;
   worker->fence = 0;
+  worker->refused_until_us = 0;
   worker->lease_ms = 0;
   worker->is_lease_checked = FALSE;
   worker->n_ends = 0;
@@ -548,15 +559,32 @@
   emu_worker_clear (worker);
 }
 
+static void
+on_cut_leave_over (gpointer ctx, gpointer data)
+{
+  (void) data;
+  emu_worker_crash (ctx);
+}
+
+/* With a cut, the leave arrives, its answer is lost, and the worker ends later. */
 static void
 on_left (gpointer ctx, gpointer data)
 {
   EmuWorker *worker = ctx;
-  EmuAgent *agent = &worker->emu->agents[worker->index];
+  Emulator *emu = worker->emu;
+  EmuAgent *agent = &emu->agents[worker->index];
 
   (void) data;
-  emu_worker_crash (worker);
-  if (agent->process.is_up && agent->process.frozen_until_us <= worker->emu->now_us)
+  if (emu->options.has_cut_leaves)
+    {
+      worker->refused_until_us = emu->now_us + CUT_LEAVE_MS * CLK_US_PER_MS;
+      emu_trace (emu, worker->process.name, "left, is cut off with resets");
+      emu_after (emu, CUT_LEAVE_MS * CLK_US_PER_MS, &worker->process, on_cut_leave_over, worker,
+                 NULL, NULL);
+    }
+  else
+    emu_worker_crash (worker);
+  if (agent->process.is_up && agent->process.frozen_until_us <= emu->now_us)
     supervisor_worker_left (agent->supervisor, worker->id);
 }
 
@@ -574,12 +602,13 @@
 emu_worker_drain (EmuWorker *worker)
 {
   Emulator *emu = worker->emu;
+  int64_t end_ms = DRAIN_MS + (emu->options.has_cut_leaves ? CUT_LEAVE_MS : 0);
 
   if (!worker->process.is_up || worker->is_draining)
     return;
   worker->is_draining = TRUE;
   emu_trace (emu, worker->process.name, "draining");
   emu_after (emu, DRAIN_MS * CLK_US_PER_MS, &worker->process, on_left, worker, NULL, NULL);
-  emu_after (emu, (DRAIN_MS + emu_between (emu, 100, 3000)) * CLK_US_PER_MS, NULL, on_back, worker,
+  emu_after (emu, (end_ms + emu_between (emu, 100, 3000)) * CLK_US_PER_MS, NULL, on_back, worker,
              NULL, NULL);
 }
