front: a cancel is not acknowledged before it is written

Callers saw a cancel answered with 200 whose job started tasks later (UNASKED). Cause: an entry that is behind and does not know the job asks another one. If no answer came within 400 ms and the entry had read the job itself meanwhile, it answered the cancel with the job's state, as it answers a GET, and wrote nothing.

--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -297,9 +297,12 @@
 on_cancel_answered (void *ctx, gboolean is_answered, gboolean is_known, SchedJobState state)
 {
   PendingRequest *pending = ctx;
+  const Ledger *ledger = pending->front->entry->ledger;
+  SchedJobState own = SCHED_QUEUED;
 
   (void) state;
-  if (is_answered && is_known)
+  /* This entry may have read the job while it waited for the answer. */
+  if ((is_answered && is_known) || ledger_job_state (ledger_job (ledger, pending->id), &own))
     write_cancel (pending->front, pending);
   else
     on_state_refreshed (pending, is_answered);
