owner: the first heartbeat of a term is due after its claim

The authority of a term that begins with a repeated claim counts from the first transmission and may be over when the term begins. The first heartbeat was due 500 ms after the take-over, and until it was acknowledged nothing was decided. It is due 500 ms after the claim now, so at once then.

--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -215,7 +215,7 @@
                                 .sent_us = owner->claim_us };
   appender_begin (&owner->appender, &claim);
   g_clear_pointer (&owner->claim_records, g_byte_array_unref);
-  owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
+  owner->renew_us = owner->claim_us + OWNER_RENEW_MS * 1000;
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
   sched_set_evacuations (owner->sched, owner->entry->evacuations);
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -383,7 +383,7 @@
   appender_begin (&entry->appender, &claim);
   g_clear_pointer (&entry->claim_records, g_byte_array_unref);
   entry->is_release = FALSE;
-  entry->renew_us = emu->now_us + RENEW_MS * CLK_US_PER_MS;
+  entry->renew_us = entry->claim_us + RENEW_MS * CLK_US_PER_MS;
   entry->term_serial = emu_serial (emu);
   entry->is_tick_due = entry->is_flush_due = FALSE;
   entry->sched = sched_new (&options);
