tests: one server that resets a connection that is used again

net/test_net_client_resets had a server of its own beside the one of tests/support/reset_server.h, which came with the neon tests. It uses that one now, on a port that the system chooses.

--- a/tests/net/test_net_client_resets.c
+++ b/tests/net/test_net_client_resets.c
@@ -1,97 +1,18 @@
 /* The HTTP client when a connection that it reuses is reset after a request passed. */
-#include <arpa/inet.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "net/net_client.h"
+#include "support/reset_server.h"
 
-#define PORT 28723
-#define URL "http://127.0.0.1:" G_STRINGIFY (PORT) "/x"
 #define TIMEOUT_MS 2000
 #define READS 20
 #define EMPTY_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 #define BUSY_ANSWER "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
-/* Answers the first request of a connection, and resets it when the second one has arrived. */
-typedef struct
-{
-  int listener;
-  gboolean refuses_next; /* otherwise requests of the next connection are answered with 503 */
-  uint32_t n_requests;
-  pthread_t thread;
-} ResetServer;
-
-static gboolean
-receive_request (ResetServer *server, int fd)
-{
-  char request[1024];
-
-  if (recv (fd, request, sizeof request, 0) <= 0)
-    return FALSE;
-  server->n_requests++;
-  return TRUE;
-}
-
-static void
-reset (int fd)
-{
-  const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
-
-  (void) setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-  (void) close (fd);
-}
-
-static void *
-serve (void *data)
-{
-  ResetServer *server = data;
-  int first = accept (server->listener, NULL, NULL);
-
-  (void) receive_request (server, first);
-  (void) send (first, EMPTY_ANSWER, strlen (EMPTY_ANSWER), MSG_NOSIGNAL);
-  (void) receive_request (server, first);
-  if (server->refuses_next)
-    (void) shutdown (server->listener, SHUT_RDWR);
-  reset (first);
-  int next = accept (server->listener, NULL, NULL);
-  if (next < 0)
-    return NULL;
-  if (receive_request (server, next))
-    (void) send (next, BUSY_ANSWER, strlen (BUSY_ANSWER), MSG_NOSIGNAL);
-  (void) close (next);
-  return NULL;
-}
-
-static void
-server_start (ResetServer *server, gboolean refuses_next)
-{
-  const int yes = 1;
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (PORT) };
-
-  (void) inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
-  *server = (ResetServer){ .refuses_next = refuses_next };
-  server->listener = socket (AF_INET, SOCK_STREAM, 0);
-  (void) setsockopt (server->listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  assert_int_equal (bind (server->listener, (struct sockaddr *) &address, sizeof address), 0);
-  assert_int_equal (listen (server->listener, 4), 0);
-  assert_int_equal (pthread_create (&server->thread, NULL, serve, server), 0);
-}
-
-static void
-server_stop (ResetServer *server)
-{
-  (void) shutdown (server->listener, SHUT_RDWR);
-  (void) pthread_join (server->thread, NULL);
-  (void) close (server->listener);
-}
-
 typedef struct
 {
   gboolean is_done;
@@ -108,9 +29,10 @@
 }
 
 static Result
-call_once (NetClient *client, const char *method)
+call_once (NetClient *client, uint16_t port, const char *method)
 {
-  const NetCall call = { .method = method, .url = URL, .timeout_ms = TIMEOUT_MS };
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u/x", port);
+  const NetCall call = { .method = method, .url = url, .timeout_ms = TIMEOUT_MS };
   Result result = { 0 };
 
   net_client_call (client, &call, on_answer, NULL, &result);
@@ -125,11 +47,11 @@
 {
   NetClient *client = net_client_new ();
 
-  server_start (server, refuses_next);
-  assert_int_equal (call_once (client, method).status, 200);
-  Result result = call_once (client, method);
+  reset_server_start (server, EMPTY_ANSWER, refuses_next ? NULL : BUSY_ANSWER);
+  assert_int_equal (call_once (client, server->port, method).status, 200);
+  Result result = call_once (client, server->port, method);
   net_client_free (client);
-  server_stop (server);
+  reset_server_stop (server);
   return result;
 }
 
