--- a/lib/ledger/appender.c
+++ b/lib/ledger/appender.c
@@ -48,7 +48,6 @@
 {
   g_assert (appender->records == NULL && !appender->is_under_way);
   appender->records = records;
-  appender->n_transmitted = 0;
 }
 
 void
