agent, owner: a list of ends that may be cut off proves no run gone

Cause: a worker lists 500 ends at a time. A run in neither of its lists was taken for gone, by the agent at a poll and by the owner at a full report, so its task was started elsewhere. Absence from a list that may be cut off proves nothing.

Change: an answer says whether its list of ends may be cut off. Agents hold what is not listed and say so in reports (Report.has_more_ends); the owner drops nothing by such a report, a new owner waits for the rest, for at most 10 s without further ends. The same cause elsewhere: runs with an unlisted end counted as lost in a crash; a load from the store ended without its last pages when a page had no key to continue after, or was repeated.

Beside older builds: owners that do not know the field ignore it, and drop no run that the agent's process knows, since it goes on to be reported.

The stand-in runner lists 500 ends at a time, as the platform does, and reports progress.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -4143,7 +4143,7 @@
   (ProtobufCMessageInit) batch__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor batch__report__field_descriptors[17] =
 {
   {
     "epoch",
@@ -4337,6 +4337,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_more_ends",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Report, has_more_ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -4346,6 +4358,7 @@
   7,   /* field[7] = ended */
   0,   /* field[0] = epoch */
   12,   /* field[12] = gone */
+  16,   /* field[16] = has_more_ends */
   9,   /* field[9] = is_leaving */
   14,   /* field[14] = level */
   3,   /* field[3] = life */
@@ -4359,7 +4372,7 @@
 static const ProtobufCIntRange batch__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor batch__report__descriptor =
 {
@@ -4369,7 +4382,7 @@
   "Batch__Report",
   "batch",
   sizeof(Batch__Report),
-  16,
+  17,
   batch__report__field_descriptors,
   batch__report__field_indices_by_name,
   1,  batch__report__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -745,10 +745,14 @@
   uint32_t level;
   size_t n_crashes;
   Batch__Crash **crashes;
+  /*
+   * the worker lists further ends only once these are written: a run that is
+   */
+  protobuf_c_boolean has_more_ends;
 };
 #define BATCH__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__report__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /* Batch__Submission methods */
--- a/lib/batch/sched_reconcile.c
+++ b/lib/batch/sched_reconcile.c
@@ -1,8 +1,12 @@
 /* The first seconds of a term: tasks that a previous owner may have started. */
 #include "batch/sched_tables.h"
 
-/* Whether each agent has reported, or, if @p or_confined, is known to run nothing but certain
- * tasks. */
+/** While workers have more ends than they list, and the owner gets no further ends of them for this
+ * long, it does not wait for the others. */
+#define ENDS_HELD_MS 10000
+
+/* Whether each agent has reported in full, or, if @p or_confined, is known to run nothing but
+ * certain tasks. */
 static gboolean
 all_reported (const Sched *sched, gboolean or_confined)
 {
@@ -13,7 +17,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const SchedWorker *worker = value;
-      if (worker->report_us == 0 && !(or_confined && worker->confined != NULL))
+      if ((worker->report_us == 0 || worker->has_more_ends)
+          && !(or_confined && worker->confined != NULL))
         return FALSE;
     }
   return or_confined || g_hash_table_size (sched->workers) > 0;
@@ -59,12 +64,38 @@
     g_clear_pointer (&((SchedWorker *) value)->confined, g_hash_table_destroy);
 }
 
+/* Whether tasks of earlier owners may have ends that workers have yet to list. No expired lease
+ * says that such a task has to run again. */
+static gboolean
+awaits_ends (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  gboolean has_more = FALSE;
+  int64_t newest = 0;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SchedWorker *worker = value;
+      if (worker->report_us == 0 || !worker->has_more_ends)
+        continue;
+      has_more = TRUE;
+      newest += worker->ends_applied;
+    }
+  sched->reconcile_held_ms
+      = newest == sched->reconcile_ends ? sched->reconcile_held_ms + sched->pass_ms : 0;
+  sched->reconcile_ends = newest;
+  return has_more && sched->reconcile_held_ms <= ENDS_HELD_MS;
+}
+
 void
 sched_reconcile (Sched *sched)
 {
   if (sched->reconcile_until_us == 0)
     return;
-  if (sched->now_us < sched->reconcile_until_us && !all_reported (sched, FALSE))
+  gboolean is_expired = sched->now_us >= sched->reconcile_until_us && !awaits_ends (sched);
+  if (!is_expired && !all_reported (sched, FALSE))
     {
       if (all_reported (sched, TRUE))
         release_all (sched, FALSE);
--- a/lib/batch/sched_remediation.c
+++ b/lib/batch/sched_remediation.c
@@ -36,6 +36,9 @@
   const JobStep *step = task->stage->step;
   int64_t limit_ms = step->is_best_effort ? STALL_BEST_EFFORT_MS : STALL_MS;
 
+  /* The end of the task may not be listed yet. */
+  if (task->worker->has_more_ends)
+    return FALSE;
   if (task->is_starting || task->is_stopping || task->cpu_limit < SCHED_CPU_LIMIT_NONE)
     return FALSE;
   if (step->is_continuous && task->percent >= 100)
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -428,7 +428,7 @@
     apply_gone (sched, worker, report->gone[i]);
   for (size_t i = 0; i < report->n_running; i++)
     apply_running (sched, worker, report->running[i]);
-  if (is_whole)
+  if (is_whole && !report->has_more_ends)
     drop_unlisted (sched, worker);
 }
 
@@ -444,6 +444,17 @@
   return (int64_t) MIN (age_us, MEASUREMENT_AGE_MAX_MS * CLK_US_PER_MS);
 }
 
+static void
+note_more_ends (Sched *sched, SchedWorker *worker, const Batch__Report *report)
+{
+  if (worker->has_more_ends != report->has_more_ends)
+    sched_note (sched, report->has_more_ends ? "ends_cut_off" : "ends_complete", "-",
+                "worker=%s running=%zu ended=%zu placed=%u ends_written=%" G_GINT64_FORMAT,
+                worker->name, report->n_running, report->n_ended, worker->tasks->len,
+                worker->ends_written);
+  worker->has_more_ends = report->has_more_ends;
+}
+
 void
 sched_apply_report (Sched *sched, const char *agent, const Batch__Report *report, int64_t now_us)
 {
@@ -472,10 +483,15 @@
       begin_incarnation (sched, worker, report);
     }
   worker->report_version = report->version;
+  /* Only a full report shows which of the runs that it did not list before are gone. */
+  if (worker->has_more_ends && !report->has_more_ends && report->since != 0)
+    worker->report_version = 0;
+  note_more_ends (sched, worker, report);
   worker->done_number = report->done_number;
   worker->report_us = now_us;
   worker->has_reported = TRUE;
-  g_clear_pointer (&worker->confined, g_hash_table_destroy);
+  if (!worker->has_more_ends)
+    g_clear_pointer (&worker->confined, g_hash_table_destroy);
   worker->measured_us = now_us - measurement_age_us (report);
   worker->no_report_us = 0;
   worker->is_message_due = TRUE;
--- a/lib/batch/sched_silent.c
+++ b/lib/batch/sched_silent.c
@@ -24,7 +24,8 @@
 static gboolean
 are_tasks_known (const Sched *sched, const SchedWorker *worker)
 {
-  return worker->has_reported || worker->confined != NULL || sched->reconcile_until_us == 0;
+  return (worker->has_reported && !worker->has_more_ends) || worker->confined != NULL
+         || sched->reconcile_until_us == 0;
 }
 
 static gboolean
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -238,10 +238,11 @@
   gboolean has_suspect;   /**< a suspect was started here; it may have been cleared since */
   uint64_t reserved_pass; /**< pass in which it was last kept for such a task */
   gboolean is_leaving;
-  gboolean has_reported; /**< in this term */
-  GHashTable *confined;  /**< set of the tasks that may run there, as the previous owner published;
-                            NULL: not known */
-  GPtrArray *tasks;      /**< SchedTask placed on this worker */
+  gboolean has_reported;  /**< in this term */
+  gboolean has_more_ends; /**< runs that its newest report does not list may have ended */
+  GHashTable *confined;   /**< set of the tasks that may run there, as the previous owner published;
+                             NULL: not known */
+  GPtrArray *tasks;       /**< SchedTask placed on this worker */
   GHashTable *orphaned_runs; /**< set of "task run": runs that should not exist */
   JobSize used;              /**< reserved resources; CPU without that of best-effort tasks */
   int64_t best_effort_cpu_m; /**< CPU requested by best-effort tasks */
@@ -266,17 +267,19 @@
   gboolean are_starts_held;
   uint64_t term;
   int64_t reconcile_until_us;
-  GHashTable *published;  /**< set of agents in the newest written record of silent ones */
-  GHashTable *publishing; /**< the same for a record that is being written; NULL for none */
-  GHashTable *jobs;       /**< id -> SchedJob */
-  GHashTable *open;       /**< set of SchedJob that are queued or running */
-  GQueue *ended;          /**< SchedJob that are not open, oldest end first */
-  GHashTable *workers;    /**< agent name -> SchedWorker */
-  char *forgetting;       /**< agent whose record is being deleted; NULL for none */
-  GHashTable *dirty;      /**< SchedJob whose progress has to be written */
-  GHashTable *flushing;   /**< SchedJob in the open flush, owned by it; NULL for none */
-  GHashTable *pending;    /**< queue name -> number of jobs that have not begun */
-  GHashTable *durations;  /**< queue name -> SchedDurations */
+  int64_t reconcile_ends;    /**< sum of the newest ends of workers that have more of them */
+  int64_t reconcile_held_ms; /**< for this long that sum has not changed */
+  GHashTable *published;     /**< set of agents in the newest written record of silent ones */
+  GHashTable *publishing;    /**< the same for a record that is being written; NULL for none */
+  GHashTable *jobs;          /**< id -> SchedJob */
+  GHashTable *open;          /**< set of SchedJob that are queued or running */
+  GQueue *ended;             /**< SchedJob that are not open, oldest end first */
+  GHashTable *workers;       /**< agent name -> SchedWorker */
+  char *forgetting;          /**< agent whose record is being deleted; NULL for none */
+  GHashTable *dirty;         /**< SchedJob whose progress has to be written */
+  GHashTable *flushing;      /**< SchedJob in the open flush, owned by it; NULL for none */
+  GHashTable *pending;       /**< queue name -> number of jobs that have not begun */
+  GHashTable *durations;     /**< queue name -> SchedDurations */
   int64_t now_us;
   int64_t wall_ms;
   int64_t utilisation_noted_us;
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -131,12 +131,23 @@
     finish_refresh (g_ptr_array_steal_index (feed->waiting, 0), FALSE);
 }
 
+/* Whether the store answers with the page before the one that was asked for. What follows is not
+ * known then. */
+static gboolean
+repeats_page (const Feed *feed, const StoreAnswer *answer)
+{
+  if (answer->next_page == NULL || g_strcmp0 (answer->next_page, feed->page) != 0)
+    return FALSE;
+  line_add ("feed", "page_repeats", "topic=%s page=%s", feed->options.topic, feed->page);
+  return TRUE;
+}
+
 static void
 on_page (void *ctx, const StoreAnswer *answer)
 {
   Feed *feed = ctx;
 
-  if (answer->outcome != STORE_OK)
+  if (answer->outcome != STORE_OK || repeats_page (feed, answer))
     {
       handle_failure (feed, answer);
       fail_waiting (feed);
@@ -147,15 +158,13 @@
   deliver_all (feed, answer);
   if (feed->load_end < 0)
     feed->load_end = answer->end_offset;
-  if (answer->next_page != NULL && g_strcmp0 (answer->next_page, feed->page) != 0)
+  if (answer->next_page != NULL)
     {
       g_free (feed->page);
       feed->page = g_strdup (answer->next_page);
       send_read (feed);
       return;
     }
-  if (answer->next_page != NULL)
-    line_add ("feed", "page_repeats", "topic=%s page=%s", feed->options.topic, feed->page);
   /* The pages are not a snapshot, so records appended since the load began are read again. */
   feed->next = feed->load_end;
   feed->is_loading = FALSE;
--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -70,6 +70,7 @@
   supervisor->leased_until_us = supervisor_now_us (supervisor) + options->grant_ms * 1000;
   supervisor->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   supervisor->ended = supervisor_ends_new ();
+  supervisor->ended_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   supervisor->refused = rows_new (sizeof (SupervisorRefused), refused_clear);
   supervisor->gone = rows_new (sizeof (SupervisorGone), gone_clear);
   supervisor->replaced = rows_new (sizeof (SupervisorIdentity), identity_clear);
@@ -89,6 +90,7 @@
   identity_clear (&supervisor->last);
   g_hash_table_destroy (supervisor->rows);
   g_array_unref (supervisor->ended);
+  g_hash_table_destroy (supervisor->ended_keys);
   g_array_unref (supervisor->refused);
   g_array_unref (supervisor->gone);
   g_array_unref (supervisor->replaced);
@@ -181,6 +183,8 @@
   supervisor->info_version = supervisor_next_version (supervisor);
   g_hash_table_remove_all (supervisor->rows);
   g_array_set_size (supervisor->ended, 0);
+  g_hash_table_remove_all (supervisor->ended_keys);
+  supervisor->has_more_ends = FALSE;
   g_array_set_size (supervisor->gone, 0);
 }
 
--- a/lib/supervisor/supervisor_crashes.c
+++ b/lib/supervisor/supervisor_crashes.c
@@ -24,21 +24,23 @@
 
 /* A run that was ordered after the worker had stopped answering never reached it. */
 static gboolean
-was_lost (const Supervisor *supervisor, const SupervisorRow *row, int64_t crash_us)
+was_lost (const Supervisor *supervisor, const char *key, const SupervisorRow *row, int64_t crash_us)
 {
-  return row->added_us <= crash_us && !supervisor_has_ended (supervisor, row);
+  return row->added_us <= crash_us && !supervisor_has_ended (supervisor, key)
+         && !supervisor_may_have_unlisted_end (supervisor, row);
 }
 
 static uint32_t
 count_lost (const Supervisor *supervisor, int64_t crash_us)
 {
   GHashTableIter iter;
+  gpointer key = NULL;
   gpointer value = NULL;
   uint32_t n_lost = 0;
 
   g_hash_table_iter_init (&iter, supervisor->rows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    n_lost += was_lost (supervisor, value, crash_us);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    n_lost += was_lost (supervisor, key, value, crash_us);
   return n_lost;
 }
 
@@ -63,6 +65,7 @@
 supervisor_note_crash (Supervisor *supervisor)
 {
   GHashTableIter iter;
+  gpointer key = NULL;
   gpointer value = NULL;
 
   if (!supervisor_is_known (supervisor) || supervisor->is_gone || supervisor->info->is_draining)
@@ -78,9 +81,9 @@
                   supervisor->info->id, supervisor->incarnation,
                   (supervisor_now_us (supervisor) - crash_us) / CLK_US_PER_MS, n_lost);
   g_hash_table_iter_init (&iter, supervisor->rows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      if (was_lost (supervisor, value, crash_us))
+      if (was_lost (supervisor, key, value, crash_us))
         keep_crash (supervisor, value, crash_us, n_lost - 1);
     }
 }
--- a/lib/supervisor/supervisor_poll.c
+++ b/lib/supervisor/supervisor_poll.c
@@ -12,15 +12,16 @@
 #define TAIL_GROWTH_FACTOR 1.3
 
 gboolean
-supervisor_has_ended (const Supervisor *supervisor, const SupervisorRow *row)
+supervisor_has_ended (const Supervisor *supervisor, const char *key)
 {
-  for (guint i = 0; i < supervisor->ended->len; i++)
-    {
-      const WorkerEnd *end = &g_array_index (supervisor->ended, SupervisorEnd, i).end;
-      if (end->run == row->run && strcmp (end->task, row->task) == 0)
-        return TRUE;
-    }
-  return FALSE;
+  return g_hash_table_contains (supervisor->ended_keys, key);
+}
+
+gboolean
+supervisor_may_have_unlisted_end (const Supervisor *supervisor, const SupervisorRow *row)
+{
+  return supervisor->has_more_ends && !row->is_listed && row->state == ROW_STARTED
+         && row->answered_us < supervisor->poll_sent_us;
 }
 
 /* Whether a task's state in a poll should be reported. Small steps are not: the owner does not
@@ -85,16 +86,20 @@
 }
 
 /* Whether a run is over: a poll with complete lists would have listed it if it were still at the
- * worker. */
+ * worker, or its end if that was not written. */
 static gboolean
-has_run_ended (const Supervisor *supervisor, const SupervisorRow *row, int64_t sent_us)
+has_run_ended (const Supervisor *supervisor,
+               const char *key,
+               const SupervisorRow *row,
+               int64_t sent_us)
 {
   if (row->is_listed || row->state == ROW_STARTING)
     return FALSE;
-  if (supervisor_has_ended (supervisor, row))
+  if (supervisor_has_ended (supervisor, key))
     return TRUE;
-  return !supervisor->has_incomplete_lists && row->state == ROW_STARTED
-         && row->answered_us < sent_us && (!row->stop_wanted || row->stop_answered);
+  return !supervisor->has_incomplete_lists && !supervisor->has_more_ends
+         && row->state == ROW_STARTED && row->answered_us < sent_us
+         && (!row->stop_wanted || row->stop_answered);
 }
 
 /* Stops what should have expired. A worker that restarted may have executed a start with a lease by
@@ -123,13 +128,14 @@
 remove_ended_rows (Supervisor *supervisor, int64_t sent_us)
 {
   GHashTableIter iter;
+  gpointer key = NULL;
   gpointer value = NULL;
 
   g_hash_table_iter_init (&iter, supervisor->rows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, &key, &value))
     {
       SupervisorRow *row = value;
-      if (has_run_ended (supervisor, row, sent_us))
+      if (has_run_ended (supervisor, key, row, sent_us))
         {
           supervisor_add_gone (supervisor, row->task, row->run);
           supervisor_changed (supervisor);
@@ -175,6 +181,7 @@
   g_autoptr (GArray) before = supervisor->ended;
 
   supervisor->ended = supervisor_ends_new ();
+  g_hash_table_remove_all (supervisor->ended_keys);
   for (guint i = 0; i < ended->len; i++)
     {
       const WorkerEnd *end = &g_array_index (ended, WorkerEnd, i);
@@ -190,6 +197,7 @@
           supervisor_changed (supervisor);
         }
       g_array_append_val (supervisor->ended, row);
+      (void) g_hash_table_add (supervisor->ended_keys, supervisor_row_key (end->task, end->run));
     }
 }
 
@@ -204,6 +212,12 @@
                     "unreadable=%u running=%u ended=%u", answer->n_unreadable, answer->running->len,
                     answer->ended->len);
   supervisor->has_incomplete_lists = is_incomplete;
+  if (answer->has_more_ends != supervisor->has_more_ends)
+    supervisor_log (supervisor, answer->has_more_ends ? "ends_cut_off" : "ends_complete",
+                    "running=%u ended=%u rows=%u ends_written=%" G_GINT64_FORMAT,
+                    answer->running->len, answer->ended->len, g_hash_table_size (supervisor->rows),
+                    supervisor->ends_written);
+  supervisor->has_more_ends = answer->has_more_ends;
 }
 
 void
@@ -217,6 +231,7 @@
   if (supervisor->incarnation == 0 && supervisor->has_incomplete_lists)
     return;
   supervisor->polled_us = supervisor_now_us (supervisor);
+  supervisor->poll_sent_us = sent_us;
   supervisor->unanswered_us = 0;
   if (supervisor->incarnation == 0)
     {
--- a/lib/supervisor/supervisor_private.h
+++ b/lib/supervisor/supervisor_private.h
@@ -109,9 +109,11 @@
   int64_t clock_ms;        /**< the worker's clock at clock_us; -1: not known */
   int64_t clock_us;
   int64_t polled_us;        /**< when the newest poll was answered */
+  int64_t poll_sent_us;     /**< when that poll was sent */
   int64_t unanswered_us;    /**< when the first poll after that failed; 0: none did */
   GHashTable *rows;         /**< "task run" -> SupervisorRow */
   GArray *ended;            /**< SupervisorEnd that the worker still lists */
+  GHashTable *ended_keys;   /**< set of their row keys */
   int64_t ends_written;     /**< the worker may drop ends up to this number */
   GArray *refused;          /**< SupervisorRefused that the owner has not applied */
   GArray *gone;             /**< SupervisorGone that the owner has not applied */
@@ -130,6 +132,7 @@
   GHashTable *calls; /**< SupervisorCall under way, as a set */
   gboolean is_leaving;
   gboolean has_incomplete_lists; /**< the newest poll listed what could not be decoded */
+  gboolean has_more_ends;        /**< its list of ends may be cut off */
   gboolean forbids_starts;       /**< the owner forbade starts in its newest message */
   gboolean has_left;             /**< the worker said that it shuts down; it may still answer */
   gboolean is_gone;              /**< it has left, and does not answer any more */
@@ -210,8 +213,10 @@
 void supervisor_report_crashes (const Supervisor *supervisor, Batch__Report *report);
 
 /* supervisor_poll.c: applies the answer of a poll. */
-/* Whether the worker lists an end of the run. */
-gboolean supervisor_has_ended (const Supervisor *supervisor, const SupervisorRow *row);
+/* Whether the worker lists an end of the run with that row key. */
+gboolean supervisor_has_ended (const Supervisor *supervisor, const char *key);
+/* Whether the run may have ended without being listed, since the list of ends is cut off. */
+gboolean supervisor_may_have_unlisted_end (const Supervisor *supervisor, const SupervisorRow *row);
 void supervisor_handle_poll (Supervisor *supervisor, const RunnerAnswer *answer, int64_t sent_us);
 
 G_END_DECLS
--- a/lib/supervisor/supervisor_report.c
+++ b/lib/supervisor/supervisor_report.c
@@ -175,6 +175,7 @@
   add_refused_rows (supervisor, report);
   add_gone_rows (supervisor, report);
   report->level = SUPERVISOR_LEVEL;
+  report->has_more_ends = supervisor->has_more_ends;
   supervisor_report_crashes (supervisor, report);
   return report;
 }
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -67,6 +67,7 @@
   uint64_t done_number;
   int64_t next_end;
   int64_t ends_acked;
+  uint32_t ends_listed_max; /**< most ends of one report; 0: all */
   gboolean is_silent;
   gboolean refuses_starts;
   gboolean is_draining;
@@ -488,6 +489,10 @@
     {
       if (worker->ends[i].number <= worker->ends_acked)
         continue;
+      report.has_more_ends
+          = worker->ends_listed_max != 0 && report.n_ended >= worker->ends_listed_max;
+      if (report.has_more_ends)
+        break;
       batch__ended__init (&ended[i]);
       ended[i].number = worker->ends[i].number;
       ended[i].task = worker->ends[i].name;
--- /dev/null
+++ b/tests/fault/test_many_ends.sh
@@ -0,0 +1,85 @@
+#!/usr/bin/env bash
+# 10,000 tasks of five workers end while the store is silent; then the owner and the agents are killed. A
+# worker lists 500 ends at a time. Guards against a second run of a task whose end is not listed yet.
+set -euo pipefail
+source "$(dirname "$0")/users.sh"
+
+tasks=10000
+workers=5
+work_ms=8000
+
+count() { cat "$dir"/runner-*.out | grep -c "$1" || true; }
+
+# wait_count PATTERN N MS: waits until the runners have printed N lines that match.
+wait_count() {
+  local end=$(($(date +%s%N) / 1000000 + $3))
+  until [ "$(count "$1")" -ge "$2" ]; do
+    [ $(($(date +%s%N) / 1000000)) -lt "$end" ] || fail "$(count "$1") lines '$1' after $3 ms, expected $2"
+    sleep 0.1
+  done
+}
+
+# start_agents: their process ids go to agents.
+start_agents() {
+  agents=()
+  for i in $(seq "$workers"); do
+    "$PROGRAMS/acacia-worker" --config "$dir/agent-$i.toml" >>"$dir/agent-$i.log" 2>&1 &
+    agents+=($!)
+    pids+=($!)
+  done
+}
+
+start_store 2
+store_pid=${pids[-1]}
+start_entry first 127.0.0.11
+first=${pids[-1]}
+wait_line "$dir/first.log" "owner took_over" 8000 || fail "the first entry never became the owner"
+start_entry second 127.0.0.12
+wait_line "$dir/second.log" "config applied" 8000 || fail "the second entry has no configuration"
+for i in $(seq "$workers"); do
+  cat >"$dir/agent-$i.toml" <<TOML
+name = "agent-$i"
+ip = "127.0.1.$i"
+worker.listen = "127.0.1.$i:29166"
+worker.call = "127.0.2.$i:29165"
+internal.metrics_port = 29121
+store.address = "$store"
+TOML
+done
+start_agents
+for i in $(seq "$workers"); do
+  "$BUILD/bin/standin-runner" "127.0.2.$i:29165" "127.0.1.$i:29166" "$work_ms" >"$dir/runner-$i.out" 2>"$dir/runner-$i.log" &
+  pids+=($!)
+done
+found=0
+for _ in $(seq 100); do
+  found=$(grep -c "sched worker_found" "$dir/first.log" || true)
+  [ "$found" -lt "$workers" ] || break
+  sleep 0.1
+done
+[ "$found" -ge "$workers" ] || fail "the owner knows $found of $workers workers"
+
+curl -sf -o /dev/null -H 'Host: h.example' "http://127.0.0.11:29161/p/00000000000000aa" \
+  --data "{\"spec\":\"x\",\"steps\":[{\"count\":$tasks,\"cpu\":1,\"estimate_ms\":$work_ms}]}" \
+  || fail "the job was not accepted"
+wait_count "^start" "$tasks" 60000
+wait_count "^end" 1 60000
+kill -STOP "$store_pid"
+wait_count "^end" "$tasks" 60000
+kill -KILL "$first" "${agents[@]}"
+wait "$first" "${agents[@]}" 2>/dev/null || true
+start_agents
+kill -CONT "$store_pid"
+wait_line "$dir/second.log" "owner took_over" 20000 || fail "no new owner"
+wait_count "^seen .* done" "$tasks" 60000
+sleep 2
+
+# Run numbers rise with each start of a task.
+again=$(awk '
+  $1 == "start" && $3 > newest[$2] { newest[$2] = $3 }
+  $1 == "end" && $4 == "done" { ended[$2] = $3 }
+  END { for (task in ended) if (newest[task] > ended[task]) print task }' "$dir"/runner-*.out)
+[ -z "$again" ] || fail "started again after they had ended: $(echo "$again" | wc -l) tasks"
+# Otherwise the test has shown nothing.
+grep -q ends_cut_off "$dir"/agent-*.log || fail "no list of ends was cut off"
+echo "$(count "^start") starts of $tasks tasks, $(count "^seen") ends acknowledged, $(count "^end .* lapsed") lapsed"
--- a/tests/standin/runner/main.c
+++ b/tests/standin/runner/main.c
@@ -1,10 +1,10 @@
 /**
  * @file main.c
- * standin-runner LISTEN AGENT WORK_MS: a worker of the users' platform whose tasks all run for
- * WORK_MS. It reports to the agent's control address AGENT.
+ * standin-runner LISTEN AGENT WORK_MS [CPU_M]: a worker of the users' platform whose tasks all run
+ * for WORK_MS. It has CPU_M thousandths of a core and reports to the agent's control address AGENT.
  *
- * Prints a line for each start and for each acknowledged end: "start TASK RUN" and "seen TASK RUN
- * done" (or "lapsed", "stopped").
+ * Prints a line for each start, for each end, and for each acknowledged end: "start TASK RUN", "end
+ * TASK RUN done" (or "lapsed", "stopped") and "seen TASK RUN done".
  */
 #include <jansson.h>
 #include <stdio.h>
@@ -23,7 +23,9 @@
 #define CONNECTIONS_MAX 64
 #define IDLE_S 60
 #define BODY_MAX (256 * 1024)
-#define ID "i-1"
+#define CPU_DEFAULT_M 8000
+#define ENDS_PER_ANSWER 500
+#define PERCENT_MAX 100
 
 typedef struct
 {
@@ -42,8 +44,10 @@
 } Wait;
 
 static const char *address;
+static char *id;
 static char *report_url;
 static int64_t work_us;
+static int64_t cpu_m = CPU_DEFAULT_M;
 static NetClient *client;
 static int64_t born_ms;
 static int64_t started_us;
@@ -111,6 +115,7 @@
 
   run->how = how;
   run->number = ++n_ends;
+  (void) printf ("end %s %" G_GINT64_FORMAT " %s\n", run->task, run->run, how);
   g_ptr_array_add (ends, run);
 }
 
@@ -192,6 +197,14 @@
   reply (request, 200, json_object ());
 }
 
+static int64_t
+percent_of (const Run *run)
+{
+  int64_t left_us = MAX (run->end_us - clk_now_us (), 0);
+
+  return PERCENT_MAX - left_us * PERCENT_MAX / work_us;
+}
+
 static void
 reply_lists (NetRequest *request)
 {
@@ -201,10 +214,11 @@
   for (guint i = 0; i < runs->len; i++)
     {
       const Run *run = g_ptr_array_index (runs, i);
-      (void) json_array_append_new (
-          running, json_pack ("[s, I, s, i, i]", run->task, (json_int_t) run->run, "", 50, 0));
+      (void) json_array_append_new (running,
+                                    json_pack ("[s, I, s, I, i]", run->task, (json_int_t) run->run,
+                                               "", (json_int_t) percent_of (run), 0));
     }
-  for (guint i = 0; i < ends->len; i++)
+  for (guint i = 0; i < MIN (ends->len, ENDS_PER_ANSWER); i++)
     {
       const Run *run = g_ptr_array_index (ends, i);
       (void) json_array_append_new (ended,
@@ -259,7 +273,7 @@
   json_t *body = json_loads (net_request_body (request, NULL), 0, NULL);
 
   (void) ctx;
-  if (target != NULL && strcmp (target, ID) != 0)
+  if (target != NULL && strcmp (target, id) != 0)
     reply (request, 421, json_object ());
   else if (number (body, "fencing_token") < token)
     refuse (request, "fence");
@@ -311,11 +325,12 @@
 static gboolean
 report (gpointer data)
 {
-  json_t *body = json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:{s:i, s:i, s:i}, s:[s], s:I, s:I, s:I}", "service",
-      "s", "address", address, "zone", "z", "machine", address, "version", "1", "state", "ready",
-      "slots", 8, "capacity", "cpu", 8000, "mem_mb", 64000, "gpu", 0, "labels", "a", "seq",
-      (json_int_t) ++sequence, "clock_ms", (json_int_t) clock_ms (), "born", (json_int_t) born_ms);
+  json_t *body
+      = json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:{s:I, s:i, s:i}, s:[s], s:I, s:I, s:I}",
+                   "service", "s", "address", address, "zone", "z", "machine", address, "version",
+                   "1", "state", "ready", "slots", 8, "capacity", "cpu", (json_int_t) cpu_m,
+                   "mem_mb", 64000, "gpu", 0, "labels", "a", "seq", (json_int_t) ++sequence,
+                   "clock_ms", (json_int_t) clock_ms (), "born", (json_int_t) born_ms);
   char *dump = json_dumps (body, JSON_COMPACT);
   const NetCall call = { .method = "PUT",
                          .url = report_url,
@@ -337,14 +352,17 @@
   g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
   g_autoptr (GError) error = NULL;
 
-  if (argc != 4)
+  if (argc < 4 || argc > 5)
     {
-      (void) fprintf (stderr, "Usage: standin-runner IP:PORT AGENT_IP:PORT WORK_MS\n");
+      (void) fprintf (stderr, "Usage: standin-runner IP:PORT AGENT_IP:PORT WORK_MS [CPU_M]\n");
       return 2;
     }
+  if (argc == 5)
+    cpu_m = g_ascii_strtoll (argv[4], NULL, 10);
   (void) setvbuf (stdout, NULL, _IOLBF, 0);
   address = argv[1];
-  report_url = g_strdup_printf ("http://%s/instances/" ID, argv[2]);
+  id = g_strdup_printf ("i-%.*s", (int) strcspn (address, ":"), address);
+  report_url = g_strdup_printf ("http://%s/instances/%s", argv[2], id);
   work_us = g_ascii_strtoll (argv[3], NULL, 10) * CLK_US_PER_MS;
   started_us = clk_now_us ();
   born_ms = clk_wall_ms ();
--- a/tests/supervisor/rig.h
+++ b/tests/supervisor/rig.h
@@ -183,6 +183,7 @@
 {
   int64_t born;          /**< when the worker that answers started; 0 if it does not say */
   uint32_t n_unreadable; /**< rows that could not be decoded */
+  gboolean has_more_ends;
 } Answer;
 
 static inline void
@@ -192,7 +193,8 @@
   RunnerAnswer reply = { .outcome = RUNNER_OK,
                          .clock_ms = fake->now_us / 1000,
                          .born_wall_ms = answer.born,
-                         .n_unreadable = answer.n_unreadable };
+                         .n_unreadable = answer.n_unreadable,
+                         .has_more_ends = answer.has_more_ends };
 
   assert_true (take_call (fake, CALL_POLL, &call));
   assert_non_null (call.done);
@@ -217,7 +219,7 @@
 static inline void
 answer_poll (Fake *fake, Lists lists)
 {
-  answer_poll_with (fake, lists, (Answer){ 0, 0 });
+  answer_poll_with (fake, lists, (Answer){ 0 });
 }
 
 static inline WorkerInfo *
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -298,18 +298,18 @@
   FakeCall call;
 
   (void) state;
-  answer_poll_with (fake, (Lists){ NULL, 9 }, (Answer){ 1, 0 });
+  answer_poll_with (fake, (Lists){ NULL, 9 }, (Answer){ .born = 1, .n_unreadable = 0 });
   assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 9, 0, 0, 0, 0 }));
   fake->now_us += 100 * 1000;
   supervisor_tick (fake->supervisor);
-  answer_poll_with (fake, (Lists){ NULL, 1 }, (Answer){ 2, 0 });
+  answer_poll_with (fake, (Lists){ NULL, 1 }, (Answer){ .born = 2, .n_unreadable = 0 });
   assert_null (supervisor_report (fake->supervisor));
   fake->now_us += 1000 * 1000;
   supervisor_tick (fake->supervisor);
   assert_false (take_call (fake, CALL_POLL, &call));
   supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
   assert_int_equal (fake->calls[0].seen, 0);
-  answer_poll_with (fake, (Lists){ NULL, 1 }, (Answer){ 2, 0 });
+  answer_poll_with (fake, (Lists){ NULL, 1 }, (Answer){ .born = 2, .n_unreadable = 0 });
   Batch__Report *report = supervisor_report (fake->supervisor);
   assert_non_null (report);
   assert_int_equal (report->n_ended, 1);
@@ -435,11 +435,11 @@
     {
       Fake *fake = fake_new ((Lists){ TASK, 0 });
       supervisor_handle_info (fake->supervisor, info_of (reports[i].id, reports[i].born, 7));
-      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 1, .n_unreadable = 0 });
       fake->now_us += 1000 * 1000;
       supervisor_tick (fake->supervisor);
       assert_string_equal (fake->calls[0].worker_id, "i1");
-      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 1, .n_unreadable = 0 });
       supervisor_handle_info (fake->supervisor, info_of ("i1", 1, 2));
       assert_runs_at (fake, "i1");
       fake_free (fake);
@@ -524,7 +524,7 @@
       answer_call (&call, RUNNER_OTHER_INCARNATION);
     }
   assert_string_equal (fake->calls[0].worker_id, "i1");
-  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 1, .n_unreadable = 0 });
   assert_runs_at (fake, "i1");
   supervisor_handle_info (fake->supervisor, info_of ("i1", 1, 3));
   assert_runs_at (fake, "i1");
@@ -545,7 +545,7 @@
       supervisor_handle_info (fake->supervisor, info_of (ids[i], born, 1));
       assert_true (take_call (fake, CALL_POLL, &call));
       answer_call (&call, RUNNER_OTHER_INCARNATION);
-      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ born, 0 });
+      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = born, .n_unreadable = 0 });
       assert_runs_at (fake, ids[i]);
     }
   fake_free (fake);
@@ -563,7 +563,8 @@
       uint32_t n_unreadable = unreadable[i];
       fake->now_us += 1000 * 1000;
       supervisor_tick (fake->supervisor);
-      answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 0, n_unreadable });
+      answer_poll_with (fake, (Lists){ NULL, 0 },
+                        (Answer){ .born = 0, .n_unreadable = n_unreadable });
       Batch__Report *report = supervisor_report (fake->supervisor);
       assert_non_null (report);
       assert_int_equal (report->n_running, n_unreadable);
@@ -582,11 +583,11 @@
   FakeCall call;
   assert_true (take_call (fake, CALL_POLL, &call));
   answer_call (&call, RUNNER_OTHER_INCARNATION);
-  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 2, 1 });
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ .born = 2, .n_unreadable = 1 });
   assert_null (supervisor_report (fake->supervisor));
   fake->now_us += 1000 * 1000;
   supervisor_tick (fake->supervisor);
-  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 2, 0 });
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ .born = 2, .n_unreadable = 0 });
   Batch__Report *report = supervisor_report (fake->supervisor);
   assert_non_null (report);
   batch__report__free_unpacked (report, NULL);
@@ -629,13 +630,13 @@
   WorkerInfo *odd = info_of ("i1", 0, 1);
   odd->capacity.cpu_m = 1;
   supervisor_handle_info (fake->supervisor, odd);
-  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 1, .n_unreadable = 0 });
   for (int64_t i = 2; i < 5; i++)
     {
       supervisor_handle_info (fake->supervisor, info_of ("i1", 1, i));
       fake->now_us += 500 * 1000;
       supervisor_tick (fake->supervisor);
-      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+      answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 1, .n_unreadable = 0 });
     }
   Batch__Report *report = supervisor_report (fake->supervisor);
   assert_non_null (report);
@@ -676,7 +677,7 @@
   Fake *fake = fake_new ((Lists){ NULL, 0 });
 
   (void) state;
-  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ 0, 1 });
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ .born = 0, .n_unreadable = 1 });
   assert_int_equal (fake->n_calls, 0);
   fake->now_us += 400 * 1000;
   supervisor_tick (fake->supervisor);
@@ -710,10 +711,10 @@
   assert_true (take_call (fake, CALL_POLL, &call));
   answer_call (&call, RUNNER_NOT_SENT);
   supervisor_handle_info (fake->supervisor, info_of ("i1", 2, 1));
-  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 2, 0 });
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 2, .n_unreadable = 0 });
   assert_runs_at (fake, "i1");
   supervisor_worker_left (fake->supervisor, "i1");
-  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 2, 0 });
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 2, .n_unreadable = 0 });
   for (int64_t i = 2; i < 6; i++)
     {
       fake->now_us += 1500 * 1000;
@@ -750,7 +751,7 @@
   supervisor_worker_left (fake->supervisor, "i1");
   refuse_until_gone (fake, fake->now_us + GRANT_MS * 1000);
   supervisor_handle_info (fake->supervisor, info_of ("i1", 1, 2));
-  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ 1, 0 });
+  answer_poll_with (fake, (Lists){ TASK, 0 }, (Answer){ .born = 1, .n_unreadable = 0 });
   assert_runs_at (fake, "i1");
   fake_free (fake);
 }
@@ -1074,11 +1075,11 @@
   supervisor_handle_info (fake->supervisor, info_of ("i1", born, 1));
   /* The poll that is under way may be one for the incarnation before. */
   Batch__Report *report = supervisor_report (fake->supervisor);
-  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ born, 0 });
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ .born = born, .n_unreadable = 0 });
   if (report == NULL)
     return;
   batch__report__free_unpacked (report, NULL);
-  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ born, 0 });
+  answer_poll_with (fake, (Lists){ NULL, 0 }, (Answer){ .born = born, .n_unreadable = 0 });
 }
 
 static size_t
--- a/tests/users/test_formats.c
+++ b/tests/users/test_formats.c
@@ -205,6 +205,24 @@
   assert_null (answer.ended);
 }
 
+/* Guards against a list of ends that is taken for complete though the worker holds back others. */
+static void
+list_of_as_many_ends_as_fit_may_be_cut_off (void **state)
+{
+  (void) state;
+  for (int n_ends = RUNNER_ENDS_MAX - 1; n_ends <= RUNNER_ENDS_MAX; n_ends++)
+    {
+      g_autoptr (GString) ended = g_string_new ("[");
+      for (int i = 0; i < n_ends; i++)
+        g_string_append_printf (ended, "%s[%d,\"t\",1,\"done\",\"\"]", i > 0 ? "," : "", i + 1);
+      g_string_append_c (ended, ']');
+      RunnerAnswer answer = decode_lists ("[]", ended->str);
+      assert_int_equal (answer.ended->len, n_ends);
+      assert_int_equal (answer.has_more_ends, n_ends == RUNNER_ENDS_MAX);
+      runner_answer_clear (&answer);
+    }
+}
+
 static const Case configs[] = {
   { "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/"
     "\",\"service\":\"s\","
@@ -377,6 +395,7 @@
     cmocka_unit_test (end_behind_one_that_cannot_be_read_is_not_taken),
     cmocka_unit_test (run_that_cannot_be_read_is_counted),
     cmocka_unit_test (answer_without_both_lists_has_none),
+    cmocka_unit_test (list_of_as_many_ends_as_fit_may_be_cut_off),
     cmocka_unit_test (bodies_that_json_cannot_hold_are_refused),
     cmocka_unit_test (clock_of_a_worker_out_of_range_is_not_taken),
     cmocka_unit_test (texts_that_are_not_utf8_do_not_end_the_agent),
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -795,11 +795,40 @@
   feed_free (feed);
 }
 
+/* Guards against keys that count as removed since the page that holds them can't be asked for. */
+static void
+load_without_its_next_page_is_repeated (void **state)
+{
+  static const char *const pages[] = {
+    "{\"items\":[],\"more\":true,\"end_offset\":3}",
+    "{\"items\":[{\"value\":\"AA==\",\"offset\":1}],\"more\":true,\"end_offset\":3}",
+    "{\"items\":[{\"key\":\"a\",\"value\":\"AA==\",\"offset\":1}],\"more\":true,\"end_offset\":3}",
+  };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+    {
+      Fixture *fixture = fixture_new ();
+      g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+      set_answer (fixture, 200, pages[i]);
+      Feed *feed = open_feed (fixture, offsets);
+      while (fixture->n_calls < 3 && !feed_is_loaded (feed))
+        (void) g_main_context_iteration (NULL, TRUE);
+      assert_false (feed_is_loaded (feed));
+      set_answer (fixture, 200, "{\"items\":[],\"more\":false,\"end_offset\":3}");
+      while (!feed_is_loaded (feed))
+        (void) g_main_context_iteration (NULL, TRUE);
+      fixture_free (fixture);
+      feed_free (feed);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (refresh_waits_for_the_load),
+    cmocka_unit_test (load_without_its_next_page_is_repeated),
     cmocka_unit_test (refresh_ends_with_a_failed_load),
     cmocka_unit_test (answers_map_to_outcomes),
     cmocka_unit_test (no_answer_is_in_doubt_and_no_listener_is_refused),
