sched: the cost of a pass does not grow with a job's due occurrences

Cause: all due occurrences were made at once, and each look-up of a step searched all steps of the job. A pass took time in the square of the due occurrences, longer than an owner's authority, so it sent no orders and the next entry took over and fared the same.

Change: a step is found by its number; further occurrences are made only while fewer than 1,000 tasks of first steps wait and fewer than 8,192 steps are open; what a report names beyond that is made, since another owner may have started it. docs/FLEET.md lists the limits of a job; beyond them it is refused at once, as before.

--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -2,6 +2,12 @@
 
 #include "batch/sched_tables.h"
 
+/** A job that repeats has no more occurrences made while this many tasks of its first steps wait. A
+ * pass over all waiting tasks takes time in proportion to them, and other jobs share that time. */
+#define OCCURRENCE_TASKS_WAITING_MAX 1000
+/** Most steps of its occurrences that are open at once: each has a part in the progress record. */
+#define OCCURRENCE_STAGES_MAX 8192
+
 static void
 stage_free (gpointer data)
 {
@@ -39,13 +45,22 @@
 SchedStage *
 sched_find_stage (const SchedJob *job, uint32_t occurrence, uint32_t step)
 {
-  for (guint i = 0; i < job->stages->len; i++)
-    {
-      SchedStage *stage = g_ptr_array_index (job->stages, i);
-      if (stage->occurrence == occurrence && stage->step_index == step)
-        return stage;
-    }
-  return NULL;
+  uint32_t n_steps = job->spec->steps->len;
+
+  if (occurrence < job->occurrences_done || step >= n_steps)
+    return NULL;
+  uint64_t index = (uint64_t) (occurrence - job->occurrences_done) * n_steps + step;
+  return index < job->stages->len ? g_ptr_array_index (job->stages, index) : NULL;
+}
+
+/* A previous owner may have made, and started, occurrences that this one has not reached. */
+static void
+make_named_occurrence (const Sched *sched, SchedJob *job, uint32_t occurrence)
+{
+  if (sched_job_is_open (job) && occurrence >= job->occurrences_made
+      && occurrence < job_spec_occurrences (job->spec)
+      && sched_due_wall_ms (job, occurrence) <= sched->wall_ms)
+    sched_make_occurrences_to (job, occurrence);
 }
 
 SchedTask *
@@ -55,9 +70,10 @@
 
   if (!job_task_name_parse (text, &name))
     return NULL;
-  const SchedJob *job = g_hash_table_lookup (sched->jobs, name.job);
+  SchedJob *job = g_hash_table_lookup (sched->jobs, name.job);
   if (job == NULL)
     return NULL;
+  make_named_occurrence (sched, job, name.occurrence);
   SchedStage *stage = sched_find_stage (job, name.occurrence, name.step);
   return stage != NULL && name.index < stage->step->n_tasks ? &stage->tasks[name.index] : NULL;
 }
@@ -132,15 +148,50 @@
   return job->spec->start_wall_ms + (int64_t) occurrence * job->spec->interval_ms;
 }
 
+/* Tasks of steps that wait for no other step, and are not at a worker. While it is not known what
+ * runs, all that are not done count. */
+static uint64_t
+count_waiting (const SchedJob *job)
+{
+  uint64_t n_waiting = 0;
+
+  for (guint i = 0; i < job->stages->len; i++)
+    {
+      const SchedStage *stage = g_ptr_array_index (job->stages, i);
+      if (stage->step->after->len == 0)
+        n_waiting += job->is_old ? stage->step->n_tasks - stage->n_done : stage->n_waiting;
+    }
+  return n_waiting;
+}
+
+static uint64_t
+count_first_tasks (const SchedJob *job)
+{
+  uint64_t n_tasks = 0;
+
+  for (guint i = 0; i < job->spec->steps->len; i++)
+    {
+      const JobStep *step = g_ptr_array_index (job->spec->steps, i);
+      n_tasks += step->after->len == 0 ? step->n_tasks : 0;
+    }
+  return n_tasks;
+}
+
 void
 sched_make_occurrences (Sched *sched, SchedJob *job)
 {
+  uint64_t n_first = count_first_tasks (job);
+  uint64_t n_waiting = count_waiting (job);
+
   while (can_make_occurrence (job))
     {
       if (job->spec->n_repeats > 0
-          && sched_due_wall_ms (job, job->occurrences_made) > sched->wall_ms)
+          && (sched_due_wall_ms (job, job->occurrences_made) > sched->wall_ms
+              || n_waiting >= OCCURRENCE_TASKS_WAITING_MAX
+              || job->stages->len >= OCCURRENCE_STAGES_MAX))
         return;
       make_occurrence (job);
+      n_waiting += n_first;
     }
 }
 
@@ -195,30 +246,34 @@
 drop_done_occurrences (SchedJob *job)
 {
   uint32_t n_steps = job->spec->steps->len;
+  guint n_done = 0;
 
-  while (job->stages->len >= n_steps)
+  while (n_done < job->stages->len)
     {
-      for (uint32_t i = 0; i < n_steps; i++)
-        {
-          const SchedStage *stage = g_ptr_array_index (job->stages, i);
-          if (stage->n_done < stage->step->n_tasks)
-            return;
-        }
-      job->occurrences_done++;
-      g_ptr_array_remove_range (job->stages, 0, n_steps);
+      const SchedStage *stage = g_ptr_array_index (job->stages, n_done);
+      if (stage->n_done < stage->step->n_tasks)
+        break;
+      n_done++;
     }
+  n_done -= n_done % n_steps;
+  if (n_done == 0)
+    return;
+  job->occurrences_done += n_done / n_steps;
+  g_ptr_array_remove_range (job->stages, 0, n_done);
 }
 
 static gboolean
 is_complete (const SchedJob *job)
 {
+  if (job->occurrences_made < job_spec_occurrences (job->spec))
+    return FALSE;
   for (guint i = 0; i < job->stages->len; i++)
     {
       const SchedStage *stage = g_ptr_array_index (job->stages, i);
       if (stage->n_done < stage->step->n_tasks)
         return FALSE;
     }
-  return job->occurrences_made >= job_spec_occurrences (job->spec);
+  return TRUE;
 }
 
 static void
