front, ledger: the cancel of an unknown job is held until the job comes

Cause: the cancel of a job that the ledger does not know left no trace.

Change: it is written before it is answered with 410. The fold already held a cancel that comes first; the owner drops those without a submission after twice the time of states, at least 180 s. 10,000 are held at most, further ones are refused at once with 503. Outboxes give a record in doubt up after 60 s without a caller, so that it does not outlast a held cancel.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -11,6 +11,7 @@
   GHashTable *jobs;    /**< id -> LedgerJob */
   GHashTable *agents;  /**< name -> LedgerAgent */
   GHashTable *crashes; /**< job id -> CrashRecord */
+  GHashTable *held;    /**< set of LedgerJob that were cancelled and not submitted */
   LedgerOwner owner;
   Batch__Learned *learned;
   int64_t learned_offset;
@@ -65,6 +66,7 @@
   ledger->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   ledger->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, agent_free);
   ledger->crashes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, crash_record_free);
+  ledger->held = g_hash_table_new (NULL, NULL);
   ledger->owner.pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return ledger;
 }
@@ -74,6 +76,7 @@
 {
   if (ledger == NULL)
     return;
+  g_hash_table_destroy (ledger->held);
   g_hash_table_destroy (ledger->jobs);
   g_hash_table_destroy (ledger->agents);
   g_hash_table_destroy (ledger->crashes);
@@ -106,8 +109,12 @@
 static gboolean
 remove_job (Ledger *ledger, const char *id)
 {
-  if (!g_hash_table_remove (ledger->jobs, id))
+  LedgerJob *job = g_hash_table_lookup (ledger->jobs, id);
+
+  if (job == NULL)
     return TRUE;
+  (void) g_hash_table_remove (ledger->held, job);
+  (void) g_hash_table_remove (ledger->jobs, id);
   if (ledger->events.on_job_gone != NULL)
     ledger->events.on_job_gone (ledger->events.ctx, id);
   return TRUE;
@@ -130,6 +137,7 @@
       batch__submission__free_unpacked (submission, NULL);
       return TRUE;
     }
+  (void) g_hash_table_remove (ledger->held, job);
   job->submission = submission;
   job->offset = offset;
   if (ledger->events.on_job != NULL)
@@ -160,13 +168,32 @@
   return TRUE;
 }
 
+/* Drops a cancel whose job was not submitted in time. */
+static gboolean
+remove_cancel (Ledger *ledger, const char *id)
+{
+  LedgerJob *job = g_hash_table_lookup (ledger->jobs, id);
+
+  if (job == NULL || !g_hash_table_remove (ledger->held, job))
+    return TRUE;
+  job->is_cancelled = FALSE;
+  if (job->progress == NULL)
+    (void) g_hash_table_remove (ledger->jobs, id);
+  return TRUE;
+}
+
 static gboolean
 apply_cancel (Ledger *ledger, const char *id, size_t size)
 {
+  if (!job_id_is_valid (id))
+    return FALSE;
   if (size == 0)
-    return TRUE;
+    return remove_cancel (ledger, id);
   LedgerJob *job = find_or_add_job (ledger, id);
 
+  job->held_us = 0;
+  if (job->submission == NULL)
+    (void) g_hash_table_add (ledger->held, job);
   if (job->is_cancelled)
     return TRUE;
   job->is_cancelled = TRUE;
@@ -409,6 +436,30 @@
     }
 }
 
+uint32_t
+ledger_held_cancels (const Ledger *ledger)
+{
+  return g_hash_table_size (ledger->held);
+}
+
+void
+ledger_expired_cancels (
+    Ledger *ledger, int64_t now_us, int64_t keep_ms, GPtrArray *ids, guint n_most)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, ledger->held);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      LedgerJob *job = key;
+      if (job->held_us == 0)
+        job->held_us = now_us;
+      if (ids->len < n_most && now_us - job->held_us >= keep_ms * 1000)
+        g_ptr_array_add (ids, job->id);
+    }
+}
+
 gboolean
 ledger_is_silent_kept (const Ledger *ledger, uint64_t level_since)
 {
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -24,6 +24,8 @@
 #define LEDGER_OWNER_KEY "owner"
 #define LEDGER_LEARNED_KEY "learned"
 #define LEDGER_SILENT_KEY "silent"
+/** Most cancels of unknown jobs that are held; further ones are refused. */
+#define LEDGER_HELD_CANCELS_MAX 10000
 /** Highest term of an owner record; the run numbers of that term are still exact in JSON. */
 #define LEDGER_TERM_MAX (UINT64_C (1) << 40)
 
@@ -33,8 +35,9 @@
   Batch__Submission *submission; /**< NULL if only progress or a cancel is known */
   Batch__Progress *progress;     /**< NULL until the owner wrote some */
   int64_t progress_offset;
-  gboolean is_cancelled;
-  int64_t offset; /**< offset of the submission */
+  gboolean is_cancelled; /**< also before its submission, which then is cancelled from the start */
+  int64_t held_us;       /**< when a cancel without a submission was first dated; 0: it was not */
+  int64_t offset;        /**< offset of the submission */
 } LedgerJob;
 
 typedef struct
@@ -109,6 +112,12 @@
 /** Appends to @p ids, up to a length of @p n_most, jobs of which only crashed runs are known: an
  * owner that does not know that key has removed them. The ids are owned by the ledger. */
 void ledger_orphaned_crashes (const Ledger *ledger, GPtrArray *ids, guint n_most);
+/** Number of cancels of jobs that were not submitted. */
+uint32_t ledger_held_cancels (const Ledger *ledger);
+/** Appends to @p ids, up to a length of @p n_most, jobs whose cancel has been held for @p keep_ms;
+ * times count from the first call that saw the newest cancel. The ids are owned by the ledger. */
+void ledger_expired_cancels (
+    Ledger *ledger, int64_t now_us, int64_t keep_ms, GPtrArray *ids, guint n_most);
 /** Whether that record was written since the term from which all owners have kept it. */
 gboolean ledger_is_silent_kept (const Ledger *ledger, uint64_t level_since);
 /** Number of a queue's jobs that have not begun, in the owner's newest record. */
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -17,6 +17,9 @@
 /** A written key is remembered for this long, and forgotten within twice that time. By then an
  * entry reads the record from its ledger, and does not add it again. */
 #define WRITTEN_KEEP_MS 30000
+/** A record in doubt that no caller waits for is given up after this. It must not outlast what
+ * other entries keep about its key. */
+#define IN_DOUBT_KEEP_MS 60000
 /** Most records and bytes of one append. */
 #define BATCH_RECORDS_MAX 200
 #define BATCH_BYTES_MAX (512 * 1024)
@@ -223,12 +226,30 @@
     outbox->retry_timer = g_timeout_add ((guint) outbox->retry_ms, on_retry, outbox);
 }
 
+static void
+give_up_old (Outbox *outbox)
+{
+  int64_t before_us = clk_now_us () - IN_DOUBT_KEEP_MS * CLK_US_PER_MS;
+
+  for (guint i = outbox->items->len; i-- > 0;)
+    {
+      Item *item = g_ptr_array_index (outbox->items, i);
+      if (item->waiters->len > 0 || item->added_us > before_us)
+        continue;
+      line_add ("outbox", "given_up", "key=%s forwarded=%u", item->key, item->n_forwarded);
+      g_ptr_array_remove_index (outbox->items, i);
+    }
+}
+
 static void
 send_batch (Outbox *outbox)
 {
   g_autoptr (GByteArray) records = g_byte_array_new ();
 
-  if (outbox->is_busy || outbox->retry_timer != 0 || outbox->items->len == 0)
+  if (outbox->is_busy || outbox->retry_timer != 0)
+    return;
+  give_up_old (outbox);
+  if (outbox->items->len == 0)
     return;
   for (guint i = 0; i < MIN (outbox->items->len, BATCH_RECORDS_MAX); i++)
     {
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -20,7 +20,7 @@
 {
   OUTBOX_WRITTEN,
   OUTBOX_REFUSED,  /**< certainly not written, now or later */
-  OUTBOX_IN_DOUBT, /**< the deadline passed; it may be written, and is still retried */
+  OUTBOX_IN_DOUBT, /**< the deadline passed; it may be written, and is retried for 60 s */
 } OutboxResult;
 
 typedef void (*OutboxDone) (void *ctx, OutboxResult result, int64_t offset);
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -28,6 +28,7 @@
   MetSeries *accepted;
   MetSeries *known;
   MetSeries *cancels;
+  MetSeries *held_cancels;
   MetSeries *in_doubt;
   MetHistogram *accept_us;
 };
@@ -40,6 +41,7 @@
   char *id;
   char *queue;
   gboolean is_cancel;
+  gboolean is_unknown; /**< the job of the cancel was not submitted, as far as is known */
 } PendingRequest;
 
 static void
@@ -129,12 +131,18 @@
   switch (result)
     {
     case OUTBOX_WRITTEN:
-      met_add (pending->is_cancel ? front->cancels : front->accepted, 1);
+      met_add (pending->is_unknown  ? front->held_cancels
+               : pending->is_cancel ? front->cancels
+                                    : front->accepted,
+               1);
       met_observe (front->accept_us, took_us);
-      line_add ("front", pending->is_cancel ? "cancelled" : "accepted",
+      line_add ("front",
+                pending->is_unknown  ? "cancel_held"
+                : pending->is_cancel ? "cancelled"
+                                     : "accepted",
                 "job=%s queue=%s offset=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT,
                 pending->id, pending->queue, offset, took_us / 1000);
-      reply_status (pending->request, 200);
+      reply_status (pending->request, pending->is_unknown ? 410 : 200);
       break;
     case OUTBOX_REFUSED:
       refuse (front, pending->request, pending->id, 503, "store_refused", RETRY_AFTER_S);
@@ -293,6 +301,24 @@
   outbox_add (front->entry->outbox, &record, on_written, pending);
 }
 
+/* A submission of the job may be under way in another entry or in the store. The cancel is written
+ * before it is acknowledged, and takes effect when the job comes. */
+static void
+hold_cancel (Front *front, PendingRequest *pending)
+{
+  const Ledger *ledger = front->entry->ledger;
+
+  if (ledger_held_cancels (ledger) >= LEDGER_HELD_CANCELS_MAX
+      && ledger_job (ledger, pending->id) == NULL)
+    {
+      refuse (front, pending->request, pending->id, 503, "held_cancels", RETRY_AFTER_S);
+      pending_request_end (pending);
+      return;
+    }
+  pending->is_unknown = TRUE;
+  write_cancel (front, pending);
+}
+
 static void
 on_cancel_answered (void *ctx, gboolean is_answered, gboolean is_known, SchedJobState state)
 {
@@ -304,8 +330,10 @@
   /* This entry may have read the job while it waited for the answer. */
   if ((is_answered && is_known) || ledger_job_state (ledger_job (ledger, pending->id), &own))
     write_cancel (pending->front, pending);
+  else if (is_answered)
+    hold_cancel (pending->front, pending);
   else
-    on_state_refreshed (pending, is_answered);
+    on_state_refreshed (pending, FALSE);
 }
 
 static void
@@ -317,9 +345,10 @@
 
   if (ledger_job_state (ledger_job (front->entry->ledger, pending->id), &state))
     write_cancel (front, pending);
-  else if (is_fresh
-           || !relay_query_job (front->entry->relay, pending->id, on_cancel_answered, pending))
-    on_state_refreshed (pending, is_fresh);
+  else if (is_fresh)
+    hold_cancel (front, pending);
+  else if (!relay_query_job (front->entry->relay, pending->id, on_cancel_answered, pending))
+    on_state_refreshed (pending, FALSE);
 }
 
 static void
@@ -414,6 +443,8 @@
   front->known = met_counter (metrics, "acacia_repeated_total", NULL,
                               "Submissions of jobs that were accepted before");
   front->cancels = met_counter (metrics, "acacia_cancelled_total", NULL, "Jobs cancelled");
+  front->held_cancels = met_counter (metrics, "acacia_cancels_held_total", NULL,
+                                     "Cancels of jobs that were not submitted");
   front->in_doubt = met_counter (metrics, "acacia_in_doubt_total", NULL,
                                  "Requests whose record may or may not be written");
   front->accept_us = met_histogram (metrics, "acacia_accept_us", NULL,
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -8,6 +8,9 @@
 /** Retention of ended jobs, as a multiple of the time that their state is served. An owner counts
  * from its takeover, and callers that repeat a submission must find the job. */
 #define RETENTION_FACTOR 2
+/** A cancel of an unknown job is held for this long at least: longer than a submission can be under
+ * way, in an entry that is paused or in outboxes. */
+#define CANCEL_HELD_MS 180000
 /** Interval of writing learned state, which is some KB and is read by every entry. */
 #define LEARNED_INTERVAL_MS 3000
 /** Changes are collected for this long before they are appended. */
@@ -114,6 +117,22 @@
     add_removal (records, LEDGER_CRASH_PREFIX, g_ptr_array_index (ids, i));
 }
 
+/* Removes cancels of jobs that were not submitted. */
+static void
+add_expired_cancels (const Owner *owner, GByteArray *records)
+{
+  int64_t retention_ms = owner->entry->settings->state_s * CLK_MS_PER_S * RETENTION_FACTOR;
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+
+  ledger_expired_cancels (owner->entry->ledger, clk_now_us (), MAX (retention_ms, CANCEL_HELD_MS),
+                          ids, EXPIRED_JOBS_MAX);
+  for (guint i = 0; i < ids->len; i++)
+    add_removal (records, LEDGER_CANCEL_PREFIX, g_ptr_array_index (ids, i));
+  if (ids->len > 0)
+    line_add ("owner", "cancels_dropped", "count=%u held=%u", ids->len,
+              ledger_held_cancels (owner->entry->ledger));
+}
+
 /* Writes the learned state. Without it, the next owner would have to measure interference again,
  * at the cost of serving tasks. */
 static void
@@ -196,12 +215,15 @@
   if (owner->flush == NULL && clk_now_us () < owner->renew_us)
     return;
   GByteArray *records = g_byte_array_new ();
+  gboolean is_heartbeat = clk_now_us () >= owner->renew_us;
   owner->renew_us = clk_now_us () + OWNER_RENEW_MS * 1000;
   owner->is_release = owner->is_leaving;
   owner_add_record (owner, records, owner->is_release ? 0 : node_boot (owner->entry->node));
   add_agent_removal (owner, records);
   add_expired_jobs (owner, records);
   add_orphaned_crashes (owner, records);
+  if (is_heartbeat)
+    add_expired_cancels (owner, records);
   add_learned (owner, records);
   add_silent (owner, records);
   if (owner->flush != NULL)
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -421,6 +421,54 @@
   ledger_free (ledger);
 }
 
+/* Guards against a job that starts after its cancel was acknowledged as that of an unknown job. */
+static void
+cancel_before_the_submission_is_held (void **state)
+{
+  Ledger *ledger = ledger_new (&(LedgerEvents){ 0 });
+  SchedJobState job_state = SCHED_QUEUED;
+
+  (void) state;
+  assert_true (apply (ledger, 1, "cancel." JOB, (const uint8_t *) "\x08\x01", 2));
+  assert_int_equal (ledger_held_cancels (ledger), 1);
+  assert_false (ledger_job_state (ledger_job (ledger, JOB), &job_state));
+  assert_true (apply (ledger, 2, "job." JOB, (const uint8_t *) "\x0a\x01q", 3));
+  assert_int_equal (ledger_held_cancels (ledger), 0);
+  assert_true (ledger_job_state (ledger_job (ledger, JOB), &job_state));
+  assert_int_equal (job_state, SCHED_CANCELLED);
+  ledger_free (ledger);
+}
+
+/* Guards against cancels of unknown jobs that fill the store. */
+static void
+held_cancels_expire (void **state)
+{
+  Ledger *ledger = ledger_new (&(LedgerEvents){ 0 });
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  SchedJobState job_state = SCHED_QUEUED;
+
+  (void) state;
+  assert_true (apply (ledger, 1, "cancel." JOB, (const uint8_t *) "\x08\x01", 2));
+  ledger_expired_cancels (ledger, 1000 * 1000, 500, ids, 9);
+  ledger_expired_cancels (ledger, 1499 * 1000, 500, ids, 9);
+  assert_int_equal (ids->len, 0);
+  /* A repeat of the cancel is acknowledged, too, and is held as long. */
+  assert_true (apply (ledger, 2, "cancel." JOB, (const uint8_t *) "\x08\x01", 2));
+  ledger_expired_cancels (ledger, 1500 * 1000, 500, ids, 9);
+  assert_int_equal (ids->len, 0);
+  ledger_expired_cancels (ledger, 2000 * 1000, 500, ids, 9);
+  assert_int_equal (ids->len, 1);
+  assert_string_equal (g_ptr_array_index (ids, 0), JOB);
+  assert_true (apply (ledger, 3, "cancel." JOB, NULL, 0));
+  assert_int_equal (ledger_held_cancels (ledger), 0);
+  assert_null (ledger_job (ledger, JOB));
+  assert_true (apply (ledger, 4, "job." JOB, (const uint8_t *) "\x0a\x01q", 3));
+  assert_true (ledger_job_state (ledger_job (ledger, JOB), &job_state));
+  assert_int_equal (job_state, SCHED_QUEUED);
+  assert_false (apply (ledger, 5, "cancel.x", (const uint8_t *) "\x08\x01", 2));
+  ledger_free (ledger);
+}
+
 int
 main (void)
 {
@@ -428,6 +476,8 @@
     cmocka_unit_test (second_submission_is_ignored),
     cmocka_unit_test (progress_before_its_submission_is_kept),
     cmocka_unit_test (completed_state_wins_over_cancel),
+    cmocka_unit_test (cancel_before_the_submission_is_held),
+    cmocka_unit_test (held_cancels_expire),
     cmocka_unit_test (older_owner_record_changes_nothing),
     cmocka_unit_test (claim_leaves_the_last_counts_of_waiting_jobs),
     cmocka_unit_test (removed_agent_returns_with_its_next_record),
