agent: a start that the client says was not sent is in doubt

Not reproduced; cause suspected from the record: a start that is executed and taken for refused leaves a run that nobody counts at its worker, while its task starts elsewhere at once.

Change: RUNNER_NOT_SENT of a start rests on one flag of the HTTP client.

--- a/lib/supervisor/supervisor_calls.c
+++ b/lib/supervisor/supervisor_calls.c
@@ -177,11 +177,13 @@
       call_free (call);
       return;
     }
-  if (answer->outcome == RUNNER_IN_DOUBT)
+  /* That a start was not sent rests on the client alone. A run that it overlooked would have no row
+   * here while its task starts elsewhere; only the worker's answer to a stop rules that out. */
+  if (answer->outcome == RUNNER_IN_DOUBT || answer->outcome == RUNNER_NOT_SENT)
     {
       row->state = ROW_IN_DOUBT;
-      supervisor_log (supervisor, "start_in_doubt", "task=%s run=%" G_GINT64_FORMAT, row->task,
-                      row->run);
+      supervisor_log (supervisor, "start_in_doubt", "task=%s run=%" G_GINT64_FORMAT " outcome=%s",
+                      row->task, row->run, runner_outcome_name (answer->outcome));
     }
   else
     {
--- a/tests/supervisor/test_lists.c
+++ b/tests/supervisor/test_lists.c
@@ -112,6 +112,68 @@
     }
 }
 
+/* Orders the start of TASK run 1, which the client reports as not sent. */
+static Fake *
+fake_with_start_not_sent (void)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+  FakeCall call;
+
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, 0, 0 }));
+  assert_true (take_call (fake, CALL_START, &call));
+  answer_call (&call, RUNNER_NOT_SENT);
+  return fake;
+}
+
+/* Guards against a run that nobody counts at its worker while its task starts elsewhere, if a start
+ * that was executed is taken for not sent: more tasks of a step there than its limit. */
+static void
+run_of_a_start_that_was_not_sent_is_not_gone (void **state)
+{
+  Fake *fake = fake_with_start_not_sent ();
+  uint64_t incarnation = incarnation_of (fake);
+
+  (void) state;
+  assert_not_reported_gone (fake, incarnation);
+  for (int i = 0; i < 5; i++)
+    {
+      answer_poll (fake, (Lists){ TASK, 0 });
+      assert_not_reported_gone (fake, incarnation);
+      advance (fake, 200);
+    }
+  fake_free (fake);
+}
+
+/* Guards against the same if the start arrives late: it is stopped, so that it is refused then. */
+static void
+start_that_was_not_sent_is_stopped_before_it_is_gone (void **state)
+{
+  Fake *fake = fake_with_start_not_sent ();
+  uint64_t incarnation = incarnation_of (fake);
+  FakeCall call;
+  int n_polls = 0;
+
+  (void) state;
+  while (!take_call (fake, CALL_STOP, &call))
+    {
+      assert_true (++n_polls < 5);
+      answer_poll (fake, (Lists){ NULL, 0 });
+      assert_not_reported_gone (fake, incarnation);
+      advance (fake, 200);
+    }
+  assert_int_equal (call.run, 1);
+  answer_call (&call, RUNNER_OK);
+  for (int i = 0; i < 3; i++)
+    {
+      answer_poll (fake, (Lists){ NULL, 0 });
+      advance (fake, 200);
+    }
+  Batch__Report *report = supervisor_report (fake->supervisor);
+  assert_int_equal (report->n_running, 0);
+  batch__report__free_unpacked (report, NULL);
+  fake_free (fake);
+}
+
 int
 main (void)
 {
@@ -120,6 +182,8 @@
     cmocka_unit_test (run_absent_from_a_complete_list_is_gone),
     cmocka_unit_test (stopped_run_absent_from_a_cut_off_list_is_not_gone),
     cmocka_unit_test (run_with_an_unlisted_end_was_not_lost_in_a_crash),
+    cmocka_unit_test (run_of_a_start_that_was_not_sent_is_not_gone),
+    cmocka_unit_test (start_that_was_not_sent_is_stopped_before_it_is_gone),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
