emulator: limits of steps, and starts taken for not sent

The emulator drew no limits of tasks of a step on one worker, and judged none. It draws them by a hash, so that other schedules stay as they are, and judges them at each start (ROUTE).

--- a/tests/emulator/test_emulator.c
+++ b/tests/emulator/test_emulator.c
@@ -1,91 +1,26 @@
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
-
-#include "support/emulator.h"
-
-#define SEEDS_DEFAULT 150
-#define FIRST_SEED_DEFAULT 1
-
-static uint64_t
-read_number (const char *name, uint64_t fallback)
-{
-  const char *text = g_getenv (name);
-
-  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : fallback;
-}
-
-/* Prints a schedule up to the last broken rule. */
-static void
-print_trace (const EmulatorResult *result)
-{
-  const char *last = g_strrstr (result->trace->str, " BROKEN ");
-  size_t size = last != NULL ? (size_t) (strchr (last, '\n') - result->trace->str) : 0;
-
-  printf ("%.*s\n", (int) size, result->trace->str);
-}
-
-/* Prints a failed schedule, with as few faults as it needs if EMULATOR_SHRINK is set. */
-static void
-print_failure (const EmulatorOptions *options, const EmulatorResult *result)
-{
-  if (g_getenv ("EMULATOR_SHRINK") != NULL)
-    {
-      EmulatorOptions smallest = emulator_shrink (options);
-      g_autoptr (EmulatorResult) shrunk = emulator_play (&smallest);
-      print_trace (shrunk);
-      printf ("EMULATOR_SKIP=%" G_GUINT64_FORMAT "\n", smallest.skipped_faults);
-    }
-  else if (g_getenv ("EMULATOR_QUIET") == NULL)
-    print_trace (result);
-  printf ("seed %" G_GUINT64_FORMAT ":\n%s", options->seed, result->violations->str);
-}
-
-static gboolean
-holds (uint64_t seed, gboolean has_cut_leaves)
-{
-  EmulatorOptions options = emulator_options (seed);
-
-  options.has_cut_leaves = has_cut_leaves;
-  options.skipped_faults = read_number ("EMULATOR_SKIP", 0);
-  g_autoptr (EmulatorResult) result = emulator_play (&options);
-  if (result->violations->len > 0)
-    print_failure (&options, result);
-  return result->violations->len == 0;
-}
+#include "emulator/schedules.h"
 
 static void
-play_schedules (gboolean has_cut_leaves)
+test_rules_hold_in_random_schedules (void **state)
 {
-  uint64_t first = read_number ("EMULATOR_FIRST_SEED", FIRST_SEED_DEFAULT);
-  uint64_t n_seeds = read_number ("EMULATOR_SEEDS", SEEDS_DEFAULT);
-  uint64_t n_broken = 0;
-  int64_t begin_us = g_get_monotonic_time ();
-
-  for (uint64_t i = 0; i < n_seeds; i++)
-    n_broken += !holds (first + i, has_cut_leaves);
-  printf ("%" G_GUINT64_FORMAT " schedules, %" G_GUINT64_FORMAT " broken, %.1f s\n", n_seeds,
-          n_broken, (double) (g_get_monotonic_time () - begin_us) / G_USEC_PER_SEC);
-  assert_int_equal (n_broken, 0);
+  (void) state;
+  play_schedules ((EmulatorOptions){ 0 });
 }
 
 static void
-test_rules_hold_in_random_schedules (void **state)
+test_leaving_workers_that_refuse_are_not_taken_for_gone (void **state)
 {
   (void) state;
-  play_schedules (FALSE);
+  play_schedules ((EmulatorOptions){ .has_cut_leaves = TRUE });
 }
 
+/* Guards against two runs of a task at the same time, and more tasks of a step on one worker than
+ * its limit, when starts that were executed are taken for not sent. */
 static void
-test_leaving_workers_that_refuse_are_not_taken_for_gone (void **state)
+test_starts_taken_for_not_sent_run_nowhere_else (void **state)
 {
   (void) state;
-  play_schedules (TRUE);
+  play_schedules ((EmulatorOptions){ .has_step_limits = TRUE, .has_overlooked_starts = TRUE });
 }
 
 int
@@ -94,6 +29,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rules_hold_in_random_schedules),
     cmocka_unit_test (test_leaving_workers_that_refuse_are_not_taken_for_gone),
+    cmocka_unit_test (test_starts_taken_for_not_sent_run_nowhere_else),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/support/emulator.h
+++ b/tests/support/emulator.h
@@ -22,7 +22,9 @@
   gboolean has_older_builds; /**< processes are rolled between the current and an older build */
   gboolean has_late_calls;   /**< calls without an answer may be carried out seconds later */
   gboolean has_cut_leaves;   /**< workers that leave live on for a while and refuse connections */
-  uint64_t skipped_faults;   /**< bit i: fault i of the schedule is left out */
+  gboolean has_step_limits;  /**< steps have limits of tasks on one worker */
+  gboolean has_overlooked_starts; /**< some starts are executed and answered as not sent */
+  uint64_t skipped_faults;        /**< bit i: fault i of the schedule is left out */
 } EmulatorOptions;
 
 typedef struct
--- a/tests/support/emulator_check.c
+++ b/tests/support/emulator_check.c
@@ -39,6 +39,7 @@
   uint32_t n_steps;
   uint32_t n_tasks[STEPS_MAX];
   int64_t cpu_m[STEPS_MAX];
+  uint32_t per_worker_max[STEPS_MAX]; /**< 0: no limit */
   int64_t duration_ms[STEPS_MAX];
   uint32_t fail_percent;
   gboolean is_cancelled;
@@ -191,11 +192,12 @@
   char queue[] = "bulk";
 
   for (uint32_t i = 0; i < job->n_steps; i++)
-    g_string_append_printf (body,
-                            "%s{\"count\":%u,\"cpu\":%" G_GINT64_FORMAT
-                            ",\"mem_mb\":64,\"estimate_ms\":%" G_GINT64_FORMAT "%s}",
-                            i > 0 ? "," : "", job->n_tasks[i], job->cpu_m[i], job->duration_ms[i],
-                            i > 0 ? ",\"after\":[0]" : "");
+    g_string_append_printf (
+        body,
+        "%s{\"count\":%u,\"cpu\":%" G_GINT64_FORMAT
+        ",\"mem_mb\":64,\"max_per_server\":%u,\"estimate_ms\":%" G_GINT64_FORMAT "%s}",
+        i > 0 ? "," : "", job->n_tasks[i], job->cpu_m[i], job->per_worker_max[i],
+        job->duration_ms[i], i > 0 ? ",\"after\":[0]" : "");
   g_string_append (body, "]}");
   submission.queue = queue;
   submission.accepted_wall_ms = EMU_WALL_MS + at_ms;
@@ -205,6 +207,16 @@
   return records;
 }
 
+/* A hash, so that a schedule draws the same otherwise: a third of the steps each has no limit, 1
+ * and 2. */
+static uint32_t
+limit_of (const Emulator *emu, const CheckJob *job, uint32_t step)
+{
+  uint64_t hash = (g_str_hash (job->id) + emu->options.seed * 31 + step) * 0x9e3779b97f4a7c15ULL;
+
+  return emu->options.has_step_limits ? (uint32_t) ((hash >> 32) % 3) : 0;
+}
+
 static void
 add_job (Emulator *emu, uint32_t number)
 {
@@ -219,6 +231,7 @@
     {
       job->n_tasks[i] = (uint32_t) emu_between (emu, 1, TASKS_MAX);
       job->cpu_m[i] = emu_between (emu, 1, 4) * 500;
+      job->per_worker_max[i] = limit_of (emu, job, i);
       job->duration_ms[i] = emu_between (emu, 60, emu_chance (emu, 30) ? 4500 : 2000);
       for (uint32_t k = 0; k < job->n_tasks[i]; k++)
         add_task (emu->check, job, i, k);
@@ -315,6 +328,23 @@
     }
 }
 
+static void
+check_step_limit (EmuWorker *worker, const CheckTask *task)
+{
+  Emulator *emu = worker->emu;
+  uint32_t most = task->job->per_worker_max[task->step];
+  uint32_t count = 1;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const CheckTask *other = find_task (emu, g_array_index (worker->runs, EmuRun, i).task);
+      count += other->job == task->job && other->step == task->step;
+    }
+  if (most != 0 && count > most)
+    violate (emu, "ROUTE", "%s at %s: %u tasks of the step, limit %u", task->name,
+             worker->process.name, count, most);
+}
+
 void
 emu_check_started (EmuWorker *worker, const EmuRun *run)
 {
@@ -330,6 +360,7 @@
   if (task->n_running > 0)
     violate (emu, "TWICE", "%s run %" G_GINT64_FORMAT " at %s: another run is under way",
              task->name, run->run, worker->process.name);
+  check_step_limit (worker, task);
   task->n_running++;
   g_array_append_val (task->starts, emu->now_us);
   check_order (emu, task);
--- a/tests/support/emulator_worker.c
+++ b/tests/support/emulator_worker.c
@@ -3,6 +3,7 @@
 
 #include "support/emulator_private.h"
 
+#define OVERLOOKED_PERCENT 1
 #define BEAT_MS 700
 #define STOP_GRACE_MS 200
 #define LATE_MIN_MS 2000
@@ -380,7 +381,12 @@
       return;
     }
   if (call->answer.outcome == RUNNER_OK && call->kind == EMU_CALL_START)
-    call->answer.outcome = handle_start (worker, call);
+    {
+      call->answer.outcome = handle_start (worker, call);
+      if (worker->emu->options.has_overlooked_starts && call->answer.outcome == RUNNER_OK
+          && emu_chance (worker->emu, OVERLOOKED_PERCENT))
+        call->answer = (RunnerAnswer){ .outcome = RUNNER_NOT_SENT, .clock_ms = -1 };
+    }
   else if (call->answer.outcome == RUNNER_OK && call->kind == EMU_CALL_STOP)
     call->answer.outcome = handle_stop (worker, call);
   answer (call);
