--- a/tests/fault/test_cancel_before_submission.sh
+++ b/tests/fault/test_cancel_before_submission.sh
@@ -15,16 +15,7 @@
   wait_line "$dir/$name.log" "config applied" 8000 || fail "the $name entry has no configuration"
 done
 second=${pids[-2]}
-cat >"$dir/agent.toml" <<TOML
-name = "agent"
-ip = "127.0.0.13"
-worker.listen = "127.0.0.13:29166"
-worker.call = "127.0.0.16:29165"
-internal.metrics_port = 29121
-store.address = "$store"
-TOML
-"$PROGRAMS/acacia-worker" --config "$dir/agent.toml" >"$dir/agent.log" 2>&1 &
-pids+=($!)
+start_agent agent 127.0.0.13 127.0.0.16:29165
 "$BUILD/bin/standin-runner" 127.0.0.16:29165 127.0.0.13:29166 200 >"$dir/runner.out" 2>"$dir/runner.log" &
 pids+=($!)
 wait_line "$dir/first.log" "sched worker_found" 8000 || fail "the owner does not know the worker"
--- a/tests/fault/test_many_ends.sh
+++ b/tests/fault/test_many_ends.sh
@@ -23,9 +23,8 @@
 start_agents() {
   agents=()
   for i in $(seq "$workers"); do
-    "$PROGRAMS/acacia-worker" --config "$dir/agent-$i.toml" >>"$dir/agent-$i.log" 2>&1 &
-    agents+=($!)
-    pids+=($!)
+    start_agent "agent-$i" "127.0.1.$i" "127.0.2.$i:29165"
+    agents+=("${pids[-1]}")
   done
 }
 
@@ -36,16 +35,6 @@
 wait_line "$dir/first.log" "owner took_over" 8000 || fail "the first entry never became the owner"
 start_entry second 127.0.0.12
 wait_line "$dir/second.log" "config applied" 8000 || fail "the second entry has no configuration"
-for i in $(seq "$workers"); do
-  cat >"$dir/agent-$i.toml" <<TOML
-name = "agent-$i"
-ip = "127.0.1.$i"
-worker.listen = "127.0.1.$i:29166"
-worker.call = "127.0.2.$i:29165"
-internal.metrics_port = 29121
-store.address = "$store"
-TOML
-done
 start_agents
 for i in $(seq "$workers"); do
   "$BUILD/bin/standin-runner" "127.0.2.$i:29165" "127.0.1.$i:29166" "$work_ms" >"$dir/runner-$i.out" 2>"$dir/runner-$i.log" &
--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -56,6 +56,20 @@
   pids+=($!)
 }
 
+# start_agent NAME IP WORKER: starts an agent beside the worker that listens on WORKER.
+start_agent() {
+  cat >"$dir/$1.toml" <<TOML
+name = "$1"
+ip = "$2"
+worker.listen = "$2:29166"
+worker.call = "$3"
+internal.metrics_port = 29121
+store.address = "$store"
+TOML
+  "$PROGRAMS/acacia-worker" --config "$dir/$1.toml" >>"$dir/$1.log" 2>&1 &
+  pids+=($!)
+}
+
 # wait_line FILE PATTERN MS: waits until a line of the file matches.
 wait_line() {
   local end=$(($(date +%s%N) / 1000000 + $3))
