outbox, relay: entries share appends while the store is slow

Cause: each entry appends on its own, the store takes one append at a time, and an append was given up after a constant 900 ms and sent again while its first copy was still queued. Records were forwarded to the owner in addition to these appends, not in their place.

An entry whose store is slow hands its records over to the owner, which writes them with its own in one append, and appends them itself only if the owner no longer reaches the store. A submission that can't be written in its caller's time is refused before it is sent. A refusal by the full queue of a slow store is retried until the caller's deadline.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -1639,7 +1639,7 @@
   (ProtobufCMessageInit) batch__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor batch__hello__field_descriptors[3] =
 {
   {
     "address",
@@ -1665,15 +1665,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "append_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Hello, append_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__hello__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  2,   /* field[2] = append_ms */
   1,   /* field[1] = is_fresh */
 };
 static const ProtobufCIntRange batch__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor batch__hello__descriptor =
 {
@@ -1683,7 +1696,7 @@
   "Batch__Hello",
   "batch",
   sizeof(Batch__Hello),
-  2,
+  3,
   batch__hello__field_descriptors,
   batch__hello__field_indices_by_name,
   1,  batch__hello__number_ranges,
@@ -1741,7 +1754,7 @@
   (ProtobufCMessageInit) batch__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__fate__field_descriptors[3] =
+static const ProtobufCFieldDescriptor batch__fate__field_descriptors[4] =
 {
   {
     "key",
@@ -1779,8 +1792,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "append_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Fate, append_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__fate__field_indices_by_name[] = {
+  3,   /* field[3] = append_ms */
   0,   /* field[0] = key */
   2,   /* field[2] = offset */
   1,   /* field[1] = result */
@@ -1788,7 +1814,7 @@
 static const ProtobufCIntRange batch__fate__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor batch__fate__descriptor =
 {
@@ -1798,7 +1824,7 @@
   "Batch__Fate",
   "batch",
   sizeof(Batch__Fate),
-  3,
+  4,
   batch__fate__field_descriptors,
   batch__fate__field_indices_by_name,
   1,  batch__fate__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -99,10 +99,14 @@
    * the store accepts requests of the sender
    */
   protobuf_c_boolean is_fresh;
+  /*
+   * how long the sender's appends take now; 0 if it does not say
+   */
+  uint32_t append_ms;
 };
 #define BATCH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Batch__Record
@@ -125,10 +129,14 @@
    */
   uint32_t result;
   int64_t offset;
+  /*
+   * as in Hello
+   */
+  uint32_t append_ms;
 };
 #define BATCH__FATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__fate__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Batch__Question
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -5,8 +5,6 @@
 #include "common/clk.h"
 #include "common/line.h"
 
-/** Added to the wait of a read. The store answers within a few ms, or some hundreds when slow. */
-#define TIMEOUT_MS 900
 /** Pause after a failed read. */
 #define RETRY_MS 150
 
@@ -37,6 +35,13 @@
   void *ctx;
 } Refresh;
 
+/* Time-out of a call besides the time for which the store may hold its answer. */
+static int64_t
+timeout_ms (const Feed *feed)
+{
+  return store_pace_read_timeout_ms (feed->options.pace, clk_now_us ());
+}
+
 static void send_read (Feed *feed);
 static void send_refresh (Refresh *refresh);
 
@@ -232,11 +237,12 @@
   const StoreRead read = { .topic = feed->options.topic,
                            .from = feed->next,
                            .wait_ms = feed->options.wait_ms,
-                           .timeout_ms = feed->options.wait_ms + TIMEOUT_MS };
+                           .timeout_ms = feed->options.wait_ms + timeout_ms (feed) };
 
   feed->sent_us = clk_now_us ();
   if (feed->is_loading)
-    store_newest (feed->options.store, feed->options.topic, feed->page, TIMEOUT_MS, on_page, feed);
+    store_newest (feed->options.store, feed->options.topic, feed->page, timeout_ms (feed), on_page,
+                  feed);
   else
     store_read (feed->options.store, &read, on_read, feed);
 }
@@ -321,7 +327,7 @@
 {
   const StoreRead read = { .topic = refresh->feed->options.topic,
                            .from = refresh->feed->next,
-                           .timeout_ms = TIMEOUT_MS };
+                           .timeout_ms = timeout_ms (refresh->feed) };
 
   refresh->sent_us = clk_now_us ();
   store_read (refresh->feed->options.store, &read, on_refreshed, refresh);
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "ledger/store_pace.h"
 #include "platform/store.h"
 
 G_BEGIN_DECLS
@@ -14,8 +15,9 @@
 {
   Store *store;
   const char *topic;
-  int64_t wait_ms;  /**< how long a read waits for a record */
-  int64_t pause_ms; /**< pause between two reads */
+  int64_t wait_ms;       /**< how long a read waits for a record */
+  int64_t pause_ms;      /**< pause between two reads */
+  const StorePace *pace; /**< of this process's appends, for time-outs; NULL if it has none */
   /** After a failed read, load the newest records instead of reading all missed ones. For topics
    * with few keys, whose older records don't matter. */
   gboolean skips_missed;
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -5,8 +5,6 @@
 #include "common/clk.h"
 #include "common/line.h"
 
-/** The store answers within a few ms, or some hundreds when it is slow. */
-#define TIMEOUT_MS 900
 /** First and longest pause before a failed append is repeated. */
 #define RETRY_MIN_MS 60
 #define RETRY_MAX_MS 400
@@ -39,6 +37,8 @@
   gboolean is_forwarded; /**< must not be forwarded */
   gboolean is_in_doubt;  /**< an append with it had no answer, or its key was written before */
   gboolean is_sent;      /**< contained in the append under way */
+  int64_t handed_us;     /**< when it was handed over; 0: it was not, or that was refused */
+  gboolean was_handed;   /**< was handed over once, and is not again */
   int64_t added_us;
   int64_t forwarded_us; /**< when it was last forwarded */
   uint32_t n_forwarded; /**< how often it was forwarded; 0 after the only forward failed */
@@ -52,7 +52,10 @@
   GHashTable *written_older; /**< keys written in the period before */
   int64_t written_since_us;  /**< when the newer period began */
   int64_t retry_ms;          /**< length of the last pause; 0: the last append succeeded */
-  gboolean is_busy;
+  int64_t sent_us;           /**< when the append under way was sent; 0: there is none */
+  uint32_t pace_slot;        /**< of the append under way */
+  uint64_t n_handed;         /**< records that were handed over */
+  gboolean is_handing_over;  /**< the newest record was handed over */
   guint retry_timer;
   guint check_timer;
 };
@@ -100,6 +103,12 @@
   return outbox->items->len;
 }
 
+uint64_t
+outbox_handed_over (const Outbox *outbox)
+{
+  return outbox->n_handed;
+}
+
 static void
 forget_written (Outbox *outbox)
 {
@@ -181,7 +190,10 @@
       item->is_in_doubt = TRUE;
       return FALSE;
     }
-  return !may_be_written (item) && !forward (outbox, item);
+  if (may_be_written (item) || forward (outbox, item))
+    return FALSE;
+  /* The queue of a slow store is full for some hundred ms; callers wait longer than that. */
+  return !store_pace_is_slow (outbox->options.pace, clk_now_us ());
 }
 
 /* Removes the append's items from the list before their callbacks run, which may add new ones. */
@@ -210,7 +222,8 @@
 {
   Outbox *outbox = ctx;
 
-  outbox->is_busy = FALSE;
+  store_pace_end (outbox->options.pace, outbox->pace_slot, answer->outcome, clk_now_us ());
+  outbox->sent_us = 0;
   if (answer->outcome != STORE_OK)
     line_add ("outbox", "append_failed", "outcome=%s waiting=%u",
               store_outcome_name (answer->outcome), outbox->items->len);
@@ -241,44 +254,148 @@
     }
 }
 
+static int64_t
+published_ms (const Outbox *outbox)
+{
+  return outbox->options.gatherer == NULL ? 0 : outbox->options.gatherer (outbox->options.ctx);
+}
+
+/* Returns how long appends take at the entry to which records are handed over; 0: to none. */
+static int64_t
+gatherer_ms (const Outbox *outbox, int64_t now)
+{
+  int64_t append_ms = published_ms (outbox);
+
+  return append_ms > 0
+                 && (store_pace_is_slow (outbox->options.pace, now)
+                     || store_pace_is_slow_ms (append_ms))
+             ? append_ms
+             : 0;
+}
+
+/* While this append is not answered, other records can be handed over, so that nothing is lost by
+ * waiting for it. */
+static int64_t
+timeout_ms (const Outbox *outbox, int64_t now)
+{
+  return published_ms (outbox) > 0 ? STORE_PACE_TIMEOUT_MAX_MS
+                                   : store_pace_timeout_ms (outbox->options.pace, FALSE, now);
+}
+
 static void
-send_batch (Outbox *outbox)
+note_handing_over (Outbox *outbox, int64_t append_ms, int64_t now)
 {
-  g_autoptr (GByteArray) records = g_byte_array_new ();
+  gboolean is_handing_over = append_ms > 0;
 
-  if (outbox->is_busy || outbox->retry_timer != 0)
-    return;
-  give_up_old (outbox);
-  if (outbox->items->len == 0)
+  if (outbox->is_handing_over == is_handing_over)
     return;
-  for (guint i = 0; i < MIN (outbox->items->len, BATCH_RECORDS_MAX); i++)
+  outbox->is_handing_over = is_handing_over;
+  line_add ("outbox", is_handing_over ? "store_slow" : "store_fast",
+            "append_ms=%" G_GINT64_FORMAT " gatherer_append_ms=%" G_GINT64_FORMAT
+            " waiting=%u handed_over=%" G_GUINT64_FORMAT,
+            store_pace_expected_ms (outbox->options.pace, now), append_ms, outbox->items->len,
+            outbox->n_handed);
+}
+
+/* Whether the record is left to the entry that gathers records. */
+static gboolean
+hand_over (Outbox *outbox, Item *item, int64_t append_ms, int64_t now)
+{
+  if (append_ms == 0 || item->was_handed || item->is_forwarded || item->is_sent)
+    return FALSE;
+  if (item->n_forwarded == 0 && !forward (outbox, item))
+    return FALSE;
+  item->was_handed = TRUE;
+  item->handed_us = now;
+  return TRUE;
+}
+
+/* Whether the entry that gathers records has time left to write it. A record that no caller waits
+ * for can wait until the store is fast again. */
+static gboolean
+is_left_to_gatherer (const Item *item, int64_t append_ms, int64_t now)
+{
+  if (append_ms > 0 && item->waiters->len == 0 && !item->is_forwarded)
+    return TRUE;
+  return item->handed_us != 0
+         && now < item->handed_us + store_pace_fallback_ms (append_ms > 0) * CLK_US_PER_MS;
+}
+
+/* Hands new records over, also while an append is under way. */
+static void
+hand_over_records (Outbox *outbox)
+{
+  int64_t now = clk_now_us ();
+  int64_t append_ms = gatherer_ms (outbox, now);
+
+  note_handing_over (outbox, append_ms, now);
+  for (guint i = 0; append_ms > 0 && i < outbox->items->len; i++)
+    outbox->n_handed += hand_over (outbox, g_ptr_array_index (outbox->items, i), append_ms, now);
+}
+
+/* Collects the records of the next append; empty if there is nothing to append. */
+static GByteArray *
+collect_batch (Outbox *outbox)
+{
+  GByteArray *records = g_byte_array_new ();
+  int64_t now = clk_now_us ();
+  int64_t append_ms = gatherer_ms (outbox, now);
+  uint32_t n_records = 0;
+
+  for (guint i = 0; i < outbox->items->len && n_records < BATCH_RECORDS_MAX; i++)
     {
       Item *item = g_ptr_array_index (outbox->items, i);
       size_t size = 0;
       const void *value = g_bytes_get_data (item->value, &size);
+      if (is_left_to_gatherer (item, append_ms, now))
+        continue;
       if (records->len > 0 && records->len + size > BATCH_BYTES_MAX)
         break;
       store_add_record (records, item->key, value, size);
       item->is_sent = TRUE;
+      n_records++;
     }
-  outbox->is_busy = TRUE;
-  const StoreAppend append = {
-    .topic = outbox->options.topic, .records = records, .expected_end = -1, .timeout_ms = TIMEOUT_MS
-  };
-  store_append (outbox->options.store, &append, on_appended, outbox);
+  return records;
 }
 
 static void
+send_batch (Outbox *outbox)
+{
+  hand_over_records (outbox);
+  if (outbox->sent_us != 0 || outbox->retry_timer != 0)
+    return;
+  give_up_old (outbox);
+  if (outbox->items->len == 0)
+    return;
+  g_autoptr (GByteArray) records = collect_batch (outbox);
+  if (records->len == 0)
+    return;
+  int64_t now = clk_now_us ();
+  const StoreAppend append = { .topic = outbox->options.topic,
+                               .records = records,
+                               .expected_end = -1,
+                               .timeout_ms = timeout_ms (outbox, now) };
+  outbox->sent_us = now;
+  outbox->pace_slot = store_pace_begin (outbox->options.pace, now);
+  store_append (outbox->options.store, &append, on_appended, outbox);
+}
+
+/* Ends waits whose deadline has passed. Returns whether the item must be dropped: its record was
+ * not sent, and no caller waits for it any more. */
+static gboolean
 expire (Item *item, int64_t now)
 {
+  gboolean is_unsent = !may_be_written (item) && !item->is_sent;
+
   for (guint i = item->waiters->len; i-- > 0;)
     {
       const Waiter waiter = g_array_index (item->waiters, Waiter, i);
       if (waiter.deadline_us > now)
         continue;
       (void) g_array_remove_index (item->waiters, i);
-      waiter.done (waiter.ctx, OUTBOX_IN_DOUBT, -1);
+      waiter.done (waiter.ctx, is_unsent ? OUTBOX_REFUSED : OUTBOX_IN_DOUBT, -1);
     }
+  return is_unsent && item->waiters->len == 0;
 }
 
 static void
@@ -297,18 +414,37 @@
   Outbox *outbox = data;
   int64_t now = clk_now_us ();
 
-  for (guint i = 0; i < outbox->items->len; i++)
+  for (guint i = 0; i < outbox->items->len;)
     {
       Item *item = g_ptr_array_index (outbox->items, i);
-      expire (item, now);
+      if (expire (item, now))
+        {
+          g_ptr_array_remove_index (outbox->items, i);
+          continue;
+        }
       forward_if_due (outbox, item, now);
+      i++;
     }
+  /* Records that were handed over and have no outcome are appended here. */
+  send_batch (outbox);
   if (outbox->items->len > 0)
     return G_SOURCE_CONTINUE;
   outbox->check_timer = 0;
   return G_SOURCE_REMOVE;
 }
 
+int64_t
+outbox_expected_ms (const Outbox *outbox)
+{
+  int64_t now = clk_now_us ();
+  int64_t append_ms = gatherer_ms (outbox, now);
+
+  if (append_ms > 0)
+    return store_pace_forwarded_wait_ms (append_ms);
+  return store_pace_wait_ms (outbox->options.pace, outbox->sent_us,
+                             1 + outbox->items->len / BATCH_RECORDS_MAX, now);
+}
+
 static guint
 find_index (const Outbox *outbox, const Item *item)
 {
@@ -344,6 +480,12 @@
   return item;
 }
 
+gboolean
+outbox_knows (Outbox *outbox, const char *key)
+{
+  return find (outbox, key) != NULL || was_written (outbox, key);
+}
+
 void
 outbox_add (Outbox *outbox, const OutboxRecord *record, OutboxDone done, void *ctx)
 {
@@ -375,6 +517,13 @@
       /* If it was forwarded more than once, another copy may still be written. */
       if (item->n_forwarded == 1)
         item->n_forwarded = 0;
+      /* The gatherer's way to the store may be worse than this entry's; not if both are slow. */
+      if (item->handed_us != 0 && !store_pace_is_slow (outbox->options.pace, clk_now_us ()))
+        {
+          item->handed_us = 0;
+          send_batch (outbox);
+          return;
+        }
       if (may_be_written (item) || item->is_sent)
         return;
     }
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -6,9 +6,14 @@
  * comes; appending a record twice does no harm. If the store refuses a record or is slow, another
  * entry can be asked to write it too. A record whose key this outbox wrote within the last 30 s is
  * never reported as refused.
+ *
+ * While the store is slow, records are handed over to the entry that gathers them, if there is one,
+ * and are appended here only if no outcome comes in time: appends of many entries would queue up in
+ * the store.
  */
 #pragma once
 
+#include "ledger/store_pace.h"
 #include "platform/store.h"
 
 G_BEGIN_DECLS
@@ -28,11 +33,19 @@
 /** Forwards a record to another entry; FALSE if none can be asked. */
 typedef gboolean (*OutboxForward) (void *ctx, const char *key, GBytes *value);
 
+/**
+ * How long appends take at the entry that gathers the records of all while the store is slow, in
+ * ms. 0 if there is none, if it is this one, or if it did not say so lately.
+ */
+typedef int64_t (*OutboxGatherer) (void *ctx);
+
 typedef struct
 {
   Store *store;
-  const char *topic;     /**< must outlive the outbox */
-  OutboxForward forward; /**< NULL for none */
+  const char *topic;       /**< must outlive the outbox */
+  OutboxForward forward;   /**< NULL for none */
+  OutboxGatherer gatherer; /**< NULL for none; asked before forward() hands a record over */
+  StorePace *pace;         /**< of all appends of this process; must outlive the outbox */
   void *ctx;
 } OutboxOptions;
 
@@ -63,6 +76,15 @@
 /** A record that is not written within this time is forwarded as well. */
 #define OUTBOX_FORWARD_MS 150
 
+/** Expected time in ms until a record that is added now is written. */
+int64_t outbox_expected_ms (const Outbox *outbox);
+
+/** Whether a record with @p key waits, or was written within the last 30 s. */
+gboolean outbox_knows (Outbox *outbox, const char *key);
+
+/** Number of records that were handed over since the outbox was created. */
+uint64_t outbox_handed_over (const Outbox *outbox);
+
 /** Number of records whose outcome is not known yet. */
 uint32_t outbox_waiting (const Outbox *outbox);
 
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -182,12 +182,14 @@
 open_feeds (Entry *entry)
 {
   const FeedOptions ledger = { .store = entry->store,
+                               .pace = &entry->pace,
                                .topic = LEDGER_TOPIC,
                                .wait_ms = LEDGER_WAIT_MS,
                                .pause_ms = LEDGER_PAUSE_MS,
                                .on_record = on_ledger_record,
                                .ctx = entry };
   const FeedOptions config = { .store = entry->store,
+                               .pace = &entry->pace,
                                .topic = OPERATOR_TOPIC,
                                .wait_ms = CONFIG_WAIT_MS,
                                .pause_ms = CONFIG_PAUSE_MS,
@@ -221,6 +223,7 @@
       entry_free (entry);
       return NULL;
     }
+  store_pace_init (&entry->pace);
   entry->store = store_new (node_client (entry->node), settings->store_address);
   entry->ledger = ledger_new (&events);
   entry->evacuations = evacuations_new ();
@@ -228,6 +231,8 @@
   const OutboxOptions outbox = { .store = entry->store,
                                  .topic = LEDGER_TOPIC,
                                  .forward = relay_forward_record,
+                                 .gatherer = relay_gatherer_append_ms,
+                                 .pace = &entry->pace,
                                  .ctx = entry->relay };
   entry->outbox = outbox_new (&outbox);
   entry->owner = owner_new (entry);
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -176,6 +176,23 @@
               pending_request_new (front, request, id, queue->name));
 }
 
+/* Refuses a submission that would not be written in its caller's time. One whose record may have
+ * been sent already is not refused. */
+static gboolean
+refuse_if_slow (Front *front, NetRequest *request, const char *id)
+{
+  int64_t wait_ms = outbox_expected_ms (front->entry->outbox);
+  g_autofree char *key = g_strconcat (LEDGER_JOB_PREFIX, id, NULL);
+
+  if (clk_now_us () + wait_ms * CLK_US_PER_MS <= deadline_us (request)
+      || outbox_knows (front->entry->outbox, key))
+    return FALSE;
+  line_add ("front", "would_be_late", "job=%s wait_ms=%" G_GINT64_FORMAT " waiting=%u", id, wait_ms,
+            outbox_waiting (front->entry->outbox));
+  refuse (front, request, id, 503, "store_slow", store_pace_retry_after_s (wait_ms, id));
+  return TRUE;
+}
+
 static void
 submit (Front *front, NetRequest *request, const char *id, const Queue *queue)
 {
@@ -197,6 +214,8 @@
       refuse (front, request, id, 503, "store_lost", RETRY_AFTER_S);
       return;
     }
+  if (refuse_if_slow (front, request, id))
+    return;
   g_autoptr (JobSpec) spec = caller_decode_job (body, size, &error);
   if (spec == NULL)
     {
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -80,13 +80,14 @@
     prepare_claim (owner, end);
   owner->phase = OWNER_CLAIMING;
   owner->claim_sent_us = clk_now_us ();
-  const StoreAppend append = { .topic = LEDGER_TOPIC,
-                               .records = owner->claim_records,
-                               .expected_end = end,
-                               .producer = OWNER_PRODUCER,
-                               .epoch = owner->epoch,
-                               .sequence = owner->sequence,
-                               .timeout_ms = OWNER_TIMEOUT_MS };
+  const StoreAppend append
+      = { .topic = LEDGER_TOPIC,
+          .records = owner->claim_records,
+          .expected_end = end,
+          .producer = OWNER_PRODUCER,
+          .epoch = owner->epoch,
+          .sequence = owner->sequence,
+          .timeout_ms = store_pace_timeout_ms (&owner->entry->pace, TRUE, owner->claim_sent_us) };
   line_add ("owner", "claim",
             "term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT
             " last_owner=%s quiet_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -11,8 +11,6 @@
 
 /** Interval of the owner's heartbeat records in the ledger. */
 #define OWNER_RENEW_MS 500
-/** Append timeout. The store answers within a few ms, or some hundreds when it is slow. */
-#define OWNER_TIMEOUT_MS 900
 /** Producer name of the owner's appends; the store refuses those of an earlier owner's epoch. */
 #define OWNER_PRODUCER "owner"
 
@@ -37,6 +35,7 @@
   int64_t epoch;
   int64_t sequence; /**< sequence number of the claim */
   Appender appender;
+  uint32_t pace_slot;    /**< of the transmission under way */
   int64_t owner_seen_us; /**< when the newest owner record was read */
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -192,11 +192,14 @@
 static void
 transmit (Owner *owner)
 {
-  StoreAppend append
-      = { .topic = LEDGER_TOPIC, .producer = OWNER_PRODUCER, .timeout_ms = OWNER_TIMEOUT_MS };
+  int64_t now = clk_now_us ();
+  StoreAppend append = { .topic = LEDGER_TOPIC,
+                         .producer = OWNER_PRODUCER,
+                         .timeout_ms = store_pace_timeout_ms (&owner->entry->pace, TRUE, now) };
 
   owner->is_calling = TRUE;
-  appender_transmit (&owner->appender, clk_now_us (), &append);
+  owner->pace_slot = store_pace_begin (&owner->entry->pace, now);
+  appender_transmit (&owner->appender, now, &append);
   store_append (owner->entry->store, &append, on_appended, owner);
 }
 
@@ -279,6 +282,7 @@
   int64_t now = clk_now_us ();
 
   owner->is_calling = FALSE;
+  store_pace_end (&owner->entry->pace, owner->pace_slot, answer->outcome, now);
   if (owner->phase != OWNER_ACTIVE || !appender_is_open (appender))
     return;
   int64_t first_sent_us = appender->first_sent_us;
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -30,6 +30,7 @@
   GBytes *id;
   int64_t received_us; /**< when its newest message was received; 0: none */
   gboolean is_fresh;   /**< its newest hello reported that it reaches the store */
+  int64_t append_ms;   /**< how long its appends take, as it last reported; 0: it did not */
 } Target;
 
 typedef struct
@@ -64,6 +65,7 @@
   NetLink *server;
   NetLink *client;
   char *address;             /**< where this entry listens */
+  char *owner_address;       /**< where the owner listens; may be empty */
   GPtrArray *targets;        /**< Target, owned, best first */
   GPtrArray *hello_senders;  /**< HelloSender, owned */
   GPtrArray *open_questions; /**< OpenQuestion, owned, oldest first */
@@ -125,6 +127,12 @@
 
 /* Server side: requests of other entries. */
 
+static uint32_t
+append_ms (const Relay *relay)
+{
+  return (uint32_t) MIN (store_pace_answered_ms (&relay->entry->pace, clk_now_us ()), G_MAXINT32);
+}
+
 static void
 handle_hello (Relay *relay, GBytes *peer, const Batch__Hello *hello)
 {
@@ -151,6 +159,7 @@
     }
   own.address = relay->address;
   own.is_fresh = entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS);
+  own.append_ms = append_ms (relay);
   answer.what_case = BATCH__RELAY__WHAT_HELLO;
   answer.hello = &own;
   (void) send_message (relay->server, peer, &answer);
@@ -165,6 +174,7 @@
   write_result.key = (char *) key;
   write_result.result = (uint32_t) result;
   write_result.offset = offset;
+  write_result.append_ms = append_ms (relay);
   answer.what_case = BATCH__RELAY__WHAT_FATE;
   answer.fate = &write_result;
   (void) send_message (relay->server, peer, &answer);
@@ -191,6 +201,24 @@
   (void) g_hash_table_remove (peer_request->relay->peer_requests, peer_request);
 }
 
+/* Whether the same entry has asked for the record before and waits for its outcome. A second
+ * outcome for each repeat could exceed the queue of the link, and others would be dropped. */
+static gboolean
+is_asked (const Relay *relay, GBytes *peer, const char *key)
+{
+  GHashTableIter iter;
+  gpointer request = NULL;
+
+  g_hash_table_iter_init (&iter, relay->peer_requests);
+  while (g_hash_table_iter_next (&iter, &request, NULL))
+    {
+      const PeerRequest *peer_request = request;
+      if (g_bytes_equal (peer_request->peer, peer) && strcmp (peer_request->key, key) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 handle_record (Relay *relay, GBytes *peer, const Batch__Record *record)
 {
@@ -206,6 +234,8 @@
       send_write_result (relay, peer, record->key, OUTBOX_REFUSED, -1);
       return;
     }
+  if (is_asked (relay, peer, record->key))
+    return;
   outbox_add (relay->entry->outbox, &row, on_peer_record_written,
               peer_request_new (relay, peer, record->key));
 }
@@ -305,7 +335,12 @@
         continue;
       target->received_us = clk_now_us ();
       if (message->what_case == BATCH__RELAY__WHAT_HELLO)
-        target->is_fresh = message->hello->is_fresh;
+        {
+          target->is_fresh = message->hello->is_fresh;
+          target->append_ms = message->hello->append_ms;
+        }
+      else if (message->what_case == BATCH__RELAY__WHAT_FATE)
+        target->append_ms = message->fate->append_ms;
     }
 }
 
@@ -371,6 +406,18 @@
   return TRUE;
 }
 
+int64_t
+relay_gatherer_append_ms (void *ctx)
+{
+  const Relay *relay = ctx;
+  const Target *target = best_target (relay);
+
+  if (target == NULL || relay->owner_address == NULL
+      || strcmp (target->address, relay->owner_address) != 0)
+    return 0;
+  return target->append_ms;
+}
+
 static gboolean
 on_question_timeout (gpointer data)
 {
@@ -464,6 +511,8 @@
     net_link_drop_peer (relay->client, ((Target *) g_ptr_array_index (relay->targets, i))->address);
   g_ptr_array_unref (relay->targets);
   relay->targets = next;
+  g_free (relay->owner_address);
+  relay->owner_address = g_strdup (owner->address);
 }
 
 static void
@@ -577,5 +626,6 @@
   g_ptr_array_unref (relay->open_questions);
   g_hash_table_destroy (relay->peer_requests);
   g_free (relay->address);
+  g_free (relay->owner_address);
   g_free (relay);
 }
--- a/tests/standin/store/main.c
+++ b/tests/standin/store/main.c
@@ -10,6 +10,11 @@
  *
  * Appends are answered after APPEND_MS. SECOND is another address of the same store. After SIGUSR1
  * all calls to SECOND are answered with 503; after SIGUSR2 they are not answered.
+ *
+ * POST /standin-pace?service_ms=S&answer_ms=A makes the store slow: appends are executed one at a
+ * time, each takes S, and every answer takes A longer. An append that would wait in the queue for
+ * more than 2 s is answered with 503. S = A = 0 ends that; what is queued is executed at the old
+ * pace.
  */
 #include <glib-unix.h>
 #include <stdio.h>
@@ -25,6 +30,8 @@
 #define RECORD_HEAD 4
 /** Number of appends whose repeats receive the first response again. */
 #define APPENDS_KEPT 5
+/** Longest time that an append waits in the queue of a slow store. */
+#define QUEUE_MAX_US (2 * G_USEC_PER_SEC)
 
 /** An append of a producer. */
 typedef struct
@@ -60,7 +67,10 @@
 
 static GHashTable *topics;
 static SecondMode second_mode;
-static guint append_ms; /* delay of the answer to an append */
+static guint append_ms;      /* delay of the answer to an append */
+static gint64 service_ms;    /* time that an append takes; 0: none */
+static gint64 answer_ms;     /* delay of every answer while the store is slow */
+static gint64 queue_free_us; /* when all queued appends will have been executed */
 
 static Topic *
 topic_of (const char *name)
@@ -124,13 +134,25 @@
   net_request_reply (request, &reply);
 }
 
+static gboolean
+on_answer_due (gpointer data)
+{
+  Waiting *waiting = data;
+
+  reply_records (waiting->request, waiting->topic, waiting->from);
+  g_free (waiting);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 end_wait (Waiting *waiting)
 {
   if (waiting->timer != 0)
     g_source_remove (waiting->timer);
-  reply_records (waiting->request, waiting->topic, waiting->from);
-  g_free (waiting);
+  if (answer_ms > 0)
+    (void) g_timeout_add ((guint) answer_ms, on_answer_due, waiting);
+  else
+    (void) on_answer_due (waiting);
 }
 
 static gboolean
@@ -150,15 +172,15 @@
   int64_t from = argument (request, "from", 0);
   int64_t wait_ms = argument (request, "wait_ms", 0);
 
-  if (wait_ms == 0 || from < (int64_t) topic->records->len)
-    {
-      reply_records (request, topic, from);
-      return;
-    }
   Waiting *waiting = g_new0 (Waiting, 1);
   waiting->request = request;
   waiting->topic = topic;
   waiting->from = from;
+  if (wait_ms == 0 || from < (int64_t) topic->records->len)
+    {
+      end_wait (waiting);
+      return;
+    }
   waiting->timer = g_timeout_add ((guint) wait_ms, on_wait_over, waiting);
   g_ptr_array_add (topic->waiting, waiting);
 }
@@ -290,8 +312,8 @@
 
   delayed->request = request;
   delayed->body = describe_append (offset, topic->records->len);
-  if (append_ms > 0)
-    (void) g_timeout_add (append_ms, on_delay_over, delayed);
+  if (append_ms + answer_ms > 0)
+    (void) g_timeout_add (append_ms + (guint) answer_ms, on_delay_over, delayed);
   else
     (void) on_delay_over (delayed);
 }
@@ -328,6 +350,52 @@
     end_wait (g_ptr_array_steal_index (topic->waiting, 0));
 }
 
+typedef struct
+{
+  NetRequest *request;
+  Topic *topic;
+} Queued;
+
+static gboolean
+on_queue_over (gpointer data)
+{
+  g_autofree Queued *queued = data;
+
+  append_records (queued->request, queued->topic);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+queue_append (NetRequest *request, Topic *topic)
+{
+  const NetReply busy = { .status = 503 };
+  gint64 now_us = g_get_monotonic_time ();
+  gint64 begin_us = MAX (now_us, queue_free_us);
+
+  if (service_ms == 0 && begin_us == now_us)
+    {
+      append_records (request, topic);
+      return;
+    }
+  if (begin_us - now_us > QUEUE_MAX_US)
+    {
+      net_request_reply (request, &busy);
+      return;
+    }
+  Queued *queued = g_new (Queued, 1);
+  *queued = (Queued){ request, topic };
+  queue_free_us = begin_us + service_ms * 1000;
+  (void) g_timeout_add ((guint) ((queue_free_us - now_us) / 1000), on_queue_over, queued);
+}
+
+static void
+set_pace (NetRequest *request)
+{
+  service_ms = argument (request, "service_ms", 0);
+  answer_ms = argument (request, "answer_ms", 0);
+  reply_json (request, 200, "{}");
+}
+
 /* Returns whether no later record has the same key. */
 static gboolean
 is_newest (const Topic *topic, guint index)
@@ -376,7 +444,9 @@
 
   (void) ctx;
   if (name != NULL && strcmp (path, "/log-append") == 0)
-    append_records (request, topic_of (name));
+    queue_append (request, topic_of (name));
+  else if (strcmp (path, "/standin-pace") == 0)
+    set_pace (request);
   else if (name != NULL && strcmp (path, "/log-read") == 0)
     read_records (request, topic_of (name));
   else if (name != NULL && strcmp (path, "/log-newest") == 0)
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -22,6 +22,7 @@
   NetServer *server;
   NetClient *client;
   Store *store;
+  StorePace pace;
   uint32_t status;
   char *body;
   uint32_t n_calls;
@@ -248,13 +249,15 @@
 }
 
 static Outbox *
-open_outbox (const Fixture *fixture, PeerEntry *peer)
+open_outbox (Fixture *fixture, PeerEntry *peer)
 {
   const OutboxOptions options = { .store = fixture->store,
                                   .topic = TOPIC,
                                   .forward = peer != NULL ? accept_record : NULL,
+                                  .pace = &fixture->pace,
                                   .ctx = peer };
 
+  store_pace_init (&fixture->pace);
   return outbox_new (&options);
 }
 
