outbox: a record that was read from the ledger is written; findings of a review

An independent review of the shared appends, with a model of store and outbox, showed faults of which these are mended here:

- A caller could be told that its record was refused while another wait for the same record had it written.
A wait that ends while others go on is in doubt.
A record with its key that is read from the ledger is now written, whoever appended it, and an append whose records were all read is not waited for.
- After an append was given up, the owner's next one could use up its whole authority.
- A record that the owner refused is appended here instead of being refused.
- Reads end before their view counts as interrupted.
- An owner that leaves takes no records; it publishes the age of its append under way if that is longer than the last one took.

Not mended: a store 200 times slower, or 30 entries at its onset.

--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -44,16 +44,25 @@
   uint32_t n_forwarded; /**< how often it was forwarded; 0 after the only forward failed */
 } Item;
 
+/** An append. It is abandoned once the ledger has shown that its records were written. */
+typedef struct
+{
+  Outbox *outbox;
+  uint32_t pace_slot;
+  int64_t sent_us;
+  gboolean is_abandoned;
+} Flight;
+
 struct Outbox
 {
   OutboxOptions options;
+  GPtrArray *flights;        /**< Flight without an answer, owned; at most one is not abandoned */
   GPtrArray *items;          /**< Item, oldest first */
   GHashTable *written;       /**< keys written lately */
   GHashTable *written_older; /**< keys written in the period before */
   int64_t written_since_us;  /**< when the newer period began */
   int64_t retry_ms;          /**< length of the last pause; 0: the last append succeeded */
-  int64_t sent_us;           /**< when the append under way was sent; 0: there is none */
-  uint32_t pace_slot;        /**< of the append under way */
+  Flight *flight;            /**< the append whose answer is waited for; NULL for none */
   uint64_t n_handed;         /**< records that were handed over */
   gboolean is_handing_over;  /**< the newest record was handed over */
   guint retry_timer;
@@ -78,6 +87,7 @@
 
   outbox->options = *options;
   outbox->items = g_ptr_array_new_with_free_func (item_free);
+  outbox->flights = g_ptr_array_new_with_free_func (g_free);
   outbox->written = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   outbox->written_older = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   outbox->written_since_us = clk_now_us ();
@@ -92,6 +102,7 @@
   g_clear_handle_id (&outbox->retry_timer, g_source_remove);
   g_clear_handle_id (&outbox->check_timer, g_source_remove);
   g_ptr_array_unref (outbox->items);
+  g_ptr_array_unref (outbox->flights);
   g_hash_table_unref (outbox->written);
   g_hash_table_unref (outbox->written_older);
   g_free (outbox);
@@ -217,13 +228,26 @@
                     answer->outcome == STORE_OK ? OUTBOX_WRITTEN : OUTBOX_REFUSED, answer->offset);
 }
 
+static void
+end_flight (Outbox *outbox, Flight *flight)
+{
+  if (outbox->flight == flight)
+    outbox->flight = NULL;
+  (void) g_ptr_array_remove (outbox->flights, flight);
+}
+
 static void
 on_appended (void *ctx, const StoreAnswer *answer)
 {
-  Outbox *outbox = ctx;
+  Flight *flight = ctx;
+  Outbox *outbox = flight->outbox;
+  gboolean is_abandoned = flight->is_abandoned;
 
-  store_pace_end (outbox->options.pace, outbox->pace_slot, answer->outcome, clk_now_us ());
-  outbox->sent_us = 0;
+  if (!is_abandoned)
+    store_pace_end (outbox->options.pace, flight->pace_slot, answer->outcome, clk_now_us ());
+  end_flight (outbox, flight);
+  if (is_abandoned)
+    return;
   if (answer->outcome != STORE_OK)
     line_add ("outbox", "append_failed", "outcome=%s waiting=%u",
               store_outcome_name (answer->outcome), outbox->items->len);
@@ -362,7 +386,7 @@
 send_batch (Outbox *outbox)
 {
   hand_over_records (outbox);
-  if (outbox->sent_us != 0 || outbox->retry_timer != 0)
+  if (outbox->flight != NULL || outbox->retry_timer != 0)
     return;
   give_up_old (outbox);
   if (outbox->items->len == 0)
@@ -375,18 +399,23 @@
                                .records = records,
                                .expected_end = -1,
                                .timeout_ms = timeout_ms (outbox, now) };
-  outbox->sent_us = now;
-  outbox->pace_slot = store_pace_begin (outbox->options.pace, now);
-  store_append (outbox->options.store, &append, on_appended, outbox);
+  outbox->flight = g_new0 (Flight, 1);
+  outbox->flight->outbox = outbox;
+  outbox->flight->sent_us = now;
+  outbox->flight->pace_slot = store_pace_begin (outbox->options.pace, now);
+  g_ptr_array_add (outbox->flights, outbox->flight);
+  store_append (outbox->options.store, &append, on_appended, outbox->flight);
 }
 
 /* Ends waits whose deadline has passed. Returns whether the item must be dropped: its record was
- * not sent, and no caller waits for it any more. */
+ * not sent, and no caller waits for it any more. While one does, it may still be written. */
 static gboolean
 expire (Item *item, int64_t now)
 {
   gboolean is_unsent = !may_be_written (item) && !item->is_sent;
 
+  for (guint i = 0; i < item->waiters->len; i++)
+    is_unsent &= g_array_index (item->waiters, Waiter, i).deadline_us <= now;
   for (guint i = item->waiters->len; i-- > 0;)
     {
       const Waiter waiter = g_array_index (item->waiters, Waiter, i);
@@ -395,7 +424,7 @@
       (void) g_array_remove_index (item->waiters, i);
       waiter.done (waiter.ctx, is_unsent ? OUTBOX_REFUSED : OUTBOX_IN_DOUBT, -1);
     }
-  return is_unsent && item->waiters->len == 0;
+  return is_unsent && !item->is_sent;
 }
 
 static void
@@ -441,7 +470,8 @@
 
   if (append_ms > 0)
     return store_pace_forwarded_wait_ms (append_ms);
-  return store_pace_wait_ms (outbox->options.pace, outbox->sent_us,
+  return store_pace_wait_ms (outbox->options.pace,
+                             outbox->flight != NULL ? outbox->flight->sent_us : 0,
                              1 + outbox->items->len / BATCH_RECORDS_MAX, now);
 }
 
@@ -517,8 +547,8 @@
       /* If it was forwarded more than once, another copy may still be written. */
       if (item->n_forwarded == 1)
         item->n_forwarded = 0;
-      /* The gatherer's way to the store may be worse than this entry's; not if both are slow. */
-      if (item->handed_us != 0 && !store_pace_is_slow (outbox->options.pace, clk_now_us ()))
+      /* This entry may reach the store although the other one does not. */
+      if (item->handed_us != 0)
         {
           item->handed_us = 0;
           send_batch (outbox);
@@ -531,3 +561,44 @@
   answer_waiters (outbox, item, result, offset);
   item_free (item);
 }
+
+void
+outbox_handle_record (Outbox *outbox, const char *key, size_t key_size, int64_t offset)
+{
+  for (guint i = 0; i < outbox->items->len; i++)
+    {
+      Item *item = g_ptr_array_index (outbox->items, i);
+      if (strlen (item->key) != key_size || memcmp (item->key, key, key_size) != 0)
+        continue;
+      (void) g_ptr_array_steal_index (outbox->items, i);
+      answer_waiters (outbox, item, OUTBOX_WRITTEN, offset);
+      item_free (item);
+      break;
+    }
+}
+
+static gboolean
+is_any_sent (const Outbox *outbox)
+{
+  for (guint i = 0; i < outbox->items->len; i++)
+    {
+      if (((const Item *) g_ptr_array_index (outbox->items, i))->is_sent)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+outbox_end_records (Outbox *outbox)
+{
+  Flight *flight = outbox->flight;
+
+  if (flight == NULL || is_any_sent (outbox))
+    return;
+  /* All its records were read: the answer was lost, or is on its way. */
+  flight->is_abandoned = TRUE;
+  store_pace_end (outbox->options.pace, flight->pace_slot, STORE_OK, clk_now_us ());
+  outbox->flight = NULL;
+  outbox->retry_ms = 0;
+  send_batch (outbox);
+}
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -73,6 +73,16 @@
 void
 outbox_handle_forward_result (Outbox *outbox, const char *key, OutboxResult result, int64_t offset);
 
+/**
+ * Handles a record with a value that was read from the ledger: one with its key that waits here is
+ * written, whoever appended it, although no answer said so.
+ */
+void outbox_handle_record (Outbox *outbox, const char *key, size_t key_size, int64_t offset);
+
+/** Must follow calls of outbox_handle_record(). If all records of the append under way were read,
+ * the next one does not wait for its answer, which may be lost. */
+void outbox_end_records (Outbox *outbox);
+
 /** A record that is not written within this time is forwarded as well. */
 #define OUTBOX_FORWARD_MS 150
 
--- a/lib/ledger/store_pace.c
+++ b/lib/ledger/store_pace.c
@@ -24,6 +24,9 @@
 /** An append without an answer was lost, or the store is slow: the next one gets this multiple of
  * its time. */
 #define GIVEN_UP_FACTOR 2
+/** Longest time-out of a read. With the wait of 500 ms, it ends before the view that the read
+ * renews counts as interrupted (FEED_GAP_MS). */
+#define READ_TIMEOUT_MAX_MS 1150
 /** Bounds of the time that another process has to write a record before it is appended here as
  * well. Up to the longer one, which is as long as callers usually wait, an append of this process
  * would only delay that process's. */
@@ -74,10 +77,10 @@
 void
 store_pace_end (StorePace *pace, uint32_t slot, StoreOutcome outcome, int64_t now_us)
 {
+  g_return_if_fail (slot < STORE_PACE_OPEN_MAX && pace->open_us[slot] != 0);
   int64_t began_us = pace->open_us[slot];
   int64_t took_ms = MAX (now_us - began_us, 0) / CLK_US_PER_MS;
 
-  g_return_if_fail (slot < STORE_PACE_OPEN_MAX);
   pace->open_us[slot] = 0;
   if (outcome == STORE_IN_DOUBT)
     {
@@ -149,8 +152,10 @@
 int64_t
 store_pace_read_timeout_ms (const StorePace *pace, int64_t now_us)
 {
-  return pace == NULL ? TIMEOUT_MIN_MS
-                      : clamp_timeout_ms (answered_ms (pace, now_us) * TIMEOUT_FACTOR);
+  if (pace == NULL)
+    return TIMEOUT_MIN_MS;
+  return (int64_t) CLAMP (answered_ms (pace, now_us) * TIMEOUT_FACTOR, TIMEOUT_MIN_MS,
+                          READ_TIMEOUT_MAX_MS);
 }
 
 int64_t
@@ -167,7 +172,9 @@
 {
   if (pace->updated_us == 0 || now_us - pace->updated_us > STORE_PACE_KEEP_MS * CLK_US_PER_MS)
     return 0;
-  return MAX ((int64_t) pace->answer_ms, 1);
+  int64_t open_us = oldest_open_us (pace);
+  int64_t age_ms = open_us == 0 ? 0 : (now_us - open_us) / CLK_US_PER_MS;
+  return MAX (MAX ((int64_t) pace->answer_ms, age_ms), 1);
 }
 
 gboolean
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -35,6 +35,14 @@
                      record->value_size))
     line_add ("ledger", "record_ignored", "offset=%" G_GINT64_FORMAT " key_bytes=%zu bytes=%zu",
               record->offset, record->key_size, record->value_size);
+  if (record->value_size > 0)
+    outbox_handle_record (entry->outbox, record->key, record->key_size, record->offset);
+}
+
+static void
+on_ledger_batch (void *ctx)
+{
+  outbox_end_records (((Entry *) ctx)->outbox);
 }
 
 static void
@@ -187,6 +195,7 @@
                                .wait_ms = LEDGER_WAIT_MS,
                                .pause_ms = LEDGER_PAUSE_MS,
                                .on_record = on_ledger_record,
+                               .on_batch = on_ledger_batch,
                                .ctx = entry };
   const FeedOptions config = { .store = entry->store,
                                .pace = &entry->pace,
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -130,6 +130,8 @@
 static uint32_t
 append_ms (const Relay *relay)
 {
+  if (relay->entry->is_leaving)
+    return 0;
   return (uint32_t) MIN (store_pace_answered_ms (&relay->entry->pace, clk_now_us ()), G_MAXINT32);
 }
 
@@ -229,7 +231,8 @@
                              .is_forwarded = TRUE };
 
   met_add (relay->received, 1);
-  if (!ledger_is_job_key (record->key) || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
+  if (!ledger_is_job_key (record->key) || relay->entry->is_leaving
+      || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
     {
       send_write_result (relay, peer, record->key, OUTBOX_REFUSED, -1);
       return;
--- a/tests/ledger/test_store_pace.c
+++ b/tests/ledger/test_store_pace.c
@@ -39,8 +39,8 @@
   assert_true (store_pace_is_slow (&pace, now_us));
   assert_in_range (store_pace_timeout_ms (&pace, TRUE, now_us), 2 * SLOW_MS,
                    STORE_PACE_TIMEOUT_MAX_MS);
-  assert_in_range (store_pace_read_timeout_ms (&pace, now_us), 2 * SLOW_MS,
-                   STORE_PACE_TIMEOUT_MAX_MS);
+  /* With the wait of a long poll this stays below FEED_GAP_MS. */
+  assert_int_equal (store_pace_read_timeout_ms (&pace, now_us), 1150);
 }
 
 /* Guards against entries that notice a slow store only after a time-out. */
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -826,6 +826,87 @@
     }
 }
 
+/* Guards against callers who wait for an answer that was lost although the ledger has their record,
+ * and against later records that wait behind it. */
+static void
+record_that_was_read_is_written (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  Outbox *outbox = open_outbox (fixture, NULL);
+  Completion first = { 0 };
+  Completion second = { 0 };
+  const OutboxRecord record = { .key = "l", .value = "v", .size = 1, .deadline_us = INT64_MAX };
+
+  (void) state;
+  set_answer (fixture, 200, "{\"offset\":6,\"end_offset\":7}");
+  fixture->n_unanswered = 1;
+  add_record (outbox, INT64_MAX, &first);
+  run_loop_for (50);
+  outbox_add (outbox, &record, on_completed, &second);
+  outbox_handle_record (outbox, "k", 1, 5);
+  assert_int_equal (first.n_done, 1);
+  assert_int_equal (first.last, OUTBOX_WRITTEN);
+  outbox_end_records (outbox);
+  run_loop_for (100);
+  assert_int_equal (second.n_done, 1);
+  assert_int_equal (second.last, OUTBOX_WRITTEN);
+  /* The call without an answer ends. */
+  run_loop_for (1000);
+  assert_int_equal (first.n_done, 1);
+  assert_int_equal (outbox_waiting (outbox), 0);
+  outbox_free (outbox);
+  fixture_free (fixture);
+}
+
+/* Guards against a caller who is told that its record was refused, while another caller's wait for
+ * the same record has it written. */
+static void
+refused_record_has_no_caller_left (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  Outbox *outbox = open_outbox (fixture, NULL);
+  Completion first = { 0 };
+  Completion second = { 0 };
+
+  (void) state;
+  set_answer (fixture, 503, "{}");
+  /* The store is slow, so the refusal by its full queue is retried. */
+  fixture->pace.answer_ms = 800;
+  fixture->pace.updated_us = clk_now_us ();
+  add_record (outbox, clk_now_us () + 200 * CLK_US_PER_MS, &first);
+  add_record (outbox, clk_now_us () + 2000 * CLK_US_PER_MS, &second);
+  wait_for (&first);
+  assert_int_equal (first.last, OUTBOX_IN_DOUBT);
+  set_answer (fixture, 200, "{\"offset\":1,\"end_offset\":2}");
+  wait_for (&second);
+  assert_int_equal (second.last, OUTBOX_WRITTEN);
+  outbox_free (outbox);
+  fixture_free (fixture);
+}
+
+/* Guards against a record that is written after its only caller was told that it was refused. */
+static void
+record_refused_at_its_deadline_is_dropped (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  Outbox *outbox = open_outbox (fixture, NULL);
+  Completion completion = { 0 };
+
+  (void) state;
+  set_answer (fixture, 503, "{}");
+  fixture->pace.answer_ms = 800;
+  fixture->pace.updated_us = clk_now_us ();
+  add_record (outbox, clk_now_us () + 200 * CLK_US_PER_MS, &completion);
+  wait_for (&completion);
+  assert_int_equal (completion.last, OUTBOX_REFUSED);
+  assert_int_equal (outbox_waiting (outbox), 0);
+  uint32_t n_calls = fixture->n_calls;
+  run_loop_for (600);
+  assert_int_equal (fixture->n_calls, n_calls);
+  outbox_free (outbox);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -850,6 +931,9 @@
     cmocka_unit_test (load_is_fresh_from_its_begin),
     cmocka_unit_test (missed_records_of_few_keys_are_skipped),
     cmocka_unit_test (load_is_enclosed_by_its_events),
+    cmocka_unit_test (record_that_was_read_is_written),
+    cmocka_unit_test (refused_record_has_no_caller_left),
+    cmocka_unit_test (record_refused_at_its_deadline_is_dropped),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
