sched: a worker is kept for a large task that waits

Cause: a task that needs more than single ends of tasks free waits while later, smaller tasks start in whatever becomes free.

Change: the first stage of a service and priority that waits for processors or memory reserves the worker where its next task is expected to fit soonest. Later tasks of the pass start there only if they end before or fit beside it. Off unless SchedOptions.reserves_gaps is set.

--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -35,6 +35,7 @@
   int64_t lease_expiry_ms; /**< this long after an agent's newest report the leases of its worker's
                        runs have expired */
   int64_t gang_timeout_ms; /**< how long members of a gang wait for each other */
+  gboolean reserves_gaps;  /**< keeps a worker for a large task that waits; see sched_gaps.c */
   /** Logs a decision; @p text has its inputs as "key=value ...". */
   void (*note) (void *ctx, const char *event, const char *job, const char *text);
   void *ctx;
--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -15,7 +15,7 @@
 #define SERVING_IDLE_PERCENT 50
 
 static const char *const wait_names[SCHED_WAITS]
-    = { "none", "worker", "memory", "processors", "over_target", "headroom" };
+    = { "none", "worker", "memory", "processors", "over_target", "headroom", "reservation" };
 
 gboolean
 sched_has_label (const WorkerInfo *info, const char *label)
@@ -54,14 +54,20 @@
 }
 
 /* Best-effort tasks share what the others leave; with too many of them, all would be late. */
-static gboolean
-has_best_effort_processors (const SchedWorker *worker, const JobStep *step, JobSize freed)
+static int64_t
+left_for_best_effort (const SchedWorker *worker)
 {
   int64_t left_m = worker->info->capacity.cpu_m - worker->used.cpu_m
                    + worker->serving_cpu_m * SERVING_IDLE_PERCENT / 100;
-  int64_t wanted_m = worker->best_effort_cpu_m + step->size.cpu_m - freed.cpu_m;
 
-  return wanted_m <= left_m * BEST_EFFORT_PERCENT_MAX / 100;
+  return left_m * BEST_EFFORT_PERCENT_MAX / 100;
+}
+
+static gboolean
+has_best_effort_processors (const SchedWorker *worker, const JobStep *step, JobSize freed)
+{
+  return worker->best_effort_cpu_m + step->size.cpu_m - freed.cpu_m
+         <= left_for_best_effort (worker);
 }
 
 static SchedWait
@@ -77,15 +83,59 @@
                                                                          : SCHED_WAIT_HEADROOM;
 }
 
-static SchedWait
-admit_reserved (const SchedWorker *worker, const SchedStage *stage)
+static int64_t
+left_for_reserved (const SchedWorker *worker, const SchedStage *stage)
 {
   int64_t capacity_m = worker->info->capacity.cpu_m;
   int64_t cpu_m = capacity_m - worker->used.cpu_m;
 
   if (stage->job->queue->priority > 0 && !stage->step->is_continuous)
     cpu_m -= capacity_m / RESERVE_DIVISOR;
-  return stage->step->size.cpu_m <= cpu_m ? SCHED_WAIT_NONE : SCHED_WAIT_PROCESSORS;
+  return cpu_m;
+}
+
+static SchedWait
+admit_reserved (const SchedWorker *worker, const SchedStage *stage)
+{
+  return stage->step->size.cpu_m <= left_for_reserved (worker, stage) ? SCHED_WAIT_NONE
+                                                                      : SCHED_WAIT_PROCESSORS;
+}
+
+gboolean
+sched_may_admit_later (SchedWorker *worker, const SchedTask *task)
+{
+  if (!may_run (worker, task->stage) || sched_is_guarded (worker, task))
+    return FALSE;
+  if (!task->stage->step->is_best_effort)
+    return TRUE;
+  double share = sched_tails_share (worker, task, SCHED_CPU_LIMIT_NONE);
+  return worker->info->capacity.cpu_m > 0 && !worker->is_over_target
+         && sched_tails_headroom_with (worker, task, share) >= HEADROOM_MIN;
+}
+
+JobSize
+sched_free_for (const SchedWorker *worker, const SchedStage *stage)
+{
+  const JobSize *capacity = &worker->info->capacity;
+  JobSize room = { .mem_mb = capacity->mem_mb - worker->used.mem_mb,
+                   .gpus = capacity->gpus - worker->used.gpus };
+
+  room.cpu_m = stage->step->is_best_effort
+                   ? left_for_best_effort (worker) - worker->best_effort_cpu_m
+                   : left_for_reserved (worker, stage);
+  return room;
+}
+
+JobSize
+sched_size_for (const JobStep *step, gboolean is_best_effort)
+{
+  JobSize size = step->size;
+
+  if (!is_best_effort && step->is_best_effort)
+    size.cpu_m = 0;
+  else if (is_best_effort && !step->is_best_effort)
+    size.cpu_m = size.cpu_m * BEST_EFFORT_PERCENT_MAX / 100;
+  return size;
 }
 
 /* A task of a starved stage is admitted wherever it fits. */
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -92,6 +92,11 @@
           nearest = MAX (nearest, wait);
           continue;
         }
+      if (!is_starved && sched_is_held (worker, task))
+        {
+          nearest = SCHED_WAIT_RESERVATION;
+          continue;
+        }
       int64_t cost = cost_of (worker, task);
       if (best == NULL || cost < best_cost)
         {
@@ -138,6 +143,7 @@
       if (worker == NULL)
         return;
       task->run = sched_next_run (sched, task);
+      sched_note_gap_start (worker, task);
       sched_order_start (sched, worker, task);
     }
 }
@@ -171,6 +177,7 @@
           return;
         }
       run = MAX (run, sched_next_run (sched, &stage->tasks[i]));
+      sched_note_gap_start (worker, &stage->tasks[i]);
       sched_attach (worker, &stage->tasks[i], sched->now_us);
       g_ptr_array_add (chosen, worker);
     }
@@ -196,9 +203,8 @@
   return n_placed;
 }
 
-/* Whether most processors of a service's workers are unreserved. */
-static gboolean
-is_mostly_free (const GPtrArray *workers, const char *service)
+gboolean
+sched_is_mostly_free (const GPtrArray *workers, const char *service)
 {
   int64_t used_m = 0;
   int64_t capacity_m = 0;
@@ -234,6 +240,7 @@
   task->run = sched_next_run (sched, task);
   sched_note (sched, "starved", stage->job->id, "ready_ms=%" G_GINT64_FORMAT,
               (sched->now_us - stage->ready_us) / 1000);
+  sched_note_gap_start (worker, task);
   sched_order_start (sched, worker, task);
 }
 
@@ -245,7 +252,7 @@
   if (stage->n_waiting == 0 || stage->step->is_gang || count_running (stage) >= STARVED_TASKS)
     return;
   if (sched->now_us - stage->ready_us >= STARVED_MS * 1000
-      && is_mostly_free (workers, stage->job->queue->service))
+      && sched_is_mostly_free (workers, stage->job->queue->service))
     start_starved (sched, workers, stage);
 }
 
@@ -282,6 +289,7 @@
   g_autoptr (GPtrArray) workers = accepting_workers (sched);
   sched->pass++;
   SchedPreemption *preemption = sched_preemption_new (sched, workers);
+  SchedGaps *gaps = sched_gaps_new (sched, workers);
 
   for (guint i = 0; i < ready_stages->len; i++)
     {
@@ -297,13 +305,15 @@
       if (!sched_job_is_open (stage->job))
         continue;
       if (stage->waits_for == SCHED_WAIT_HEADROOM
-          && !is_mostly_free (workers, stage->job->queue->service))
+          && !sched_is_mostly_free (workers, stage->job->queue->service))
         sched_preempt (preemption, ready_stage);
       check_starved (sched, workers, stage);
+      sched_reserve_gap (gaps, stage);
       sched_plan_note_waiting (sched, stage);
       sched_count_waiting (sched, stage);
       n_left += stage->n_waiting;
     }
+  sched_gaps_free (gaps);
   sched_preemption_free (preemption);
   return n_left;
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "batch/gaps.h"
 #include "batch/interference.h"
 #include "batch/sched.h"
 
@@ -128,6 +129,7 @@
   SCHED_WAIT_PROCESSORS,
   SCHED_WAIT_OVER_TARGET, /**< serving tasks are over their targets */
   SCHED_WAIT_HEADROOM,    /**< serving tasks would be over their targets */
+  SCHED_WAIT_RESERVATION, /**< a worker is kept for an earlier task, see sched_gaps.c */
   SCHED_WAITS,
 } SchedWait;
 
@@ -140,6 +142,23 @@
   SCHED_WAIT_KINDS,
 } SchedWaitKind;
 
+/** A worker that is kept for the next task of a stage. */
+typedef struct
+{
+  const SchedWorker *worker; /**< only compared, as it may have been removed; NULL for none */
+  int64_t since_us;
+  int64_t bound_ms;
+  int64_t search_us; /**< none is looked for before this time */
+} SchedGap;
+
+/** What such a worker is kept for, in one pass. */
+typedef struct
+{
+  uint64_t pass; /**< the pass in which it applies */
+  GapsFit fit;
+  gboolean is_best_effort; /**< fit counts processors as for best-effort tasks */
+} SchedHold;
+
 /** One step of one occurrence of a job. */
 struct SchedStage
 {
@@ -148,14 +167,15 @@
   uint32_t occurrence;
   uint32_t step_index;
   uint32_t n_done;
-  uint32_t n_waiting;     /**< tasks in TASK_WAITING */
-  SchedWait waits_for;    /**< what the last task that found no worker waits for */
-  SchedTask *tasks;       /**< step->n_tasks of them */
-  GArray *failed;         /**< FailedRow */
-  uint32_t n_timed;       /**< tasks that completed without throttling */
-  int64_t timed_ms;       /**< sum of their durations */
-  int64_t ready_us;       /**< when it was first seen ready; 0: not yet */
-  int64_t preempted_us;   /**< when other tasks were last stopped for it; 0: never */
+  uint32_t n_waiting;   /**< tasks in TASK_WAITING */
+  SchedWait waits_for;  /**< what the last task that found no worker waits for */
+  SchedTask *tasks;     /**< step->n_tasks of them */
+  GArray *failed;       /**< FailedRow */
+  uint32_t n_timed;     /**< tasks that completed without throttling */
+  int64_t timed_ms;     /**< sum of their durations */
+  int64_t ready_us;     /**< when it was first seen ready; 0: not yet */
+  int64_t preempted_us; /**< when other tasks were last stopped for it; 0: never */
+  SchedGap gap;
   SchedChains chains;     /**< estimates of the occurrence; stored in its first stage */
   uint64_t chains_change; /**< n_changes of the job when chains was computed */
   gboolean is_planned;    /**< the occurrence was in a forecast; stored in its first stage */
@@ -237,6 +257,8 @@
   uint64_t crashes_written;
   gboolean has_suspect;   /**< a suspect was started here; it may have been cleared since */
   uint64_t reserved_pass; /**< pass in which it was last kept for such a task */
+  SchedHold hold;
+  int64_t gap_barred_until_us; /**< it is not kept for a large task before this time */
   gboolean is_leaving;
   gboolean has_reported;  /**< in this term */
   gboolean has_more_ends; /**< runs that its newest report does not list may have ended */
@@ -288,6 +310,7 @@
   int64_t waited_ms[SCHED_WAIT_KINDS][SCHED_WAITS]; /**< task time since it was last noted */
   GArray *lost_workers;                             /**< SchedLostWorker of the last seconds */
   uint64_t pass;                                    /**< number of the pass over the ready stages */
+  gboolean are_holds_valid;                         /**< the pass goes on */
   Interference *interference;
   int64_t plan_us;                   /**< time of the newest forecast */
   double cores[SCHED_CLASSES];       /**< processors available to tasks of the class */
@@ -422,6 +445,13 @@
 /* What the task waits for on this worker; SCHED_WAIT_NONE if it may start there. A task of a
  * starved stage is subject to fewer conditions. */
 SchedWait sched_admit (SchedWorker *worker, const SchedTask *task, gboolean is_starved);
+/* Whether the worker would admit the task if it had the processors and memory. */
+gboolean sched_may_admit_later (SchedWorker *worker, const SchedTask *task);
+/* What is free for tasks of the stage, with processors counted as for its kind. */
+JobSize sched_free_for (const SchedWorker *worker, const SchedStage *stage);
+/* What a task of the step takes from what sched_free_for() gives for a stage that is best-effort,
+ * or is not. */
+JobSize sched_size_for (const JobStep *step, gboolean is_best_effort);
 /* Whether the best-effort task would fit on the worker of the running one if that ended, and
  * serving tasks would keep their headroom. */
 gboolean sched_fits_instead (SchedWorker *worker, const SchedTask *task, const SchedTask *running);
@@ -440,7 +470,23 @@
  */
 void sched_preempt (SchedPreemption *preemption, const SchedReadyStage *waiting);
 
+/* sched_gaps.c */
+/** Reservations of one pass over the ready stages. */
+typedef struct SchedGaps SchedGaps;
+/* @p workers accept tasks, and outlive the result. Free it with sched_gaps_free(). */
+SchedGaps *sched_gaps_new (Sched *sched, const GPtrArray *workers);
+void sched_gaps_free (SchedGaps *gaps);
+/* Call it when a stage has been dispatched: keeps a worker for its next task, if that waits for
+ * processors or memory. */
+void sched_reserve_gap (SchedGaps *gaps, SchedStage *stage);
+/* Whether the task would delay one that comes before it in the pass. */
+gboolean sched_is_held (const SchedWorker *worker, const SchedTask *task);
+/* Call it before each start in a pass. */
+void sched_note_gap_start (SchedWorker *worker, const SchedTask *task);
+
 /* sched_place.c */
+/* Whether most processors of a service's workers are unreserved. */
+gboolean sched_is_mostly_free (const GPtrArray *workers, const char *service);
 /* First task of the stage that waits; there must be one. */
 SchedTask *sched_first_waiting (const SchedStage *stage);
 /* Run number of the next start of the task. */
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -104,6 +104,7 @@
   gboolean reports_cpu_limits;  /**< agents report the CPU limits of tasks */
   const char *refused_task;     /**< all workers refuse this one as malformed */
   gboolean has_slow_stops;      /**< a stopped task ends in the next round */
+  gboolean reserves_gaps;       /**< a worker is kept for a large task that waits */
   gboolean is_older_build;      /**< agents do not report crashes */
   GHashTable *crash_records;    /**< job -> newest written record of its crashes */
   GHashTable *progress_records; /**< job -> newest written record of its progress */
@@ -150,16 +151,24 @@
   sched_add_agent (rig->sched, worker->name);
 }
 
+static inline SchedOptions
+rig_options (Rig *rig)
+{
+  return (SchedOptions){ .report_age_max_ms = 1300,
+                         .lease_expiry_ms = RIG_EXPIRY_MS,
+                         .gang_timeout_ms = 3000,
+                         .reserves_gaps = rig->reserves_gaps,
+                         .note = rig_note,
+                         .ctx = rig };
+}
+
 static inline Rig *
-rig_new (uint32_t n_workers)
+rig_new_with (uint32_t n_workers, gboolean reserves_gaps)
 {
   Rig *rig = g_new0 (Rig, 1);
-  const SchedOptions options = { .report_age_max_ms = 1300,
-                                 .lease_expiry_ms = RIG_EXPIRY_MS,
-                                 .gang_timeout_ms = 3000,
-                                 .note = rig_note,
-                                 .ctx = rig };
 
+  rig->reserves_gaps = reserves_gaps;
+  const SchedOptions options = rig_options (rig);
   rig->notes = g_string_new (NULL);
   rig->progress_records
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
@@ -178,6 +187,12 @@
   return rig;
 }
 
+static inline Rig *
+rig_new (uint32_t n_workers)
+{
+  return rig_new_with (n_workers, FALSE);
+}
+
 static inline void
 rig_free (Rig *rig)
 {
@@ -568,11 +583,7 @@
 static inline void
 rig_replace_owner (Rig *rig, uint64_t term)
 {
-  const SchedOptions options = { .report_age_max_ms = 1300,
-                                 .lease_expiry_ms = RIG_EXPIRY_MS,
-                                 .gang_timeout_ms = 3000,
-                                 .note = rig_note,
-                                 .ctx = rig };
+  const SchedOptions options = rig_options (rig);
 
   sched_free (rig->sched);
   rig->sched = sched_new (&options);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -854,9 +854,10 @@
 static void
 fleet_open (Fleet *fleet)
 {
-  const SchedOptions options = {
-    .report_age_max_ms = 1300, .lease_expiry_ms = 5000, .gang_timeout_ms = 3000, .note = NULL
-  };
+  const SchedOptions options = { .report_age_max_ms = 1300,
+                                 .lease_expiry_ms = 5000,
+                                 .gang_timeout_ms = 3000,
+                                 .reserves_gaps = fleet->options->reserves_gaps };
 
   fleet->rand = g_rand_new_with_seed (fleet->options->seed);
   fleet->noise = g_rand_new_with_seed (g_rand_int (fleet->rand));
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -71,6 +71,7 @@
   double spike_share;   /**< share of the time in bursts */
   double spike_s;       /**< length of a burst */
   gboolean is_load_shared;    /**< the loads of all replicas of a job have the same phase */
+  gboolean reserves_gaps;     /**< the scheduler keeps a worker for a large task that waits */
   gboolean are_impacts_known; /**< the scheduler knows all impacts from the start */
   int64_t length_ms;   /**< time of arrivals; the emulation continues for a fixed time after it */
   int64_t burst_at_ms; /**< start of a burst of the heavy kind */
