--- a/lib/batch/sched_gaps.c
+++ b/lib/batch/sched_gaps.c
@@ -16,9 +16,13 @@
 #define BOUND_MARGIN_MS 300
 /** Longest reservation: jobs with a task that may start must not wait for longer than this. */
 #define BOUND_MAX_MS 3000
-/** A stage for which no worker was found is not considered again for this time, as a search goes
- * over all tasks of all workers. */
+/** A search goes over all tasks of all workers, so the scheduler makes one in this time, and none
+ * again for a stage for which no worker was found until the pause is over. */
+#define SEARCH_EVERY_MS 100
 #define SEARCH_PAUSE_MS 500
+/** A task is large if it needs one in this many of a worker's processors or of its memory. Smaller
+ * ones find room often enough. */
+#define LARGE_DIVISOR 16
 /** Reservations that hold in one pass, of all services and priorities. */
 #define RESERVATIONS_MAX 8
 /** A task that has been expected to end, or is being stopped, may be gone with the next report. */
@@ -30,7 +34,6 @@
   const GPtrArray *workers;
   const SchedStage *stages[RESERVATIONS_MAX]; /**< with a reservation that holds */
   guint n_stages;
-  gboolean has_searched;
 };
 
 SchedGaps *
@@ -91,6 +94,15 @@
   return gaps_fit (&gaps_worker, &wanted, sched->now_us, until_us, fit);
 }
 
+static gboolean
+is_large_on (const SchedWorker *worker, const JobSize *size)
+{
+  const JobSize *capacity = &worker->info->capacity;
+
+  return size->cpu_m >= capacity->cpu_m / LARGE_DIVISOR
+         || size->mem_mb >= capacity->mem_mb / LARGE_DIVISOR || size->gpus > 0;
+}
+
 /* Finds the worker where the task fits soonest; NULL if there is none, or nothing has to be kept
  * for it. */
 static SchedWorker *
@@ -105,6 +117,7 @@
       SchedWorker *worker = g_ptr_array_index (gaps->workers, i);
       GapsFit found;
       if (worker->gap_barred_until_us > sched->now_us || worker->hold.pass == sched->pass
+          || !is_large_on (worker, &task->stage->step->size)
           || !sched_may_admit_later (worker, task)
           || !fit_on (sched, worker, task, until_us, &found) || found.at_us <= sched->now_us)
         continue;
@@ -138,9 +151,9 @@
   Sched *sched = gaps->sched;
   GapsFit fit = { 0 };
 
-  if (gaps->has_searched || stage->gap.search_us > sched->now_us)
+  if (sched->gap_search_us > sched->now_us || stage->gap.search_us > sched->now_us)
     return;
-  gaps->has_searched = TRUE;
+  sched->gap_search_us = sched->now_us + SEARCH_EVERY_MS * CLK_US_PER_MS;
   SchedWorker *worker = find_worker (gaps, sched_first_waiting (stage), &fit);
   if (worker == NULL)
     {
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -310,7 +310,8 @@
   int64_t waited_ms[SCHED_WAIT_KINDS][SCHED_WAITS]; /**< task time since it was last noted */
   GArray *lost_workers;                             /**< SchedLostWorker of the last seconds */
   uint64_t pass;                                    /**< number of the pass over the ready stages */
-  gboolean are_holds_valid;                         /**< the pass goes on */
+  int64_t gap_search_us;    /**< no worker is looked for for a large task before this time */
+  gboolean are_holds_valid; /**< the pass goes on */
   Interference *interference;
   int64_t plan_us;                   /**< time of the newest forecast */
   double cores[SCHED_CLASSES];       /**< processors available to tasks of the class */
--- a/lib/node/node_settings.c
+++ b/lib/node/node_settings.c
@@ -35,6 +35,8 @@
     "Seconds for which the state of an ended job can be queried." },
   { "jobs.evacuate_ms", SET_INTEGER, FIELD (evacuate_ms), 1000, 600000, "5000",
     "Nothing starts in a data centre this long after its evacuation was requested." },
+  { "placement.reserve", SET_BOOLEAN, FIELD (reserves_gaps), 0, 0, "true",
+    "Keep a worker for a large task that waits for processors or memory." },
   { "limits.cpu_share", SET_TEXT, FIELD (cpu_share), 1, 20, "1.0",
     "Share of a CPU core that this instance may use." },
   { "limits.leave_s", SET_TEXT, FIELD (leave_s), 1, 20, "6",
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -27,7 +27,8 @@
   char *cpu_share;      /**< share of a core, a fraction */
   int64_t lease_max_ms; /**< longest lease that a worker accepts */
   int64_t gang_timeout_ms;
-  char *leave_s; /**< time between SIGTERM and SIGKILL, a fraction */
+  char *leave_s;          /**< time between SIGTERM and SIGKILL, a fraction */
+  gboolean reserves_gaps; /**< a worker is kept for a large task that waits */
   int64_t log_lines_per_s;
 } NodeSettings;
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -179,6 +179,7 @@
     .report_age_max_ms = FRESH_MS,
     .lease_expiry_ms = (int64_t) (grant_ms * EXPIRY_CLOCK_RATE) + EXPIRY_MARGIN_MS,
     .gang_timeout_ms = settings->gang_timeout_ms,
+    .reserves_gaps = settings->reserves_gaps,
     .note = log_sched_event,
     .ctx = owner,
   };
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -370,6 +370,7 @@
       = { .report_age_max_ms = FRESH_MS,
           .lease_expiry_ms = (int64_t) (EMU_GRANT_MS * EXPIRY_CLOCK_RATE) + EXPIRY_MARGIN_MS,
           .gang_timeout_ms = 3000,
+          .reserves_gaps = TRUE,
           .note = note,
           .ctx = entry };
   int64_t reconcile_ms = entry->term == 1 ? 0 : options.lease_expiry_ms;
