sched: a worker is not kept for several large tasks in turn

Cause: a reservation that a stage ahead of it displaced was bounded, but the worker could be kept for the next one for as long again. Change: the time for which a worker was kept counts across stages; a start of the task that it is kept for begins it anew. Measured: test_gaps, worker_is_not_held_for_several_jobs_in_turn, fails without the bound (mutant gaps-turns).

--- a/lib/batch/sched_gaps.c
+++ b/lib/batch/sched_gaps.c
@@ -103,6 +103,20 @@
          || size->mem_mb >= capacity->mem_mb / LARGE_DIVISOR || size->gpus > 0;
 }
 
+static gboolean
+was_held (const Sched *sched, const SchedWorker *worker)
+{
+  return worker->hold.pass != 0 && worker->hold.pass + 1 >= sched->pass;
+}
+
+/* Whether the worker was kept for as long as one may be, perhaps for several stages in turn. */
+static gboolean
+is_held_for_long (const Sched *sched, const SchedWorker *worker)
+{
+  return was_held (sched, worker)
+         && sched->now_us - worker->hold.since_us >= BOUND_MAX_MS * CLK_US_PER_MS;
+}
+
 /* Finds the worker where the task fits soonest; NULL if there is none, or nothing has to be kept
  * for it. */
 static SchedWorker *
@@ -117,7 +131,7 @@
       SchedWorker *worker = g_ptr_array_index (gaps->workers, i);
       GapsFit found;
       if (worker->gap_barred_until_us > sched->now_us || worker->hold.pass == sched->pass
-          || !is_large_on (worker, &task->stage->step->size)
+          || is_held_for_long (sched, worker) || !is_large_on (worker, &task->stage->step->size)
           || !sched_may_admit_later (worker, task)
           || !fit_on (sched, worker, task, until_us, &found) || found.at_us <= sched->now_us)
         continue;
@@ -139,7 +153,11 @@
 static void
 hold (SchedGaps *gaps, SchedWorker *worker, const SchedStage *stage, const GapsFit *fit)
 {
-  worker->hold = (SchedHold){ .pass = gaps->sched->pass,
+  const Sched *sched = gaps->sched;
+  int64_t since_us = was_held (sched, worker) ? worker->hold.since_us : sched->now_us;
+
+  worker->hold = (SchedHold){ .pass = sched->pass,
+                              .since_us = since_us,
                               .is_best_effort = stage->step->is_best_effort,
                               .fit = *fit };
   gaps->stages[gaps->n_stages++] = stage;
@@ -212,7 +230,8 @@
   const SchedTask *task = sched_first_waiting (stage);
   GapsFit fit;
 
-  if (age_ms (sched, stage) >= stage->gap.bound_ms)
+  if (age_ms (sched, stage) >= stage->gap.bound_ms
+      || (worker != NULL && is_held_for_long (sched, worker)))
     drop (sched, stage, worker, "bound");
   else if (worker == NULL || !sched_may_admit_later (worker, task)
            || !fit_on (sched, worker, task, INT64_MAX, &fit))
@@ -285,6 +304,8 @@
                   " bound_ms=%" G_GINT64_FORMAT,
                   stage->step_index, worker->name, worker == stage->gap.worker,
                   age_ms (sched, stage), stage->gap.bound_ms);
+      if (worker == stage->gap.worker)
+        hold->since_us = sched->now_us;
       stage->gap.worker = NULL;
     }
   if (!sched->are_holds_valid || hold->pass != sched->pass)
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -154,7 +154,8 @@
 /** What such a worker is kept for, in one pass. */
 typedef struct
 {
-  uint64_t pass; /**< the pass in which it applies */
+  uint64_t pass;    /**< the pass in which it applies */
+  int64_t since_us; /**< since when it has been kept in each pass and no such task has started */
   GapsFit fit;
   gboolean is_best_effort; /**< fit counts processors as for best-effort tasks */
 } SchedHold;
--- a/tests/batch/test_gaps.c
+++ b/tests/batch/test_gaps.c
@@ -181,7 +181,7 @@
 static double
 mean_small_ms (const LoadCase *options)
 {
-  return options->is_wrong ? (SMALL_MS / WRONG + SMALL_MS * WRONG) / 2.0 : SMALL_MS;
+  return options->is_wrong ? (1.0 / WRONG + WRONG) * SMALL_MS / 2 : SMALL_MS;
 }
 
 static void
@@ -417,6 +417,9 @@
   { "best effort", FILLER (6) "600}",
     "{\"count\":1,\"cpu\":19000,\"estimate_ms\":2000,\"fills\":true}", "bulk", LONG_SMALL, FALSE,
     TRUE, TRUE },
+  { "not large", "{\"count\":156,\"cpu\":100,\"estimate_ms\":600}",
+    "{\"count\":1,\"cpu\":900,\"estimate_ms\":600}", "bulk",
+    "{\"count\":1,\"cpu\":100,\"long_running\":true}", FALSE, FALSE, FALSE },
   { "label", FILLER (6) "600}",
     "{\"count\":1,\"cpu\":15000,\"estimate_ms\":2000,\"required_label\":\"none\"}", "bulk",
     LONG_SMALL, FALSE, FALSE, FALSE },
@@ -453,6 +456,118 @@
     }
 }
 
+#define SECOND_JOB "00000000000000dd"
+
+typedef struct
+{
+  const char *name;
+  uint32_t n_workers;
+  gboolean has_second_job;
+} BarCase;
+
+static const BarCase bar_cases[] = {
+  { "another worker for the same step", 2, FALSE },
+  { "the same worker for another step", 1, TRUE },
+};
+
+/* Guards against reservations that follow one another, so that wrong estimates would keep tasks off
+ * a worker, or a step without a result, for longer than the bound. */
+static void
+dropped_reservation_is_not_made_again_at_once (void **state)
+{
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (bar_cases); i++)
+    {
+      Rig *rig = rig_new_with (bar_cases[i].n_workers, TRUE);
+      int n_rounds = 0;
+      print_message ("%s\n", bar_cases[i].name);
+      rig_round (rig, ROUND_MS, TRUE);
+      rig_add_job (rig, FILLER_JOB, "urgent",
+                   bar_cases[i].n_workers == 1 ? FILLER (6) "600}" : FILLER (12) "600}");
+      rig_round (rig, ROUND_MS, TRUE);
+      rig_add_job (rig, LARGE_JOB, "urgent", WIDE);
+      if (bar_cases[i].has_second_job)
+        rig_add_job (rig, SECOND_JOB, "bulk", WIDE);
+      for (; count_notes (rig, "gap_dropped ") == 0 && n_rounds <= BOUND_ROUNDS; n_rounds++)
+        rig_round (rig, ROUND_MS, TRUE);
+      assert_int_equal (count_notes (rig, "gap_dropped "), 1);
+      for (int k = 0; k < n_rounds - 2; k++)
+        rig_round (rig, ROUND_MS, TRUE);
+      assert_int_equal (count_notes (rig, "gap_reserved "), 1);
+      rig_free (rig);
+    }
+}
+
+/* Guards against reservations that together keep later tasks off many workers. */
+static void
+one_reservation_for_each_priority (void **state)
+{
+  Rig *rig = rig_new_with (2, TRUE);
+
+  (void) state;
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (rig, FILLER_JOB, "urgent", FILLER (12) "600}");
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (rig, LARGE_JOB, "urgent", WIDE);
+  rig_add_job (rig, SECOND_JOB, "urgent", WIDE);
+  for (int i = 0; i < 4; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+  assert_int_equal (count_notes (rig, "gap_reserved "), 1);
+  rig_free (rig);
+}
+
+/* Guards against the reservation of a worker without the label, where tasks end sooner. */
+static void
+reserved_worker_has_the_label (void **state)
+{
+  Rig *rig = rig_new_with (4, TRUE);
+
+  (void) state;
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (
+      rig, FILLER_JOB, "urgent",
+      FILLER (12) "400,\"required_label\":\"r0\"}," FILLER (12) "900,\"required_label\":\"r1\"}");
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (rig, LARGE_JOB, "urgent",
+               "{\"count\":1,\"cpu\":15000,\"estimate_ms\":2000,\"required_label\":\"r1\"}");
+  rig_round (rig, ROUND_MS, TRUE);
+  assert_int_equal (count_notes (rig, "gap_reserved "), 1);
+  assert_true (strstr (rig->notes->str, "gap_reserved step=0 worker=w2") != NULL
+               || strstr (rig->notes->str, "gap_reserved step=0 worker=w3") != NULL);
+  rig_free (rig);
+}
+
+/** Interval at which another large job comes that is dispatched before those that wait. */
+#define TURN_ROUNDS 5
+
+/* Guards against a worker that is kept for one large job after another, each within its bound. */
+static void
+worker_is_not_held_for_several_jobs_in_turn (void **state)
+{
+  Rig *rig = rig_new_with (1, TRUE);
+  int n_rounds = 0;
+
+  (void) state;
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (rig, FILLER_JOB, "urgent", FILLER (6) "2000}");
+  rig_round (rig, ROUND_MS, TRUE);
+  rig_add_job (rig, SMALL_JOB, "bulk", LONG_SMALL);
+  for (; rig_find (&rig->workers[0], SMALL_TASK) == NULL && n_rounds <= BOUND_ROUNDS; n_rounds++)
+    {
+      if (n_rounds % TURN_ROUNDS == 0)
+        {
+          g_autofree char *id = g_strdup_printf ("%016x", n_rounds);
+          g_autofree char *large = g_strdup_printf (
+              "{\"count\":1,\"cpu\":15000,\"estimate_ms\":%d}", 2000 - 10 * n_rounds);
+          rig_add_job (rig, id, "urgent", large);
+        }
+      rig_round (rig, ROUND_MS, TRUE);
+    }
+  assert_true (count_notes (rig, "gap_reserved ") > 1);
+  assert_true (n_rounds > 1 && n_rounds <= BOUND_ROUNDS);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -463,6 +578,10 @@
     cmocka_unit_test (large_jobs_wait_less),
     cmocka_unit_test (decisions_are_as_before_while_nothing_waits),
     cmocka_unit_test (short_task_is_held_for_a_bounded_time),
+    cmocka_unit_test (dropped_reservation_is_not_made_again_at_once),
+    cmocka_unit_test (one_reservation_for_each_priority),
+    cmocka_unit_test (worker_is_not_held_for_several_jobs_in_turn),
+    cmocka_unit_test (reserved_worker_has_the_label),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/node/test_node_settings.c
+++ b/tests/node/test_node_settings.c
@@ -2,6 +2,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -34,12 +35,23 @@
     }
 }
 
+/* Guards against reservations that are off where the file does not name them. */
+static void
+workers_are_reserved_unless_set_otherwise (void **state)
+{
+  g_autofree char *example = node_settings_example ();
+
+  (void) state;
+  assert_non_null (strstr (example, "placement.reserve = true"));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (grant_outlasts_a_change_of_owner),
     cmocka_unit_test (grant_is_shorter_than_the_longest_lease),
+    cmocka_unit_test (workers_are_reserved_unless_set_otherwise),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
