emulator: slow store with a queue of appends

The emulated store only delayed answers while it was slow, so no schedule had an owner whose appends wait in a queue, are refused by a full one, or are repeated while an earlier copy is queued.

With has_store_queue, a slow store executes one append at a time and refuses those that would wait for more than 2 s; the queue is part-filled at the onset, and the owner's time-outs follow store_pace as in owner_write.c. A new test plays the schedules with it; the others are unchanged.

--- a/tests/emulator/schedules.h
+++ b/tests/emulator/schedules.h
@@ -60,6 +60,7 @@
   options.has_cut_leaves = wanted->has_cut_leaves;
   options.has_step_limits = wanted->has_step_limits;
   options.has_overlooked_starts = wanted->has_overlooked_starts;
+  options.has_store_queue = wanted->has_store_queue;
   options.skipped_faults = read_number ("EMULATOR_SKIP", 0);
   g_autoptr (EmulatorResult) result = emulator_play (&options);
   if (result->violations->len > 0)
--- a/tests/emulator/test_emulator.c
+++ b/tests/emulator/test_emulator.c
@@ -23,6 +23,16 @@
   play_schedules ((EmulatorOptions){ .has_step_limits = TRUE, .has_overlooked_starts = TRUE });
 }
 
+/* Guards against two runs of a task, and jobs that do not end, when an owner's appends wait in the
+ * queue of a slow store or are refused by it, and are repeated while an earlier copy is still
+ * queued. */
+static void
+test_rules_hold_while_the_store_queues_appends (void **state)
+{
+  (void) state;
+  play_schedules ((EmulatorOptions){ .has_store_queue = TRUE });
+}
+
 int
 main (void)
 {
@@ -30,6 +40,7 @@
     cmocka_unit_test (test_rules_hold_in_random_schedules),
     cmocka_unit_test (test_leaving_workers_that_refuse_are_not_taken_for_gone),
     cmocka_unit_test (test_starts_taken_for_not_sent_run_nowhere_else),
+    cmocka_unit_test (test_rules_hold_while_the_store_queues_appends),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/support/emulator.h
+++ b/tests/support/emulator.h
@@ -24,7 +24,8 @@
   gboolean has_cut_leaves;   /**< workers that leave live on for a while and refuse connections */
   gboolean has_step_limits;  /**< steps have limits of tasks on one worker */
   gboolean has_overlooked_starts; /**< some starts are executed and answered as not sent */
-  uint64_t skipped_faults;        /**< bit i: fault i of the schedule is left out */
+  gboolean has_store_queue; /**< a slow store executes one append at a time, and refuses some */
+  uint64_t skipped_faults;  /**< bit i: fault i of the schedule is left out */
 } EmulatorOptions;
 
 typedef struct
--- a/tests/support/emulator_entry.c
+++ b/tests/support/emulator_entry.c
@@ -169,6 +169,7 @@
   entry->pause_ms = OTHER_PAUSE_MS;
   entry->phase = EMU_OWNER_NONE;
   entry->is_leaving = entry->is_calling = FALSE;
+  store_pace_init (&entry->pace);
   emu_trace (emu, entry->process.name, "up build=%s", entry->is_older ? "older" : "current");
   send_read (entry, NULL);
   on_check (entry, NULL);
--- a/tests/support/emulator_faults.c
+++ b/tests/support/emulator_faults.c
@@ -287,6 +287,10 @@
     case FAULT_STORE_SLOW:
       store->slow_until_us = until_us;
       store->slow_ms = 20 + fault->length_us / CLK_US_PER_MS % 280;
+      /* Other clients' appends are queued by the time that an entry notices. */
+      if (fault->emu->options.has_store_queue)
+        store->queue_free_us
+            = fault->emu->now_us + emu_between (fault->emu, 0, 2000) * CLK_US_PER_MS;
       break;
     case FAULT_STORE_DOWN:
       store->down_until_us = until_us;
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -144,6 +144,7 @@
   EmuEntry *entry = ctx;
 
   entry->is_calling = FALSE;
+  store_pace_end (&entry->pace, entry->pace_slot, answer->outcome, entry->emu->now_us);
   if (entry->phase != EMU_OWNER_ACTIVE || !appender_is_open (&entry->appender))
     return;
   AppenderResult result = appender_handle_answer (&entry->appender, answer, entry->emu->now_us);
@@ -169,7 +170,12 @@
   call->done = done;
   call->ctx = entry;
   entry->is_calling = TRUE;
-  emu_store_send (call, entry->store_cut_until_us, TIMEOUT_MS);
+  int64_t now = entry->emu->now_us;
+  int64_t timeout_ms = entry->emu->options.has_store_queue
+                           ? store_pace_timeout_ms (&entry->pace, TRUE, now)
+                           : TIMEOUT_MS;
+  entry->pace_slot = store_pace_begin (&entry->pace, now);
+  emu_store_send (call, entry->store_cut_until_us, timeout_ms);
 }
 
 static void
@@ -456,6 +462,7 @@
   EmuEntry *entry = ctx;
 
   entry->is_calling = FALSE;
+  store_pace_end (&entry->pace, entry->pace_slot, answer->outcome, entry->emu->now_us);
   if (entry->phase != EMU_OWNER_CLAIMING || answer->outcome == STORE_OK
       || answer->outcome == STORE_IN_DOUBT)
     return;
--- a/tests/support/emulator_private.h
+++ b/tests/support/emulator_private.h
@@ -8,6 +8,7 @@
 #include "common/clk.h"
 #include "ledger/appender.h"
 #include "ledger/ledger.h"
+#include "ledger/store_pace.h"
 #include "platform/store.h"
 #include "support/emulator.h"
 #include "supervisor/report_flow.h"
@@ -98,6 +99,7 @@
   int64_t down_until_us;
   int64_t slow_until_us;
   int64_t slow_ms;
+  int64_t queue_free_us;  /**< when all queued appends will have been executed */
   int64_t lossy_until_us; /**< answers are lost, and appends carried out late */
 } EmuStore;
 
@@ -228,6 +230,8 @@
   gboolean is_older; /**< its build knows nothing of the record of silent agents */
   uint64_t level_since;
   int64_t store_cut_until_us;
+  StorePace pace;     /**< of the owner's appends */
+  uint32_t pace_slot; /**< of the append under way */
   int64_t claim_delay_us;
   uint64_t boot;
   /* Feed. */
--- a/tests/support/emulator_store.c
+++ b/tests/support/emulator_store.c
@@ -6,6 +6,8 @@
 #define KEY_SIZE_AT 4
 #define LOST_PERCENT 12
 #define LATE_PERCENT 12
+/** Longest time that an append waits in the queue of a slow store. */
+#define QUEUE_MAX_MS 2000
 
 static void
 record_free (gpointer data)
@@ -212,13 +214,51 @@
   return STORE_OK;
 }
 
+static void
+execute_append (gpointer ctx, gpointer data)
+{
+  EmuStoreCall *call = data;
+  EmuStore *store = &call->emu->store;
+  gboolean is_lossy = call->emu->now_us < store->lossy_until_us;
+
+  (void) ctx;
+  call->answer.outcome = judge_append (store, call);
+  call->answer.end_offset = store->records->len;
+  answer (call, is_lossy && emu_chance (call->emu, LOST_PERCENT));
+  wake_readers (store);
+}
+
+/* A slow store executes one append at a time, each for as long as its answers are delayed. */
+static void
+queue_append (EmuStoreCall *call)
+{
+  Emulator *emu = call->emu;
+  EmuStore *store = &emu->store;
+  int64_t begin_us = MAX (emu->now_us, store->queue_free_us);
+
+  if (begin_us == emu->now_us && emu->now_us >= store->slow_until_us)
+    execute_append (NULL, call);
+  else if (begin_us - emu->now_us > QUEUE_MAX_MS * CLK_US_PER_MS)
+    {
+      call->answer.outcome = STORE_REFUSED;
+      answer (call, FALSE);
+    }
+  else
+    {
+      /* What was queued before the end of a slow period is still executed at its pace. */
+      int64_t service_ms = emu->now_us < store->slow_until_us ? store->slow_ms : 0;
+      store->queue_free_us = begin_us + service_ms * CLK_US_PER_MS;
+      emu_after (emu, store->queue_free_us - emu->now_us, NULL, execute_append, NULL,
+                 g_rc_box_acquire (call), call_unref);
+    }
+}
+
 static void
 serve (gpointer ctx, gpointer data)
 {
   EmuStoreCall *call = data;
   Emulator *emu = call->emu;
   EmuStore *store = &emu->store;
-  gboolean is_lossy = emu->now_us < store->lossy_until_us;
 
   (void) ctx;
   if (emu->now_us < store->down_until_us)
@@ -230,13 +270,10 @@
     g_ptr_array_add (store->parked, g_rc_box_acquire (call));
   else if (call->kind != EMU_STORE_APPEND)
     answer_read (call);
+  else if (emu->options.has_store_queue)
+    queue_append (call);
   else
-    {
-      call->answer.outcome = judge_append (store, call);
-      call->answer.end_offset = store->records->len;
-      answer (call, is_lossy && emu_chance (emu, LOST_PERCENT));
-      wake_readers (store);
-    }
+    execute_append (NULL, call);
 }
 
 static void
