relay: an owner that leaves takes records until its ownership is released

While an owner left during a slow period, entries had nobody to hand records over to for 2.7 s and each appended on its own. It now takes them until it has released its ownership, and exits once its outbox is empty.

--- a/lib/ledger/store_pace.c
+++ b/lib/ledger/store_pace.c
@@ -172,9 +172,7 @@
 {
   if (pace->updated_us == 0 || now_us - pace->updated_us > STORE_PACE_KEEP_MS * CLK_US_PER_MS)
     return 0;
-  int64_t open_us = oldest_open_us (pace);
-  int64_t age_ms = open_us == 0 ? 0 : (now_us - open_us) / CLK_US_PER_MS;
-  return MAX (MAX ((int64_t) pace->answer_ms, age_ms), 1);
+  return MAX ((int64_t) pace->answer_ms, 1);
 }
 
 gboolean
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -168,7 +168,8 @@
     return G_SOURCE_CONTINUE;
   front_quiesce (entry->front);
   if (since_ms < end_ms
-      && (front_open_requests (entry->front) > 0 || !owner_is_idle (entry->owner)))
+      && (front_open_requests (entry->front) > 0 || !owner_is_idle (entry->owner)
+          || outbox_waiting (entry->outbox) > 0))
     return G_SOURCE_CONTINUE;
   entry->leave_timer = 0;
   node_quit (entry->node);
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -127,10 +127,17 @@
 
 /* Server side: requests of other entries. */
 
+/* An owner that leaves goes on taking records until its ownership is released. */
+static gboolean
+takes_no_records (const Relay *relay)
+{
+  return relay->entry->is_leaving && owner_is_idle (relay->entry->owner);
+}
+
 static uint32_t
 append_ms (const Relay *relay)
 {
-  if (relay->entry->is_leaving)
+  if (takes_no_records (relay))
     return 0;
   return (uint32_t) MIN (store_pace_answered_ms (&relay->entry->pace, clk_now_us ()), G_MAXINT32);
 }
@@ -231,7 +238,7 @@
                              .is_forwarded = TRUE };
 
   met_add (relay->received, 1);
-  if (!ledger_is_job_key (record->key) || relay->entry->is_leaving
+  if (!ledger_is_job_key (record->key) || takes_no_records (relay)
       || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
     {
       send_write_result (relay, peer, record->key, OUTBOX_REFUSED, -1);
