net_server, front, agent: limits over all connections of a process

New jobs are refused with 503 while records that wait (outbox_full) or bodies of accepted jobs (jobs_full) reach a part of the memory.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -11,6 +11,7 @@
   GHashTable *jobs;    /**< id -> LedgerJob */
   GHashTable *agents;  /**< name -> LedgerAgent */
   GHashTable *crashes; /**< job id -> CrashRecord */
+  uint64_t body_bytes; /**< of the submissions in jobs */
   GHashTable *held;    /**< set of LedgerJob that were cancelled and not submitted */
   LedgerOwner owner;
   Batch__Learned *learned;
@@ -114,6 +115,8 @@
   if (job == NULL)
     return TRUE;
   (void) g_hash_table_remove (ledger->held, job);
+  if (job->submission != NULL)
+    ledger->body_bytes -= job->submission->body.len;
   (void) g_hash_table_remove (ledger->jobs, id);
   if (ledger->events.on_job_gone != NULL)
     ledger->events.on_job_gone (ledger->events.ctx, id);
@@ -139,6 +142,7 @@
     }
   (void) g_hash_table_remove (ledger->held, job);
   job->submission = submission;
+  ledger->body_bytes += submission->body.len;
   job->offset = offset;
   if (ledger->events.on_job != NULL)
     ledger->events.on_job (ledger->events.ctx, job);
@@ -523,3 +527,9 @@
 {
   return GPOINTER_TO_UINT (g_hash_table_lookup (ledger->owner.pending, queue));
 }
+
+uint64_t
+ledger_body_bytes (const Ledger *ledger)
+{
+  return ledger->body_bytes;
+}
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -112,6 +112,8 @@
 /** Appends to @p ids, up to a length of @p n_most, jobs of which only crashed runs are known: an
  * owner that does not know that key has removed them. The ids are owned by the ledger. */
 void ledger_orphaned_crashes (const Ledger *ledger, GPtrArray *ids, guint n_most);
+/** Bytes of the bodies of all jobs that were submitted. */
+uint64_t ledger_body_bytes (const Ledger *ledger);
 /** Number of cancels of jobs that were not submitted. */
 uint32_t ledger_held_cancels (const Ledger *ledger);
 /** Appends to @p ids, up to a length of @p n_most, jobs whose cancel has been held for @p keep_ms;
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -97,6 +97,16 @@
   g_free (outbox);
 }
 
+uint64_t
+outbox_bytes (const Outbox *outbox)
+{
+  uint64_t bytes = 0;
+
+  for (guint i = 0; i < outbox->items->len; i++)
+    bytes += g_bytes_get_size (((const Item *) g_ptr_array_index (outbox->items, i))->value);
+  return bytes;
+}
+
 uint32_t
 outbox_waiting (const Outbox *outbox)
 {
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -85,6 +85,9 @@
 /** Number of records that were handed over since the outbox was created. */
 uint64_t outbox_handed_over (const Outbox *outbox);
 
+/** Bytes of the records whose outcome is not known yet. */
+uint64_t outbox_bytes (const Outbox *outbox);
+
 /** Number of records whose outcome is not known yet. */
 uint32_t outbox_waiting (const Outbox *outbox);
 
--- a/lib/net/net_server.h
+++ b/lib/net/net_server.h
@@ -20,9 +20,18 @@
 typedef struct
 {
   const char *address; /**< "IP:PORT" */
+  /** Above this, the connection whose request has been incomplete for longest is closed. */
   uint32_t connections_max;
   uint32_t idle_s;         /**< an idle connection is closed after this time */
-  uint32_t body_bytes_max; /**< a larger body is rejected with 413 */
+  uint32_t body_bytes_max; /**< a larger body is rejected with 413; 0: bodies are discarded */
+  /** Bytes of request bodies and unsent answers of all connections; 0: no limit. */
+  uint32_t buffer_bytes_max;
+  /** Longest time to read a request, and to send an answer; 0: no limit. */
+  uint32_t read_timeout_s;
+  /** Whether a body of this request is kept; NULL: each is. The rest is discarded as it comes. */
+  gboolean (*takes_body) (void *ctx, const char *method, const char *path, const char *host);
+  /** Called for each connection that was closed or request that was refused. May be NULL. */
+  void (*on_refused) (void *ctx, const char *reason);
   NetHandler handler;
   void *ctx;
 } NetServerOptions;
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -3,15 +3,18 @@
 #include <glib-unix.h>
 #include <signal.h>
 
+#include "common/clk.h"
 #include "common/ids.h"
 #include "common/line.h"
 #include "net/net_server.h"
 
 /** Longest time that log lines are buffered. */
 #define LOG_FLUSH_MS 200
-#define METRICS_CONNECTIONS_MAX 8
+#define METRICS_CONNECTIONS_MAX 32
 #define METRICS_IDLE_TIMEOUT_S 20
-#define METRICS_BODY_BYTES_MAX 1024
+#define METRICS_READ_TIMEOUT_S 10
+/** A flood refuses thousands of connections a second; their counters tell how many. */
+#define REFUSED_LOG_US CLK_US_PER_S
 
 struct Node
 {
@@ -21,6 +24,8 @@
   NetClient *client;
   NetServer *server;
   uint64_t boot;
+  int64_t refused_logged_us;
+  uint64_t refused_unlogged; /**< since the last line */
   guint sources[4];
   gboolean is_leaving;
 };
@@ -35,6 +40,30 @@
   net_request_reply (request, &reply);
 }
 
+void
+node_refused (Node *node, const char *server, const char *reason)
+{
+  g_autofree char *label = g_strdup_printf ("server=\"%s\",reason=\"%s\"", server, reason);
+  int64_t now_us = clk_now_us ();
+
+  met_add (met_counter (node->metrics, "acacia_connections_refused_total", label,
+                        "Connections closed and requests refused because of a limit"),
+           1);
+  node->refused_unlogged++;
+  if (node->refused_logged_us != 0 && now_us - node->refused_logged_us < REFUSED_LOG_US)
+    return;
+  line_add ("node", "connection_refused", "server=%s reason=%s count=%" G_GUINT64_FORMAT, server,
+            reason, node->refused_unlogged);
+  node->refused_logged_us = now_us;
+  node->refused_unlogged = 0;
+}
+
+static void
+on_metrics_refused (void *ctx, const char *reason)
+{
+  node_refused (ctx, "metrics", reason);
+}
+
 static gboolean
 on_flush (gpointer data)
 {
@@ -95,7 +124,8 @@
   const NetServerOptions server = { .address = address,
                                     .connections_max = METRICS_CONNECTIONS_MAX,
                                     .idle_s = METRICS_IDLE_TIMEOUT_S,
-                                    .body_bytes_max = METRICS_BODY_BYTES_MAX,
+                                    .read_timeout_s = METRICS_READ_TIMEOUT_S,
+                                    .on_refused = on_metrics_refused,
                                     .handler = serve_metrics,
                                     .ctx = node };
 
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -30,6 +30,10 @@
 /** NULL is allowed. */
 void node_free (Node *node);
 
+/** Counts a refused request or closed connection of a server of this process, and logs it at most
+ * once a second. @p server and @p reason must be short names. */
+void node_refused (Node *node, const char *server, const char *reason);
+
 MetRegistry *node_metrics (Node *node);
 NetClient *node_client (Node *node);
 
--- a/lib/node/node_settings.c
+++ b/lib/node/node_settings.c
@@ -7,6 +7,17 @@
 /** Longest grant in percent of the longest lease that the worker accepts. */
 #define GRANT_PERCENT 75
 
+/** Part of the memory for request bodies and unsent answers. At 160 MB it holds 80 bodies of the
+ * largest size; connections take another fifth, and the ledger's fold needs the rest. */
+#define BUFFER_PART 8
+
+/** Part of the memory for records that wait for the store. An outage of 60 s, after which records
+ * are given up, holds 10 MB at 160 MB: 1,100 jobs of 9 KB. */
+#define OUTBOX_PART 16
+/** Part of the memory for the bodies of accepted jobs, which each entry keeps until they are
+ * dropped. */
+#define JOBS_PART 4
+
 #define FIELD(name) offsetof (NodeSettings, name)
 
 static const SetKey keys[] = {
@@ -21,6 +32,16 @@
     "IP:PORT for callers; empty for none." },
   { "callers.ready", SET_TEXT, FIELD (ready_address), 0, 64, "",
     "IP:PORT of the readiness probe." },
+  { "callers.connections_max", SET_INTEGER, FIELD (connections_max), 16, 3500, "2000",
+    "Largest number of open connections of callers." },
+  { "callers.buffer_bytes", SET_INTEGER, FIELD (buffer_bytes), 0, 1000000000, "0",
+    "Bytes of request bodies and unsent answers of all connections; 0: an eighth of the memory." },
+  { "callers.read_timeout_s", SET_INTEGER, FIELD (read_timeout_s), 1, 600, "30",
+    "Longest time for reading a request, and for sending an answer." },
+  { "jobs.outbox_bytes", SET_INTEGER, FIELD (outbox_bytes), 0, 1000000000, "0",
+    "Bytes of records that may wait for the store; 0: a sixteenth of the memory." },
+  { "jobs.body_bytes", SET_INTEGER, FIELD (job_bytes), 0, 1000000000, "0",
+    "Bytes of the bodies of accepted jobs; 0: a quarter of the memory." },
   { "worker.listen", SET_TEXT, FIELD (worker_address), 0, 64, "",
     "IP:PORT that receives the worker's reports; empty for none." },
   { "worker.call", SET_TEXT, FIELD (worker_call_address), 0, 64, "",
@@ -35,6 +56,8 @@
     "Seconds for which the state of an ended job can be queried." },
   { "jobs.evacuate_ms", SET_INTEGER, FIELD (evacuate_ms), 1000, 600000, "5000",
     "Nothing starts in a data centre this long after its evacuation was requested." },
+  { "limits.memory_mb", SET_INTEGER, FIELD (memory_mb), 32, 1000000, "160",
+    "Memory of this instance." },
   { "limits.cpu_share", SET_TEXT, FIELD (cpu_share), 1, 20, "1.0",
     "Share of a CPU core that this instance may use." },
   { "limits.leave_s", SET_TEXT, FIELD (leave_s), 1, 20, "6",
@@ -75,3 +98,28 @@
 {
   return MIN (GRANT_MAX_MS, settings->lease_max_ms * GRANT_PERCENT / 100);
 }
+
+static uint64_t
+bytes_or_part (const NodeSettings *settings, int64_t bytes, int64_t part)
+{
+  return (uint64_t) (bytes > 0 ? bytes : settings->memory_mb * 1024 * 1024 / part);
+}
+
+uint32_t
+node_settings_buffer_bytes (const NodeSettings *settings)
+{
+  return (uint32_t) MIN (bytes_or_part (settings, settings->buffer_bytes, BUFFER_PART),
+                         (uint64_t) G_MAXINT32);
+}
+
+uint64_t
+node_settings_outbox_bytes (const NodeSettings *settings)
+{
+  return bytes_or_part (settings, settings->outbox_bytes, OUTBOX_PART);
+}
+
+uint64_t
+node_settings_job_bytes (const NodeSettings *settings)
+{
+  return bytes_or_part (settings, settings->job_bytes, JOBS_PART);
+}
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -21,11 +21,18 @@
   char *worker_address;      /**< "IP:PORT" where the worker reports; "" for none */
   char *worker_call_address; /**< "IP:PORT" where the worker accepts calls */
   char *store_address;
-  int64_t state_s;      /**< how long the state of an ended job is reported to callers */
-  int64_t evacuate_ms;  /**< nothing starts in a data centre this long after its evacuation was
-                             requested */
-  char *cpu_share;      /**< share of a core, a fraction */
-  int64_t lease_max_ms; /**< longest lease that a worker accepts */
+  int64_t state_s;         /**< how long the state of an ended job is reported to callers */
+  int64_t evacuate_ms;     /**< nothing starts in a data centre this long after its evacuation was
+                                requested */
+  int64_t memory_mb;       /**< memory of this instance */
+  int64_t connections_max; /**< open connections of callers */
+  int64_t
+      buffer_bytes; /**< request bodies and unsent answers; 0: see node_settings_buffer_bytes() */
+  int64_t read_timeout_s; /**< longest time to read a request */
+  int64_t outbox_bytes;   /**< records that wait for the store; 0: a sixteenth of the memory */
+  int64_t job_bytes;      /**< bodies of accepted jobs; 0: a quarter of the memory */
+  char *cpu_share;        /**< share of a core, a fraction */
+  int64_t lease_max_ms;   /**< longest lease that a worker accepts */
   int64_t gang_timeout_ms;
   char *leave_s; /**< time between SIGTERM and SIGKILL, a fraction */
   int64_t log_lines_per_s;
@@ -53,4 +60,12 @@
  * accept leases that long. */
 int64_t node_settings_grant_ms (const NodeSettings *settings);
 
+/** Bytes of request bodies and unsent answers that a process holds, over all connections. */
+uint32_t node_settings_buffer_bytes (const NodeSettings *settings);
+
+/** Bytes of records that may wait for the store before new jobs are refused. */
+uint64_t node_settings_outbox_bytes (const NodeSettings *settings);
+/** Bytes of the bodies of accepted jobs above which new jobs are refused. */
+uint64_t node_settings_job_bytes (const NodeSettings *settings);
+
 G_END_DECLS
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -5,11 +5,12 @@
 #include "entry_private.h"
 #include "platform/caller.h"
 
-#define CONNECTIONS_MAX 2000
 /** Longer than callers keep idle connections open. */
 #define IDLE_TIMEOUT_S 60
 #define BODY_BYTES_MAX (256 * 1024)
-#define READY_CONNECTIONS_MAX 16
+#define READY_CONNECTIONS_MAX 64
+/** Shorter than the time after which the load balancer gives up on a probe's connection. */
+#define READY_READ_TIMEOUT_S 5
 /** If this entry's view is older than this, the state of an unfinished job is asked of another
  * entry. */
 #define STATE_AGE_MAX_MS 1200
@@ -193,6 +194,25 @@
   return TRUE;
 }
 
+/* Refuses a new job for which this process has no memory. One whose record may have been sent
+ * already is not refused. */
+static gboolean
+refuse_if_full (Front *front, NetRequest *request, const char *id, size_t size)
+{
+  const Entry *entry = front->entry;
+  g_autofree char *key = g_strconcat (LEDGER_JOB_PREFIX, id, NULL);
+  const char *reason = NULL;
+
+  if (outbox_bytes (entry->outbox) + size > node_settings_outbox_bytes (entry->settings))
+    reason = "outbox_full";
+  else if (ledger_body_bytes (entry->ledger) + size > node_settings_job_bytes (entry->settings))
+    reason = "jobs_full";
+  if (reason == NULL || outbox_knows (entry->outbox, key))
+    return FALSE;
+  refuse (front, request, id, 503, reason, RETRY_AFTER_S);
+  return TRUE;
+}
+
 static void
 submit (Front *front, NetRequest *request, const char *id, const Queue *queue)
 {
@@ -214,7 +234,7 @@
       refuse (front, request, id, 503, "store_lost", RETRY_AFTER_S);
       return;
     }
-  if (refuse_if_slow (front, request, id))
+  if (refuse_if_slow (front, request, id) || refuse_if_full (front, request, id, size))
     return;
   g_autoptr (JobSpec) spec = caller_decode_job (body, size, &error);
   if (spec == NULL)
@@ -438,6 +458,32 @@
     route (front, request, queue);
 }
 
+/* Only submissions have a body; the entry has no memory for others. */
+static gboolean
+takes_body (void *ctx, const char *method, const char *path, const char *host)
+{
+  const Front *front = ctx;
+
+  return strcmp (method, "POST") == 0 && front->entry->config != NULL
+         && queue_config_route (front->entry->config, host != NULL ? host : "", path) != NULL;
+}
+
+static void
+on_caller_refused (void *ctx, const char *reason)
+{
+  const Front *front = ctx;
+
+  node_refused (front->entry->node, "callers", reason);
+}
+
+static void
+on_ready_refused (void *ctx, const char *reason)
+{
+  const Front *front = ctx;
+
+  node_refused (front->entry->node, "ready", reason);
+}
+
 static gboolean
 is_ready (const Front *front)
 {
@@ -474,16 +520,22 @@
 front_new (Entry *entry, GError **error)
 {
   Front *front = g_new0 (Front, 1);
-  const NetServerOptions callers = { .address = entry->settings->caller_address,
-                                     .connections_max = CONNECTIONS_MAX,
+  const NodeSettings *settings = entry->settings;
+  const NetServerOptions callers = { .address = settings->caller_address,
+                                     .connections_max = (uint32_t) settings->connections_max,
                                      .idle_s = IDLE_TIMEOUT_S,
                                      .body_bytes_max = BODY_BYTES_MAX,
+                                     .buffer_bytes_max = node_settings_buffer_bytes (settings),
+                                     .read_timeout_s = (uint32_t) settings->read_timeout_s,
+                                     .takes_body = takes_body,
+                                     .on_refused = on_caller_refused,
                                      .handler = on_caller,
                                      .ctx = front };
   const NetServerOptions ready = { .address = entry->settings->ready_address,
                                    .connections_max = READY_CONNECTIONS_MAX,
                                    .idle_s = IDLE_TIMEOUT_S,
-                                   .body_bytes_max = BODY_BYTES_MAX,
+                                   .read_timeout_s = READY_READ_TIMEOUT_S,
+                                   .on_refused = on_ready_refused,
                                    .handler = on_ready,
                                    .ctx = front };
 
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -296,6 +296,22 @@
     reply_status (request, 405, FALSE);
 }
 
+static gboolean
+takes_body (void *ctx, const char *method, const char *path, const char *host)
+{
+  (void) ctx;
+  (void) host;
+  return strcmp (method, "PUT") == 0 && g_str_has_prefix (path, RUNNER_REPORT_PREFIX);
+}
+
+static void
+on_refused (void *ctx, const char *reason)
+{
+  const Agent *agent = ctx;
+
+  node_refused (agent->node, "worker", reason);
+}
+
 static gboolean
 on_register_retry (gpointer data)
 {
@@ -409,12 +425,17 @@
 open_sockets (Agent *agent, GError **error)
 {
   g_autofree char *address = listen_address (agent);
-  const NetServerOptions server = { .address = agent->settings->worker_address,
-                                    .connections_max = CONNECTIONS_MAX,
-                                    .idle_s = IDLE_TIMEOUT_S,
-                                    .body_bytes_max = BODY_BYTES_MAX,
-                                    .handler = on_request,
-                                    .ctx = agent };
+  const NetServerOptions server
+      = { .address = agent->settings->worker_address,
+          .connections_max = CONNECTIONS_MAX,
+          .idle_s = IDLE_TIMEOUT_S,
+          .body_bytes_max = BODY_BYTES_MAX,
+          .buffer_bytes_max = node_settings_buffer_bytes (agent->settings),
+          .read_timeout_s = (uint32_t) agent->settings->read_timeout_s,
+          .takes_body = takes_body,
+          .on_refused = on_refused,
+          .handler = on_request,
+          .ctx = agent };
 
   agent->server = net_server_new (&server, error);
   if (agent->server == NULL)
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -469,6 +469,27 @@
   ledger_free (ledger);
 }
 
+/* The limit on bodies of accepted jobs must not count a job twice, or after it is gone. */
+static void
+bodies_are_counted_until_their_job_is_gone (void **state)
+{
+  const LedgerEvents events = { 0 };
+  Ledger *ledger = ledger_new (&events);
+  Batch__Submission message = BATCH__SUBMISSION__INIT;
+  uint8_t bytes[256];
+
+  (void) state;
+  message.queue = (char *) "q";
+  message.body = (ProtobufCBinaryData){ .data = (uint8_t *) "12345", .len = 5 };
+  size_t size = batch__submission__pack (&message, bytes);
+  assert_true (apply (ledger, 1, "job." JOB, bytes, size));
+  assert_true (apply (ledger, 2, "job." JOB, bytes, size));
+  assert_int_equal (ledger_body_bytes (ledger), 5);
+  assert_true (apply (ledger, 3, "job." JOB, NULL, 0));
+  assert_int_equal (ledger_body_bytes (ledger), 0);
+  ledger_free (ledger);
+}
+
 int
 main (void)
 {
@@ -484,6 +505,7 @@
     cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (level_counts_from_the_first_owner_of_an_unbroken_sequence),
     cmocka_unit_test (owner_record_without_a_level_ends_the_sequence),
+    cmocka_unit_test (bodies_are_counted_until_their_job_is_gone),
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
     cmocka_unit_test (key_with_a_zero_byte_names_nothing),
