entry: limits over all connections of acacia-entry

http.buffer_bytes limits request bodies and unsent answers; connections, deadlines and the order in which connections are closed come from net_peers. Bodies of refused requests are discarded, and memory goes back after a crowd.

--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -1,10 +1,12 @@
 #include "entry/http.h"
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <urcu.h>
 
@@ -21,6 +23,12 @@
 /** Memory per connection for libmicrohttpd in addition to the headers. */
 #define CONNECTION_BYTES 16384
 #define RETRY_AFTER_SIZE 24
+/** Connections above the limit until those that were closed to make room have ended. */
+#define CONNECTIONS_SPARE 32
+/** Interval of the checks of time limits. */
+#define CHECK_US CLK_US_PER_S
+/** Memory goes back to the system once this much was freed since the last time. */
+#define TRIM_BYTES (1024 * 1024)
 
 const HttpRequestInfo *
 http_request_info (const HttpRequest *request)
@@ -28,6 +36,69 @@
   return &request->ask;
 }
 
+static void
+set_phase (const HttpRequest *request, NetPhase phase)
+{
+  net_peers_set_phase (&request->peer->peer, phase, clk_now_us ());
+}
+
+static void
+uncharge (HttpRequest *request)
+{
+  request->http->freed += request->peer->peer.charged;
+  net_peers_uncharge (&request->peer->peer, request->peer->peer.charged);
+}
+
+static void
+drop_body (HttpRequest *request)
+{
+  if (request->received != NULL)
+    g_byte_array_set_size (request->received, 0);
+  g_clear_pointer (&request->received, g_byte_array_unref);
+  request->received = g_byte_array_new ();
+  uncharge (request);
+}
+
+/* libmicrohttpd ends the connection when it next runs. An incomplete body is freed now. */
+static void
+close_connection (void *ctx, NetPeer *peer, const char *reason)
+{
+  const Http *http = ctx;
+  const HttpConnection *connection = (const HttpConnection *) peer;
+  g_autofree char *label = g_strdup_printf ("reason=\"%s\"", reason);
+
+  met_add (met_counter (http->options.metrics, "acacia_entry_connections_closed_total", label,
+                        "Connections closed because of a limit"),
+           1);
+  if (connection->request != NULL && connection->request->received != NULL)
+    drop_body (connection->request);
+  (void) shutdown (connection->fd, SHUT_RDWR);
+}
+
+static void
+on_connection (void *ctx,
+               struct MHD_Connection *connection,
+               void **slot,
+               enum MHD_ConnectionNotificationCode code)
+{
+  Http *http = ctx;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      HttpConnection *peer = g_new0 (HttpConnection, 1);
+      peer->fd
+          = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+      *slot = peer;
+      net_peers_add (&http->peers, &peer->peer, clk_now_us ());
+      return;
+    }
+  HttpConnection *peer = *slot;
+  net_peers_remove (&peer->peer);
+  http->freed += CONNECTION_BYTES;
+  g_free (peer);
+  *slot = NULL;
+}
+
 /* libmicrohttpd does not wake an external polling thread when a connection is resumed. */
 static void
 wake (const Http *http)
@@ -123,6 +194,9 @@
   enum MHD_Result queued = MHD_queue_response (
       request->connection, (unsigned int) g_atomic_int_get (&request->status), response);
   MHD_destroy_response (response);
+  uncharge (request);
+  net_peers_charge (&request->peer->peer, size);
+  set_phase (request, NET_SENDING);
   return queued;
 }
 
@@ -184,6 +258,13 @@
   return MHD_YES;
 }
 
+/* Memory that an array of this length takes: it grows in powers of two. */
+static uint32_t
+array_bytes (guint length)
+{
+  return length > 0 ? 1U << g_bit_storage (length - 1) : 0;
+}
+
 static enum MHD_Result
 receive_body (HttpRequest *request, const char *data, size_t *size)
 {
@@ -195,10 +276,19 @@
       met_kind_add (options->metrics, "acacia_entry_refusals_total", ERR_TIMEOUT, 1);
       return MHD_NO;
     }
-  if (request->received->len + *size > options->body_bytes_max)
+  /* The body of a refused request is of no use. */
+  gboolean is_kept = !request->is_too_large && !request->is_unbuffered && request->refusal == NULL;
+  if (is_kept && request->received->len + *size > options->body_bytes_max)
     request->is_too_large = TRUE;
-  else
+  else if (is_kept
+           && !net_peers_reserve (&request->peer->peer,
+                                  array_bytes (request->received->len + (guint) *size)
+                                      - array_bytes (request->received->len)))
+    request->is_unbuffered = TRUE;
+  else if (is_kept)
     g_byte_array_append (request->received, (const guint8 *) data, (guint) *size);
+  if (request->is_too_large || request->is_unbuffered)
+    drop_body (request);
   *size = 0;
   return MHD_YES;
 }
@@ -213,6 +303,7 @@
                  err_row (ERR_LEAVING)->retry_after_ms, NULL, 0);
       return FALSE;
     }
+  set_phase (request, NET_WAITING);
   MHD_suspend_connection (request->connection);
   request->is_submitted = TRUE;
   if (!request->http->options.submit (request->http->options.ctx, request))
@@ -235,6 +326,12 @@
                request->http->options.body_bytes_max);
       return refuse (request, error);
     }
+  if (request->is_unbuffered)
+    {
+      http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry has no memory for the body now",
+                 err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
+      return queue_answer (request);
+    }
   request->ask.body = g_byte_array_free_to_bytes (g_steal_pointer (&request->received));
   if (!http_read_body (request, &error))
     return refuse (request, error);
@@ -261,6 +358,8 @@
   if (request == NULL)
     return MHD_NO;
   g_assert (request->http == ctx && request->connection == connection);
+  if (request->peer->peer.is_closing)
+    return MHD_NO;
   if (!request->is_started)
     return start_request (request, method, url);
   if (*upload_data_size > 0)
@@ -278,6 +377,10 @@
   request->http = ctx;
   request->connection = connection;
   request->target = g_strdup (target);
+  request->peer
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+  request->peer->request = request;
+  set_phase (request, NET_READING);
   return request;
 }
 
@@ -295,6 +398,9 @@
   *con_cls = NULL;
   if (request == NULL)
     return;
+  uncharge (request);
+  request->peer->request = NULL;
+  set_phase (request, NET_IDLE);
   params_clear (&request->ask.call);
   g_clear_pointer (&request->ask.body, g_bytes_unref);
   g_free (request->ask.author);
@@ -322,9 +428,24 @@
   jnl_event (JNL_DEBUG, "http", "library", "text=\"%s\"", text);
 }
 
+static void
+check_limits (Http *http)
+{
+  int64_t now_us = clk_now_us ();
+
+  if (now_us - http->checked_us < CHECK_US)
+    return;
+  http->checked_us = now_us;
+  net_peers_close_late (&http->peers, now_us);
+  if (http->freed <= TRIM_BYTES)
+    return;
+  http->freed = 0;
+  (void) malloc_trim (0);
+}
+
 /* Waits for a connection event, a ready answer, or the end of wait_ms, and handles it. */
 static void
-run_once (const Http *http, int wait_ms)
+run_once (Http *http, int wait_ms)
 {
   const union MHD_DaemonInfo *info = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   struct pollfd fds[] = { { .fd = http->wake_fd, .events = POLLIN },
@@ -337,6 +458,7 @@
   (void) poll (fds, G_N_ELEMENTS (fds), wait_ms);
   (void) eventfd_read (http->wake_fd, &woken);
   (void) MHD_run (http->daemon);
+  check_limits (http);
 }
 
 static void *
@@ -363,8 +485,9 @@
       NULL, NULL, on_request, http, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, http,
       MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_URI_LOG_CALLBACK, on_target, http,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, http, MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
-      MHD_OPTION_CONNECTION_LIMIT, options->connections_max, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      memory, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_LIMIT, options->connections_max + CONNECTIONS_SPARE,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, http, MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
 }
 
 Http *
@@ -374,6 +497,14 @@
   struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (options->port) };
 
   http->options = *options;
+  const uint32_t idle_s = (uint32_t) ((options->idle_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S);
+  const NetPeersOptions peers = { .connections_max = options->connections_max,
+                                  .buffer_bytes_max = options->buffer_bytes_max,
+                                  .idle_s = idle_s,
+                                  .read_timeout_s = idle_s,
+                                  .close = close_connection,
+                                  .ctx = http };
+  net_peers_init (&http->peers, &peers);
   http->host = g_strdup (options->host);
   http->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (http->wake_fd >= 0 && inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
--- a/lib/entry/http.h
+++ b/lib/entry/http.h
@@ -59,6 +59,8 @@
   uint32_t body_bytes_max;
   uint32_t headers_bytes_max;
   uint32_t connections_max;
+  /** Bytes of request bodies of all connections that are read or handled, and of unsent answers. */
+  uint32_t buffer_bytes_max;
   int64_t idle_ms;
   MetRegistry *metrics;
   ViewBoard *board;
--- a/lib/entry/settings.h
+++ b/lib/entry/settings.h
@@ -21,6 +21,7 @@
   int64_t http_body_bytes_max;
   int64_t http_headers_bytes_max;
   int64_t http_connections_max;
+  int64_t http_buffer_bytes;
   int64_t http_idle_ms;
   char *wire_listen;
   char **wire_peers;
