outbox: an append is abandoned only where no other entry writes its records

Where the owner gathers records, it may have written those of an append that is still in the store's queue.

--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -605,6 +605,10 @@
 
   if (flight == NULL || is_any_sent (outbox))
     return;
+  /* Where another entry gathers records, it may have written them, and this append may still be in
+   * the store's queue. */
+  if (published_ms (outbox) > 0)
+    return;
   /* All its records were read: the answer was lost, or is on its way. */
   flight->is_abandoned = TRUE;
   store_pace_end (outbox->options.pace, flight->pace_slot, STORE_OK, clk_now_us ());
