relay: outcomes that the link has no room for are sent again

The queue of a link takes 16 messages. One append of the owner can decide on more records of one entry, and the outcomes beyond the queue were dropped (by reading; the logs do not show it, and no test covers it).

--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -9,6 +9,7 @@
 #include "common/line.h"
 #include "entry_private.h"
 #include "net/net_link.h"
+#include "relay_outcomes.h"
 
 /** Targets get a hello at this interval, and are used if they answered within the timeout. */
 #define HELLO_INTERVAL_MS 1000
@@ -19,8 +20,6 @@
 #define QUESTION_TIMEOUT_MS 400
 /** Largest number of open questions. */
 #define QUESTIONS_MAX 500
-/** Time to write a record that another entry forwarded. After it, the sender gets no outcome. */
-#define WRITE_TIMEOUT_MS 2500
 /** Largest number of recent hello senders that are kept. */
 #define HELLO_SENDERS_MAX 64
 
@@ -70,6 +69,7 @@
   GPtrArray *hello_senders;  /**< HelloSender, owned */
   GPtrArray *open_questions; /**< OpenQuestion, owned, oldest first */
   GHashTable *peer_requests; /**< PeerRequest, owned, as a set */
+  RelayOutcomes *outcomes;   /**< of records of other entries */
   guint hello_timer;
   guint question_timer;
   MetSeries *forwarded;
@@ -174,21 +174,6 @@
   (void) send_message (relay->server, peer, &answer);
 }
 
-static void
-send_write_result (Relay *relay, GBytes *peer, const char *key, OutboxResult result, int64_t offset)
-{
-  Batch__Relay answer = BATCH__RELAY__INIT;
-  Batch__Fate write_result = BATCH__FATE__INIT;
-
-  write_result.key = (char *) key;
-  write_result.result = (uint32_t) result;
-  write_result.offset = offset;
-  write_result.append_ms = append_ms (relay);
-  answer.what_case = BATCH__RELAY__WHAT_FATE;
-  answer.fate = &write_result;
-  (void) send_message (relay->server, peer, &answer);
-}
-
 static PeerRequest *
 peer_request_new (Relay *relay, GBytes *peer, const char *key)
 {
@@ -206,7 +191,8 @@
 {
   PeerRequest *peer_request = ctx;
 
-  send_write_result (peer_request->relay, peer_request->peer, peer_request->key, result, offset);
+  relay_outcomes_send (peer_request->relay->outcomes, peer_request->peer, peer_request->key, result,
+                       offset);
   (void) g_hash_table_remove (peer_request->relay->peer_requests, peer_request);
 }
 
@@ -234,14 +220,14 @@
   const OutboxRecord row = { .key = record->key,
                              .value = record->value.data,
                              .size = record->value.len,
-                             .deadline_us = clk_now_us () + WRITE_TIMEOUT_MS * CLK_US_PER_MS,
+                             .deadline_us = clk_now_us () + RELAY_WRITE_TIMEOUT_MS * CLK_US_PER_MS,
                              .is_forwarded = TRUE };
 
   met_add (relay->received, 1);
   if (!ledger_is_job_key (record->key) || takes_no_records (relay)
       || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
     {
-      send_write_result (relay, peer, record->key, OUTBOX_REFUSED, -1);
+      relay_outcomes_send (relay->outcomes, peer, record->key, OUTBOX_REFUSED, -1);
       return;
     }
   if (is_asked (relay, peer, record->key))
@@ -617,6 +603,7 @@
       relay_free (relay);
       return NULL;
     }
+  relay->outcomes = relay_outcomes_new (relay->server, &relay->entry->pace);
   relay->hello_timer = g_timeout_add (HELLO_INTERVAL_MS, on_hello_due, relay);
   return relay;
 }
@@ -628,6 +615,7 @@
     return;
   g_clear_handle_id (&relay->hello_timer, g_source_remove);
   g_clear_handle_id (&relay->question_timer, g_source_remove);
+  relay_outcomes_free (relay->outcomes);
   net_link_free (relay->server);
   net_link_free (relay->client);
   net_links_free (relay->links);
