relay: a deputy refuses records while the store is slow; metrics

After 150 ms the owner forwarded its own records to a deputy. An entry that is not the owner refuses records of others while the store is slow for it.

New metrics acacia_records_handed_over_total and acacia_append_expected_ms.

--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -75,6 +75,8 @@
   MetSeries *forwarded;
   MetSeries *received;
   MetSeries *questions_sent;
+  MetSeries *handed_over;
+  MetSeries *append_expected;
 };
 
 static void
@@ -214,6 +216,16 @@
   return FALSE;
 }
 
+/* Whether the record is refused since the store is slow and another entry is the owner. The appends
+ * of a deputy to which the owner forwards would queue up in the store before the owner's own. */
+static gboolean
+is_left_to_owner (const Relay *relay, const char *key)
+{
+  return g_strcmp0 (relay->owner_address, relay->address) != 0
+         && store_pace_is_slow (&relay->entry->pace, clk_now_us ())
+         && !outbox_knows (relay->entry->outbox, key);
+}
+
 static void
 handle_record (Relay *relay, GBytes *peer, const Batch__Record *record)
 {
@@ -225,6 +237,7 @@
 
   met_add (relay->received, 1);
   if (!ledger_is_job_key (record->key) || takes_no_records (relay)
+      || is_left_to_owner (relay, record->key)
       || !entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS))
     {
       relay_outcomes_send (relay->outcomes, peer, record->key, OUTBOX_REFUSED, -1);
@@ -544,6 +557,8 @@
 {
   Relay *relay = data;
 
+  met_set (relay->handed_over, (int64_t) outbox_handed_over (relay->entry->outbox));
+  met_set (relay->append_expected, store_pace_expected_ms (&relay->entry->pace, clk_now_us ()));
   for (guint i = 0; i < relay->targets->len; i++)
     {
       Target *target = g_ptr_array_index (relay->targets, i);
@@ -597,6 +612,10 @@
       = met_counter (metrics, "acacia_records_taken_total", NULL, "Records of other entries");
   relay->questions_sent = met_counter (metrics, "acacia_jobs_asked_total", NULL,
                                        "Jobs that another entry was asked about");
+  relay->handed_over = met_counter (metrics, "acacia_records_handed_over_total", NULL,
+                                    "Records left to the owner since the store was slow");
+  relay->append_expected
+      = met_gauge (metrics, "acacia_append_expected_ms", NULL, "Expected time of an append");
   relay->server = net_link_listen (relay->links, relay->address, on_request, relay, error);
   if (relay->server == NULL)
     {
