--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -291,12 +291,12 @@
 static int64_t
 published_ms (const Outbox *outbox)
 {
-  return outbox->options.gatherer == NULL ? 0 : outbox->options.gatherer (outbox->options.ctx);
+  return outbox->options.owner_pace == NULL ? 0 : outbox->options.owner_pace (outbox->options.ctx);
 }
 
 /* Returns how long appends take at the entry to which records are handed over; 0: to none. */
 static int64_t
-gatherer_ms (const Outbox *outbox, int64_t now)
+owner_ms (const Outbox *outbox, int64_t now)
 {
   int64_t append_ms = published_ms (outbox);
 
@@ -325,13 +325,13 @@
     return;
   outbox->is_handing_over = is_handing_over;
   line_add ("outbox", is_handing_over ? "store_slow" : "store_fast",
-            "append_ms=%" G_GINT64_FORMAT " gatherer_append_ms=%" G_GINT64_FORMAT
+            "append_ms=%" G_GINT64_FORMAT " owner_append_ms=%" G_GINT64_FORMAT
             " waiting=%u handed_over=%" G_GUINT64_FORMAT,
             store_pace_expected_ms (outbox->options.pace, now), append_ms, outbox->items->len,
             outbox->n_handed);
 }
 
-/* Whether the record is left to the entry that gathers records. */
+/* Hands the record over to the owner; FALSE if it is to be appended here. */
 static gboolean
 hand_over (Outbox *outbox, Item *item, int64_t append_ms, int64_t now)
 {
@@ -344,10 +344,10 @@
   return TRUE;
 }
 
-/* Whether the entry that gathers records has time left to write it. A record that no caller waits
+/* Whether the owner has time left to write it. A record that no caller waits
  * for can wait until the store is fast again. */
 static gboolean
-is_left_to_gatherer (const Item *item, int64_t append_ms, int64_t now)
+is_left_to_owner (const Item *item, int64_t append_ms, int64_t now)
 {
   if (append_ms > 0 && item->waiters->len == 0 && !item->is_forwarded)
     return TRUE;
@@ -360,7 +360,7 @@
 hand_over_records (Outbox *outbox)
 {
   int64_t now = clk_now_us ();
-  int64_t append_ms = gatherer_ms (outbox, now);
+  int64_t append_ms = owner_ms (outbox, now);
 
   note_handing_over (outbox, append_ms, now);
   for (guint i = 0; append_ms > 0 && i < outbox->items->len; i++)
@@ -373,7 +373,7 @@
 {
   GByteArray *records = g_byte_array_new ();
   int64_t now = clk_now_us ();
-  int64_t append_ms = gatherer_ms (outbox, now);
+  int64_t append_ms = owner_ms (outbox, now);
   uint32_t n_records = 0;
 
   for (guint i = 0; i < outbox->items->len && n_records < BATCH_RECORDS_MAX; i++)
@@ -381,7 +381,7 @@
       Item *item = g_ptr_array_index (outbox->items, i);
       size_t size = 0;
       const void *value = g_bytes_get_data (item->value, &size);
-      if (is_left_to_gatherer (item, append_ms, now))
+      if (is_left_to_owner (item, append_ms, now))
         continue;
       if (records->len > 0 && records->len + size > BATCH_BYTES_MAX)
         break;
@@ -476,7 +476,7 @@
 outbox_expected_ms (const Outbox *outbox)
 {
   int64_t now = clk_now_us ();
-  int64_t append_ms = gatherer_ms (outbox, now);
+  int64_t append_ms = owner_ms (outbox, now);
 
   if (append_ms > 0)
     return store_pace_forwarded_wait_ms (append_ms);
@@ -605,7 +605,7 @@
 
   if (flight == NULL || is_any_sent (outbox))
     return;
-  /* Where another entry gathers records, it may have written them, and this append may still be in
+  /* The owner may have written records that were handed over to it, and this append may still be in
    * the store's queue. */
   if (published_ms (outbox) > 0)
     return;
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -7,9 +7,9 @@
  * entry can be asked to write it too. A record whose key this outbox wrote within the last 30 s is
  * never reported as refused.
  *
- * While the store is slow, records are handed over to the entry that gathers them, if there is one,
- * and are appended here only if no outcome comes in time: appends of many entries would queue up in
- * the store.
+ * While the store is slow, records are handed over to the owner, which appends those of all
+ * entries, and are appended here only if no outcome comes in time: appends of many entries would
+ * queue up in the store.
  */
 #pragma once
 
@@ -34,18 +34,18 @@
 typedef gboolean (*OutboxForward) (void *ctx, const char *key, GBytes *value);
 
 /**
- * How long appends take at the entry that gathers the records of all while the store is slow, in
+ * How long appends take at the owner, which appends the records of all while the store is slow, in
  * ms. 0 if there is none, if it is this one, or if it did not say so lately.
  */
-typedef int64_t (*OutboxGatherer) (void *ctx);
+typedef int64_t (*OutboxOwnerPace) (void *ctx);
 
 typedef struct
 {
   Store *store;
-  const char *topic;       /**< must outlive the outbox */
-  OutboxForward forward;   /**< NULL for none */
-  OutboxGatherer gatherer; /**< NULL for none; asked before forward() hands a record over */
-  StorePace *pace;         /**< of all appends of this process; must outlive the outbox */
+  const char *topic;          /**< must outlive the outbox */
+  OutboxForward forward;      /**< NULL for none */
+  OutboxOwnerPace owner_pace; /**< NULL for none; asked before forward() hands a record over */
+  StorePace *pace;            /**< of all appends of this process; must outlive the outbox */
   void *ctx;
 } OutboxOptions;
 
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -241,7 +241,7 @@
   const OutboxOptions outbox = { .store = entry->store,
                                  .topic = LEDGER_TOPIC,
                                  .forward = relay_forward_record,
-                                 .gatherer = relay_gatherer_append_ms,
+                                 .owner_pace = relay_owner_append_ms,
                                  .pace = &entry->pace,
                                  .ctx = entry->relay };
   entry->outbox = outbox_new (&outbox);
--- a/programs/scheduler/entry_private.h
+++ b/programs/scheduler/entry_private.h
@@ -79,8 +79,8 @@
 gboolean relay_can_ask (const Relay *relay);
 /** An OutboxForward; @p ctx is a Relay. */
 gboolean relay_forward_record (void *ctx, const char *key, GBytes *value);
-/** An OutboxGatherer: the owner gathers records, if it answered recently. @p ctx is a Relay. */
-int64_t relay_gatherer_append_ms (void *ctx);
+/** An OutboxOwnerPace; 0 if the owner did not answer recently. @p ctx is a Relay. */
+int64_t relay_owner_append_ms (void *ctx);
 /** Asks another entry for a job's state. FALSE if none can be asked; @p done is not called then. */
 gboolean relay_query_job (Relay *relay, const char *job, RelayJobState done, void *ctx);
 /** Up to #RELAY_DEPUTIES_MAX entries that sent a hello recently; owned by @p relay. */
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -416,7 +416,7 @@
 }
 
 int64_t
-relay_gatherer_append_ms (void *ctx)
+relay_owner_append_ms (void *ctx)
 {
   const Relay *relay = ctx;
   const Target *target = best_target (relay);
