--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -389,21 +389,23 @@
   NetServer *server = g_new0 (NetServer, 1);
   server->options = *options;
   server->options.address = NULL;
-  const NetPeersOptions peers = { .connections_max = options->connections_max,
-                                  .buffer_bytes_max = options->buffer_bytes_max,
-                                  .idle_s = options->idle_s,
-                                  .read_timeout_s = options->read_timeout_s,
-                                  .close = close_connection,
-                                  .ctx = server };
+  const NetPeersOptions peers
+      = { .connections_max = options->excess_waits ? UINT32_MAX : options->connections_max,
+          .buffer_bytes_max = options->buffer_bytes_max,
+          .idle_s = options->idle_s,
+          .read_timeout_s = options->read_timeout_s,
+          .close = close_connection,
+          .ctx = server };
   net_peers_init (&server->peers, &peers);
   server->open = g_ptr_array_new ();
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
       MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
-      options->connections_max + CONNECTIONS_SPARE, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      CONNECTION_BYTES, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
-      MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      options->connections_max + (options->excess_waits ? 0 : CONNECTIONS_SPARE),
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES, MHD_OPTION_NOTIFY_CONNECTION,
+      on_connection, server, MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      MHD_OPTION_END);
   if (server->daemon == NULL)
     {
       err_set (error, ERR_REFUSED, "cannot listen on %s", options->address);
--- a/lib/net/net_server.h
+++ b/lib/net/net_server.h
@@ -32,6 +32,8 @@
   gboolean (*takes_body) (void *ctx, const char *method, const char *path, const char *host);
   /** Called for each connection that was closed or request that was refused. May be NULL. */
   void (*on_refused) (void *ctx, const char *reason);
+  /** Connections above the limit wait in the listen queue; otherwise another one is closed. */
+  gboolean excess_waits;
   NetHandler handler;
   void *ctx;
 } NetServerOptions;
--- a/tests/standin/runner/main.c
+++ b/tests/standin/runner/main.c
@@ -373,6 +373,7 @@
   highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   const NetServerOptions options = { .address = address,
                                      .connections_max = CONNECTIONS_MAX,
+                                     .excess_waits = TRUE,
                                      .idle_s = IDLE_S,
                                      .body_bytes_max = BODY_MAX,
                                      .handler = on_call };
--- a/tests/standin/store/main.c
+++ b/tests/standin/store/main.c
@@ -507,6 +507,7 @@
     }
   const NetServerOptions options = { .address = argv[1],
                                      .connections_max = CONNECTIONS_MAX,
+                                     .excess_waits = TRUE,
                                      .idle_s = IDLE_S,
                                      .body_bytes_max = BODY_MAX,
                                      .handler = on_request };
