--- a/lib/ledger/store_pace.h
+++ b/lib/ledger/store_pace.h
@@ -49,9 +49,9 @@
 gboolean store_pace_is_slow (StorePace *pace, int64_t now_us);
 
 /**
- * Time-out in ms of an append sent now. After an append was given up, the store may be slow, and the
- * next one gets the time that it can spend in the store's queue; if @p is_urgent, twice the time of the
- * one given up, if that is less.
+ * Time-out in ms of an append sent now. After an append was given up, the store may be slow, and
+ * the next one gets the time that it can spend in the store's queue; if @p is_urgent, twice the
+ * time of the one given up, if that is less.
  */
 int64_t store_pace_timeout_ms (const StorePace *pace, gboolean is_urgent, int64_t now_us);
 
