owner: hands over when the store serves other entries and not its own

Cause: authority ended by time alone, although the owner knows that its reads fail and can ask other entries.

Change: an owner whose reads fail for 0.3 s asks other entries for the age of their views (new field of Hello). If one has read the store since, it ends its term and tells all entries that said hello (new message Resigned), which claim at once like after a release. A store that is slow or down for all entries changes no owner. After a failed read, the next one does not wait for a record, so that an answer tells at once. Older builds ignore field and message, and claim after 3.3 s as before.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &batch__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   batch__resigned__init
+                     (Batch__Resigned         *message)
+{
+  static const Batch__Resigned init_value = BATCH__RESIGNED__INIT;
+  *message = init_value;
+}
+size_t batch__resigned__get_packed_size
+                     (const Batch__Resigned *message)
+{
+  assert(message->base.descriptor == &batch__resigned__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__resigned__pack
+                     (const Batch__Resigned *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__resigned__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__resigned__pack_to_buffer
+                     (const Batch__Resigned *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__resigned__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Resigned *
+       batch__resigned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Resigned *)
+     protobuf_c_message_unpack (&batch__resigned__descriptor,
+                                allocator, len, data);
+}
+void   batch__resigned__free_unpacked
+                     (Batch__Resigned *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__resigned__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__record__init
                      (Batch__Record         *message)
 {
@@ -1639,7 +1684,7 @@
   (ProtobufCMessageInit) batch__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor batch__hello__field_descriptors[4] =
 {
   {
     "address",
@@ -1677,16 +1722,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "view_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Hello, view_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__hello__field_indices_by_name[] = {
   0,   /* field[0] = address */
   2,   /* field[2] = append_ms */
   1,   /* field[1] = is_fresh */
+  3,   /* field[3] = view_age_ms */
 };
 static const ProtobufCIntRange batch__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor batch__hello__descriptor =
 {
@@ -1696,13 +1754,64 @@
   "Batch__Hello",
   "batch",
   sizeof(Batch__Hello),
-  3,
+  4,
   batch__hello__field_descriptors,
   batch__hello__field_indices_by_name,
   1,  batch__hello__number_ranges,
   (ProtobufCMessageInit) batch__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor batch__resigned__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Resigned, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Resigned, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__resigned__field_indices_by_name[] = {
+  1,   /* field[1] = boot */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange batch__resigned__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor batch__resigned__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Resigned",
+  "Resigned",
+  "Batch__Resigned",
+  "batch",
+  sizeof(Batch__Resigned),
+  2,
+  batch__resigned__field_descriptors,
+  batch__resigned__field_indices_by_name,
+  1,  batch__resigned__number_ranges,
+  (ProtobufCMessageInit) batch__resigned__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor batch__record__field_descriptors[2] =
 {
   {
@@ -1933,7 +2042,7 @@
   (ProtobufCMessageInit) batch__told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__relay__field_descriptors[5] =
+static const ProtobufCFieldDescriptor batch__relay__field_descriptors[6] =
 {
   {
     "hello",
@@ -1995,18 +2104,31 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resigned",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Batch__Relay, what_case),
+    offsetof(Batch__Relay, resigned),
+    &batch__resigned__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__relay__field_indices_by_name[] = {
   2,   /* field[2] = fate */
   0,   /* field[0] = hello */
   3,   /* field[3] = question */
   1,   /* field[1] = record */
+  5,   /* field[5] = resigned */
   4,   /* field[4] = told */
 };
 static const ProtobufCIntRange batch__relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor batch__relay__descriptor =
 {
@@ -2016,7 +2138,7 @@
   "Batch__Relay",
   "batch",
   sizeof(Batch__Relay),
-  5,
+  6,
   batch__relay__field_descriptors,
   batch__relay__field_indices_by_name,
   1,  batch__relay__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Batch__Submission Batch__Submission;
 typedef struct Batch__Cancel Batch__Cancel;
 typedef struct Batch__Hello Batch__Hello;
+typedef struct Batch__Resigned Batch__Resigned;
 typedef struct Batch__Record Batch__Record;
 typedef struct Batch__Fate Batch__Fate;
 typedef struct Batch__Question Batch__Question;
@@ -103,10 +104,28 @@
    * how long the sender's appends take now; 0 if it does not say
    */
   uint32_t append_ms;
+  /*
+   * age of the sender's view of the ledger; 0 if it does not say
+   */
+  uint32_t view_age_ms;
 };
 #define BATCH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * From an owner that has ended its term since the store does not serve it.
+ */
+struct  Batch__Resigned
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint64_t boot;
+};
+#define BATCH__RESIGNED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__resigned__descriptor) \
+    , 0, 0 }
 
 
 struct  Batch__Record
@@ -170,7 +189,8 @@
   BATCH__RELAY__WHAT_RECORD = 2,
   BATCH__RELAY__WHAT_FATE = 3,
   BATCH__RELAY__WHAT_QUESTION = 4,
-  BATCH__RELAY__WHAT_TOLD = 5
+  BATCH__RELAY__WHAT_TOLD = 5,
+  BATCH__RELAY__WHAT_RESIGNED = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BATCH__RELAY__WHAT__CASE)
 } Batch__Relay__WhatCase;
 
@@ -184,6 +204,7 @@
     Batch__Fate *fate;
     Batch__Question *question;
     Batch__Told *told;
+    Batch__Resigned *resigned;
   };
 };
 #define BATCH__RELAY__INIT \
@@ -820,6 +841,25 @@
 void   batch__hello__free_unpacked
                      (Batch__Hello *message,
                       ProtobufCAllocator *allocator);
+/* Batch__Resigned methods */
+void   batch__resigned__init
+                     (Batch__Resigned         *message);
+size_t batch__resigned__get_packed_size
+                     (const Batch__Resigned   *message);
+size_t batch__resigned__pack
+                     (const Batch__Resigned   *message,
+                      uint8_t             *out);
+size_t batch__resigned__pack_to_buffer
+                     (const Batch__Resigned   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Resigned *
+       batch__resigned__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__resigned__free_unpacked
+                     (Batch__Resigned *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Record methods */
 void   batch__record__init
                      (Batch__Record         *message);
@@ -1420,6 +1460,9 @@
 typedef void (*Batch__Hello_Closure)
                  (const Batch__Hello *message,
                   void *closure_data);
+typedef void (*Batch__Resigned_Closure)
+                 (const Batch__Resigned *message,
+                  void *closure_data);
 typedef void (*Batch__Record_Closure)
                  (const Batch__Record *message,
                   void *closure_data);
@@ -1522,6 +1565,7 @@
 extern const ProtobufCMessageDescriptor batch__submission__descriptor;
 extern const ProtobufCMessageDescriptor batch__cancel__descriptor;
 extern const ProtobufCMessageDescriptor batch__hello__descriptor;
+extern const ProtobufCMessageDescriptor batch__resigned__descriptor;
 extern const ProtobufCMessageDescriptor batch__record__descriptor;
 extern const ProtobufCMessageDescriptor batch__fate__descriptor;
 extern const ProtobufCMessageDescriptor batch__question__descriptor;
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -21,9 +21,10 @@
   int64_t answered_us;
   int64_t steady_us;
   int64_t sent_us;
-  gboolean is_failing;
-  GHashTable *refreshes; /**< Refresh, owned, as a set */
-  GPtrArray *waiting;    /**< Refresh that wait for the load to end */
+  int64_t failing_since_us; /**< when the first of the newest reads failed; 0: they succeed */
+  int64_t overdue_us;       /**< when that one would have been answered */
+  GHashTable *refreshes;    /**< Refresh, owned, as a set */
+  GPtrArray *waiting;       /**< Refresh that wait for the load to end */
   guint timer;
 };
 
@@ -67,10 +68,10 @@
 {
   int64_t now = clk_now_us ();
 
-  if (feed->is_failing)
+  if (feed->failing_since_us != 0)
     line_add ("store", "regained", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic,
               feed->next);
-  feed->is_failing = FALSE;
+  feed->failing_since_us = 0;
   if (feed->steady_us == 0 || now - feed->answered_us > FEED_GAP_MS * 1000)
     feed->steady_us = now;
   feed->answered_us = now;
@@ -80,10 +81,17 @@
 static void
 handle_failure (Feed *feed, const StoreAnswer *answer)
 {
-  if (!feed->is_failing)
-    line_add ("store", "lost", "topic=%s outcome=%s", feed->options.topic,
-              store_outcome_name (answer->outcome));
-  feed->is_failing = TRUE;
+  int64_t now = clk_now_us ();
+
+  if (feed->failing_since_us != 0)
+    return;
+  line_add ("store", "lost", "topic=%s outcome=%s", feed->options.topic,
+            store_outcome_name (answer->outcome));
+  feed->failing_since_us = now;
+  /* The store may hold an answer back for as long as it was asked to wait. */
+  feed->overdue_us = answer->outcome == STORE_IN_DOUBT
+                         ? MIN (feed->sent_us + feed->options.wait_ms * CLK_US_PER_MS, now)
+                         : now;
 }
 
 static void
@@ -234,10 +242,12 @@
 static void
 send_read (Feed *feed)
 {
+  /* After a failure, an answer without a record tells as much as one with records. */
+  int64_t wait_ms = feed->failing_since_us != 0 ? 0 : feed->options.wait_ms;
   const StoreRead read = { .topic = feed->options.topic,
                            .from = feed->next,
-                           .wait_ms = feed->options.wait_ms,
-                           .timeout_ms = feed->options.wait_ms + timeout_ms (feed) };
+                           .wait_ms = wait_ms,
+                           .timeout_ms = wait_ms + timeout_ms (feed) };
 
   feed->sent_us = clk_now_us ();
   if (feed->is_loading)
@@ -291,6 +301,18 @@
   return feed->fresh_us;
 }
 
+int64_t
+feed_failing_since_us (const Feed *feed)
+{
+  return feed->failing_since_us;
+}
+
+int64_t
+feed_overdue_us (const Feed *feed)
+{
+  return feed->overdue_us;
+}
+
 int64_t
 feed_steady_since_us (const Feed *feed)
 {
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -45,6 +45,11 @@
 /** Since when reads have been answered without a gap of #FEED_GAP_MS; 0: there is such a gap
  * now. */
 int64_t feed_steady_since_us (const Feed *feed);
+/** Time on clk_now_us() at which the first of the reads ended that failed in succession; 0: the
+ * newest one that ended was answered. */
+int64_t feed_failing_since_us (const Feed *feed);
+/** When the first of those reads would have been answered, had the store served it. */
+int64_t feed_overdue_us (const Feed *feed);
 /** Changes the pause between two reads. */
 void feed_set_pause (Feed *feed, int64_t pause_ms);
 
--- /dev/null
+++ b/lib/ledger/handover.c
@@ -0,0 +1,25 @@
+#include "ledger/handover.h"
+
+#include "common/clk.h"
+
+gboolean
+handover_is_due (const HandoverInput *input, int64_t now_us)
+{
+  return input->failing_since_us != 0
+         && now_us >= input->failing_since_us + HANDOVER_FAILING_MS * CLK_US_PER_MS
+         && input->peer_view_us > input->overdue_us;
+}
+
+int64_t
+handover_peer_view_us (int64_t asked_us, uint32_t view_age_ms)
+{
+  return view_age_ms == 0 ? 0 : asked_us - (int64_t) view_age_ms * CLK_US_PER_MS;
+}
+
+uint32_t
+handover_view_age_ms (int64_t fresh_us, int64_t now_us)
+{
+  if (fresh_us == 0)
+    return 0;
+  return (uint32_t) MIN (MAX (now_us - fresh_us, 0) / CLK_US_PER_MS + 1, G_MAXINT32);
+}
--- a/programs/scheduler/entry_private.h
+++ b/programs/scheduler/entry_private.h
@@ -59,6 +59,9 @@
 void owner_evacuations_changed (Owner *owner);
 /** Releases ownership, so that another entry can claim it at once. */
 void owner_leave (Owner *owner);
+/** Handles the statement of the owner of @p term, the process @p boot, that it has ended its term:
+ * this entry can claim at once. */
+void owner_handle_resigned (Owner *owner, uint64_t term, uint64_t boot);
 /** Whether this entry is neither the owner nor claiming ownership. */
 gboolean owner_is_idle (const Owner *owner);
 
@@ -81,6 +84,12 @@
 gboolean relay_forward_record (void *ctx, const char *key, GBytes *value);
 /** An OutboxOwnerPace; 0 if the owner did not answer recently. @p ctx is a Relay. */
 int64_t relay_owner_append_ms (void *ctx);
+/** Asks other entries for the age of their views, unless it was asked lately. */
+void relay_ask_views (Relay *relay);
+/** Newest time up to which another entry has certainly read all records; 0: none is known. */
+int64_t relay_peer_view_us (const Relay *relay);
+/** Tells other entries that this process has ended its term as the owner. Returns to how many. */
+uint32_t relay_tell_resigned (Relay *relay, uint64_t term);
 /** Asks another entry for a job's state. FALSE if none can be asked; @p done is not called then. */
 gboolean relay_query_job (Relay *relay, const char *job, RelayJobState done, void *ctx);
 /** Up to #RELAY_DEPUTIES_MAX entries that sent a hello recently; owned by @p relay. */
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -330,6 +330,8 @@
   owner->peers = peers_new (owner);
   owner->check_timer = g_timeout_add (CHECK_MS, owner_check, owner);
   owner->terms = met_counter (metrics, "acacia_owner_terms_total", NULL, "Terms begun here");
+  owner->handovers = met_counter (metrics, "acacia_owner_handovers_total", NULL,
+                                  "Terms ended here since the store served only other entries");
   owner->open_jobs = met_gauge (metrics, "acacia_open_jobs", NULL, "Jobs under way, at the owner");
   owner->crashed_runs = met_counter (metrics, "acacia_crashed_runs_total", NULL,
                                      "Runs lost when their workers crashed");
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -4,6 +4,7 @@
 #include "common/clk.h"
 #include "common/ids.h"
 #include "common/line.h"
+#include "ledger/handover.h"
 #include "owner_private.h"
 
 /** Greatest share of a core that an owner of about seventy workers uses. */
@@ -104,6 +105,8 @@
 {
   if (last->term == 0 || last->boot == 0)
     return TRUE;
+  if (last->term == owner->resigned_term && last->boot == owner->resigned_boot)
+    return TRUE;
   return strcmp (last->name, owner->entry->settings->name) == 0
          && last->boot != node_boot (owner->entry->node);
 }
@@ -144,6 +147,43 @@
     claim (owner);
 }
 
+void
+owner_handle_resigned (Owner *owner, uint64_t term, uint64_t boot)
+{
+  line_add ("owner", "resignation_received",
+            "term=%" G_GUINT64_FORMAT " own_view_of_term=%" G_GUINT64_FORMAT, term,
+            ledger_owner (owner->entry->ledger)->term);
+  owner->resigned_term = term;
+  owner->resigned_boot = boot;
+  claim_if_due (owner);
+}
+
+/* Ends the term if the store serves another entry and not this one. The term has ended before
+ * others are told, so that none acts at the same time. */
+static void
+hand_over_if_due (Owner *owner)
+{
+  int64_t now = clk_now_us ();
+  const HandoverInput input
+      = { .failing_since_us = feed_failing_since_us (owner->entry->ledger_feed),
+          .overdue_us = feed_overdue_us (owner->entry->ledger_feed),
+          .peer_view_us = relay_peer_view_us (owner->entry->relay) };
+
+  if (input.failing_since_us == 0)
+    return;
+  relay_ask_views (owner->entry->relay);
+  if (!handover_is_due (&input, now))
+    return;
+  line_add ("owner", "hands_over",
+            "term=%" G_GUINT64_FORMAT " failing_ms=%" G_GINT64_FORMAT
+            " peer_view_age_ms=%" G_GINT64_FORMAT,
+            owner->term, (now - input.failing_since_us) / CLK_US_PER_MS,
+            (now - input.peer_view_us) / CLK_US_PER_MS);
+  met_add (owner->handovers, 1);
+  owner_resign (owner, "turned_away");
+  (void) relay_tell_resigned (owner->entry->relay, owner->term);
+}
+
 gboolean
 owner_check (gpointer data)
 {
@@ -158,5 +198,7 @@
   claim_if_due (owner);
   if (owner->phase == OWNER_ACTIVE)
     owner_write_changes (owner);
+  if (owner->phase == OWNER_ACTIVE)
+    hand_over_if_due (owner);
   return G_SOURCE_CONTINUE;
 }
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -35,8 +35,10 @@
   int64_t epoch;
   int64_t sequence; /**< sequence number of the claim */
   Appender appender;
-  uint32_t pace_slot;    /**< of the transmission under way */
-  int64_t owner_seen_us; /**< when the newest owner record was read */
+  uint32_t pace_slot;     /**< of the transmission under way */
+  int64_t owner_seen_us;  /**< when the newest owner record was read */
+  uint64_t resigned_term; /**< term whose owner told this entry that it has ended; 0: none did */
+  uint64_t resigned_boot; /**< process of that owner */
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
   Peers *peers;
@@ -51,6 +53,7 @@
   guint flush_timer;
   MetSeries *terms;
   MetSeries *open_jobs;
+  MetSeries *handovers;
   MetSeries *crashed_runs;
   MetSeries *given_up;
   MetHistogram *append_time;
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -8,11 +8,14 @@
 #include "common/clk.h"
 #include "common/line.h"
 #include "entry_private.h"
+#include "ledger/handover.h"
 #include "net/net_link.h"
 #include "relay_outcomes.h"
 
 /** Targets get a hello at this interval, and are used if they answered within the timeout. */
 #define HELLO_INTERVAL_MS 1000
+/** The same while an owner waits for the age of their views. */
+#define VIEW_INTERVAL_MS 100
 #define PEER_TIMEOUT_MS 2500
 /** Largest number of targets: the owner and its deputies. */
 #define TARGETS_MAX (1 + RELAY_DEPUTIES_MAX)
@@ -30,11 +33,14 @@
   int64_t received_us; /**< when its newest message was received; 0: none */
   gboolean is_fresh;   /**< its newest hello reported that it reaches the store */
   int64_t append_ms;   /**< how long its appends take, as it last reported; 0: it did not */
+  int64_t asked_us;    /**< when the oldest hello was sent that it has not answered; 0: none */
+  int64_t view_us;     /**< up to when it had read the ledger, at the least; 0: not known */
 } Target;
 
 typedef struct
 {
   char *address;
+  GBytes *id; /**< where an answer to its newest hello goes */
   int64_t received_us;
   gboolean is_fresh;
 } HelloSender;
@@ -72,6 +78,7 @@
   RelayOutcomes *outcomes;   /**< of records of other entries */
   guint hello_timer;
   guint question_timer;
+  int64_t views_asked_us; /**< when targets were last asked for the age of their views */
   MetSeries *forwarded;
   MetSeries *received;
   MetSeries *questions_sent;
@@ -94,6 +101,7 @@
 {
   HelloSender *hello_sender = data;
 
+  g_clear_pointer (&hello_sender->id, g_bytes_unref);
   g_free (hello_sender->address);
   g_free (hello_sender);
 }
@@ -165,12 +173,15 @@
     }
   if (hello_sender != NULL)
     {
+      g_clear_pointer (&hello_sender->id, g_bytes_unref);
+      hello_sender->id = g_bytes_ref (peer);
       hello_sender->received_us = clk_now_us ();
       hello_sender->is_fresh = hello->is_fresh;
     }
   own.address = relay->address;
   own.is_fresh = entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS);
   own.append_ms = append_ms (relay);
+  own.view_age_ms = handover_view_age_ms (feed_fresh_us (relay->entry->ledger_feed), clk_now_us ());
   answer.what_case = BATCH__RELAY__WHAT_HELLO;
   answer.hello = &own;
   (void) send_message (relay->server, peer, &answer);
@@ -347,6 +358,10 @@
         {
           target->is_fresh = message->hello->is_fresh;
           target->append_ms = message->hello->append_ms;
+          target->view_us
+              = MAX (target->view_us,
+                     handover_peer_view_us (target->asked_us, message->hello->view_age_ms));
+          target->asked_us = 0;
         }
       else if (message->what_case == BATCH__RELAY__WHAT_FATE)
         target->append_ms = message->fate->append_ms;
@@ -371,6 +386,8 @@
                                   message->fate->offset);
   else if (message->what_case == BATCH__RELAY__WHAT_TOLD)
     handle_job_state (relay, message->told);
+  else if (message->what_case == BATCH__RELAY__WHAT_RESIGNED)
+    owner_handle_resigned (relay->entry->owner, message->resigned->term, message->resigned->boot);
   batch__relay__free_unpacked (message, NULL);
 }
 
@@ -525,7 +542,7 @@
 }
 
 static void
-send_hello (const Relay *relay, const Target *target)
+send_hello (const Relay *relay, Target *target)
 {
   Batch__Relay message = BATCH__RELAY__INIT;
   Batch__Hello hello = BATCH__HELLO__INIT;
@@ -534,8 +551,9 @@
   hello.is_fresh = entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS);
   message.what_case = BATCH__RELAY__WHAT_HELLO;
   message.hello = &hello;
-  if (target->id != NULL)
-    (void) send_message (relay->client, target->id, &message);
+  if (target->id == NULL || !send_message (relay->client, target->id, &message))
+    return;
+  target->asked_us = target->asked_us != 0 ? target->asked_us : clk_now_us ();
 }
 
 /* Reconnects a target that went silent. A connection can stop working without a reset. */
@@ -548,6 +566,7 @@
   net_link_drop_peer (relay->client, target->address);
   g_clear_pointer (&target->id, g_bytes_unref);
   target->received_us = 0;
+  target->asked_us = 0;
   target->is_fresh = FALSE;
   connect_target (relay, target);
 }
@@ -568,6 +587,47 @@
   return G_SOURCE_CONTINUE;
 }
 
+void
+relay_ask_views (Relay *relay)
+{
+  int64_t now = clk_now_us ();
+
+  if (now - relay->views_asked_us < VIEW_INTERVAL_MS * CLK_US_PER_MS)
+    return;
+  relay->views_asked_us = now;
+  for (guint i = 0; i < relay->targets->len; i++)
+    send_hello (relay, g_ptr_array_index (relay->targets, i));
+}
+
+int64_t
+relay_peer_view_us (const Relay *relay)
+{
+  int64_t newest_us = 0;
+
+  for (guint i = 0; i < relay->targets->len; i++)
+    newest_us = MAX (newest_us, ((Target *) g_ptr_array_index (relay->targets, i))->view_us);
+  return newest_us;
+}
+
+uint32_t
+relay_tell_resigned (Relay *relay, uint64_t term)
+{
+  Batch__Relay message = BATCH__RELAY__INIT;
+  Batch__Resigned resigned = BATCH__RESIGNED__INIT;
+  uint32_t n_told = 0;
+
+  resigned.term = term;
+  resigned.boot = node_boot (relay->entry->node);
+  message.what_case = BATCH__RELAY__WHAT_RESIGNED;
+  message.resigned = &resigned;
+  for (guint i = 0; i < relay->hello_senders->len; i++)
+    {
+      const HelloSender *hello_sender = g_ptr_array_index (relay->hello_senders, i);
+      n_told += send_message (relay->server, hello_sender->id, &message);
+    }
+  return n_told;
+}
+
 uint32_t
 relay_deputies (const Relay *relay, const char **addresses)
 {
