--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -133,7 +133,7 @@
       || !feed_is_loaded (owner->entry->ledger_feed) || owner->entry->config == NULL
       || feed_steady_since_us (owner->entry->config_feed) == 0)
     return FALSE;
-  int64_t quiet_us = now - MAX (owner->owner_seen_us, steady_us);
+  int64_t quiet_us = now - MAX (MAX (owner->owner_seen_us, owner->resigned_us), steady_us);
   int64_t needed_us = is_vacant (owner, last) ? 0 : NODE_OWNER_QUIET_MS * 1000;
   if (last->term > 0 && strcmp (last->name, owner->entry->settings->name) == 0 && needed_us == 0)
     return TRUE;
@@ -155,6 +155,7 @@
             ledger_owner (owner->entry->ledger)->term);
   owner->resigned_term = term;
   owner->resigned_boot = boot;
+  owner->resigned_us = clk_now_us ();
   claim_if_due (owner);
 }
 
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -39,6 +39,7 @@
   int64_t owner_seen_us;  /**< when the newest owner record was read */
   uint64_t resigned_term; /**< term whose owner told this entry that it has ended; 0: none did */
   uint64_t resigned_boot; /**< process of that owner */
+  int64_t resigned_us;    /**< when it told so */
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
   Peers *peers;
