handover: the recovery of the store changes no owner

Change: if no other entry was served for 1.5 s, the outage was general, and the owner gets 1.5 s from when the first one is served again.

--- a/lib/ledger/handover.c
+++ b/lib/ledger/handover.c
@@ -3,11 +3,20 @@
 #include "common/clk.h"
 
 gboolean
-handover_is_due (const HandoverInput *input, int64_t now_us)
+handover_is_due (Handover *handover, const HandoverInput *input, int64_t now_us)
 {
-  return input->failing_since_us != 0
-         && now_us >= input->failing_since_us + HANDOVER_FAILING_MS * CLK_US_PER_MS
-         && input->peer_view_us > input->overdue_us;
+  if (input->failing_since_us == 0 || input->peer_view_us <= input->overdue_us)
+    {
+      handover->peer_served_us = 0;
+      return FALSE;
+    }
+  if (handover->peer_served_us == 0)
+    handover->peer_served_us = now_us;
+  const int64_t outage_us = HANDOVER_OUTAGE_MS * CLK_US_PER_MS;
+  gboolean is_recovering = handover->peer_served_us - input->failing_since_us >= outage_us;
+
+  return now_us >= input->failing_since_us + HANDOVER_FAILING_MS * CLK_US_PER_MS
+         && (!is_recovering || now_us >= handover->peer_served_us + outage_us);
 }
 
 int64_t
--- a/lib/ledger/handover.h
+++ b/lib/ledger/handover.h
@@ -16,6 +16,15 @@
 /** A read that fails may be one lost answer; a second one fails within this time if the store does
  * not serve this instance. */
 #define HANDOVER_FAILING_MS 300
+/** If no other entry is served for this long, the store is down for all. It then recovers for some
+ * entries sooner than for others, and the owner gets as long to be served as well. */
+#define HANDOVER_OUTAGE_MS 1500
+
+/** Initialise with zeros. */
+typedef struct
+{
+  int64_t peer_served_us; /**< when another entry was first known to be served; 0: none is */
+} Handover;
 
 typedef struct
 {
@@ -29,7 +38,7 @@
  * Whether the owner is to hand over at @p now_us. It does only if another entry has read the store
  * since this one's answer was due. A store that is slow or down for all entries changes no owner.
  */
-gboolean handover_is_due (const HandoverInput *input, int64_t now_us);
+gboolean handover_is_due (Handover *handover, const HandoverInput *input, int64_t now_us);
 
 /**
  * Time up to which an entry had read all records, at the least, given that it reported a view of
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -4,7 +4,6 @@
 #include "common/clk.h"
 #include "common/ids.h"
 #include "common/line.h"
-#include "ledger/handover.h"
 #include "owner_private.h"
 
 /** Greatest share of a core that an owner of about seventy workers uses. */
@@ -170,10 +169,9 @@
           .overdue_us = feed_overdue_us (owner->entry->ledger_feed),
           .peer_view_us = relay_peer_view_us (owner->entry->relay) };
 
-  if (input.failing_since_us == 0)
-    return;
-  relay_ask_views (owner->entry->relay);
-  if (!handover_is_due (&input, now))
+  if (input.failing_since_us != 0)
+    relay_ask_views (owner->entry->relay);
+  if (!handover_is_due (&owner->handover, &input, now))
     return;
   line_add ("owner", "hands_over",
             "term=%" G_GUINT64_FORMAT " failing_ms=%" G_GINT64_FORMAT
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -6,6 +6,7 @@
 
 #include "entry_private.h"
 #include "ledger/appender.h"
+#include "ledger/handover.h"
 
 G_BEGIN_DECLS
 
@@ -35,8 +36,9 @@
   int64_t epoch;
   int64_t sequence; /**< sequence number of the claim */
   Appender appender;
-  uint32_t pace_slot;     /**< of the transmission under way */
-  int64_t owner_seen_us;  /**< when the newest owner record was read */
+  uint32_t pace_slot;    /**< of the transmission under way */
+  int64_t owner_seen_us; /**< when the newest owner record was read */
+  Handover handover;
   uint64_t resigned_term; /**< term whose owner told this entry that it has ended; 0: none did */
   uint64_t resigned_boot; /**< process of that owner */
   int64_t resigned_us;    /**< when it told so */
