owner: claims follow a term, so that they get through while the store is slow

Cause: a claim required the topic to end where its claimant had read to. While the store takes 176 ms for an append, an append of another entry always came before it, and nobody owned the jobs until the store was fast again.

Change: the owner's record states the epoch of its term. A claim that follows a term has the next epoch, a random first sequence number and no expected end, so the store takes the first one only, whenever it arrives (lib/ledger/claim.h). A claim that comes after an unread record of a silent owner waits until that owner's authority has ended. Terms of older builds and the first term are claimed at the topic's end as before, and so are silent owners while the store is fast. Code that took the epoch minus 1 for the offset of the claim uses the offset. A claim that the store refused is repeated after 50 to 400 ms instead of 50 ms.

--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -332,6 +332,9 @@
 {
   ProtobufCMessage base;
   uint64_t term;
+  /*
+   * empty while the owner may have to wait before it acts; see claim.h
+   */
   char *name;
   uint64_t boot;
   size_t n_loads;
@@ -353,10 +356,14 @@
    * all owners from this term on were of that level or a higher one
    */
   uint64_t level_since;
+  /*
+   * epoch of the term's appends; 0: not said, by an older build
+   */
+  int64_t epoch;
 };
 #define BATCH__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__owner__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -291,6 +291,12 @@
   return feed->fresh_us;
 }
 
+int64_t
+feed_load_us (const Feed *feed)
+{
+  return feed->load_us;
+}
+
 int64_t
 feed_steady_since_us (const Feed *feed)
 {
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -287,6 +287,7 @@
       owner->name = g_strdup (message->name);
       owner->boot = message->boot;
       owner->offset = offset;
+      owner->epoch = message->epoch;
       owner->level = message->level;
       owner->level_since = message->level_since;
       set_addresses (owner, message);
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -49,10 +49,11 @@
 
 typedef struct
 {
-  uint64_t term; /**< 0: there has been no owner */
-  char *name;
+  uint64_t term;        /**< 0: there has been no owner */
+  char *name;           /**< empty while the owner may have to wait before it acts */
   uint64_t boot;        /**< 0: the last owner released its ownership */
   int64_t offset;       /**< offset of the newest owner record */
+  int64_t epoch;        /**< epoch of the term's appends; 0 if the owner did not say */
   char *address;        /**< where the owner receives requests of other entries; may be empty */
   char **deputies;      /**< addresses of some other entries; NULL-terminated */
   GHashTable *pending;  /**< queue name -> jobs not yet begun, in the owner's newest record */
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -152,7 +152,7 @@
                                .spec = spec,
                                .progress = job->progress,
                                .crashes = ledger_crashes (owner->entry->ledger, job->id),
-                               .may_have_started = job->offset < owner->epoch - 1 };
+                               .may_have_started = job->offset < owner->claim_offset };
   sched_add_job (owner->sched, &wanted);
   if (job->is_cancelled)
     sched_cancel_job (owner->sched, job->id);
@@ -200,7 +200,7 @@
   sched_restore_silent (owner->sched, silent, is_kept);
 }
 
-/* Begins the term, after its claim was read back from the ledger. */
+/* Starts to act, once no other entry can. */
 static void
 take_over (Owner *owner)
 {
@@ -209,14 +209,6 @@
       = owner->term == 1 ? clk_now_us () : clk_now_us () + options.lease_expiry_ms * 1000;
 
   owner->phase = OWNER_ACTIVE;
-  owner->is_release = FALSE;
-  const AppenderClaim claim = { .epoch = owner->epoch,
-                                .sequence = owner->sequence,
-                                .end_offset = owner->epoch,
-                                .sent_us = owner->claim_us };
-  appender_begin (&owner->appender, &claim);
-  g_clear_pointer (&owner->claim_records, g_byte_array_unref);
-  owner->renew_us = owner->claim_us + OWNER_RENEW_MS * 1000;
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
   sched_set_evacuations (owner->sched, owner->entry->evacuations);
@@ -236,17 +228,67 @@
   owner_decide (owner);
 }
 
-void
-owner_handle_claim (Owner *owner, const LedgerOwner *claim)
+/* Begins the term, after its claim was read back from the ledger. */
+static void
+begin_term (Owner *owner, int64_t offset)
 {
-  gboolean is_ours = claim->boot == node_boot (owner->entry->node);
+  int64_t now = clk_now_us ();
+  const AppenderClaim claim = { .epoch = owner->epoch,
+                                .sequence = owner->claim.sequence,
+                                .end_offset = offset + 1,
+                                .sent_us = owner->claim.first_sent_us };
+
+  owner->phase = OWNER_WAITING;
+  owner->is_release = FALSE;
+  owner->claim_offset = offset;
+  owner->act_us = claim_act_us (&owner->claim, feed_load_us (owner->entry->ledger_feed),
+                                NODE_OWNER_QUIET_MS * CLK_US_PER_MS, now);
+  owner->claim.is_set = FALSE;
+  g_clear_pointer (&owner->claim_records, g_byte_array_unref);
+  appender_begin (&owner->appender, &claim);
+  owner->renew_us = owner->claim.first_sent_us + OWNER_RENEW_MS * 1000;
+  if (owner->act_us > now)
+    line_add ("owner", "waits", "term=%" G_GUINT64_FORMAT " for_ms=%" G_GINT64_FORMAT, owner->term,
+              (owner->act_us - now) / CLK_US_PER_MS);
+  owner_act_if_due (owner);
+}
 
-  owner->owner_seen_us = clk_now_us ();
-  if (is_ours && owner->phase == OWNER_CLAIMING && claim->offset == owner->epoch - 1)
+void
+owner_act_if_due (Owner *owner)
+{
+  if (owner->phase == OWNER_WAITING && clk_now_us () >= owner->act_us)
     take_over (owner);
-  else if (!is_ours && owner->phase != OWNER_NONE && claim->offset >= owner->epoch
-           && !owner->is_leaving)
-    owner_resign (owner, "replaced");
+}
+
+void
+owner_handle_claim (Owner *owner, const LedgerOwner *record)
+{
+  const char *name = owner->entry->settings->name;
+  uint64_t boot = node_boot (owner->entry->node);
+  int64_t now = clk_now_us ();
+
+  owner->owner_seen_us = now;
+  if (owner->phase == OWNER_ACTIVE || owner->phase == OWNER_WAITING)
+    {
+      if (record->boot == boot || record->offset <= owner->claim_offset)
+        return;
+      (void) claim_handle_record (&owner->claim, record, name, boot, now);
+      if (!owner->is_leaving)
+        owner_resign (owner, "replaced");
+      return;
+    }
+  switch (claim_handle_record (&owner->claim, record, name, boot, now))
+    {
+    case CLAIM_WRITTEN:
+      begin_term (owner, record->offset);
+      break;
+    case CLAIM_REPLACED:
+      owner->claim.is_set = FALSE;
+      owner_resign (owner, "replaced");
+      break;
+    default:
+      break;
+    }
 }
 
 void
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -15,6 +15,10 @@
 #define FIRST_SPREAD_MS 2000
 /** Entries with equal shares are spread over the delay divided by this. */
 #define EQUAL_SHARE_DIVISOR 4
+/** Pause after a claim that the store refused since it is busy; each one is twice as long as the
+ * one before. Entries that repeated it every 50 ms would keep the store busy. */
+#define REFUSED_PAUSE_MIN_MS 50
+#define REFUSED_PAUSE_MAX_MS 400
 
 static void claim_if_due (Owner *owner);
 
@@ -30,18 +34,24 @@
 {
   Owner *owner = ctx;
 
-  owner->is_calling = FALSE;
+  owner->is_claim_open = FALSE;
   if (owner->phase != OWNER_CLAIMING)
     return;
   line_add ("owner", "claim_answered", "term=%" G_GUINT64_FORMAT " outcome=%s", owner->term,
             store_outcome_name (answer->outcome));
-  if (answer->outcome == STORE_OK || answer->outcome == STORE_IN_DOUBT)
+  if (claim_handle_answer (&owner->claim, answer->outcome))
     return;
-  /* The topic has grown, another claim used this epoch, or the store is busy. The claim is not in
-   * the ledger and can't be added later. */
+  /* The topic has grown, another claim was written, or the store is busy. */
   owner->phase = OWNER_NONE;
-  if (answer->outcome != STORE_REFUSED)
-    feed_refresh (owner->entry->ledger_feed, on_caught_up, owner);
+  if (answer->outcome == STORE_REFUSED)
+    {
+      owner->claim_pause_ms
+          = CLAMP (owner->claim_pause_ms * 2, REFUSED_PAUSE_MIN_MS, REFUSED_PAUSE_MAX_MS);
+      return;
+    }
+  owner->claim_pause_ms = 0;
+  owner->claim_refused_us = clk_now_us ();
+  feed_refresh (owner->entry->ledger_feed, on_caught_up, owner);
 }
 
 static const char *
@@ -52,20 +62,27 @@
   return name != NULL ? name : "-";
 }
 
+/* Whether other appends are expected to come before a claim. Not if an owner record may have been
+ * written that was not read: its owner works. */
+static gboolean
+is_slow (const Owner *owner)
+{
+  int64_t fresh_us = feed_fresh_us (owner->entry->ledger_feed);
+
+  return store_pace_is_slow (&owner->entry->pace, clk_now_us ())
+         && fresh_us - owner->owner_seen_us >= NODE_OWNER_QUIET_MS * CLK_US_PER_MS;
+}
+
 static void
-prepare_claim (Owner *owner, int64_t end)
+prepare_claim (Owner *owner)
 {
   const LedgerOwner *last = ledger_owner (owner->entry->ledger);
 
   g_clear_pointer (&owner->claim_records, g_byte_array_unref);
   owner->claim_records = g_byte_array_new ();
-  owner->claim_us = clk_now_us ();
-  owner->term = last->term + 1;
+  owner->term = owner->claim.term;
   owner->level_since = ledger_level_since (last, LEVEL_CURRENT, owner->term);
-  /* Only one append can succeed at this end offset, so each epoch has one claimant. The random
-   * first sequence number distinguishes a repeat of this append from another entry's. */
-  owner->epoch = end + 1;
-  owner->sequence = (int64_t) (ids_new ().low & 0x3fffffff);
+  owner->epoch = owner->claim.epoch;
   owner_add_record (owner, owner->claim_records, node_boot (owner->entry->node));
 }
 
@@ -73,41 +90,42 @@
 claim (Owner *owner)
 {
   int64_t end = feed_end (owner->entry->ledger_feed);
-
-  /* An earlier claim at this end may still be executed, so this one is the same: its record is as
-   * old as the first transmission. */
-  if (owner->claim_records == NULL || owner->epoch != end + 1)
-    prepare_claim (owner, end);
+  const LedgerOwner *last = ledger_owner (owner->entry->ledger);
+  const ClaimView view = {
+    .last = last,
+    .end = end,
+    .is_vacant
+    = claim_is_vacant (last, owner->entry->settings->name, node_boot (owner->entry->node)),
+    .is_slow = is_slow (owner),
+    .sequence = (int64_t) (ids_new ().low & 0x3fffffff),
+    .now_us = clk_now_us (),
+  };
+
+  if (claim_begin (&owner->claim, &view))
+    {
+      owner->claim_pause_ms = 0;
+      prepare_claim (owner);
+    }
   owner->phase = OWNER_CLAIMING;
   owner->claim_sent_us = clk_now_us ();
   const StoreAppend append
       = { .topic = LEDGER_TOPIC,
           .records = owner->claim_records,
-          .expected_end = end,
+          .expected_end = owner->claim.expected_end,
           .producer = OWNER_PRODUCER,
           .epoch = owner->epoch,
-          .sequence = owner->sequence,
+          .sequence = owner->claim.sequence,
           .timeout_ms = store_pace_timeout_ms (&owner->entry->pace, TRUE, owner->claim_sent_us) };
   line_add ("owner", "claim",
-            "term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT
+            "term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT " at=%" G_GINT64_FORMAT
             " last_owner=%s quiet_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
-            owner->term, end, last_owner_name (owner),
+            owner->term, end, owner->claim.expected_end, last_owner_name (owner),
             (owner->claim_sent_us - owner->owner_seen_us) / CLK_US_PER_MS,
-            (owner->claim_sent_us - owner->claim_us) / CLK_US_PER_MS);
-  owner->is_calling = TRUE;
+            (owner->claim_sent_us - owner->claim.first_sent_us) / CLK_US_PER_MS);
+  owner->is_claim_open = TRUE;
   store_append (owner->entry->store, &append, on_claimed, owner);
 }
 
-/* Whether the previous owner certainly ended, or released its ownership. */
-static gboolean
-is_vacant (const Owner *owner, const LedgerOwner *last)
-{
-  if (last->term == 0 || last->boot == 0)
-    return TRUE;
-  return strcmp (last->name, owner->entry->settings->name) == 0
-         && last->boot != node_boot (owner->entry->node);
-}
-
 static int64_t
 claim_delay_us (const Owner *owner, gboolean is_first)
 {
@@ -126,12 +144,16 @@
   int64_t steady_us = feed_steady_since_us (owner->entry->ledger_feed);
   int64_t now = clk_now_us ();
 
-  if (owner->is_leaving || owner->is_calling || steady_us == 0
+  if (owner->is_leaving || owner->is_calling || owner->is_claim_open || steady_us == 0
       || !feed_is_loaded (owner->entry->ledger_feed) || owner->entry->config == NULL
-      || feed_steady_since_us (owner->entry->config_feed) == 0)
+      || feed_steady_since_us (owner->entry->config_feed) == 0
+      || feed_fresh_us (owner->entry->ledger_feed) < owner->claim_refused_us
+      || now < owner->claim_sent_us + owner->claim_pause_ms * CLK_US_PER_MS)
     return FALSE;
   int64_t quiet_us = now - MAX (owner->owner_seen_us, steady_us);
-  int64_t needed_us = is_vacant (owner, last) ? 0 : NODE_OWNER_QUIET_MS * 1000;
+  gboolean is_vacant
+      = claim_is_vacant (last, owner->entry->settings->name, node_boot (owner->entry->node));
+  int64_t needed_us = is_vacant ? 0 : NODE_OWNER_QUIET_MS * 1000;
   if (last->term > 0 && strcmp (last->name, owner->entry->settings->name) == 0 && needed_us == 0)
     return TRUE;
   return quiet_us >= needed_us + claim_delay_us (owner, last->term == 0);
@@ -156,7 +178,7 @@
       owner->phase = OWNER_NONE;
     }
   claim_if_due (owner);
-  if (owner->phase == OWNER_ACTIVE)
-    owner_write_changes (owner);
+  owner_act_if_due (owner);
+  owner_write_changes (owner);
   return G_SOURCE_CONTINUE;
 }
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -6,6 +6,7 @@
 
 #include "entry_private.h"
 #include "ledger/appender.h"
+#include "ledger/claim.h"
 
 G_BEGIN_DECLS
 
@@ -20,6 +21,7 @@
 {
   OWNER_NONE,
   OWNER_CLAIMING, /**< the claim was sent and may be in the ledger */
+  OWNER_WAITING,  /**< its term began, and the owner before may still act */
   OWNER_ACTIVE,
 } OwnerPhase;
 
@@ -27,24 +29,28 @@
 {
   Entry *entry;
   OwnerPhase phase;
-  int64_t claim_us;          /**< when the claim was first sent */
+  Claim claim;               /**< the newest one */
   int64_t claim_sent_us;     /**< when it was last sent */
+  int64_t claim_pause_ms;    /**< before it is sent again */
+  int64_t claim_refused_us;  /**< when one was last refused since others had appended */
   GByteArray *claim_records; /**< records of the newest claim; NULL once its term began */
   uint64_t term;
+  int64_t claim_offset; /**< offset of the term's claim */
+  int64_t act_us;       /**< from when the owner acts */
   uint64_t level_since; /**< first term since which all owners were of this build's level */
   int64_t epoch;
-  int64_t sequence; /**< sequence number of the claim */
   Appender appender;
   uint32_t pace_slot;    /**< of the transmission under way */
   int64_t owner_seen_us; /**< when the newest owner record was read */
   gboolean is_leaving;
   Sched *sched; /**< NULL unless active */
   Peers *peers;
-  SchedFlush *flush;   /**< changes in the open append; NULL for none */
-  gboolean is_calling; /**< a claim or a transmission of an append has not been answered */
-  gboolean is_release; /**< the open append releases ownership */
-  int64_t renew_us;    /**< when the next heartbeat record is due */
-  int64_t learned_us;  /**< when learned state was last written, or the term began */
+  SchedFlush *flush;      /**< changes in the open append; NULL for none */
+  gboolean is_claim_open; /**< a transmission of a claim has not been answered */
+  gboolean is_calling;    /**< a transmission of an append has not been answered */
+  gboolean is_release;    /**< the open append releases ownership */
+  int64_t renew_us;       /**< when the next heartbeat record is due */
+  int64_t learned_us;     /**< when learned state was last written, or the term began */
   guint check_timer;
   guint tick_timer;
   guint tick_soon_timer;
@@ -59,6 +65,8 @@
 /* owner.c */
 /* Runs a scheduling pass and sends the orders, provided that no other entry can be the owner. */
 void owner_decide (Owner *owner);
+/* Begins to act in its term, if it waits and nothing forces it to wait any longer. */
+void owner_act_if_due (Owner *owner);
 /* Ends the term and frees its state. */
 void owner_resign (Owner *owner, const char *reason);
 
@@ -78,7 +86,9 @@
 void peers_send_orders (Peers *peers);
 
 /* owner_write.c: the owner's records. */
-/* Adds the record that names the owner. @p boot is 0 to release ownership. */
+/* Adds the record that names the owner, without its name while it may have to wait: its process is
+ * not the only one that can act then, so its end does not make the term vacant. @p boot is 0 to
+ * release ownership. */
 void owner_add_record (const Owner *owner, GByteArray *records, uint64_t boot);
 /* Appends changes, or a heartbeat when one is due. Only one append is under way at a time. */
 void owner_write_changes (Owner *owner);
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -40,6 +40,13 @@
     }
 }
 
+/* Whether this process may not act yet in its term. */
+static gboolean
+may_wait (const Owner *owner)
+{
+  return owner->phase == OWNER_WAITING || (owner->phase != OWNER_ACTIVE && owner->claim.is_unsure);
+}
+
 void
 owner_add_record (const Owner *owner, GByteArray *records, uint64_t boot)
 {
@@ -47,7 +54,8 @@
   Batch__Owner message = BATCH__OWNER__INIT;
 
   message.term = owner->term;
-  message.name = owner->entry->settings->name;
+  message.name = may_wait (owner) ? (char *) "" : owner->entry->settings->name;
+  message.epoch = owner->epoch;
   message.boot = boot;
   message.level = LEVEL_CURRENT;
   message.level_since = owner->level_since;
@@ -203,10 +211,25 @@
   store_append (owner->entry->store, &append, on_appended, owner);
 }
 
+/* A record of an owner that does not act yet, so that others do not take it for lost. */
+static void
+write_heartbeat (Owner *owner)
+{
+  int64_t now = clk_now_us ();
+
+  if (now < owner->renew_us)
+    return;
+  owner->renew_us = now + OWNER_RENEW_MS * CLK_US_PER_MS;
+  GByteArray *records = g_byte_array_new ();
+  owner_add_record (owner, records, node_boot (owner->entry->node));
+  appender_add (&owner->appender, records);
+  transmit (owner);
+}
+
 void
 owner_write_changes (Owner *owner)
 {
-  if (owner->phase != OWNER_ACTIVE || owner->is_calling
+  if ((owner->phase != OWNER_ACTIVE && owner->phase != OWNER_WAITING) || owner->is_calling
       || !appender_may_send (&owner->appender, clk_now_us ()))
     return;
   if (appender_is_open (&owner->appender))
@@ -214,6 +237,11 @@
       transmit (owner);
       return;
     }
+  if (owner->phase == OWNER_WAITING)
+    {
+      write_heartbeat (owner);
+      return;
+    }
   owner->flush = sched_flush_begin (owner->sched);
   if (owner->flush == NULL && clk_now_us () < owner->renew_us)
     return;
@@ -259,7 +287,8 @@
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, TRUE);
   owner->flush = NULL;
-  sched_end_publish (owner->sched, TRUE);
+  if (owner->sched != NULL)
+    sched_end_publish (owner->sched, TRUE);
 }
 
 static void
@@ -283,7 +312,8 @@
 
   owner->is_calling = FALSE;
   store_pace_end (&owner->entry->pace, owner->pace_slot, answer->outcome, now);
-  if (owner->phase != OWNER_ACTIVE || !appender_is_open (appender))
+  if ((owner->phase != OWNER_ACTIVE && owner->phase != OWNER_WAITING)
+      || !appender_is_open (appender))
     return;
   int64_t first_sent_us = appender->first_sent_us;
   uint32_t n_transmitted = appender->n_transmitted;
--- a/tests/emulator/schedules.h
+++ b/tests/emulator/schedules.h
@@ -16,7 +16,9 @@
 #include "support/emulator.h"
 
 #define SEEDS_DEFAULT 150
+#ifndef FIRST_SEED_DEFAULT
 #define FIRST_SEED_DEFAULT 1
+#endif
 
 static inline uint64_t
 read_number (const char *name, uint64_t fallback)
@@ -61,6 +63,7 @@
   options.has_step_limits = wanted->has_step_limits;
   options.has_overlooked_starts = wanted->has_overlooked_starts;
   options.has_store_queue = wanted->has_store_queue;
+  options.has_busy_topic = wanted->has_busy_topic;
   options.skipped_faults = read_number ("EMULATOR_SKIP", 0);
   g_autoptr (EmulatorResult) result = emulator_play (&options);
   if (result->violations->len > 0)
--- a/tests/support/emulator_entry.c
+++ b/tests/support/emulator_entry.c
@@ -81,7 +81,7 @@
 static void send_read (gpointer ctx, gpointer data);
 
 static gboolean
-handle_answer (EmuEntry *entry, const StoreAnswer *answer)
+handle_answer (EmuEntry *entry, const StoreAnswer *answer, int64_t sent_us)
 {
   int64_t now = entry->emu->now_us;
 
@@ -91,6 +91,7 @@
   if (entry->steady_us == 0 || now - entry->answered_us > FEED_GAP_MS * CLK_US_PER_MS)
     entry->steady_us = now;
   entry->answered_us = now;
+  entry->fresh_us = MAX (entry->fresh_us, sent_us);
   return TRUE;
 }
 
@@ -98,7 +99,8 @@
 on_read (void *ctx, const StoreAnswer *answer)
 {
   EmuEntry *entry = ctx;
-  int64_t pause_ms = handle_answer (entry, answer) ? entry->pause_ms : RETRY_MS;
+  int64_t pause_ms
+      = handle_answer (entry, answer, entry->poll_sent_us) ? entry->pause_ms : RETRY_MS;
 
   emu_after (entry->emu, pause_ms * CLK_US_PER_MS, &entry->process, send_read, entry, NULL, NULL);
 }
@@ -109,6 +111,7 @@
   EmuStoreKind kind = entry->is_loaded ? EMU_STORE_READ : EMU_STORE_NEWEST;
   EmuStoreCall *call = emu_store_call (entry->emu, kind, &entry->process);
 
+  *(wait_ms > 0 ? &entry->poll_sent_us : &entry->refresh_sent_us) = entry->emu->now_us;
   call->from = entry->next;
   call->wait_ms = entry->is_loaded ? wait_ms : 0;
   call->done = done;
@@ -126,7 +129,9 @@
 static void
 on_refreshed (void *ctx, const StoreAnswer *answer)
 {
-  if (handle_answer (ctx, answer))
+  EmuEntry *entry = ctx;
+
+  if (handle_answer (entry, answer, entry->refresh_sent_us))
     emu_owner_check (ctx);
 }
 
@@ -165,10 +170,12 @@
   entry->ledger = ledger_new (&events);
   entry->next = 0;
   entry->is_loaded = FALSE;
-  entry->answered_us = entry->steady_us = entry->owner_seen_us = 0;
+  entry->answered_us = entry->steady_us = entry->owner_seen_us = entry->fresh_us = 0;
+  entry->claim = (Claim){ 0 };
+  entry->claim_refused_us = 0;
   entry->pause_ms = OTHER_PAUSE_MS;
   entry->phase = EMU_OWNER_NONE;
-  entry->is_leaving = entry->is_calling = FALSE;
+  entry->is_leaving = entry->is_calling = entry->is_claim_open = FALSE;
   store_pace_init (&entry->pace);
   emu_trace (emu, entry->process.name, "up build=%s", entry->is_older ? "older" : "current");
   send_read (entry, NULL);
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -19,6 +19,10 @@
 #define EXPIRY_MARGIN_MS 250
 #define EXPIRY_CLOCK_RATE 1.02
 #define FRESH_MS 1300
+/** Longest time that a claim waits for other appends. */
+#define CLAIM_QUEUE_MS 3000
+
+static void on_claimed (void *ctx, const StoreAnswer *answer);
 
 static void write_changes (EmuEntry *entry);
 static void decide (EmuEntry *entry);
@@ -59,7 +63,10 @@
   uint8_t data[256];
 
   message.term = entry->term;
-  message.name = entry->process.name;
+  gboolean may_wait = entry->phase == EMU_OWNER_WAITING
+                      || (entry->phase != EMU_OWNER_ACTIVE && entry->claim.is_unsure);
+  message.name = may_wait ? (char *) "" : entry->process.name;
+  message.epoch = entry->is_older ? 0 : entry->epoch;
   message.boot = boot;
   message.level = entry->is_older ? 0 : LEVEL_CURRENT;
   message.level_since = entry->is_older ? 0 : entry->level_since;
@@ -123,7 +130,8 @@
   if (entry->flush != NULL)
     sched_flush_end (entry->sched, entry->flush, TRUE);
   entry->flush = NULL;
-  sched_end_publish (entry->sched, TRUE);
+  if (entry->sched != NULL)
+    sched_end_publish (entry->sched, TRUE);
 }
 
 static void
@@ -145,7 +153,8 @@
 
   entry->is_calling = FALSE;
   store_pace_end (&entry->pace, entry->pace_slot, answer->outcome, entry->emu->now_us);
-  if (entry->phase != EMU_OWNER_ACTIVE || !appender_is_open (&entry->appender))
+  if ((entry->phase != EMU_OWNER_ACTIVE && entry->phase != EMU_OWNER_WAITING)
+      || !appender_is_open (&entry->appender))
     return;
   AppenderResult result = appender_handle_answer (&entry->appender, answer, entry->emu->now_us);
   if (result != APPENDER_WRITTEN)
@@ -158,7 +167,7 @@
 }
 
 static void
-send_append (EmuEntry *entry, const StoreAppend *append, StoreDone done)
+send_append (EmuEntry *entry, const StoreAppend *append, StoreDone done, uint32_t *slot)
 {
   EmuStoreCall *call = emu_store_call (entry->emu, EMU_STORE_APPEND, &entry->process);
 
@@ -167,14 +176,15 @@
   call->has_producer = TRUE;
   call->epoch = append->epoch;
   call->sequence = append->sequence;
+  if (done == on_claimed && append->expected_end < 0 && entry->emu->options.has_busy_topic)
+    call->queue_ms = emu_between (entry->emu, 0, CLAIM_QUEUE_MS);
   call->done = done;
   call->ctx = entry;
-  entry->is_calling = TRUE;
   int64_t now = entry->emu->now_us;
   int64_t timeout_ms = entry->emu->options.has_store_queue
                            ? store_pace_timeout_ms (&entry->pace, TRUE, now)
                            : TIMEOUT_MS;
-  entry->pace_slot = store_pace_begin (&entry->pace, now);
+  *slot = store_pace_begin (&entry->pace, now);
   emu_store_send (call, entry->store_cut_until_us, timeout_ms);
 }
 
@@ -184,7 +194,22 @@
   StoreAppend append = { 0 };
 
   appender_transmit (&entry->appender, entry->emu->now_us, &append);
-  send_append (entry, &append, on_appended);
+  entry->is_calling = TRUE;
+  send_append (entry, &append, on_appended, &entry->pace_slot);
+}
+
+static void
+write_heartbeat (EmuEntry *entry)
+{
+  int64_t now = entry->emu->now_us;
+
+  if (now < entry->renew_us)
+    return;
+  entry->renew_us = now + RENEW_MS * CLK_US_PER_MS;
+  GByteArray *records = g_byte_array_new ();
+  add_owner_record (entry, records, entry->boot);
+  appender_add (&entry->appender, records);
+  transmit (entry);
 }
 
 static void
@@ -192,7 +217,7 @@
 {
   int64_t now = entry->emu->now_us;
 
-  if (entry->phase != EMU_OWNER_ACTIVE || entry->is_calling
+  if ((entry->phase != EMU_OWNER_ACTIVE && entry->phase != EMU_OWNER_WAITING) || entry->is_calling
       || !appender_may_send (&entry->appender, now))
     return;
   if (appender_is_open (&entry->appender))
@@ -200,6 +225,11 @@
       transmit (entry);
       return;
     }
+  if (entry->phase == EMU_OWNER_WAITING)
+    {
+      write_heartbeat (entry);
+      return;
+    }
   entry->flush = sched_flush_begin (entry->sched);
   if (entry->flush == NULL && now < entry->renew_us)
     return;
@@ -329,7 +359,7 @@
           .spec = spec,
           .progress = job->progress,
           .crashes = entry->is_older ? NULL : ledger_crashes (entry->ledger, job->id),
-          .may_have_started = job->offset < entry->epoch - 1 };
+          .may_have_started = job->offset < entry->claim_offset };
   sched_add_job (entry->sched, &wanted);
   if (job->is_cancelled)
     sched_cancel_job (entry->sched, job->id);
@@ -383,14 +413,6 @@
 
   emu->result->n_terms++;
   entry->phase = EMU_OWNER_ACTIVE;
-  const AppenderClaim claim = { .epoch = entry->epoch,
-                                .sequence = entry->sequence,
-                                .end_offset = entry->epoch,
-                                .sent_us = entry->claim_us };
-  appender_begin (&entry->appender, &claim);
-  g_clear_pointer (&entry->claim_records, g_byte_array_unref);
-  entry->is_release = FALSE;
-  entry->renew_us = entry->claim_us + RENEW_MS * CLK_US_PER_MS;
   entry->term_serial = emu_serial (emu);
   entry->is_tick_due = entry->is_flush_due = FALSE;
   entry->sched = sched_new (&options);
@@ -444,17 +466,65 @@
 
 /* Claims. */
 
+static void
+act_if_due (EmuEntry *entry)
+{
+  if (entry->phase == EMU_OWNER_WAITING && entry->emu->now_us >= entry->act_us)
+    take_over (entry);
+}
+
+static void
+begin_term (EmuEntry *entry, int64_t offset)
+{
+  const AppenderClaim claim = { .epoch = entry->epoch,
+                                .sequence = entry->claim.sequence,
+                                .end_offset = offset + 1,
+                                .sent_us = entry->claim.first_sent_us };
+
+  entry->phase = EMU_OWNER_WAITING;
+  entry->is_release = FALSE;
+  entry->claim_offset = offset;
+  entry->act_us
+      = claim_act_us (&entry->claim, -1, NODE_OWNER_QUIET_MS * CLK_US_PER_MS, entry->emu->now_us);
+  entry->claim.is_set = FALSE;
+  g_clear_pointer (&entry->claim_records, g_byte_array_unref);
+  appender_begin (&entry->appender, &claim);
+  entry->renew_us = entry->claim.first_sent_us + RENEW_MS * CLK_US_PER_MS;
+  if (entry->act_us > entry->emu->now_us)
+    emu_trace (entry->emu, entry->process.name, "waits term=%" G_GUINT64_FORMAT, entry->term);
+  act_if_due (entry);
+}
+
 void
-emu_owner_claimed (EmuEntry *entry, const LedgerOwner *claim)
+emu_owner_claimed (EmuEntry *entry, const LedgerOwner *record)
 {
-  gboolean is_ours = claim->boot == entry->boot;
+  int64_t now = entry->emu->now_us;
 
-  entry->owner_seen_us = entry->emu->now_us;
-  if (is_ours && entry->phase == EMU_OWNER_CLAIMING && claim->offset == entry->epoch - 1)
-    take_over (entry);
-  else if (!is_ours && entry->phase != EMU_OWNER_NONE && claim->offset >= entry->epoch
-           && !entry->is_leaving)
-    emu_owner_resign (entry, "replaced");
+  entry->owner_seen_us = now;
+  if (entry->phase == EMU_OWNER_ACTIVE || entry->phase == EMU_OWNER_WAITING)
+    {
+      if (record->boot == entry->boot || record->offset <= entry->claim_offset)
+        return;
+      (void) claim_handle_record (&entry->claim, record, entry->process.name, entry->boot, now);
+      if (!entry->is_leaving)
+        emu_owner_resign (entry, "replaced");
+      return;
+    }
+  LedgerOwner seen = *record;
+  if (entry->is_older && record->boot == entry->boot && record->offset == entry->epoch - 1)
+    seen.epoch = entry->epoch; /* an older build knows its claim by the offset */
+  switch (claim_handle_record (&entry->claim, &seen, entry->process.name, entry->boot, now))
+    {
+    case CLAIM_WRITTEN:
+      begin_term (entry, record->offset);
+      break;
+    case CLAIM_REPLACED:
+      entry->claim.is_set = FALSE;
+      emu_owner_resign (entry, "replaced");
+      break;
+    default:
+      break;
+    }
 }
 
 static void
@@ -462,14 +532,15 @@
 {
   EmuEntry *entry = ctx;
 
-  entry->is_calling = FALSE;
-  store_pace_end (&entry->pace, entry->pace_slot, answer->outcome, entry->emu->now_us);
-  if (entry->phase != EMU_OWNER_CLAIMING || answer->outcome == STORE_OK
-      || answer->outcome == STORE_IN_DOUBT)
+  entry->is_claim_open = FALSE;
+  store_pace_end (&entry->pace, entry->claim_slot, answer->outcome, entry->emu->now_us);
+  if (entry->phase != EMU_OWNER_CLAIMING || claim_handle_answer (&entry->claim, answer->outcome))
     return;
   entry->phase = EMU_OWNER_NONE;
-  if (answer->outcome != STORE_REFUSED)
-    emu_entry_refresh (entry);
+  if (answer->outcome == STORE_REFUSED)
+    return;
+  entry->claim_refused_us = entry->emu->now_us;
+  emu_entry_refresh (entry);
 }
 
 static void
@@ -479,28 +550,49 @@
 
   g_clear_pointer (&entry->claim_records, g_byte_array_unref);
   entry->claim_records = g_byte_array_new ();
-  entry->claim_us = entry->emu->now_us;
-  entry->term = last->term + 1;
+  entry->term = entry->claim.term;
   entry->level_since = ledger_level_since (last, LEVEL_CURRENT, entry->term);
-  entry->epoch = entry->next + 1;
-  entry->sequence = (int64_t) (emu_random (entry->emu) & 0x3fffffff);
+  entry->epoch = entry->claim.epoch;
   add_owner_record (entry, entry->claim_records, entry->boot);
 }
 
+static gboolean
+is_slow (EmuEntry *entry)
+{
+  if (entry->emu->options.has_busy_topic)
+    return TRUE;
+  return store_pace_is_slow (&entry->pace, entry->emu->now_us)
+         && entry->fresh_us - entry->owner_seen_us >= NODE_OWNER_QUIET_MS * CLK_US_PER_MS;
+}
+
 static void
 claim (EmuEntry *entry)
 {
-  if (entry->claim_records == NULL || entry->epoch != entry->next + 1)
+  int64_t now = entry->emu->now_us;
+  LedgerOwner last = *ledger_owner (entry->ledger);
+  /* An older build always claims at an offset. */
+  if (entry->is_older)
+    last.epoch = 0;
+  const ClaimView view = { .last = &last,
+                           .end = entry->next,
+                           .is_vacant = claim_is_vacant (&last, entry->process.name, entry->boot),
+                           .is_slow = is_slow (entry),
+                           .sequence = (int64_t) (emu_random (entry->emu) & 0x3fffffff),
+                           .now_us = now };
+
+  if (claim_begin (&entry->claim, &view))
     prepare_claim (entry);
   entry->phase = EMU_OWNER_CLAIMING;
   entry->claim_sent_us = entry->emu->now_us;
   emu_trace (entry->emu, entry->process.name,
-             "claim term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT, entry->term, entry->next);
+             "claim term=%" G_GUINT64_FORMAT " end=%" G_GINT64_FORMAT " at=%" G_GINT64_FORMAT,
+             entry->term, entry->next, entry->claim.expected_end);
   const StoreAppend append = { .records = entry->claim_records,
-                               .expected_end = entry->next,
+                               .expected_end = entry->claim.expected_end,
                                .epoch = entry->epoch,
-                               .sequence = entry->sequence };
-  send_append (entry, &append, on_claimed);
+                               .sequence = entry->claim.sequence };
+  entry->is_claim_open = TRUE;
+  send_append (entry, &append, on_claimed, &entry->claim_slot);
 }
 
 static gboolean
@@ -508,8 +600,9 @@
 {
   int64_t now = entry->emu->now_us;
 
-  if (entry->is_leaving || entry->is_calling || !entry->is_loaded || entry->steady_us == 0
-      || now - entry->answered_us > FEED_GAP_MS * CLK_US_PER_MS)
+  if (entry->is_leaving || entry->is_calling || entry->is_claim_open || !entry->is_loaded
+      || entry->steady_us == 0 || now - entry->answered_us > FEED_GAP_MS * CLK_US_PER_MS
+      || entry->fresh_us < entry->claim_refused_us)
     return FALSE;
   const LedgerOwner *last = ledger_owner (entry->ledger);
   gboolean is_own = last->term > 0 && strcmp (last->name, entry->process.name) == 0;
@@ -528,8 +621,8 @@
     entry->phase = EMU_OWNER_NONE;
   if (entry->phase == EMU_OWNER_NONE && may_claim (entry))
     claim (entry);
-  if (entry->phase == EMU_OWNER_ACTIVE)
-    write_changes (entry);
+  act_if_due (entry);
+  write_changes (entry);
 }
 
 void
--- a/tests/support/emulator_private.h
+++ b/tests/support/emulator_private.h
@@ -7,6 +7,7 @@
 #include "batch/sched.h"
 #include "common/clk.h"
 #include "ledger/appender.h"
+#include "ledger/claim.h"
 #include "ledger/ledger.h"
 #include "ledger/store_pace.h"
 #include "platform/store.h"
@@ -70,6 +71,7 @@
   gboolean has_producer;
   int64_t epoch;
   int64_t sequence;
+  int64_t queue_ms; /**< time before it is executed */
   int64_t from;
   int64_t wait_ms;
   gboolean is_answered;
@@ -219,6 +221,7 @@
 {
   EMU_OWNER_NONE,
   EMU_OWNER_CLAIMING,
+  EMU_OWNER_WAITING,
   EMU_OWNER_ACTIVE,
 } EmuOwnerPhase;
 
@@ -230,8 +233,9 @@
   gboolean is_older; /**< its build knows nothing of the record of silent agents */
   uint64_t level_since;
   int64_t store_cut_until_us;
-  StorePace pace;     /**< of the owner's appends */
-  uint32_t pace_slot; /**< of the append under way */
+  StorePace pace;      /**< of the owner's appends */
+  uint32_t pace_slot;  /**< of the append under way */
+  uint32_t claim_slot; /**< of the claim under way */
   int64_t claim_delay_us;
   uint64_t boot;
   /* Feed. */
@@ -239,22 +243,28 @@
   int64_t next;
   gboolean is_loaded;
   int64_t answered_us;
+  int64_t poll_sent_us;
+  int64_t refresh_sent_us;
+  int64_t fresh_us; /**< all records up to this time were read */
   int64_t steady_us;
   int64_t pause_ms;
   /* Owner: the fields of programs/scheduler/owner_private.h. */
   EmuOwnerPhase phase;
-  int64_t claim_us;
+  Claim claim;
   int64_t claim_sent_us;
+  int64_t claim_refused_us;
+  int64_t claim_offset;
+  int64_t act_us;
   GByteArray *claim_records;
   uint64_t term;
   int64_t epoch;
-  int64_t sequence;
   Appender appender;
   int64_t owner_seen_us;
   gboolean is_leaving;
   Sched *sched;
   SchedFlush *flush;
   gboolean is_calling;
+  gboolean is_claim_open;
   gboolean is_release;
   int64_t renew_us;
   uint64_t term_serial; /**< timers of an earlier term do nothing */
--- a/tests/support/emulator_store.c
+++ b/tests/support/emulator_store.c
@@ -290,7 +290,7 @@
 emu_store_send (EmuStoreCall *call, int64_t cut_until_us, int64_t timeout_ms)
 {
   Emulator *emu = call->emu;
-  int64_t delay_us = latency_us (emu);
+  int64_t delay_us = latency_us (emu) + call->queue_ms * CLK_US_PER_MS;
   gboolean is_lossy = emu->now_us < emu->store.lossy_until_us;
   gboolean is_append = call->kind == EMU_STORE_APPEND;
 
