store_pace, owner: the first time-out of an owner's append leaves time for a retry

Cause: after an append was given up, the time-out of the owner's next append was up to 3,000 ms, all of its authority. One lost answer then stopped the scheduling, although a retry would have been answered.

Change: the time-out of the first transmission depends on the authority that is left (store_pace_owner_timeout_ms()). It is never shorter than the time after which an answer is due, and retries are not limited.

Result: ledger/test_store_pace, with appends of 10, 200, 528 and 600 ms a retry ends within the authority; after an append given up at 3,000 ms the time-out is at most 1,250 ms instead of 3,000 ms.

--- a/lib/ledger/store_pace.c
+++ b/lib/ledger/store_pace.c
@@ -24,6 +24,16 @@
 /** An append without an answer was lost, or the store is slow: the next one gets this multiple of
  * its time. */
 #define GIVEN_UP_FACTOR 2
+/** Time kept for the retry of an owner's append, as a multiple of the time that appends take: it
+ * may come behind the first copy in the store's queue. */
+#define RETRY_FACTOR 1.5
+/** At most one part in this many of the authority that is left is kept for it: an append that was
+ * given up says little about the time of the next one. */
+#define RETRY_SHARE 2
+/** Pause before the first retry, APPENDER_BACKOFF_MIN_MS. */
+#define RETRY_PAUSE_MS 50
+/** An answer is due after this multiple of the time that they took. */
+#define DUE_FACTOR 2
 /** Longest time-out of a read. With the wait of 500 ms, it ends before the view that the read
  * renews counts as interrupted (FEED_GAP_MS). */
 #define READ_TIMEOUT_MAX_MS 1150
@@ -149,6 +159,22 @@
       MAX (answered_ms (pace, now_us) * TIMEOUT_FACTOR, given_up * GIVEN_UP_FACTOR));
 }
 
+int64_t
+store_pace_owner_timeout_ms (const StorePace *pace, int64_t left_ms, int64_t now_us)
+{
+  double usual_ms = (double) store_pace_timeout_ms (pace, TRUE, now_us);
+  double answer_ms = answered_ms (pace, now_us);
+
+  if (left_ms <= 0)
+    return (int64_t) usual_ms;
+  double retry_ms = MAX (answer_ms, given_up_ms (pace, now_us)) * RETRY_FACTOR;
+  double limit_ms
+      = (double) left_ms - RETRY_PAUSE_MS - MIN (retry_ms, (double) left_ms / RETRY_SHARE);
+  /* A copy that is sent before the answer is due only delays it. */
+  limit_ms = MAX (limit_ms, answer_ms * DUE_FACTOR);
+  return clamp_timeout_ms (MIN (usual_ms, limit_ms));
+}
+
 int64_t
 store_pace_read_timeout_ms (const StorePace *pace, int64_t now_us)
 {
--- a/lib/ledger/store_pace.h
+++ b/lib/ledger/store_pace.h
@@ -55,6 +55,14 @@
  */
 int64_t store_pace_timeout_ms (const StorePace *pace, gboolean is_urgent, int64_t now_us);
 
+/**
+ * Time-out in ms of the first transmission of an owner's append, whose authority ends in @p left_ms
+ * unless the append is acknowledged: if its answer is lost, there is time for one retry. As
+ * store_pace_timeout_ms() if no authority is left. A retry has no such limit: it is given up only
+ * to queue another one.
+ */
+int64_t store_pace_owner_timeout_ms (const StorePace *pace, int64_t left_ms, int64_t now_us);
+
 /** Time-out in ms of a read sent now, besides the time for which the store may hold its answer.
  * NULL is allowed: nothing is known. */
 int64_t store_pace_read_timeout_ms (const StorePace *pace, int64_t now_us);
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -5,8 +5,6 @@
 #include "owner_private.h"
 #include "platform/caller.h"
 
-/** An owner may act for this long after it first sent its newest acknowledged append. */
-#define AUTHORITY_MS 3000
 /** Longest time between checks for due claims and appends, and between scheduling passes. */
 #define CHECK_MS 50
 #define TICK_MS 100
@@ -29,7 +27,8 @@
 has_authority (const Owner *owner)
 {
   return owner->phase == OWNER_ACTIVE && owner->sched != NULL && !owner->is_release
-         && clk_now_us () - appender_authority_us (&owner->appender) < AUTHORITY_MS * 1000;
+         && clk_now_us () - appender_authority_us (&owner->appender)
+                < OWNER_AUTHORITY_MS * CLK_US_PER_MS;
 }
 
 static void schedule_tick (Owner *owner);
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -10,6 +10,8 @@
 
 G_BEGIN_DECLS
 
+/** An owner may act for this long after it first sent its newest acknowledged append. */
+#define OWNER_AUTHORITY_MS 3000
 /** Interval of the owner's heartbeat records in the ledger. */
 #define OWNER_RENEW_MS 500
 /** Producer name of the owner's appends; the store refuses those of an earlier owner's epoch. */
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -197,13 +197,24 @@
 
 static void on_appended (void *ctx, const StoreAnswer *answer);
 
+static int64_t
+timeout_ms (const Owner *owner, int64_t now_us)
+{
+  const StorePace *pace = &owner->entry->pace;
+  int64_t age_ms = (now_us - appender_authority_us (&owner->appender)) / CLK_US_PER_MS;
+
+  return owner->appender.n_transmitted == 0
+             ? store_pace_owner_timeout_ms (pace, OWNER_AUTHORITY_MS - age_ms, now_us)
+             : store_pace_timeout_ms (pace, TRUE, now_us);
+}
+
 static void
 transmit (Owner *owner)
 {
   int64_t now = clk_now_us ();
   StoreAppend append = { .topic = LEDGER_TOPIC,
                          .producer = OWNER_PRODUCER,
-                         .timeout_ms = store_pace_timeout_ms (&owner->entry->pace, TRUE, now) };
+                         .timeout_ms = timeout_ms (owner, now) };
 
   owner->is_calling = TRUE;
   owner->pace_slot = store_pace_begin (&owner->entry->pace, now);
--- a/tests/ledger/test_store_pace.c
+++ b/tests/ledger/test_store_pace.c
@@ -7,11 +7,14 @@
 #include <cmocka.h>
 
 #include "common/clk.h"
+#include "ledger/appender.h"
 #include "ledger/store_pace.h"
 
 #define MS CLK_US_PER_MS
 #define FAST_MS 10
 #define SLOW_MS 700
+/** As long as an owner acts after its newest acknowledged append was sent. */
+#define AUTHORITY_MS 3000
 
 static int64_t
 run_append (StorePace *pace, int64_t now_us, int64_t took_ms, StoreOutcome outcome)
@@ -137,6 +140,59 @@
   assert_int_equal (store_pace_wait_ms (&pace, now_us - 100 * MS, 2, now_us), 300 + 800);
 }
 
+/* Guards against an owner that loses its authority since the answer to its append was lost. */
+static void
+owner_has_time_for_one_retry (void **state)
+{
+  /* Times of appends with which two fit into an owner's authority. */
+  static const int64_t took_ms[] = { FAST_MS, 200, 528, 600 };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (took_ms); i++)
+    {
+      StorePace pace;
+      int64_t now_us = 1000 * MS;
+      store_pace_init (&pace);
+      for (int k = 0; k < 6; k++)
+        now_us = run_append (&pace, now_us, took_ms[i], STORE_OK);
+      /* The newest acknowledged append was sent then, or 500 ms ago if that is longer. */
+      int64_t left_ms = AUTHORITY_MS - MAX (took_ms[i], 500);
+      int64_t timeout_ms = store_pace_owner_timeout_ms (&pace, left_ms, now_us);
+      assert_in_range (timeout_ms, MAX (took_ms[i] * 3 / 2, 900),
+                       left_ms - APPENDER_BACKOFF_MIN_MS - took_ms[i]);
+    }
+}
+
+/* Guards against a time-out of all of the owner's authority, after an append was given up. */
+static void
+append_that_was_given_up_leaves_time_for_a_retry (void **state)
+{
+  StorePace pace;
+  int64_t now_us = run_append ((store_pace_init (&pace), &pace), 1000 * MS, FAST_MS, STORE_OK);
+
+  (void) state;
+  now_us = run_append (&pace, now_us, 3000, STORE_IN_DOUBT);
+  assert_int_equal (store_pace_timeout_ms (&pace, TRUE, now_us), STORE_PACE_TIMEOUT_MAX_MS);
+  assert_in_range (store_pace_owner_timeout_ms (&pace, 2500, now_us), 900, 1250);
+  assert_int_equal (store_pace_owner_timeout_ms (&pace, 0, now_us), STORE_PACE_TIMEOUT_MAX_MS);
+}
+
+/* Guards against appends that are repeated before their answer is due: each copy delays the store.
+ */
+static void
+owner_awaits_answers_that_are_due (void **state)
+{
+  StorePace pace;
+  int64_t now_us = 1000 * MS;
+
+  (void) state;
+  store_pace_init (&pace);
+  for (int k = 0; k < 6; k++)
+    now_us = run_append (&pace, now_us, 1300, STORE_OK);
+  assert_in_range (store_pace_owner_timeout_ms (&pace, AUTHORITY_MS - 1300, now_us), 1400,
+                   STORE_PACE_TIMEOUT_MAX_MS);
+}
+
 int
 main (void)
 {
@@ -148,6 +204,9 @@
     cmocka_unit_test (nothing_is_published_without_a_recent_answer),
     cmocka_unit_test (retry_after_depends_on_the_job_only),
     cmocka_unit_test (wait_counts_the_appends_before_it),
+    cmocka_unit_test (owner_has_time_for_one_retry),
+    cmocka_unit_test (append_that_was_given_up_leaves_time_for_a_retry),
+    cmocka_unit_test (owner_awaits_answers_that_are_due),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -181,9 +181,12 @@
   call->done = done;
   call->ctx = entry;
   int64_t now = entry->emu->now_us;
-  int64_t timeout_ms = entry->emu->options.has_store_queue
-                           ? store_pace_timeout_ms (&entry->pace, TRUE, now)
-                           : TIMEOUT_MS;
+  int64_t left_ms = AUTHORITY_MS - (now - appender_authority_us (&entry->appender)) / CLK_US_PER_MS;
+  int64_t timeout_ms = done == on_appended && entry->appender.n_transmitted == 1
+                           ? store_pace_owner_timeout_ms (&entry->pace, left_ms, now)
+                           : store_pace_timeout_ms (&entry->pace, TRUE, now);
+  if (!entry->emu->options.has_store_queue)
+    timeout_ms = TIMEOUT_MS;
   *slot = store_pace_begin (&entry->pace, now);
   emu_store_send (call, entry->store_cut_until_us, timeout_ms);
 }
