--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -313,6 +313,12 @@
   return feed->overdue_us;
 }
 
+int64_t
+feed_load_us (const Feed *feed)
+{
+  return feed->load_us;
+}
+
 int64_t
 feed_steady_since_us (const Feed *feed)
 {
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -40,6 +40,13 @@
     }
 }
 
+/* Whether this process may not act yet in its term. */
+static gboolean
+may_wait (const Owner *owner)
+{
+  return owner->phase == OWNER_WAITING || (owner->phase != OWNER_ACTIVE && owner->claim.is_unsure);
+}
+
 void
 owner_add_record (const Owner *owner, GByteArray *records, uint64_t boot)
 {
@@ -47,7 +54,8 @@
   Batch__Owner message = BATCH__OWNER__INIT;
 
   message.term = owner->term;
-  message.name = owner->entry->settings->name;
+  message.name = may_wait (owner) ? (char *) "" : owner->entry->settings->name;
+  message.epoch = owner->epoch;
   message.boot = boot;
   message.level = LEVEL_CURRENT;
   message.level_since = owner->level_since;
@@ -189,13 +197,24 @@
 
 static void on_appended (void *ctx, const StoreAnswer *answer);
 
+static int64_t
+timeout_ms (const Owner *owner, int64_t now_us)
+{
+  const StorePace *pace = &owner->entry->pace;
+  int64_t age_ms = (now_us - appender_authority_us (&owner->appender)) / CLK_US_PER_MS;
+
+  return owner->appender.n_transmitted == 0
+             ? store_pace_owner_timeout_ms (pace, OWNER_AUTHORITY_MS - age_ms, now_us)
+             : store_pace_timeout_ms (pace, TRUE, now_us);
+}
+
 static void
 transmit (Owner *owner)
 {
   int64_t now = clk_now_us ();
   StoreAppend append = { .topic = LEDGER_TOPIC,
                          .producer = OWNER_PRODUCER,
-                         .timeout_ms = store_pace_timeout_ms (&owner->entry->pace, TRUE, now) };
+                         .timeout_ms = timeout_ms (owner, now) };
 
   owner->is_calling = TRUE;
   owner->pace_slot = store_pace_begin (&owner->entry->pace, now);
@@ -203,10 +222,25 @@
   store_append (owner->entry->store, &append, on_appended, owner);
 }
 
+/* A record of an owner that does not act yet, so that others do not take it for lost. */
+static void
+write_heartbeat (Owner *owner)
+{
+  int64_t now = clk_now_us ();
+
+  if (now < owner->renew_us)
+    return;
+  owner->renew_us = now + OWNER_RENEW_MS * CLK_US_PER_MS;
+  GByteArray *records = g_byte_array_new ();
+  owner_add_record (owner, records, node_boot (owner->entry->node));
+  appender_add (&owner->appender, records);
+  transmit (owner);
+}
+
 void
 owner_write_changes (Owner *owner)
 {
-  if (owner->phase != OWNER_ACTIVE || owner->is_calling
+  if ((owner->phase != OWNER_ACTIVE && owner->phase != OWNER_WAITING) || owner->is_calling
       || !appender_may_send (&owner->appender, clk_now_us ()))
     return;
   if (appender_is_open (&owner->appender))
@@ -214,6 +248,11 @@
       transmit (owner);
       return;
     }
+  if (owner->phase == OWNER_WAITING)
+    {
+      write_heartbeat (owner);
+      return;
+    }
   owner->flush = sched_flush_begin (owner->sched);
   if (owner->flush == NULL && clk_now_us () < owner->renew_us)
     return;
@@ -259,7 +298,8 @@
   if (owner->flush != NULL)
     sched_flush_end (owner->sched, owner->flush, TRUE);
   owner->flush = NULL;
-  sched_end_publish (owner->sched, TRUE);
+  if (owner->sched != NULL)
+    sched_end_publish (owner->sched, TRUE);
 }
 
 static void
@@ -283,7 +323,8 @@
 
   owner->is_calling = FALSE;
   store_pace_end (&owner->entry->pace, owner->pace_slot, answer->outcome, now);
-  if (owner->phase != OWNER_ACTIVE || !appender_is_open (appender))
+  if ((owner->phase != OWNER_ACTIVE && owner->phase != OWNER_WAITING)
+      || !appender_is_open (appender))
     return;
   int64_t first_sent_us = appender->first_sent_us;
   uint32_t n_transmitted = appender->n_transmitted;
