net_peers: a connection whose GET is being handled makes room

With pipelined GETs of an unknown job on 200 of 200 allowed connections, all connections wait for the store or were idle for under a second at the same time (199 and 2 at one refusal). None could be closed, so a new connection was closed in its place.

--- a/lib/net/net_peers.c
+++ b/lib/net/net_peers.c
@@ -51,6 +51,18 @@
   return TRUE;
 }
 
+/* Pipelined requests can keep all connections of a crowd waiting for replies. */
+static gboolean
+close_read_only (NetPeers *peers, const char *reason)
+{
+  NetPeer *peer = g_queue_peek_head (&peers->phases[NET_READ_ONLY]);
+
+  if (peer == NULL)
+    return FALSE;
+  close_peer (peer, reason);
+  return TRUE;
+}
+
 void
 net_peers_add (NetPeers *peers, NetPeer *peer, int64_t now_us)
 {
@@ -61,7 +73,8 @@
   g_queue_push_tail_link (&peers->phases[NET_IDLE], &peer->link);
   peers->n_open++;
   if (peers->n_open > peers->options.connections_max && !close_longest (peers, peer, "connections")
-      && !close_idle (peers, peer, now_us, "connections"))
+      && !close_idle (peers, peer, now_us, "connections")
+      && !close_read_only (peers, "connections"))
     close_peer (peer, "connections");
 }
 
--- a/lib/net/net_peers.h
+++ b/lib/net/net_peers.h
@@ -14,10 +14,11 @@
 /** What a connection waits for, in the order in which connections are closed to make room. */
 typedef enum
 {
-  NET_READING, /**< the rest of a request */
-  NET_SENDING, /**< the client, to read the answer */
-  NET_IDLE,    /**< the next request */
-  NET_WAITING, /**< the handler's reply; such a connection is never closed to make room */
+  NET_READING,   /**< the rest of a request */
+  NET_SENDING,   /**< the client, to read the answer */
+  NET_IDLE,      /**< the next request */
+  NET_READ_ONLY, /**< the handler's reply to a request without effects */
+  NET_WAITING,   /**< the handler's reply; such a connection is never closed to make room */
 } NetPhase;
 
 typedef struct NetPeers NetPeers;
@@ -55,7 +56,8 @@
 void net_peers_init (NetPeers *peers, const NetPeersOptions *options);
 
 /** Adds a zeroed @p peer. Above the limit of connections it closes the one that waited longest, or
- * @p peer if all others wait for their replies or were idle for less than a second. */
+ * @p peer if all others were idle for less than a second or wait for replies to requests that may
+ * have effects. */
 void net_peers_add (NetPeers *peers, NetPeer *peer, int64_t now_us);
 void net_peers_remove (NetPeer *peer);
 
--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -284,7 +284,7 @@
   request->read_us = clk_now_us ();
   request->is_handled = TRUE;
   g_ptr_array_add (request->server->open, request);
-  set_phase (request, NET_WAITING);
+  set_phase (request, strcmp (request->method, "GET") == 0 ? NET_READ_ONLY : NET_WAITING);
   if (request->server->is_ending)
     net_request_reply (request, &unavailable);
   else if (request->is_too_large)
--- a/tests/net/test_net_peers.c
+++ b/tests/net/test_net_peers.c
@@ -75,6 +75,24 @@
   g_ptr_array_unref (fix.closed);
 }
 
+/* Clients that pipeline requests without effects have no incomplete request and are hardly idle.
+ * Guards against such a crowd that keeps all others out. */
+static void
+read_only_request_makes_room (void **state)
+{
+  Fix fix = { 0 };
+
+  (void) state;
+  open_peers (&fix, 3, 3);
+  net_peers_set_phase (&fix.peer[0], NET_WAITING, 9);
+  net_peers_set_phase (&fix.peer[2], NET_READ_ONLY, 10);
+  net_peers_set_phase (&fix.peer[1], NET_READ_ONLY, 11);
+  net_peers_add (&fix.peers, &fix.peer[3], 12);
+  assert_int_equal (fix.closed->len, 1);
+  assert_ptr_equal (g_ptr_array_index (fix.closed, 0), &fix.peer[2]);
+  g_ptr_array_unref (fix.closed);
+}
+
 /* Clients that use their connections keep them, and connections that nobody uses make room. */
 static void
 idle_peers_are_closed_after_a_second (void **state)
@@ -134,10 +152,12 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (longest_reader_is_closed), cmocka_unit_test (waiting_peers_stay),
-          cmocka_unit_test (idle_peers_are_closed_after_a_second),
-          cmocka_unit_test (budget_closes_readers), cmocka_unit_test (late_peers_are_closed) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (longest_reader_is_closed),
+                                      cmocka_unit_test (waiting_peers_stay),
+                                      cmocka_unit_test (read_only_request_makes_room),
+                                      cmocka_unit_test (idle_peers_are_closed_after_a_second),
+                                      cmocka_unit_test (budget_closes_readers),
+                                      cmocka_unit_test (late_peers_are_closed) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
