feed: refreshes are shared; net_client: limited connections to an address

Each GET of an unknown job read the store again over a connection of its own: /proc/PID/fd and ss show 200 connections of callers and up to 203 to the store (331 to 433 descriptors, bound 300) beside 400 clients with pipelined GETs.

At most four refreshes are under way; later callers share the next one, which is sent after they came. Four and not one, so that a refresh whose answer is lost (900 ms) does not delay all others. An HTTP client opens at most 128 connections to one address.

On the code before, the new cases of users/test_store and net/test_net_client see 11 held calls in place of 5, and 168 in place of 128.

--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -7,6 +7,9 @@
 
 /** Pause after a failed read. */
 #define RETRY_MS 150
+/** Refreshes under way at the same time. One whose answer is lost does not delay the next ones, and
+ * 200 pipelined requests for unknown jobs opened 200 connections to the store without a limit. */
+#define REFRESHES_MAX 4
 
 struct Feed
 {
@@ -23,16 +26,23 @@
   int64_t sent_us;
   gboolean is_failing;
   GHashTable *refreshes; /**< Refresh, owned, as a set */
-  GPtrArray *waiting;    /**< Refresh that wait for the load to end */
+  GArray *waiting;       /**< Waiter that the next refresh serves */
   guint timer;
 };
 
+/** A caller of feed_refresh(). */
 typedef struct
 {
-  Feed *feed;
-  int64_t sent_us;
   void (*done) (void *ctx, gboolean is_fresh);
   void *ctx;
+} Waiter;
+
+/** A read that serves all waiters that asked for a refresh before it was sent. */
+typedef struct
+{
+  Feed *feed;
+  int64_t sent_us;
+  GArray *waiters; /**< Waiter */
 } Refresh;
 
 /* Time-out of a call besides the time for which the store may hold its answer. */
@@ -43,7 +53,7 @@
 }
 
 static void send_read (Feed *feed);
-static void send_refresh (Refresh *refresh);
+static void send_refresh (Feed *feed);
 
 static gboolean
 on_timer (gpointer data)
@@ -116,24 +126,31 @@
 }
 
 static void
-finish_refresh (Refresh *refresh, gboolean is_fresh)
+refresh_free (gpointer data)
 {
-  refresh->done (refresh->ctx, is_fresh);
-  (void) g_hash_table_remove (refresh->feed->refreshes, refresh);
+  Refresh *refresh = data;
+
+  g_array_unref (refresh->waiters);
+  g_free (refresh);
 }
 
 static void
-send_waiting (Feed *feed)
+finish_waiters (const GArray *waiters, gboolean is_fresh)
 {
-  while (feed->waiting->len > 0)
-    send_refresh (g_ptr_array_steal_index (feed->waiting, 0));
+  for (guint i = 0; i < waiters->len; i++)
+    {
+      const Waiter *waiter = &g_array_index (waiters, Waiter, i);
+      waiter->done (waiter->ctx, is_fresh);
+    }
 }
 
 static void
 fail_waiting (Feed *feed)
 {
-  while (feed->waiting->len > 0)
-    finish_refresh (g_ptr_array_steal_index (feed->waiting, 0), FALSE);
+  g_autoptr (GArray) waiters = g_steal_pointer (&feed->waiting);
+
+  feed->waiting = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  finish_waiters (waiters, FALSE);
 }
 
 /* Whether the store answers with the page before the one that was asked for. What follows is not
@@ -179,7 +196,7 @@
     feed->options.on_load_end (feed->options.ctx);
   line_add ("feed", "loaded", "topic=%s end=%" G_GINT64_FORMAT, feed->options.topic, feed->next);
   finish_batch (feed);
-  send_waiting (feed);
+  send_refresh (feed);
   send_read (feed);
 }
 
@@ -253,8 +270,8 @@
   Feed *feed = g_new0 (Feed, 1);
 
   feed->options = *options;
-  feed->refreshes = g_hash_table_new_full (NULL, NULL, g_free, NULL);
-  feed->waiting = g_ptr_array_new ();
+  feed->refreshes = g_hash_table_new_full (NULL, NULL, refresh_free, NULL);
+  feed->waiting = g_array_new (FALSE, FALSE, sizeof (Waiter));
   begin_load (feed);
   send_read (feed);
   return feed;
@@ -267,7 +284,7 @@
     return;
   if (feed->timer != 0)
     g_source_remove (feed->timer);
-  g_ptr_array_unref (feed->waiting);
+  g_array_unref (feed->waiting);
   g_hash_table_destroy (feed->refreshes);
   g_free (feed->page);
   g_free (feed);
@@ -319,29 +336,34 @@
       (void) apply_read (feed, answer, refresh->sent_us);
       is_fresh = feed->next >= answer->end_offset;
     }
-  finish_refresh (refresh, is_fresh);
+  finish_waiters (refresh->waiters, is_fresh);
+  (void) g_hash_table_remove (feed->refreshes, refresh);
+  send_refresh (feed);
 }
 
+/* Sends a refresh for all waiters, unless there are none, or they have to wait for a load or for
+ * another refresh. */
 static void
-send_refresh (Refresh *refresh)
+send_refresh (Feed *feed)
 {
-  const StoreRead read = { .topic = refresh->feed->options.topic,
-                           .from = refresh->feed->next,
-                           .timeout_ms = timeout_ms (refresh->feed) };
+  const StoreRead read
+      = { .topic = feed->options.topic, .from = feed->next, .timeout_ms = timeout_ms (feed) };
 
-  refresh->sent_us = clk_now_us ();
-  store_read (refresh->feed->options.store, &read, on_refreshed, refresh);
+  if (feed->is_loading || feed->waiting->len == 0
+      || g_hash_table_size (feed->refreshes) >= REFRESHES_MAX)
+    return;
+  Refresh *refresh = g_new0 (Refresh, 1);
+  *refresh = (Refresh){ feed, clk_now_us (), feed->waiting };
+  feed->waiting = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  (void) g_hash_table_add (feed->refreshes, refresh);
+  store_read (feed->options.store, &read, on_refreshed, refresh);
 }
 
 void
 feed_refresh (Feed *feed, void (*done) (void *ctx, gboolean is_fresh), void *ctx)
 {
-  Refresh *refresh = g_new0 (Refresh, 1);
+  const Waiter waiter = { done, ctx };
 
-  *refresh = (Refresh){ feed, 0, done, ctx };
-  (void) g_hash_table_add (feed->refreshes, refresh);
-  if (feed->is_loading)
-    g_ptr_array_add (feed->waiting, refresh);
-  else
-    send_refresh (refresh);
+  g_array_append_val (feed->waiting, waiter);
+  send_refresh (feed);
 }
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -49,7 +49,7 @@
 void feed_set_pause (Feed *feed, int64_t pause_ms);
 
 /** Reads up to the topic's current end, after the newest records were loaded; then calls @p
- * done. */
+ * done. A few such reads are under way at the same time; later callers share the next one. */
 void feed_refresh (Feed *feed, void (*done) (void *ctx, gboolean is_fresh), void *ctx);
 
 /** Longest time between two answers for reads to count as steady. */
--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -13,6 +13,9 @@
 #define CONNECT_TIMEOUT_MS 1200L
 /** Size of the connection cache. */
 #define CONNECTIONS_MAX 64L
+/** Open connections to one address. More calls than a worker of 32 cores has tasks of 0.37 cores.
+ */
+#define ADDRESS_CONNECTIONS_MAX ((long) NET_CLIENT_CONNECTIONS_MAX)
 
 struct NetClient
 {
@@ -257,6 +260,7 @@
   (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
   (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
   (void) curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
+  (void) curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, ADDRESS_CONNECTIONS_MAX);
   return client;
 }
 
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -6,6 +6,9 @@
  * sent or received for its time-out. A dead connection therefore fails only one call and is then
  * closed, and a large body over a slow link is not cut short.
  *
+ * At most #NET_CLIENT_CONNECTIONS_MAX connections to one address are open. Further calls wait for
+ * one of them; their time-outs run meanwhile.
+ *
  * A request other than GET is sent at most once: libcurl's own repeats over another connection are
  * suppressed, since their answers say nothing of the first transmission.
  */
@@ -33,6 +36,9 @@
 /** Limit of the total duration of a call, in multiples of its time-out. */
 #define NET_CLIENT_TIMEOUTS_MAX 8
 
+/** Limit of open connections to one address. */
+#define NET_CLIENT_CONNECTIONS_MAX 128
+
 /** Result of a call. The body is valid during the callback only, and ends with a zero byte. */
 typedef struct
 {
--- a/tests/net/test_net_client.c
+++ b/tests/net/test_net_client.c
@@ -12,6 +12,7 @@
 
 #include "common/clk.h"
 #include "net/net_client.h"
+#include "net/net_server.h"
 #include "support/loopback.h"
 
 #define PORT 28722
@@ -149,6 +150,61 @@
   assert_false (result.may_have_run);
 }
 
+#define EXCESS_CALLS 40
+
+static void
+hold_request (void *ctx, NetRequest *request)
+{
+  g_ptr_array_add (ctx, request);
+}
+
+static void
+count_answer (void *ctx, const NetAnswer *answer)
+{
+  uint32_t *n_good = ctx;
+
+  *n_good += answer->status == 200 ? 1 : 0;
+}
+
+/* More calls to one address than connections are allowed. Guards against a descriptor per call, and
+ * against calls that stay in the queue after a connection became free. */
+static void
+excess_calls_wait_for_a_connection (void **state)
+{
+  const NetReply reply = { .status = 200 };
+  const NetCall call = { .method = "GET", .url = loopback_url (PORT), .timeout_ms = 20000 };
+  g_autoptr (GPtrArray) held = g_ptr_array_new ();
+  const NetServerOptions options = { .address = loopback_address (PORT),
+                                     .connections_max = 2 * NET_CLIENT_CONNECTIONS_MAX,
+                                     .idle_s = 60,
+                                     .handler = hold_request,
+                                     .ctx = held };
+  NetServer *server = net_server_new (&options, NULL);
+  NetClient *client = net_client_new ();
+  uint32_t n_good = 0;
+
+  (void) state;
+  assert_non_null (server);
+  for (int i = 0; i < NET_CLIENT_CONNECTIONS_MAX + EXCESS_CALLS; i++)
+    net_client_call (client, &call, count_answer, NULL, &n_good);
+  while (held->len < NET_CLIENT_CONNECTIONS_MAX)
+    (void) g_main_context_iteration (NULL, TRUE);
+  for (int i = 0; i < 100; i++)
+    {
+      (void) g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  assert_int_equal (held->len, NET_CLIENT_CONNECTIONS_MAX);
+  while (n_good < NET_CLIENT_CONNECTIONS_MAX + EXCESS_CALLS)
+    {
+      while (held->len > 0)
+        net_request_reply (g_ptr_array_steal_index (held, 0), &reply);
+      (void) g_main_context_iteration (NULL, TRUE);
+    }
+  net_client_free (client);
+  net_server_free (server);
+}
+
 int
 main (void)
 {
@@ -156,6 +212,7 @@
     cmocka_unit_test (slow_answer_completes),
     cmocka_unit_test (stalled_answer_times_out),
     cmocka_unit_test (call_without_a_listener_did_not_run),
+    cmocka_unit_test (excess_calls_wait_for_a_connection),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/users/test_store.c
+++ b/tests/users/test_store.c
@@ -689,6 +689,54 @@
   feed_free (feed);
 }
 
+static void
+count_refreshed (void *ctx, gboolean is_fresh)
+{
+  if (is_fresh)
+    ++*(uint32_t *) ctx;
+}
+
+/* Ten callers, five of them while earlier refreshes are unanswered. Guards against a read, and so a
+ * connection to the store, for each caller; and against an answer that was requested before its
+ * caller came. */
+static void
+refreshes_are_shared (void **state)
+{
+  Fixture *fixture = fixture_new ();
+  g_autoptr (GArray) offsets = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  uint32_t n_refreshed = 0;
+
+  (void) state;
+  set_answer (fixture, 200, "{\"items\":[],\"more\":false,\"end_offset\":0}");
+  Feed *feed = open_feed (fixture, offsets);
+  while (!feed_is_loaded (feed))
+    (void) g_main_context_iteration (NULL, TRUE);
+  fixture->n_unanswered = 100;
+  while (fixture->held->len < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  for (int i = 0; i < 10; i++)
+    {
+      feed_refresh (feed, count_refreshed, &n_refreshed);
+      run_loop_for (10);
+    }
+  /* The poll, and four refreshes. */
+  assert_int_equal (fixture->held->len, 5);
+  g_ptr_array_insert (fixture->held, 4, g_ptr_array_steal_index (fixture->held, 0));
+  answer_held (fixture, 1);
+  while (n_refreshed < 1)
+    (void) g_main_context_iteration (NULL, TRUE);
+  run_loop_for (100);
+  assert_int_equal (n_refreshed, 1);
+  assert_int_equal (fixture->held->len, 5);
+  g_ptr_array_insert (fixture->held, 0, g_ptr_array_steal_index (fixture->held, 4));
+  answer_held (fixture, 0);
+  while (n_refreshed < 7)
+    (void) g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (n_refreshed, 7);
+  fixture_free (fixture);
+  feed_free (feed);
+}
+
 /* When the load fails, a waiting refresh ends at once. */
 static void
 refresh_ends_with_a_failed_load (void **state)
@@ -915,6 +963,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (refresh_waits_for_the_load),
+    cmocka_unit_test (refreshes_are_shared),
     cmocka_unit_test (load_without_its_next_page_is_repeated),
     cmocka_unit_test (refresh_ends_with_a_failed_load),
     cmocka_unit_test (answers_map_to_outcomes),
