net_conns: one module for the connections of both HTTP servers; a pool limit for acacia-entry

lib/net/net_server.c and lib/entry/http.c had copies of the code that adds and closes connections, charges bodies and gives memory back; it is in net_conns now. Requests of acacia-entry without effects make room as GETs of the other server do.

libmicrohttpd had 16 KiB plus twice the headers' limit for each connection of acacia-entry, 196 MiB for 4,096 of them. The new setting http.pool_bytes is twice the limit of headers by default, at least 16 KiB as in net_server: 128 MiB.

--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -1,7 +1,6 @@
 #include "entry/http.h"
 
 #include <arpa/inet.h>
-#include <malloc.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
@@ -20,83 +19,36 @@
 /** Time to send the last answers when stopping, and the poll interval during it. */
 #define STOP_DRAIN_US (500 * CLK_US_PER_MS)
 #define STOP_POLL_MS 10
-/** Memory per connection for libmicrohttpd in addition to the headers. */
-#define CONNECTION_BYTES 16384
 #define RETRY_AFTER_SIZE 24
-/** Connections above the limit until those that were closed to make room have ended. */
-#define CONNECTIONS_SPARE 32
 /** Interval of the checks of time limits. */
 #define CHECK_US CLK_US_PER_S
-/** Memory goes back to the system once this much was freed since the last time. */
-#define TRIM_BYTES (1024 * 1024)
-
 const HttpRequestInfo *
 http_request_info (const HttpRequest *request)
 {
   return &request->ask;
 }
 
-static void
-set_phase (const HttpRequest *request, NetPhase phase)
-{
-  net_peers_set_phase (&request->peer->peer, phase, clk_now_us ());
-}
-
-static void
-uncharge (HttpRequest *request)
-{
-  request->http->freed += request->peer->peer.charged;
-  net_peers_uncharge (&request->peer->peer, request->peer->peer.charged);
-}
-
 static void
 drop_body (HttpRequest *request)
 {
-  if (request->received != NULL)
-    g_byte_array_set_size (request->received, 0);
-  g_clear_pointer (&request->received, g_byte_array_unref);
+  g_byte_array_unref (request->received);
   request->received = g_byte_array_new ();
-  uncharge (request);
+  net_conn_uncharge (request->conn);
 }
 
-/* libmicrohttpd ends the connection when it next runs. An incomplete body is freed now. */
+/* An incomplete body is freed now. */
 static void
-close_connection (void *ctx, NetPeer *peer, const char *reason)
+on_close (void *ctx, NetConn *conn, const char *reason)
 {
   const Http *http = ctx;
-  const HttpConnection *connection = (const HttpConnection *) peer;
+  HttpRequest *request = conn->request;
   g_autofree char *label = g_strdup_printf ("reason=\"%s\"", reason);
 
   met_add (met_counter (http->options.metrics, "acacia_entry_connections_closed_total", label,
                         "Connections closed because of a limit"),
            1);
-  if (connection->request != NULL && connection->request->received != NULL)
-    drop_body (connection->request);
-  (void) shutdown (connection->fd, SHUT_RDWR);
-}
-
-static void
-on_connection (void *ctx,
-               struct MHD_Connection *connection,
-               void **slot,
-               enum MHD_ConnectionNotificationCode code)
-{
-  Http *http = ctx;
-
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    {
-      HttpConnection *peer = g_new0 (HttpConnection, 1);
-      peer->fd
-          = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-      *slot = peer;
-      net_peers_add (&http->peers, &peer->peer, clk_now_us ());
-      return;
-    }
-  HttpConnection *peer = *slot;
-  net_peers_remove (&peer->peer);
-  http->freed += CONNECTION_BYTES;
-  g_free (peer);
-  *slot = NULL;
+  if (request != NULL && request->received != NULL)
+    drop_body (request);
 }
 
 /* libmicrohttpd does not wake an external polling thread when a connection is resumed. */
@@ -194,9 +146,9 @@
   enum MHD_Result queued = MHD_queue_response (
       request->connection, (unsigned int) g_atomic_int_get (&request->status), response);
   MHD_destroy_response (response);
-  uncharge (request);
-  net_peers_charge (&request->peer->peer, size);
-  set_phase (request, NET_SENDING);
+  net_conn_uncharge (request->conn);
+  net_peers_charge (&request->conn->peer, size);
+  net_conn_set_phase (request->conn, NET_SENDING);
   return queued;
 }
 
@@ -258,13 +210,6 @@
   return MHD_YES;
 }
 
-/* Memory that an array of this length takes: it grows in powers of two. */
-static uint32_t
-array_bytes (guint length)
-{
-  return length > 0 ? 1U << g_bit_storage (length - 1) : 0;
-}
-
 static enum MHD_Result
 receive_body (HttpRequest *request, const char *data, size_t *size)
 {
@@ -277,22 +222,23 @@
       return MHD_NO;
     }
   /* The body of a refused request is of no use. */
-  gboolean is_kept = !request->is_too_large && !request->is_unbuffered && request->refusal == NULL;
-  if (is_kept && request->received->len + *size > options->body_bytes_max)
-    request->is_too_large = TRUE;
-  else if (is_kept
-           && !net_peers_reserve (&request->peer->peer,
-                                  array_bytes (request->received->len + (guint) *size)
-                                      - array_bytes (request->received->len)))
-    request->is_unbuffered = TRUE;
-  else if (is_kept)
-    g_byte_array_append (request->received, (const guint8 *) data, (guint) *size);
-  if (request->is_too_large || request->is_unbuffered)
-    drop_body (request);
+  if (request->refusal == NULL && request->body_state == NET_BODY_KEPT)
+    {
+      request->body_state = net_conn_append (request->conn, request->received, data, *size,
+                                             options->body_bytes_max);
+      if (request->body_state != NET_BODY_KEPT)
+        drop_body (request);
+    }
   *size = 0;
   return MHD_YES;
 }
 
+static gboolean
+has_effects (HttpOp op)
+{
+  return op == HTTP_CALL || op == HTTP_CONFIG_PUT || op == HTTP_JOB_SUBMIT || op == HTTP_JOB_CANCEL;
+}
+
 /* Passes the request to the loop. TRUE: the connection is suspended until http_answer(). */
 static gboolean
 submit (HttpRequest *request)
@@ -303,7 +249,7 @@
                  err_row (ERR_LEAVING)->retry_after_ms, NULL, 0);
       return FALSE;
     }
-  set_phase (request, NET_WAITING);
+  net_conn_set_phase (request->conn, has_effects (request->ask.op) ? NET_WAITING : NET_READ_ONLY);
   MHD_suspend_connection (request->connection);
   request->is_submitted = TRUE;
   if (!request->http->options.submit (request->http->options.ctx, request))
@@ -320,13 +266,13 @@
 
   if (request->refusal != NULL)
     return refuse (request, request->refusal);
-  if (request->is_too_large)
+  if (request->body_state == NET_BODY_TOO_LARGE)
     {
       err_set (&error, ERR_TOO_LARGE, "body: expected at most %u bytes",
                request->http->options.body_bytes_max);
       return refuse (request, error);
     }
-  if (request->is_unbuffered)
+  if (request->body_state == NET_BODY_UNBUFFERED)
     {
       http_fail (request, ERR_QUEUE_FULL, ERR_RAN_NO, "the entry has no memory for the body now",
                  err_row (ERR_QUEUE_FULL)->retry_after_ms, NULL, 0);
@@ -358,7 +304,7 @@
   if (request == NULL)
     return MHD_NO;
   g_assert (request->http == ctx && request->connection == connection);
-  if (request->peer->peer.is_closing)
+  if (request->conn->peer.is_closing)
     return MHD_NO;
   if (!request->is_started)
     return start_request (request, method, url);
@@ -377,10 +323,9 @@
   request->http = ctx;
   request->connection = connection;
   request->target = g_strdup (target);
-  request->peer
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
-  request->peer->request = request;
-  set_phase (request, NET_READING);
+  request->conn = net_conn_of (connection);
+  request->conn->request = request;
+  net_conn_set_phase (request->conn, NET_READING);
   return request;
 }
 
@@ -398,9 +343,9 @@
   *con_cls = NULL;
   if (request == NULL)
     return;
-  uncharge (request);
-  request->peer->request = NULL;
-  set_phase (request, NET_IDLE);
+  net_conn_uncharge (request->conn);
+  request->conn->request = NULL;
+  net_conn_set_phase (request->conn, NET_IDLE);
   params_clear (&request->ask.call);
   g_clear_pointer (&request->ask.body, g_bytes_unref);
   g_free (request->ask.author);
@@ -436,11 +381,7 @@
   if (now_us - http->checked_us < CHECK_US)
     return;
   http->checked_us = now_us;
-  net_peers_close_late (&http->peers, now_us);
-  if (http->freed <= TRIM_BYTES)
-    return;
-  http->freed = 0;
-  (void) malloc_trim (0);
+  net_conns_check (&http->conns, now_us);
 }
 
 /* Waits for a connection event, a ready answer, or the end of wait_ms, and handles it. */
@@ -478,15 +419,14 @@
 {
   const HttpOptions *options = &http->options;
   unsigned int idle_s = (unsigned int) ((options->idle_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S);
-  size_t memory = (size_t) options->headers_bytes_max * 2 + CONNECTION_BYTES;
 
   return MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_ERROR_LOG, options->port,
       NULL, NULL, on_request, http, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, http,
       MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_URI_LOG_CALLBACK, on_target, http,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, http, MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
-      MHD_OPTION_CONNECTION_LIMIT, options->connections_max + CONNECTIONS_SPARE,
-      MHD_OPTION_NOTIFY_CONNECTION, on_connection, http, MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
+      MHD_OPTION_CONNECTION_LIMIT, net_conns_limit (&http->conns), MHD_OPTION_NOTIFY_CONNECTION,
+      net_conns_notify, &http->conns, MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->pool_bytes,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
 }
 
@@ -498,13 +438,14 @@
 
   http->options = *options;
   const uint32_t idle_s = (uint32_t) ((options->idle_ms + CLK_MS_PER_S - 1) / CLK_MS_PER_S);
-  const NetPeersOptions peers = { .connections_max = options->connections_max,
+  const NetConnsOptions conns = { .connections_max = options->connections_max,
+                                  .pool_bytes = options->pool_bytes,
                                   .buffer_bytes_max = options->buffer_bytes_max,
                                   .idle_s = idle_s,
                                   .read_timeout_s = idle_s,
-                                  .close = close_connection,
+                                  .on_close = on_close,
                                   .ctx = http };
-  net_peers_init (&http->peers, &peers);
+  net_conns_init (&http->conns, &conns);
   http->host = g_strdup (options->host);
   http->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (http->wake_fd >= 0 && inet_pton (AF_INET, options->host, &address.sin_addr) == 1)
--- a/lib/entry/http.h
+++ b/lib/entry/http.h
@@ -59,6 +59,8 @@
   uint32_t body_bytes_max;
   uint32_t headers_bytes_max;
   uint32_t connections_max;
+  /** Memory of libmicrohttpd for each connection. Without room for the headers it refuses them. */
+  size_t pool_bytes;
   /** Bytes of request bodies of all connections that are read or handled, and of unsent answers. */
   uint32_t buffer_bytes_max;
   int64_t idle_ms;
--- a/lib/entry/http_private.h
+++ b/lib/entry/http_private.h
@@ -8,18 +8,10 @@
 #include <pthread.h>
 
 #include "entry/http.h"
-#include "net/net_peers.h"
+#include "net/net_conns.h"
 
 G_BEGIN_DECLS
 
-/** An open connection. */
-typedef struct
-{
-  NetPeer peer; /**< first, so that it is the same address */
-  int fd;
-  HttpRequest *request; /**< NULL between requests */
-} HttpConnection;
-
 struct Http
 {
   HttpOptions options;
@@ -28,8 +20,7 @@
   pthread_t thread;
   int wake_fd; /**< eventfd, written when an answer is ready */
   gint stopping;
-  NetPeers peers;     /**< used by the HTTP thread only */
-  uint64_t freed;     /**< bytes freed since memory was last given back */
+  NetConns conns;     /**< used by the HTTP thread only */
   int64_t checked_us; /**< when connections were last checked for their time limits */
 };
 
@@ -38,15 +29,14 @@
   HttpRequestInfo ask;
   Http *http;
   struct MHD_Connection *connection;
-  HttpConnection *peer;
+  NetConn *conn;
   char *target; /**< raw request target */
   GByteArray *received;
-  gboolean is_started;    /**< the headers were processed */
-  gboolean is_too_large;  /**< the body exceeds its limit: the rest is dropped */
-  gboolean is_unbuffered; /**< there was no memory for the body */
-  gboolean is_submitted;  /**< passed to the loop */
-  GError *refusal;        /**< error found before the body was read */
-  gint status;            /**< HTTP status of the answer; 0: not answered. Set last, atomically */
+  gboolean is_started; /**< the headers were processed */
+  NetBody body_state;
+  gboolean is_submitted; /**< passed to the loop */
+  GError *refusal;       /**< error found before the body was read */
+  gint status;           /**< HTTP status of the answer; 0: not answered. Set last, atomically */
   char *content_type;
   GBytes *body;
   GPtrArray *headers; /**< alternating names and values */
--- a/lib/entry/settings.c
+++ b/lib/entry/settings.c
@@ -7,6 +7,8 @@
 #include "entry/params.h"
 
 #define DAY_MS INT64_C (86400000)
+/** Smallest default of http.pool_bytes, as in lib/net/net_server.c. */
+#define POOL_BYTES_MIN 16384
 #define WEEK_MS INT64_C (604800000)
 
 #define INTEGER(name, field, min, max, fallback, help)                                             \
@@ -41,6 +43,13 @@
            100000,
            "4096",
            "Largest number of open connections."),
+  INTEGER ("http.pool_bytes",
+           http_pool_bytes,
+           0,
+           4194304,
+           "0",
+           "Memory for the headers of each connection; 0: twice http.headers_bytes_max, at least "
+           "16384."),
   INTEGER ("http.buffer_bytes",
            http_buffer_bytes,
            1048576,
@@ -209,6 +218,16 @@
   set_clear (setting_keys, G_N_ELEMENTS (setting_keys), settings);
 }
 
+size_t
+settings_pool_bytes (const EntrySettings *settings)
+{
+  int64_t bytes = settings->http_pool_bytes;
+
+  if (bytes == 0)
+    bytes = MAX (settings->http_headers_bytes_max * 2, POOL_BYTES_MIN);
+  return (size_t) bytes;
+}
+
 char *
 settings_example (void)
 {
--- a/lib/entry/settings.h
+++ b/lib/entry/settings.h
@@ -21,6 +21,7 @@
   int64_t http_body_bytes_max;
   int64_t http_headers_bytes_max;
   int64_t http_connections_max;
+  int64_t http_pool_bytes; /**< see settings_pool_bytes() */
   int64_t http_buffer_bytes;
   int64_t http_idle_ms;
   char *wire_listen;
@@ -58,6 +59,9 @@
 /** Returns a commented example with all keys; free with g_free(). */
 char *settings_example (void);
 
+/** Bytes for the headers of each connection. */
+size_t settings_pool_bytes (const EntrySettings *settings);
+
 /** Splits "name=address"; FALSE with #ERR_BAD_CONFIG. Free both with g_free(). */
 gboolean settings_peer (const char *text, char **name, char **address, GError **error);
 
--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <glib-unix.h>
-#include <malloc.h>
 #include <microhttpd.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,7 +9,7 @@
 
 #include "common/clk.h"
 #include "common/err.h"
-#include "net/net_peers.h"
+#include "net/net_conns.h"
 
 /** Interval of the calls in which libmicrohttpd times out idle connections. */
 #define IDLE_CHECK_MS 1000
@@ -19,29 +18,16 @@
 /** Memory of libmicrohttpd for each connection; bounds the headers of a request to about half of
  * it. */
 #define CONNECTION_BYTES ((size_t) 16 * 1024)
-/** Connections above the limit until those that were closed to make room have ended. */
-#define CONNECTIONS_SPARE 32
 /** A longer body of a request that takes none is refused before it is read. */
 #define DISCARD_BYTES_MAX ((uint32_t) 256 * 1024)
 /** Longest time for requests before other events are handled. 400 clients with 300 KB of pipelined
  * requests each kept the main loop from the store for 11 s. */
 #define RUN_US (5 * CLK_US_PER_MS)
-/** Memory goes back to the system once this much was freed since the last time. */
-#define TRIM_BYTES (1024 * 1024)
-
-/** An open connection. */
-typedef struct
-{
-  NetPeer peer; /**< first, so that it is the same address */
-  int fd;
-  NetRequest *request;
-} NetConnection;
 
 struct NetServer
 {
   NetServerOptions options;
-  NetPeers peers;
-  uint64_t freed; /**< bytes freed since memory was last given back */
+  NetConns conns;
   struct MHD_Daemon *daemon;
   guint source;
   guint timer;
@@ -55,7 +41,7 @@
 {
   NetServer *server;
   struct MHD_Connection *connection;
-  NetConnection *peer;
+  NetConn *conn;
   char *method;
   char *path;
   GByteArray *body;
@@ -63,19 +49,11 @@
   struct MHD_Response *response;
   uint32_t status;
   gboolean is_discarded; /**< the body is not kept */
-  gboolean is_too_large;
-  gboolean is_unbuffered; /**< there was no memory for the body */
+  NetBody body_state;
   gboolean is_handled;
   gboolean is_suspended;
 };
 
-/* Memory that an array of this length takes: it grows in powers of two. */
-static uint32_t
-array_bytes (guint length)
-{
-  return length > 0 ? 1U << g_bit_storage (length - 1) : 0;
-}
-
 static void
 note_refusal (const NetServer *server, const char *reason)
 {
@@ -83,61 +61,23 @@
     server->options.on_refused (server->options.ctx, reason);
 }
 
-static void
-uncharge (NetRequest *request, uint64_t bytes)
-{
-  net_peers_uncharge (&request->peer->peer, bytes);
-  request->server->freed += bytes;
-}
-
 static void
 drop_body (NetRequest *request)
 {
-  uncharge (request, array_bytes (request->body->len));
+  net_conn_uncharge_body (request->conn, request->body);
   g_byte_array_unref (request->body);
   request->body = g_byte_array_new ();
 }
 
+/* An incomplete body is freed now. */
 static void
-set_phase (NetRequest *request, NetPhase phase)
+on_close (void *ctx, NetConn *conn, const char *reason)
 {
-  net_peers_set_phase (&request->peer->peer, phase, clk_now_us ());
-}
-
-/* libmicrohttpd ends the connection when it next runs. An incomplete body is freed now. */
-static void
-close_connection (void *ctx, NetPeer *peer, const char *reason)
-{
-  const NetConnection *connection = (const NetConnection *) peer;
+  NetRequest *request = conn->request;
 
   note_refusal (ctx, reason);
-  if (connection->request != NULL && !connection->request->is_handled)
-    drop_body (connection->request);
-  (void) shutdown (connection->fd, SHUT_RDWR);
-}
-
-static void
-on_connection (void *ctx,
-               struct MHD_Connection *connection,
-               void **slot,
-               enum MHD_ConnectionNotificationCode code)
-{
-  NetServer *server = ctx;
-
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    {
-      NetConnection *peer = g_new0 (NetConnection, 1);
-      peer->fd
-          = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-      *slot = peer;
-      net_peers_add (&server->peers, &peer->peer, clk_now_us ());
-      return;
-    }
-  NetConnection *peer = *slot;
-  net_peers_remove (&peer->peer);
-  server->freed += CONNECTION_BYTES;
-  g_free (peer);
-  *slot = NULL;
+  if (request != NULL && !request->is_handled)
+    drop_body (request);
 }
 
 static gboolean on_resume (gpointer data);
@@ -175,13 +115,8 @@
 {
   NetServer *server = data;
 
-  net_peers_close_late (&server->peers, clk_now_us ());
+  net_conns_check (&server->conns, clk_now_us ());
   run_daemon (server);
-  if (server->freed > TRIM_BYTES)
-    {
-      server->freed = 0;
-      (void) malloc_trim (0);
-    }
   return G_SOURCE_CONTINUE;
 }
 
@@ -197,7 +132,7 @@
 
 static NetRequest *
 request_new (NetServer *server,
-             NetConnection *peer,
+             NetConn *conn,
              struct MHD_Connection *connection,
              const char *method,
              const char *path)
@@ -209,8 +144,8 @@
   request->method = g_strdup (method);
   request->path = g_strdup (path);
   request->body = g_byte_array_new ();
-  request->peer = peer;
-  peer->request = request;
+  request->conn = conn;
+  conn->request = request;
   return request;
 }
 
@@ -232,22 +167,12 @@
 {
   const NetServerOptions *options = &request->server->options;
 
-  if (request->is_discarded || request->is_too_large || request->is_unbuffered)
+  if (request->is_discarded || request->body_state != NET_BODY_KEPT)
     return;
-  if (request->body->len + size > options->body_bytes_max)
-    request->is_too_large = TRUE;
-  else
-    {
-      guint length = request->body->len + (guint) size;
-      request->is_unbuffered = !net_peers_reserve (
-          &request->peer->peer, array_bytes (length) - array_bytes (request->body->len));
-    }
-  if (request->is_too_large || request->is_unbuffered)
-    {
-      drop_body (request);
-      return;
-    }
-  g_byte_array_append (request->body, (const guint8 *) data, (guint) size);
+  request->body_state
+      = net_conn_append (request->conn, request->body, data, size, options->body_bytes_max);
+  if (request->body_state != NET_BODY_KEPT)
+    drop_body (request);
 }
 
 /* Called with the headers, before the body. A reply sent here closes the connection. */
@@ -259,7 +184,7 @@
   const NetReply too_large = { .status = 413 };
   guint64 announced = 0;
 
-  set_phase (request, NET_READING);
+  net_conn_set_phase (request->conn, NET_READING);
   request->is_discarded = options->body_bytes_max == 0
                           || (options->takes_body != NULL
                               && !options->takes_body (options->ctx, request->method, request->path,
@@ -284,15 +209,16 @@
   request->read_us = clk_now_us ();
   request->is_handled = TRUE;
   g_ptr_array_add (request->server->open, request);
-  set_phase (request, strcmp (request->method, "GET") == 0 ? NET_READ_ONLY : NET_WAITING);
+  net_conn_set_phase (request->conn,
+                      strcmp (request->method, "GET") == 0 ? NET_READ_ONLY : NET_WAITING);
   if (request->server->is_ending)
     net_request_reply (request, &unavailable);
-  else if (request->is_too_large)
+  else if (request->body_state == NET_BODY_TOO_LARGE)
     {
       note_refusal (request->server, "body_size");
       net_request_reply (request, &too_large);
     }
-  else if (request->is_unbuffered)
+  else if (request->body_state == NET_BODY_UNBUFFERED)
     {
       note_refusal (request->server, "buffers");
       net_request_reply (request, &unavailable);
@@ -312,15 +238,14 @@
            void **slot)
 {
   NetRequest *request = *slot;
-  NetConnection *peer
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+  NetConn *conn = net_conn_of (connection);
 
   (void) version;
-  if (peer->peer.is_closing)
+  if (conn->peer.is_closing)
     return MHD_NO;
   if (request == NULL)
     {
-      *slot = request_new (ctx, peer, connection, method, path);
+      *slot = request_new (ctx, conn, connection, method, path);
       return start_request (*slot);
     }
   if (*upload_size > 0)
@@ -353,9 +278,9 @@
     return;
   if (request->response != NULL)
     MHD_destroy_response (request->response);
-  request->peer->request = NULL;
-  uncharge (request, request->peer->peer.charged);
-  set_phase (request, NET_IDLE);
+  request->conn->request = NULL;
+  net_conn_uncharge (request->conn);
+  net_conn_set_phase (request->conn, NET_IDLE);
   g_byte_array_unref (request->body);
   g_free (request->method);
   g_free (request->path);
@@ -389,21 +314,21 @@
   NetServer *server = g_new0 (NetServer, 1);
   server->options = *options;
   server->options.address = NULL;
-  const NetPeersOptions peers
-      = { .connections_max = options->excess_waits ? UINT32_MAX : options->connections_max,
-          .buffer_bytes_max = options->buffer_bytes_max,
-          .idle_s = options->idle_s,
-          .read_timeout_s = options->read_timeout_s,
-          .close = close_connection,
-          .ctx = server };
-  net_peers_init (&server->peers, &peers);
+  const NetConnsOptions conns = { .connections_max = options->connections_max,
+                                  .excess_waits = options->excess_waits,
+                                  .pool_bytes = CONNECTION_BYTES,
+                                  .buffer_bytes_max = options->buffer_bytes_max,
+                                  .idle_s = options->idle_s,
+                                  .read_timeout_s = options->read_timeout_s,
+                                  .on_close = on_close,
+                                  .ctx = server };
+  net_conns_init (&server->conns, &conns);
   server->open = g_ptr_array_new ();
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
-      MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
-      options->connections_max + (options->excess_waits ? 0 : CONNECTIONS_SPARE),
+      MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, net_conns_limit (&server->conns),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES, MHD_OPTION_NOTIFY_CONNECTION,
-      on_connection, server, MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
+      net_conns_notify, &server->conns, MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
       MHD_OPTION_END);
   if (server->daemon == NULL)
@@ -509,8 +434,8 @@
   size_t size = reply->body_size > 0 ? reply->body_size : strlen (body);
 
   (void) g_ptr_array_remove_fast (server->open, request);
-  net_peers_charge (&request->peer->peer, size);
-  set_phase (request, NET_SENDING);
+  net_peers_charge (&request->conn->peer, size);
+  net_conn_set_phase (request->conn, NET_SENDING);
   request->status = reply->status;
   request->response = MHD_create_response_from_buffer (size, (void *) body, MHD_RESPMEM_MUST_COPY);
   if (reply->content_type != NULL)
--- a/programs/entry/main.c
+++ b/programs/entry/main.c
@@ -32,6 +32,7 @@
   options.body_bytes_max = (uint32_t) settings->http_body_bytes_max;
   options.headers_bytes_max = (uint32_t) settings->http_headers_bytes_max;
   options.connections_max = (uint32_t) settings->http_connections_max;
+  options.pool_bytes = settings_pool_bytes (settings);
   options.buffer_bytes_max = (uint32_t) settings->http_buffer_bytes;
   options.idle_ms = settings->http_idle_ms;
   options.metrics = metrics;
--- a/tests/entry/test_http.c
+++ b/tests/entry/test_http.c
@@ -16,6 +16,7 @@
 #define BODY_MAX 2048
 #define HEADERS_MAX 4096
 #define CONNECTIONS_MAX 8
+#define POOL_BYTES 16384
 #define IDLE_MS 1000
 #define ANSWER_MAX 65536
 #define ANSWERS 10
@@ -91,6 +92,7 @@
                           .body_bytes_max = BODY_MAX,
                           .headers_bytes_max = HEADERS_MAX,
                           .connections_max = CONNECTIONS_MAX,
+                          .pool_bytes = POOL_BYTES,
                           .idle_ms = IDLE_MS,
                           .submit = submit,
                           .ctx = fix };
@@ -320,10 +322,25 @@
     close (fds[i]);
 }
 
+/* 300 headers of 5 bytes are within the limit of their size. Guards against memory of a connection
+ * beyond its pool. */
+static void
+short_headers_are_limited_by_the_pool (void **state)
+{
+  g_autoptr (GString) request = g_string_new ("GET /healthz HTTP/1.1\r\n");
+
+  for (int i = 0; i < 300; i++)
+    g_string_append (request, "a:b\r\n");
+  g_string_append (request, END);
+  g_autofree char *answer = exchange (*state, request->str);
+  assert_non_null (strstr (answer, " 431 "));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (short_headers_are_limited_by_the_pool, set_up, tear_down),
     cmocka_unit_test_setup_teardown (each_request_has_its_answer, set_up, tear_down),
     cmocka_unit_test_setup_teardown (a_full_loop_refuses, set_up, tear_down),
     cmocka_unit_test_setup_teardown (an_answer_is_sent_at_once, set_up, tear_down),
