--- a/lib/batch/interference.c
+++ b/lib/batch/interference.c
@@ -106,6 +106,16 @@
   return next;
 }
 
+uint32_t
+interference_find_image (const Interference *model, const char *name)
+{
+  gpointer number = NULL;
+
+  return g_hash_table_lookup_extended (model->images, name != NULL ? name : "", NULL, &number)
+             ? GPOINTER_TO_UINT (number)
+             : INTERFERENCE_IMAGES_MAX;
+}
+
 static Serving *
 find_serving (const Interference *model, uint32_t image)
 {
--- a/lib/batch/interference.h
+++ b/lib/batch/interference.h
@@ -58,6 +58,9 @@
 
 /** Returns the number of the image called @p name; NULL stands for unnamed images. */
 uint32_t interference_image (Interference *model, const char *name);
+/** Like interference_image(), but gives an unknown image no number: returns
+ * #INTERFERENCE_IMAGES_MAX for it. */
+uint32_t interference_find_image (const Interference *model, const char *name);
 
 /** Creates a service of image @p serving; free it with interference_service_free() before the
  * model.
--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -168,6 +168,56 @@
                                      : admit_reserved (worker, stage);
 }
 
+static uint32_t
+count_within (const JobSize *room, const JobSize *size, uint32_t n_most)
+{
+  int64_t n_fit = n_most;
+
+  if (room->cpu_m < size->cpu_m || room->mem_mb < size->mem_mb || room->gpus < size->gpus)
+    return 0;
+  if (size->cpu_m > 0)
+    n_fit = MIN (n_fit, room->cpu_m / size->cpu_m);
+  if (size->mem_mb > 0)
+    n_fit = MIN (n_fit, room->mem_mb / size->mem_mb);
+  if (size->gpus > 0)
+    n_fit = MIN (n_fit, room->gpus / size->gpus);
+  return (uint32_t) n_fit;
+}
+
+static uint32_t
+most_on_one (const SchedWorker *worker, const SchedStage *stage)
+{
+  const JobStep *step = stage->step;
+
+  if (step->per_worker_max == 0)
+    return step->n_tasks;
+  return MIN (step->n_tasks, step->per_worker_max - count_of_stage (worker, stage));
+}
+
+uint32_t
+sched_count_free (const SchedWorker *worker, const SchedStage *stage)
+{
+  const JobSize room = sched_free_for (worker, stage);
+
+  return count_within (&room, &stage->step->size, most_on_one (worker, stage));
+}
+
+uint32_t
+sched_count_empty (const SchedWorker *worker, const SchedStage *stage)
+{
+  const JobStep *step = stage->step;
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
+  const SchedWorker empty = { .sched = worker->sched, .info = worker->info, .tasks = none };
+
+  if (!may_run (&empty, stage) || (step->is_best_effort && worker->info->capacity.cpu_m <= 0))
+    return 0;
+  uint32_t count = sched_count_free (&empty, stage);
+  /* Alone, a task starts there if it does not wait for others: see SCHED_STARVED_MS. */
+  if (count == 0 && !step->is_gang && has_memory (&empty, step, (JobSize){ 0 }))
+    count = admit_starved (&empty, step) == SCHED_WAIT_NONE;
+  return count;
+}
+
 gboolean
 sched_fits_instead (SchedWorker *worker, const SchedTask *task, const SchedTask *running)
 {
--- a/lib/batch/sched_gaps.c
+++ b/lib/batch/sched_gaps.c
@@ -63,8 +63,8 @@
 }
 
 /* A task that takes longer than expected is expected to take as long again as it is late. */
-static int64_t
-expected_end_us (const Sched *sched, const SchedTask *task)
+int64_t
+sched_expected_end_us (const Sched *sched, const SchedTask *task)
 {
   int64_t left_us = task->placed_us + expected_us (sched, task) - sched->now_us;
 
@@ -73,9 +73,8 @@
   return sched->now_us + MAX (ABS (left_us), END_MS * CLK_US_PER_MS);
 }
 
-/* Fills @p fit; FALSE if the task does not fit on the worker by then. */
-static gboolean
-fit_on (
+gboolean
+sched_fit_on (
     const Sched *sched, SchedWorker *worker, const SchedTask *task, int64_t until_us, GapsFit *fit)
 {
   gboolean is_best_effort = task->stage->step->is_best_effort;
@@ -89,7 +88,7 @@
       if (other->stage->step->is_continuous && !other->is_stopping)
         continue;
       ends[gaps_worker.n_ends++] = (GapsEnd){ sched_size_for (other->stage->step, is_best_effort),
-                                              expected_end_us (sched, other) };
+                                              sched_expected_end_us (sched, other) };
     }
   return gaps_fit (&gaps_worker, &wanted, sched->now_us, until_us, fit);
 }
@@ -133,7 +132,7 @@
       if (worker->gap_barred_until_us > sched->now_us || worker->hold.pass == sched->pass
           || is_held_for_long (sched, worker) || !is_large_on (worker, &task->stage->step->size)
           || !sched_may_admit_later (worker, task)
-          || !fit_on (sched, worker, task, until_us, &found) || found.at_us <= sched->now_us)
+          || !sched_fit_on (sched, worker, task, until_us, &found) || found.at_us <= sched->now_us)
         continue;
       if (best == NULL || found.at_us < fit->at_us)
         {
@@ -234,7 +233,7 @@
       || (worker != NULL && is_held_for_long (sched, worker)))
     drop (sched, stage, worker, "bound");
   else if (worker == NULL || !sched_may_admit_later (worker, task)
-           || !fit_on (sched, worker, task, INT64_MAX, &fit))
+           || !sched_fit_on (sched, worker, task, INT64_MAX, &fit))
     drop (sched, stage, worker, "worker");
   else if (worker->hold.pass != sched->pass)
     hold (gaps, worker, stage, &fit);
@@ -278,11 +277,17 @@
 
 gboolean
 sched_is_held (const SchedWorker *worker, const SchedTask *task)
+{
+  return worker->sched->are_holds_valid && sched_was_held (worker, task);
+}
+
+gboolean
+sched_was_held (const SchedWorker *worker, const SchedTask *task)
 {
   const Sched *sched = worker->sched;
   const SchedHold *hold = &worker->hold;
 
-  if (!sched->are_holds_valid || hold->pass != sched->pass || hold->pass == 0)
+  if (hold->pass != sched->pass || hold->pass == 0)
     return FALSE;
   JobSize size = sched_size_for (task->stage->step, hold->is_best_effort);
   int64_t end_us
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -18,10 +18,7 @@
 #define COST_FREE 8000
 /** Run numbers of a task in one term. The runs of a term are higher than those of earlier terms. */
 #define RUNS_PER_TERM 1000
-/** A stage that has been ready for this long always gets tasks started, if less than this
- * percentage of the processors is reserved. Otherwise it could wait indefinitely in favour of
- * others. */
-#define STARVED_MS 1000
+/** See SCHED_STARVED_MS. */
 #define STARVED_USED_PERCENT 60
 /** Tasks that such a stage has running: with only one there would be gaps between two tasks. */
 #define STARVED_TASKS 2
@@ -39,8 +36,8 @@
          + (int64_t) worker->n_serving * COST_SERVING_LOST;
 }
 
-static int64_t
-cost_of (SchedWorker *worker, const SchedTask *task)
+int64_t
+sched_cost (SchedWorker *worker, const SchedTask *task)
 {
   const JobStep *step = task->stage->step;
   int64_t cost = 0;
@@ -97,7 +94,7 @@
           nearest = SCHED_WAIT_RESERVATION;
           continue;
         }
-      int64_t cost = cost_of (worker, task);
+      int64_t cost = sched_cost (worker, task);
       if (best == NULL || cost < best_cost)
         {
           best = worker;
@@ -251,7 +248,7 @@
     stage->ready_us = sched->now_us;
   if (stage->n_waiting == 0 || stage->step->is_gang || count_running (stage) >= STARVED_TASKS)
     return;
-  if (sched->now_us - stage->ready_us >= STARVED_MS * 1000
+  if (sched->now_us - stage->ready_us >= SCHED_STARVED_MS * 1000
       && sched_is_mostly_free (workers, stage->job->queue->service))
     start_starved (sched, workers, stage);
 }
--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -102,9 +102,12 @@
 }
 
 static SchedRank
-rank_of (const Sched *sched, const SchedStage *stage, const SchedStage *first, int64_t deadline_ms)
+rank_of (const Sched *sched,
+         const SchedStage *stage,
+         const SchedStage *first,
+         const SchedChains *chains,
+         int64_t deadline_ms)
 {
-  const SchedChains *chains = &first->chains;
   gboolean has_begun = chains->n_begun > 0;
   int64_t end_ms = sched->wall_ms + expected_rest_ms (chains);
   int64_t due_ms = sched_due_wall_ms (stage->job, stage->occurrence);
@@ -116,24 +119,43 @@
                                                                    : SCHED_RANK_USELESS;
 }
 
-SchedReadyStage
-sched_ready_stage (const Sched *sched, SchedStage *stage)
+static SchedReadyStage
+order_of (const Sched *sched, SchedStage *stage, const SchedStage *first, const SchedChains *chains)
 {
   const SchedJob *job = stage->job;
-  SchedStage *first = sched_find_stage (job, stage->occurrence, 0);
-  const SchedChains *chains = chains_for (sched, first);
   int64_t deadline_ms = sched_due_wall_ms (job, stage->occurrence) + objective_ms (job, chains);
 
   return (SchedReadyStage){ .stage = stage,
                             .priority = job->queue->priority,
-                            .rank = rank_of (sched, stage, first, deadline_ms),
+                            .rank = rank_of (sched, stage, first, chains, deadline_ms),
                             .deadline_ms = deadline_ms,
                             .work
                             = chains->work[SCHED_BEST_EFFORT] + chains->work[SCHED_RESERVED] };
 }
 
-static gint
-compare_ready_stages (gconstpointer a, gconstpointer b)
+SchedReadyStage
+sched_ready_stage (const Sched *sched, SchedStage *stage)
+{
+  SchedStage *first = sched_find_stage (stage->job, stage->occurrence, 0);
+
+  return order_of (sched, stage, first, chains_for (sched, first));
+}
+
+/* Estimates that are missing are not cached: the next pass makes them from what is known then. */
+SchedReadyStage
+sched_peek_ready_stage (const Sched *sched, SchedStage *stage)
+{
+  const SchedJob *job = stage->job;
+  const SchedStage *first = sched_find_stage (job, stage->occurrence, 0);
+  const SchedChains chains = first->chains_change == job->n_changes
+                                 ? first->chains
+                                 : chains_of (sched, job, stage->occurrence);
+
+  return order_of (sched, stage, first, &chains);
+}
+
+gint
+sched_compare_ready_stages (gconstpointer a, gconstpointer b)
 {
   const SchedReadyStage *left = a;
   const SchedReadyStage *right = b;
@@ -150,7 +172,10 @@
 }
 
 static void
-add_ready_stages (const Sched *sched, GArray *ready_stages, const SchedJob *job)
+add_ready_stages (const Sched *sched,
+                  GArray *ready_stages,
+                  const SchedJob *job,
+                  SchedReadyStage (*order) (const Sched *, SchedStage *))
 {
   if (job->queue == NULL)
     return;
@@ -159,7 +184,7 @@
       SchedStage *stage = g_ptr_array_index (job->stages, i);
       if (stage->n_waiting == 0 || !sched_stage_is_ready (stage))
         continue;
-      SchedReadyStage ready_stage = sched_ready_stage (sched, stage);
+      SchedReadyStage ready_stage = order (sched, stage);
       g_array_append_val (ready_stages, ready_stage);
     }
 }
@@ -309,7 +334,21 @@
   memset (sched->n_waiting, 0, sizeof sched->n_waiting);
   g_hash_table_iter_init (&iter, sched->open);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    add_ready_stages (sched, ready_stages, key);
-  g_array_sort (ready_stages, compare_ready_stages);
+    add_ready_stages (sched, ready_stages, key, sched_ready_stage);
+  g_array_sort (ready_stages, sched_compare_ready_stages);
+  return ready_stages;
+}
+
+GArray *
+sched_peek_ready_stages (const Sched *sched)
+{
+  GArray *ready_stages = g_array_new (FALSE, FALSE, sizeof (SchedReadyStage));
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, sched->open);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    add_ready_stages (sched, ready_stages, key, sched_peek_ready_stage);
+  g_array_sort (ready_stages, sched_compare_ready_stages);
   return ready_stages;
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -441,6 +441,13 @@
 GArray *sched_ready_stages (Sched *sched);
 /* Dispatch order of a stage, whether or not its tasks wait. The queue of its job is configured. */
 SchedReadyStage sched_ready_stage (const Sched *sched, SchedStage *stage);
+/* The stages that sched_ready_stages() would return now, and the order of one stage, without a
+ * change of any state; the forecast is that of the last pass. The caller frees the array. */
+GArray *sched_peek_ready_stages (const Sched *sched);
+SchedReadyStage sched_peek_ready_stage (const Sched *sched, SchedStage *stage);
+/* Negative if the first one is dispatched before the second one; a GCompareFunc of
+ * SchedReadyStage. */
+gint sched_compare_ready_stages (gconstpointer a, gconstpointer b);
 /* Call it when a stage has been dispatched: the tasks that still wait exceed the free capacity. */
 void sched_plan_note_waiting (Sched *sched, const SchedStage *stage);
 
@@ -456,6 +463,11 @@
 /* What a task of the step takes from what sched_free_for() gives for a stage that is best-effort,
  * or is not. */
 JobSize sched_size_for (const JobStep *step, gboolean is_best_effort);
+/* Number of tasks of the stage that the processors and memory which are free on the worker hold.
+ * For best-effort tasks an upper bound, as headroom is not counted. */
+uint32_t sched_count_free (const SchedWorker *worker, const SchedStage *stage);
+/* The same if the worker ran nothing else; 0 if it has another service or lacks the label. */
+uint32_t sched_count_empty (const SchedWorker *worker, const SchedStage *stage);
 /* Whether the best-effort task would fit on the worker of the running one if that ended, and
  * serving tasks would keep their headroom. */
 gboolean sched_fits_instead (SchedWorker *worker, const SchedTask *task, const SchedTask *running);
@@ -485,10 +497,24 @@
 void sched_reserve_gap (SchedGaps *gaps, SchedStage *stage);
 /* Whether the task would delay one that comes before it in the pass. */
 gboolean sched_is_held (const SchedWorker *worker, const SchedTask *task);
+/* The same between passes, of what the worker was kept for in the last one. */
+gboolean sched_was_held (const SchedWorker *worker, const SchedTask *task);
+/* When the task, which runs, is expected to end. */
+int64_t sched_expected_end_us (const Sched *sched, const SchedTask *task);
+/* Fills @p fit with when the task is expected to fit on the worker; FALSE if it does not by then.
+ */
+gboolean sched_fit_on (
+    const Sched *sched, SchedWorker *worker, const SchedTask *task, int64_t until_us, GapsFit *fit);
 /* Call it before each start in a pass. */
 void sched_note_gap_start (SchedWorker *worker, const SchedTask *task);
 
 /* sched_place.c */
+/** A stage that has been ready for this long always gets tasks started, if less than this
+ * percentage of the processors is reserved. Otherwise it could wait indefinitely in favour of
+ * others. */
+#define SCHED_STARVED_MS 1000
+/* Cost of placing the task there; the worker with the least one is chosen. */
+int64_t sched_cost (SchedWorker *worker, const SchedTask *task);
 /* Whether most processors of a service's workers are unreserved. */
 gboolean sched_is_mostly_free (const GPtrArray *workers, const char *service);
 /* First task of the stage that waits; there must be one. */
@@ -537,6 +563,18 @@
 gboolean sched_tails_is_impact_known (const SchedWorker *worker, const SchedTask *best_effort);
 /* Largest share of a serving task's spare headroom that the best-effort task would use up. */
 double sched_tails_headroom_use (SchedWorker *worker, const SchedTask *best_effort);
+/** What a query changes in a worker's cached predictions, and takes back at its end. */
+typedef struct
+{
+  SchedWorker *worker;
+  GPtrArray *stages; /**< SchedStage without an image number of their own */
+  gboolean was_outdated;
+} SchedTailsPeek;
+/* Until sched_tails_peek_end(), predictions for the worker leave no trace: no image gets a number,
+ * and predictions that were outdated are made again for the next pass, at its time. The worker's
+ * tasks must not change meanwhile. */
+SchedTailsPeek sched_tails_peek_begin (SchedWorker *worker);
+void sched_tails_peek_end (SchedTailsPeek *peek);
 /* Predicted headroom of the serving task now, given all orders that were issued. */
 double sched_tails_headroom_now (const SchedWorker *worker, const SchedTask *serving);
 /* Share of the worker's processors that a task uses at a CPU limit of @p percent. */
--- a/lib/batch/sched_tails.c
+++ b/lib/batch/sched_tails.c
@@ -310,6 +310,38 @@
   return predicted.mean - HEADROOM_DEVIATIONS * sqrt (predicted.variance);
 }
 
+static void
+peek_image (const SchedWorker *worker, SchedStage *stage)
+{
+  stage->image = interference_find_image (worker->sched->interference, stage->step->image);
+  stage->has_image = TRUE;
+}
+
+SchedTailsPeek
+sched_tails_peek_begin (SchedWorker *worker)
+{
+  SchedTailsPeek peek = { worker, g_ptr_array_new (), worker->has_outdated_predictions };
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      SchedStage *stage = ((SchedTask *) g_ptr_array_index (worker->tasks, i))->stage;
+      if (stage->has_image)
+        continue;
+      peek_image (worker, stage);
+      g_ptr_array_add (peek.stages, stage);
+    }
+  return peek;
+}
+
+void
+sched_tails_peek_end (SchedTailsPeek *peek)
+{
+  for (guint i = 0; i < peek->stages->len; i++)
+    ((SchedStage *) g_ptr_array_index (peek->stages, i))->has_image = FALSE;
+  g_ptr_array_unref (peek->stages);
+  peek->worker->has_outdated_predictions = peek->was_outdated;
+}
+
 double
 sched_tails_headroom_with (SchedWorker *worker, const SchedTask *best_effort, double share)
 {
