acacia-scheduler: POST /where at the metrics address

The owner answers placement queries there, other entries redirect to it: its record in the ledger has its metrics address as a new field, which earlier builds ignore.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -2510,7 +2510,7 @@
   (ProtobufCMessageInit) batch__queue_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__owner__field_descriptors[8] =
+static const ProtobufCFieldDescriptor batch__owner__field_descriptors[9] =
 {
   {
     "term",
@@ -2608,6 +2608,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "metrics_address",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Owner, metrics_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__owner__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -2616,13 +2628,14 @@
   6,   /* field[6] = level */
   7,   /* field[7] = level_since */
   3,   /* field[3] = loads */
+  8,   /* field[8] = metrics_address */
   1,   /* field[1] = name */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange batch__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor batch__owner__descriptor =
 {
@@ -2632,7 +2645,7 @@
   "Batch__Owner",
   "batch",
   sizeof(Batch__Owner),
-  8,
+  9,
   batch__owner__field_descriptors,
   batch__owner__field_indices_by_name,
   1,  batch__owner__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -353,10 +353,14 @@
    * all owners from this term on were of that level or a higher one
    */
   uint64_t level_since;
+  /*
+   * address at which the owner serves its metrics and placement queries
+   */
+  char *metrics_address;
 };
 #define BATCH__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__owner__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -84,6 +84,7 @@
   g_hash_table_destroy (ledger->owner.pending);
   g_free (ledger->owner.name);
   g_free (ledger->owner.address);
+  g_free (ledger->owner.metrics_address);
   g_strfreev (ledger->owner.deputies);
   if (ledger->silent != NULL)
     batch__silent__free_unpacked (ledger->silent, NULL);
@@ -249,8 +250,10 @@
 set_addresses (LedgerOwner *owner, const Batch__Owner *message)
 {
   g_free (owner->address);
+  g_free (owner->metrics_address);
   g_strfreev (owner->deputies);
   owner->address = g_strdup (message->address);
+  owner->metrics_address = g_strdup (message->metrics_address);
   owner->deputies = g_new0 (char *, message->n_deputies + 1);
   for (size_t i = 0; i < message->n_deputies; i++)
     owner->deputies[i] = g_strdup (message->deputies[i]);
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -51,12 +51,13 @@
 {
   uint64_t term; /**< 0: there has been no owner */
   char *name;
-  uint64_t boot;        /**< 0: the last owner released its ownership */
-  int64_t offset;       /**< offset of the newest owner record */
-  char *address;        /**< where the owner receives requests of other entries; may be empty */
-  char **deputies;      /**< addresses of some other entries; NULL-terminated */
-  GHashTable *pending;  /**< queue name -> jobs not yet begun, in the owner's newest record */
-  uint32_t level;       /**< level of its build; 0 if it did not say */
+  uint64_t boot;         /**< 0: the last owner released its ownership */
+  int64_t offset;        /**< offset of the newest owner record */
+  char *address;         /**< where the owner receives requests of other entries; may be empty */
+  char *metrics_address; /**< where the owner serves its metrics; may be empty */
+  char **deputies;       /**< addresses of some other entries; NULL-terminated */
+  GHashTable *pending;   /**< queue name -> jobs not yet begun, in the owner's newest record */
+  uint32_t level;        /**< level of its build; 0 if it did not say */
   uint64_t level_since; /**< first term since which all owners were of that level or a higher one */
 } LedgerOwner;
 
--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -521,6 +521,8 @@
       (void) g_snprintf (text, sizeof text, "%u", reply->retry_after_s);
       (void) MHD_add_response_header (request->response, "Retry-After", text);
     }
+  if (reply->location != NULL)
+    (void) MHD_add_response_header (request->response, "Location", reply->location);
   if (server->is_quiesced)
     (void) MHD_add_response_header (request->response, "Connection", "close");
   if (!request->is_suspended)
--- a/lib/net/net_server.h
+++ b/lib/net/net_server.h
@@ -72,6 +72,7 @@
   const char *body;         /**< NULL for none */
   size_t body_size;         /**< 0: the body is a string */
   uint32_t retry_after_s;   /**< 0: no Retry-After */
+  const char *location;     /**< NULL: no Location */
 } NetReply;
 
 /** Sends the reply; @p request must not be used afterwards. */
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -2,6 +2,7 @@
 
 #include <glib-unix.h>
 #include <signal.h>
+#include <string.h>
 
 #include "common/clk.h"
 #include "common/ids.h"
@@ -30,10 +31,30 @@
   gboolean is_leaving;
 };
 
+static gboolean
+is_post (const NodeOptions *options, const char *method, const char *path)
+{
+  return options->post_path != NULL && strcmp (method, "POST") == 0
+         && strcmp (path, options->post_path) == 0;
+}
+
+static gboolean
+takes_body (void *ctx, const char *method, const char *path, const char *host)
+{
+  (void) host;
+  return is_post (&((const Node *) ctx)->options, method, path);
+}
+
 static void
 serve_metrics (void *ctx, NetRequest *request)
 {
   Node *node = ctx;
+
+  if (is_post (&node->options, net_request_method (request), net_request_path (request)))
+    {
+      node->options.on_post (node->options.ctx, request);
+      return;
+    }
   g_autofree char *text = met_render (node->metrics);
   const NetReply reply = { .status = 200, .content_type = "text/plain", .body = text };
 
@@ -125,6 +146,8 @@
                                     .connections_max = METRICS_CONNECTIONS_MAX,
                                     .idle_s = METRICS_IDLE_TIMEOUT_S,
                                     .read_timeout_s = METRICS_READ_TIMEOUT_S,
+                                    .body_bytes_max = options->post_bytes_max,
+                                    .takes_body = takes_body,
                                     .on_refused = on_metrics_refused,
                                     .handler = serve_metrics,
                                     .ctx = node };
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -9,6 +9,7 @@
 
 #include "common/met.h"
 #include "net/net_client.h"
+#include "net/net_server.h"
 #include "node/node_settings.h"
 
 G_BEGIN_DECLS
@@ -22,6 +23,11 @@
   void (*on_leave) (void *ctx);
   /** Called on SIGHUP. May be NULL. */
   void (*on_reload) (void *ctx);
+  /** Path of the metrics address at which POST requests go to @p on_post; NULL for none. */
+  const char *post_path;
+  uint32_t
+      post_bytes_max; /**< largest body of such a request; others have their bodies discarded */
+  NetHandler on_post;
   void *ctx;
 } NodeOptions;
 
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -213,11 +213,22 @@
   entry->config_feed = feed_new (&config);
 }
 
+static void
+on_where (void *ctx, NetRequest *request)
+{
+  where_handle (((Entry *) ctx)->where, request);
+}
+
 Entry *
 entry_new (const NodeSettings *settings, GError **error)
 {
   Entry *entry = g_new0 (Entry, 1);
-  const NodeOptions node = { .settings = settings, .on_leave = on_leave, .ctx = entry };
+  const NodeOptions node = { .settings = settings,
+                             .on_leave = on_leave,
+                             .post_path = WHERE_PATH,
+                             .post_bytes_max = ENTRY_BODY_BYTES_MAX,
+                             .on_post = on_where,
+                             .ctx = entry };
   const LedgerEvents events = { .on_job = on_job,
                                 .on_cancel = on_cancel,
                                 .on_job_gone = on_job_gone,
@@ -246,6 +257,7 @@
                                  .ctx = entry->relay };
   entry->outbox = outbox_new (&outbox);
   entry->owner = owner_new (entry);
+  entry->where = where_new (entry);
   entry->front = entry->relay != NULL ? front_new (entry, error) : NULL;
   if (entry->front == NULL)
     {
@@ -268,6 +280,7 @@
   if (entry->leave_timer != 0)
     g_source_remove (entry->leave_timer);
   front_free (entry->front);
+  where_free (entry->where);
   relay_free (entry->relay);
   node_free (entry->node);
   owner_free (entry->owner);
--- a/programs/scheduler/entry_private.h
+++ b/programs/scheduler/entry_private.h
@@ -17,7 +17,10 @@
 typedef struct Owner Owner;
 typedef struct Front Front;
 typedef struct Relay Relay;
+typedef struct Where Where;
 
+/** Largest body of a submission, also in a placement query. */
+#define ENTRY_BODY_BYTES_MAX (256 * 1024)
 /** Jobs are accepted and states reported only if the store's newest good answer is no older. */
 #define ENTRY_STORE_AGE_MAX_MS 2500
 
@@ -36,6 +39,7 @@
   Owner *owner;
   Front *front;
   Relay *relay;
+  Where *where;
   gboolean is_leaving;
   guint leave_timer;
   int64_t leave_us;
@@ -59,6 +63,8 @@
 void owner_evacuations_changed (Owner *owner);
 /** Releases ownership, so that another entry can claim it at once. */
 void owner_leave (Owner *owner);
+/** The scheduler while this entry is certainly the owner, else NULL. */
+Sched *owner_sched (Owner *owner);
 /** Whether this entry is neither the owner nor claiming ownership. */
 gboolean owner_is_idle (const Owner *owner);
 
@@ -94,4 +100,12 @@
 void front_quiesce (Front *front);
 uint32_t front_open_requests (const Front *front);
 
+/* where.c: placement queries of operators. */
+#define WHERE_PATH "/where"
+Where *where_new (Entry *entry);
+/** NULL is allowed. A query that is under way gets no answer from here. */
+void where_free (Where *where);
+/** A NetHandler of a Where; answers at once or soon. */
+void where_handle (void *ctx, NetRequest *request);
+
 G_END_DECLS
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -7,7 +7,6 @@
 
 /** Longer than callers keep idle connections open. */
 #define IDLE_TIMEOUT_S 60
-#define BODY_BYTES_MAX (256 * 1024)
 #define READY_CONNECTIONS_MAX 64
 /** Shorter than the time after which the load balancer gives up on a probe's connection. */
 #define READY_READ_TIMEOUT_S 5
@@ -524,7 +523,7 @@
   const NetServerOptions callers = { .address = settings->caller_address,
                                      .connections_max = (uint32_t) settings->connections_max,
                                      .idle_s = IDLE_TIMEOUT_S,
-                                     .body_bytes_max = BODY_BYTES_MAX,
+                                     .body_bytes_max = ENTRY_BODY_BYTES_MAX,
                                      .buffer_bytes_max = node_settings_buffer_bytes (settings),
                                      .read_timeout_s = (uint32_t) settings->read_timeout_s,
                                      .takes_body = takes_body,
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -314,6 +314,12 @@
     owner_write_changes (owner);
 }
 
+Sched *
+owner_sched (Owner *owner)
+{
+  return has_authority (owner) ? owner->sched : NULL;
+}
+
 gboolean
 owner_is_idle (const Owner *owner)
 {
--- a/programs/scheduler/owner_write.c
+++ b/programs/scheduler/owner_write.c
@@ -52,6 +52,9 @@
   message.level = LEVEL_CURRENT;
   message.level_since = owner->level_since;
   const char *deputies[RELAY_DEPUTIES_MAX];
+  g_autofree char *metrics_address = g_strdup_printf ("%s:%d", owner->entry->settings->ip,
+                                                      (int) owner->entry->settings->metrics_port);
+  message.metrics_address = metrics_address;
   message.address = (char *) relay_address (owner->entry->relay);
   message.n_deputies = relay_deputies (owner->entry->relay, deputies);
   message.deputies = (char **) deputies;
