--- a/programs/ctl/cli.c
+++ b/programs/ctl/cli.c
@@ -95,12 +95,19 @@
   return body->is_too_large ? ERR_TOO_LARGE : ERR_PROTOCOL;
 }
 
-static gboolean
-exchange (const CliOptions *options,
-          const char *entry,
-          const CliRequest *request,
-          CliAnswer *answer,
-          GError **error)
+void
+cli_answer_clear (CliAnswer *answer)
+{
+  g_clear_pointer (&answer->body, g_free);
+  g_clear_pointer (&answer->location, g_free);
+}
+
+gboolean
+cli_exchange (const CliOptions *options,
+              const char *entry,
+              const CliRequest *request,
+              CliAnswer *answer,
+              GError **error)
 {
   ne_session *session = open_session (options, entry, error);
 
@@ -119,6 +126,7 @@
     {
       answer->status = (uint32_t) ne_get_status (call)->code;
       answer->size = body.text->len;
+      answer->location = g_strdup (ne_get_response_header (call, "Location"));
       answer->body = g_string_free (g_steal_pointer (&body.text), FALSE);
     }
   else
@@ -185,7 +193,7 @@
   CliAnswer received = { 0 };
   ErrRan ran = ERR_RAN_DOUBT;
 
-  if (!exchange (options, entry, request, &received, error))
+  if (!cli_exchange (options, entry, request, &received, error))
     {
       *try_next = request->is_repeatable || (error != NULL && err_kind (*error) == ERR_REFUSED);
       return FALSE;
@@ -197,7 +205,7 @@
     }
   read_error (entry, &received, &ran, error);
   *try_next = may_try_next (request, received.status, ran);
-  g_free (received.body);
+  cli_answer_clear (&received);
   return FALSE;
 }
 
--- a/programs/ctl/cli.h
+++ b/programs/ctl/cli.h
@@ -32,20 +32,32 @@
   gboolean is_repeatable; /**< may be sent again after a lost answer */
 } CliRequest;
 
-/** A complete answer; free the body with g_free(). */
+/** A complete answer; free its texts with cli_answer_clear(). */
 typedef struct
 {
   uint32_t status;
   char *body; /**< zero-terminated */
   size_t size;
+  char *location; /**< where it redirects; NULL if it doesn't */
 } CliAnswer;
 
+/** Frees the texts of an answer, not the answer itself. */
+void cli_answer_clear (CliAnswer *answer);
+
 /** Initialises the HTTP library. Call it once per process, before cli_call(). */
 gboolean cli_start (GError **error);
 
 /** Checks the addresses of all entries; FALSE with #ERR_BAD_CONFIG that names the invalid one. */
 gboolean cli_check (const CliOptions *options, GError **error);
 
+/** Sends @p request to one entry and reads the complete answer, whatever its status. Returns FALSE
+ * without one, with an error as from cli_call(). */
+gboolean cli_exchange (const CliOptions *options,
+                       const char *entry,
+                       const CliRequest *request,
+                       CliAnswer *answer,
+                       GError **error);
+
 /**
  * Sends @p request and reads the complete answer. Returns FALSE if no entry accepted it, with the
  * last failure: #ERR_REFUSED if nothing was sent, #ERR_TIMEOUT or #ERR_PROTOCOL if it may have
--- a/programs/ctl/cmd.c
+++ b/programs/ctl/cmd.c
@@ -8,6 +8,7 @@
 #include "common/doc.h"
 #include "common/ids.h"
 #include "tab.h"
+#include "where.h"
 
 #define CMD_TOML "application/toml"
 #define CMD_JSON "application/json"
@@ -18,6 +19,8 @@
   const char *argument; /**< name in the help text; NULL if the command takes none */
   const char *help;
   gboolean (*run) (const CmdOptions *options, json_t **answer, GError **error);
+  CmdExit (*run_alone) (
+      const CmdOptions *options); /**< with exit codes of its own, if run is NULL */
 } Command;
 
 /* Sends a request and parses its JSON answer. */
@@ -30,7 +33,7 @@
     return FALSE;
   json_error_t json_error;
   *answer = json_loadb (received.body, received.size, JSON_DECODE_ANY, &json_error);
-  g_free (received.body);
+  cli_answer_clear (&received);
   if (*answer != NULL)
     return TRUE;
   err_set (error, ERR_PROTOCOL, "the answer is not JSON: line %d: %s", json_error.line,
@@ -219,16 +222,18 @@
 }
 
 static const Command commands[] = {
-  { "validate", "FILE", "check a document locally, without an entry", run_validate },
-  { "apply", "FILE", "publish a document; --dry-run shows what would change", run_apply },
-  { "get", NULL, "print the current configuration", run_get },
-  { "history", NULL, "list the accepted versions", run_history },
-  { "submit", "JOB", "start a run of a job of the configuration", run_submit },
-  { "jobs", NULL, "list the runs", run_jobs },
-  { "job", "ID", "show one run", run_job },
-  { "cancel", "ID", "cancel one run", run_cancel },
-  { "explain", "ID", "explain the placement and state of each task of a run", run_explain },
-  { "status", NULL, "show entries, instances, shards and counts", run_status },
+  { "validate", "FILE", "check a document locally, without an entry", run_validate, NULL },
+  { "apply", "FILE", "publish a document; --dry-run shows what would change", run_apply, NULL },
+  { "get", NULL, "print the current configuration", run_get, NULL },
+  { "history", NULL, "list the accepted versions", run_history, NULL },
+  { "submit", "JOB", "start a run of a job of the configuration", run_submit, NULL },
+  { "jobs", NULL, "list the runs", run_jobs, NULL },
+  { "job", "ID", "show one run", run_job, NULL },
+  { "cancel", "ID", "cancel one run", run_cancel, NULL },
+  { "explain", "ID", "explain the placement and state of each task of a run", run_explain, NULL },
+  { "status", NULL, "show entries, instances, shards and counts", run_status, NULL },
+  { "where", "FILE", "say where a job would be placed; --entry is a metrics address", NULL,
+    where_run },
 };
 
 char *
@@ -306,6 +311,8 @@
                       command->argument != NULL ? command->argument : "no argument");
       return CMD_EXIT_USAGE;
     }
+  if (command->run == NULL)
+    return command->run_alone (options);
   if (!cli_check (&options->cli, &error))
     {
       print_failure (options, error);
--- a/programs/ctl/cmd.h
+++ b/programs/ctl/cmd.h
@@ -20,6 +20,10 @@
   CMD_EXIT_OK = 0,
   CMD_EXIT_REFUSED = 1, /**< rejected, failed, or no entry could be reached */
   CMD_EXIT_USAGE = 2,   /**< invalid command line, settings or document; nothing was sent */
+  /* Of the command where; 0 is a job that would start now. */
+  CMD_EXIT_WAITS = 1,
+  CMD_EXIT_NO_ANSWER = 3,
+  CMD_EXIT_NEVER = 4, /**< the job can't start on any worker that is known */
 } CmdExit;
 
 /** Parsed command line. The caller owns the texts. */
@@ -34,6 +38,8 @@
   const char *note;
   const char *key;
   const char *author;
+  const char *queue; /**< NULL for none */
+  gboolean is_all;
 } CmdOptions;
 
 /** Runs the command; prints its answer to stdout and failures to stderr. */
--- a/programs/ctl/main.c
+++ b/programs/ctl/main.c
@@ -42,6 +42,9 @@
   struct arg_str *note;
   struct arg_str *key;
   struct arg_str *author;
+  struct arg_str *queue;
+  struct arg_lit *all;
+  struct arg_str *output;
   struct arg_str *words;
 } CtlArguments;
 
@@ -61,6 +64,9 @@
   arguments->note = arg_str0 (NULL, "note", "TEXT", "apply: note stored in the history");
   arguments->key = arg_str0 (NULL, "key", "KEY", "submit: idempotency key of the run");
   arguments->author = arg_str0 (NULL, "author", "NAME", "author of the version or run");
+  arguments->queue = arg_str0 (NULL, "queue", "NAME", "where: queue of the job");
+  arguments->all = arg_lit0 (NULL, "all", "where: list each worker");
+  arguments->output = arg_str0 (NULL, "output", "FORMAT", "text or json");
   arguments->words = arg_strn (NULL, NULL, "COMMAND", 0, WORDS_MAX, "command and its argument");
 }
 
@@ -92,18 +98,29 @@
     .cli.timeout_ms = settings->timeout_ms,
     .command = arguments->words->sval[0],
     .argument = arguments->words->count > 1 ? arguments->words->sval[1] : NULL,
-    .is_json = arguments->json->count > 0,
+    .is_json
+    = arguments->json->count > 0 || g_strcmp0 (text_or (arguments->output, NULL), "json") == 0,
     .is_dry_run = arguments->dry_run->count > 0,
     .base = arguments->base->count > 0 ? arguments->base->ival[0] : CMD_BASE_NEWEST,
     .note = text_or (arguments->note, ""),
     .key = text_or (arguments->key, NULL),
     .author = text_or (arguments->author, author),
+    .queue = text_or (arguments->queue, NULL),
+    .is_all = arguments->all->count > 0,
   };
   CmdExit code = cmd_run (&options);
   g_ptr_array_free (entries, TRUE);
   return code;
 }
 
+static gboolean
+is_output_valid (const CtlArguments *arguments)
+{
+  const char *output = text_or (arguments->output, "text");
+
+  return g_strcmp0 (output, "text") == 0 || g_strcmp0 (output, "json") == 0;
+}
+
 static OptExit
 run_with_settings (void *ctx, const char *config, gboolean check)
 {
@@ -119,6 +136,8 @@
     code = opt_settings_valid ();
   else if (arguments->words->count == 0)
     (void) fprintf (stderr, "acaciactl: expected a command; see --help\n");
+  else if (!is_output_valid (arguments))
+    (void) fprintf (stderr, "acaciactl: --output: expected text or json\n");
   else
     code = (OptExit) run_command (arguments, &settings);
   set_clear (setting_keys, G_N_ELEMENTS (setting_keys), &settings);
@@ -130,16 +149,19 @@
 {
   CtlArguments arguments;
   g_autofree char *commands = cmd_help ();
-  const OptProgram program
-      = { .name = "acaciactl",
-          .about = commands,
-          .exit_codes = "Exit codes: 0 done; 1 refused, failed or not reachable; 2 wrong command "
-                        "line,\nsettings or document, nothing was sent.",
-          .arguments = (void *const *) &arguments,
-          .n_arguments = sizeof (arguments) / sizeof (void *),
-          .example = print_example,
-          .run = run_with_settings,
-          .ctx = &arguments };
+  const OptProgram program = {
+    .name = "acaciactl",
+    .about = commands,
+    .exit_codes
+    = "Exit codes: 0 done; 1 refused, failed or not reachable; 2 wrong command "
+      "line,\nsettings or document, nothing was sent.\nOf where: 0 it would start now; 1 it would "
+      "wait; 2 wrong command line, queue or\njob; 3 no answer; 4 it can never start.",
+    .arguments = (void *const *) &arguments,
+    .n_arguments = sizeof (arguments) / sizeof (void *),
+    .example = print_example,
+    .run = run_with_settings,
+    .ctx = &arguments
+  };
 
   make_arguments (&arguments);
   return opt_main (argc, argv, &program);
