claim: a silent owner is claimed over at the topic's end first, also in a slow store

A claim at any offset replaces it although its next append may be written before the claim.

Change: a claim at any offset follows only a claim at the topic's end that came after other appends, and only if no record of the owner was read since. That first claim takes as long as an append of the owner.

--- a/lib/ledger/claim.c
+++ b/lib/ledger/claim.c
@@ -10,9 +10,10 @@
   return strcmp (last->name, name) == 0 && last->boot != boot;
 }
 
-/* Whether a claim may be written after records that its claimant has not read. If the previous
- * owner may be alive, that costs a wait after such a record, so it is done only if a claim at an
- * offset is not expected to succeed. */
+/* Whether a claim may be written after records that its claimant has not read. An owner that is
+ * silent while the store is slow may have an append in the store's queue, and works on if that is
+ * written. So a claim at an offset comes first, and takes as long as that append; only if it came
+ * after appends of others, and the owner is still silent, does a claim at any offset follow. */
 static gboolean
 is_unconditional (const Claim *claim, const ClaimView *view)
 {
@@ -20,7 +21,7 @@
 
   if (last->term == 0 || last->epoch <= 0 || claim->refused_term == last->term)
     return FALSE;
-  return view->is_vacant || view->is_slow || claim->moved_term == last->term;
+  return view->is_vacant || claim->moved_term == last->term;
 }
 
 static gboolean
@@ -91,6 +92,7 @@
     return claim->is_set && record->term == claim->term && record->epoch == claim->epoch
                ? CLAIM_WRITTEN
                : CLAIM_OTHER;
+  claim->moved_term = 0;
   claim->former_seen_us = now_us;
   claim->is_former_gone = claim_is_vacant (record, name, boot);
   return claim->is_set && record->term >= claim->term ? CLAIM_REPLACED : CLAIM_FORMER;
--- a/lib/ledger/claim.h
+++ b/lib/ledger/claim.h
@@ -9,7 +9,7 @@
  * follows a term and refuses all others, whenever they arrive. Pure: the caller appends.
  *
  * Claims at an offset remain for the first term, for terms of owners of older builds, whose records
- * do not contain their epoch, and while no other append is expected to come before the claim.
+ * do not contain their epoch, and as the first claim over an owner that went silent.
  */
 #pragma once
 
@@ -27,7 +27,8 @@
   int64_t expected_end;    /**< offset at which the topic must end; -1 for any */
   gboolean is_unsure;      /**< the owner of the term before may act again before it is written */
   int64_t first_sent_us;   /**< when it was first sent */
-  uint64_t moved_term;     /**< the last claim to follow this term came after another append */
+  uint64_t moved_term;     /**< the last claim to follow this term came after another append, and no
+                                record of its owner was read since */
   uint64_t refused_term;   /**< the store refused the epoch of a claim that follows this term */
   int64_t former_seen_us;  /**< when the newest record of another process was read */
   gboolean is_former_gone; /**< it releases ownership, or its process has ended */
@@ -39,7 +40,6 @@
   const LedgerOwner *last;
   int64_t end;        /**< offset after the last record that was read */
   gboolean is_vacant; /**< claim_is_vacant() */
-  gboolean is_slow;   /**< other appends are expected to come before the claim */
   int64_t sequence;   /**< random */
   int64_t now_us;
 } ClaimView;
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -62,17 +62,6 @@
   return name != NULL ? name : "-";
 }
 
-/* Whether other appends are expected to come before a claim. Not if an owner record may have been
- * written that was not read: its owner works. */
-static gboolean
-is_slow (const Owner *owner)
-{
-  int64_t fresh_us = feed_fresh_us (owner->entry->ledger_feed);
-
-  return store_pace_is_slow (&owner->entry->pace, clk_now_us ())
-         && fresh_us - owner->owner_seen_us >= NODE_OWNER_QUIET_MS * CLK_US_PER_MS;
-}
-
 static void
 prepare_claim (Owner *owner)
 {
@@ -96,7 +85,6 @@
     .end = end,
     .is_vacant
     = claim_is_vacant (last, owner->entry->settings->name, node_boot (owner->entry->node)),
-    .is_slow = is_slow (owner),
     .sequence = (int64_t) (ids_new ().low & 0x3fffffff),
     .now_us = clk_now_us (),
   };
--- a/tests/ledger/test_claim.c
+++ b/tests/ledger/test_claim.c
@@ -112,7 +112,6 @@
   Claimant it = claimant (0, 11);
 
   (void) state;
-  it.view.is_slow = TRUE;
   it.last.epoch = 0;
   assert_true (begin (&it, 0));
   assert_int_equal (it.claim.expected_end, END);
@@ -165,12 +164,29 @@
   assert_true (it.claim.is_unsure);
 }
 
+/* Guards against an owner that is replaced although its append was only queued in the store. */
+static void
+owner_that_was_heard_again_is_claimed_over_at_an_offset (void **state)
+{
+  Claimant it = claimant (FORMER_BOOT, 11);
+
+  (void) state;
+  assert_true (begin (&it, QUIET_US));
+  assert_false (claim_handle_answer (&it.claim, STORE_MOVED));
+  (void) claim_handle_record (&it.claim, &it.last, "self", 1, QUIET_US + 9);
+  it.view.end++;
+  assert_true (begin (&it, 3 * QUIET_US));
+  assert_int_equal (it.claim.expected_end, END + 1);
+}
+
 static Claimant
 unsure_claimant (void)
 {
   Claimant it = claimant (FORMER_BOOT, 11);
 
-  it.view.is_slow = TRUE;
+  assert_true (begin (&it, 0));
+  assert_false (claim_handle_answer (&it.claim, STORE_MOVED));
+  it.view.end++;
   assert_true (begin (&it, QUIET_US));
   assert_true (it.claim.is_unsure);
   return it;
@@ -246,6 +262,7 @@
     cmocka_unit_test (first_term_and_terms_of_older_builds_are_claimed_at_an_offset),
     cmocka_unit_test (epoch_stays_below_those_of_older_builds),
     cmocka_unit_test (silent_owner_is_claimed_over_at_an_offset_first),
+    cmocka_unit_test (owner_that_was_heard_again_is_claimed_over_at_an_offset),
     cmocka_unit_test (record_before_the_claim_forces_a_wait),
     cmocka_unit_test (records_that_may_have_been_missed_force_a_wait),
     cmocka_unit_test (only_the_own_claim_begins_the_term),
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -559,15 +559,6 @@
   add_owner_record (entry, entry->claim_records, entry->boot);
 }
 
-static gboolean
-is_slow (EmuEntry *entry)
-{
-  if (entry->emu->options.has_busy_topic)
-    return TRUE;
-  return store_pace_is_slow (&entry->pace, entry->emu->now_us)
-         && entry->fresh_us - entry->owner_seen_us >= NODE_OWNER_QUIET_MS * CLK_US_PER_MS;
-}
-
 static void
 claim (EmuEntry *entry)
 {
@@ -579,10 +570,12 @@
   const ClaimView view = { .last = &last,
                            .end = entry->next,
                            .is_vacant = claim_is_vacant (&last, entry->process.name, entry->boot),
-                           .is_slow = is_slow (entry),
                            .sequence = (int64_t) (emu_random (entry->emu) & 0x3fffffff),
                            .now_us = now };
 
+  /* As after a claim at the topic's end. */
+  if (entry->emu->options.has_busy_topic)
+    entry->claim.moved_term = last.term;
   if (claim_begin (&entry->claim, &view))
     prepare_claim (entry);
   entry->phase = EMU_OWNER_CLAIMING;
