check-mutants: a mutated object is not kept for the next mutant

Each mutant extracts the tree with its old times. The object of the mutant before, in another file, was newer than its restored source and was linked again, so that a mutant could be killed by the one before it. Restored files keep their newer time now. Seen with where-images and where-authority: the first one survived once it was alone.

--- a/scripts/check-mutants.sh
+++ b/scripts/check-mutants.sh
@@ -36,7 +36,8 @@
 run_mutant() {
   local name=$1 file=$2 expression=$3 test=$4 status=0
   mkdir -p "$scratch"
-  git ls-files -z | tar --null -T - -cf - 2>/dev/null | tar -xf - -C "$scratch"
+  # The last mutant's file, which was restored, stays newer than its object: otherwise that would not be built again.
+  git ls-files -z | tar --null -T - -cf - 2>/dev/null | tar -xf - --keep-newer-files -C "$scratch" 2>/dev/null
   cp "$scratch/$file" "$scratch/original"
   sed -i -E "$expression" "$scratch/$file"
   if cmp -s "$scratch/original" "$scratch/$file"; then
