ledger, outbox: limits on tasks of accepted jobs and on forwarded records

Submissions carry their number of tasks. An entry reserves them before it writes the record, and counts them until the job is removed; beyond jobs.tasks_max (1,600 for each MiB of memory by default, 256,000 at 160 MB) a submission gets 503, reason tasks_full. Reservations cover records that were not read yet; several entries together can exceed the limit by what they accept meanwhile.

A record that another entry forwarded is refused once the records that wait exceed jobs.outbox_bytes; it was added without a limit before. The entry that forwarded it appends it itself.

--- a/lib/batch/job.c
+++ b/lib/batch/job.c
@@ -49,6 +49,16 @@
   return MAX (spec->n_repeats, 1);
 }
 
+uint32_t
+job_spec_tasks (const JobSpec *spec)
+{
+  uint32_t n_tasks = 0;
+
+  for (guint i = 0; i < spec->steps->len; i++)
+    n_tasks += ((const JobStep *) g_ptr_array_index (spec->steps, i))->n_tasks;
+  return n_tasks;
+}
+
 gboolean
 job_id_is_valid (const char *id)
 {
--- a/lib/batch/job.h
+++ b/lib/batch/job.h
@@ -74,6 +74,9 @@
 /** Number of occurrences, at least 1. */
 uint32_t job_spec_occurrences (const JobSpec *spec);
 
+/** Number of tasks of one occurrence. */
+uint32_t job_spec_tasks (const JobSpec *spec);
+
 /** Whether @p id is a job id: 16 hexadecimal digits. */
 gboolean job_id_is_valid (const char *id);
 
--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -1537,7 +1537,7 @@
   assert(message->base.descriptor == &batch__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor batch__submission__field_descriptors[3] =
+static const ProtobufCFieldDescriptor batch__submission__field_descriptors[4] =
 {
   {
     "queue",
@@ -1575,16 +1575,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tasks",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Submission, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__submission__field_indices_by_name[] = {
   1,   /* field[1] = accepted_wall_ms */
   2,   /* field[2] = body */
   0,   /* field[0] = queue */
+  3,   /* field[3] = tasks */
 };
-static const ProtobufCIntRange batch__submission__number_ranges[1 + 1] =
+static const ProtobufCIntRange batch__submission__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 5, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor batch__submission__descriptor =
 {
@@ -1594,10 +1608,10 @@
   "Batch__Submission",
   "batch",
   sizeof(Batch__Submission),
-  3,
+  4,
   batch__submission__field_descriptors,
   batch__submission__field_indices_by_name,
-  1,  batch__submission__number_ranges,
+  2,  batch__submission__number_ranges,
   (ProtobufCMessageInit) batch__submission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -2,17 +2,28 @@
 
 #include <string.h>
 
+#include "common/clk.h"
+
 /** Longest id or name in a key. */
 #define NAME_MAX_CHARS 200
 
+/** Tasks of a job whose record was not read yet. */
+typedef struct
+{
+  uint32_t n_tasks;
+  int64_t since_us;
+} Reservation;
+
 struct Ledger
 {
   LedgerEvents events;
-  GHashTable *jobs;    /**< id -> LedgerJob */
-  GHashTable *agents;  /**< name -> LedgerAgent */
-  GHashTable *crashes; /**< job id -> CrashRecord */
-  uint64_t body_bytes; /**< of the submissions in jobs */
-  GHashTable *held;    /**< set of LedgerJob that were cancelled and not submitted */
+  GHashTable *jobs;     /**< id -> LedgerJob */
+  GHashTable *agents;   /**< name -> LedgerAgent */
+  GHashTable *crashes;  /**< job id -> CrashRecord */
+  uint64_t body_bytes;  /**< of the submissions in jobs */
+  uint64_t tasks;       /**< of the submissions in jobs, and reserved ones */
+  GHashTable *reserved; /**< job id -> Reservation, both owned */
+  GHashTable *held;     /**< set of LedgerJob that were cancelled and not submitted */
   LedgerOwner owner;
   Batch__Learned *learned;
   int64_t learned_offset;
@@ -68,6 +79,7 @@
   ledger->agents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, agent_free);
   ledger->crashes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, crash_record_free);
   ledger->held = g_hash_table_new (NULL, NULL);
+  ledger->reserved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ledger->owner.pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return ledger;
 }
@@ -78,6 +90,7 @@
   if (ledger == NULL)
     return;
   g_hash_table_destroy (ledger->held);
+  g_hash_table_destroy (ledger->reserved);
   g_hash_table_destroy (ledger->jobs);
   g_hash_table_destroy (ledger->agents);
   g_hash_table_destroy (ledger->crashes);
@@ -116,7 +129,10 @@
     return TRUE;
   (void) g_hash_table_remove (ledger->held, job);
   if (job->submission != NULL)
-    ledger->body_bytes -= job->submission->body.len;
+    {
+      ledger->body_bytes -= job->submission->body.len;
+      ledger->tasks -= job->submission->tasks;
+    }
   (void) g_hash_table_remove (ledger->jobs, id);
   if (ledger->events.on_job_gone != NULL)
     ledger->events.on_job_gone (ledger->events.ctx, id);
@@ -143,6 +159,8 @@
   (void) g_hash_table_remove (ledger->held, job);
   job->submission = submission;
   ledger->body_bytes += submission->body.len;
+  ledger->tasks += submission->tasks;
+  ledger_release_tasks (ledger, id);
   job->offset = offset;
   if (ledger->events.on_job != NULL)
     ledger->events.on_job (ledger->events.ctx, job);
@@ -533,3 +551,54 @@
 {
   return ledger->body_bytes;
 }
+
+uint64_t
+ledger_tasks (const Ledger *ledger)
+{
+  return ledger->tasks;
+}
+
+void
+ledger_release_tasks (Ledger *ledger, const char *id)
+{
+  const Reservation *reservation = g_hash_table_lookup (ledger->reserved, id);
+
+  if (reservation == NULL)
+    return;
+  ledger->tasks -= reservation->n_tasks;
+  (void) g_hash_table_remove (ledger->reserved, id);
+}
+
+static void
+release_old (Ledger *ledger, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, ledger->reserved);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Reservation *reservation = value;
+      if (now_us - reservation->since_us < LEDGER_RESERVED_MS * CLK_US_PER_MS)
+        continue;
+      ledger->tasks -= reservation->n_tasks;
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+gboolean
+ledger_reserve_tasks (
+    Ledger *ledger, const char *id, uint32_t n_tasks, uint64_t max, int64_t now_us)
+{
+  if (g_hash_table_contains (ledger->reserved, id))
+    return TRUE;
+  if (ledger->tasks + n_tasks > max)
+    release_old (ledger, now_us);
+  if (ledger->tasks + n_tasks > max)
+    return FALSE;
+  Reservation *reservation = g_new0 (Reservation, 1);
+  *reservation = (Reservation){ n_tasks, now_us };
+  (void) g_hash_table_insert (ledger->reserved, g_strdup (id), reservation);
+  ledger->tasks += n_tasks;
+  return TRUE;
+}
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -26,6 +26,8 @@
 #define LEDGER_SILENT_KEY "silent"
 /** Most cancels of unknown jobs that are held; further ones are refused. */
 #define LEDGER_HELD_CANCELS_MAX 10000
+/** Longer than the outbox retries a record. */
+#define LEDGER_RESERVED_MS 90000
 /** Highest term of an owner record; the run numbers of that term are still exact in JSON. */
 #define LEDGER_TERM_MAX (UINT64_C (1) << 40)
 
@@ -114,6 +116,14 @@
 void ledger_orphaned_crashes (const Ledger *ledger, GPtrArray *ids, guint n_most);
 /** Bytes of the bodies of all jobs that were submitted. */
 uint64_t ledger_body_bytes (const Ledger *ledger);
+/** Tasks of one occurrence of all jobs that were submitted, and of those that are reserved. */
+uint64_t ledger_tasks (const Ledger *ledger);
+/** Reserves tasks for a job that is to be submitted, until its record is read, or they are
+ * released, or for #LEDGER_RESERVED_MS. FALSE without a change if the sum would exceed @p max;
+ * never for a job whose tasks are reserved already. */
+gboolean ledger_reserve_tasks (
+    Ledger *ledger, const char *id, uint32_t n_tasks, uint64_t max, int64_t now_us);
+void ledger_release_tasks (Ledger *ledger, const char *id);
 /** Number of cancels of jobs that were not submitted. */
 uint32_t ledger_held_cancels (const Ledger *ledger);
 /** Appends to @p ids, up to a length of @p n_most, jobs whose cancel has been held for @p keep_ms;
--- a/lib/ledger/outbox.c
+++ b/lib/ledger/outbox.c
@@ -64,6 +64,7 @@
   int64_t retry_ms;          /**< length of the last pause; 0: the last append succeeded */
   Flight *flight;            /**< the append whose answer is waited for; NULL for none */
   uint64_t n_handed;         /**< records that were handed over */
+  uint64_t n_turned_away;    /**< forwarded records that were refused for lack of room */
   gboolean is_handing_over;  /**< the newest record was handed over */
   guint retry_timer;
   guint check_timer;
@@ -130,6 +131,21 @@
   return outbox->n_handed;
 }
 
+uint64_t
+outbox_turned_away (const Outbox *outbox)
+{
+  return outbox->n_turned_away;
+}
+
+/* Its caller's entry appends such a record itself. */
+static gboolean
+is_turned_away (const Outbox *outbox, const OutboxRecord *record)
+{
+  uint64_t max = outbox->options.bytes_max;
+
+  return record->is_forwarded && max > 0 && outbox_bytes (outbox) + record->size > max;
+}
+
 static void
 forget_written (Outbox *outbox)
 {
@@ -532,6 +548,12 @@
   Item *item = find (outbox, record->key);
   const Waiter waiter = { done, ctx, record->deadline_us };
 
+  if (item == NULL && !was_written (outbox, record->key) && is_turned_away (outbox, record))
+    {
+      outbox->n_turned_away++;
+      done (ctx, OUTBOX_REFUSED, -1);
+      return;
+    }
   if (item == NULL)
     {
       item = item_new (record);
--- a/lib/ledger/outbox.h
+++ b/lib/ledger/outbox.h
@@ -46,6 +46,7 @@
   OutboxForward forward;      /**< NULL for none */
   OutboxOwnerPace owner_pace; /**< NULL for none; asked before forward() hands a record over */
   StorePace *pace;            /**< of all appends of this process; must outlive the outbox */
+  uint64_t bytes_max;         /**< a forwarded record beyond it is refused at once; 0: no limit */
   void *ctx;
 } OutboxOptions;
 
@@ -65,7 +66,8 @@
 
 /**
  * Adds a record. @p done is called once, by the record's deadline at the latest. If a record with
- * the same key waits already, the new one is not written but gets the outcome of that one.
+ * the same key waits already, the new one is not written but gets the outcome of that one. A
+ * forwarded record that exceeds OutboxOptions.bytes_max is refused before this returns.
  */
 void outbox_add (Outbox *outbox, const OutboxRecord *record, OutboxDone done, void *ctx);
 
@@ -98,6 +100,9 @@
 /** Bytes of the records whose outcome is not known yet. */
 uint64_t outbox_bytes (const Outbox *outbox);
 
+/** Number of forwarded records that were refused because of OutboxOptions.bytes_max. */
+uint64_t outbox_turned_away (const Outbox *outbox);
+
 /** Number of records whose outcome is not known yet. */
 uint32_t outbox_waiting (const Outbox *outbox);
 
--- a/lib/node/node_settings.c
+++ b/lib/node/node_settings.c
@@ -17,6 +17,8 @@
 /** Part of the memory for the bodies of accepted jobs, which each entry keeps until they are
  * dropped. */
 #define JOBS_PART 4
+/** The owner holds 240 bytes for each task, so all tasks take up to three eighths of the memory. */
+#define TASKS_PER_MB 1600
 
 #define FIELD(name) offsetof (NodeSettings, name)
 
@@ -42,6 +44,8 @@
     "Bytes of records that may wait for the store; 0: a sixteenth of the memory." },
   { "jobs.body_bytes", SET_INTEGER, FIELD (job_bytes), 0, 1000000000, "0",
     "Bytes of the bodies of accepted jobs; 0: a quarter of the memory." },
+  { "jobs.tasks_max", SET_INTEGER, FIELD (tasks_max), 0, 1000000000, "0",
+    "Tasks of accepted jobs; 0: 1600 for each MiB of the memory." },
   { "worker.listen", SET_TEXT, FIELD (worker_address), 0, 64, "",
     "IP:PORT that receives the worker's reports; empty for none." },
   { "worker.call", SET_TEXT, FIELD (worker_call_address), 0, 64, "",
@@ -125,3 +129,11 @@
 {
   return bytes_or_part (settings, settings->job_bytes, JOBS_PART);
 }
+
+uint64_t
+node_settings_tasks_max (const NodeSettings *settings)
+{
+  int64_t max = settings->tasks_max;
+
+  return (uint64_t) (max > 0 ? max : settings->memory_mb * TASKS_PER_MB);
+}
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -31,6 +31,7 @@
   int64_t read_timeout_s; /**< longest time to read a request */
   int64_t outbox_bytes;   /**< records that wait for the store; 0: a sixteenth of the memory */
   int64_t job_bytes;      /**< bodies of accepted jobs; 0: a quarter of the memory */
+  int64_t tasks_max;      /**< tasks of accepted jobs; 0: see node_settings_tasks_max() */
   char *cpu_share;        /**< share of a core, a fraction */
   int64_t lease_max_ms;   /**< longest lease that a worker accepts */
   int64_t gang_timeout_ms;
@@ -68,5 +69,7 @@
 uint64_t node_settings_outbox_bytes (const NodeSettings *settings);
 /** Bytes of the bodies of accepted jobs above which new jobs are refused. */
 uint64_t node_settings_job_bytes (const NodeSettings *settings);
+/** Tasks of accepted jobs above which new jobs are refused. */
+uint64_t node_settings_tasks_max (const NodeSettings *settings);
 
 G_END_DECLS
--- a/programs/scheduler/entry.c
+++ b/programs/scheduler/entry.c
@@ -243,6 +243,7 @@
                                  .forward = relay_forward_record,
                                  .owner_pace = relay_owner_append_ms,
                                  .pace = &entry->pace,
+                                 .bytes_max = node_settings_outbox_bytes (settings),
                                  .ctx = entry->relay };
   entry->outbox = outbox_new (&outbox);
   entry->owner = owner_new (entry);
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -146,6 +146,8 @@
       reply_status (pending->request, pending->is_unknown ? 410 : 200);
       break;
     case OUTBOX_REFUSED:
+      if (!pending->is_cancel)
+        ledger_release_tasks (front->entry->ledger, pending->id);
       refuse (front, pending->request, pending->id, 503, "store_refused", RETRY_AFTER_S);
       break;
     case OUTBOX_IN_DOUBT:
@@ -160,13 +162,15 @@
 }
 
 static void
-write_submission (Front *front, NetRequest *request, const char *id, const Queue *queue)
+write_submission (
+    Front *front, NetRequest *request, const char *id, const Queue *queue, uint32_t n_tasks)
 {
   Batch__Submission message = BATCH__SUBMISSION__INIT;
   g_autofree char *key = g_strconcat (LEDGER_JOB_PREFIX, id, NULL);
 
   message.queue = queue->name;
   message.accepted_wall_ms = clk_wall_ms ();
+  message.tasks = n_tasks;
   message.body.data = (uint8_t *) net_request_body (request, &message.body.len);
   size_t size = batch__submission__get_packed_size (&message);
   g_autofree uint8_t *bytes = g_malloc (size);
@@ -243,7 +247,14 @@
       refuse (front, request, id, 400, "malformed", 0);
       return;
     }
-  write_submission (front, request, id, queue);
+  const uint32_t n_tasks = job_spec_tasks (spec);
+  if (!ledger_reserve_tasks (front->entry->ledger, id, n_tasks,
+                             node_settings_tasks_max (front->entry->settings), clk_now_us ()))
+    {
+      refuse (front, request, id, 503, "tasks_full", RETRY_AFTER_S);
+      return;
+    }
+  write_submission (front, request, id, queue, n_tasks);
 }
 
 static void
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -76,6 +76,7 @@
   MetSeries *received;
   MetSeries *questions_sent;
   MetSeries *handed_over;
+  MetSeries *turned_away;
   MetSeries *append_expected;
 };
 
@@ -557,6 +558,7 @@
 {
   Relay *relay = data;
 
+  met_set (relay->turned_away, (int64_t) outbox_turned_away (relay->entry->outbox));
   met_set (relay->handed_over, (int64_t) outbox_handed_over (relay->entry->outbox));
   met_set (relay->append_expected, store_pace_expected_ms (&relay->entry->pace, clk_now_us ()));
   for (guint i = 0; i < relay->targets->len; i++)
@@ -612,6 +614,8 @@
       = met_counter (metrics, "acacia_records_taken_total", NULL, "Records of other entries");
   relay->questions_sent = met_counter (metrics, "acacia_jobs_asked_total", NULL,
                                        "Jobs that another entry was asked about");
+  relay->turned_away = met_counter (metrics, "acacia_relay_turned_away_total", NULL,
+                                    "Records of other entries that were refused for lack of room");
   relay->handed_over = met_counter (metrics, "acacia_records_handed_over_total", NULL,
                                     "Records left to the owner since the store was slow");
   relay->append_expected
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -469,6 +469,40 @@
   ledger_free (ledger);
 }
 
+/* Guards against tables of tasks at the owner without a limit, while many records are not read yet;
+ * and against a limit that stays reached because a record was refused or never came. */
+static void
+tasks_are_counted_from_their_reservation (void **state)
+{
+  const LedgerEvents events = { 0 };
+  Ledger *ledger = ledger_new (&events);
+  Batch__Submission message = BATCH__SUBMISSION__INIT;
+  uint8_t bytes[256];
+
+  (void) state;
+  message.queue = (char *) "q";
+  message.tasks = 6;
+  size_t size = batch__submission__pack (&message, bytes);
+  assert_true (ledger_reserve_tasks (ledger, JOB, 6, 10, 0));
+  assert_true (ledger_reserve_tasks (ledger, JOB, 6, 10, 0));
+  assert_int_equal (ledger_tasks (ledger), 6);
+  assert_false (ledger_reserve_tasks (ledger, "0000000000000002", 5, 10, 1));
+  assert_true (ledger_reserve_tasks (ledger, "0000000000000002", 4, 10, 1));
+  assert_true (apply (ledger, 1, "job." JOB, bytes, size));
+  assert_true (apply (ledger, 2, "job." JOB, bytes, size));
+  assert_int_equal (ledger_tasks (ledger), 10);
+  ledger_release_tasks (ledger, "0000000000000002");
+  ledger_release_tasks (ledger, JOB);
+  assert_int_equal (ledger_tasks (ledger), 6);
+  assert_true (ledger_reserve_tasks (ledger, "0000000000000003", 4, 10, 2));
+  assert_false (ledger_reserve_tasks (ledger, "0000000000000004", 4, 10, 3));
+  assert_true (
+      ledger_reserve_tasks (ledger, "0000000000000004", 4, 10, LEDGER_RESERVED_MS * 1000 + 2));
+  assert_true (apply (ledger, 3, "job." JOB, NULL, 0));
+  assert_int_equal (ledger_tasks (ledger), 4);
+  ledger_free (ledger);
+}
+
 /* The limit on bodies of accepted jobs must not count a job twice, or after it is gone. */
 static void
 bodies_are_counted_until_their_job_is_gone (void **state)
@@ -505,6 +539,7 @@
     cmocka_unit_test (older_progress_changes_nothing),
     cmocka_unit_test (level_counts_from_the_first_owner_of_an_unbroken_sequence),
     cmocka_unit_test (owner_record_without_a_level_ends_the_sequence),
+    cmocka_unit_test (tasks_are_counted_from_their_reservation),
     cmocka_unit_test (bodies_are_counted_until_their_job_is_gone),
     cmocka_unit_test (removed_job_is_unknown),
     cmocka_unit_test (malformed_records_change_nothing),
