sched_crashes: crashes that workers have by themselves blame no task

Cause: a task was given up after two crashes with runs of the same age, or four of any age, however often workers crash without it. Runs that are seconds old agree in age by chance (width 50 ms and an eighth), a worker that crashes again and again counted against the only task that ran, and runs that the task had outlived counted as well.

Change: the owner remembers crashes of all workers and gives a task up by age only if its crashes are no coincidence at that rate, by number only while workers are calm, or after one more crash that they don't explain. A task in doubt is tried alone on a calm worker, and is placed on workers that did not crash under it. It waits at most 10 s for a trial; before, until the tasks of a worker had ended. Workers lost together are counted once each. The upper half of an incarnation is no longer mixed into the identifier of a crash, so that it identifies the worker.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -235,6 +235,7 @@
   sched->pass_ms = MIN ((now_us - sched->tick_us) / CLK_US_PER_MS, PASS_MAX_MS);
   sched->tick_us = now_us;
   sched->now_us = now_us;
+  sched->first_us = sched->first_us != 0 ? sched->first_us : now_us;
   sched->wall_ms = wall_ms;
   expire_workers (sched);
   sched_reconcile (sched);
--- a/lib/batch/sched_crashes.c
+++ b/lib/batch/sched_crashes.c
@@ -5,6 +5,10 @@
  * blame crashes the next worker too, so one that was alone at its second crash, or the only suspect
  * there, is given up: its job fails. A task is cleared of a crash once a run of it goes on for
  * longer than the one that was lost.
+ *
+ * Workers also crash by themselves. A task is given up only if its crashes are unlikely to be a
+ * coincidence, given how often workers crash without it and for how long its runs were exposed;
+ * else it is tried alone on a worker that has not crashed lately.
  */
 #include "batch/message.h"
 #include "batch/sched_tables.h"
@@ -14,11 +18,13 @@
  * run for long and workers also crash by themselves, so they may be in more. */
 #define ONLY_SUSPECT_CRASHES 2
 #define SERVING_CRASHES_MAX 3
-/** Crashes after which a task is tried alone, and after which it is given up, whether it was
- * cleared of them or not. Of a serving task only those soon after its start count towards the
- * second bound. */
+/** Crashes after which a task is tried alone, and after which it is given up while workers do not
+ * crash without it, whether it was cleared of them or not. Of a serving task only those soon after
+ * its start count towards the second bound. */
 #define TRIAL_CRASHES 3
 #define CRASHES_MAX 4
+/** They must have been of at least so many workers, or one more crash is needed. */
+#define CRASHED_WORKERS_MIN 3
 /** Longest time for which nothing is started beside a task that is tried alone. */
 #define TRIAL_MS 10000
 /** Members of a gang can't be tried alone. */
@@ -43,8 +49,26 @@
 #define SHARED_MS 1000
 #define SHARED_DIVISOR 2
 #define SHARED_MIN 3
-/** Time for which crashes of workers are remembered for that. */
-#define LOST_WORKERS_MS 10000
+/** Time for which crashes of workers are remembered, and most of them. */
+#define LOST_WORKERS_MS 600000
+#define LOST_WORKERS_MAX 512
+/** A worker, or all workers, are calm if they did not crash for so long without the task. */
+#define CALM_MS 60000
+/** Crashes per worker and second are at least one in this time: fewer can't be told apart from
+ * none in the time for which an owner remembers them. */
+#define RATE_FLOOR_S 180.0
+/** The rate is taken over at least this time, so that one crash soon after the start of an owner
+ * does not count as many. */
+#define RATE_SPAN_MIN_MS 30000
+/** A run is exposed for at least this time: ages are known to about one poll of the worker. */
+#define EXPOSED_MIN_MS 100
+/** Crashes are a coincidence unless their likelihood is below this. At the least rate it takes two
+ * crashes at 0.35 s, and three at 5 s; 4e-6 is that of two at 0.6 s, which sound tasks had in the
+ * emulator (seed 1233). */
+#define COINCIDENCE_MAX 2e-6
+/** After one crash more, with runs of any age, a task is given up unless workers that crash by
+ * themselves explain more than this share of the crashes. */
+#define EXPECTED_DIVISOR 4
 /** Most crashed runs of a task that are kept, and of a job that are written. */
 #define RUNS_MAX 8
 #define RECORD_RUNS_MAX 2048
@@ -102,6 +126,42 @@
   return count;
 }
 
+/* Whether the task is likely to have caused the crash, if nothing else there was suspected. Serving
+ * tasks run for long, so that they are in crashes that workers have by themselves. */
+static gboolean
+is_likely (const SchedTask *task, const SchedCrashedRun *row, gboolean needs_alone)
+{
+  if (row->is_cleared || row->is_shared)
+    return FALSE;
+  if (row->is_alone)
+    return !task->stage->step->is_continuous || row->age_ms <= SUSPECT_AGE_MAX_MS;
+  return !needs_alone && row->age_ms <= YOUNG_MS;
+}
+
+/* A task that crashes its workers does so at the same point of each run; crashes that workers have
+ * by themselves come at any time. */
+static gboolean
+is_as_old (const SchedCrashedRun *row, const SchedCrashedRun *newest)
+{
+  return ABS (row->age_ms - newest->age_ms)
+         <= SAME_AGE_MS + MAX (row->age_ms, newest->age_ms) / SAME_AGE_DIVISOR;
+}
+
+static uint32_t
+likely_crashes (const SchedTask *task, gboolean needs_alone)
+{
+  const SchedCrashedRun *newest
+      = &g_array_index (task->crashes, SchedCrashedRun, task->crashes->len - 1);
+  uint32_t count = 0;
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    {
+      const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
+      count += is_likely (task, row, needs_alone) && is_as_old (row, newest);
+    }
+  return count;
+}
+
 gboolean
 sched_is_suspect (const SchedTask *task)
 {
@@ -123,7 +183,8 @@
   const JobStep *step = task->stage->step;
 
   return task->crashes != NULL && !step->is_gang && !step->is_continuous
-         && task->crashes->len >= TRIAL_CRASHES;
+         && (task->crashes->len >= TRIAL_CRASHES
+             || likely_crashes (task, FALSE) >= ONLY_SUSPECT_CRASHES);
 }
 
 static void
@@ -179,6 +240,43 @@
   g_array_append_val (task->crashes, *row);
 }
 
+static gboolean
+was_in_crash (const SchedTask *task, uint64_t crash)
+{
+  for (guint i = 0; i < task->crashes->len; i++)
+    {
+      if (g_array_index (task->crashes, SchedCrashedRun, i).crash == crash)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* The crashes that the task caused say nothing about the workers. */
+static void
+forget_crashes_of (Sched *sched, const SchedTask *task)
+{
+  for (guint i = sched->lost_workers->len; i-- > 0;)
+    {
+      if (was_in_crash (task, g_array_index (sched->lost_workers, SchedLostWorker, i).crash))
+        g_array_remove_index (sched->lost_workers, i);
+    }
+}
+
+static void
+make_calm (Sched *sched, const SchedTask *task)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, sched->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SchedWorker *worker = value;
+      if (worker->lost_us != 0 && was_in_crash (task, worker->lost_crash))
+        worker->lost_us = 0;
+    }
+}
+
 static void
 give_up (Sched *sched, SchedTask *task, const char *reason)
 {
@@ -186,68 +284,207 @@
               "task=%u.%u.%u crashes=%u suspicions=%u reason=%s", task->stage->occurrence,
               task->stage->step_index, task->index, task->crashes != NULL ? task->crashes->len : 0,
               suspicions (task), reason);
+  forget_crashes_of (sched, task);
+  make_calm (sched, task);
   sched_end_job (sched, task->stage->job, SCHED_FAILED);
 }
 
-/* Whether the task is likely to have caused the crash, if nothing else there was suspected. Serving
- * tasks run for long, so that they are in crashes that workers have by themselves. */
-static gboolean
-is_likely (const SchedTask *task, const SchedCrashedRun *row, gboolean needs_alone)
+static const SchedCrashedRun *
+newest_run (const SchedTask *task)
 {
-  if (row->is_cleared || row->is_shared)
-    return FALSE;
-  if (row->is_alone)
-    return !task->stage->step->is_continuous || row->age_ms <= SUSPECT_AGE_MAX_MS;
-  return !needs_alone && row->age_ms <= YOUNG_MS;
+  return &g_array_index (task->crashes, SchedCrashedRun, task->crashes->len - 1);
 }
 
-/* A task that crashes its workers does so at the same point of each run; crashes that workers have
- * by themselves come at any time. */
-static gboolean
-is_as_old (const SchedCrashedRun *row, const SchedCrashedRun *newest)
+/* Identifies the worker of a crash, see crash_id(). Rows of builds that mixed the upper half of the
+ * incarnation into it appear as of other workers. */
+static uint32_t
+crash_worker (uint64_t crash)
 {
-  return ABS (row->age_ms - newest->age_ms)
-         <= SAME_AGE_MS + MAX (row->age_ms, newest->age_ms) / SAME_AGE_DIVISOR;
+  return (uint32_t) (crash >> 32);
 }
 
+/* Crashes of the worker under the task. One that crashes again and again may itself be the cause.
+ */
 static uint32_t
-likely_crashes (const SchedTask *task, gboolean needs_alone)
+crashes_at (const SchedTask *task, uint32_t worker)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    count += crash_worker (g_array_index (task->crashes, SchedCrashedRun, i).crash) == worker;
+  return count;
+}
+
+/* Number of workers that crashed under the task. */
+static uint32_t
+crashed_workers (const SchedTask *task)
 {
-  const SchedCrashedRun *newest
-      = &g_array_index (task->crashes, SchedCrashedRun, task->crashes->len - 1);
   uint32_t count = 0;
 
   for (guint i = 0; i < task->crashes->len; i++)
     {
-      const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
-      count += is_likely (task, row, needs_alone) && is_as_old (row, newest);
+      uint32_t worker = crash_worker (g_array_index (task->crashes, SchedCrashedRun, i).crash);
+      guint first = 0;
+      while (crash_worker (g_array_index (task->crashes, SchedCrashedRun, first).crash) != worker)
+        first++;
+      count += first == i;
     }
   return count;
 }
 
+/** Crashes of workers in which a task was not. */
+typedef struct
+{
+  uint32_t n_all;
+  uint32_t n_at_worker;
+} OtherCrashes;
+
+static OtherCrashes
+count_others (const Sched *sched, const SchedTask *task, uint32_t worker, int64_t within_ms)
+{
+  OtherCrashes count = { 0 };
+
+  for (guint i = 0; i < sched->lost_workers->len; i++)
+    {
+      const SchedLostWorker *row = &g_array_index (sched->lost_workers, SchedLostWorker, i);
+      if (sched->now_us - row->crash_us > within_ms * CLK_US_PER_MS
+          || was_in_crash (task, row->crash))
+        continue;
+      count.n_all++;
+      count.n_at_worker += crash_worker (row->crash) == worker;
+    }
+  return count;
+}
+
+/* Crashes per second to be expected at the worker without the task; @p n_under crashes there count
+ * although the task was in them. */
+static double
+crash_rate (const Sched *sched, const SchedTask *task, uint32_t worker, uint32_t n_under)
+{
+  OtherCrashes others = count_others (sched, task, worker, LOST_WORKERS_MS);
+  int64_t seen_ms = (sched->now_us - sched->first_us) / CLK_US_PER_MS;
+  double span_s = (double) CLAMP (seen_ms, RATE_SPAN_MIN_MS, LOST_WORKERS_MS) / 1000.0;
+  double of_all = others.n_all / (span_s * MAX (g_hash_table_size (sched->workers), 1));
+  double of_worker = (others.n_at_worker + n_under) / span_s;
+
+  return MAX (MAX (of_all, of_worker), 1.0 / RATE_FLOOR_S);
+}
+
+/* For how long the run was exposed to crashes that count as much against its task: a crash at
+ * the same age as the newest one could only be within the difference that is_as_old() allows. */
 static int64_t
-newest_age_ms (const SchedTask *task)
+exposed_ms (const SchedCrashedRun *row, const SchedCrashedRun *newest)
+{
+  int64_t same_ms = 2 * (SAME_AGE_MS + MAX (row->age_ms, newest->age_ms) / SAME_AGE_DIVISOR);
+  gboolean is_narrow = row != newest && is_as_old (row, newest);
+
+  return MAX (is_narrow ? MIN (row->age_ms, same_ms) : row->age_ms, EXPOSED_MIN_MS);
+}
+
+/* Whether workers that crash by themselves are unlikely to have crashed under the runs that
+ * likely_crashes() counts. */
+static gboolean
+is_no_coincidence (const Sched *sched, const SchedTask *task, gboolean needs_alone)
+{
+  const SchedCrashedRun *newest = newest_run (task);
+  double likelihood = 1;
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    {
+      const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
+      if (!is_likely (task, row, needs_alone) || !is_as_old (row, newest))
+        continue;
+      uint32_t worker = crash_worker (row->crash);
+      double rate = crash_rate (sched, task, worker, crashes_at (task, worker) - 1);
+      likelihood *= MIN (rate * (double) exposed_ms (row, newest) / 1000.0, 1);
+    }
+  return likelihood <= COINCIDENCE_MAX;
+}
+
+/* Whether the task was in many more crashes than other tasks that ran for as long were. */
+static gboolean
+exceeds_expected (const Sched *sched, const SchedTask *task, uint32_t n_crashes)
 {
-  return g_array_index (task->crashes, SchedCrashedRun, task->crashes->len - 1).age_ms;
+  double n_expected = 0;
+
+  for (guint i = 0; i < task->crashes->len; i++)
+    {
+      const SchedCrashedRun *row = &g_array_index (task->crashes, SchedCrashedRun, i);
+      n_expected += crash_rate (sched, task, crash_worker (row->crash), 0)
+                    * (double) MAX (row->age_ms, EXPOSED_MIN_MS) / 1000.0;
+    }
+  return n_expected * EXPECTED_DIVISOR <= n_crashes;
+}
+
+/* Whether no worker has crashed lately without the task. */
+static gboolean
+are_calm (const Sched *sched, const SchedTask *task)
+{
+  return count_others (sched, task, 0, CALM_MS).n_all == 0;
+}
+
+gboolean
+sched_has_crashed_under (const SchedWorker *worker, const SchedTask *task)
+{
+  return task->crashes != NULL && crashes_at (task, g_str_hash (worker->name)) > 0;
+}
+
+gboolean
+sched_is_calm_worker (const Sched *sched, const SchedWorker *worker, const SchedTask *task)
+{
+  return !sched_has_crashed_under (worker, task)
+         && (worker->lost_us == 0 || sched->now_us - worker->lost_us > CALM_MS * CLK_US_PER_MS);
+}
+
+/* Whether the newest crash was a trial: the task was alone on a worker that had not crashed
+ * before, under it or lately without it. A run that is older was exposed for too long to tell. */
+static gboolean
+is_proof (const Sched *sched, const SchedTask *task)
+{
+  const SchedCrashedRun *newest = newest_run (task);
+  uint32_t worker = crash_worker (newest->crash);
+
+  return newest->is_alone && !newest->is_shared && newest->age_ms <= TRIAL_MS
+         && crashes_at (task, worker) == 1
+         && count_others (sched, task, worker, CALM_MS).n_at_worker == 0;
+}
+
+/* Whether crashes with runs of any age show that the task is to blame. */
+static gboolean
+has_most_crashes (const Sched *sched, const SchedTask *task)
+{
+  const JobStep *step = task->stage->step;
+  uint32_t n_max = step->is_gang ? GANG_CRASHES_MAX : CRASHES_MAX;
+  uint32_t n_crashes
+      = step->is_continuous ? suspicions_of_age (task, YOUNG_MS) : task->crashes->len;
+
+  if (n_crashes < n_max)
+    return FALSE;
+  if (n_crashes > n_max)
+    return exceeds_expected (sched, task, n_crashes);
+  return are_calm (sched, task) && crashed_workers (task) >= CRASHED_WORKERS_MIN;
 }
 
 /* Why the task is given up after its newest crash; NULL if it is not. @p n_suspected tasks there
  * had been suspects before. */
 static const char *
-verdict (const CrashRow *crash, uint32_t n_suspected)
+verdict (const Sched *sched, const CrashRow *crash, uint32_t n_suspected)
 {
   const SchedTask *task = crash->task;
-  const JobStep *step = task->stage->step;
+  uint32_t n_most = task->stage->step->is_continuous ? SERVING_CRASHES_MAX : ONLY_SUSPECT_CRASHES;
+  uint32_t n_alone = likely_crashes (task, TRUE);
 
-  uint32_t n_crashes
-      = step->is_continuous ? suspicions_of_age (task, YOUNG_MS) : task->crashes->len;
-  if (n_crashes >= (step->is_gang ? GANG_CRASHES_MAX : CRASHES_MAX))
+  if (has_most_crashes (sched, task))
     return "most_crashes";
-  uint32_t n_most = step->is_continuous ? SERVING_CRASHES_MAX : ONLY_SUSPECT_CRASHES;
-  if (likely_crashes (task, TRUE) >= n_most)
+  if (n_alone > n_most && (is_proof (sched, task) || are_calm (sched, task)))
+    return "trial";
+  if (n_alone >= n_most && is_no_coincidence (sched, task, TRUE))
     return "alone";
-  return crash->is_suspected && n_suspected == 1 && newest_age_ms (task) <= AT_START_MS
-                 && likely_crashes (task, FALSE) >= n_most
+  /* Beside others, the crash may have been caused by one of them or by the worker. */
+  uint32_t n_likely = likely_crashes (task, FALSE);
+  return crash->is_suspected && n_suspected == 1 && newest_run (task)->age_ms <= AT_START_MS
+                 && n_likely >= n_most && (n_likely > n_most || are_calm (sched, task))
+                 && is_no_coincidence (sched, task, FALSE)
              ? "only_suspect"
              : NULL;
 }
@@ -285,12 +522,35 @@
   for (guint i = 0; i < rows->len; i++)
     {
       const CrashRow *crash = &g_array_index (rows, CrashRow, i);
-      const char *reason = verdict (crash, n_suspected);
+      const char *reason = verdict (sched, crash, n_suspected);
       if (reason != NULL && sched_job_is_open (crash->task->stage->job))
         give_up (sched, crash->task, reason);
     }
 }
 
+static void
+remember (Sched *sched, const SchedLostWorker *lost)
+{
+  if (sched->lost_workers->len >= LOST_WORKERS_MAX)
+    g_array_remove_index (sched->lost_workers, 0);
+  g_array_append_val (sched->lost_workers, *lost);
+}
+
+/* Whether the worker has not crashed again since, so that it is counted once. */
+static gboolean
+is_newest_of_worker (const Sched *sched, guint index)
+{
+  uint64_t crash = g_array_index (sched->lost_workers, SchedLostWorker, index).crash;
+
+  for (guint i = index + 1; i < sched->lost_workers->len; i++)
+    {
+      if (crash_worker (g_array_index (sched->lost_workers, SchedLostWorker, i).crash)
+          == crash_worker (crash))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Remembers the crash, and returns whether many workers were lost at that time. */
 static gboolean
 is_shared (Sched *sched, uint64_t id, int64_t crash_us)
@@ -303,41 +563,62 @@
       if (sched->now_us - row->crash_us > LOST_WORKERS_MS * CLK_US_PER_MS || row->crash == id)
         g_array_remove_index (sched->lost_workers, i);
       else
-        n_near += ABS (row->crash_us - crash_us) <= SHARED_MS * CLK_US_PER_MS;
+        n_near += !row->is_restored && ABS (row->crash_us - crash_us) <= SHARED_MS * CLK_US_PER_MS
+                  && is_newest_of_worker (sched, i)
+                  && crash_worker (row->crash) != crash_worker (id);
     }
-  const SchedLostWorker lost = { id, crash_us };
-  g_array_append_val (sched->lost_workers, lost);
+  const SchedLostWorker lost = { id, crash_us, FALSE };
+  remember (sched, &lost);
   return n_near >= SHARED_MIN && n_near * SHARED_DIVISOR >= g_hash_table_size (sched->workers);
 }
 
 static uint64_t
 crash_id (const SchedWorker *worker, uint64_t incarnation)
 {
-  return ((uint64_t) g_str_hash (worker->name) << 32) ^ incarnation;
+  return ((uint64_t) g_str_hash (worker->name) << 32) | (uint32_t) incarnation;
 }
 
 static void
-apply_crash (Sched *sched, const SchedWorker *worker, GArray *rows, const Batch__Crash *crash)
+apply_crash (Sched *sched,
+             const SchedWorker *worker,
+             GArray *rows,
+             const Batch__Crash *crash,
+             gboolean shared)
 {
   SchedTask *task = sched_find_task (sched, crash->task);
   uint64_t id = crash_id (worker, crash->life);
-  const SchedCrashedRun row
-      = { .run = crash->run,
-          .crash = id,
-          .age_ms = MAX (crash->age_ms, 0),
-          .is_alone = crash->n_others == 0,
-          .is_shared = is_shared (sched, id, sched->now_us - crash->ago_ms * CLK_US_PER_MS) };
+  const SchedCrashedRun row = { .run = crash->run,
+                                .crash = id,
+                                .age_ms = MAX (crash->age_ms, 0),
+                                .is_alone = crash->n_others == 0,
+                                .is_shared = shared };
 
   if (task != NULL)
     add_row (sched, rows, task, &row);
 }
 
+/* Remembers a crash of the worker; returns whether many workers were lost at that time. */
+static gboolean
+note_lost (Sched *sched, SchedWorker *worker, uint64_t incarnation, int64_t crash_us)
+{
+  worker->lost_crash = crash_id (worker, incarnation);
+  worker->lost_us = crash_us;
+  return is_shared (sched, worker->lost_crash, crash_us);
+}
+
+void
+sched_note_lost_worker (Sched *sched, SchedWorker *worker)
+{
+  (void) note_lost (sched, worker, worker->incarnation, worker->report_us);
+}
+
 void
 sched_apply_crashes (Sched *sched, SchedWorker *worker, const Batch__Report *report)
 {
   g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (CrashRow));
   uint64_t applied = worker->crashes_applied;
   uint64_t incarnation = 0;
+  gboolean shared = FALSE;
 
   for (size_t i = 0; i < report->n_crashes; i++)
     {
@@ -349,8 +630,10 @@
           judge (sched, rows);
           g_array_set_size (rows, 0);
           incarnation = crash->life;
+          shared = note_lost (sched, worker, incarnation,
+                              sched->now_us - crash->ago_ms * CLK_US_PER_MS);
         }
-      apply_crash (sched, worker, rows, crash);
+      apply_crash (sched, worker, rows, crash, shared);
       worker->crashes_applied = MAX (worker->crashes_applied, crash->number);
     }
   judge (sched, rows);
@@ -361,7 +644,7 @@
 {
   g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (CrashRow));
   uint64_t id = crash_id (worker, worker->incarnation);
-  gboolean shared = is_shared (sched, id, worker->report_us);
+  gboolean shared = note_lost (sched, worker, worker->incarnation, worker->report_us);
 
   for (guint i = 0; i < worker->tasks->len; i++)
     {
@@ -428,8 +711,22 @@
   return g_bytes_new_take (bytes, size);
 }
 
+/* The time of a crash is not in the record: it counts as a recent one. */
+static void
+restore_lost_worker (Sched *sched, uint64_t crash)
+{
+  const SchedLostWorker lost = { crash, sched->now_us, TRUE };
+
+  for (guint i = 0; i < sched->lost_workers->len; i++)
+    {
+      if (g_array_index (sched->lost_workers, SchedLostWorker, i).crash == crash)
+        return;
+    }
+  remember (sched, &lost);
+}
+
 void
-sched_restore_crashes (SchedJob *job, const Batch__Crashes *crashes)
+sched_restore_crashes (Sched *sched, SchedJob *job, const Batch__Crashes *crashes)
 {
   for (size_t i = 0; i < crashes->n_runs; i++)
     {
@@ -445,5 +742,6 @@
                                     .is_shared = entry->is_shared,
                                     .is_cleared = entry->is_cleared };
       add_run (&stage->tasks[entry->index], &row);
+      restore_lost_worker (sched, row.crash);
     }
 }
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -604,7 +604,7 @@
   if (job->spec->n_repeats == 0)
     sched_make_occurrences (sched, job);
   if (wanted->crashes != NULL)
-    sched_restore_crashes (job, wanted->crashes);
+    sched_restore_crashes (sched, job, wanted->crashes);
   if (is_complete (job))
     sched_end_job (sched, job, SCHED_COMPLETED);
 }
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -51,6 +51,8 @@
     cost += COST_AVOIDED;
   if (sched_is_suspect (task))
     cost += cost_of_crash (worker);
+  if (sched_has_crashed_under (worker, task))
+    cost += COST_AVOIDED;
   if (step->is_best_effort)
     {
       cost += COST_FULL * (worker->used.cpu_m + worker->best_effort_cpu_m)
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -464,6 +464,7 @@
   gboolean was_draining = worker != NULL && worker->info != NULL && worker->info->is_draining;
 
   sched->now_us = now_us;
+  sched->first_us = sched->first_us != 0 ? sched->first_us : now_us;
   if (worker == NULL || report->life == 0 || !is_dated (sched, worker, report)
       || is_older (worker, report))
     return;
@@ -479,6 +480,9 @@
   worker->is_leaving = report->is_leaving;
   if (!is_same_incarnation (worker, report))
     {
+      if (worker->incarnation != 0 && worker->incarnation != report->life && !was_draining
+          && !worker->info->is_draining)
+        sched_note_lost_worker (sched, worker);
       if (report->level == 0 && worker->boot == report->boot && !was_draining
           && !worker->info->is_draining)
         sched_assume_crash (sched, worker);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -65,7 +65,8 @@
   char *checkpoint;
   SchedWorker *avoid; /**< worker where it last failed or stalled */
   GArray *crashes;    /**< SchedCrashedRun, oldest first; NULL for none */
-  int64_t kept_us; /**< since when it waits for a worker without another suspect; 0: it does not */
+  int64_t kept_us; /**< since when it waits for a worker without another suspect, or for one where
+                      it is tried alone; 0: it does not */
 };
 
 /** A run that was lost when its worker crashed. */
@@ -256,6 +257,8 @@
   int64_t ends_written;
   uint64_t crashes_applied; /**< number of the newest crashed run that was applied */
   uint64_t crashes_written;
+  int64_t lost_us;     /**< its newest crash, unless a task was given up for it; 0: none is known */
+  uint64_t lost_crash; /**< identifies that crash */
   gboolean has_suspect;   /**< a suspect was started here; it may have been cleared since */
   uint64_t reserved_pass; /**< pass in which it was last kept for such a task */
   SchedHold hold;
@@ -309,7 +312,8 @@
   int64_t tick_us;                                  /**< time of the newest tick */
   int64_t pass_ms;                                  /**< time between it and the tick before */
   int64_t waited_ms[SCHED_WAIT_KINDS][SCHED_WAITS]; /**< task time since it was last noted */
-  GArray *lost_workers;                             /**< SchedLostWorker of the last seconds */
+  GArray *lost_workers;                             /**< SchedLostWorker of the last minutes */
+  int64_t first_us;                                 /**< time of the first tick or report */
   uint64_t pass;                                    /**< number of the pass over the ready stages */
   int64_t gap_search_us;    /**< no worker is looked for for a large task before this time */
   gboolean are_holds_valid; /**< the pass goes on */
@@ -377,24 +381,35 @@
 {
   uint64_t crash;
   int64_t crash_us;
+  gboolean is_restored; /**< known from a record; its time is not known */
 } SchedLostWorker;
 /* Counts the crashed runs of a report; call it once its runs were applied. */
 void sched_apply_crashes (Sched *sched, SchedWorker *worker, const Batch__Report *report);
 /* Counts the runs at a worker of which an agent that does not report crashes has found another
  * incarnation. */
 void sched_assume_crash (Sched *sched, SchedWorker *worker);
+/* Remembers that the worker has crashed, whatever ran there; call it before its incarnation is
+ * replaced. */
+void sched_note_lost_worker (Sched *sched, SchedWorker *worker);
+/* Whether the worker has not crashed under the task, nor lately without it; the task has been in a
+ * crash. */
+gboolean
+sched_is_calm_worker (const Sched *sched, const SchedWorker *worker, const SchedTask *task);
+/* Whether the worker has crashed under the task. A crash of another one tells whether the task or
+ * the worker is to blame. */
+gboolean sched_has_crashed_under (const SchedWorker *worker, const SchedTask *task);
 /* Call it when a run ended in another way than by a crash. */
 void sched_clear_by_end (Sched *sched, SchedTask *task);
 /* Whether the task is likely to crash its worker; FALSE once it has run for longer than the runs
  * that were lost. */
 gboolean sched_is_suspect (const SchedTask *task);
-/* Whether the task has been in so many crashes that it is tried alone. */
+/* Whether the task has been in such crashes that it is tried alone. */
 gboolean sched_needs_trial (const SchedTask *task);
 /* Whether such a task runs and may still crash its worker. */
 gboolean sched_is_on_trial (const Sched *sched, const SchedTask *task);
 /* Returns a Batch__Crashes of the job. */
 GBytes *sched_encode_crashes (const SchedJob *job);
-void sched_restore_crashes (SchedJob *job, const Batch__Crashes *crashes);
+void sched_restore_crashes (Sched *sched, SchedJob *job, const Batch__Crashes *crashes);
 
 /* sched_trials.c: workers on which a suspect runs. */
 /* Whether the task must not run there because of a suspect: two of them are kept apart, so that a
--- a/lib/batch/sched_trials.c
+++ b/lib/batch/sched_trials.c
@@ -15,6 +15,11 @@
  * users wait as well. */
 #define APART_MAX_MS 6000
 #define APART_SERVING_MAX_MS 1500
+/** A task waits this long for a worker where it is tried alone; then it runs beside others. Workers
+ * may have tasks that run for minutes, and are not empty before those end. */
+#define TRIAL_WAIT_MAX_MS 10000
+/** For so long it waits for a worker that has not crashed lately, while another one is empty. */
+#define TRIAL_CALM_WAIT_MAX_MS 3000
 
 static gboolean
 is_reserved (const Sched *sched, const SchedWorker *worker)
@@ -22,13 +27,19 @@
   return worker->reserved_pass != 0 && worker->reserved_pass + 1 >= sched->pass;
 }
 
+static gboolean
+has_waited_ms (const Sched *sched, const SchedTask *task, int64_t most_ms)
+{
+  return task->kept_us != 0 && sched->now_us - task->kept_us > most_ms * CLK_US_PER_MS;
+}
+
 /* A task must not wait for long because of others that may be to blame. */
 static gboolean
 has_waited_long (const Sched *sched, const SchedTask *task)
 {
   int64_t most_ms = task->stage->step->is_continuous ? APART_SERVING_MAX_MS : APART_MAX_MS;
 
-  return task->kept_us != 0 && sched->now_us - task->kept_us > most_ms * CLK_US_PER_MS;
+  return has_waited_ms (sched, task, most_ms);
 }
 
 gboolean
@@ -89,15 +100,20 @@
     found->least = worker;
 }
 
+/* Considers the workers that have crashed under the task or lately, or the others. */
 static TrialWorkers
-find_workers (const Sched *sched, const GPtrArray *workers, const SchedTask *task)
+find_workers (const Sched *sched,
+              const GPtrArray *workers,
+              const SchedTask *task,
+              gboolean are_calm)
 {
   TrialWorkers found = { 0 };
 
   for (guint i = 0; i < workers->len; i++)
     {
       SchedWorker *worker = g_ptr_array_index (workers, i);
-      if (strcmp (worker->info->service, task->stage->job->queue->service) == 0)
+      if (strcmp (worker->info->service, task->stage->job->queue->service) == 0
+          && sched_is_calm_worker (sched, worker, task) == are_calm)
         consider (sched, &found, worker, task);
     }
   return found;
@@ -114,14 +130,27 @@
   sched_order_start (sched, worker, task);
 }
 
+static gboolean
+has_any (const TrialWorkers *found)
+{
+  return found->empty != NULL || found->emptying != NULL || found->least != NULL;
+}
+
 SchedTrial
 sched_start_trial (Sched *sched, const GPtrArray *workers, SchedTask *task)
 {
-  TrialWorkers found = find_workers (sched, workers, task);
-
-  if (found.n_trials == 0 && found.empty == NULL && found.emptying == NULL && found.least == NULL)
+  TrialWorkers calm = find_workers (sched, workers, task, TRUE);
+  TrialWorkers others = find_workers (sched, workers, task, FALSE);
+  uint32_t n_trials = calm.n_trials + others.n_trials;
+  gboolean takes_calm
+      = has_any (&calm)
+        && (others.empty == NULL || !has_waited_ms (sched, task, TRIAL_CALM_WAIT_MAX_MS));
+  TrialWorkers found = calm.empty != NULL || takes_calm ? calm : others;
+
+  if ((n_trials == 0 && !has_any (&found)) || has_waited_ms (sched, task, TRIAL_WAIT_MAX_MS))
     return SCHED_TRIAL_IMPOSSIBLE;
-  if (found.n_trials >= MAX (found.n_workers / TRIALS_DIVISOR, 1))
+  task->kept_us = task->kept_us != 0 ? task->kept_us : sched->now_us;
+  if (n_trials >= MAX ((calm.n_workers + others.n_workers) / TRIALS_DIVISOR, 1))
     return SCHED_TRIAL_WAITS;
   if (found.empty != NULL)
     {
--- a/tests/batch/test_crashes.c
+++ b/tests/batch/test_crashes.c
@@ -379,6 +379,199 @@
   rig_free (rig);
 }
 
+static void
+play_rounds (Rig *rig, uint32_t n_rounds)
+{
+  for (uint32_t i = 0; i < n_rounds; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+}
+
+/* Incarnations are times in ms, and exceed 32 bits. */
+static Rig *
+new_rig (uint32_t n_workers)
+{
+  Rig *rig = rig_new (n_workers);
+
+  for (uint32_t i = 0; i < n_workers; i++)
+    rig->workers[i].incarnation = 1700000001000 + i;
+  return rig;
+}
+
+/* Crashes the worker of the task so many rounds after the task began to run there, and each other
+ * worker that runs nothing, if @p with_others. */
+static void
+crash_at_age (Rig *rig, uint32_t n_rounds, gboolean with_others)
+{
+  for (uint32_t i = 0; i < 200 && rig_worker_of (rig, DEADLY) == NULL; i++)
+    rig_round (rig, ROUND_MS, TRUE);
+  play_rounds (rig, n_rounds);
+  assert_true (crash_under (rig, DEADLY));
+  for (uint32_t i = 0; with_others && i < rig->n_workers; i += 3)
+    {
+      if (rig_find (&rig->workers[i], DEADLY) == NULL)
+        rig_crash (rig, &rig->workers[i]);
+    }
+  rig_round (rig, ROUND_MS, TRUE);
+}
+
+/* Guards against a sound job that is given up because its task was alone in two crashes of workers
+ * seconds after its start: runs of nearly the same age are likely by chance. */
+static void
+task_alone_in_two_crashes_long_after_its_start_is_not_given_up (void **state)
+{
+  Rig *rig = new_rig (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  crash_at_age (rig, 25, FALSE);
+  crash_at_age (rig, 23, FALSE);
+  play_rounds (rig, 100);
+  assert_false (has_failed (rig));
+  assert_non_null (rig_worker_of (rig, DEADLY));
+  rig_free (rig);
+}
+
+/* A task that does crash its workers then needs one crash more. */
+static void
+task_alone_in_three_crashes_at_one_age_is_given_up (void **state)
+{
+  Rig *rig = new_rig (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  assert_int_equal (run_deadly (rig, 400, 24), 3);
+  assert_true (has_failed (rig));
+  rig_free (rig);
+}
+
+/* Guards against a sound job that is given up because its task was in four crashes, while workers
+ * without it crash as well. */
+static void
+task_in_crashes_of_workers_that_crash_without_it_is_not_given_up (void **state)
+{
+  static const uint32_t ages[] = { 41, 30, 5, 18 };
+  Rig *rig = new_rig (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (ages); i++)
+    crash_at_age (rig, ages[i], TRUE);
+  play_rounds (rig, 100);
+  assert_false (has_failed (rig));
+  assert_non_null (rig_worker_of (rig, DEADLY));
+  rig_free (rig);
+}
+
+/* Guards against a sound job that is given up because one worker crashes again and again under its
+ * task: the only one that takes tasks. */
+static void
+task_in_crashes_of_one_worker_is_not_given_up (void **state)
+{
+  static const uint32_t ages[] = { 20, 8, 8, 30 };
+  Rig *rig = new_rig (3);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  for (uint32_t i = 1; i < rig->n_workers; i++)
+    rig->workers[i].is_draining = TRUE;
+  for (uint32_t i = 0; i < G_N_ELEMENTS (ages); i++)
+    crash_at_age (rig, ages[i], FALSE);
+  for (uint32_t i = 1; i < rig->n_workers; i++)
+    rig->workers[i].is_draining = FALSE;
+  play_rounds (rig, 150);
+  assert_false (has_failed (rig));
+  assert_non_null (rig_worker_of (rig, DEADLY));
+  assert_ptr_not_equal (rig_worker_of (rig, DEADLY), &rig->workers[0]);
+  rig_free (rig);
+}
+
+/* Guards against a sound job that is given up because its task had just begun beside others when
+ * two workers crashed, while workers without it crash as well. */
+static void
+task_beside_others_at_its_start_is_not_given_up_while_workers_crash (void **state)
+{
+  Rig *rig = new_rig (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_B, "bulk", WIDE_STEP);
+  play_rounds (rig, 20);
+  rig_crash (rig, &rig->workers[5]);
+  play_rounds (rig, 20);
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  crash_at_age (rig, 0, FALSE);
+  crash_at_age (rig, 0, FALSE);
+  play_rounds (rig, 200);
+  assert_false (has_failed (rig));
+  assert_non_null (rig_worker_of (rig, DEADLY));
+  rig_free (rig);
+}
+
+/* Guards against a sound gang that is given up after crashes of three workers, while workers
+ * without it crash as well. */
+static void
+gang_in_crashes_of_workers_that_crash_without_it_is_not_given_up (void **state)
+{
+  static const uint32_t ages[] = { 41, 90, 20 };
+  Rig *rig = new_rig (6);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", "{\"count\":2,\"cpu\":9000,\"gang\":true}");
+  for (uint32_t i = 0; i < G_N_ELEMENTS (ages); i++)
+    crash_at_age (rig, ages[i], TRUE);
+  play_rounds (rig, 100);
+  assert_false (has_failed (rig));
+  assert_non_null (rig_worker_of (rig, DEADLY));
+  rig_free (rig);
+}
+
+/* Guards against tasks that crash their workers and stay unnoticed because other workers crash as
+ * well: they are found after at most one crash more than four. */
+static void
+task_that_crashes_its_workers_is_given_up_while_others_crash (void **state)
+{
+  static const uint32_t ages[] = { 20, 8, 30, 14, 3 };
+  Rig *rig = new_rig (8);
+  uint32_t n_crashes = 0;
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  while (n_crashes < G_N_ELEMENTS (ages) && !has_failed (rig))
+    {
+      crash_at_age (rig, ages[n_crashes], n_crashes == 0);
+      n_crashes++;
+    }
+  assert_true (has_failed (rig));
+  rig_free (rig);
+}
+
+/* Guards against a task that waits until the end of another one, minutes later, to be tried alone.
+ */
+static void
+task_waits_a_bounded_time_for_its_trial (void **state)
+{
+  Rig *rig = new_rig (4);
+  uint32_t waited = 0;
+
+  (void) state;
+  rig_add_job (rig, JOB_B, "bulk", WIDE_STEP);
+  play_rounds (rig, 5);
+  rig_add_job (rig, JOB_A, "bulk", ONE_TASK);
+  for (uint32_t i = 0; i < 2; i++)
+    crash_at_age (rig, 30 + 10 * i, FALSE);
+  while (rig_worker_of (rig, DEADLY) == NULL)
+    rig_round (rig, ROUND_MS, TRUE);
+  play_rounds (rig, 20);
+  assert_true (crash_under (rig, DEADLY));
+  /* Each of the other workers has tasks that go on. */
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    rig->workers[i].is_draining = rig->workers[i].n_tasks == 0;
+  while (rig_worker_of (rig, DEADLY) == NULL && waited++ < 300)
+    rig_round (rig, ROUND_MS, TRUE);
+  assert_in_range (waited, 1, 110);
+  assert_false (has_failed (rig));
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -399,6 +592,14 @@
     cmocka_unit_test (serving_task_that_crashes_its_workers_is_given_up),
     cmocka_unit_test (task_that_was_in_three_crashes_runs_alone),
     cmocka_unit_test (crash_of_many_workers_at_once_gives_nothing_up),
+    cmocka_unit_test (task_alone_in_two_crashes_long_after_its_start_is_not_given_up),
+    cmocka_unit_test (task_alone_in_three_crashes_at_one_age_is_given_up),
+    cmocka_unit_test (task_in_crashes_of_workers_that_crash_without_it_is_not_given_up),
+    cmocka_unit_test (task_in_crashes_of_one_worker_is_not_given_up),
+    cmocka_unit_test (task_beside_others_at_its_start_is_not_given_up_while_workers_crash),
+    cmocka_unit_test (gang_in_crashes_of_workers_that_crash_without_it_is_not_given_up),
+    cmocka_unit_test (task_that_crashes_its_workers_is_given_up_while_others_crash),
+    cmocka_unit_test (task_waits_a_bounded_time_for_its_trial),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/emulator/test_limits.c
+++ b/tests/emulator/test_limits.c
@@ -8,7 +8,7 @@
   play_schedules ((EmulatorOptions){ .has_step_limits = TRUE });
 }
 
-/* Seed 314 shows a sound job that is given up after crashes of workers. */
+/* Seed 314 once showed a sound job that was given up after crashes of workers. */
 #define SEEDS "350"
 
 int
