sched_remediation: long tasks between two percents are not stalled

Cause: a task whose percent has not changed for 2.5 s is stopped as stalled and its worker avoided.

Change: a task is stalled only after twice the time that one percent is expected to take, by its estimate or by what was learned, at most 60 s. Nothing changes for tasks of up to 125 s, best-effort ones of up to 300 s.

Tasks that take much longer than their estimate are still stopped.

--- a/lib/batch/sched_remediation.c
+++ b/lib/batch/sched_remediation.c
@@ -5,6 +5,10 @@
 #define STALL_MS 2500
 /** The same limit for best-effort tasks, which share processors and may be slow for longer. */
 #define STALL_BEST_EFFORT_MS 6000
+/** Workers list progress in whole percents. A task whose percents are expected to take longer is
+ * stalled only after the expected time of so many of them, up to a limit: estimates are rough. */
+#define STALL_PERCENTS 2
+#define STALL_MAX_MS 60000
 /** CPU limits are multiples of this, in percent; limits below the minimum become 0. */
 #define LIMIT_STEP 10
 #define LIMIT_LEAST 20
@@ -30,6 +34,16 @@
 /** A task without checkpoints is stopped only below this progress, in percent. */
 #define WASTE_PERCENT 25
 
+/* Time that the task is expected to take for STALL_PERCENTS. */
+static int64_t
+expected_stall_ms (const Sched *sched, const SchedTask *task)
+{
+  const SchedStage *stage = task->stage;
+  int64_t expected_ms = sched_expected_ms (sched, stage->job, stage->step, stage);
+
+  return MIN (MAX (expected_ms, stage->step->estimate_ms) * STALL_PERCENTS / 100, STALL_MAX_MS);
+}
+
 static gboolean
 is_stalled (const Sched *sched, const SchedTask *task)
 {
@@ -43,6 +57,8 @@
     return FALSE;
   if (step->is_continuous && task->percent >= 100)
     return FALSE;
+  if (!step->is_continuous)
+    limit_ms = MAX (limit_ms, expected_stall_ms (sched, task));
   /* Members of a gang wait for each other before they make progress. */
   if (step->is_gang)
     limit_ms += sched->options.gang_timeout_ms;
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -537,6 +537,26 @@
   rig_free (rig);
 }
 
+/* Guards against long tasks that are stopped again and again: workers list whole percents, and one
+ * percent of a task of 300 s takes 3 s. */
+static void
+long_task_between_two_percents_is_not_stalled (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100,\"estimate_ms\":300000}");
+  rig_round (rig, 100, TRUE);
+  rig->is_stalled = TRUE;
+  for (int i = 0; i < 50; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_stops, 0);
+  for (int i = 0; i < 30; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_stops, 1);
+  rig_free (rig);
+}
+
 /* Load: more best-effort tasks than there is capacity for, while few processors are reserved. */
 static void
 no_step_starves_with_idle_processors (void **state)
@@ -929,6 +949,7 @@
     cmocka_unit_test (task_of_an_unknown_job_is_stopped),
     cmocka_unit_test (end_is_acknowledged_only_once_written),
     cmocka_unit_test (stalled_task_is_moved),
+    cmocka_unit_test (long_task_between_two_percents_is_not_stalled),
     cmocka_unit_test (no_step_starves_with_idle_processors),
     cmocka_unit_test (best_effort_tasks_are_paused_for_tail_over_target),
     cmocka_unit_test (short_best_effort_tasks_are_paused_too),
