net_server: requests that are read late in a run wait for the next one

Cause: libmicrohttpd handles a request of each connection before it returns, so a crowd with pipelined requests keeps the main loop from timers and the store for the time of as many requests as there are connections.

Change: after 5 ms, requests that were read are deferred to the next run; up to 32 of the oldest are handled there, whatever the time, so that each gets its turn.

--- a/lib/net/net_server.c
+++ b/lib/net/net_server.c
@@ -23,6 +23,8 @@
 /** Longest time for requests before other events are handled. 400 clients with 300 KB of pipelined
  * requests each kept the main loop from the store for 11 s. */
 #define RUN_US (5 * CLK_US_PER_MS)
+/** Deferred requests that are handled before others get their turn again. */
+#define DEFERRED_RUN_MAX 32
 
 struct NetServer
 {
@@ -32,7 +34,9 @@
   guint source;
   guint timer;
   guint resume_source;
-  GPtrArray *open; /**< NetRequest without a reply so far */
+  GPtrArray *open;    /**< NetRequest without a reply so far */
+  GQueue deferred;    /**< NetRequest that was read and waits for the next run, oldest first */
+  int64_t run_end_us; /**< requests that are read later are deferred */
   gboolean is_quiesced;
   gboolean is_ending;
 };
@@ -50,6 +54,7 @@
   uint32_t status;
   gboolean is_discarded; /**< the body is not kept */
   NetBody body_state;
+  gboolean was_deferred;
   gboolean is_handled;
   gboolean is_suspended;
 };
@@ -82,6 +87,28 @@
 
 static gboolean on_resume (gpointer data);
 
+static void
+resume_deferred (NetServer *server, guint n_most)
+{
+  for (guint i = 0; i < n_most && server->deferred.length > 0; i++)
+    MHD_resume_connection (((const NetRequest *) g_queue_pop_head (&server->deferred))->connection);
+}
+
+/* libmicrohttpd handles all pipelined requests that a connection has sent, and those of all
+ * connections, before it returns. */
+static gboolean
+is_deferred (NetRequest *request)
+{
+  NetServer *server = request->server;
+
+  if (request->was_deferred || server->is_ending || clk_now_us () < server->run_end_us)
+    return FALSE;
+  request->was_deferred = TRUE;
+  g_queue_push_tail (&server->deferred, request);
+  MHD_suspend_connection (request->connection);
+  return TRUE;
+}
+
 /* Pending requests are handled for a bounded time, so that timers and other sockets get their turn.
  */
 static void
@@ -91,13 +118,16 @@
   MHD_UNSIGNED_LONG_LONG left = 1;
   gboolean has_more = FALSE;
 
+  server->run_end_us = end_us;
+  resume_deferred (server, DEFERRED_RUN_MAX);
+
   do
     {
       (void) MHD_run (server->daemon);
       has_more = MHD_get_timeout (server->daemon, &left) == MHD_YES && left == 0;
     }
   while (has_more && clk_now_us () < end_us);
-  if (has_more && server->resume_source == 0)
+  if ((has_more || server->deferred.length > 0) && server->resume_source == 0)
     server->resume_source = g_idle_add_full (G_PRIORITY_DEFAULT, on_resume, server, NULL);
 }
 
@@ -254,6 +284,8 @@
       *upload_size = 0;
       return MHD_YES;
     }
+  if (!request->is_handled && is_deferred (request))
+    return MHD_YES;
   if (!request->is_handled)
     handle_request (request);
   if (request->response != NULL)
@@ -362,6 +394,8 @@
   const NetReply gateway_timeout = { .status = 504 };
 
   server->is_ending = TRUE;
+  resume_deferred (server, server->deferred.length);
+  run_daemon (server);
   while (server->open->len > 0)
     net_request_reply (g_ptr_array_index (server->open, 0), &gateway_timeout);
   run_daemon (server);
--- a/tests/net/test_net_server.c
+++ b/tests/net/test_net_server.c
@@ -115,11 +115,58 @@
   net_client_free (client);
 }
 
+#define PIPELINED 300
+/* Each run handles requests for 5 ms, and up to 32 that waited for it. */
+#define HANDLED_MAX 50
+
+static void
+reply_slowly (void *ctx, NetRequest *request)
+{
+  const NetReply reply = { .status = 404 };
+  guint *n_handled = ctx;
+
+  (*n_handled)++;
+  g_usleep (1000);
+  net_request_reply (request, &reply);
+}
+
+/* Guards against a main loop that does nothing else while many pipelined requests are handled. */
+static void
+pipelined_requests_leave_time_for_others (void **state)
+{
+  static const char request[] = "GET /y HTTP/1.1\r\nHost: h\r\n\r\n";
+  guint n_handled = 0;
+  guint n_most = 0;
+  const NetServerOptions options = { .address = loopback_address (PORT),
+                                     .connections_max = 4,
+                                     .idle_s = 10,
+                                     .body_bytes_max = 1000,
+                                     .handler = reply_slowly,
+                                     .ctx = &n_handled };
+  NetServer *server = net_server_new (&options, NULL);
+  int fd = send_unread ();
+
+  (void) state;
+  assert_non_null (server);
+  for (guint i = 1; i < PIPELINED; i++)
+    assert_int_equal (send (fd, request, sizeof request - 1, 0), sizeof request - 1);
+  while (n_handled < PIPELINED)
+    {
+      guint before = n_handled;
+      (void) g_main_context_iteration (NULL, TRUE);
+      n_most = MAX (n_most, n_handled - before);
+    }
+  assert_in_range (n_most, 1, HANDLED_MAX);
+  net_server_free (server);
+  (void) close (fd);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (free_replies_to_open_requests),
-                                      cmocka_unit_test (free_refuses_unread_requests) };
+                                      cmocka_unit_test (free_refuses_unread_requests),
+                                      cmocka_unit_test (pipelined_requests_leave_time_for_others) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
