ledger, front: records of jobs name the data centre of the accepting entry

The owner does not know where a job was accepted. Submission gets the field data_centre = 4, which front.c fills from the setting. Records are forwarded as bytes, so other entries hand it on unchanged. Older builds ignore it; records of theirs have it empty.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -1537,7 +1537,7 @@
   assert(message->base.descriptor == &batch__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor batch__submission__field_descriptors[3] =
+static const ProtobufCFieldDescriptor batch__submission__field_descriptors[4] =
 {
   {
     "queue",
@@ -1575,16 +1575,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Submission, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__submission__field_indices_by_name[] = {
   1,   /* field[1] = accepted_wall_ms */
   2,   /* field[2] = body */
+  3,   /* field[3] = data_centre */
   0,   /* field[0] = queue */
 };
 static const ProtobufCIntRange batch__submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor batch__submission__descriptor =
 {
@@ -1594,7 +1607,7 @@
   "Batch__Submission",
   "batch",
   sizeof(Batch__Submission),
-  3,
+  4,
   batch__submission__field_descriptors,
   batch__submission__field_indices_by_name,
   1,  batch__submission__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -65,10 +65,14 @@
   char *queue;
   int64_t accepted_wall_ms;
   ProtobufCBinaryData body;
+  /*
+   * of that entry; empty in records of older builds
+   */
+  char *data_centre;
 };
 #define BATCH__SUBMISSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__submission__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -167,6 +167,7 @@
 
   message.queue = queue->name;
   message.accepted_wall_ms = clk_wall_ms ();
+  message.data_centre = front->entry->settings->data_centre;
   message.body.data = (uint8_t *) net_request_body (request, &message.body.len);
   size_t size = batch__submission__get_packed_size (&message);
   g_autofree uint8_t *bytes = g_malloc (size);
