sched: work of origins above their share comes later

SchedOptions.shares_by makes data centres, queues or both share the processors of a service and priority. Useful work of an origin above its share comes after that of the others; work that is of no use any more stays last. A job that has begun and has little left is not put later, as it would stand still while others of its origin begin. Such an origin stops no tasks of others (sched_preempt). Without the option the order is as before.

What runs is counted after dispatch: counted before it, the processors that have just become free are missing, and with one worker of 8 cores the data centre that burst kept all of them.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -56,6 +56,7 @@
   sched->lost_workers = g_array_new (FALSE, FALSE, sizeof (SchedLostWorker));
   sched->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->ended = g_queue_new ();
+  sched->shares = options->shares_by != SHARES_NONE ? shares_new () : NULL;
   return sched;
 }
 
@@ -76,6 +77,7 @@
   g_array_unref (sched->lost_workers);
   g_hash_table_destroy (sched->jobs);
   interference_free (sched->interference);
+  shares_free (sched->shares);
   g_free (sched);
 }
 
@@ -104,6 +106,7 @@
     {
       SchedJob *job = value;
       job->queue = config != NULL ? queue_config_find (config, job->queue_name) : NULL;
+      sched_share_job (sched, job);
     }
 }
 
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -13,6 +13,7 @@
 #include "batch/job.h"
 #include "batch/ledger.pb-c.h"
 #include "batch/queues.h"
+#include "batch/shares.h"
 #include "batch/worker.h"
 
 G_BEGIN_DECLS
@@ -29,6 +30,14 @@
   SCHED_CANCELLED,
 } SchedJobState;
 
+/** First start of a task of a job. */
+typedef struct
+{
+  const char *queue;
+  const char *data_centre; /**< of the entry that accepted the job; "" if it is not known */
+  int64_t wait_ms;         /**< since the job was accepted, or its first occurrence was due */
+} SchedFirstStart;
+
 typedef struct
 {
   int64_t report_age_max_ms; /**< tasks are started only at agents that reported within this time */
@@ -36,8 +45,10 @@
                        runs have expired */
   int64_t gang_timeout_ms; /**< how long members of a gang wait for each other */
   gboolean reserves_gaps;  /**< keeps a worker for a large task that waits; see sched_gaps.c */
+  SharesBy shares_by;      /**< what makes up the origins that share processors */
   /** Logs a decision; @p text has its inputs as "key=value ...". */
   void (*note) (void *ctx, const char *event, const char *job, const char *text);
+  void (*started) (void *ctx, const SchedFirstStart *start); /**< NULL for none */
   void *ctx;
 } SchedOptions;
 
@@ -68,6 +79,7 @@
 {
   const char *id;
   const char *queue;
+  const char *data_centre; /**< of the entry that accepted it; NULL: not known */
   int64_t accepted_wall_ms;
   JobSpec *spec;                   /**< ownership is taken */
   const Batch__Progress *progress; /**< NULL for none */
@@ -169,4 +181,7 @@
 /** Number of jobs that are queued or running. */
 uint32_t sched_open_jobs (const Sched *sched);
 
+/** Calls @p fn for each origin that shares processors, with its state at the last tick. */
+void sched_each_origin (const Sched *sched, SharesFn fn, void *ctx);
+
 G_END_DECLS
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -31,6 +31,8 @@
 
   g_ptr_array_unref (job->stages);
   job_spec_free (job->spec);
+  shares_unref (job->origin);
+  g_free (job->data_centre);
   g_free (job->queue_name);
   g_free (job->id);
   g_free (job);
@@ -586,12 +588,14 @@
   SchedJob *job = g_new0 (SchedJob, 1);
   job->id = g_strdup (wanted->id);
   job->queue_name = g_strdup (wanted->queue);
+  job->data_centre = g_strdup (wanted->data_centre != NULL ? wanted->data_centre : "");
   job->queue = sched->config != NULL ? queue_config_find (sched->config, wanted->queue) : NULL;
   job->accepted_wall_ms = CLAMP (wanted->accepted_wall_ms, 0, JOB_WALL_MAX_MS);
   job->spec = wanted->spec;
   job->is_old = wanted->may_have_started;
   job->stages = g_ptr_array_new_with_free_func (stage_free);
   job->n_changes = 1;
+  sched_share_job (sched, job);
   if (wanted->progress != NULL)
     restore (job, wanted->progress);
   g_hash_table_insert (sched->jobs, job->id, job);
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -310,9 +310,11 @@
       check_starved (sched, workers, stage);
       sched_reserve_gap (gaps, stage);
       sched_plan_note_waiting (sched, stage);
+      sched_note_share_left (sched, stage);
       sched_count_waiting (sched, stage);
       n_left += stage->n_waiting;
     }
+  sched_count_shares (sched);
   sched_gaps_free (gaps);
   sched_preemption_free (preemption);
   return n_left;
--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -124,12 +124,22 @@
   const SchedChains *chains = chains_for (sched, first);
   int64_t deadline_ms = sched_due_wall_ms (job, stage->occurrence) + objective_ms (job, chains);
 
-  return (SchedReadyStage){ .stage = stage,
-                            .priority = job->queue->priority,
-                            .rank = rank_of (sched, stage, first, deadline_ms),
-                            .deadline_ms = deadline_ms,
-                            .work
-                            = chains->work[SCHED_BEST_EFFORT] + chains->work[SCHED_RESERVED] };
+  SchedReadyStage ready_stage
+      = { .stage = stage,
+          .priority = job->queue->priority,
+          .rank = rank_of (sched, stage, first, deadline_ms),
+          .deadline_ms = deadline_ms,
+          .work = chains->work[SCHED_BEST_EFFORT] + chains->work[SCHED_RESERVED] };
+  ready_stage.exceeds_share = sched_exceeds_share (&ready_stage);
+  return ready_stage;
+}
+
+/* Work of origins that exceed their share comes after that of the others, but before results that
+ * are of no use to anyone. */
+static int
+share_order (const SchedReadyStage *ready_stage)
+{
+  return (ready_stage->rank == SCHED_RANK_USELESS ? 2 : 0) + (ready_stage->exceeds_share ? 1 : 0);
 }
 
 static gint
@@ -140,6 +150,8 @@
 
   if (left->priority != right->priority)
     return left->priority < right->priority ? -1 : 1;
+  if (share_order (left) != share_order (right))
+    return share_order (left) - share_order (right);
   if (left->rank != right->rank)
     return left->rank < right->rank ? -1 : 1;
   if (left->rank != SCHED_RANK_BEGUN && left->work != right->work)
@@ -310,6 +322,7 @@
   g_hash_table_iter_init (&iter, sched->open);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     add_ready_stages (sched, ready_stages, key);
+  sched_update_shares (sched, ready_stages);
   g_array_sort (ready_stages, compare_ready_stages);
   return ready_stages;
 }
--- a/lib/batch/sched_preempt.c
+++ b/lib/batch/sched_preempt.c
@@ -137,6 +137,7 @@
   const SchedReadyStage *place = &row->place;
 
   return place->priority >= waiting->priority && place->rank >= waiting->rank
+         && (place->exceeds_share || !waiting->exceeds_share)
          && place->work >= WORK_FACTOR * waiting->work;
 }
 
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -116,7 +116,8 @@
   uint32_t priority;
   SchedRank rank;
   int64_t deadline_ms;
-  double work; /**< core milliseconds of the tasks of the occurrence that are not done */
+  double work;            /**< core milliseconds of the tasks of the occurrence that are not done */
+  gboolean exceeds_share; /**< it comes later, as its origin uses more than its share */
 } SchedReadyStage;
 
 /** What a task waits for that no worker admits: the last of the conditions, in this order, that
@@ -219,6 +220,7 @@
 {
   char *id;
   char *queue_name;
+  char *data_centre;  /**< of the entry that accepted it; "" if it is not known */
   const Queue *queue; /**< NULL while it is not configured */
   int64_t accepted_wall_ms;
   JobSpec *spec;
@@ -232,6 +234,11 @@
   uint32_t occurrences_made;
   uint64_t n_changes;       /**< number of changes of its tasks; starts at 1 */
   gboolean has_new_crashes; /**< crashed runs of its tasks are not in the ledger */
+  int64_t running_cpu_m;    /**< requested by its tasks at workers, without serving ones */
+  int64_t ordered_us;   /**< when a task was last started before one was seen to run; 0: not here */
+  SharesOrigin *origin; /**< NULL without shares, or while its queue is not configured */
+  int64_t later_ms; /**< time before its first start in which it came later because of its origin */
+  int64_t later_us; /**< newest pass that later_ms contains */
 };
 
 struct SchedWorker
@@ -314,6 +321,7 @@
   int64_t gap_search_us;    /**< no worker is looked for for a large task before this time */
   gboolean are_holds_valid; /**< the pass goes on */
   Interference *interference;
+  Shares *shares;                    /**< NULL for none */
   int64_t plan_us;                   /**< time of the newest forecast */
   double cores[SCHED_CLASSES];       /**< processors available to tasks of the class */
   uint32_t n_waiting[SCHED_CLASSES]; /**< tasks that could not be placed in the last tick */
@@ -488,6 +496,20 @@
 /* Call it before each start in a pass. */
 void sched_note_gap_start (SchedWorker *worker, const SchedTask *task);
 
+/* sched_shares.c */
+/* Sets the origin of the job from its queue and data centre. */
+void sched_share_job (Sched *sched, SchedJob *job);
+/* Decides which origins exceed their shares, and sets that in the SchedReadyStage of the array. */
+void sched_update_shares (Sched *sched, GArray *ready_stages);
+/* Whether the work of the stage comes after that of other origins. */
+gboolean sched_exceeds_share (const SchedReadyStage *ready_stage);
+/* Counts what runs for each origin; call it when all stages have been dispatched. */
+void sched_count_shares (Sched *sched);
+/* Call it when a stage has been dispatched. */
+void sched_note_share_left (const Sched *sched, const SchedStage *stage);
+/* Call it when the first task of the job has started. */
+void sched_note_first_start (Sched *sched, const SchedJob *job);
+
 /* sched_place.c */
 /* Whether most processors of a service's workers are unreserved. */
 gboolean sched_is_mostly_free (const GPtrArray *workers, const char *service);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -103,6 +103,8 @@
     worker->used.cpu_m += sign * step->size.cpu_m;
   worker->used.mem_mb += sign * step->size.mem_mb;
   worker->used.gpus += sign * step->size.gpus;
+  if (!step->is_continuous)
+    task->stage->job->running_cpu_m += sign * step->size.cpu_m;
   if (sched_is_serving (task))
     {
       worker->n_serving += (uint32_t) sign;
@@ -181,6 +183,8 @@
   order->start->saved = message_strdup (task->checkpoint);
   order->start->ticket = message_strdup ("");
   sched_attach (worker, task, sched->now_us);
+  if (!job->has_begun)
+    job->ordered_us = sched->now_us;
   add_needs (order->start, worker, task);
   task->order_number = order->number;
   worker->has_suspect |= sched_is_suspect (task);
@@ -197,6 +201,7 @@
   if (job->has_begun)
     return;
   job->has_begun = TRUE;
+  sched_note_first_start (sched, job);
   sched_mark_dirty (sched, job);
 }
 
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -105,6 +105,8 @@
   const char *refused_task;     /**< all workers refuse this one as malformed */
   gboolean has_slow_stops;      /**< a stopped task ends in the next round */
   gboolean reserves_gaps;       /**< a worker is kept for a large task that waits */
+  SharesBy shares_by;           /**< what makes up the origins that share processors */
+  const char *data_centre;      /**< of the entry that accepts the next jobs; NULL: not known */
   gboolean is_older_build;      /**< agents do not report crashes */
   GHashTable *crash_records;    /**< job -> newest written record of its crashes */
   GHashTable *progress_records; /**< job -> newest written record of its progress */
@@ -158,16 +160,15 @@
                          .lease_expiry_ms = RIG_EXPIRY_MS,
                          .gang_timeout_ms = 3000,
                          .reserves_gaps = rig->reserves_gaps,
+                         .shares_by = rig->shares_by,
                          .note = rig_note,
+                         .started = NULL,
                          .ctx = rig };
 }
 
 static inline Rig *
-rig_new_with (uint32_t n_workers, gboolean reserves_gaps)
+rig_open (Rig *rig, uint32_t n_workers)
 {
-  Rig *rig = g_new0 (Rig, 1);
-
-  rig->reserves_gaps = reserves_gaps;
   const SchedOptions options = rig_options (rig);
   rig->notes = g_string_new (NULL);
   rig->progress_records
@@ -187,6 +188,24 @@
   return rig;
 }
 
+static inline Rig *
+rig_new_with (uint32_t n_workers, gboolean reserves_gaps)
+{
+  Rig *rig = g_new0 (Rig, 1);
+
+  rig->reserves_gaps = reserves_gaps;
+  return rig_open (rig, n_workers);
+}
+
+static inline Rig *
+rig_new_sharing (uint32_t n_workers, SharesBy by)
+{
+  Rig *rig = g_new0 (Rig, 1);
+
+  rig->shares_by = by;
+  return rig_open (rig, n_workers);
+}
+
 static inline Rig *
 rig_new (uint32_t n_workers)
 {
@@ -237,6 +256,7 @@
   assert_non_null (spec);
   const SchedNewJob job = { .id = id,
                             .queue = queue,
+                            .data_centre = rig->data_centre,
                             .accepted_wall_ms = rig->now_us / 1000,
                             .spec = spec,
                             .progress = rig_progress_record (rig, id),
--- a/tests/batch/test_preempt.c
+++ b/tests/batch/test_preempt.c
@@ -118,17 +118,13 @@
 
 /* A fleet with one serving task a worker; the wide job runs one task a worker. */
 static Rig *
-make_fleet (uint32_t n_workers,
-            const char *wide_queue,
-            const char *wide_step,
-            double impact,
-            const char *serving_cpu)
+make_fleet_on (
+    Rig *rig, const char *wide_queue, const char *wide_step, double impact, const char *serving_cpu)
 {
-  Rig *rig = rig_new (n_workers);
   g_autofree char *serving
       = g_strdup_printf ("{\"count\":%u,\"cpu\":%s,\"long_running\":true,\"target_ms\":%d,"
                          "\"image\":\"s\",\"max_per_server\":1}",
-                         n_workers, serving_cpu, TARGET_MS);
+                         rig->n_workers, serving_cpu, TARGET_MS);
 
   if (impact > 0)
     restore_impact (rig, impact);
@@ -140,6 +136,16 @@
   return rig;
 }
 
+static Rig *
+make_fleet (uint32_t n_workers,
+            const char *wide_queue,
+            const char *wide_step,
+            double impact,
+            const char *serving_cpu)
+{
+  return make_fleet_on (rig_new (n_workers), wide_queue, wide_step, impact, serving_cpu);
+}
+
 /* Adds the small job and lets it reach its second step. */
 static void
 add_small_job (Rig *rig, const char *steps)
@@ -168,6 +174,25 @@
   rig_free (rig);
 }
 
+/* Guards against an origin that exceeds its share and stops the tasks of one that does not. */
+static void
+origin_above_its_share_stops_no_other (void **state)
+{
+  Rig *rig = rig_new_sharing (1, SHARES_DATA_CENTRE);
+
+  (void) state;
+  rig->data_centre = "a";
+  (void) make_fleet_on (rig, "bulk", WIDE ("1600", CHECKPOINTS), IMPACT, SERVING_CPU);
+  rig->data_centre = "b";
+  rig_add_job (rig, "00000000000000dd", "bulk", "{\"count\":1,\"cpu\":5000,\"estimate_ms\":90000}");
+  run_rounds (rig, 2 * SETTLE_ROUNDS);
+  rig_add_job (rig, SMALL_JOB, "bulk",
+               "{\"count\":1,\"cpu\":1600,\"estimate_ms\":1000,\"fills\":true,\"image\":\"b\"}");
+  run_rounds (rig, 5);
+  assert_int_equal (rig->n_stops, 0);
+  rig_free (rig);
+}
+
 typedef struct
 {
   const char *name;
@@ -313,6 +338,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (wide_job_gives_way_to_a_small_one),
+    cmocka_unit_test (origin_above_its_share_stops_no_other),
     cmocka_unit_test (task_is_kept),
     cmocka_unit_test (equal_jobs_do_not_give_way),
     cmocka_unit_test (more_urgent_job_does_not_give_way),
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -325,6 +325,7 @@
   const SchedNewJob wanted
       = { .id = job->id,
           .queue = job->submission->queue,
+          .data_centre = job->submission->data_centre,
           .accepted_wall_ms = job->submission->accepted_wall_ms,
           .spec = spec,
           .progress = job->progress,
