--- a/lib/node/node_settings.c
+++ b/lib/node/node_settings.c
@@ -1,5 +1,9 @@
 #include "node/node_settings.h"
 
+#include <string.h>
+
+#include "batch/shares.h"
+#include "common/err.h"
 #include "common/set.h"
 
 /** Longest grant. Tasks of a lost worker can start elsewhere only after it has expired. */
@@ -58,6 +62,8 @@
     "Nothing starts in a data centre this long after its evacuation was requested." },
   { "placement.reserve", SET_BOOLEAN, FIELD (reserves_gaps), 0, 0, "true",
     "Keep a worker for a large task that waits for processors or memory." },
+  { "shares.by", SET_TEXT, FIELD (shares_by), 1, 20, "none",
+    "Origins that share processors fairly: none, data_centre, queue, or both." },
   { "limits.memory_mb", SET_INTEGER, FIELD (memory_mb), 32, 1000000, "160",
     "Memory of this instance." },
   { "limits.cpu_share", SET_TEXT, FIELD (cpu_share), 1, 20, "1.0",
@@ -71,7 +77,18 @@
 gboolean
 node_settings_load (const char *path, NodeSettings *settings, GError **error)
 {
-  return set_load (keys, G_N_ELEMENTS (keys), path, settings, error);
+  SharesBy by;
+
+  if (!set_load (keys, G_N_ELEMENTS (keys), path, settings, error))
+    return FALSE;
+  if (shares_by_parse (settings->shares_by, &by))
+    return TRUE;
+  err_set (error, ERR_BAD_CONFIG,
+           "%s: shares.by: expected none, data_centre, queue or both, found \"%s\"", path,
+           settings->shares_by);
+  node_settings_clear (settings);
+  memset (settings, 0, sizeof *settings);
+  return FALSE;
 }
 
 void
--- a/lib/node/node_settings.h
+++ b/lib/node/node_settings.h
@@ -36,6 +36,7 @@
   int64_t gang_timeout_ms;
   char *leave_s;          /**< time between SIGTERM and SIGKILL, a fraction */
   gboolean reserves_gaps; /**< a worker is kept for a large task that waits */
+  char *shares_by;        /**< origins that share processors, see shares_by_parse() */
   int64_t log_lines_per_s;
 } NodeSettings;
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -72,6 +72,7 @@
   sched_hold_starts (owner->sched, !knows_evacuations (owner));
   sched_tick (owner->sched, clk_now_us (), clk_wall_ms ());
   met_set (owner->open_jobs, sched_open_jobs (owner->sched));
+  owner_show_shares (owner);
   /* Authority can run out during the tick, so it is checked again before orders are sent. */
   if (has_authority (owner))
     peers_send_orders (owner->peers);
@@ -128,6 +129,7 @@
     sched_flush_end (owner->sched, owner->flush, FALSE);
   owner->flush = NULL;
   appender_drop (&owner->appender);
+  owner_clear_shares (owner);
   g_clear_pointer (&owner->sched, sched_free);
   peers_clear (owner->peers);
   feed_set_pause (owner->entry->ledger_feed, OTHER_PAUSE_MS);
@@ -148,6 +150,7 @@
     }
   const SchedNewJob wanted = { .id = job->id,
                                .queue = job->submission->queue,
+                               .data_centre = job->submission->data_centre,
                                .accepted_wall_ms = job->submission->accepted_wall_ms,
                                .spec = spec,
                                .progress = job->progress,
@@ -174,13 +177,18 @@
 {
   const NodeSettings *settings = owner->entry->settings;
   double grant_ms = (double) node_settings_grant_ms (settings);
+  SharesBy shares_by = SHARES_NONE;
+
+  (void) shares_by_parse (settings->shares_by, &shares_by);
 
   return (SchedOptions){
     .report_age_max_ms = FRESH_MS,
     .lease_expiry_ms = (int64_t) (grant_ms * EXPIRY_CLOCK_RATE) + EXPIRY_MARGIN_MS,
     .gang_timeout_ms = settings->gang_timeout_ms,
     .reserves_gaps = settings->reserves_gaps,
+    .shares_by = shares_by,
     .note = log_sched_event,
+    .started = owner_count_start,
     .ctx = owner,
   };
 }
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -65,6 +65,13 @@
 /* Handles a report of the agent named @p agent. */
 void owner_handle_report (Owner *owner, const char *agent, const uint8_t *data, size_t size);
 
+/* owner_shares.c: metrics of waiting jobs and of shares. */
+/* Counts the first start of a job; @p ctx is the Owner. */
+void owner_count_start (void *ctx, const SchedFirstStart *start);
+/* Shows which origins exceed their shares; the other one shows that none does. */
+void owner_show_shares (const Owner *owner);
+void owner_clear_shares (const Owner *owner);
+
 /* owner_peers.c: connections to agents. */
 Peers *peers_new (Owner *owner);
 void peers_free (Peers *peers);
--- a/tests/node/test_node_settings.c
+++ b/tests/node/test_node_settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <glib/gstdio.h>
 
 #include "node/node_settings.h"
 
@@ -45,6 +46,30 @@
   assert_non_null (strstr (example, "placement.reserve = true"));
 }
 
+/* Guards against shares that are on where the file does not name them, and against a misspelled
+ * value that turns them off silently. */
+static void
+shares_are_off_unless_named_rightly (void **state)
+{
+  g_autofree char *example = node_settings_example ();
+  g_autofree char *path = NULL;
+  int fd = g_file_open_tmp ("settingsXXXXXX", &path, NULL);
+  NodeSettings settings = { 0 };
+  g_autoptr (GError) error = NULL;
+
+  (void) state;
+  assert_non_null (strstr (example, "shares.by = \"none\""));
+  assert_true (g_close (fd, NULL));
+  assert_true (g_file_set_contents (path,
+                                    "name = \"n\"\nip = \"127.0.0.1\"\n"
+                                    "store.address = \"127.0.0.1:1\"\nshares.by = \"queues\"\n",
+                                    -1, NULL));
+  assert_false (node_settings_load (path, &settings, &error));
+  assert_non_null (strstr (error->message, "shares.by"));
+  assert_null (settings.name);
+  (void) g_remove (path);
+}
+
 int
 main (void)
 {
@@ -52,6 +77,7 @@
     cmocka_unit_test (grant_outlasts_a_change_of_owner),
     cmocka_unit_test (grant_is_shorter_than_the_longest_lease),
     cmocka_unit_test (workers_are_reserved_unless_set_otherwise),
+    cmocka_unit_test (shares_are_off_unless_named_rightly),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
