--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -1582,7 +1582,7 @@
   assert(message->base.descriptor == &batch__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor batch__submission__field_descriptors[4] =
+static const ProtobufCFieldDescriptor batch__submission__field_descriptors[5] =
 {
   {
     "queue",
@@ -1620,6 +1620,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Submission, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "tasks",
     5,
@@ -1636,14 +1648,14 @@
 static const unsigned batch__submission__field_indices_by_name[] = {
   1,   /* field[1] = accepted_wall_ms */
   2,   /* field[2] = body */
+  3,   /* field[3] = data_centre */
   0,   /* field[0] = queue */
-  3,   /* field[3] = tasks */
+  4,   /* field[4] = tasks */
 };
-static const ProtobufCIntRange batch__submission__number_ranges[2 + 1] =
+static const ProtobufCIntRange batch__submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 5, 3 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor batch__submission__descriptor =
 {
@@ -1653,10 +1665,10 @@
   "Batch__Submission",
   "batch",
   sizeof(Batch__Submission),
-  4,
+  5,
   batch__submission__field_descriptors,
   batch__submission__field_indices_by_name,
-  2,  batch__submission__number_ranges,
+  1,  batch__submission__number_ranges,
   (ProtobufCMessageInit) batch__submission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -170,6 +170,7 @@
   message.queue = queue->name;
   message.accepted_wall_ms = clk_wall_ms ();
   message.tasks = n_tasks;
+  message.data_centre = front->entry->settings->data_centre;
   message.body.data = (uint8_t *) net_request_body (request, &message.body.len);
   size_t size = batch__submission__get_packed_size (&message);
   g_autofree uint8_t *bytes = g_malloc (size);
