tests/clients: a crowd is not taken for settled before it has begun

The output file of the crowd before was emptied by the new one's process, which can be later than the first look for "settled" on a busy machine. The checks then ran while the crowd was connecting: test_agent_address and test_probe saw 26 descriptors in place of up to 89 with slow clients, and a request of theirs was refused (1 of 1 runs each at a load of 20 on 7 processors).

--- a/tests/clients/common.sh
+++ b/tests/clients/common.sh
@@ -20,6 +20,8 @@
 
 # crowd ADDRESS KIND CONNECTIONS BYTES PATH: connects a crowd and waits until it has sent what it can.
 crowd() {
+  # The line of the crowd before must not count: the file is otherwise emptied after the wait has begun.
+  : >"$dir/flood.out"
   "$BUILD/bin/standin-flood" "$@" >"$dir/flood.out" 2>&1 &
   flood=$!
   pids+=("$flood")
