net_peers: a connection with many requests a second makes room

Change: then the connection with the most requests in the last second is closed, if they are over 50. Callers and workers have a few a second.

Result: a unit test that fails before.

--- a/lib/net/net_peers.c
+++ b/lib/net/net_peers.c
@@ -4,6 +4,9 @@
 
 /** A client that has just been answered is likely to send its next request on the connection. */
 #define IDLE_KEPT_US CLK_US_PER_S
+/** A client with more requests a second sends them without waiting for its answers, since callers
+ * and workers have some a second. Its connection makes room although it was never idle. */
+#define REQUESTS_PER_S_MAX 50
 
 void
 net_peers_init (NetPeers *peers, const NetPeersOptions *options)
@@ -51,6 +54,27 @@
   return TRUE;
 }
 
+/* Closes the connection with the most requests in the last second, if it has too many. */
+static gboolean
+close_busiest (NetPeers *peers, const NetPeer *self, int64_t now_us, const char *reason)
+{
+  NetPeer *busiest = NULL;
+
+  for (const GList *link = peers->phases[NET_IDLE].head; link != NULL; link = link->next)
+    {
+      NetPeer *peer = link->data;
+      if (peer == self || peer->n_requests <= REQUESTS_PER_S_MAX
+          || now_us - peer->counted_us >= 2 * CLK_US_PER_S)
+        continue;
+      if (busiest == NULL || peer->n_requests > busiest->n_requests)
+        busiest = peer;
+    }
+  if (busiest == NULL)
+    return FALSE;
+  close_peer (busiest, reason);
+  return TRUE;
+}
+
 /* Pipelined requests can keep all connections of a crowd waiting for replies. */
 static gboolean
 close_read_only (NetPeers *peers, const char *reason)
@@ -73,8 +97,8 @@
   g_queue_push_tail_link (&peers->phases[NET_IDLE], &peer->link);
   peers->n_open++;
   if (peers->n_open > peers->options.connections_max && !close_longest (peers, peer, "connections")
-      && !close_idle (peers, peer, now_us, "connections")
-      && !close_read_only (peers, "connections"))
+      && !close_idle (peers, peer, now_us, "connections") && !close_read_only (peers, "connections")
+      && !close_busiest (peers, peer, now_us, "connections"))
     close_peer (peer, "connections");
 }
 
@@ -88,12 +112,25 @@
   g_queue_unlink (&peer->peers->phases[peer->phase], &peer->link);
 }
 
+static void
+count_request (NetPeer *peer, int64_t now_us)
+{
+  if (now_us - peer->counted_us >= CLK_US_PER_S)
+    {
+      peer->counted_us = now_us;
+      peer->n_requests = 0;
+    }
+  peer->n_requests++;
+}
+
 void
 net_peers_set_phase (NetPeer *peer, NetPhase phase, int64_t now_us)
 {
   if (peer->is_closing)
     return;
   g_queue_unlink (&peer->peers->phases[peer->phase], &peer->link);
+  if (phase == NET_READING)
+    count_request (peer, now_us);
   peer->phase = phase;
   peer->since_us = now_us;
   g_queue_push_tail_link (&peer->peers->phases[phase], &peer->link);
--- a/lib/net/net_peers.h
+++ b/lib/net/net_peers.h
@@ -31,7 +31,9 @@
   NetPhase phase;
   int64_t since_us; /**< when the phase began */
   gboolean is_closing;
-  uint64_t charged; /**< bytes of its body and its answer */
+  int64_t counted_us;  /**< since when n_requests counts */
+  uint32_t n_requests; /**< requests begun in the last second, at the least */
+  uint64_t charged;    /**< bytes of its body and its answer */
 } NetPeer;
 
 typedef struct
@@ -56,8 +58,8 @@
 void net_peers_init (NetPeers *peers, const NetPeersOptions *options);
 
 /** Adds a zeroed @p peer. Above the limit of connections it closes the one that waited longest, or
- * @p peer if all others were idle for less than a second or wait for replies to requests that may
- * have effects. */
+ * @p peer if all others were idle for less than a second without many requests, or wait for
+ * replies to requests that may have effects. */
 void net_peers_add (NetPeers *peers, NetPeer *peer, int64_t now_us);
 void net_peers_remove (NetPeer *peer);
 
--- a/tests/net/test_net_peers.c
+++ b/tests/net/test_net_peers.c
@@ -108,6 +108,31 @@
   g_ptr_array_unref (fix.closed);
 }
 
+/* Guards against a crowd that keeps all others out with pipelined requests that are answered at
+ * once. */
+static void
+busy_idle_peer_makes_room (void **state)
+{
+  Fix fix = { 0 };
+
+  (void) state;
+  open_peers (&fix, 3, 3);
+  for (guint i = 0; i < 200; i++)
+    {
+      net_peers_set_phase (&fix.peer[1], NET_READING, 10 + i);
+      net_peers_set_phase (&fix.peer[1], NET_IDLE, 10 + i);
+    }
+  for (guint i = 0; i < 50; i++)
+    {
+      net_peers_set_phase (&fix.peer[0], NET_READING, 10 + i);
+      net_peers_set_phase (&fix.peer[0], NET_IDLE, 10 + i);
+    }
+  net_peers_add (&fix.peers, &fix.peer[3], 300);
+  assert_int_equal (fix.closed->len, 1);
+  assert_ptr_equal (g_ptr_array_index (fix.closed, 0), &fix.peer[1]);
+  g_ptr_array_unref (fix.closed);
+}
+
 /* Bytes of all connections together are limited, whatever their number. */
 static void
 budget_closes_readers (void **state)
@@ -156,6 +181,7 @@
                                       cmocka_unit_test (waiting_peers_stay),
                                       cmocka_unit_test (read_only_request_makes_room),
                                       cmocka_unit_test (idle_peers_are_closed_after_a_second),
+                                      cmocka_unit_test (busy_idle_peer_makes_room),
                                       cmocka_unit_test (budget_closes_readers),
                                       cmocka_unit_test (late_peers_are_closed) };
 
