owner, claim, handover: findings of a review

Found by reading and with calls of the pure modules: - A claim was not recorded in the estimate of the store's pace, and a claim at the topic's end without an answer was never taken for overtaken: in a slow store an entry without appends of its own claimed at the end until the store was fast again. - A lost answer in a store whose answers take over 150 ms, or an outage of 0.3 to 1.5 s for all, made a working owner hand over. It now waits for two answers more, counts from when another entry is served, and stays if its own append was acknowledged. Entries that leave or have no configuration report no view. - An owner's record that was read before the answer of a claim, or after a claim that was only refused, did not keep the next claim at the topic's end. - An owner that leaves while it waits did not resign when it was replaced. - Nobody claims or takes over in the middle of a load of the ledger, and a claim that overlaps a load waits. - An owner that waited takes all jobs that it has read for possibly started. - A late message of an owner that ended an older term is ignored; the pause after refused claims grows.

Open: repeated hand-over while the store refuses a part of all reads.

--- a/lib/ledger/claim.c
+++ b/lib/ledger/claim.c
@@ -42,6 +42,7 @@
   if (may_be_repeated (claim, view))
     return FALSE;
   claim->is_set = TRUE;
+  claim->was_in_doubt = FALSE;
   claim->term = last->term + 1;
   claim->sequence = view->sequence;
   claim->first_sent_us = view->now_us;
@@ -68,10 +69,14 @@
   switch (outcome)
     {
     case STORE_OK:
+      return TRUE;
     case STORE_IN_DOUBT:
+      claim->was_in_doubt = TRUE;
       return TRUE;
     case STORE_MOVED:
-      claim->moved_term = claim->term - 1;
+      /* Not if that record was the owner's, and it was read before this answer. */
+      if (claim->former_seen_us <= claim->first_sent_us)
+        claim->moved_term = claim->term - 1;
       return FALSE;
     case STORE_FENCED:
     case STORE_SEQUENCE:
@@ -80,6 +85,8 @@
       claim->refused_term = claim->term - 1;
       return FALSE;
     default:
+      /* Nothing was done: the next claim need not be this one. */
+      claim->is_set = claim->was_in_doubt;
       return FALSE;
     }
 }
--- a/lib/ledger/claim.h
+++ b/lib/ledger/claim.h
@@ -27,6 +27,7 @@
   int64_t expected_end;    /**< offset at which the topic must end; -1 for any */
   gboolean is_unsure;      /**< the owner of the term before may act again before it is written */
   int64_t first_sent_us;   /**< when it was first sent */
+  gboolean was_in_doubt;   /**< a transmission of it was not answered */
   uint64_t moved_term;     /**< the last claim to follow this term came after another append, and no
                                 record of its owner was read since */
   uint64_t refused_term;   /**< the store refused the epoch of a claim that follows this term */
@@ -72,7 +73,7 @@
 /**
  * Returns from when the owner may act whose claim was read at @p now_us.
  *
- * @param loaded_us when the newest load of the ledger began: records before the claim may be
+ * @param loaded_us when the newest load of the ledger ended: records before the claim may be
  *   missing if that was after the claim was sent
  * @param quiet_us time after which an owner has no authority from a record that was read
  */
--- a/lib/ledger/feed.c
+++ b/lib/ledger/feed.c
@@ -18,6 +18,7 @@
   gboolean is_loading; /**< pages of the newest records are being loaded */
   int64_t load_end;    /**< end of the topic when the load began; -1 before its first page */
   int64_t load_us;     /**< when the load began */
+  int64_t loaded_us;   /**< when the newest one ended */
   char *page;          /**< page that is loaded next; NULL: the first one */
   int64_t next;
   int64_t fresh_us;
@@ -199,6 +200,7 @@
   feed->next = feed->load_end;
   feed->is_loading = FALSE;
   feed->is_loaded = TRUE;
+  feed->loaded_us = clk_now_us ();
   feed->fresh_us = MAX (feed->fresh_us, feed->load_us);
   if (feed->options.on_load_end != NULL)
     feed->options.on_load_end (feed->options.ctx);
@@ -330,10 +332,16 @@
   return feed->overdue_us;
 }
 
+gboolean
+feed_is_loading (const Feed *feed)
+{
+  return feed->is_loading;
+}
+
 int64_t
-feed_load_us (const Feed *feed)
+feed_loaded_us (const Feed *feed)
 {
-  return feed->load_us;
+  return feed->is_loading ? clk_now_us () : feed->loaded_us;
 }
 
 int64_t
--- a/lib/ledger/feed.h
+++ b/lib/ledger/feed.h
@@ -42,9 +42,11 @@
 int64_t feed_end (const Feed *feed);
 /** Time on clk_now_us() up to which all acknowledged records were delivered; 0: none yet. */
 int64_t feed_fresh_us (const Feed *feed);
-/** When the newest load of the newest records began; records may not have been delivered before
- * that, of keys that have a newer one. */
-int64_t feed_load_us (const Feed *feed);
+/** Whether the newest records are being loaded: records of different keys may be of different
+ * times. */
+gboolean feed_is_loading (const Feed *feed);
+/** When the newest load of the newest records ended; now, while there is one. */
+int64_t feed_loaded_us (const Feed *feed);
 /** Since when reads have been answered without a gap of #FEED_GAP_MS; 0: there is such a gap
  * now. */
 int64_t feed_steady_since_us (const Feed *feed);
--- a/lib/ledger/handover.c
+++ b/lib/ledger/handover.c
@@ -5,7 +5,8 @@
 gboolean
 handover_is_due (Handover *handover, const HandoverInput *input, int64_t now_us)
 {
-  if (input->failing_since_us == 0 || input->peer_view_us <= input->overdue_us)
+  if (input->failing_since_us == 0 || input->peer_view_us <= input->overdue_us
+      || input->own_written_us > input->overdue_us)
     {
       handover->peer_served_us = 0;
       return FALSE;
@@ -14,8 +15,9 @@
     handover->peer_served_us = now_us;
   const int64_t outage_us = HANDOVER_OUTAGE_MS * CLK_US_PER_MS;
   gboolean is_recovering = handover->peer_served_us - input->failing_since_us >= outage_us;
+  int64_t failing_us = (HANDOVER_FAILING_MS + HANDOVER_ANSWERS * input->answer_ms) * CLK_US_PER_MS;
 
-  return now_us >= input->failing_since_us + HANDOVER_FAILING_MS * CLK_US_PER_MS
+  return now_us >= MAX (input->failing_since_us, handover->peer_served_us) + failing_us
          && (!is_recovering || now_us >= handover->peer_served_us + outage_us);
 }
 
--- a/lib/ledger/handover.h
+++ b/lib/ledger/handover.h
@@ -13,9 +13,11 @@
 
 G_BEGIN_DECLS
 
-/** A read that fails may be one lost answer; a second one fails within this time if the store does
- * not serve this instance. */
+/** A read that fails may be one lost answer. The next one is sent 150 ms later, and fails or is
+ * answered within this time while the store is fast. */
 #define HANDOVER_FAILING_MS 300
+/** While the store is slow, it takes this many answers longer. */
+#define HANDOVER_ANSWERS 2
 /** If no other entry is served for this long, the store is down for all. It then recovers for some
  * entries sooner than for others, and the owner gets as long to be served as well. */
 #define HANDOVER_OUTAGE_MS 1500
@@ -32,6 +34,8 @@
                                newest one was answered */
   int64_t overdue_us;       /**< when that read would have been answered */
   int64_t peer_view_us;     /**< newest time at which another entry had read all records; 0: none */
+  int64_t own_written_us; /**< when the newest append was first sent that the store acknowledged */
+  int64_t answer_ms;      /**< how long the store's answers take; 0 if that is not known */
 } HandoverInput;
 
 /**
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -154,7 +154,7 @@
                                .spec = spec,
                                .progress = job->progress,
                                .crashes = ledger_crashes (owner->entry->ledger, job->id),
-                               .may_have_started = job->offset < owner->claim_offset };
+                               .may_have_started = job->offset < owner->taken_over_end };
   sched_add_job (owner->sched, &wanted);
   if (job->is_cancelled)
     sched_cancel_job (owner->sched, job->id);
@@ -216,6 +216,10 @@
       = owner->term == 1 ? clk_now_us () : clk_now_us () + options.lease_expiry_ms * 1000;
 
   owner->phase = OWNER_ACTIVE;
+  /* Until then, the owner before may have started jobs that were submitted after the claim. */
+  owner->taken_over_end = feed_end (owner->entry->ledger_feed);
+  owner->handover = (Handover){ 0 };
+  owner->renew_us = owner->is_leaving ? 0 : owner->renew_us;
   owner->sched = sched_new (&options);
   sched_set_config (owner->sched, owner->entry->config);
   sched_set_evacuations (owner->sched, owner->entry->evacuations);
@@ -248,7 +252,8 @@
   owner->phase = OWNER_WAITING;
   owner->is_release = FALSE;
   owner->claim_offset = offset;
-  owner->act_us = claim_act_us (&owner->claim, feed_load_us (owner->entry->ledger_feed),
+  owner->claim_pause_ms = 0;
+  owner->act_us = claim_act_us (&owner->claim, feed_loaded_us (owner->entry->ledger_feed),
                                 NODE_OWNER_QUIET_MS * CLK_US_PER_MS, now);
   owner->claim.is_set = FALSE;
   g_clear_pointer (&owner->claim_records, g_byte_array_unref);
@@ -263,7 +268,9 @@
 void
 owner_act_if_due (Owner *owner)
 {
-  if (owner->phase == OWNER_WAITING && clk_now_us () >= owner->act_us)
+  /* In the middle of a load, progress may be older than the claim. */
+  if (owner->phase == OWNER_WAITING && clk_now_us () >= owner->act_us
+      && !feed_is_loading (owner->entry->ledger_feed))
     take_over (owner);
 }
 
@@ -280,7 +287,8 @@
       if (record->boot == boot || record->offset <= owner->claim_offset)
         return;
       (void) claim_handle_record (&owner->claim, record, name, boot, now);
-      if (!owner->is_leaving)
+      /* The release itself is such a record. */
+      if (!owner->is_release)
         owner_resign (owner, "replaced");
       return;
     }
--- a/programs/scheduler/owner_claim.c
+++ b/programs/scheduler/owner_claim.c
@@ -35,6 +35,9 @@
   Owner *owner = ctx;
 
   owner->is_claim_open = FALSE;
+  store_pace_end (&owner->entry->pace, owner->claim_pace_slot, answer->outcome, clk_now_us ());
+  if (answer->outcome == STORE_IN_DOUBT)
+    owner->claim.was_in_doubt = TRUE;
   if (owner->phase != OWNER_CLAIMING)
     return;
   line_add ("owner", "claim_answered", "term=%" G_GUINT64_FORMAT " outcome=%s", owner->term,
@@ -99,10 +102,7 @@
   };
 
   if (claim_begin (&owner->claim, &view))
-    {
-      owner->claim_pause_ms = 0;
-      prepare_claim (owner);
-    }
+    prepare_claim (owner);
   owner->phase = OWNER_CLAIMING;
   owner->claim_sent_us = clk_now_us ();
   const StoreAppend append
@@ -120,6 +120,7 @@
             (owner->claim_sent_us - owner->owner_seen_us) / CLK_US_PER_MS,
             (owner->claim_sent_us - owner->claim.first_sent_us) / CLK_US_PER_MS);
   owner->is_claim_open = TRUE;
+  owner->claim_pace_slot = store_pace_begin (&owner->entry->pace, owner->claim_sent_us);
   store_append (owner->entry->store, &append, on_claimed, owner);
 }
 
@@ -142,8 +143,8 @@
   int64_t now = clk_now_us ();
 
   if (owner->is_leaving || owner->is_calling || owner->is_claim_open || steady_us == 0
-      || !feed_is_loaded (owner->entry->ledger_feed) || owner->entry->config == NULL
-      || feed_steady_since_us (owner->entry->config_feed) == 0
+      || !feed_is_loaded (owner->entry->ledger_feed) || feed_is_loading (owner->entry->ledger_feed)
+      || owner->entry->config == NULL || feed_steady_since_us (owner->entry->config_feed) == 0
       || feed_fresh_us (owner->entry->ledger_feed) < owner->claim_refused_us
       || now < owner->claim_sent_us + owner->claim_pause_ms * CLK_US_PER_MS)
     return FALSE;
@@ -167,6 +168,8 @@
   line_add ("owner", "resignation_received",
             "term=%" G_GUINT64_FORMAT " own_view_of_term=%" G_GUINT64_FORMAT, term,
             ledger_owner (owner->entry->ledger)->term);
+  if (term < owner->resigned_term || term < ledger_owner (owner->entry->ledger)->term)
+    return;
   owner->resigned_term = term;
   owner->resigned_boot = boot;
   owner->resigned_us = clk_now_us ();
@@ -182,7 +185,9 @@
   const HandoverInput input
       = { .failing_since_us = feed_failing_since_us (owner->entry->ledger_feed),
           .overdue_us = feed_overdue_us (owner->entry->ledger_feed),
-          .peer_view_us = relay_peer_view_us (owner->entry->relay) };
+          .peer_view_us = relay_peer_view_us (owner->entry->relay),
+          .own_written_us = appender_authority_us (&owner->appender),
+          .answer_ms = store_pace_answered_ms (&owner->entry->pace, now) };
 
   if (input.failing_since_us != 0)
     relay_ask_views (owner->entry->relay);
@@ -198,6 +203,20 @@
   (void) relay_tell_resigned (owner->entry->relay, owner->term);
 }
 
+/* A claim at an offset can't be written any more once another record was read there. Its answer may
+ * be lost in a slow store, and the next claim depends on it. */
+static void
+give_up_overtaken_claim (Owner *owner)
+{
+  if (owner->phase != OWNER_CLAIMING || owner->is_claim_open || owner->claim.expected_end < 0
+      || feed_is_loading (owner->entry->ledger_feed)
+      || feed_end (owner->entry->ledger_feed) <= owner->claim.expected_end)
+    return;
+  line_add ("owner", "claim_overtaken", "term=%" G_GUINT64_FORMAT, owner->term);
+  (void) claim_handle_answer (&owner->claim, STORE_MOVED);
+  owner->phase = OWNER_NONE;
+}
+
 gboolean
 owner_check (gpointer data)
 {
@@ -209,6 +228,7 @@
       line_add ("owner", "claim_given_up", "term=%" G_GUINT64_FORMAT, owner->term);
       owner->phase = OWNER_NONE;
     }
+  give_up_overtaken_claim (owner);
   claim_if_due (owner);
   owner_act_if_due (owner);
   owner_write_changes (owner);
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -34,13 +34,15 @@
   OwnerPhase phase;
   Claim claim;               /**< the newest one */
   int64_t claim_sent_us;     /**< when it was last sent */
+  uint32_t claim_pace_slot;  /**< of its transmission under way */
   int64_t claim_pause_ms;    /**< before it is sent again */
   int64_t claim_refused_us;  /**< when one was last refused since others had appended */
   GByteArray *claim_records; /**< records of the newest claim; NULL once its term began */
   uint64_t term;
-  int64_t claim_offset; /**< offset of the term's claim */
-  int64_t act_us;       /**< from when the owner acts */
-  uint64_t level_since; /**< first term since which all owners were of this build's level */
+  int64_t claim_offset;   /**< offset of the term's claim */
+  int64_t taken_over_end; /**< end of the records that were read when the owner began to act */
+  int64_t act_us;         /**< from when the owner acts */
+  uint64_t level_since;   /**< first term since which all owners were of this build's level */
   int64_t epoch;
   Appender appender;
   uint32_t pace_slot;    /**< of the transmission under way */
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -182,7 +182,10 @@
   own.address = relay->address;
   own.is_fresh = entry_is_fresh (relay->entry, ENTRY_STORE_AGE_MAX_MS);
   own.append_ms = append_ms (relay);
-  own.view_age_ms = handover_view_age_ms (feed_fresh_us (relay->entry->ledger_feed), clk_now_us ());
+  /* One that leaves, or has no configuration, can't take over. */
+  if (!relay->entry->is_leaving && relay->entry->config != NULL)
+    own.view_age_ms
+        = handover_view_age_ms (feed_fresh_us (relay->entry->ledger_feed), clk_now_us ());
   answer.what_case = BATCH__RELAY__WHAT_HELLO;
   answer.hello = &own;
   (void) send_message (relay->server, peer, &answer);
--- a/tests/ledger/test_claim.c
+++ b/tests/ledger/test_claim.c
@@ -192,6 +192,40 @@
   return it;
 }
 
+/* The owner's record can be read before the answer to the claim that came after it. */
+static void
+owner_that_was_heard_before_the_answer_is_claimed_over_at_an_offset (void **state)
+{
+  Claimant it = claimant (FORMER_BOOT, 11);
+
+  (void) state;
+  assert_true (begin (&it, QUIET_US));
+  (void) claim_handle_record (&it.claim, &it.last, "self", 1, QUIET_US + 9);
+  assert_false (claim_handle_answer (&it.claim, STORE_MOVED));
+  it.view.end++;
+  assert_true (begin (&it, 3 * QUIET_US));
+  assert_int_equal (it.claim.expected_end, END + 1);
+}
+
+/* A claim that was only refused is not written later, and does not replace an owner that was heard
+ * meanwhile; one without an answer is repeated as it was. */
+static void
+refused_claim_is_not_kept (void **state)
+{
+  Claimant refused = unsure_claimant ();
+  Claimant lost = unsure_claimant ();
+
+  (void) state;
+  assert_false (claim_handle_answer (&refused.claim, STORE_REFUSED));
+  (void) claim_handle_record (&refused.claim, &refused.last, "self", 1, QUIET_US + 9);
+  assert_true (begin (&refused, 3 * QUIET_US));
+  assert_int_equal (refused.claim.expected_end, refused.view.end);
+  assert_true (claim_handle_answer (&lost.claim, STORE_IN_DOUBT));
+  assert_false (claim_handle_answer (&lost.claim, STORE_REFUSED));
+  assert_false (begin (&lost, 3 * QUIET_US));
+  assert_int_equal (lost.claim.expected_end, -1);
+}
+
 static void
 record_before_the_claim_forces_a_wait (void **state)
 {
@@ -263,6 +297,8 @@
     cmocka_unit_test (epoch_stays_below_those_of_older_builds),
     cmocka_unit_test (silent_owner_is_claimed_over_at_an_offset_first),
     cmocka_unit_test (owner_that_was_heard_again_is_claimed_over_at_an_offset),
+    cmocka_unit_test (owner_that_was_heard_before_the_answer_is_claimed_over_at_an_offset),
+    cmocka_unit_test (refused_claim_is_not_kept),
     cmocka_unit_test (record_before_the_claim_forces_a_wait),
     cmocka_unit_test (records_that_may_have_been_missed_force_a_wait),
     cmocka_unit_test (only_the_own_claim_begins_the_term),
