sched_crashes: only the workers that crashed under a task have to be calm

Cause: a task beside others was given up after two crashes only while no worker at all crashed without it.

Change: of the workers that crashed under the task, none may have crashed lately without it; that the crashes are no coincidence is required as before. Tried before, without effect: a bound on coincidence of 1e-4 and of 1, no earlier trials. Without any condition on calm workers a test of a sound task fails.

--- a/lib/batch/sched_crashes.c
+++ b/lib/batch/sched_crashes.c
@@ -449,6 +449,19 @@
          && count_others (sched, task, worker, CALM_MS).n_at_worker == 0;
 }
 
+/* Whether the workers that crashed under the task have not crashed lately without it. */
+static gboolean
+were_calm (const Sched *sched, const SchedTask *task)
+{
+  for (guint i = 0; i < task->crashes->len; i++)
+    {
+      uint32_t worker = crash_worker (g_array_index (task->crashes, SchedCrashedRun, i).crash);
+      if (count_others (sched, task, worker, CALM_MS).n_at_worker > 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Whether crashes with runs of any age show that the task is to blame. */
 static gboolean
 has_most_crashes (const Sched *sched, const SchedTask *task)
@@ -483,7 +496,7 @@
   /* Beside others, the crash may have been caused by one of them or by the worker. */
   uint32_t n_likely = likely_crashes (task, FALSE);
   return crash->is_suspected && n_suspected == 1 && newest_run (task)->age_ms <= AT_START_MS
-                 && n_likely >= n_most && (n_likely > n_most || are_calm (sched, task))
+                 && n_likely >= n_most && (n_likely > n_most || were_calm (sched, task))
                  && is_no_coincidence (sched, task, FALSE)
              ? "only_suspect"
              : NULL;
