--- a/tests/fault/test_leave_slow.sh
+++ b/tests/fault/test_leave_slow.sh
@@ -15,11 +15,6 @@
 store=$net.0.40:29100
 second_store=$net.0.40:29101
 
-submit() {
-  curl -s -m 4 -o /dev/null -w "$1 %{http_code}\n" -H 'Host: h.example' "http://$net.0.$((40 + $2)):29161/p/$1" \
-    --data '{"spec":"x","steps":[{"count":1,"cpu":1000,"estimate_ms":200}]}' || true
-}
-
 now_ms() {
   echo $(($(date +%s%N) / 1000000))
 }
@@ -29,18 +24,8 @@
 }
 
 start_store 2
-for i in $(seq "$n_entries"); do
-  start_entry "entry-$i" "$net.0.$((40 + i))"
-done
-for i in $(seq "$n_entries"); do
-  wait_line "$dir/entry-$i.log" "config applied" 8000 || fail "entry $i has no configuration"
-done
-for _ in $(seq 100); do
-  [ "$(count_terms)" = 0 ] || break
-  sleep 0.1
-done
-[ "$(count_terms)" = 1 ] || fail "no entry became the owner"
-sleep 3 # entries have exchanged hellos
+start_entries "$n_entries"
+[ "$(count_terms)" = 1 ] || fail "more than one entry became the owner"
 owner=$(grep -l "owner took_over" "$dir"/entry-*.log | sed 's/.*entry-\([0-9]*\).log/\1/')
 
 # Each other entry gets four submissions a second, from before the slow period until after it.
@@ -49,7 +34,7 @@
   [ "$i" != "$owner" ] || continue
   (
     for k in $(seq $(((slow_s + 1) * 4))); do
-      submit "$(printf '%014x%02x' "$i" "$k")" "$i" >>"$dir/answers-$i.txt" &
+      submit_to "$i" "$(printf '%014x%02x' "$i" "$k")" >>"$dir/answers-$i.txt" &
       sleep 0.25
     done
     wait
--- a/tests/fault/test_slow_store.sh
+++ b/tests/fault/test_slow_store.sh
@@ -10,24 +10,8 @@
 store=$net.0.40:29100
 second_store=$net.0.40:29101
 
-submit() {
-  curl -s -m 4 -o /dev/null -w "$1 %{http_code}\n" -H 'Host: h.example' "http://$net.0.$((40 + $2)):29161/p/$1" \
-    --data '{"spec":"x","steps":[{"count":1,"cpu":1000,"estimate_ms":200}]}' || true
-}
-
 start_store 2
-for i in $(seq "$n_entries"); do
-  start_entry "entry-$i" "$net.0.$((40 + i))"
-done
-for i in $(seq "$n_entries"); do
-  wait_line "$dir/entry-$i.log" "config applied" 8000 || fail "entry $i has no configuration"
-done
-for _ in $(seq 100); do
-  grep -q "owner took_over" "$dir"/entry-*.log && break
-  sleep 0.1
-done
-grep -q "owner took_over" "$dir"/entry-*.log || fail "no entry became the owner"
-sleep 3 # entries have exchanged hellos
+start_entries "$n_entries"
 
 # Each entry gets four submissions a second, from before the slow period until after it.
 curl -s -o /dev/null -X POST "http://$store/standin-pace?service_ms=176&answer_ms=352" -d ''
@@ -35,7 +19,7 @@
 for i in $(seq "$n_entries"); do
   (
     for k in $(seq $((slow_s * 4))); do
-      submit "$(printf '%014x%02x' "$i" "$k")" "$i" >>"$dir/answers-$i.txt" &
+      submit_to "$i" "$(printf '%014x%02x' "$i" "$k")" >>"$dir/answers-$i.txt" &
       sleep 0.25
     done
     wait
--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -66,6 +66,30 @@
   pids+=($!)
 }
 
+# start_entries COUNT: starts entry-1 and so on, of which entry I listens at $net.0.$((40 + I)), and waits until one of
+# them is the owner and they have exchanged hellos.
+start_entries() {
+  local i
+  for i in $(seq "$1"); do
+    start_entry "entry-$i" "$net.0.$((40 + i))"
+  done
+  for i in $(seq "$1"); do
+    wait_line "$dir/entry-$i.log" "config applied" 8000 || fail "entry $i has no configuration"
+  done
+  for _ in $(seq 100); do
+    grep -q "owner took_over" "$dir"/entry-*.log && break
+    sleep 0.1
+  done
+  grep -q "owner took_over" "$dir"/entry-*.log || fail "no entry became the owner"
+  sleep 3
+}
+
+# submit_to ENTRY JOB: submits a job of one task to an entry of start_entries, and prints "JOB STATUS".
+submit_to() {
+  curl -s -m 4 -o /dev/null -w "$2 %{http_code}\n" -H 'Host: h.example' "http://$net.0.$((40 + $1)):29161/p/$2" \
+    --data '{"spec":"x","steps":[{"count":1,"cpu":1000,"estimate_ms":200}]}' || true
+}
+
 # start_agent NAME IP WORKER: starts an agent beside the worker that listens on WORKER.
 start_agent() {
   cat >"$dir/$1.toml" <<TOML
--- a/tests/ledger/test_ledger.c
+++ b/tests/ledger/test_ledger.c
@@ -474,8 +474,7 @@
 static void
 tasks_are_counted_from_their_reservation (void **state)
 {
-  const LedgerEvents events = { 0 };
-  Ledger *ledger = ledger_new (&events);
+  Ledger *ledger = new_ledger ();
   Batch__Submission message = BATCH__SUBMISSION__INIT;
   uint8_t bytes[256];
 
