--- a/review/standin-2/runner.c
+++ b/review/standin-2/runner.c
@@ -47,8 +47,8 @@
   char *task;
   int64_t run;
   int64_t started_us;
-  int64_t work_ms;   /* 0: it lasts */
-  int64_t fills_m;   /* 0: it doesn't fill */
+  int64_t work_ms; /* 0: it lasts */
+  int64_t fills_m; /* 0: it doesn't fill */
   int64_t tail_ms[2];
   int64_t impact;
   gboolean saves;
@@ -85,7 +85,8 @@
 static GPtrArray *runs;
 static GPtrArray *ends;
 static GPtrArray *waits;
-static GHashTable *highest; /* task -> number of the highest run that has begun, ended or was stopped */
+static GHashTable
+    *highest; /* task -> number of the highest run that has begun, ended or was stopped */
 
 static int64_t
 clock_ms (void)
@@ -93,8 +94,7 @@
   return (clk_now_us () - started_us) / CLK_US_PER_MS + 1;
 }
 
-static void G_GNUC_PRINTF (1, 2)
-note (const char *format, ...)
+static void G_GNUC_PRINTF (1, 2) note (const char *format, ...)
 {
   va_list args;
 
@@ -507,13 +507,12 @@
 static gboolean
 report (gpointer data)
 {
-  json_t *body
-      = json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:{s:I, s:i, s:i}, s:[s], s:I, s:I, s:I}",
-                   "service", service, "address", address, "zone", "z", "machine", address, "version",
-                   "1", "state", "ready", "slots", 8, "cold_left_ms", 0, "capacity", "cpu",
-                   (json_int_t) cpu_m, "mem_mb", 64000, "gpu", 0, "labels", "a", "seq",
-                   (json_int_t) ++sequence, "clock_ms", (json_int_t) clock_ms (), "born",
-                   (json_int_t) born_ms);
+  json_t *body = json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:{s:I, s:i, s:i}, s:[s], s:I, s:I, s:I}",
+      "service", service, "address", address, "zone", "z", "machine", address, "version", "1",
+      "state", "ready", "slots", 8, "cold_left_ms", 0, "capacity", "cpu", (json_int_t) cpu_m,
+      "mem_mb", 64000, "gpu", 0, "labels", "a", "seq", (json_int_t) ++sequence, "clock_ms",
+      (json_int_t) clock_ms (), "born", (json_int_t) born_ms);
   char *dump = json_dumps (body, JSON_COMPACT);
   const NetCall call = { .method = "PUT",
                          .url = report_url,
@@ -559,7 +558,8 @@
 
   if (argc != 6)
     {
-      (void) fprintf (stderr, "Usage: review-runner IP:PORT AGENT_IP:PORT SERVICE CPU_M SMALL_CPU_M\n");
+      (void) fprintf (stderr,
+                      "Usage: review-runner IP:PORT AGENT_IP:PORT SERVICE CPU_M SMALL_CPU_M\n");
       return 2;
     }
   (void) setvbuf (stdout, NULL, _IOLBF, 0);
--- a/review/standin-2/silencer.c
+++ b/review/standin-2/silencer.c
@@ -1,8 +1,8 @@
 /**
  * @file silencer.c
- * review-silencer LISTEN SERVER: a TCP proxy. After SIGUSR1 no byte passes over the connections that
- * are open at that time, in either direction, and none of them is closed or reset. New ones pass.
- * Prints a line with the number of connections that went silent.
+ * review-silencer LISTEN SERVER: a TCP proxy. After SIGUSR1 no byte passes over the connections
+ * that are open at that time, in either direction, and none of them is closed or reset. New ones
+ * pass. Prints a line with the number of connections that went silent.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -116,7 +116,8 @@
     {
       for (int side = 0; side < 2; side++)
         polls[1 + 2 * i + side]
-            = (struct pollfd){ .fd = pairs[i].is_silent ? -1 : pairs[i].fd[side], .events = POLLIN };
+            = (struct pollfd){ .fd = pairs[i].is_silent ? -1 : pairs[i].fd[side],
+                               .events = POLLIN };
     }
   if (poll (polls, (nfds_t) (1 + 2 * n_polled), -1) < 0)
     return;
