sched: a job keeps its terms once its queue is removed

Cause: a job looked up its queue in the newest configuration alone, and its pointer was NULL without one. Each reader took that for something else, and may_run() and five others did not check it. Shown by the case with AddressSanitizer: a read at 0x18 in may_run(), from stop_paused(); nothing that was freed is used.

Change: a job always has a queue. It follows the configured one; after that it keeps a reference to the newest terms that are known. Entries write the terms into the job's record (Submission.terms) for owners that never saw the queue. Older builds ignore the field; records without it follow their queue, and without that run on and start nothing. No reader needs a check any more.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "batch/ledger.pb-c.h"
+void   batch__terms__init
+                     (Batch__Terms         *message)
+{
+  static const Batch__Terms init_value = BATCH__TERMS__INIT;
+  *message = init_value;
+}
+size_t batch__terms__get_packed_size
+                     (const Batch__Terms *message)
+{
+  assert(message->base.descriptor == &batch__terms__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t batch__terms__pack
+                     (const Batch__Terms *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &batch__terms__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t batch__terms__pack_to_buffer
+                     (const Batch__Terms *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &batch__terms__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Batch__Terms *
+       batch__terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Batch__Terms *)
+     protobuf_c_message_unpack (&batch__terms__descriptor,
+                                allocator, len, data);
+}
+void   batch__terms__free_unpacked
+                     (Batch__Terms *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &batch__terms__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   batch__submission__init
                      (Batch__Submission         *message)
 {
@@ -1582,7 +1627,97 @@
   assert(message->base.descriptor == &batch__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor batch__submission__field_descriptors[5] =
+static const ProtobufCFieldDescriptor batch__terms__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Terms, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Terms, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts_max",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Terms, attempts_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Terms, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Terms, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned batch__terms__field_indices_by_name[] = {
+  2,   /* field[2] = attempts_max */
+  1,   /* field[1] = priority */
+  0,   /* field[0] = service */
+  3,   /* field[3] = stretch */
+  4,   /* field[4] = target_ms */
+};
+static const ProtobufCIntRange batch__terms__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor batch__terms__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "batch.Terms",
+  "Terms",
+  "Batch__Terms",
+  "batch",
+  sizeof(Batch__Terms),
+  5,
+  batch__terms__field_descriptors,
+  batch__terms__field_indices_by_name,
+  1,  batch__terms__number_ranges,
+  (ProtobufCMessageInit) batch__terms__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor batch__submission__field_descriptors[6] =
 {
   {
     "queue",
@@ -1644,6 +1779,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "terms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Submission, terms),
+    &batch__terms__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__submission__field_indices_by_name[] = {
   1,   /* field[1] = accepted_wall_ms */
@@ -1651,11 +1798,12 @@
   3,   /* field[3] = data_centre */
   0,   /* field[0] = queue */
   4,   /* field[4] = tasks */
+  5,   /* field[5] = terms */
 };
 static const ProtobufCIntRange batch__submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor batch__submission__descriptor =
 {
@@ -1665,7 +1813,7 @@
   "Batch__Submission",
   "batch",
   sizeof(Batch__Submission),
-  5,
+  6,
   batch__submission__field_descriptors,
   batch__submission__field_indices_by_name,
   1,  batch__submission__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Batch__Terms Batch__Terms;
 typedef struct Batch__Submission Batch__Submission;
 typedef struct Batch__Cancel Batch__Cancel;
 typedef struct Batch__Hello Batch__Hello;
@@ -57,6 +58,23 @@
 
 /* --- messages --- */
 
+/*
+ * Terms of the queue when the job was accepted. They apply once no configuration names the queue.
+ */
+struct  Batch__Terms
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t priority;
+  uint32_t attempts_max;
+  double stretch;
+  int64_t target_ms;
+};
+#define BATCH__TERMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&batch__terms__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 /*
  * Key "job.ID". Written by the entry that accepts the job.
  */
@@ -74,10 +92,14 @@
    * of one occurrence; 0 in records of older builds
    */
   uint32_t tasks;
+  /*
+   * missing in records of older builds
+   */
+  Batch__Terms *terms;
 };
 #define BATCH__SUBMISSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__submission__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, NULL }
 
 
 /*
@@ -803,6 +825,25 @@
     , 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
+/* Batch__Terms methods */
+void   batch__terms__init
+                     (Batch__Terms         *message);
+size_t batch__terms__get_packed_size
+                     (const Batch__Terms   *message);
+size_t batch__terms__pack
+                     (const Batch__Terms   *message,
+                      uint8_t             *out);
+size_t batch__terms__pack_to_buffer
+                     (const Batch__Terms   *message,
+                      ProtobufCBuffer     *buffer);
+Batch__Terms *
+       batch__terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   batch__terms__free_unpacked
+                     (Batch__Terms *message,
+                      ProtobufCAllocator *allocator);
 /* Batch__Submission methods */
 void   batch__submission__init
                      (Batch__Submission         *message);
@@ -1470,6 +1511,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Batch__Terms_Closure)
+                 (const Batch__Terms *message,
+                  void *closure_data);
 typedef void (*Batch__Submission_Closure)
                  (const Batch__Submission *message,
                   void *closure_data);
@@ -1581,6 +1625,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor batch__terms__descriptor;
 extern const ProtobufCMessageDescriptor batch__submission__descriptor;
 extern const ProtobufCMessageDescriptor batch__cancel__descriptor;
 extern const ProtobufCMessageDescriptor batch__hello__descriptor;
--- a/lib/batch/queues.c
+++ b/lib/batch/queues.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 static void
-queue_free (gpointer data)
+queue_clear (gpointer data)
 {
   Queue *queue = data;
 
@@ -11,7 +11,31 @@
   g_free (queue->host);
   g_free (queue->prefix);
   g_free (queue->service);
-  g_free (queue);
+}
+
+Queue *
+queue_new (void)
+{
+  return g_rc_box_new0 (Queue);
+}
+
+const Queue *
+queue_ref (const Queue *queue)
+{
+  return g_rc_box_acquire ((gpointer) queue);
+}
+
+void
+queue_unref (const Queue *queue)
+{
+  if (queue != NULL)
+    g_rc_box_release_full ((gpointer) queue, queue_clear);
+}
+
+static void
+drop_queue (gpointer data)
+{
+  queue_unref (data);
 }
 
 static void
@@ -29,7 +53,7 @@
   QueueConfig *config = g_new0 (QueueConfig, 1);
 
   config->version = version;
-  config->queues = g_ptr_array_new_with_free_func (queue_free);
+  config->queues = g_ptr_array_new_with_free_func (drop_queue);
   config->services = g_ptr_array_new_with_free_func (service_free);
   config->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   config->by_route = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/lib/batch/queues.h
+++ b/lib/batch/queues.h
@@ -17,6 +17,8 @@
   int64_t validity_ms;
 } QueueAdvice;
 
+/** A queue as one version configured it. Reference-counted, as jobs keep it beyond that version;
+ * not thread-safe. */
 typedef struct
 {
   char *name;
@@ -42,19 +44,28 @@
 typedef struct
 {
   int64_t version;
-  GPtrArray *queues;    /**< Queue, owned */
+  GPtrArray *queues;    /**< Queue, a reference to each */
   GPtrArray *services;  /**< QueueService, owned */
   GHashTable *by_name;  /**< name -> Queue */
   GHashTable *by_route; /**< "host prefix" -> Queue */
 } QueueConfig;
 
+/** Creates an empty queue with one reference. */
+Queue *queue_new (void);
+
+/** Adds a reference to @p queue and returns it. */
+const Queue *queue_ref (const Queue *queue);
+
+/** Drops a reference; the last one frees the queue. NULL is allowed. */
+void queue_unref (const Queue *queue);
+
 /** Creates an empty configuration; free with queue_config_free(). */
 QueueConfig *queue_config_new (int64_t version);
 
 /** Frees a configuration; NULL is allowed. */
 void queue_config_free (QueueConfig *config);
 
-/** Adds @p queue and takes ownership of it. */
+/** Adds @p queue and takes over the caller's reference. */
 void queue_config_add (QueueConfig *config, Queue *queue);
 
 /** Adds a service, owned by @p config. */
@@ -64,7 +75,7 @@
  * ignored. */
 const Queue *queue_config_route (const QueueConfig *config, const char *host, const char *path);
 
-/** Returns the queue called @p name, or NULL. */
+/** Returns the queue called @p name, or NULL; @p config owns it. */
 const Queue *queue_config_find (const QueueConfig *config, const char *name);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (QueueConfig, queue_config_free)
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -46,6 +46,7 @@
   Sched *sched = g_new0 (Sched, 1);
 
   sched->options = *options;
+  sched->unknown_queue = sched_unknown_queue_new ();
   sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_job_free);
   sched->open = g_hash_table_new (NULL, NULL);
   sched->dirty = g_hash_table_new (NULL, NULL);
@@ -76,6 +77,7 @@
   g_queue_free (sched->ended);
   g_array_unref (sched->lost_workers);
   g_hash_table_destroy (sched->jobs);
+  queue_unref (sched->unknown_queue);
   interference_free (sched->interference);
   shares_free (sched->shares);
   g_free (sched);
@@ -97,17 +99,8 @@
 void
 sched_set_config (Sched *sched, const QueueConfig *config)
 {
-  GHashTableIter iter;
-  gpointer value = NULL;
-
   sched->config = config;
-  g_hash_table_iter_init (&iter, sched->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      SchedJob *job = value;
-      job->queue = config != NULL ? queue_config_find (config, job->queue_name) : NULL;
-      sched_share_job (sched, job);
-    }
+  sched_update_terms (sched);
 }
 
 void
@@ -218,17 +211,18 @@
       if (worker->n_serving == 0)
         left_m += worker->info->capacity.cpu_m - worker->used.cpu_m - worker->best_effort_cpu_m;
     }
+  const SchedTermsCount terms = sched_count_terms (sched);
   sched_note (sched, "room", "-",
               "workers=%u cpu_m=%" G_GINT64_FORMAT " used_m=%" G_GINT64_FORMAT
               " serving_m=%" G_GINT64_FORMAT " fill_m=%" G_GINT64_FORMAT
               " left_without_serving_m=%" G_GINT64_FORMAT
               " open_jobs=%u ready_tasks=%u not_reporting=%u draining=%u evacuated=%u"
-              " quarantined=%u",
+              " quarantined=%u queue_removed=%u terms_unknown=%u",
               n_workers, capacity.cpu_m, used_m, serving_m, best_effort_m, left_m,
               g_hash_table_size (sched->open), n_waiting,
               n_refusing[SCHED_REFUSES_SILENT] + n_refusing[SCHED_REFUSES_OUTDATED],
               n_refusing[SCHED_REFUSES_DRAINING], n_refusing[SCHED_REFUSES_EVACUATED],
-              n_refusing[SCHED_REFUSES_QUARANTINED]);
+              n_refusing[SCHED_REFUSES_QUARANTINED], terms.n_kept, terms.n_unknown);
   sched_note_waiting (sched);
 }
 
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -58,7 +58,8 @@
 /** Frees a scheduler; NULL is allowed. */
 void sched_free (Sched *sched);
 
-/** Sets the configuration, which must stay valid until the next one is set. */
+/** Sets the configuration, which must stay valid until the next one is set; NULL for none. Jobs of
+ * queues that it does not name keep their newest known terms. */
 void sched_set_config (Sched *sched, const QueueConfig *config);
 
 /** Sets the data centres whose workers start nothing; @p evacuations must stay valid and may change
@@ -84,6 +85,7 @@
   JobSpec *spec;                   /**< ownership is taken */
   const Batch__Progress *progress; /**< NULL for none */
   const Batch__Crashes *crashes;   /**< NULL for none */
+  const Batch__Terms *terms;       /**< terms under which it was accepted; NULL: not known */
   gboolean may_have_started;       /**< a previous owner may have started tasks of it */
 } SchedNewJob;
 
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -32,6 +32,7 @@
   g_ptr_array_unref (job->stages);
   job_spec_free (job->spec);
   shares_unref (job->origin);
+  queue_unref (job->queue);
   g_free (job->data_centre);
   g_free (job->queue_name);
   g_free (job->id);
@@ -426,6 +427,21 @@
   job->has_unwritten_failures = has_unwritten;
 }
 
+/* Returns whether the job ended since the task has used up its attempts. */
+static gboolean
+end_if_spent (Sched *sched, const SchedTask *task, int64_t run)
+{
+  SchedJob *job = task->stage->job;
+
+  if (!sched_job_is_open (job) || task->n_failed < job->queue->attempts_max)
+    return FALSE;
+  sched_note (sched, "attempts_spent", job->id,
+              "task=%u.%u.%u run=%" G_GINT64_FORMAT " failures=%u", task->stage->occurrence,
+              task->stage->step_index, task->index, run, task->n_failed);
+  sched_end_job (sched, job, SCHED_FAILED);
+  return TRUE;
+}
+
 void
 sched_task_failed (Sched *sched, SchedTask *task, int64_t run)
 {
@@ -436,12 +452,30 @@
   count_failure (task, run);
   hold_until_written (task);
   sched_mark_dirty (sched, job);
-  if (sched_job_is_open (job) && job->queue != NULL && task->n_failed >= job->queue->attempts_max)
+  (void) end_if_spent (sched, task, run);
+}
+
+static gboolean
+end_if_stage_spent (Sched *sched, const SchedStage *stage)
+{
+  for (guint i = 0; !stage->step->is_continuous && i < stage->failed->len; i++)
     {
-      sched_note (sched, "attempts_spent", job->id,
-                  "task=%u.%u.%u run=%" G_GINT64_FORMAT " failures=%u", task->stage->occurrence,
-                  task->stage->step_index, task->index, run, task->n_failed);
-      sched_end_job (sched, job, SCHED_FAILED);
+      const FailedRow *row = &g_array_index (stage->failed, FailedRow, i);
+      const SchedTask *task = &stage->tasks[row->index];
+      if (task->state != TASK_DONE && !task->is_done_elsewhere
+          && end_if_spent (sched, task, row->run))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+sched_end_if_spent (Sched *sched, SchedJob *job)
+{
+  for (guint i = 0; i < job->stages->len; i++)
+    {
+      if (end_if_stage_spent (sched, g_ptr_array_index (job->stages, i)))
+        return;
     }
 }
 
@@ -589,13 +623,12 @@
   job->id = g_strdup (wanted->id);
   job->queue_name = g_strdup (wanted->queue);
   job->data_centre = g_strdup (wanted->data_centre != NULL ? wanted->data_centre : "");
-  job->queue = sched->config != NULL ? queue_config_find (sched->config, wanted->queue) : NULL;
   job->accepted_wall_ms = CLAMP (wanted->accepted_wall_ms, 0, JOB_WALL_MAX_MS);
   job->spec = wanted->spec;
   job->is_old = wanted->may_have_started;
   job->stages = g_ptr_array_new_with_free_func (stage_free);
   job->n_changes = 1;
-  sched_share_job (sched, job);
+  sched_set_terms (sched, job, wanted->terms);
   if (wanted->progress != NULL)
     restore (job, wanted->progress);
   g_hash_table_insert (sched->jobs, job->id, job);
@@ -611,6 +644,8 @@
     sched_restore_crashes (sched, job, wanted->crashes);
   if (is_complete (job))
     sched_end_job (sched, job, SCHED_COMPLETED);
+  else
+    sched_end_if_spent (sched, job);
 }
 
 void
--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -189,7 +189,7 @@
                   const SchedJob *job,
                   SchedReadyStage (*order) (const Sched *, SchedStage *))
 {
-  if (job->queue == NULL)
+  if (!sched_has_terms (sched, job))
     return;
   for (guint i = 0; i < job->stages->len; i++)
     {
@@ -217,7 +217,7 @@
 static void
 add_rows (const Sched *sched, GArray *rows, const SchedJob *job)
 {
-  for (guint i = 0; job->queue != NULL && i < job->stages->len; i++)
+  for (guint i = 0; sched_has_terms (sched, job) && i < job->stages->len; i++)
     {
       SchedStage *stage = g_ptr_array_index (job->stages, i);
       if (stage->step_index != 0 || stage->step->is_continuous)
--- a/lib/batch/sched_preempt.c
+++ b/lib/batch/sched_preempt.c
@@ -70,13 +70,13 @@
 }
 
 static gboolean
-may_give_way (const SchedTask *task)
+may_give_way (const Sched *sched, const SchedTask *task)
 {
   const JobStep *step = task->stage->step;
 
   return step->is_best_effort && step->has_checkpoints && !step->is_gang && !task->is_starting
          && !task->is_done_elsewhere && task->percent <= PERCENT_MAX
-         && task->stage->job->queue != NULL;
+         && sched_has_terms (sched, task->stage->job);
 }
 
 static void
@@ -85,7 +85,7 @@
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
-      if (!may_give_way (task))
+      if (!may_give_way (preemption->sched, task))
         continue;
       Candidate row = { task, sched_ready_stage (preemption->sched, task->stage), 0 };
       double lateness = row.place.rank >= SCHED_RANK_LATE ? LATE_FACTOR : 1.0;
--- a/lib/batch/sched_shares.c
+++ b/lib/batch/sched_shares.c
@@ -26,7 +26,7 @@
 sched_share_job (Sched *sched, SchedJob *job)
 {
   g_clear_pointer (&job->origin, shares_unref);
-  if (sched->shares == NULL || job->queue == NULL)
+  if (sched->shares == NULL || !sched_has_terms (sched, job))
     return;
   g_autofree char *group = g_strdup_printf ("%s/%u", job->queue->service, job->queue->priority);
   g_autofree char *name = origin_of (sched, job);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -222,7 +222,8 @@
   char *id;
   char *queue_name;
   char *data_centre;  /**< of the entry that accepted it; "" if it is not known */
-  const Queue *queue; /**< NULL while it is not configured */
+  const Queue *queue; /**< a reference, never NULL: the queue as it is configured; else the newest
+                         known terms, or Sched.unknown_queue */
   int64_t accepted_wall_ms;
   JobSpec *spec;
   SchedJobState state;
@@ -237,7 +238,7 @@
   gboolean has_new_crashes; /**< crashed runs of its tasks are not in the ledger */
   int64_t running_cpu_m;    /**< requested by its tasks at workers, without serving ones */
   int64_t ordered_us;   /**< when a task was last started before one was seen to run; 0: not here */
-  SharesOrigin *origin; /**< NULL without shares, or while its queue is not configured */
+  SharesOrigin *origin; /**< NULL without shares, or while its terms are not known */
   int64_t later_ms; /**< time before its first start in which it came later because of its origin */
   int64_t later_us; /**< newest pass that later_ms contains */
 };
@@ -296,6 +297,7 @@
 {
   SchedOptions options;
   const QueueConfig *config;
+  Queue *unknown_queue; /**< of jobs whose terms are not known; no worker has its service */
   const Evacuations *evacuations; /**< NULL for none */
   gboolean are_starts_held;
   uint64_t term;
@@ -531,6 +533,27 @@
 /* Call it before each start in a pass. */
 void sched_note_gap_start (SchedWorker *worker, const SchedTask *task);
 
+/* Ends the job if a task has used up its attempts. Its limit may have been unknown when it failed.
+ */
+void sched_end_if_spent (Sched *sched, SchedJob *job);
+
+/* sched_terms.c */
+/* Creates the queue of jobs whose terms are not known. */
+Queue *sched_unknown_queue_new (void);
+/* Sets the queue of a new job from its terms, which may be NULL, and the configuration. */
+void sched_set_terms (Sched *sched, SchedJob *job, const Batch__Terms *terms);
+/* Makes all jobs follow the configuration, which was replaced. */
+void sched_update_terms (Sched *sched);
+/* Whether the terms of the job are known. Else what runs goes on and nothing is started. */
+gboolean sched_has_terms (const Sched *sched, const SchedJob *job);
+/** Open jobs whose queue is not configured. */
+typedef struct
+{
+  uint32_t n_kept;    /**< they have the newest known terms */
+  uint32_t n_unknown; /**< their terms are not known */
+} SchedTermsCount;
+SchedTermsCount sched_count_terms (const Sched *sched);
+
 /* sched_shares.c */
 /* Sets the origin of the job from its queue and data centre. */
 void sched_share_job (Sched *sched, SchedJob *job);
--- a/programs/scheduler/front.c
+++ b/programs/scheduler/front.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "batch/terms.h"
 #include "common/clk.h"
 #include "common/line.h"
 #include "entry_private.h"
@@ -165,12 +166,15 @@
     Front *front, NetRequest *request, const char *id, const Queue *queue, uint32_t n_tasks)
 {
   Batch__Submission message = BATCH__SUBMISSION__INIT;
+  Batch__Terms terms = BATCH__TERMS__INIT;
   g_autofree char *key = g_strconcat (LEDGER_JOB_PREFIX, id, NULL);
 
   message.queue = queue->name;
   message.accepted_wall_ms = clk_wall_ms ();
   message.tasks = n_tasks;
   message.data_centre = front->entry->settings->data_centre;
+  terms_init (&terms, queue);
+  message.terms = &terms;
   message.body.data = (uint8_t *) net_request_body (request, &message.body.len);
   size_t size = batch__submission__get_packed_size (&message);
   g_autofree uint8_t *bytes = g_malloc (size);
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -160,6 +160,7 @@
                                .spec = spec,
                                .progress = job->progress,
                                .crashes = ledger_crashes (owner->entry->ledger, job->id),
+                               .terms = job->submission->terms,
                                .may_have_started = job->offset < owner->taken_over_end };
   sched_add_job (owner->sched, &wanted);
   if (job->is_cancelled)
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -123,7 +123,7 @@
 static inline void
 rig_add_queue (Rig *rig, const char *name, uint32_t priority, uint32_t attempts_max)
 {
-  Queue *queue = g_new0 (Queue, 1);
+  Queue *queue = queue_new ();
 
   queue->name = g_strdup (name);
   queue->host = g_strdup ("host.example");
@@ -261,6 +261,7 @@
                             .spec = spec,
                             .progress = rig_progress_record (rig, id),
                             .crashes = rig_crash_record (rig, id),
+                            .terms = NULL,
                             .may_have_started = may_have_started };
   sched_add_job (rig->sched, &job);
   if (job.progress != NULL)
--- a/tests/fuzz/fuzz_lists.c
+++ b/tests/fuzz/fuzz_lists.c
@@ -56,7 +56,7 @@
 config_new (void)
 {
   QueueConfig *config = queue_config_new (1);
-  Queue *queue = g_new0 (Queue, 1);
+  Queue *queue = queue_new ();
 
   (void) queue_config_add_service (config, "s");
   queue->name = g_strdup ("q");
--- a/tests/support/emulator.c
+++ b/tests/support/emulator.c
@@ -165,24 +165,6 @@
                             .has_older_builds = seed % 2 == 0 };
 }
 
-static QueueConfig *
-config_new (void)
-{
-  QueueConfig *config = queue_config_new (1);
-  Queue *queue = g_new0 (Queue, 1);
-
-  (void) queue_config_add_service (config, "service");
-  queue->name = g_strdup ("bulk");
-  queue->host = g_strdup ("host.example");
-  queue->prefix = g_strdup ("/bulk/");
-  queue->service = g_strdup ("service");
-  queue->attempts_max = EMU_ATTEMPTS_MAX;
-  queue->stretch = 2.0;
-  queue->target_ms = 1000;
-  queue_config_add (config, queue);
-  return config;
-}
-
 static void
 start_all (Emulator *emu)
 {
@@ -244,11 +226,12 @@
   emu->now_us = 1000000;
   emu->end_us = emu->now_us + (options->trouble_ms + options->quiet_ms) * CLK_US_PER_MS;
   emu->events = g_array_new (FALSE, FALSE, sizeof (EmuEvent));
-  emu->config = config_new ();
+  emu->config = emu_config_new (1, TRUE);
   emu_store_init (emu);
   emu->check = emu_check_new (emu);
   emu_faults_schedule (emu);
   emu_check_add_jobs (emu);
+  emu_config_schedule (emu);
   start_all (emu);
   while (emu->events->len > 0 && g_array_index (emu->events, EmuEvent, 0).time_us <= emu->end_us)
     {
--- a/tests/support/emulator.h
+++ b/tests/support/emulator.h
@@ -24,9 +24,10 @@
   gboolean has_cut_leaves;   /**< workers that leave live on for a while and refuse connections */
   gboolean has_step_limits;  /**< steps have limits of tasks on one worker */
   gboolean has_overlooked_starts; /**< some starts are executed and answered as not sent */
-  gboolean has_store_queue; /**< a slow store executes one append at a time, and refuses some */
-  gboolean has_busy_topic;  /**< claims wait for other appends, and are made accordingly */
-  uint64_t skipped_faults;  /**< bit i: fault i of the schedule is left out */
+  gboolean has_store_queue;    /**< a slow store executes one append at a time, and refuses some */
+  gboolean has_busy_topic;     /**< claims wait for other appends, and are made accordingly */
+  gboolean has_removed_queues; /**< the operators remove the queue of open jobs, and add it again */
+  uint64_t skipped_faults;     /**< bit i: fault i of the schedule is left out */
 } EmulatorOptions;
 
 typedef struct
--- a/tests/support/emulator_check.c
+++ b/tests/support/emulator_check.c
@@ -1,6 +1,7 @@
 /* The users' rules, judged by what the workers did. */
 #include <string.h>
 
+#include "batch/terms.h"
 #include "support/emulator_private.h"
 
 #define STEPS_MAX 3
@@ -182,11 +183,12 @@
 }
 
 static GByteArray *
-encode_job (const CheckJob *job, int64_t at_ms)
+encode_job (const Emulator *emu, const CheckJob *job, int64_t at_ms)
 {
   g_autoptr (GString) body = g_string_new ("{\"spec\":\"s\",\"steps\":[");
   g_autofree char *key = g_strconcat (LEDGER_JOB_PREFIX, job->id, NULL);
   Batch__Submission submission = BATCH__SUBMISSION__INIT;
+  Batch__Terms terms = BATCH__TERMS__INIT;
   GByteArray *records = g_byte_array_new ();
   uint8_t data[1024];
   char queue[] = "bulk";
@@ -203,6 +205,8 @@
   submission.accepted_wall_ms = EMU_WALL_MS + at_ms;
   submission.body.data = (uint8_t *) body->str;
   submission.body.len = body->len;
+  terms_init (&terms, queue_config_find (emu->config, queue));
+  submission.terms = emu->options.has_older_builds ? NULL : &terms;
   store_add_record (records, key, data, batch__submission__pack (&submission, data));
   return records;
 }
@@ -236,7 +240,7 @@
       for (uint32_t k = 0; k < job->n_tasks[i]; k++)
         add_task (emu->check, job, i, k);
     }
-  submit_after (emu, at_ms, encode_job (job, at_ms));
+  submit_after (emu, at_ms, encode_job (emu, job, at_ms));
   job->is_cancelled = emu_chance (emu, CANCEL_PERCENT);
   if (job->is_cancelled)
     submit_after (emu, at_ms + emu_between (emu, 0, CANCEL_DELAY_MAX_MS), encode_cancel (job));
--- a/tests/support/emulator_owner.c
+++ b/tests/support/emulator_owner.c
@@ -363,6 +363,7 @@
           .spec = spec,
           .progress = job->progress,
           .crashes = entry->is_older ? NULL : ledger_crashes (entry->ledger, job->id),
+          .terms = entry->is_older ? NULL : job->submission->terms,
           .may_have_started = job->offset < entry->claim_offset };
   sched_add_job (entry->sched, &wanted);
   if (job->is_cancelled)
--- a/tests/support/emulator_private.h
+++ b/tests/support/emulator_private.h
@@ -362,6 +362,10 @@
 /* emulator_faults.c */
 void emu_faults_schedule (Emulator *emu);
 
+/* emulator_config.c */
+QueueConfig *emu_config_new (int64_t version, gboolean has_queue);
+void emu_config_schedule (Emulator *emu);
+
 /* emulator_check.c: judges what the workers do. */
 EmuCheck *emu_check_new (Emulator *emu);
 void emu_check_free (EmuCheck *check);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -158,7 +158,7 @@
 static void
 add_queue (Fleet *fleet, const FleetKind *kind)
 {
-  Queue *queue = g_new0 (Queue, 1);
+  Queue *queue = queue_new ();
 
   queue->name = g_strdup (kind->name);
   queue->host = g_strdup ("host.example");
