sched_orders: what is under way to an agent has a bound in bytes

Cause: all pending orders of an agent went into one message, each start with its own copy of the spec: 2,667 of 4.1 KB, and the lease with them. The receiver closes the connection over 8 MiB, the sender was told nothing, and 100 ms later the same message was built again.

Change: orders under way to one agent are bounded to 64 KiB. While an agent has not confirmed that much, nothing more is started there, so that stops, CPU limits and other jobs never queue up behind starts; members of a gang are excepted and go out as the agent confirms. An owner whose orders wait asks for a report at once (Orders.wants_report, ignored by older builds). net_link_send() refuses what its peer would not take, with a line and a counter, and the lease goes out without the orders.

--- a/lib/batch/ledger.pb-c.c
+++ b/lib/batch/ledger.pb-c.c
@@ -3705,7 +3705,7 @@
   (ProtobufCMessageInit) batch__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor batch__orders__field_descriptors[12] =
+static const ProtobufCFieldDescriptor batch__orders__field_descriptors[13] =
 {
   {
     "epoch",
@@ -3851,6 +3851,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_report",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Batch__Orders, wants_report),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned batch__orders__field_indices_by_name[] = {
   2,   /* field[2] = agent_boot */
@@ -3865,11 +3877,12 @@
   1,   /* field[1] = owner */
   9,   /* field[9] = report_gap_ms */
   8,   /* field[8] = report_taken */
+  12,   /* field[12] = wants_report */
 };
 static const ProtobufCIntRange batch__orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor batch__orders__descriptor =
 {
@@ -3879,7 +3892,7 @@
   "Batch__Orders",
   "batch",
   sizeof(Batch__Orders),
-  12,
+  13,
   batch__orders__field_descriptors,
   batch__orders__field_indices_by_name,
   1,  batch__orders__number_ranges,
--- a/lib/batch/ledger.pb-c.h
+++ b/lib/batch/ledger.pb-c.h
@@ -646,10 +646,14 @@
    * crashed runs of that agent boot up to this number are in the ledger
    */
   uint64_t crashes_kept;
+  /*
+   * further orders wait until a report confirms these; ignored by older builds
+   */
+  protobuf_c_boolean wants_report;
 };
 #define BATCH__ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&batch__orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Batch__Worker
--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -5,9 +5,6 @@
 #include "batch/sched_tables.h"
 #include "common/clk.h"
 
-/** Orders that no report has confirmed are sent again with the next message after this time. A
- * report that was sent before the orders arrived does not confirm them. */
-#define RESEND_MS 100
 /** Interval between two log lines about the utilisation of the workers. */
 #define UTILISATION_NOTE_MS 1000
 /** Longest time between two ticks that is counted as waiting. */
@@ -242,46 +239,6 @@
   note_utilisation (sched, sched_place (sched));
 }
 
-/* Adds the pending orders. Those that were sent less than the resend interval ago are omitted. */
-static void
-add_orders (const Sched *sched, SchedWorker *worker, Batch__Orders *orders)
-{
-  Batch__Order **rows = (Batch__Order **) worker->orders->pdata;
-  gboolean is_resend_due = sched->now_us - worker->sent_us >= RESEND_MS * CLK_US_PER_MS;
-  guint first = 0;
-
-  while (!is_resend_due && first < worker->orders->len
-         && rows[first]->number <= worker->sent_number)
-    first++;
-  if (worker->orders->len == 0)
-    return;
-  orders->order_before = first > 0 ? rows[first - 1]->number : 0;
-  orders->n_orders = worker->orders->len - first;
-  orders->orders = rows + first;
-  if (first == 0)
-    worker->sent_us = sched->now_us;
-  worker->sent_number = rows[worker->orders->len - 1]->number;
-}
-
-gboolean
-sched_orders (Sched *sched, const char *agent, Batch__Orders *orders)
-{
-  SchedWorker *worker = g_hash_table_lookup (sched->workers, agent);
-
-  if (worker == NULL || !worker->is_message_due)
-    return FALSE;
-  worker->is_message_due = FALSE;
-  orders->agent_boot = worker->boot;
-  orders->echo_us = worker->clock_us;
-  orders->life = worker->incarnation;
-  orders->ends_kept = worker->ends_written;
-  orders->crashes_kept = worker->crashes_written;
-  orders->report_taken = worker->report_version;
-  orders->forbids_starts = sched_is_evacuated (sched, worker);
-  add_orders (sched, worker, orders);
-  return TRUE;
-}
-
 uint32_t
 sched_pending_jobs (const Sched *sched, const char *queue)
 {
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -152,6 +152,10 @@
 /** Makes all decisions that are due; call it after inputs and about every 100 ms. */
 void sched_tick (Sched *sched, int64_t now_us, int64_t wall_ms);
 
+/** Most bytes of orders that are under way to one agent, unless one order alone is larger. On a
+ * slow link, the lease of what runs waits behind them. */
+#define SCHED_ORDER_BYTES_MAX ((size_t) 64 * 1024)
+
 /**
  * Fills @p orders with the message to send to @p agent; its pointers are owned by the scheduler and
  * valid until the next call. Returns FALSE if there is nothing new to send.
--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -14,8 +14,9 @@
 /** Share of their reservation that serving tasks leave idle on average, in percent. */
 #define SERVING_IDLE_PERCENT 50
 
-static const char *const wait_names[SCHED_WAITS]
-    = { "none", "worker", "memory", "processors", "over_target", "headroom", "reservation" };
+static const char *const wait_names[SCHED_WAITS] = { "none",        "worker",      "memory",
+                                                     "processors",  "over_target", "headroom",
+                                                     "reservation", "orders" };
 
 gboolean
 sched_has_label (const WorkerInfo *info, const char *label)
@@ -149,15 +150,11 @@
              : SCHED_WAIT_PROCESSORS;
 }
 
-SchedWait
-sched_admit (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
+static SchedWait
+admit_resources (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
 {
   const SchedStage *stage = task->stage;
 
-  if (!may_run (worker, stage))
-    return SCHED_WAIT_WORKER;
-  if (sched_is_guarded (worker, task))
-    return SCHED_WAIT_WORKER;
   if (!has_memory (worker, stage->step, (JobSize){ 0 }))
     return SCHED_WAIT_MEMORY;
   if (stage->step->is_best_effort && worker->info->capacity.cpu_m <= 0)
@@ -168,6 +165,18 @@
                                      : admit_reserved (worker, stage);
 }
 
+SchedWait
+sched_admit (SchedWorker *worker, const SchedTask *task, gboolean is_starved)
+{
+  if (!may_run (worker, task->stage) || sched_is_guarded (worker, task))
+    return SCHED_WAIT_WORKER;
+  SchedWait wait = admit_resources (worker, task, is_starved);
+  /* Members of a gang wait for each other at their workers, not here. */
+  if (wait == SCHED_WAIT_NONE && !task->stage->step->is_gang && !sched_has_room_for_orders (worker))
+    return SCHED_WAIT_ORDERS;
+  return wait;
+}
+
 static uint32_t
 count_within (const JobSize *room, const JobSize *size, uint32_t n_most)
 {
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -93,7 +93,7 @@
         }
       if (!is_starved && sched_is_held (worker, task))
         {
-          nearest = SCHED_WAIT_RESERVATION;
+          nearest = MAX (nearest, SCHED_WAIT_RESERVATION);
           continue;
         }
       int64_t cost = sched_cost (worker, task);
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -298,7 +298,7 @@
   worker->is_message_due = TRUE;
   /* An agent that was forgotten and added again skips the numbers that it has executed. */
   worker->next_number = MAX (worker->next_number, report->done_number + 1);
-  g_ptr_array_set_size (worker->orders, 0);
+  sched_orders_clear (worker);
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       SchedTask *task = g_ptr_array_index (worker->tasks, i);
@@ -313,18 +313,6 @@
               worker->name, report->boot, report->life, report->n_running, report->n_ended);
 }
 
-static void
-drop_done_orders (SchedWorker *worker)
-{
-  while (worker->orders->len > 0)
-    {
-      const Batch__Order *first = g_ptr_array_index (worker->orders, 0);
-      if (first->number > worker->done_number)
-        return;
-      g_ptr_array_remove_index (worker->orders, 0);
-    }
-}
-
 static void
 note_draining (Sched *sched, SchedWorker *worker, gboolean was_draining)
 {
@@ -501,7 +489,7 @@
   worker->measured_us = now_us - measurement_age_us (report);
   worker->no_report_us = 0;
   worker->is_message_due = TRUE;
-  drop_done_orders (worker);
+  sched_orders_confirm (worker, worker->done_number);
   note_refusals (sched, worker, report);
   apply_ends (sched, worker, report);
   apply_rows (sched, worker, report);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -132,6 +132,7 @@
   SCHED_WAIT_OVER_TARGET, /**< serving tasks are over their targets */
   SCHED_WAIT_HEADROOM,    /**< serving tasks would be over their targets */
   SCHED_WAIT_RESERVATION, /**< a worker is kept for an earlier task, see sched_gaps.c */
+  SCHED_WAIT_ORDERS,      /**< its agent has not confirmed earlier orders, see sched_orders.c */
   SCHED_WAITS,
 } SchedWait;
 
@@ -260,6 +261,7 @@
   uint64_t sent_number; /**< newest order that was sent */
   int64_t sent_us;      /**< when all pending orders were last sent together */
   GPtrArray *orders;    /**< pending Batch__Order, owned */
+  size_t order_bytes;   /**< their size in a message */
   gboolean is_message_due;
   int64_t ends_applied;
   int64_t ends_written;
@@ -533,6 +535,17 @@
 /* Call it before each start in a pass. */
 void sched_note_gap_start (SchedWorker *worker, const SchedTask *task);
 
+/* sched_orders.c */
+/* Creates an order; sched_order_add() takes ownership of it. */
+Batch__Order *sched_order_new (Batch__Order__WhatCase what_case);
+/* Adds a filled order to the worker's pending ones. Returns its number. */
+uint64_t sched_order_add (SchedWorker *worker, Batch__Order *order);
+/* Drops the orders up to the number, which the agent has executed or is executing. */
+void sched_orders_confirm (SchedWorker *worker, uint64_t number);
+void sched_orders_clear (SchedWorker *worker);
+/* Whether a start that is ordered now would be under way at once. */
+gboolean sched_has_room_for_orders (const SchedWorker *worker);
+
 /* Ends the job if a task has used up its attempts. Its limit may have been unknown when it failed.
  */
 void sched_end_if_spent (Sched *sched, SchedJob *job);
--- a/lib/batch/sched_where.c
+++ b/lib/batch/sched_where.c
@@ -53,11 +53,11 @@
 sched_where_reason_name (SchedWhereReason reason)
 {
   static const char *const names[SCHED_WHERE_REASONS]
-      = { "chosen",    "costs_more",    "other_service", "no_label",      "suspect",
-          "memory",    "processors",    "over_target",   "headroom",      "reservation",
-          "silent",    "outdated",      "published",     "draining",      "leaving",
-          "evacuated", "orphaned_runs", "quarantined",   "refused_start", "starts_held",
-          "members",   "not_due",       "worker" };
+      = { "chosen",      "costs_more", "other_service", "no_label",    "suspect",
+          "memory",      "processors", "over_target",   "headroom",    "reservation",
+          "orders",      "silent",     "outdated",      "published",   "draining",
+          "leaving",     "evacuated",  "orphaned_runs", "quarantined", "refused_start",
+          "starts_held", "members",    "not_due",       "worker" };
 
   return names[reason];
 }
@@ -109,7 +109,8 @@
           [SCHED_WAIT_PROCESSORS] = SCHED_WHERE_PROCESSORS,
           [SCHED_WAIT_OVER_TARGET] = SCHED_WHERE_OVER_TARGET,
           [SCHED_WAIT_HEADROOM] = SCHED_WHERE_HEADROOM,
-          [SCHED_WAIT_RESERVATION] = SCHED_WHERE_RESERVATION };
+          [SCHED_WAIT_RESERVATION] = SCHED_WHERE_RESERVATION,
+          [SCHED_WAIT_ORDERS] = SCHED_WHERE_ORDERS };
   SchedWhereReason reason = reasons[wait];
 
   if (wait == SCHED_WAIT_WORKER)
--- a/lib/batch/sched_where.h
+++ b/lib/batch/sched_where.h
@@ -35,6 +35,7 @@
   SCHED_WHERE_OVER_TARGET,
   SCHED_WHERE_HEADROOM,
   SCHED_WHERE_RESERVATION, /**< kept for a task that comes earlier in the dispatch order */
+  SCHED_WHERE_ORDERS,      /**< its agent has not confirmed earlier orders */
   SCHED_WHERE_SILENT,      /**< this one and those below: it accepts no tasks at all */
   SCHED_WHERE_OUTDATED,
   SCHED_WHERE_PUBLISHED,
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -80,18 +80,6 @@
   return sched->are_starts_held ? SCHED_REFUSES_HELD : SCHED_ACCEPTS;
 }
 
-static Batch__Order *
-add_order (SchedWorker *worker)
-{
-  Batch__Order *order = message_alloc (sizeof *order);
-
-  batch__order__init (order);
-  order->number = worker->next_number++;
-  g_ptr_array_add (worker->orders, order);
-  worker->is_message_due = TRUE;
-  return order;
-}
-
 static void
 account (SchedWorker *worker, const SchedTask *task, int64_t sign)
 {
@@ -171,10 +159,9 @@
 sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task)
 {
   SchedJob *job = task->stage->job;
-  Batch__Order *order = add_order (worker);
+  Batch__Order *order = sched_order_new (BATCH__ORDER__WHAT_START);
   g_autofree char *name = sched_task_name (task);
 
-  order->what_case = BATCH__ORDER__WHAT_START;
   order->start = message_alloc (sizeof *order->start);
   batch__start__init (order->start);
   order->start->task = message_strdup (name);
@@ -186,7 +173,7 @@
   if (!job->has_begun)
     job->ordered_us = sched->now_us;
   add_needs (order->start, worker, task);
-  task->order_number = order->number;
+  task->order_number = sched_order_add (worker, order);
   worker->has_suspect |= sched_is_suspect (task);
   sched_note (sched, "start", job->id,
               "task=%s run=%" G_GINT64_FORMAT " worker=%s used_cpu_m=%" G_GINT64_FORMAT
@@ -208,13 +195,13 @@
 void
 sched_order_stop_run (SchedWorker *worker, const char *task, int64_t run)
 {
-  Batch__Order *order = add_order (worker);
+  Batch__Order *order = sched_order_new (BATCH__ORDER__WHAT_STOP);
 
-  order->what_case = BATCH__ORDER__WHAT_STOP;
   order->stop = message_alloc (sizeof *order->stop);
   batch__stop__init (order->stop);
   order->stop->task = message_strdup (task);
   order->stop->run = run;
+  (void) sched_order_add (worker, order);
 }
 
 void
@@ -238,13 +225,13 @@
 
   if (task->cpu_limit == percent)
     return;
-  Batch__Order *order = add_order (task->worker);
-  order->what_case = BATCH__ORDER__WHAT_PACE;
+  Batch__Order *order = sched_order_new (BATCH__ORDER__WHAT_PACE);
   order->pace = message_alloc (sizeof *order->pace);
   batch__pace__init (order->pace);
   order->pace->task = message_strdup (name);
   order->pace->run = task->run;
   order->pace->percent = percent;
+  (void) sched_order_add (task->worker, order);
   task->cpu_limit = percent;
   task->cpu_limit_us = sched->now_us;
   sched_tails_cpu_limit (task->worker, task);
@@ -265,7 +252,7 @@
       sched_detach (task, TASK_WAITING);
       sched_complete_if_done_elsewhere (sched, task);
     }
-  g_ptr_array_set_size (worker->orders, 0);
+  sched_orders_clear (worker);
   worker->boot = 0;
   worker->incarnation = 0;
   worker->report_us = 0;
--- a/lib/net/net_link.c
+++ b/lib/net/net_link.c
@@ -262,13 +262,15 @@
   g_free (link);
 }
 
-gboolean
+NetLinkResult
 net_link_send (NetLink *link, GBytes *peer, const void *data, size_t size)
 {
   size_t peer_size = 0;
   const void *id = g_bytes_get_data (peer, &peer_size);
 
+  if (size > NET_LINK_MESSAGE_MAX)
+    return NET_LINK_TOO_LARGE;
   if (zmq_send (link->socket, id, peer_size, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
-    return FALSE;
-  return zmq_send (link->socket, data, size, ZMQ_DONTWAIT) >= 0;
+    return NET_LINK_NOT_SENT;
+  return zmq_send (link->socket, data, size, ZMQ_DONTWAIT) >= 0 ? NET_LINK_SENT : NET_LINK_NOT_SENT;
 }
--- a/lib/net/net_link.h
+++ b/lib/net/net_link.h
@@ -17,7 +17,7 @@
 
 /** Time without a message from a peer that sends every few hundred ms; then it is added again. */
 #define NET_LINK_PEER_TIMEOUT_MS 1200
-/** Size limit of a message, in bytes. */
+/** Size limit of a message, in bytes. A receiver closes the connection over a larger one. */
 #define NET_LINK_MESSAGE_MAX (8 * 1024 * 1024)
 /** Limit of the messages queued for one peer. */
 #define NET_LINK_QUEUE_MAX 16
@@ -54,7 +54,15 @@
 /** Closes the link at once and drops unsent messages. NULL is allowed. */
 void net_link_free (NetLink *link);
 
-/** Sends to @p peer. Returns FALSE when the peer is no longer known or its queue is full. */
-gboolean net_link_send (NetLink *link, GBytes *peer, const void *data, size_t size);
+typedef enum
+{
+  NET_LINK_SENT,
+  NET_LINK_NOT_SENT,  /**< the peer is no longer known, or its queue is full */
+  NET_LINK_TOO_LARGE, /**< over #NET_LINK_MESSAGE_MAX: the peer would close the connection, each
+                         time that it is sent */
+} NetLinkResult;
+
+/** Sends to @p peer. */
+NetLinkResult net_link_send (NetLink *link, GBytes *peer, const void *data, size_t size);
 
 G_END_DECLS
--- a/lib/supervisor/supervisor.c
+++ b/lib/supervisor/supervisor.c
@@ -485,6 +485,8 @@
     return TRUE;
   for (size_t i = 0; i < orders->n_orders; i++)
     handle_order (supervisor, orders, orders->orders[i]);
+  if (orders->wants_report)
+    supervisor_changed (supervisor);
   return TRUE;
 }
 
--- a/programs/scheduler/owner_peers.c
+++ b/programs/scheduler/owner_peers.c
@@ -7,6 +7,8 @@
 #include "net/net_link.h"
 #include "owner_private.h"
 
+G_STATIC_ASSERT (2 * SCHED_ORDER_BYTES_MAX < NET_LINK_MESSAGE_MAX);
+
 struct Peers
 {
   Owner *owner;
@@ -15,6 +17,7 @@
   GHashTable *by_name; /**< agent name -> Peer, owned */
   GHashTable *by_id;   /**< link id -> Peer, borrowed */
   MetSeries *unsent;
+  MetSeries *too_large;
   MetSeries *renewed;
 };
 
@@ -50,6 +53,8 @@
   peers->by_id = g_hash_table_new (g_bytes_hash, g_bytes_equal);
   peers->unsent = met_counter (metrics, "acacia_orders_unsent_total", NULL,
                                "Messages that a connection to an agent did not take");
+  peers->too_large = met_counter (metrics, "acacia_orders_too_large_total", NULL,
+                                  "Messages to agents over the size that these accept");
   peers->renewed = met_counter (metrics, "acacia_peers_renewed_total", NULL,
                                 "Silent connections to agents that were made anew");
   return peers;
@@ -157,19 +162,44 @@
   connect_peer (peers, peer);
 }
 
-static void
-send_orders (const Peers *peers, Peer *peer, const Batch__Orders *orders)
+static NetLinkResult
+send_message (const Peers *peers, const Peer *peer, const Batch__Orders *orders)
 {
   size_t size = batch__orders__get_packed_size (orders);
   g_autofree uint8_t *bytes = g_malloc (size);
 
   (void) batch__orders__pack (orders, bytes);
+  if (peer->id == NULL)
+    return NET_LINK_NOT_SENT;
+  NetLinkResult result = net_link_send (peers->link, peer->id, bytes, size);
+  if (result == NET_LINK_TOO_LARGE)
+    {
+      met_add (peers->too_large, 1);
+      line_add ("owner", "orders_too_large", "agent=%s orders=%zu bytes=%zu bytes_max=%d",
+                peer->name, orders->n_orders, size, NET_LINK_MESSAGE_MAX);
+    }
+  return result;
+}
+
+/* The message also holds the lease of what runs there, which is sent even if the orders cannot be.
+ */
+static void
+send_orders (const Peers *peers, Peer *peer, Batch__Orders *orders)
+{
+  size_t n_orders = orders->n_orders;
+
   peer->sent_us = clk_now_us ();
-  if (peer->id != NULL && net_link_send (peers->link, peer->id, bytes, size))
+  NetLinkResult result = send_message (peers, peer, orders);
+  if (result == NET_LINK_SENT)
     return;
+  if (result == NET_LINK_TOO_LARGE)
+    {
+      orders->n_orders = 0;
+      (void) send_message (peers, peer, orders);
+    }
   met_add (peers->unsent, 1);
-  if (orders->n_orders > 0)
-    line_add ("owner", "orders_not_sent", "agent=%s orders=%zu", peer->name, orders->n_orders);
+  if (n_orders > 0)
+    line_add ("owner", "orders_not_sent", "agent=%s orders=%zu", peer->name, n_orders);
 }
 
 static void
--- a/programs/scheduler/relay.c
+++ b/programs/scheduler/relay.c
@@ -133,7 +133,11 @@
   g_autofree uint8_t *bytes = g_malloc (MAX (size, 1));
 
   (void) batch__relay__pack (message, bytes);
-  return net_link_send (link, peer, bytes, size);
+  NetLinkResult result = net_link_send (link, peer, bytes, size);
+  if (result == NET_LINK_TOO_LARGE)
+    line_add ("relay", "message_too_large", "what=%d bytes=%zu bytes_max=%d",
+              (int) message->what_case, size, NET_LINK_MESSAGE_MAX);
+  return result == NET_LINK_SENT;
 }
 
 /* Server side: requests of other entries. */
--- a/programs/scheduler/relay_outcomes.c
+++ b/programs/scheduler/relay_outcomes.c
@@ -74,7 +74,7 @@
   size_t size = batch__relay__get_packed_size (&answer);
   g_autofree uint8_t *bytes = g_malloc (size);
   (void) batch__relay__pack (&answer, bytes);
-  return net_link_send (outcomes->server, unsent->peer, bytes, size);
+  return net_link_send (outcomes->server, unsent->peer, bytes, size) == NET_LINK_SENT;
 }
 
 static gboolean
--- a/programs/worker/agent.c
+++ b/programs/worker/agent.c
@@ -51,6 +51,7 @@
   MetSeries *orders_stale;
   MetSeries *reports_sent;
   MetSeries *reports_unsent;
+  MetSeries *reports_too_large;
   MetSeries *report_bytes;
 };
 
@@ -147,9 +148,13 @@
   g_autofree uint8_t *bytes = g_malloc (size);
   (void) batch__report__pack (report, bytes);
   batch__report__free_unpacked (report, NULL);
-  met_add (net_link_send (agent->link, agent->owner, bytes, size) ? agent->reports_sent
-                                                                  : agent->reports_unsent,
-           1);
+  NetLinkResult result = net_link_send (agent->link, agent->owner, bytes, size);
+  met_add (result == NET_LINK_SENT ? agent->reports_sent : agent->reports_unsent, 1);
+  if (result == NET_LINK_TOO_LARGE)
+    {
+      met_add (agent->reports_too_large, 1);
+      line_add ("agent", "report_too_large", "bytes=%zu bytes_max=%d", size, NET_LINK_MESSAGE_MAX);
+    }
   met_add (agent->report_bytes, size);
 }
 
@@ -397,6 +402,8 @@
       = met_counter (metrics, "acacia_reports_sent_total", NULL, "Reports to the owner");
   agent->reports_unsent = met_counter (metrics, "acacia_reports_unsent_total", NULL,
                                        "Reports that the connection to the owner did not take");
+  agent->reports_too_large = met_counter (metrics, "acacia_reports_too_large_total", NULL,
+                                          "Reports to the owner over the size that it accepts");
   agent->report_bytes
       = met_counter (metrics, "acacia_report_bytes_total", NULL, "Bytes of reports to the owner");
 }
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -99,6 +99,8 @@
   uint32_t n_workers;
   uint32_t n_starts;
   uint32_t n_stops;
+  size_t message_bytes_max;     /**< largest message with orders */
+  gboolean loses_orders;        /**< no agent receives any */
   gboolean sends_changes;       /**< reports contain the changes since the one that was applied */
   gboolean is_stalled;          /**< tasks make no progress */
   gboolean reports_cpu_limits;  /**< agents report the CPU limits of tasks */
@@ -584,6 +586,10 @@
       RigWorker *worker = &rig->workers[i];
       if (!sched_orders (rig->sched, worker->name, &orders) || worker->is_silent)
         continue;
+      rig->message_bytes_max
+          = MAX (rig->message_bytes_max, batch__orders__get_packed_size (&orders));
+      if (rig->loses_orders)
+        continue;
       if (orders.agent_boot == 0)
         worker->applied = 0;
       if (orders.agent_boot != worker->boot)
--- a/tests/fault/test_many_ends.sh
+++ b/tests/fault/test_many_ends.sh
@@ -8,17 +8,6 @@
 workers=5
 work_ms=8000
 
-count() { cat "$dir"/runner-*.out | grep -c "$1" || true; }
-
-# wait_count PATTERN N MS: waits until the runners have printed N lines that match.
-wait_count() {
-  local end=$(($(date +%s%N) / 1000000 + $3))
-  until [ "$(count "$1")" -ge "$2" ]; do
-    [ $(($(date +%s%N) / 1000000)) -lt "$end" ] || fail "$(count "$1") lines '$1' after $3 ms, expected $2"
-    sleep 0.1
-  done
-}
-
 # start_agents: their process ids go to agents.
 start_agents() {
   agents=()
@@ -40,13 +29,7 @@
   "$BUILD/bin/standin-runner" "$net.2.$i:29165" "$net.1.$i:29166" "$work_ms" >"$dir/runner-$i.out" 2>"$dir/runner-$i.log" &
   pids+=($!)
 done
-found=0
-for _ in $(seq 100); do
-  found=$(grep -c "sched worker_found" "$dir/first.log" || true)
-  [ "$found" -lt "$workers" ] || break
-  sleep 0.1
-done
-[ "$found" -ge "$workers" ] || fail "the owner knows $found of $workers workers"
+wait_workers "$dir/first.log" "$workers"
 
 curl -sf -o /dev/null -H 'Host: h.example' "http://$net.0.11:29161/p/00000000000000aa" \
   --data "{\"spec\":\"x\",\"steps\":[{\"count\":$tasks,\"cpu\":1,\"estimate_ms\":$work_ms}]}" \
--- a/tests/fault/users.sh
+++ b/tests/fault/users.sh
@@ -113,6 +113,29 @@
   done
 }
 
+# count PATTERN: prints how many lines of the runners match; these write to runner-*.out.
+count() { cat "$dir"/runner-*.out | grep -c "$1" || true; }
+
+# wait_count PATTERN N MS: waits until the runners have printed N lines that match.
+wait_count() {
+  local end=$(($(date +%s%N) / 1000000 + $3))
+  until [ "$(count "$1")" -ge "$2" ]; do
+    [ $(($(date +%s%N) / 1000000)) -lt "$end" ] || fail "$(count "$1") lines '$1' after $3 ms, expected $2"
+    sleep 0.1
+  done
+}
+
+# wait_workers FILE N: waits until the owner that writes the file knows N workers.
+wait_workers() {
+  local found=0
+  for _ in $(seq 100); do
+    found=$(grep -c "sched worker_found" "$1" || true)
+    [ "$found" -lt "$2" ] || return 0
+    sleep 0.1
+  done
+  fail "the owner knows $found of $2 workers"
+}
+
 # start_store APPEND_MS: starts the store stand-in and publishes a configuration with one route.
 start_store() {
   "$BUILD/bin/standin-store" "$store" "$1" "$second_store" >"$dir/store.log" 2>&1 &
--- a/tests/net/test_net_link.c
+++ b/tests/net/test_net_link.c
@@ -86,11 +86,49 @@
   net_links_free (links);
 }
 
+/* Guards against: a message that its receiver does not take closed the connection, was sent again
+ * over the next one, and nothing told its sender. */
+static void
+too_large_message_is_refused_and_the_connection_stays (void **state)
+{
+  uint32_t n_received = 0;
+  uint32_t n_answers = 0;
+  NetLinks *links = net_links_new ();
+  g_autofree char *url = free_address ();
+  const char *address = url + strlen ("tcp://");
+  char *large = g_malloc0 (NET_LINK_MESSAGE_MAX + 1);
+
+  (void) state;
+  NetLink *server = net_link_listen (links, address, count_message, &n_received, NULL);
+  NetLink *client = net_link_open (links, count_message, &n_answers);
+  GBytes *id = net_link_add_peer (client, address, NULL);
+  assert_non_null (server);
+  assert_non_null (id);
+  assert_int_equal (net_link_send (client, id, large, NET_LINK_MESSAGE_MAX + 1),
+                    NET_LINK_TOO_LARGE);
+  int64_t end_us = clk_now_us () + WAIT_US;
+  while (net_link_send (client, id, large, NET_LINK_MESSAGE_MAX) != NET_LINK_SENT
+         && clk_now_us () < end_us)
+    g_usleep (1000);
+  while (n_received == 0 && clk_now_us () < end_us)
+    {
+      (void) g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  assert_int_equal (n_received, 1);
+  g_free (large);
+  g_bytes_unref (id);
+  net_link_free (client);
+  net_link_free (server);
+  net_links_free (links);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (odd_addresses_are_refused_and_do_not_hinder_others),
+    cmocka_unit_test (too_large_message_is_refused_and_the_connection_stays),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/supervisor/rig.h
+++ b/tests/supervisor/rig.h
@@ -50,6 +50,7 @@
   FakeCall calls[CALLS_MAX];
   uint32_t n_calls;
   gboolean forbids_starts; /**< sent with all orders */
+  gboolean wants_report;   /**< the same */
   int64_t needs_cpu_m;     /**< sent with starts; 0: not sent */
   uint32_t n_changes;
 } Fake;
@@ -334,6 +335,7 @@
   orders.report_taken = spec.applied_version;
   orders.order_before = spec.order_before;
   orders.forbids_starts = fake->forbids_starts;
+  orders.wants_report = fake->wants_report;
   orders.orders = rows;
   start.task = TASK;
   start.run = 1;
--- a/tests/supervisor/test_supervisor.c
+++ b/tests/supervisor/test_supervisor.c
@@ -23,6 +23,25 @@
   fake_free (fake);
 }
 
+/* Guards against: an owner that keeps starts back until a report confirms the earlier ones waited
+ * for the regular report each time. */
+static void
+orders_are_confirmed_at_once_if_the_owner_wants_that (void **state)
+{
+  Fake *fake = fake_new ((Lists){ NULL, 0 });
+
+  (void) state;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 1, 0, version_of (fake), 0 }));
+  uint32_t n_changes = fake->n_changes;
+  fake->wants_report = TRUE;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 2, 0, version_of (fake), 0 }));
+  assert_int_equal (fake->n_changes, n_changes + 1);
+  fake->wants_report = FALSE;
+  assert_true (send_orders (fake, (OrdersSpec){ 1, fake->now_us, 0, 3, 0, version_of (fake), 0 }));
+  assert_int_equal (fake->n_changes, n_changes + 1);
+  fake_free (fake);
+}
+
 /* Sends an order to limit the CPU of TASK run 1. */
 static void
 order_cpu_limit (const Fake *fake, uint64_t number, uint32_t percent)
@@ -1247,6 +1266,7 @@
     cmocka_unit_test (expired_lease_is_not_a_crash),
     cmocka_unit_test (run_that_had_ended_did_not_crash),
     cmocka_unit_test (changed_capacity_is_reported_at_once),
+    cmocka_unit_test (orders_are_confirmed_at_once_if_the_owner_wants_that),
     cmocka_unit_test (start_beyond_a_shrunk_capacity_is_refused),
     cmocka_unit_test (start_of_an_older_owner_is_not_checked),
   };
--- a/tests/support/emulator_agent.c
+++ b/tests/support/emulator_agent.c
@@ -236,7 +236,7 @@
 
   g_assert (orders != NULL);
   if (agent->is_older)
-    orders->forbids_starts = FALSE;
+    orders->forbids_starts = orders->wants_report = FALSE;
   agent->contact_us = agent->emu->now_us;
   if (supervisor_handle_orders (agent->supervisor, orders))
     update_owner (agent, entry, connection, orders);
