net_client: connections that went silent together cost one time-out

Cause: a call that times out closes its own connection only; the next one takes the next idle connection, which is as old. With N idle ones the next good answer was N time-outs away, for polls of a worker as for calls to the store.

Change: the client keeps a table of its sockets. Once a request over a connection from before its start has timed out, the idle connections to the same peer that are as old are shut down, which libcurl finds before it uses one again. Those in use are left to their own time-outs, and a time-out over a new connection drops none. What a time-out proves about the request is as before.

--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -6,8 +6,10 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/clk.h"
+#include "net/net_sockets.h"
 
 /** Allows for one lost SYN, which is retransmitted after a second. */
 #define CONNECT_TIMEOUT_MS 1200L
@@ -23,6 +25,7 @@
   guint timer;
   GHashTable *calls;   /**< Call, as a set */
   GHashTable *sources; /**< socket -> source id */
+  NetSockets *sockets; /**< of open connections */
 };
 
 typedef struct
@@ -38,6 +41,7 @@
   curl_off_t progress_bytes; /**< bytes sent and received until then */
   guint timer;
   gboolean is_safe;     /**< may be sent again */
+  uint16_t port;        /**< local port of its connection; 0: it has none yet */
   gboolean was_started; /**< a connection was there, and the request may have left over it */
   NetDone done;
   GDestroyNotify drop; /**< frees ctx if done is never called; NULL for none */
@@ -70,7 +74,7 @@
   (void) peer_ip;
   (void) own_ip;
   (void) peer_port;
-  (void) own_port;
+  call->port = (uint16_t) own_port;
   if (call->was_started && !call->is_safe)
     return CURL_PREREQFUNC_ABORT;
   call->was_started = TRUE;
@@ -219,6 +223,43 @@
   return 0;
 }
 
+static curl_socket_t
+open_socket (void *data, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  NetClient *client = data;
+  int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+
+  (void) purpose;
+  if (fd >= 0)
+    net_sockets_add (client->sockets, fd, clk_now_us ());
+  return fd >= 0 ? fd : CURL_SOCKET_BAD;
+}
+
+static int
+close_socket (void *data, curl_socket_t fd)
+{
+  NetClient *client = data;
+
+  net_sockets_remove (client->sockets, fd);
+  return close (fd);
+}
+
+static gboolean
+is_port_used (const void *ctx, uint16_t port)
+{
+  const NetClient *client = ctx;
+  GHashTableIter iter;
+  gpointer key = NULL;
+
+  g_hash_table_iter_init (&iter, client->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      if (((const Call *) key)->port == port)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void check_timeout (Call *call);
 
 static gboolean
@@ -240,7 +281,12 @@
   int64_t left_us = end_us - clk_now_us ();
 
   if (left_us <= 0)
-    finish (call, CURLE_OPERATION_TIMEDOUT);
+    {
+      if (call->port != 0)
+        (void) net_sockets_drop_silent (call->client->sockets, call->port, call->begun_us,
+                                        is_port_used, call->client);
+      finish (call, CURLE_OPERATION_TIMEDOUT);
+    }
   else
     call->timer = g_timeout_add ((guint) ((left_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS),
                                  on_timeout_check, call);
@@ -255,6 +301,7 @@
   client->multi = curl_multi_init ();
   client->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
   client->sources = g_hash_table_new (NULL, NULL);
+  client->sockets = net_sockets_new ();
   (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
   (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
   (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -274,6 +321,7 @@
   if (client->timer != 0)
     g_source_remove (client->timer);
   g_hash_table_destroy (client->sources);
+  net_sockets_free (client->sockets);
   g_free (client);
 }
 
@@ -319,6 +367,10 @@
   (void) curl_easy_setopt (easy, CURLOPT_XFERINFODATA, call);
   (void) curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_transmission);
   (void) curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  (void) curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  (void) curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, client);
+  (void) curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  (void) curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, client);
   (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   (void) curl_easy_setopt (easy, CURLOPT_PROXY, "");
--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -4,7 +4,8 @@
  *
  * All calls are asynchronous and run on the thread of the main loop. A call fails when no byte is
  * sent or received for its time-out. A dead connection therefore fails only one call and is then
- * closed, and a large body over a slow link is not cut short.
+ * closed, with the idle ones to the same address that are as old. A large body over a slow link is
+ * not cut short.
  *
  * At most #NET_CLIENT_CONNECTIONS_MAX connections to one address are open. Further calls wait for
  * one of them; their time-outs run meanwhile.
