sched_place: a reserve delays a gang, it does not keep it from idle workers

Cause: a sixteenth of each worker is reserved for the most urgent queues. A stage that has waited for 1 s while most processors are free ignores that, but gangs were left out; placement queries called them impossible.

Change: the pass for such stages takes gangs as well, all members or none, but for best-effort ones, whose members would all start at once beside serving tasks. Placement queries count the members of a gang without the reserve.

--- a/lib/batch/sched_admit.c
+++ b/lib/batch/sched_admit.c
@@ -221,8 +221,12 @@
   if (!may_run (&empty, stage) || (step->is_best_effort && worker->info->capacity.cpu_m <= 0))
     return 0;
   uint32_t count = sched_count_free (&empty, stage);
+  if (step->is_gang)
+    return step->is_best_effort
+               ? count
+               : count_within (&empty.info->capacity, &step->size, most_on_one (&empty, stage));
   /* Alone, a task starts there if it does not wait for others: see SCHED_STARVED_MS. */
-  if (count == 0 && !step->is_gang && has_memory (&empty, step, (JobSize){ 0 }))
+  if (count == 0 && has_memory (&empty, step, (JobSize){ 0 }))
     count = admit_starved (&empty, step) == SCHED_WAIT_NONE;
   return count;
 }
--- a/lib/batch/sched_place.c
+++ b/lib/batch/sched_place.c
@@ -157,23 +157,24 @@
     }
 }
 
-/* Places all members or none; they share one run number and one checkpoint. */
-static void
-place_gang (Sched *sched, const GPtrArray *workers, SchedStage *stage)
+/* Places all members or none; they share one run number and one checkpoint. Returns whether they
+ * were placed. */
+static gboolean
+place_gang (Sched *sched, const GPtrArray *workers, SchedStage *stage, gboolean is_starved)
 {
   uint32_t n_tasks = stage->step->n_tasks;
   g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
   int64_t run = 0;
 
   if (stage->n_waiting < n_tasks)
-    return;
+    return FALSE;
   for (uint32_t i = 0; i < n_tasks; i++)
     {
-      SchedWorker *worker = choose_worker (workers, &stage->tasks[i], FALSE);
+      SchedWorker *worker = choose_worker (workers, &stage->tasks[i], is_starved);
       if (worker == NULL)
         {
           undo_gang (stage);
-          return;
+          return FALSE;
         }
       run = MAX (run, sched_next_run (sched, &stage->tasks[i]));
       sched_note_gap_start (worker, &stage->tasks[i]);
@@ -190,6 +191,7 @@
       task->checkpoint = g_strdup (checkpoint);
       sched_order_start (sched, g_ptr_array_index (chosen, i), task);
     }
+  return TRUE;
 }
 
 static uint32_t
@@ -229,6 +231,13 @@
   return &stage->tasks[index];
 }
 
+static void
+note_starved (Sched *sched, const SchedStage *stage)
+{
+  sched_note (sched, "starved", stage->job->id, "ready_ms=%" G_GINT64_FORMAT,
+              (sched->now_us - stage->ready_us) / 1000);
+}
+
 static void
 start_starved (Sched *sched, const GPtrArray *workers, SchedStage *stage)
 {
@@ -237,8 +246,7 @@
   if (worker == NULL)
     return;
   task->run = sched_next_run (sched, task);
-  sched_note (sched, "starved", stage->job->id, "ready_ms=%" G_GINT64_FORMAT,
-              (sched->now_us - stage->ready_us) / 1000);
+  note_starved (sched, stage);
   sched_note_gap_start (worker, task);
   sched_order_start (sched, worker, task);
 }
@@ -248,11 +256,15 @@
 {
   if (stage->ready_us == 0)
     stage->ready_us = sched->now_us;
-  if (stage->n_waiting == 0 || stage->step->is_gang || count_running (stage) >= STARVED_TASKS)
+  if (stage->n_waiting == 0 || sched->now_us - stage->ready_us < SCHED_STARVED_MS * 1000
+      || !sched_is_mostly_free (workers, stage->job->queue->service))
     return;
-  if (sched->now_us - stage->ready_us >= SCHED_STARVED_MS * 1000
-      && sched_is_mostly_free (workers, stage->job->queue->service))
+  if (!stage->step->is_gang && count_running (stage) < STARVED_TASKS)
     start_starved (sched, workers, stage);
+  /* Members of a best-effort gang would all start at once beside serving tasks. */
+  else if (stage->step->is_gang && !stage->step->is_best_effort
+           && place_gang (sched, workers, stage, TRUE))
+    note_starved (sched, stage);
 }
 
 static GPtrArray *
@@ -298,7 +310,7 @@
       if (!sched_job_is_open (stage->job))
         continue;
       if (stage->step->is_gang)
-        place_gang (sched, workers, stage);
+        (void) place_gang (sched, workers, stage, FALSE);
       else
         place_stage (sched, workers, stage);
       if (!sched_job_is_open (stage->job))
--- a/tests/batch/test_placing.c
+++ b/tests/batch/test_placing.c
@@ -134,12 +134,45 @@
   rig_free (rig);
 }
 
+/* Guards against: a gang whose members need more than the reserve for urgent queues leaves was
+ * never started, on idle workers. */
+static void
+reserve_does_not_keep_a_gang_from_idle_workers (void **state)
+{
+  Rig *rig = rig_new (4);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "bulk", "{\"count\":2,\"cpu\":15500,\"gang\":true}");
+  for (int i = 0; i < 15; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 2);
+  rig_free (rig);
+}
+
+/* Guards against: such a gang took the reserve of workers that are in use. */
+static void
+reserve_stays_while_most_processors_are_in_use (void **state)
+{
+  Rig *rig = rig_new (4);
+
+  (void) state;
+  rig_add_job (rig, JOB_B, "urgent", "{\"count\":3,\"cpu\":15500,\"max_per_server\":1}");
+  rig_round (rig, 100, TRUE);
+  rig_add_job (rig, JOB_A, "bulk", "{\"count\":1,\"cpu\":15500,\"gang\":true}");
+  for (int i = 0; i < 30; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig_running (rig), 3);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (best_effort_step_waits_beside_a_worker_without_capacity),
     cmocka_unit_test (gang_starts_beside_a_task_that_all_workers_refuse),
+    cmocka_unit_test (reserve_does_not_keep_a_gang_from_idle_workers),
+    cmocka_unit_test (reserve_stays_while_most_processors_are_in_use),
     cmocka_unit_test (refused_starts_are_not_ordered_again_at_once),
     cmocka_unit_test (serving_tasks_fill_gaps_before_they_take_a_worker),
     cmocka_unit_test (best_effort_step_starts_on_the_workers_left_clear),
