--- a/lib/batch/sched_orders.c
+++ b/lib/batch/sched_orders.c
@@ -1,9 +1,9 @@
 /* Orders that wait for their agent, and the messages that take them there.
  *
- * A message holds the worker's lease beside orders, and those behind it wait for it: so what is
- * under way to an agent has a bound in bytes. What an agent has not confirmed counts, and while
- * that is over the bound no further task is started there: its start would wait, and delay the
- * stops behind it. */
+ * The worker's lease travels in the same messages and waits behind orders that are still under way,
+ * so these have a bound in bytes. Orders that the agent has not confirmed count. While they reach
+ * the bound, no further task is started there: its start would only wait here, and delay the stops
+ * that come after it. */
 #include "batch/message.h"
 #include "batch/sched_tables.h"
 #include "common/clk.h"
@@ -70,7 +70,7 @@
 }
 
 /* Adds pending orders, as many as may be under way. Those that were sent less than the resend
- * interval ago are omitted, but count. A single order is never too large. */
+ * interval ago are omitted, but count. The first order that is pending goes whatever its size. */
 static void
 add_orders (const Sched *sched, SchedWorker *worker, Batch__Orders *orders)
 {
@@ -81,17 +81,13 @@
 
   if (worker->orders->len == 0)
     return;
-  for (;
-       !is_resend_due && first < worker->orders->len && rows[first]->number <= worker->sent_number;
-       first++)
-    bytes += bytes_of (rows[first]);
+  while (!is_resend_due && first < worker->orders->len
+         && rows[first]->number <= worker->sent_number)
+    bytes += bytes_of (rows[first++]);
   guint end = first;
-  for (; end < worker->orders->len; end++)
-    {
-      bytes += bytes_of (rows[end]);
-      if (end > 0 && bytes > SCHED_ORDER_BYTES_MAX)
-        break;
-    }
+  while (end < worker->orders->len
+         && (end == 0 || bytes + bytes_of (rows[end]) <= SCHED_ORDER_BYTES_MAX))
+    bytes += bytes_of (rows[end++]);
   orders->order_before = first > 0 ? rows[first - 1]->number : 0;
   orders->n_orders = end - first;
   orders->orders = rows + first;
--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -217,7 +217,9 @@
 static void
 add_rows (const Sched *sched, GArray *rows, const SchedJob *job)
 {
-  for (guint i = 0; sched_has_terms (sched, job) && i < job->stages->len; i++)
+  if (!sched_has_terms (sched, job))
+    return;
+  for (guint i = 0; i < job->stages->len; i++)
     {
       SchedStage *stage = g_ptr_array_index (job->stages, i);
       if (stage->step_index != 0 || stage->step->is_continuous)
--- a/lib/net/net_sockets.c
+++ b/lib/net/net_sockets.c
@@ -113,6 +113,7 @@
         continue;
       /* Its owner finds it closed before the next request over it. */
       (void) shutdown (GPOINTER_TO_INT (fd), SHUT_RDWR);
+      g_hash_table_iter_remove (&iter);
       n_dropped++;
     }
   return n_dropped;
--- a/lib/net/net_sockets.h
+++ b/lib/net/net_sockets.h
@@ -26,7 +26,7 @@
 /** Adds a socket that was opened at @p now_us. */
 void net_sockets_add (NetSockets *sockets, int fd, int64_t now_us);
 
-/** Removes a socket that is about to be closed. */
+/** Removes a socket that is about to be closed, if it is there. */
 void net_sockets_remove (NetSockets *sockets, int fd);
 
 /**
