--- a/tests/batch/test_removed_queue.c
+++ b/tests/batch/test_removed_queue.c
@@ -266,6 +266,82 @@
   rig_free (rig);
 }
 
+/* Steps of every kind; those of the first N_ENDLESS run until they are cancelled. */
+static const char *const kinds[]
+    = { "{\"count\":2,\"cpu\":1000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\",\"may_"
+        "miss\":1}",
+        "{\"count\":2,\"cpu\":500,\"long_running\":true,\"max_per_server\":1}",
+        "{\"count\":3,\"cpu\":2000,\"fills\":true,\"checkpointing\":true,\"image\":\"f\"}",
+        "{\"count\":3,\"cpu\":3000,\"gang\":true,\"checkpointing\":true}",
+        "{\"count\":2,\"cpu\":1000,\"speculative\":true}",
+        "{\"count\":9,\"cpu\":4000,\"required_label\":\"r0\"}",
+        CHAIN_STEPS };
+#define N_ENDLESS 2
+
+static void
+change_something (Rig *rig, GRand *rand)
+{
+  RigWorker *worker = &rig->workers[g_rand_int_range (rand, 0, (gint32) rig->n_workers)];
+  const char *const services[] = { NULL, NULL, "service" };
+
+  switch (g_rand_int_range (rand, 0, 6))
+    {
+    case 0:
+      replace_config (rig, services[g_rand_int_range (rand, 0, 3)]);
+      break;
+    case 1:
+      rig_crash (rig, worker);
+      break;
+    case 2:
+      worker->cpu_m = g_rand_int_range (rand, 4, 17) * 1000;
+      break;
+    case 3:
+      set_tails (rig, g_rand_int_range (rand, 5, 120));
+      break;
+    default:
+      if (worker->n_tasks > 0)
+        rig_end (worker, worker->tasks[g_rand_int_range (rand, 0, (gint32) worker->n_tasks)].name,
+                 g_rand_int_range (rand, 0, 5) > 0 ? WORKER_END_DONE : WORKER_END_FAILED);
+    }
+}
+
+/* Guards against: some decision about tasks of one kind does not expect a queue that was removed.
+ */
+static void
+tasks_of_every_kind_outlive_their_queue (void **state)
+{
+  (void) state;
+  for (guint32 seed = 1; seed <= 60; seed++)
+    {
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      Rig *rig = rig_new_sharing (4, SHARES_QUEUE);
+      for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+        {
+          g_autofree char *id = g_strdup_printf ("00000000000000a%u", i + 1);
+          rig_add_job (rig, id, "bulk", kinds[i]);
+        }
+      for (int i = 0; i < 300; i++)
+        {
+          change_something (rig, rand);
+          rig_round (rig, 100, TRUE);
+        }
+      replace_config (rig, NULL);
+      for (int i = 0; i < 400 && sched_open_jobs (rig->sched) > N_ENDLESS; i++)
+        {
+          RigWorker *worker = &rig->workers[i % 4];
+          worker->cpu_m = RIG_CPU_M;
+          for (uint32_t k = worker->n_tasks; k-- > 0;)
+            {
+              if (strncmp (worker->tasks[k].name, "00000000000000a2", JOB_ID_CHARS) > 0)
+                rig_end (worker, worker->tasks[k].name, WORKER_END_DONE);
+            }
+          rig_round (rig, 100, TRUE);
+        }
+      assert_in_range (sched_open_jobs (rig->sched), 0, N_ENDLESS);
+      rig_free (rig);
+    }
+}
+
 /* Guards against: terms of a damaged record that no configuration could have. */
 static void
 recorded_terms_are_brought_into_range (void **state)
@@ -306,6 +382,7 @@
     cmocka_unit_test (attempts_used_up_without_terms_count_later),
     cmocka_unit_test (job_follows_queue_that_returns),
     cmocka_unit_test (jobs_outlive_the_configuration),
+    cmocka_unit_test (tasks_of_every_kind_outlive_their_queue),
     cmocka_unit_test (recorded_terms_are_brought_into_range),
   };
 
