--- a/tests/batch/test_removed_queue.c
+++ b/tests/batch/test_removed_queue.c
@@ -268,10 +268,9 @@
 
 /* Steps of every kind; those of the first N_ENDLESS run until they are cancelled. */
 static const char *const kinds[]
-    = { "{\"count\":2,\"cpu\":1000,\"long_running\":true,\"target_ms\":50,\"image\":\"s\",\"may_"
-        "miss\":1}",
+    = { SERVING_STEP,
         "{\"count\":2,\"cpu\":500,\"long_running\":true,\"max_per_server\":1}",
-        "{\"count\":3,\"cpu\":2000,\"fills\":true,\"checkpointing\":true,\"image\":\"f\"}",
+        FILLING_STEP,
         "{\"count\":3,\"cpu\":3000,\"gang\":true,\"checkpointing\":true}",
         "{\"count\":2,\"cpu\":1000,\"speculative\":true}",
         "{\"count\":9,\"cpu\":4000,\"required_label\":\"r0\"}",
