--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the third review into target/review-3: the project's store, and runners. Needs the library
-# and the packages of the build of the deploy file, and nothing else.
+# Builds the stand-ins of the third review into target/review-3: a store and runners. Needs the library and
+# the packages of the build of the deploy file, and nothing else.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 pkgs="glib-2.0 libzmq liburcu libmicrohttpd neon argtable2 libprotobuf-c jansson libxxhash libcurl"
@@ -18,5 +18,5 @@
 }
 
 make -s -j8 BUILD=target target/libacacia.a
-build standin-store tests/standin/store/main.c
+build standin-store review/standin-3/store.c
 build standin-runner review/standin-3/runner.c
--- a/review/standin-3/runner.c
+++ b/review/standin-3/runner.c
@@ -4,7 +4,8 @@
  * platform. It reports to the control address of its machine, and starts what it is told to start.
  *
  * The spec of a task says how long it works: "work_ms=N" for N ms, "work_ms=N long_ms=M" for M ms
- * if it is the first of its step, and "serve" until it is stopped.
+ * if it is the first of its step, and "serve" until it is stopped. With "checkpoints" it saves what it has done each
+ * second, under a name that says so.
  *
  * Writes a line for each event to stdout, "MS ID EVENT ...", with the time of day in ms. The script
  * brings disruptions about with calls to /standin/...; see on_control().
@@ -29,6 +30,8 @@
 /** Time after which a serving task is at work, and after which a task of a failing runner ends. */
 #define STARTUP_MS 300
 #define FAIL_MS 30
+/** A new checkpoint is there with each of these. */
+#define CHECKPOINT_MS 1000
 #define CONTROL_PREFIX "/standin/"
 
 typedef struct
@@ -38,8 +41,11 @@
   int64_t start_us;
   int64_t end_us; /**< when it ends; INT64_MAX: only when it is stopped */
   int64_t number; /**< number of its end */
+  int64_t saved_ms; /**< work that its newest checkpoint holds */
   gboolean fails;
+  gboolean has_checkpoints;
   const char *how; /**< how it ended; NULL: it runs */
+  char *saved;     /**< its newest checkpoint, once it has ended */
 } Run;
 
 typedef struct
@@ -112,6 +118,7 @@
   Run *run = data;
 
   g_free (run->task);
+  g_free (run->saved);
   g_free (run);
 }
 
@@ -148,12 +155,15 @@
   reply (request, 409, json_pack ("{s:s}", "reason", reason));
 }
 
+static char *checkpoint_of (Run *run);
+
 static void
 end_run (guint index, const char *how)
 {
   Run *run = g_ptr_array_steal_index_fast (runs, index);
 
   run->how = how;
+  run->saved = checkpoint_of (run);
   run->number = ++n_ends;
   note ("end %s %" G_GINT64_FORMAT " %s", run->task, run->run, how);
   g_ptr_array_add (ends, run);
@@ -210,10 +220,31 @@
   return is_first && long_ms > 0 ? long_ms : spec_number (spec, "work_ms=");
 }
 
+static int64_t
+ran_ms (const Run *run)
+{
+  return (clk_now_us () - run->start_us) / CLK_US_PER_MS;
+}
+
+/* Name of the newest checkpoint; free it. */
+static char *
+checkpoint_of (Run *run)
+{
+  if (!run->has_checkpoints)
+    return g_strdup ("");
+  run->saved_ms = MAX (run->saved_ms, ran_ms (run) / CHECKPOINT_MS * CHECKPOINT_MS);
+  if (run->saved_ms == 0)
+    return g_strdup ("");
+  return g_strdup_printf ("snapshots/installation-1/zone-%s/service-%s/jobs/%.16s/tasks/%s/runs/%08" G_GINT64_MODIFIER
+                          "d/parts/00000000/state-%016" G_GINT64_MODIFIER "d.snapshot.zst",
+                          zone, service, run->task, run->task, run->run, run->saved_ms);
+}
+
 static void
-begin_run (const char *task, int64_t run_number, const char *spec)
+begin_run (const char *task, int64_t run_number, const char *spec, const char *checkpoint)
 {
   Run *run = g_new0 (Run, 1);
+  const char *saved = strstr (checkpoint, "/state-");
 
   run->task = g_strdup (task);
   run->run = run_number;
@@ -225,6 +256,14 @@
     run->end_us = INT64_MAX;
   else
     run->end_us = run->start_us + work_ms (task, spec) * CLK_US_PER_MS;
+  run->has_checkpoints = strstr (spec, "checkpoints") != NULL;
+  if (saved != NULL)
+    {
+      run->saved_ms = g_ascii_strtoll (saved + strlen ("/state-"), NULL, 10);
+      run->start_us -= run->saved_ms * CLK_US_PER_MS;
+      if (run->end_us != INT64_MAX)
+        run->end_us -= run->saved_ms * CLK_US_PER_MS;
+    }
   g_ptr_array_add (runs, run);
   note_highest (task, run_number);
   note ("start %s %" G_GINT64_FORMAT "%s", task, run_number, is_draining ? " draining" : "");
@@ -255,7 +294,7 @@
       refuse (request, "old");
       return;
     }
-  begin_run (task, run_number, text (body, "spec"));
+  begin_run (task, run_number, text (body, "spec"), text (body, "last_checkpoint"));
   reply (request, 200, json_object ());
 }
 
@@ -292,17 +331,18 @@
 
   for (guint i = 0; i < runs->len; i++)
     {
-      const Run *run = g_ptr_array_index (runs, i);
+      Run *run = g_ptr_array_index (runs, i);
+      g_autofree char *checkpoint = checkpoint_of (run);
       (void) json_array_append_new (running,
                                     json_pack ("[s, I, s, I, i]", run->task, (json_int_t) run->run,
-                                               "", (json_int_t) percent_of (run), 0));
+                                               checkpoint, (json_int_t) percent_of (run), 0));
     }
   for (guint i = 0; i < MIN (ends->len, ENDS_PER_ANSWER); i++)
     {
       const Run *run = g_ptr_array_index (ends, i);
-      (void) json_array_append_new (ended,
-                                    json_pack ("[I, s, I, s, s]", (json_int_t) run->number,
-                                               run->task, (json_int_t) run->run, run->how, ""));
+      (void) json_array_append_new (ended, json_pack ("[I, s, I, s, s]", (json_int_t) run->number,
+                                                      run->task, (json_int_t) run->run, run->how,
+                                                      run->saved != NULL ? run->saved : ""));
     }
   reply (request, 200, json_pack ("{s:o, s:o}", "running", running, "ended", ended));
 }
