--- a/review/standin-3/runner.c
+++ b/review/standin-3/runner.c
@@ -5,7 +5,7 @@
  *
  * The spec of a task says how long it works: "work_ms=N" for N ms, "work_ms=N long_ms=M" for M ms
  * if it is the first of its step, and "serve" until it is stopped. With "checkpoints" it saves what it has done each
- * second, under a name that says so.
+ * second, under a name that says so. With "poison" it fails soon after each start.
  *
  * Writes a line for each event to stdout, "MS ID EVENT ...", with the time of day in ms. The script
  * brings disruptions about with calls to /standin/...; see on_control().
@@ -249,7 +249,7 @@
   run->task = g_strdup (task);
   run->run = run_number;
   run->start_us = clk_now_us ();
-  run->fails = run->start_us < fails_until_us;
+  run->fails = run->start_us < fails_until_us || strstr (spec, "poison") != NULL;
   if (run->fails)
     run->end_us = run->start_us + FAIL_MS * CLK_US_PER_MS;
   else if (strstr (spec, "serve") != NULL)
@@ -482,6 +482,7 @@
 /*
  * /standin/fail?for_ms=N   all that starts within N ms fails soon after its start
  * /standin/cut?for_ms=N    it is cut off from its machine for N ms, and runs on
+ * /standin/capacity?cpu_m=N    it has N thousandths of a core from now on, and reports that at once
  * /standin/drain           it drains from now on, and reports that at once
  * /standin/late?count=C&delay_ms=D   C reports are under way for D ms
  */
@@ -497,6 +498,11 @@
       /* No answer passes; the callers give up. */
       g_ptr_array_set_size (waits, 0);
     }
+  else if (strcmp (what, "capacity") == 0)
+    {
+      cpu_m = (gint) argument (request, "cpu_m");
+      (void) report (NULL);
+    }
   else if (strcmp (what, "drain") == 0)
     {
       is_draining = TRUE;
