--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -152,9 +152,17 @@
   "$PROGRAMS/acacia-worker" --config "$dir/side-$i.toml" >>"$dir/side-$i.log" 2>&1 &
   pids+=($!)
   worker_pids[i]=$!
-  "$STANDINS/standin-runner" --listen "$ip:8165" --agent "$ip:8166" --id "i-$i" "$@" >>"$dir/runner-$i.out" \
-    2>"$dir/runner-$i.log" &
+  start_runner "$i" "i-$i" "$@"
+}
+
+# start_runner I ID [runner options]: the runner of side machine I.
+start_runner() {
+  local i=$1 id=$2 ip=$net.0.$((100 + $1))
+  shift 2
+  "$STANDINS/standin-runner" --listen "$ip:8165" --agent "$ip:8166" --id "$id" "$@" >>"$dir/runner-$i.out" \
+    2>>"$dir/runner-$i.log" &
   pids+=($!)
+  runner_pids[i]=$!
 }
 
 # wait_workers N: waits until the owner knows N runners.
--- a/review/standin-3/runner.c
+++ b/review/standin-3/runner.c
@@ -5,7 +5,8 @@
  *
  * The spec of a task says how long it works: "work_ms=N" for N ms, "work_ms=N long_ms=M" for M ms
  * if it is the first of its step, and "serve" until it is stopped. With "checkpoints" it saves what it has done each
- * second, under a name that says so. With "poison" it fails soon after each start.
+ * second, under a name that says so. With "poison" it fails soon after each start. With
+ * "crash_ms=N" the runner crashes N ms after each start.
  *
  * Writes a line for each event to stdout, "MS ID EVENT ...", with the time of day in ms. The script
  * brings disruptions about with calls to /standin/...; see on_control().
@@ -14,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/clk.h"
 #include "common/err.h"
@@ -41,6 +43,7 @@
   int64_t start_us;
   int64_t end_us; /**< when it ends; INT64_MAX: only when it is stopped */
   int64_t number; /**< number of its end */
+  int64_t crash_us; /**< when it crashes the runner; 0: never */
   int64_t saved_ms; /**< work that its newest checkpoint holds */
   gboolean fails;
   gboolean has_checkpoints;
@@ -256,6 +259,8 @@
     run->end_us = INT64_MAX;
   else
     run->end_us = run->start_us + work_ms (task, spec) * CLK_US_PER_MS;
+  if (strstr (spec, "crash_ms=") != NULL)
+    run->crash_us = run->start_us + spec_number (spec, "crash_ms=") * CLK_US_PER_MS;
   run->has_checkpoints = strstr (spec, "checkpoints") != NULL;
   if (saved != NULL)
     {
@@ -568,6 +573,11 @@
   for (guint i = runs->len; i > 0; i--)
     {
       const Run *run = g_ptr_array_index (runs, i - 1);
+      if (run->crash_us != 0 && now >= run->crash_us)
+        {
+          note ("crash %s %" G_GINT64_FORMAT, run->task, run->run);
+          _exit (1);
+        }
       if (clock_ms () >= lease_end_ms)
         end_run (i - 1, "lapsed");
       else if (now >= run->end_us)
