--- a/review/standin-3/runner.c
+++ b/review/standin-3/runner.c
@@ -4,9 +4,9 @@
  * platform. It reports to the control address of its machine, and starts what it is told to start.
  *
  * The spec of a task says how long it works: "work_ms=N" for N ms, "work_ms=N long_ms=M" for M ms
- * if it is the first of its step, and "serve" until it is stopped. With "checkpoints" it saves what it has done each
- * second, under a name that says so. With "poison" it fails soon after each start. With
- * "crash_ms=N" the runner crashes N ms after each start.
+ * if it is the first of its step, and "serve" until it is stopped. With "checkpoints" it saves what
+ * it has done each second, under a name that says so. With "poison" it fails soon after each start.
+ * With "crash_ms=N" the runner crashes N ms after each start.
  *
  * Writes a line for each event to stdout, "MS ID EVENT ...", with the time of day in ms. The script
  * brings disruptions about with calls to /standin/...; see on_control().
@@ -41,8 +41,8 @@
   char *task;
   int64_t run;
   int64_t start_us;
-  int64_t end_us; /**< when it ends; INT64_MAX: only when it is stopped */
-  int64_t number; /**< number of its end */
+  int64_t end_us;   /**< when it ends; INT64_MAX: only when it is stopped */
+  int64_t number;   /**< number of its end */
   int64_t crash_us; /**< when it crashes the runner; 0: never */
   int64_t saved_ms; /**< work that its newest checkpoint holds */
   gboolean fails;
@@ -104,8 +104,7 @@
   return (clk_now_us () - started_us) / CLK_US_PER_MS + 1;
 }
 
-static void G_GNUC_PRINTF (1, 2)
-note (const char *format, ...)
+static void G_GNUC_PRINTF (1, 2) note (const char *format, ...)
 {
   va_list args;
 
@@ -238,9 +237,10 @@
   run->saved_ms = MAX (run->saved_ms, ran_ms (run) / CHECKPOINT_MS * CHECKPOINT_MS);
   if (run->saved_ms == 0)
     return g_strdup ("");
-  return g_strdup_printf ("snapshots/installation-1/zone-%s/service-%s/jobs/%.16s/tasks/%s/runs/%08" G_GINT64_MODIFIER
-                          "d/parts/00000000/state-%016" G_GINT64_MODIFIER "d.snapshot.zst",
-                          zone, service, run->task, run->task, run->run, run->saved_ms);
+  return g_strdup_printf (
+      "snapshots/installation-1/zone-%s/service-%s/jobs/%.16s/tasks/%s/runs/%08" G_GINT64_MODIFIER
+      "d/parts/00000000/state-%016" G_GINT64_MODIFIER "d.snapshot.zst",
+      zone, service, run->task, run->task, run->run, run->saved_ms);
 }
 
 static void
@@ -400,12 +400,12 @@
 
   for (char **word = words; *word != NULL; word++)
     (void) json_array_append_new (labels, json_string (*word));
-  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:{s:i, s:i, s:i}, s:o, s:I, s:I, s:I}",
-                    "service", service, "address", listen_address, "zone", zone, "machine", id,
-                    "version", "v1", "state", state, "slots", 8, "cold_left_ms", 0, "capacity",
-                    "cpu", cpu_m, "mem_mb", mem_mb, "gpu", 0, "labels", labels, "seq",
-                    (json_int_t) number_of_call, "clock_ms", (json_int_t) clock_ms (), "born",
-                    (json_int_t) born_ms);
+  return json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:{s:i, s:i, s:i}, s:o, s:I, s:I, s:I}", "service",
+      service, "address", listen_address, "zone", zone, "machine", id, "version", "v1", "state",
+      state, "slots", 8, "cold_left_ms", 0, "capacity", "cpu", cpu_m, "mem_mb", mem_mb, "gpu", 0,
+      "labels", labels, "seq", (json_int_t) number_of_call, "clock_ms", (json_int_t) clock_ms (),
+      "born", (json_int_t) born_ms);
 }
 
 static void
--- a/review/standin-3/store.c
+++ b/review/standin-3/store.c
@@ -1,7 +1,8 @@
 /**
  * @file store.c
- * The project's stand-in of the store (tests/standin/store), with the limits of the users' pages: records
- * of at most record_bytes, calls of at most call_bytes, reads of at most max_kb, and pages of at most 500 items.
+ * The project's stand-in of the store (tests/standin/store), with the limits of the users' pages:
+ * records of at most record_bytes, calls of at most call_bytes, reads of at most max_kb, and pages
+ * of at most 500 items.
  *
  * standin-store ADDRESS [APPEND_MS [SECOND]]: in-memory implementation of the part of the users'
  * metadata store that acaciadale uses: keyed topics with conditional appends, producers, long polls
@@ -358,7 +359,8 @@
 
   if (!are_small ((const uint8_t *) body, size))
     {
-      (void) fprintf (stderr, "store: refused a call with a record of more than %d bytes\n", RECORD_BYTES);
+      (void) fprintf (stderr, "store: refused a call with a record of more than %d bytes\n",
+                      RECORD_BYTES);
       reply_json (request, 413, "{}");
       return;
     }
@@ -504,7 +506,8 @@
       g_autofree char *value = g_base64_encode (record + 1 + record[0], size - 1 - record[0]);
       if (n_items++ > 0)
         g_string_append_c (text, ',');
-      g_string_append_printf (text, "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}", key, value, index);
+      g_string_append_printf (text, "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}", key, value,
+                              index);
     }
   g_string_append_printf (text, "],\"more\":%s,\"end_offset\":%u}", has_more ? "true" : "false",
                           topic->records->len);
