--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,6 +4,7 @@
 # owner is stopped with SIGTERM and started again. Exit 1: two schedulers have ended by themselves three times each.
 # TROUBLE=0: no runner is cut off.
 set -uo pipefail
+record=$(dirname "$0")/record.txt
 source "$(dirname "$0")/../common-3.sh"
 
 # Tasks of the step of each job.
--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -1,13 +1,12 @@
 # A small deployment on loopback for the scripts of the third review: the store stand-in, schedulers, workers and
-# runners, each a process of its own. Source it from the root of the repository.
+# runners, each a process of its own. A script sets record, the path of its record, and sources it.
 # shellcheck shell=bash
 
 PROGRAMS=${PROGRAMS:-target/bin}
 STANDINS=${STANDINS:-target/review-3}
 TROUBLE=${TROUBLE:-1}
-case_dir=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
+record=$(cd "$(dirname "$record")" && pwd)/$(basename "$record")
 cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
-record=$case_dir/record.txt
 dir=$(mktemp -d)
 pids=()
 # Each script that runs at the same time gets a network of its own.
@@ -34,8 +33,10 @@
 }
 trap cleanup EXIT
 
-# Ends with "the case could not run".
+# Ends with "the case could not run"; the record has what was seen until then.
 cannot() {
+  say "cannot run: $*"
+  write_record
   echo "cannot run: $*"
   tail -n 5 "$dir"/*.log
   exit 2
@@ -192,4 +193,4 @@
 }
 
 # write_record: puts what was sent, answered and run into the record, in the order of time.
-write_record() { sort -n -s -k1,1 "$dir"/script.out "$dir"/runner-*.out >"$record"; }
+write_record() { cat "$dir"/*.out | sort -n -s -k1,1 >"$record"; }
