sched: stages of a dropped occurrence are freed where nobody holds them

Cause: completing a task may drop its occurrence, which freed the stages at once, while apply_end() three calls above still held the task and read its state. With a wide step the tasks are a mapping of their own, so that the read ends the process.

Change: stages of dropped occurrences go to a list that sched_reap() alone frees, after each end of a report and before a public function returns. It asserts that their tasks are done and at no worker. What is found by name, and what the progress record says, is as before.

Why it works: a caller may read a task after any call that drops its occurrence, as no call frees it before control is back at one of the places where sched_reap() is called, which hold none.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -46,6 +46,7 @@
   sched->unknown_queue = sched_unknown_queue_new ();
   sched->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_job_free);
   sched->open = g_hash_table_new (NULL, NULL);
+  sched->dropped = g_ptr_array_new_with_free_func (sched_stage_free);
   sched->dirty = g_hash_table_new (NULL, NULL);
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -73,6 +74,7 @@
   g_hash_table_destroy (sched->open);
   g_queue_free (sched->ended);
   g_array_unref (sched->lost_workers);
+  g_ptr_array_unref (sched->dropped);
   g_hash_table_destroy (sched->jobs);
   queue_unref (sched->unknown_queue);
   interference_free (sched->interference);
@@ -237,6 +239,7 @@
   sched_date_ended (sched);
   sched_remediate (sched);
   note_utilisation (sched, sched_place (sched));
+  sched_reap (sched);
 }
 
 uint32_t
--- a/lib/batch/sched_forget.c
+++ b/lib/batch/sched_forget.c
@@ -29,6 +29,7 @@
 {
   if (worker->tasks->len > 0)
     sched_lose_worker (sched, worker, "removed");
+  sched_reap (sched);
   forget_avoided (sched, worker);
   (void) g_hash_table_remove (sched->workers, worker->name);
 }
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -8,8 +8,8 @@
 /** Most steps of its occurrences that are open at once: each has a part in the progress record. */
 #define OCCURRENCE_STAGES_MAX 8192
 
-static void
-stage_free (gpointer data)
+void
+sched_stage_free (gpointer data)
 {
   SchedStage *stage = data;
 
@@ -244,9 +244,21 @@
     stop_stage (sched, g_ptr_array_index (job->stages, i), names[state]);
 }
 
+/* Moves the first stages of the job to those that sched_reap() frees. Callers may hold their tasks.
+ */
+static void
+drop_stages (Sched *sched, SchedJob *job, guint n_stages)
+{
+  for (guint i = 0; i < n_stages; i++)
+    g_ptr_array_add (sched->dropped, g_ptr_array_index (job->stages, i));
+  g_ptr_array_set_free_func (job->stages, NULL);
+  g_ptr_array_remove_range (job->stages, 0, n_stages);
+  g_ptr_array_set_free_func (job->stages, sched_stage_free);
+}
+
 /* Drops leading occurrences that are done, so that the state of a periodic job does not grow. */
 static void
-drop_done_occurrences (SchedJob *job)
+drop_done_occurrences (Sched *sched, SchedJob *job)
 {
   uint32_t n_steps = job->spec->steps->len;
   guint n_done = 0;
@@ -262,7 +274,19 @@
   if (n_done == 0)
     return;
   job->occurrences_done += n_done / n_steps;
-  g_ptr_array_remove_range (job->stages, 0, n_done);
+  drop_stages (sched, job, n_done);
+}
+
+void
+sched_reap (Sched *sched)
+{
+  for (guint i = 0; i < sched->dropped->len; i++)
+    {
+      const SchedStage *stage = g_ptr_array_index (sched->dropped, i);
+      for (uint32_t k = 0; k < stage->step->n_tasks; k++)
+        g_assert (stage->tasks[k].state == TASK_DONE && stage->tasks[k].worker == NULL);
+    }
+  g_ptr_array_set_size (sched->dropped, 0);
 }
 
 static gboolean
@@ -315,7 +339,7 @@
   if (is_complete (job))
     sched_end_job (sched, job, SCHED_COMPLETED);
   else if (stage->n_done == stage->step->n_tasks && job->spec->n_repeats > 0)
-    drop_done_occurrences (job);
+    drop_done_occurrences (sched, job);
 }
 
 void
@@ -626,7 +650,7 @@
   job->accepted_wall_ms = CLAMP (wanted->accepted_wall_ms, 0, JOB_WALL_MAX_MS);
   job->spec = wanted->spec;
   job->is_old = wanted->may_have_started;
-  job->stages = g_ptr_array_new_with_free_func (stage_free);
+  job->stages = g_ptr_array_new_with_free_func (sched_stage_free);
   job->n_changes = 1;
   sched_set_terms (sched, job, wanted->terms);
   if (wanted->progress != NULL)
--- a/lib/batch/sched_reports.c
+++ b/lib/batch/sched_reports.c
@@ -400,6 +400,8 @@
       newest = MAX (newest, end->number);
       if (end->number > worker->ends_applied)
         apply_end (sched, worker, end);
+      /* An end can make and complete an occurrence, and a report has many ends. */
+      sched_reap (sched);
     }
   worker->ends_applied = newest;
 }
@@ -495,4 +497,5 @@
   apply_rows (sched, worker, report);
   sched_apply_crashes (sched, worker, report);
   sched_tails_learn (worker);
+  sched_reap (sched);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -37,6 +37,7 @@
   SCHED_FAILURE_FLUSHING, /**< in the open flush */
 } SchedFailure;
 
+/** A task is in memory as long as its stage. */
 struct SchedTask
 {
   SchedStage *stage;
@@ -163,7 +164,8 @@
   gboolean is_best_effort; /**< fit counts processors as for best-effort tasks */
 } SchedHold;
 
-/** One step of one occurrence of a job. */
+/** One step of one occurrence of a job. Once all steps of the occurrence are done, it is no longer
+ * found by name, but it is in memory until sched_reap(). */
 struct SchedStage
 {
   SchedJob *job;
@@ -310,6 +312,7 @@
   GHashTable *publishing;    /**< the same for a record that is being written; NULL for none */
   GHashTable *jobs;          /**< id -> SchedJob */
   GHashTable *open;          /**< set of SchedJob that are queued or running */
+  GPtrArray *dropped;        /**< SchedStage of occurrences that are done, until sched_reap() */
   GQueue *ended;             /**< SchedJob that are not open, oldest end first */
   GHashTable *workers;       /**< agent name -> SchedWorker */
   char *forgetting;          /**< agent whose record is being deleted; NULL for none */
@@ -337,6 +340,7 @@
 
 /* sched_jobs.c */
 void sched_job_free (gpointer data);
+void sched_stage_free (gpointer data);
 SchedTask *sched_find_task (Sched *sched, const char *name);
 char *sched_task_name (const SchedTask *task);
 void sched_mark_dirty (Sched *sched, SchedJob *job);
@@ -348,9 +352,14 @@
 void sched_make_occurrences_to (SchedJob *job, uint32_t occurrence);
 SchedStage *sched_find_stage (const SchedJob *job, uint32_t occurrence, uint32_t step);
 void sched_end_job (Sched *sched, SchedJob *job, SchedJobState state);
+/* Completes the task, or its whole gang. That may drop the occurrence of a job that repeats. */
 void sched_task_done (Sched *sched, SchedTask *task);
 /* Call it after sched_detach(): completes the task if another run of it completed. */
 void sched_complete_if_done_elsewhere (Sched *sched, SchedTask *task);
+/* Frees the stages that were dropped. Nothing else frees a stage of an open job. Call it only where
+ * no caller holds a task or a stage: between two ends of a report, and before a public function
+ * returns. */
+void sched_reap (Sched *sched);
 void sched_task_failed (Sched *sched, SchedTask *task, int64_t run);
 /* Marks the failures that a flush of the job's progress contains, and handles its end. */
 void sched_flush_failures (SchedJob *job);
--- a/tests/emulator/schedules.h
+++ b/tests/emulator/schedules.h
@@ -65,6 +65,7 @@
   options.has_store_queue = wanted->has_store_queue;
   options.has_busy_topic = wanted->has_busy_topic;
   options.has_removed_queues = wanted->has_removed_queues;
+  options.has_repeats = wanted->has_repeats;
   options.skipped_faults = read_number ("EMULATOR_SKIP", 0);
   g_autoptr (EmulatorResult) result = emulator_play (&options);
   if (result->violations->len > 0)
--- a/tests/support/emulator.h
+++ b/tests/support/emulator.h
@@ -27,6 +27,7 @@
   gboolean has_store_queue;    /**< a slow store executes one append at a time, and refuses some */
   gboolean has_busy_topic;     /**< claims wait for other appends, and are made accordingly */
   gboolean has_removed_queues; /**< the operators remove the queue of open jobs, and add it again */
+  gboolean has_repeats;        /**< most jobs repeat */
   uint64_t skipped_faults;     /**< bit i: fault i of the schedule is left out */
 } EmulatorOptions;
 
--- a/tests/support/emulator_check.c
+++ b/tests/support/emulator_check.c
@@ -6,6 +6,10 @@
 
 #define STEPS_MAX 3
 #define TASKS_MAX 6
+#define OCCURRENCES_MAX 3
+/** Shortest and longest interval of jobs that repeat. */
+#define INTERVAL_MIN_MS 200
+#define INTERVAL_MAX_MS 5000
 #define JOBS_MIN 5
 #define JOBS_MAX 14
 #define FLAKY_PERCENT 25
@@ -27,6 +31,7 @@
 {
   char name[EMU_NAME_CHARS];
   struct CheckJob *job;
+  uint32_t occurrence;
   uint32_t step;
   uint32_t n_running;
   GArray *starts; /**< int64_t: times */
@@ -37,6 +42,8 @@
 typedef struct CheckJob
 {
   char id[JOB_ID_CHARS + 1];
+  uint32_t n_occurrences;
+  int64_t interval_ms; /**< 0: it does not repeat */
   uint32_t n_steps;
   uint32_t n_tasks[STEPS_MAX];
   int64_t cpu_m[STEPS_MAX];
@@ -44,7 +51,7 @@
   int64_t duration_ms[STEPS_MAX];
   uint32_t fail_percent;
   gboolean is_cancelled;
-  CheckTask *tasks[STEPS_MAX][TASKS_MAX];
+  CheckTask *tasks[OCCURRENCES_MAX][STEPS_MAX][TASKS_MAX];
 } CheckJob;
 
 struct EmuCheck
@@ -104,17 +111,19 @@
 }
 
 static void
-add_task (EmuCheck *check, CheckJob *job, uint32_t step, uint32_t index)
+add_task (EmuCheck *check, CheckJob *job, uint32_t occurrence, uint32_t step, uint32_t index)
 {
   CheckTask *task = g_new0 (CheckTask, 1);
 
-  (void) g_snprintf (task->name, sizeof task->name, "%s.0.%u.%u", job->id, step, index);
+  (void) g_snprintf (task->name, sizeof task->name, "%s.%u.%u.%u", job->id, occurrence, step,
+                     index);
   task->job = job;
+  task->occurrence = occurrence;
   task->step = step;
   task->starts = g_array_new (FALSE, FALSE, sizeof (int64_t));
   task->done = g_array_new (FALSE, FALSE, sizeof (CheckEnd));
   task->failed = g_array_new (FALSE, FALSE, sizeof (CheckEnd));
-  job->tasks[step][index] = task;
+  job->tasks[occurrence][step][index] = task;
   g_hash_table_insert (check->tasks, task->name, task);
 }
 
@@ -200,7 +209,13 @@
         ",\"mem_mb\":64,\"max_per_server\":%u,\"estimate_ms\":%" G_GINT64_FORMAT "%s}",
         i > 0 ? "," : "", job->n_tasks[i], job->cpu_m[i], job->per_worker_max[i],
         job->duration_ms[i], i > 0 ? ",\"after\":[0]" : "");
-  g_string_append (body, "]}");
+  g_string_append_c (body, ']');
+  if (job->interval_ms != 0)
+    g_string_append_printf (body,
+                            ",\"repeat_count\":%u,\"start_at_ms\":%" G_GINT64_FORMAT
+                            ",\"interval_ms\":%" G_GINT64_FORMAT,
+                            job->n_occurrences, EMU_WALL_MS + at_ms, job->interval_ms);
+  g_string_append_c (body, '}');
   submission.queue = queue;
   submission.accepted_wall_ms = EMU_WALL_MS + at_ms;
   submission.body.data = (uint8_t *) body->str;
@@ -211,14 +226,45 @@
   return records;
 }
 
-/* A hash, so that a schedule draws the same otherwise: a third of the steps each has no limit, 1
- * and 2. */
+/* A hash, so that a schedule draws the same otherwise. */
+static uint32_t
+hash_of (const Emulator *emu, const CheckJob *job, uint32_t number)
+{
+  uint64_t hash = (g_str_hash (job->id) + emu->options.seed * 31 + number) * 0x9e3779b97f4a7c15ULL;
+
+  return (uint32_t) (hash >> 32);
+}
+
+/* A third of the steps each has no limit, 1 and 2. */
 static uint32_t
 limit_of (const Emulator *emu, const CheckJob *job, uint32_t step)
 {
-  uint64_t hash = (g_str_hash (job->id) + emu->options.seed * 31 + step) * 0x9e3779b97f4a7c15ULL;
+  return emu->options.has_step_limits ? hash_of (emu, job, step) % 3 : 0;
+}
+
+/* Three of four jobs repeat. */
+static void
+add_repeats (const Emulator *emu, CheckJob *job)
+{
+  job->n_occurrences = 1;
+  if (!emu->options.has_repeats || hash_of (emu, job, STEPS_MAX) % 4 == 0)
+    return;
+  job->n_occurrences = 1 + hash_of (emu, job, STEPS_MAX + 1) % OCCURRENCES_MAX;
+  job->interval_ms
+      = INTERVAL_MIN_MS + hash_of (emu, job, STEPS_MAX + 2) % (INTERVAL_MAX_MS - INTERVAL_MIN_MS);
+}
 
-  return emu->options.has_step_limits ? (uint32_t) ((hash >> 32) % 3) : 0;
+static void
+add_tasks (EmuCheck *check, CheckJob *job)
+{
+  for (uint32_t occurrence = 0; occurrence < job->n_occurrences; occurrence++)
+    {
+      for (uint32_t i = 0; i < job->n_steps; i++)
+        {
+          for (uint32_t k = 0; k < job->n_tasks[i]; k++)
+            add_task (check, job, occurrence, i, k);
+        }
+    }
 }
 
 static void
@@ -237,9 +283,9 @@
       job->cpu_m[i] = emu_between (emu, 1, 4) * 500;
       job->per_worker_max[i] = limit_of (emu, job, i);
       job->duration_ms[i] = emu_between (emu, 60, emu_chance (emu, 30) ? 4500 : 2000);
-      for (uint32_t k = 0; k < job->n_tasks[i]; k++)
-        add_task (emu->check, job, i, k);
     }
+  add_repeats (emu, job);
+  add_tasks (emu->check, job);
   submit_after (emu, at_ms, encode_job (emu, job, at_ms));
   job->is_cancelled = emu_chance (emu, CANCEL_PERCENT);
   if (job->is_cancelled)
@@ -326,9 +372,9 @@
     return;
   for (uint32_t i = 0; i < task->job->n_tasks[0]; i++)
     {
-      if (!has_done (task->job->tasks[0][i]))
-        violate (emu, "ORDER", "%s started before %s was done", task->name,
-                 task->job->tasks[0][i]->name);
+      const CheckTask *before = task->job->tasks[task->occurrence][0][i];
+      if (!has_done (before))
+        violate (emu, "ORDER", "%s started before %s was done", task->name, before->name);
     }
 }
 
@@ -342,7 +388,8 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const CheckTask *other = find_task (emu, g_array_index (worker->runs, EmuRun, i).task);
-      count += other->job == task->job && other->step == task->step;
+      count += other->job == task->job && other->step == task->step
+               && other->occurrence == task->occurrence;
     }
   if (most != 0 && count > most)
     violate (emu, "ROUTE", "%s at %s: %u tasks of the step, limit %u", task->name,
@@ -429,23 +476,34 @@
   return state;
 }
 
+/* Returns whether a task of the step has used up its attempts. */
+static gboolean
+check_stage (Emulator *emu, const CheckJob *job, uint32_t state, uint32_t occurrence, uint32_t step)
+{
+  gboolean is_spent = FALSE;
+
+  for (uint32_t k = 0; k < job->n_tasks[step]; k++)
+    {
+      const CheckTask *task = job->tasks[occurrence][step][k];
+      is_spent |= task->failed->len >= EMU_ATTEMPTS_MAX;
+      if (task->n_running > 0)
+        violate (emu, "LOST", "%s still runs", task->name);
+      if (state == SCHED_COMPLETED && !has_done (task))
+        violate (emu, "MIXED", "job %s is completed, %s is not done", job->id, task->name);
+    }
+  return is_spent;
+}
+
 static void
 check_job (Emulator *emu, const CheckJob *job)
 {
   uint32_t state = job_state (emu, job);
   gboolean is_spent = FALSE;
 
-  for (uint32_t i = 0; i < job->n_steps; i++)
+  for (uint32_t occurrence = 0; occurrence < job->n_occurrences; occurrence++)
     {
-      for (uint32_t k = 0; k < job->n_tasks[i]; k++)
-        {
-          const CheckTask *task = job->tasks[i][k];
-          is_spent |= task->failed->len >= EMU_ATTEMPTS_MAX;
-          if (task->n_running > 0)
-            violate (emu, "LOST", "%s still runs", task->name);
-          if (state == SCHED_COMPLETED && !has_done (task))
-            violate (emu, "MIXED", "job %s is completed, %s is not done", job->id, task->name);
-        }
+      for (uint32_t i = 0; i < job->n_steps; i++)
+        is_spent |= check_stage (emu, job, state, occurrence, i);
     }
   if (state == SCHED_FAILED && !is_spent)
     violate (emu, "LOST", "job %s failed without cause", job->id);
--- a/tests/support/emulator_faults.c
+++ b/tests/support/emulator_faults.c
@@ -40,6 +40,12 @@
         "store_down",     "store_lossy",  "clock_step",      "roll_entries",    "roll_agents",
         "power" };
 
+/** Cuts of agents beside jobs that repeat: their number, and lengths around that of a lease, so
+ * that ends are reported after other runs were started. */
+#define REPEAT_CUTS 6
+#define REPEAT_CUT_MIN_MS 4000
+#define REPEAT_CUT_MAX_MS 8000
+
 typedef struct
 {
   Emulator *emu;
@@ -347,6 +353,28 @@
     }
 }
 
+/* Draws from a generator of its own, so that the rest of the schedule is that of the seed. */
+static void
+schedule_repeat_cuts (Emulator *emu)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed ((guint32) emu->options.seed);
+
+  for (uint32_t i = 0; i < REPEAT_CUTS; i++)
+    {
+      Fault *fault = g_new0 (Fault, 1);
+      int64_t at_ms = g_rand_int_range (rand, 1500, (gint32) emu->options.trouble_ms - 1000);
+      *fault = (Fault){
+        .emu = emu,
+        .index = EMULATOR_FAULTS_MAX + i,
+        .kind = FAULT_AGENT_CUT,
+        .agent = g_rand_int (rand) % emu->options.n_agents,
+        .length_us = g_rand_int_range (rand, REPEAT_CUT_MIN_MS, REPEAT_CUT_MAX_MS) * CLK_US_PER_MS,
+        .ways = 3,
+      };
+      emu_after (emu, at_ms * CLK_US_PER_MS, NULL, play_fault, emu, fault, g_free);
+    }
+}
+
 void
 emu_faults_schedule (Emulator *emu)
 {
@@ -378,4 +406,6 @@
       else
         emu_after (emu, at_ms * CLK_US_PER_MS, NULL, play_fault, emu, fault, g_free);
     }
+  if (emu->options.has_repeats)
+    schedule_repeat_cuts (emu);
 }
