net_client: a time-out replaces the connections to the peer

Connections opened after the call began were not dropped at all.

Change: nothing is inferred. The calls to a peer use one pool of connections, a libcurl handle of its own. The first call that times out replaces it: later calls open new connections, those under way go on, and the old ones are closed with the last of them. Old ones count for the limit of the peer. Each time-out has a line and a counter.

One is given up: a time-out over a new connection no longer spares the idle ones, since that rested on knowing which connection a call has. It costs a handshake for each.

--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -1,36 +1,43 @@
 #include "net/net_client.h"
 
 #include <curl/curl.h>
-#include <glib-unix.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "common/clk.h"
-#include "net/net_sockets.h"
+#include "net/net_pool.h"
 
 /** Allows for one lost SYN, which is retransmitted after a second. */
 #define CONNECT_TIMEOUT_MS 1200L
-/** Size of the connection cache. */
-#define CONNECTIONS_MAX 64L
-/** Open connections to one address. More calls than a worker of 32 cores has tasks of 0.37 cores.
- */
-#define ADDRESS_CONNECTIONS_MAX ((long) NET_CLIENT_CONNECTIONS_MAX)
+/** Connections to one peer that are kept open without a call. */
+#define IDLE_CONNECTIONS_MAX 64
+/** New connections to a peer that are allowed however many replaced ones are still in use. */
+#define NEW_CONNECTIONS_MIN 16
+/** Peers without a call are forgotten, and their connections closed, beyond this number. */
+#define PEERS_MAX 64
+
+/** An address that is called. A call uses connections of the peer's newest pool only. */
+typedef struct
+{
+  char *name;          /**< host:port */
+  uint64_t generation; /**< number of the pool */
+  NetPool *pool;
+  GPtrArray *replaced; /**< earlier NetPool with calls under way */
+} NetPeer;
 
 struct NetClient
 {
-  CURLM *multi;
-  guint timer;
-  GHashTable *calls;   /**< Call, as a set */
-  GHashTable *sources; /**< socket -> source id */
-  NetSockets *sockets; /**< of open connections */
+  GHashTable *calls; /**< Call, as a set */
+  GHashTable *peers; /**< name -> NetPeer */
+  NetClientTimedOut timed_out;
+  void *ctx;
 };
 
 typedef struct
 {
   NetClient *client;
+  NetPeer *peer;
+  NetPool *pool;       /**< a reference */
+  uint64_t generation; /**< of the peer's connections when the call began */
   CURL *easy;
   struct curl_slist *headers;
   GByteArray *body;   /**< body of the request */
@@ -41,13 +48,63 @@
   curl_off_t progress_bytes; /**< bytes sent and received until then */
   guint timer;
   gboolean is_safe;     /**< may be sent again */
-  uint16_t port;        /**< local port of its connection; 0: it has none yet */
   gboolean was_started; /**< a connection was there, and the request may have left over it */
   NetDone done;
   GDestroyNotify drop; /**< frees ctx if done is never called; NULL for none */
   void *ctx;
 } Call;
 
+static void
+peer_free (gpointer data)
+{
+  NetPeer *peer = data;
+
+  net_pool_unref (peer->pool);
+  g_ptr_array_unref (peer->replaced);
+  g_free (peer->name);
+  g_free (peer);
+}
+
+static void
+unref_pool (gpointer data)
+{
+  net_pool_unref (data);
+}
+
+/* Counts connections of replaced pools, so that a peer does not get a multiple of the limit. */
+static void
+limit_connections (const NetPeer *peer)
+{
+  uint32_t n_replaced = 0;
+
+  for (guint i = 0; i < peer->replaced->len; i++)
+    n_replaced += net_pool_connections (g_ptr_array_index (peer->replaced, i));
+  n_replaced = MIN (n_replaced, NET_CLIENT_CONNECTIONS_MAX - NEW_CONNECTIONS_MIN);
+  net_pool_set_limit (peer->pool, NET_CLIENT_CONNECTIONS_MAX - n_replaced);
+}
+
+static NetPool *pool_new (void);
+
+/* Leaves the connections of the peer to the calls that are under way; the next call opens a new
+ * one. */
+static void
+replace_connections (NetPeer *peer)
+{
+  g_ptr_array_add (peer->replaced, peer->pool);
+  peer->pool = pool_new ();
+  peer->generation++;
+  limit_connections (peer);
+}
+
+/* Closes the connections of a replaced pool after its last call. */
+static void
+drop_unused (NetPeer *peer, NetPool *pool)
+{
+  if (pool != peer->pool && net_pool_transfers (pool) == 0
+      && g_ptr_array_remove_fast (peer->replaced, pool))
+    limit_connections (peer);
+}
+
 static void
 call_free (gpointer data)
 {
@@ -56,7 +113,9 @@
   if (call->drop != NULL)
     call->drop (call->ctx);
   g_clear_handle_id (&call->timer, g_source_remove);
-  (void) curl_multi_remove_handle (call->client->multi, call->easy);
+  net_pool_remove (call->pool, call->easy);
+  drop_unused (call->peer, call->pool);
+  net_pool_unref (call->pool);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
   g_byte_array_unref (call->body);
@@ -74,7 +133,7 @@
   (void) peer_ip;
   (void) own_ip;
   (void) peer_port;
-  call->port = (uint16_t) own_port;
+  (void) own_port;
   if (call->was_started && !call->is_safe)
     return CURL_PREREQFUNC_ABORT;
   call->was_started = TRUE;
@@ -115,89 +174,17 @@
 }
 
 static void
-finish_completed (NetClient *client)
-{
-  CURLMsg *message;
-  int left = 0;
-
-  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
-    {
-      Call *call = NULL;
-
-      if (message->msg != CURLMSG_DONE)
-        continue;
-      CURLcode code = message->data.result;
-      (void) curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-      finish (call, code);
-    }
-}
-
-static gboolean
-on_socket_ready (gint fd, GIOCondition condition, gpointer data)
-{
-  NetClient *client = data;
-  int running = 0;
-  int bits = 0;
-
-  if ((condition & G_IO_IN) != 0)
-    bits |= CURL_CSELECT_IN;
-  if ((condition & G_IO_OUT) != 0)
-    bits |= CURL_CSELECT_OUT;
-  if ((condition & (G_IO_ERR | G_IO_HUP)) != 0)
-    bits |= CURL_CSELECT_ERR;
-  (void) curl_multi_socket_action (client->multi, fd, bits, &running);
-  finish_completed (client);
-  return G_SOURCE_CONTINUE;
-}
-
-static int
-watch_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+on_ended (void *transfer, CURLcode code)
 {
-  NetClient *client = data;
-  gpointer key = GINT_TO_POINTER (fd);
-  guint source = GPOINTER_TO_UINT (g_hash_table_lookup (client->sources, key));
-  int condition = G_IO_ERR | G_IO_HUP;
-
-  (void) easy;
-  (void) socket_data;
-  if (source != 0)
-    g_source_remove (source);
-  g_hash_table_remove (client->sources, key);
-  if (what == CURL_POLL_REMOVE)
-    return 0;
-  if ((what & CURL_POLL_IN) != 0)
-    condition |= G_IO_IN;
-  if ((what & CURL_POLL_OUT) != 0)
-    condition |= G_IO_OUT;
-  source = g_unix_fd_add (fd, (GIOCondition) condition, on_socket_ready, client);
-  g_hash_table_insert (client->sources, key, GUINT_TO_POINTER (source));
-  return 0;
+  finish (transfer, code);
 }
 
-static gboolean
-on_timer (gpointer data)
+static NetPool *
+pool_new (void)
 {
-  NetClient *client = data;
-  int running = 0;
-
-  client->timer = 0;
-  (void) curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  finish_completed (client);
-  return G_SOURCE_REMOVE;
-}
+  const NetPoolOptions options = { .idle_max = IDLE_CONNECTIONS_MAX, .ended = on_ended };
 
-static int
-set_timer (CURLM *multi, long timeout_ms, void *data)
-{
-  NetClient *client = data;
-
-  (void) multi;
-  if (client->timer != 0)
-    g_source_remove (client->timer);
-  client->timer = 0;
-  if (timeout_ms >= 0)
-    client->timer = g_timeout_add ((guint) timeout_ms, on_timer, client);
-  return 0;
+  return net_pool_new (&options);
 }
 
 static size_t
@@ -223,73 +210,58 @@
   return 0;
 }
 
-static curl_socket_t
-open_socket (void *data, curlsocktype purpose, struct curl_sockaddr *address)
-{
-  NetClient *client = data;
-  int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
-
-  (void) purpose;
-  if (fd >= 0)
-    net_sockets_add (client->sockets, fd, clk_now_us ());
-  return fd >= 0 ? fd : CURL_SOCKET_BAD;
-}
+static void schedule_check (Call *call);
 
-static int
-close_socket (void *data, curl_socket_t fd)
+/* Other connections may have gone silent with the one of the call. Which of them, or whether the
+ * call had one at all, is not known for sure, so all are replaced. */
+static void
+time_out (Call *call)
 {
-  NetClient *client = data;
-
-  net_sockets_remove (client->sockets, fd);
-  return close (fd);
+  NetPeer *peer = call->peer;
+  const NetTimeout timeout = { .peer = peer->name,
+                               .generation = call->generation,
+                               .is_newest = call->pool == peer->pool,
+                               .was_started = call->was_started,
+                               .n_connections = net_pool_connections (call->pool),
+                               .n_others = net_pool_transfers (call->pool) - 1,
+                               .waited_ms = (clk_now_us () - call->begun_us) / CLK_US_PER_MS };
+
+  if (timeout.is_newest)
+    replace_connections (peer);
+  if (call->client->timed_out != NULL)
+    call->client->timed_out (call->client->ctx, &timeout);
+  finish (call, CURLE_OPERATION_TIMEDOUT);
 }
 
-static gboolean
-is_port_used (const void *ctx, uint16_t port)
+static int64_t
+time_left_us (const Call *call)
 {
-  const NetClient *client = ctx;
-  GHashTableIter iter;
-  gpointer key = NULL;
+  int64_t end_us = MIN (call->progress_us + call->timeout_us,
+                        call->begun_us + call->timeout_us * NET_CLIENT_TIMEOUTS_MAX);
 
-  g_hash_table_iter_init (&iter, client->calls);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      if (((const Call *) key)->port == port)
-        return TRUE;
-    }
-  return FALSE;
+  return end_us - clk_now_us ();
 }
 
-static void check_timeout (Call *call);
-
 static gboolean
-on_timeout_check (gpointer data)
+on_check (gpointer data)
 {
   Call *call = data;
 
   call->timer = 0;
-  check_timeout (call);
+  if (time_left_us (call) <= 0)
+    time_out (call);
+  else
+    schedule_check (call);
   return G_SOURCE_REMOVE;
 }
 
-/* Ends the call when a time-out has passed, otherwise schedules the next check. */
 static void
-check_timeout (Call *call)
+schedule_check (Call *call)
 {
-  int64_t end_us = MIN (call->progress_us + call->timeout_us,
-                        call->begun_us + call->timeout_us * NET_CLIENT_TIMEOUTS_MAX);
-  int64_t left_us = end_us - clk_now_us ();
+  int64_t left_us = MAX (time_left_us (call), 0);
 
-  if (left_us <= 0)
-    {
-      if (call->port != 0)
-        (void) net_sockets_drop_silent (call->client->sockets, call->port, call->begun_us,
-                                        is_port_used, call->client);
-      finish (call, CURLE_OPERATION_TIMEDOUT);
-    }
-  else
-    call->timer = g_timeout_add ((guint) ((left_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS),
-                                 on_timeout_check, call);
+  call->timer
+      = g_timeout_add ((guint) ((left_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS), on_check, call);
 }
 
 NetClient *
@@ -298,16 +270,8 @@
   NetClient *client = g_new0 (NetClient, 1);
 
   (void) curl_global_init (CURL_GLOBAL_NOTHING);
-  client->multi = curl_multi_init ();
   client->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
-  client->sources = g_hash_table_new (NULL, NULL);
-  client->sockets = net_sockets_new ();
-  (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
-  (void) curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
-  (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
-  (void) curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
-  (void) curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
-  (void) curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, ADDRESS_CONNECTIONS_MAX);
+  client->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   return client;
 }
 
@@ -317,14 +281,49 @@
   if (client == NULL)
     return;
   g_hash_table_destroy (client->calls);
-  (void) curl_multi_cleanup (client->multi);
-  if (client->timer != 0)
-    g_source_remove (client->timer);
-  g_hash_table_destroy (client->sources);
-  net_sockets_free (client->sockets);
+  g_hash_table_destroy (client->peers);
   g_free (client);
 }
 
+void
+net_client_on_timeout (NetClient *client, NetClientTimedOut timed_out, void *ctx)
+{
+  client->timed_out = timed_out;
+  client->ctx = ctx;
+}
+
+static gboolean
+has_no_call (gpointer key, gpointer value, gpointer ctx)
+{
+  const NetPeer *peer = value;
+
+  (void) key;
+  (void) ctx;
+  return net_pool_transfers (peer->pool) == 0 && peer->replaced->len == 0;
+}
+
+/* The peer that the URL names, as host:port; it is created on first use. */
+static NetPeer *
+find_peer (NetClient *client, const char *url)
+{
+  const char *begin = strstr (url, "://");
+  begin = begin != NULL ? begin + strlen ("://") : url;
+  g_autofree char *name = g_strndup (begin, strcspn (begin, "/?#"));
+  NetPeer *peer = g_hash_table_lookup (client->peers, name);
+
+  if (peer != NULL)
+    return peer;
+  if (g_hash_table_size (client->peers) >= PEERS_MAX)
+    (void) g_hash_table_foreach_remove (client->peers, has_no_call, NULL);
+  peer = g_new0 (NetPeer, 1);
+  peer->name = g_steal_pointer (&name);
+  peer->pool = pool_new ();
+  peer->replaced = g_ptr_array_new_with_free_func (unref_pool);
+  limit_connections (peer);
+  g_hash_table_insert (client->peers, peer->name, peer);
+  return peer;
+}
+
 static void
 set_headers (Call *call, const NetCall *wanted)
 {
@@ -348,6 +347,9 @@
   CURL *easy = curl_easy_init ();
 
   call->client = client;
+  call->peer = find_peer (client, wanted->url);
+  call->pool = net_pool_ref (call->peer->pool);
+  call->generation = call->peer->generation;
   call->easy = easy;
   call->done = done;
   call->drop = drop;
@@ -359,7 +361,6 @@
     g_byte_array_append (call->body, wanted->body, (guint) wanted->size);
   (void) curl_easy_setopt (easy, CURLOPT_URL, wanted->url);
   (void) curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  (void) curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   (void) curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
   (void) curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   (void) curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
@@ -367,10 +368,6 @@
   (void) curl_easy_setopt (easy, CURLOPT_XFERINFODATA, call);
   (void) curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_transmission);
   (void) curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-  (void) curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
-  (void) curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, client);
-  (void) curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
-  (void) curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, client);
   (void) curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   (void) curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   (void) curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -387,6 +384,6 @@
   call->begun_us = clk_now_us ();
   call->progress_us = call->begun_us;
   g_hash_table_add (client->calls, call);
-  check_timeout (call);
-  (void) curl_multi_add_handle (client->multi, easy);
+  net_pool_add (call->pool, easy, call);
+  schedule_check (call);
 }
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -85,6 +85,24 @@
   node_refused (ctx, "metrics", reason);
 }
 
+static void
+on_call_timeout (void *ctx, const NetTimeout *timeout)
+{
+  const Node *node = ctx;
+
+  met_add (met_counter (node->metrics, "acacia_call_timeouts_total",
+                        timeout->is_newest ? "replaced=\"yes\"" : "replaced=\"no\"",
+                        "Calls to the store or a worker without an answer, and whether the "
+                        "connections to the peer were replaced"),
+           1);
+  line_add ("net", "call_timed_out",
+            "peer=%s generation=%" G_GUINT64_FORMAT " replaced=%s sent=%s connections=%u"
+            " other_calls=%u waited_ms=%" G_GINT64_FORMAT,
+            timeout->peer, timeout->generation, timeout->is_newest ? "yes" : "no",
+            timeout->was_started ? "yes" : "no", timeout->n_connections, timeout->n_others,
+            timeout->waited_ms);
+}
+
 static gboolean
 on_flush (gpointer data)
 {
@@ -158,6 +176,7 @@
   node->loop = g_main_loop_new (NULL, FALSE);
   node->metrics = met_new ();
   node->client = net_client_new ();
+  net_client_on_timeout (node->client, on_call_timeout, node);
   node->server = net_server_new (&server, error);
   if (node->server == NULL)
     {
--- a/tests/net/test_net_client_silent.c
+++ b/tests/net/test_net_client_silent.c
@@ -16,10 +16,13 @@
 #include "support/loopback.h"
 
 #define PORT 28741
+#define OTHER_PORT 28742
 #define TIMEOUT_MS 200
 /** Connections that are open when they go silent. */
 #define N_OPEN 64
 #define N_FDS_MAX 256
+/** Connections above the limit while others are replaced: "a few". */
+#define EXTRA_MAX 16
 #define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 /* Answers the first calls once N_OPEN connections are open, and others at once. Connections that
@@ -31,6 +34,7 @@
   gboolean has_request[N_FDS_MAX];
   int n_fds;
   int n_silent;      /**< the first ones are silent */
+  gint n_unanswered; /**< so many of the first ones get no answer; set by the test */
   gint wants_silent; /**< set by the test */
   gint is_stopping;
   gint n_accepted;
@@ -40,7 +44,9 @@
 static void
 answer_all (Server *server)
 {
-  for (int i = server->n_silent; server->n_fds >= N_OPEN && i < server->n_fds; i++)
+  int first = MAX (server->n_silent, g_atomic_int_get (&server->n_unanswered));
+
+  for (int i = first; server->n_fds >= N_OPEN && i < server->n_fds; i++)
     {
       if (server->has_request[i])
         (void) send (server->fds[i], ANSWER, strlen (ANSWER), MSG_NOSIGNAL);
@@ -92,10 +98,10 @@
 }
 
 static void
-server_start (Server *server)
+server_start (Server *server, uint16_t port)
 {
   const int yes = 1;
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
 
   (void) inet_pton (AF_INET, loopback_ip (), &address.sin_addr);
   server->listener = socket (AF_INET, SOCK_STREAM, 0);
@@ -131,19 +137,58 @@
 }
 
 static void
-call (NetClient *client, const char *method, int n_calls, Counts *counts)
+begin_call (
+    NetClient *client, uint16_t port, const char *method, int64_t timeout_ms, Counts *counts)
 {
   const NetCall wanted = { .method = method,
-                           .url = loopback_url (PORT),
+                           .url = loopback_url (port),
                            .body = "x",
                            .size = strcmp (method, "GET") == 0 ? 0 : 1,
-                           .timeout_ms = TIMEOUT_MS };
+                           .timeout_ms = timeout_ms };
+
+  net_client_call (client, &wanted, count_answer, NULL, counts);
+}
+
+static void
+await_ended (const Counts *counts, uint32_t n_ended)
+{
+  while (counts->n_ended < n_ended)
+    (void) g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+call (NetClient *client, const char *method, int n_calls, Counts *counts)
+{
   uint32_t until = counts->n_ended + (uint32_t) n_calls;
 
   for (int i = 0; i < n_calls; i++)
-    net_client_call (client, &wanted, count_answer, NULL, counts);
-  while (counts->n_ended < until)
-    (void) g_main_context_iteration (NULL, TRUE);
+    begin_call (client, PORT, method, TIMEOUT_MS, counts);
+  await_ended (counts, until);
+}
+
+static void
+silence (Server *server)
+{
+  g_atomic_int_set (&server->wants_silent, TRUE);
+  while (g_atomic_int_get (&server->wants_silent))
+    g_usleep (1000);
+}
+
+/* Returns how many of the silent connections the client has closed. */
+static int
+count_closed (const Server *server)
+{
+  char request[4096];
+  int n_closed = 0;
+
+  for (int i = 0; i < server->n_silent; i++)
+    {
+      ssize_t size = 0;
+      while ((size = recv (server->fds[i], request, sizeof request, MSG_DONTWAIT)) > 0)
+        continue;
+      n_closed += size == 0;
+    }
+  return n_closed;
 }
 
 /* Calls one after the other until one is answered. Returns how many were not. */
@@ -154,12 +199,10 @@
   NetClient *client = net_client_new ();
   Counts counts = { 0 };
 
-  server_start (&server);
+  server_start (&server, PORT);
   call (client, method, N_OPEN, &counts);
   assert_int_equal (counts.n_good, N_OPEN);
-  g_atomic_int_set (&server.wants_silent, TRUE);
-  while (g_atomic_int_get (&server.wants_silent))
-    g_usleep (1000);
+  silence (&server);
   counts = (Counts){ 0 };
   while (counts.n_good == 0 && counts.n_ended < N_OPEN)
     call (client, method, 1, &counts);
@@ -168,6 +211,7 @@
   call (client, method, 1, &counts);
   assert_int_equal (counts.n_good, 2);
   assert_int_equal (g_atomic_int_get (&server.n_accepted), N_OPEN + 1);
+  assert_int_equal (count_closed (&server), N_OPEN);
   net_client_free (client);
   server_stop (&server);
   return n_lost;
@@ -183,11 +227,132 @@
   assert_int_equal (count_lost ("POST"), 1);
 }
 
+/* Guards against: connections that were opened after the first call without an answer began cost
+ * another time-out. */
+static void
+silent_connections_opened_later_cost_no_second_timeout (void **state)
+{
+  const char *const methods[] = { "GET", "POST" };
+
+  (void) state;
+  for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
+    {
+      Server server = { .n_unanswered = 1 };
+      NetClient *client = net_client_new ();
+      Counts counts = { 0 };
+
+      server_start (&server, PORT);
+      for (int k = 0; k < N_OPEN; k++)
+        begin_call (client, PORT, methods[i], TIMEOUT_MS, &counts);
+      await_ended (&counts, N_OPEN - 1);
+      assert_int_equal (counts.n_good, N_OPEN - 1);
+      silence (&server);
+      await_ended (&counts, N_OPEN);
+      call (client, methods[i], 1, &counts);
+      assert_int_equal (counts.n_good, N_OPEN);
+      net_client_free (client);
+      server_stop (&server);
+    }
+}
+
+typedef struct
+{
+  uint32_t n_timeouts;
+  uint32_t n_replaced;
+} Timeouts;
+
+static void
+count_timeout (void *ctx, const NetTimeout *timeout)
+{
+  Timeouts *timeouts = ctx;
+
+  timeouts->n_timeouts++;
+  timeouts->n_replaced += timeout->is_newest ? 1 : 0;
+  assert_true (timeout->was_started);
+}
+
+/* Guards against: a time-out ended other calls to the peer, or closed connections to others. */
+static void
+timeout_leaves_calls_under_way_and_other_peers_alone (void **state)
+{
+  Server server = { .n_unanswered = N_OPEN };
+  Server other = { 0 };
+  NetClient *client = net_client_new ();
+  Counts counts = { 0 };
+  Counts other_counts = { 0 };
+  Timeouts timeouts = { 0 };
+
+  (void) state;
+  net_client_on_timeout (client, count_timeout, &timeouts);
+  server_start (&server, PORT);
+  server_start (&other, OTHER_PORT);
+  for (int i = 0; i < N_OPEN; i++)
+    begin_call (client, OTHER_PORT, "POST", 20 * TIMEOUT_MS, &other_counts);
+  await_ended (&other_counts, N_OPEN);
+  /* All are held. Two time out, one after the other, and the others are answered after that. */
+  for (int i = 0; i < N_OPEN; i++)
+    begin_call (client, PORT, "POST", (i < 2 ? 2 * i + 1 : 20) * TIMEOUT_MS, &counts);
+  await_ended (&counts, 1);
+  call (client, "POST", 1, &counts);
+  assert_int_equal (counts.n_good, 1);
+  await_ended (&counts, 3);
+  /* The second time-out was of a replaced connection and leaves the new one in use. */
+  call (client, "POST", 1, &counts);
+  assert_int_equal (counts.n_good, 2);
+  assert_int_equal (g_atomic_int_get (&server.n_accepted), N_OPEN + 1);
+  g_atomic_int_set (&server.n_unanswered, 0);
+  await_ended (&counts, N_OPEN + 2);
+  assert_int_equal (counts.n_good, N_OPEN);
+  assert_int_equal (timeouts.n_timeouts, 2);
+  assert_int_equal (timeouts.n_replaced, 1);
+  for (int i = 0; i < N_OPEN; i++)
+    begin_call (client, OTHER_PORT, "POST", 20 * TIMEOUT_MS, &other_counts);
+  await_ended (&other_counts, 2 * N_OPEN);
+  assert_int_equal (other_counts.n_good, 2 * N_OPEN);
+  assert_int_equal (g_atomic_int_get (&other.n_accepted), N_OPEN);
+  net_client_free (client);
+  server_stop (&server);
+  server_stop (&other);
+}
+
+/* Guards against: each time-out allowed the peer as many connections again. */
+static void
+replaced_connections_count_for_the_limit (void **state)
+{
+  Server server = { .n_unanswered = N_FDS_MAX };
+  NetClient *client = net_client_new ();
+  Counts counts = { 0 };
+
+  (void) state;
+  server_start (&server, PORT);
+  for (int i = 0; i < NET_CLIENT_CONNECTIONS_MAX; i++)
+    begin_call (client, PORT, "POST", (i == 0 ? 1 : 50) * TIMEOUT_MS, &counts);
+  await_ended (&counts, 1);
+  for (int i = 0; i < NET_CLIENT_CONNECTIONS_MAX; i++)
+    begin_call (client, PORT, "POST", 50 * TIMEOUT_MS, &counts);
+  for (int i = 0; i < 100; i++)
+    {
+      (void) g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  assert_in_range (g_atomic_int_get (&server.n_accepted), NET_CLIENT_CONNECTIONS_MAX + 1,
+                   NET_CLIENT_CONNECTIONS_MAX + EXTRA_MAX);
+  /* Calls that wait for a connection get one. */
+  g_atomic_int_set (&server.n_unanswered, 0);
+  await_ended (&counts, 2 * NET_CLIENT_CONNECTIONS_MAX);
+  assert_int_equal (counts.n_good, 2 * NET_CLIENT_CONNECTIONS_MAX - 1);
+  net_client_free (client);
+  server_stop (&server);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (silent_connections_cost_one_timeout),
+    cmocka_unit_test (silent_connections_opened_later_cost_no_second_timeout),
+    cmocka_unit_test (timeout_leaves_calls_under_way_and_other_peers_alone),
+    cmocka_unit_test (replaced_connections_count_for_the_limit),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
