sched: a run is stalled only if answered looks show it

Callers saw sound lasting tasks stopped, and their workers quarantined for 2 s and more each time, after connections to workers had gone silent.

Cause: the time without progress was counted by the owner's clock, also while no look at the run was answered: its agent repeated what it had seen before, or did not report.

Change: it is counted up to the newest look that was answered, which reports state. A run that is stalled in fact is found later by the age of that look.

Evidence: run_that_nobody_looks_at_is_not_stalled in batch/test_sched failed before.

--- a/lib/batch/sched_remediation.c
+++ b/lib/batch/sched_remediation.c
@@ -1,5 +1,6 @@
 /* Remediation: stalled tasks, broken gangs, serving tasks over their target latency. */
 #include "batch/sched_tables.h"
+#include "common/clk.h"
 
 /** A task without progress for this long is stalled. */
 #define STALL_MS 2500
@@ -62,7 +63,8 @@
   /* Members of a gang wait for each other before they make progress. */
   if (step->is_gang)
     limit_ms += sched->options.gang_timeout_ms;
-  return sched->now_us - task->percent_us > limit_ms * 1000;
+  /* Only looks that were answered tell. */
+  return task->worker->measured_us - task->percent_us > limit_ms * CLK_US_PER_MS;
 }
 
 static void
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -71,7 +71,8 @@
   gboolean is_silent;
   gboolean refuses_starts;
   gboolean is_draining;
-  int64_t cpu_m; /**< capacity */
+  int64_t looked_us; /**< when its agent last looked at its runs; 0: not reported */
+  int64_t cpu_m;     /**< capacity */
   int64_t mem_mb;
   uint64_t version;                /**< version of its newest report */
   uint64_t applied;                /**< report version that the owner applied */
@@ -495,6 +496,7 @@
   report.boot = worker->boot;
   report.life = worker->incarnation;
   report.clock_us = rig->now_us;
+  report.looked_us = worker->looked_us;
   report.done_number = worker->done_number;
   report.running = running_rows;
   report.ended = ended_rows;
--- a/tests/batch/test_sched.c
+++ b/tests/batch/test_sched.c
@@ -537,6 +537,37 @@
   rig_free (rig);
 }
 
+/* Guards against: a sound run was stopped as stalled, and its worker quarantined, while no look at
+ * it was answered: its agent reported what it had seen before, and then did not report. */
+static void
+run_that_nobody_looks_at_is_not_stalled (void **state)
+{
+  Rig *rig = rig_new (2);
+
+  (void) state;
+  rig_add_job (rig, JOB_A, "urgent", "{\"count\":1,\"cpu\":100,\"long_running\":true}");
+  rig_round (rig, 100, TRUE);
+  rig_round (rig, 100, TRUE);
+  RigWorker *worker = rig_worker_of (rig, JOB_A ".0.0.0");
+  worker->looked_us = rig->now_us;
+  rig->is_stalled = TRUE;
+  for (int i = 0; i < 14; i++)
+    rig_round (rig, 100, TRUE);
+  worker->is_silent = TRUE;
+  for (int i = 0; i < 32; i++)
+    rig_round (rig, 100, TRUE);
+  assert_int_equal (rig->n_stops, 0);
+  assert_null (strstr (rig->notes->str, "stalled"));
+  /* The first look after that shows progress. */
+  worker->looked_us = 0;
+  worker->is_silent = FALSE;
+  rig->is_stalled = FALSE;
+  rig_round (rig, 100, TRUE);
+  assert_null (strstr (rig->notes->str, "stalled"));
+  assert_ptr_equal (rig_worker_of (rig, JOB_A ".0.0.0"), worker);
+  rig_free (rig);
+}
+
 /* Guards against long tasks that are stopped again and again: workers list whole percents, and one
  * percent of a task of 300 s takes 3 s. */
 static void
@@ -949,6 +980,7 @@
     cmocka_unit_test (task_of_an_unknown_job_is_stopped),
     cmocka_unit_test (end_is_acknowledged_only_once_written),
     cmocka_unit_test (stalled_task_is_moved),
+    cmocka_unit_test (run_that_nobody_looks_at_is_not_stalled),
     cmocka_unit_test (long_task_between_two_percents_is_not_stalled),
     cmocka_unit_test (no_step_starves_with_idle_processors),
     cmocka_unit_test (best_effort_tasks_are_paused_for_tail_over_target),
