sched: a reported run that is gone does not confirm its task

Cause: in the first seconds of a term a task may be at an agent that has not reported. A run of it in another agent's report ended that state for good. If that run was an earlier one, which the agent listed only because its stop was not confirmed, the task was started again as soon as it was gone, beside the later run.

Change: while that time lasts, sched_detach() puts the task back to those that are not confirmed.

Evidence: a new test in batch/test_takeover failed before.

--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -345,7 +345,7 @@
 void
 sched_complete_if_done_elsewhere (Sched *sched, SchedTask *task)
 {
-  if (task->is_done_elsewhere && (task->state == TASK_WAITING || task->state == TASK_UNWRITTEN))
+  if (task->is_done_elsewhere && task->state != TASK_PLACED && task->state != TASK_DONE)
     sched_task_done (sched, task);
 }
 
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -125,6 +125,13 @@
   sched_tails_attach (worker, task);
 }
 
+/* Whether a later run of the task may be at an agent that has not reported in this term. */
+static gboolean
+may_run_elsewhere (const Sched *sched, const SchedTask *task)
+{
+  return sched->reconcile_until_us != 0 && task->stage->job->is_old;
+}
+
 void
 sched_detach (SchedTask *task, TaskState state)
 {
@@ -140,7 +147,11 @@
   task->state = state;
   task->order_number = 0;
   task->is_stopping = FALSE;
-  if (state == TASK_WAITING)
+  if (state != TASK_WAITING)
+    return;
+  if (may_run_elsewhere (worker->sched, task))
+    task->state = TASK_UNCONFIRMED;
+  else
     sched_release_task (task);
 }
 
--- a/tests/batch/test_takeover.c
+++ b/tests/batch/test_takeover.c
@@ -315,6 +315,34 @@
   rig_free (rig);
 }
 
+/* Guards against: a new owner learned of an earlier run of a task, found it gone, and started the
+ * task beside a later run at an agent that had not reported yet. */
+static void
+task_whose_reported_run_is_gone_waits_for_the_other_agents (void **state)
+{
+  Rig *rig = rig_with_silent_worker ();
+  RigWorker *first = &rig->workers[0];
+  RigTask *later = &rig->workers[3].tasks[0];
+
+  (void) state;
+  /* The agent still lists a run that it was told to stop, and its end was acknowledged. */
+  first->tasks[first->n_tasks++] = *later;
+  later->run++;
+  replace_owner (rig, NULL);
+  run_rounds (rig, 1);
+  first->n_tasks--;
+  for (int i = 0; i < 5; i++)
+    {
+      run_rounds (rig, 1);
+      assert_no_task_runs_twice (rig);
+    }
+  /* It runs again after the lease of the later run. */
+  rig->workers[3].n_tasks = 0;
+  run_rounds (rig, EXPIRY_ROUNDS);
+  assert_int_equal (rig_running (rig), 24);
+  rig_free (rig);
+}
+
 int
 main (void)
 {
@@ -328,6 +356,7 @@
     cmocka_unit_test (agent_that_never_reported_is_not_published),
     cmocka_unit_test (record_outlasts_a_second_change),
     cmocka_unit_test (record_is_not_relied_on_after_an_owner_that_does_not_keep_it),
+    cmocka_unit_test (task_whose_reported_run_is_gone_waits_for_the_other_agents),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
