--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -467,8 +467,8 @@
 void sched_order_stop_run (SchedWorker *worker, const char *task, int64_t run);
 void sched_order_cpu_limit (Sched *sched, SchedTask *task, uint32_t percent);
 void sched_attach (SchedWorker *worker, SchedTask *task, int64_t now_us);
-/* Takes the task from its worker. With TASK_WAITING it waits for a worker, unless a failure of it is
- * not written, or a previous owner may have started a later run of it. */
+/* Takes the task from its worker. With TASK_WAITING it waits for a worker, unless a failure of it
+ * is not written, or a previous owner may have started a later run of it. */
 void sched_detach (SchedTask *task, TaskState state);
 void sched_lose_worker (Sched *sched, SchedWorker *worker, const char *reason);
 void sched_quarantine_worker (Sched *sched, SchedWorker *worker, const char *reason);
