--- a/lib/batch/sched_remediation.c
+++ b/lib/batch/sched_remediation.c
@@ -63,7 +63,7 @@
   /* Members of a gang wait for each other before they make progress. */
   if (step->is_gang)
     limit_ms += sched->options.gang_timeout_ms;
-  /* Only looks that were answered tell. */
+  /* Nothing is known of its progress after the newest look that was answered. */
   return task->worker->measured_us - task->percent_us > limit_ms * CLK_US_PER_MS;
 }
 
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -37,7 +37,7 @@
   SCHED_FAILURE_FLUSHING, /**< in the open flush */
 } SchedFailure;
 
-/** A task is in memory as long as its stage. */
+/** Valid as long as its stage. */
 struct SchedTask
 {
   SchedStage *stage;
@@ -165,7 +165,7 @@
 } SchedHold;
 
 /** One step of one occurrence of a job. Once all steps of the occurrence are done, it is no longer
- * found by name, but it is in memory until sched_reap(). */
+ * found by name, but stays valid until sched_reap(). */
 struct SchedStage
 {
   SchedJob *job;
--- a/lib/net/net_client.c
+++ b/lib/net/net_client.c
@@ -22,12 +22,12 @@
   uint64_t generation; /**< number of the pool */
   NetPool *pool;
   GPtrArray *replaced; /**< earlier NetPool with calls under way */
-} NetPeer;
+} Peer;
 
 struct NetClient
 {
   GHashTable *calls; /**< Call, as a set */
-  GHashTable *peers; /**< name -> NetPeer */
+  GHashTable *peers; /**< name -> Peer */
   NetClientTimedOut timed_out;
   void *ctx;
 };
@@ -35,7 +35,7 @@
 typedef struct
 {
   NetClient *client;
-  NetPeer *peer;
+  Peer *peer;
   NetPool *pool;       /**< a reference */
   uint64_t generation; /**< of the peer's connections when the call began */
   CURL *easy;
@@ -57,7 +57,7 @@
 static void
 peer_free (gpointer data)
 {
-  NetPeer *peer = data;
+  Peer *peer = data;
 
   net_pool_unref (peer->pool);
   g_ptr_array_unref (peer->replaced);
@@ -73,7 +73,7 @@
 
 /* Counts connections of replaced pools, so that a peer does not get a multiple of the limit. */
 static void
-limit_connections (const NetPeer *peer)
+limit_connections (const Peer *peer)
 {
   uint32_t n_replaced = 0;
 
@@ -83,22 +83,9 @@
   net_pool_set_limit (peer->pool, NET_CLIENT_CONNECTIONS_MAX - n_replaced);
 }
 
-static NetPool *pool_new (void);
-
-/* Leaves the connections of the peer to the calls that are under way; the next call opens a new
- * one. */
-static void
-replace_connections (NetPeer *peer)
-{
-  g_ptr_array_add (peer->replaced, peer->pool);
-  peer->pool = pool_new ();
-  peer->generation++;
-  limit_connections (peer);
-}
-
 /* Closes the connections of a replaced pool after its last call. */
 static void
-drop_unused (NetPeer *peer, NetPool *pool)
+drop_unused (Peer *peer, NetPool *pool)
 {
   if (pool != peer->pool && net_pool_transfers (pool) == 0
       && g_ptr_array_remove_fast (peer->replaced, pool))
@@ -187,6 +174,17 @@
   return net_pool_new (&options);
 }
 
+/* Leaves the connections of the peer to the calls that are under way; the next call opens a new
+ * one. */
+static void
+replace_connections (Peer *peer)
+{
+  g_ptr_array_add (peer->replaced, peer->pool);
+  peer->pool = pool_new ();
+  peer->generation++;
+  limit_connections (peer);
+}
+
 static size_t
 append_body (char *data, size_t size, size_t count, void *user)
 {
@@ -217,7 +215,7 @@
 static void
 time_out (Call *call)
 {
-  NetPeer *peer = call->peer;
+  Peer *peer = call->peer;
   const NetTimeout timeout = { .peer = peer->name,
                                .generation = call->generation,
                                .is_newest = call->pool == peer->pool,
@@ -295,7 +293,7 @@
 static gboolean
 has_no_call (gpointer key, gpointer value, gpointer ctx)
 {
-  const NetPeer *peer = value;
+  const Peer *peer = value;
 
   (void) key;
   (void) ctx;
@@ -303,19 +301,19 @@
 }
 
 /* The peer that the URL names, as host:port; it is created on first use. */
-static NetPeer *
+static Peer *
 find_peer (NetClient *client, const char *url)
 {
   const char *begin = strstr (url, "://");
   begin = begin != NULL ? begin + strlen ("://") : url;
   g_autofree char *name = g_strndup (begin, strcspn (begin, "/?#"));
-  NetPeer *peer = g_hash_table_lookup (client->peers, name);
+  Peer *peer = g_hash_table_lookup (client->peers, name);
 
   if (peer != NULL)
     return peer;
   if (g_hash_table_size (client->peers) >= PEERS_MAX)
     (void) g_hash_table_foreach_remove (client->peers, has_no_call, NULL);
-  peer = g_new0 (NetPeer, 1);
+  peer = g_new0 (Peer, 1);
   peer->name = g_steal_pointer (&name);
   peer->pool = pool_new ();
   peer->replaced = g_ptr_array_new_with_free_func (unref_pool);
