--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -626,6 +626,18 @@
     }
 }
 
+/** Workers forget their ends once all of them are acknowledged. */
+static inline void
+rig_forget_ends (Rig *rig)
+{
+  for (uint32_t i = 0; i < rig->n_workers; i++)
+    {
+      RigWorker *worker = &rig->workers[i];
+      if (worker->n_ends > 0 && worker->ends[worker->n_ends - 1].number <= worker->ends_acked)
+        worker->n_ends = 0;
+    }
+}
+
 static inline uint32_t
 rig_running (const Rig *rig)
 {
--- a/tests/batch/test_dropped_occurrences.c
+++ b/tests/batch/test_dropped_occurrences.c
@@ -40,13 +40,6 @@
   sched_add_job (rig->sched, &job);
 }
 
-static void
-forget_ends (RigWorker *worker)
-{
-  if (worker->n_ends > 0 && worker->ends[worker->n_ends - 1].number <= worker->ends_acked)
-    worker->n_ends = 0;
-}
-
 /* Completes all tasks at workers that report, but those with the prefix. */
 static void
 end_others (Rig *rig, const char *prefix)
@@ -68,8 +61,7 @@
   for (uint32_t i = 0; i < n_rounds; i++)
     {
       rig_round (rig, ROUND_MS, TRUE);
-      for (uint32_t k = 0; k < rig->n_workers; k++)
-        forget_ends (&rig->workers[k]);
+      rig_forget_ends (rig);
       end_others (rig, prefix);
     }
 }
--- a/tests/batch/test_occurrences.c
+++ b/tests/batch/test_occurrences.c
@@ -58,17 +58,6 @@
     }
 }
 
-static void
-forget_ends (Rig *rig)
-{
-  for (uint32_t i = 0; i < rig->n_workers; i++)
-    {
-      RigWorker *worker = &rig->workers[i];
-      if (worker->n_ends > 0 && worker->ends[worker->n_ends - 1].number <= worker->ends_acked)
-        worker->n_ends = 0;
-    }
-}
-
 static int64_t
 processor_ms (void)
 {
@@ -137,7 +126,7 @@
   for (uint32_t i = 0; i < 100 && sched_open_jobs (rig->sched) > 0; i++)
     {
       rig_round (rig, ROUND_MS, TRUE);
-      forget_ends (rig);
+      rig_forget_ends (rig);
       end_all (rig);
     }
   assert_int_equal (sched_open_jobs (rig->sched), 0);
@@ -171,7 +160,7 @@
       for (uint32_t k = 0; k < rig->n_workers; k++)
         assert_null (rig_find (&rig->workers[k], SCHEDULED ".2900.0.0"));
       assert_true (i > 0 || rig_worker_of (rig, SCHEDULED ".2500.0.0") == worker);
-      forget_ends (rig);
+      rig_forget_ends (rig);
       end_all (rig);
     }
   assert_int_equal (sched_open_jobs (rig->sched), 0);
