--- a/lib/net/net_client.h
+++ b/lib/net/net_client.h
@@ -41,7 +41,8 @@
 /** Limit of the total duration of a call, in multiples of its time-out. */
 #define NET_CLIENT_TIMEOUTS_MAX 8
 
-/** Limit of open connections to one address. */
+/** Limit of open connections to one address: more than a worker of 32 cores has tasks of 0.37
+ * cores. */
 #define NET_CLIENT_CONNECTIONS_MAX 128
 
 /** Result of a call. The body is valid during the callback only, and ends with a zero byte. */
