sched: log and count the results of jobs by size

Each occurrence of a job now has one line, sched result, with its size class, objective, time, first start, and how long it was left out or how often it was preempted; acacia_job_results_total counts them by queue, size and outcome.

The emulated fleet counts served jobs by size as well.

--- a/lib/batch/sched.c
+++ b/lib/batch/sched.c
@@ -50,6 +50,8 @@
   sched->dirty = g_hash_table_new (NULL, NULL);
   sched->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sched_worker_free);
   sched->durations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched->sizes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) sizes_free);
   sched->published = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sched->interference = interference_new ();
   sched->lost_workers = g_array_new (FALSE, FALSE, sizeof (SchedLostWorker));
@@ -69,6 +71,7 @@
   g_hash_table_destroy (sched->pending);
   g_free (sched->forgetting);
   g_hash_table_destroy (sched->durations);
+  g_hash_table_destroy (sched->sizes);
   g_hash_table_destroy (sched->workers);
   g_hash_table_destroy (sched->dirty);
   g_hash_table_destroy (sched->open);
--- a/lib/batch/sched.h
+++ b/lib/batch/sched.h
@@ -38,6 +38,14 @@
   int64_t wait_ms;         /**< since the job was accepted, or its first occurrence was due */
 } SchedFirstStart;
 
+/** How an occurrence of a job ended, or that its result has become useless. */
+typedef struct
+{
+  const char *queue;
+  const char *size;    /**< sizes_class_name() */
+  const char *outcome; /**< "in_time", "late", "expired", "failed" or "cancelled" */
+} SchedResult;
+
 typedef struct
 {
   int64_t report_age_max_ms; /**< tasks are started only at agents that reported within this time */
@@ -49,6 +57,7 @@
   /** Logs a decision; @p text has its inputs as "key=value ...". */
   void (*note) (void *ctx, const char *event, const char *job, const char *text);
   void (*started) (void *ctx, const SchedFirstStart *start); /**< NULL for none */
+  void (*ended) (void *ctx, const SchedResult *result);      /**< NULL for none */
   void *ctx;
 } SchedOptions;
 
--- a/lib/batch/sched_jobs.c
+++ b/lib/batch/sched_jobs.c
@@ -228,6 +228,17 @@
     }
 }
 
+static void
+note_results (Sched *sched, const SchedJob *job, SchedJobState state)
+{
+  for (guint i = 0; i < job->stages->len; i++)
+    {
+      SchedStage *stage = g_ptr_array_index (job->stages, i);
+      if (stage->step_index == 0)
+        sched_note_result (sched, stage, state);
+    }
+}
+
 void
 sched_end_job (Sched *sched, SchedJob *job, SchedJobState state)
 {
@@ -238,6 +249,7 @@
   g_queue_push_tail (sched->ended, job);
   sched_mark_dirty (sched, job);
   sched_note (sched, "job_ended", job->id, "state=%s", names[state]);
+  note_results (sched, job, state);
   if (state == SCHED_COMPLETED)
     return;
   for (guint i = 0; i < job->stages->len; i++)
@@ -303,6 +315,18 @@
   return TRUE;
 }
 
+static gboolean
+is_occurrence_done (const SchedJob *job, uint32_t occurrence)
+{
+  for (uint32_t i = 0; i < job->spec->steps->len; i++)
+    {
+      const SchedStage *stage = sched_find_stage (job, occurrence, i);
+      if (stage == NULL || stage->n_done < stage->step->n_tasks)
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static void
 set_done (Sched *sched, SchedTask *task)
 {
@@ -336,6 +360,8 @@
     set_done (sched, task);
   if (!sched_job_is_open (job))
     return;
+  if (is_occurrence_done (job, stage->occurrence))
+    sched_note_result (sched, sched_find_stage (job, stage->occurrence, 0), SCHED_COMPLETED);
   if (is_complete (job))
     sched_end_job (sched, job, SCHED_COMPLETED);
   else if (stage->n_done == stage->step->n_tasks && job->spec->n_repeats > 0)
--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -16,8 +16,6 @@
 #define SLACK_PERCENT 130
 /** A job that has begun is considered late only if its remaining chain alone is too long. */
 #define BEGUN_SLACK_PERCENT 100
-/** A result is of some use up to this multiple of the job's time objective. */
-#define USEFUL_FACTOR 3
 /** Interval between two forecasts. */
 #define PLAN_MS 100
 /** Decay per forecast of the remembered maximum of busy processors. */
@@ -48,8 +46,8 @@
   chains->work[step->is_best_effort ? SCHED_BEST_EFFORT : SCHED_RESERVED] += core_ms * n_left;
 }
 
-static SchedChains
-chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence)
+SchedChains
+sched_chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence)
 {
   SchedChains ends[JOB_STEPS_MAX];
   SchedChains longest = { 0 };
@@ -77,8 +75,8 @@
   return longest;
 }
 
-static int64_t
-objective_ms (const SchedJob *job, const SchedChains *chains)
+int64_t
+sched_objective_ms (const SchedJob *job, const SchedChains *chains)
 {
   return job->queue->target_ms + (int64_t) (job->queue->stretch * (double) chains->whole_ms);
 }
@@ -88,7 +86,7 @@
 chains_for (const Sched *sched, SchedStage *first)
 {
   if (first->chains_change != first->job->n_changes)
-    first->chains = chains_of (sched, first->job, first->occurrence);
+    first->chains = sched_chains_of (sched, first->job, first->occurrence);
   first->chains_change = first->job->n_changes;
   return &first->chains;
 }
@@ -115,15 +113,16 @@
 
   if (stage->step->is_continuous || (is_in_time && end_ms <= deadline_ms))
     return has_begun && !stage->step->is_best_effort ? SCHED_RANK_BEGUN : SCHED_RANK_IN_TIME;
-  return end_ms <= due_ms + (deadline_ms - due_ms) * USEFUL_FACTOR ? SCHED_RANK_LATE
-                                                                   : SCHED_RANK_USELESS;
+  return end_ms <= due_ms + (deadline_ms - due_ms) * SCHED_USEFUL_FACTOR ? SCHED_RANK_LATE
+                                                                         : SCHED_RANK_USELESS;
 }
 
 static SchedReadyStage
 order_of (const Sched *sched, SchedStage *stage, const SchedStage *first, const SchedChains *chains)
 {
   const SchedJob *job = stage->job;
-  int64_t deadline_ms = sched_due_wall_ms (job, stage->occurrence) + objective_ms (job, chains);
+  int64_t deadline_ms
+      = sched_due_wall_ms (job, stage->occurrence) + sched_objective_ms (job, chains);
 
   SchedReadyStage ready_stage
       = { .stage = stage,
@@ -159,7 +158,7 @@
   const SchedStage *first = sched_find_stage (job, stage->occurrence, 0);
   const SchedChains chains = first->chains_change == job->n_changes
                                  ? first->chains
-                                 : chains_of (sched, job, stage->occurrence);
+                                 : sched_chains_of (sched, job, stage->occurrence);
 
   return order_of (sched, stage, first, &chains);
 }
@@ -215,7 +214,7 @@
 }
 
 static void
-add_rows (const Sched *sched, GArray *rows, const SchedJob *job)
+add_rows (Sched *sched, GArray *rows, const SchedJob *job)
 {
   if (!sched_has_terms (sched, job))
     return;
@@ -224,13 +223,16 @@
       SchedStage *stage = g_ptr_array_index (job->stages, i);
       if (stage->step_index != 0 || stage->step->is_continuous)
         continue;
-      stage->chains = chains_of (sched, job, stage->occurrence);
+      stage->chains = sched_chains_of (sched, job, stage->occurrence);
       stage->chains_change = job->n_changes;
+      if (!stage->is_planned)
+        sched_add_size (sched, stage);
+      sched_check_expired (sched, stage);
       stage->is_planned = TRUE;
       stage->is_chosen = TRUE;
-      const PlanRow row
-          = { stage, job->queue->priority,
-              sched_due_wall_ms (job, stage->occurrence) + objective_ms (job, &stage->chains) };
+      const PlanRow row = { stage, job->queue->priority,
+                            sched_due_wall_ms (job, stage->occurrence)
+                                + sched_objective_ms (job, &stage->chains) };
       g_array_append_val (rows, row);
     }
 }
@@ -306,10 +308,21 @@
       = MAX (cores[SCHED_BEST_EFFORT], sched->cores[SCHED_BEST_EFFORT] * CORES_DECAY);
 }
 
+static void
+count_left_out (const GArray *rows, int64_t since_ms)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      SchedStage *first = g_array_index (rows, PlanRow, i).first;
+      first->left_out_ms += first->is_chosen ? 0 : since_ms;
+    }
+}
+
 static void
 update_plan (Sched *sched)
 {
   g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (PlanRow));
+  int64_t since_ms = MIN ((sched->now_us - sched->plan_us) / CLK_US_PER_MS, 2 * PLAN_MS);
   GHashTableIter iter;
   gpointer key = NULL;
 
@@ -327,6 +340,7 @@
       if (sched->n_waiting[i] > 0)
         choose_class (sched, rows, (SchedClass) i, sched->cores[i]);
     }
+  count_left_out (rows, since_ms);
 }
 
 void
--- a/lib/batch/sched_preempt.c
+++ b/lib/batch/sched_preempt.c
@@ -155,6 +155,7 @@
           || !sched_fits_instead (row->task->worker, task, row->task))
         continue;
       sched_order_stop (preemption->sched, row->task, "preempted");
+      sched_find_stage (row->task->stage->job, row->task->stage->occurrence, 0)->n_preempted++;
       preemption->n_stops++;
       return TRUE;
     }
--- /dev/null
+++ b/lib/batch/sched_results.c
@@ -0,0 +1,107 @@
+/* Results of occurrences: whether they were of use to their callers, by size. */
+#include "batch/sched_tables.h"
+
+static Sizes *
+sizes_of (Sched *sched, const SchedJob *job)
+{
+  Sizes *sizes = g_hash_table_lookup (sched->sizes, job->queue_name);
+
+  if (sizes == NULL)
+    {
+      sizes = sizes_new ();
+      g_hash_table_insert (sched->sizes, g_strdup (job->queue_name), sizes);
+    }
+  return sizes;
+}
+
+void
+sched_add_size (Sched *sched, const SchedStage *first)
+{
+  sizes_add (sizes_of (sched, first->job), first->chains.whole_work);
+}
+
+static SchedOutcome
+outcome_of (SchedJobState state, int64_t took_ms, int64_t objective_ms)
+{
+  if (state != SCHED_COMPLETED)
+    return state == SCHED_CANCELLED ? SCHED_OUTCOME_CANCELLED : SCHED_OUTCOME_FAILED;
+  if (took_ms > objective_ms * SCHED_USEFUL_FACTOR)
+    return SCHED_OUTCOME_EXPIRED;
+  return took_ms <= objective_ms ? SCHED_OUTCOME_IN_TIME : SCHED_OUTCOME_LATE;
+}
+
+const char *
+sched_outcome_name (SchedOutcome outcome)
+{
+  static const char *const names[SCHED_OUTCOMES]
+      = { "in_time", "late", "expired", "failed", "cancelled" };
+
+  return names[outcome];
+}
+
+static void
+count_tasks (const SchedStage *first, uint32_t *n_tasks, uint32_t *n_failed)
+{
+  const SchedJob *job = first->job;
+
+  for (uint32_t i = 0; i < job->spec->steps->len; i++)
+    {
+      const SchedStage *stage = sched_find_stage (job, first->occurrence, i);
+      *n_tasks += stage != NULL ? stage->step->n_tasks : 0;
+      *n_failed += stage != NULL ? stage->failed->len : 0;
+    }
+}
+
+static void
+note (Sched *sched, SchedStage *first, SchedOutcome outcome, int64_t took_ms)
+{
+  const SchedJob *job = first->job;
+  SizesClass size = sizes_class (sizes_of (sched, job), first->chains.whole_work);
+  int64_t due_ms = sched_due_wall_ms (job, first->occurrence);
+  uint32_t n_tasks = 0;
+  uint32_t n_failed = 0;
+
+  first->has_result = TRUE;
+  count_tasks (first, &n_tasks, &n_failed);
+  sched_note (sched, "result", job->id,
+              "queue=%s occurrence=%u outcome=%s size=%s tasks=%u work_core_ms=%.0f"
+              " objective_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
+              " first_start_ms=%" G_GINT64_FORMAT " left_out_ms=%" G_GINT64_FORMAT
+              " preempted=%u failed_runs=%u",
+              job->queue_name, first->occurrence, sched_outcome_name (outcome),
+              sizes_class_name (size), n_tasks, first->chains.whole_work,
+              sched_objective_ms (job, &first->chains), took_ms,
+              first->started_wall_ms != 0 ? MAX (first->started_wall_ms - due_ms, 0) : -1,
+              first->left_out_ms, first->n_preempted, n_failed);
+  if (sched->options.ended != NULL)
+    {
+      const SchedResult result
+          = { job->queue_name, sizes_class_name (size), sched_outcome_name (outcome) };
+      sched->options.ended (sched->options.ctx, &result);
+    }
+}
+
+void
+sched_note_result (Sched *sched, SchedStage *first, SchedJobState state)
+{
+  const SchedJob *job = first->job;
+
+  if (first->step->is_continuous || first->has_result || sched->wall_ms == 0)
+    return;
+  first->chains = sched_chains_of (sched, job, first->occurrence);
+  int64_t objective_ms = sched_objective_ms (job, &first->chains);
+  int64_t took_ms = MAX (sched->wall_ms - sched_due_wall_ms (job, first->occurrence), 0);
+  note (sched, first, outcome_of (state, took_ms, objective_ms), took_ms);
+}
+
+void
+sched_check_expired (Sched *sched, SchedStage *first)
+{
+  const SchedJob *job = first->job;
+  int64_t took_ms = sched->wall_ms - sched_due_wall_ms (job, first->occurrence);
+
+  if (first->has_result
+      || took_ms <= sched_objective_ms (job, &first->chains) * SCHED_USEFUL_FACTOR)
+    return;
+  note (sched, first, SCHED_OUTCOME_EXPIRED, took_ms);
+}
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -7,6 +7,7 @@
 #include "batch/gaps.h"
 #include "batch/interference.h"
 #include "batch/sched.h"
+#include "batch/sizes.h"
 
 G_BEGIN_DECLS
 
@@ -182,10 +183,14 @@
   int64_t ready_us;     /**< when it was first seen ready; 0: not yet */
   int64_t preempted_us; /**< when other tasks were last stopped for it; 0: never */
   SchedGap gap;
-  SchedChains chains;     /**< estimates of the occurrence; stored in its first stage */
-  uint64_t chains_change; /**< n_changes of the job when chains was computed */
-  gboolean is_planned;    /**< the occurrence was in a forecast; stored in its first stage */
-  gboolean is_chosen;     /**< the forecast expects it to meet its deadline */
+  SchedChains chains;      /**< estimates of the occurrence; stored in its first stage */
+  uint64_t chains_change;  /**< n_changes of the job when chains was computed */
+  gboolean is_planned;     /**< the occurrence was in a forecast; stored in its first stage */
+  gboolean is_chosen;      /**< the forecast expects it to meet its deadline */
+  gboolean has_result;     /**< sched_note_result() has counted it; stored in its first stage */
+  int64_t started_wall_ms; /**< first start of a task of the occurrence in this term; 0: none */
+  int64_t left_out_ms;     /**< time in which forecasts did not choose it */
+  uint32_t n_preempted;    /**< tasks of the occurrence that were stopped for others */
   InterferenceService
       *service;   /**< headroom of a serving step; NULL before the first measurement */
   uint32_t image; /**< number of its image; valid once has_image is set */
@@ -320,6 +325,7 @@
   GHashTable *flushing;      /**< SchedJob in the open flush, owned by it; NULL for none */
   GHashTable *pending;       /**< queue name -> number of jobs that have not begun */
   GHashTable *durations;     /**< queue name -> SchedDurations */
+  GHashTable *sizes;         /**< queue name -> Sizes */
   int64_t now_us;
   int64_t wall_ms;
   int64_t utilisation_noted_us;
@@ -370,6 +376,26 @@
 gboolean sched_job_is_open (const SchedJob *job);
 GBytes *sched_encode_progress (const SchedJob *job);
 
+/* sched_results.c */
+/** A result is of some use up to this multiple of the job's time objective. */
+#define SCHED_USEFUL_FACTOR 3
+/** What an occurrence was worth to its caller. */
+typedef enum
+{
+  SCHED_OUTCOME_IN_TIME,
+  SCHED_OUTCOME_LATE,
+  SCHED_OUTCOME_EXPIRED, /**< it is too late to be of use, done or not */
+  SCHED_OUTCOME_FAILED,
+  SCHED_OUTCOME_CANCELLED,
+  SCHED_OUTCOMES,
+} SchedOutcome;
+const char *sched_outcome_name (SchedOutcome outcome);
+/* Call these with the first stage of an occurrence: once its chains are known, when it ends, and in
+ * each forecast. */
+void sched_add_size (Sched *sched, const SchedStage *first);
+void sched_note_result (Sched *sched, SchedStage *first, SchedJobState state);
+void sched_check_expired (Sched *sched, SchedStage *first);
+
 /* sched_forget.c */
 /* Sets ended_us of the jobs that have ended since the last tick. */
 void sched_date_ended (Sched *sched);
@@ -475,6 +501,9 @@
 void sched_quarantine_worker (Sched *sched, SchedWorker *worker, const char *reason);
 
 /* sched_plan.c */
+SchedChains sched_chains_of (const Sched *sched, const SchedJob *job, uint32_t occurrence);
+/* Time from when an occurrence is due until it is late. */
+int64_t sched_objective_ms (const SchedJob *job, const SchedChains *chains);
 /* Returns a SchedReadyStage for each stage with waiting tasks that may start, in dispatch order;
  * the caller frees the array. */
 GArray *sched_ready_stages (Sched *sched);
--- a/lib/batch/sched_workers.c
+++ b/lib/batch/sched_workers.c
@@ -170,6 +170,7 @@
 sched_order_start (Sched *sched, SchedWorker *worker, SchedTask *task)
 {
   SchedJob *job = task->stage->job;
+  SchedStage *first = sched_find_stage (job, task->stage->occurrence, 0);
   Batch__Order *order = sched_order_new (BATCH__ORDER__WHAT_START);
   g_autofree char *name = sched_task_name (task);
 
@@ -181,6 +182,8 @@
   order->start->saved = message_strdup (task->checkpoint);
   order->start->ticket = message_strdup ("");
   sched_attach (worker, task, sched->now_us);
+  if (first->started_wall_ms == 0)
+    first->started_wall_ms = sched->wall_ms;
   if (!job->has_begun)
     job->ordered_us = sched->now_us;
   add_needs (order->start, worker, task);
--- a/lib/common/line.c
+++ b/lib/common/line.c
@@ -8,6 +8,9 @@
 
 #include "common/clk.h"
 
+/** Share of the limits that frequent lines may use. */
+#define FREQUENT_PERCENT 75
+
 /* Global because a process has a single standard output. */
 static GString *line_buffer;
 static uint32_t line_rate_max;
@@ -30,7 +33,7 @@
 }
 
 static gboolean
-may_add_line (int64_t wall_ms)
+may_add_line (int64_t wall_ms, uint32_t percent)
 {
   int64_t second = wall_ms / CLK_MS_PER_S;
 
@@ -39,7 +42,8 @@
       line_second = second;
       line_in_second = 0;
     }
-  return line_in_second < line_rate_max && line_buffer->len < LINE_BUFFER_MAX;
+  return (uint64_t) line_in_second * 100 < (uint64_t) line_rate_max * percent
+         && line_buffer->len < LINE_BUFFER_MAX / 100 * percent;
 }
 
 static void
@@ -52,15 +56,14 @@
                           (int) (of_day_ms % 1000));
 }
 
-void
-line_add (const char *module, const char *event, const char *format, ...)
+static void
+add_line (uint32_t percent, const char *module, const char *event, const char *format, va_list args)
 {
-  va_list args;
   int64_t wall_ms = clk_wall_ms ();
 
   if (line_buffer == NULL)
     return;
-  if (!may_add_line (wall_ms))
+  if (!may_add_line (wall_ms, percent))
     {
       line_dropped_count++;
       return;
@@ -75,12 +78,30 @@
       add_time (wall_ms);
     }
   g_string_append_printf (line_buffer, "%s %s ", module, event);
-  va_start (args, format);
   g_string_append_vprintf (line_buffer, format, args);
-  va_end (args);
   g_string_append_c (line_buffer, '\n');
 }
 
+void
+line_add (const char *module, const char *event, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  add_line (100, module, event, format, args);
+  va_end (args);
+}
+
+void
+line_add_frequent (const char *module, const char *event, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  add_line (FREQUENT_PERCENT, module, event, format, args);
+  va_end (args);
+}
+
 static uint64_t
 buffered_lines (void)
 {
--- a/lib/common/line.h
+++ b/lib/common/line.h
@@ -22,6 +22,11 @@
 /** Adds a line. @p format produces the key=value pairs. */
 void line_add (const char *module, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
 
+/** Like line_add(), for lines that are frequent: the last quarter of the limits is left to others.
+ */
+void line_add_frequent (const char *module, const char *event, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
+
 /** Writes buffered lines as far as standard output accepts them without blocking. */
 void line_flush (void);
 
--- a/programs/scheduler/owner.c
+++ b/programs/scheduler/owner.c
@@ -113,7 +113,10 @@
 {
   const Owner *owner = ctx;
 
-  line_add ("sched", event, "job=%s %s", job, text);
+  if (strcmp (event, "start") == 0 || strcmp (event, "end") == 0 || strcmp (event, "stop") == 0)
+    line_add_frequent ("sched", event, "job=%s %s", job, text);
+  else
+    line_add ("sched", event, "job=%s %s", job, text);
   if (strcmp (event, "crash_counted") == 0)
     met_add (owner->crashed_runs, 1);
   else if (strcmp (event, "given_up") == 0)
@@ -195,6 +198,7 @@
     .shares_by = shares_by,
     .note = log_sched_event,
     .started = owner_count_start,
+    .ended = owner_count_result,
     .ctx = owner,
   };
 }
--- a/programs/scheduler/owner_private.h
+++ b/programs/scheduler/owner_private.h
@@ -85,9 +85,11 @@
 /* Handles a report of the agent named @p agent. */
 void owner_handle_report (Owner *owner, const char *agent, const uint8_t *data, size_t size);
 
-/* owner_shares.c: metrics of waiting jobs and of shares. */
+/* owner_shares.c: metrics of jobs and of shares. */
 /* Counts the first start of a job; @p ctx is the Owner. */
 void owner_count_start (void *ctx, const SchedFirstStart *start);
+/* Counts the result of an occurrence; @p ctx is the Owner. */
+void owner_count_result (void *ctx, const SchedResult *result);
 /* Shows which origins exceed their shares; the other one shows that none does. */
 void owner_show_shares (const Owner *owner);
 void owner_clear_shares (const Owner *owner);
--- a/programs/scheduler/owner_shares.c
+++ b/programs/scheduler/owner_shares.c
@@ -23,6 +23,19 @@
                start->wait_ms * CLK_US_PER_MS);
 }
 
+void
+owner_count_result (void *ctx, const SchedResult *result)
+{
+  const Owner *owner = ctx;
+  g_autofree char *queue = label_value (result->queue);
+  g_autofree char *labels = g_strdup_printf ("queue=\"%s\",size=\"%s\",outcome=\"%s\"", queue,
+                                             result->size, result->outcome);
+
+  met_add (met_counter (node_metrics (owner->entry->node), "acacia_job_results_total", labels,
+                        "Occurrences of jobs that ended or expired"),
+           1);
+}
+
 static void
 set_exceeded (const Owner *owner, const SharesState *state, gboolean exceeds)
 {
--- a/tests/common/test_line.c
+++ b/tests/common/test_line.c
@@ -41,11 +41,33 @@
   assert_null (strstr (text, "number=2"));
 }
 
+/* Lines that are frequent do not take the place of the others. */
+static void
+frequent_lines_leave_room_for_others (void **state)
+{
+  int output[2];
+  char text[8 * 1024] = "";
+  int standard = dup (STDOUT_FILENO);
+
+  (void) state;
+  assert_int_equal (pipe (output), 0);
+  (void) dup2 (output[1], STDOUT_FILENO);
+  line_open ("test", LINES_PER_S_MAX);
+  for (int i = 0; i < LINES_PER_S_MAX * 10; i++)
+    line_add_frequent ("module", "frequent", "number=%d", i);
+  line_add ("module", "other", "number=1");
+  line_flush ();
+  (void) dup2 (standard, STDOUT_FILENO);
+  assert_true (read (output[0], text, sizeof text - 1) > 0);
+  assert_non_null (strstr (text, "module other number=1\n"));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (lines_lost_at_a_broken_output_are_counted),
+    cmocka_unit_test (frequent_lines_leave_room_for_others),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -778,6 +778,49 @@
     mean_work[i] /= MAX (counts[i], 1);
 }
 
+static gint
+compare_work (gconstpointer a, gconstpointer b)
+{
+  double left = work_of (*(const Job *const *) a);
+  double right = work_of (*(const Job *const *) b);
+
+  return left > right ? -1 : left < right;
+}
+
+static gboolean
+is_served (const Job *job)
+{
+  return job->end_ms != 0 && job->end_ms - job->arrival_ms <= job->objective_ms * LATE_FACTOR;
+}
+
+static FleetSize
+size_at (guint index, guint n_jobs)
+{
+  if (index * 10 < n_jobs)
+    return FLEET_SIZE_LARGEST;
+  return index * 10 < n_jobs * 3 ? FLEET_SIZE_LARGE : FLEET_SIZE_REST;
+}
+
+static void
+count_sizes (const Fleet *fleet, uint32_t kind_index)
+{
+  g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+
+  for (guint i = 0; i < fleet->list->len; i++)
+    {
+      Job *job = g_ptr_array_index (fleet->list, i);
+      if (job->kind == kind_index)
+        g_ptr_array_add (jobs, job);
+    }
+  g_ptr_array_sort (jobs, compare_work);
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      FleetSizeResult *row = &fleet->result->kinds[kind_index].sizes[size_at (i, jobs->len)];
+      row->n_jobs++;
+      row->n_served += is_served (g_ptr_array_index (jobs, i));
+    }
+}
+
 static void
 count_jobs (Fleet *fleet)
 {
@@ -807,6 +850,8 @@
           kind->value_earned += LATE_VALUE * value;
         }
     }
+  count_sizes (fleet, FLEET_SHORT);
+  count_sizes (fleet, FLEET_HEAVY);
   if (fleet->result->kinds[FLEET_SERVING].n_jobs > 0)
     fleet->result->serving_value /= fleet->result->kinds[FLEET_SERVING].n_jobs;
 }
@@ -924,6 +969,17 @@
   fleet_close (&fleet);
 }
 
+double
+fleet_size_ratio (const FleetKindResult *kind, FleetSize size)
+{
+  const FleetSizeResult *row = &kind->sizes[size];
+  uint32_t n_served = kind->n_in_time + kind->n_late;
+
+  if (n_served == 0 || row->n_jobs == 0)
+    return 1.0;
+  return (double) row->n_served / row->n_jobs / n_served * kind->n_jobs;
+}
+
 double
 fleet_value (const FleetResult *result, const double weights[FLEET_KINDS])
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -80,11 +80,27 @@
   uint32_t seed;
 } FleetOptions;
 
+/** Classes of the jobs of one kind by work. */
+typedef enum
+{
+  FLEET_SIZE_LARGEST, /**< the largest tenth */
+  FLEET_SIZE_LARGE,   /**< the next largest fifth */
+  FLEET_SIZE_REST,
+  FLEET_SIZES,
+} FleetSize;
+
+typedef struct
+{
+  uint32_t n_jobs;
+  uint32_t n_served; /**< within three times the objective */
+} FleetSizeResult;
+
 typedef struct
 {
   uint32_t n_jobs;
   uint32_t n_in_time;
   uint32_t n_late; /**< within three times the objective */
+  FleetSizeResult sizes[FLEET_SIZES];
   double
       value_owed; /**< value of all jobs to their callers, in jobs with the mean work of the kind */
   double value_earned; /**< value of those in time, and a share of that of late ones */
@@ -124,6 +140,10 @@
 /** Runs one emulation. */
 void fleet_simulate (const FleetOptions *options, FleetResult *result);
 
+/** Share of the jobs of a size class that are served, relative to the share of all jobs of the
+ * kind; 1 if no job is served. */
+double fleet_size_ratio (const FleetKindResult *kind, FleetSize size);
+
 /** Weighted share of the possible value that callers got: 1 for a job in time, 0.15 for a late one;
  * serving jobs count with serving_value. */
 double fleet_value (const FleetResult *result, const double weights[FLEET_KINDS]);
