--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -137,6 +137,10 @@
  * scales the arrivals. */
 void fleet_options_crowded (FleetOptions *options, uint32_t n_workers);
 
+/** Sets the options of a fleet like the crowded one, of smaller workers, where one run in twenty
+ * fails and best-effort work exceeds several times what serving tasks leave. */
+void fleet_options_overloaded (FleetOptions *options, uint32_t n_workers);
+
 /** Runs one emulation. */
 void fleet_simulate (const FleetOptions *options, FleetResult *result);
 
--- a/tests/support/fleet_options.c
+++ b/tests/support/fleet_options.c
@@ -179,3 +179,31 @@
   serving->mem_mb = 13000;
   serving->n_images = 10;
 }
+
+void
+fleet_options_overloaded (FleetOptions *options, uint32_t n_workers)
+{
+  double scale = n_workers / 67.0;
+  FleetKind *brief = &options->kinds[FLEET_SHORT];
+  FleetKind *heavy = &options->kinds[FLEET_HEAVY];
+  FleetKind *serving = &options->kinds[FLEET_SERVING];
+
+  fleet_options_crowded (options, n_workers);
+  options->cpu_m = 16000;
+  options->mem_mb = 64000;
+  options->per_rack = 8;
+  brief->per_s = 14.2 * scale;
+  brief->cpu_m = 390;
+  brief->mem_mb = 780;
+  brief->fail_share = 0.05;
+  heavy->per_s = 8.2 * scale;
+  heavy->attempts_max = 2;
+  heavy->cpu_m = 1800;
+  heavy->mem_mb = 3200;
+  heavy->work_ms = 1700;
+  heavy->work_max_ms = 4300;
+  heavy->fail_share = 0.05;
+  serving->n_at_start = (uint32_t) (22 * scale + 0.5);
+  serving->cpu_m = 3200;
+  serving->mem_mb = 6400;
+}
