--- /dev/null
+++ b/tests/batch/served.h
@@ -0,0 +1,71 @@
+/**
+ * @file served.h
+ * Counts the loads on which a fleet that cannot serve all jobs serves those of one size too rarely.
+ */
+#pragma once
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "support/fleet.h"
+
+#define SERVED_SEEDS 4
+/** The users' floor: the largest tenth of the jobs of a kind, and the next largest fifth, are
+ * served this often, relative to all jobs of the kind. */
+#define SERVED_RATIO_MIN 0.5
+
+static inline uint32_t
+served_count_short (const char *load, const FleetOptions *options, FleetSize size)
+{
+  static const char *const kinds[] = { "short", "heavy" };
+  FleetResult result;
+  uint32_t count = 0;
+
+  fleet_simulate (options, &result);
+  assert_true (result.kinds[FLEET_HEAVY].sizes[size].n_jobs > 0);
+  for (uint32_t i = FLEET_SHORT; i <= FLEET_HEAVY; i++)
+    {
+      const FleetKindResult *kind = &result.kinds[i];
+      double ratio = fleet_size_ratio (kind, size);
+      if (ratio >= SERVED_RATIO_MIN)
+        continue;
+      print_message ("%s, seed %u: %u of %u %s jobs served, %.2f of the share of all sizes\n", load,
+                     options->seed, kind->sizes[size].n_served, kind->sizes[size].n_jobs, kinds[i],
+                     ratio);
+      count++;
+    }
+  return count;
+}
+
+static inline void
+served_check_crowded (FleetSize size)
+{
+  uint32_t n_short = 0;
+
+  for (uint32_t seed = 1; seed <= SERVED_SEEDS; seed++)
+    {
+      FleetOptions options;
+      fleet_options_crowded (&options, 57);
+      options.seed = seed;
+      n_short += served_count_short ("crowded", &options, size);
+    }
+  assert_int_equal (n_short, 0);
+}
+
+static inline void
+served_check_overloaded (FleetSize size)
+{
+  uint32_t n_short = 0;
+
+  for (uint32_t seed = 1; seed <= SERVED_SEEDS; seed++)
+    {
+      FleetOptions options;
+      fleet_options_overloaded (&options, 67);
+      options.seed = seed;
+      n_short += served_count_short ("overloaded", &options, size);
+    }
+  assert_int_equal (n_short, 0);
+}
