sched: some large jobs come before smaller ones, so that all sizes are served

Cause: under overload the forecast leaves out what has least value for its work, the dispatch order and preemption prefer least work left, and a job past its objective comes after all that can be in time. Each of these puts a larger job behind each smaller one, and no place knew what share of each size was served.

Each new job of the largest tenth or the next fifth of a queue now gives its class a credit of three quarters of the share that is served, and a served job takes 1 from it. While tasks wait, a class with credit favours jobs, at most 35 percent of those open: they come first, by deadline, do not give way to smaller ones, and stay favoured until they end or are useless. Nothing is given to a class that is served anyway.

--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -111,10 +111,13 @@
   int64_t due_ms = sched_due_wall_ms (stage->job, stage->occurrence);
   gboolean is_in_time = first->is_planned ? first->is_chosen : end_ms <= deadline_ms;
 
+  gboolean is_useful = end_ms <= due_ms + (deadline_ms - due_ms) * SCHED_USEFUL_FACTOR;
+
+  if (first->is_favoured && is_useful)
+    return SCHED_RANK_HELD;
   if (stage->step->is_continuous || (is_in_time && end_ms <= deadline_ms))
-    return has_begun && !stage->step->is_best_effort ? SCHED_RANK_BEGUN : SCHED_RANK_IN_TIME;
-  return end_ms <= due_ms + (deadline_ms - due_ms) * SCHED_USEFUL_FACTOR ? SCHED_RANK_LATE
-                                                                         : SCHED_RANK_USELESS;
+    return has_begun && !stage->step->is_best_effort ? SCHED_RANK_HELD : SCHED_RANK_IN_TIME;
+  return is_useful ? SCHED_RANK_LATE : SCHED_RANK_USELESS;
 }
 
 static SchedReadyStage
@@ -175,7 +178,7 @@
     return share_order (left) - share_order (right);
   if (left->rank != right->rank)
     return left->rank < right->rank ? -1 : 1;
-  if (left->rank != SCHED_RANK_BEGUN && left->work != right->work)
+  if (left->rank != SCHED_RANK_HELD && left->work != right->work)
     return left->work < right->work ? -1 : 1;
   if (left->deadline_ms != right->deadline_ms)
     return left->deadline_ms < right->deadline_ms ? -1 : 1;
@@ -226,7 +229,7 @@
       stage->chains = sched_chains_of (sched, job, stage->occurrence);
       stage->chains_change = job->n_changes;
       if (!stage->is_planned)
-        sched_add_size (sched, stage);
+        sizes_add (sched_sizes_of (sched, job), stage->chains.whole_work);
       sched_check_expired (sched, stage);
       stage->is_planned = TRUE;
       stage->is_chosen = TRUE;
@@ -308,6 +311,16 @@
       = MAX (cores[SCHED_BEST_EFFORT], sched->cores[SCHED_BEST_EFFORT] * CORES_DECAY);
 }
 
+static void
+favour_large (Sched *sched, const GArray *rows)
+{
+  g_autoptr (GPtrArray) firsts = g_ptr_array_sized_new (rows->len);
+
+  for (guint i = 0; i < rows->len; i++)
+    g_ptr_array_add (firsts, g_array_index (rows, PlanRow, i).first);
+  sched_favour_large (sched, firsts);
+}
+
 static void
 count_left_out (const GArray *rows, int64_t since_ms)
 {
@@ -341,6 +354,8 @@
         choose_class (sched, rows, (SchedClass) i, sched->cores[i]);
     }
   count_left_out (rows, since_ms);
+  if (sched->n_waiting[SCHED_RESERVED] + sched->n_waiting[SCHED_BEST_EFFORT] > 0)
+    favour_large (sched, rows);
 }
 
 void
--- a/lib/batch/sched_results.c
+++ b/lib/batch/sched_results.c
@@ -1,25 +1,6 @@
 /* Results of occurrences: whether they were of use to their callers, by size. */
 #include "batch/sched_tables.h"
 
-static Sizes *
-sizes_of (Sched *sched, const SchedJob *job)
-{
-  Sizes *sizes = g_hash_table_lookup (sched->sizes, job->queue_name);
-
-  if (sizes == NULL)
-    {
-      sizes = sizes_new ();
-      g_hash_table_insert (sched->sizes, g_strdup (job->queue_name), sizes);
-    }
-  return sizes;
-}
-
-void
-sched_add_size (Sched *sched, const SchedStage *first)
-{
-  sizes_add (sizes_of (sched, first->job), first->chains.whole_work);
-}
-
 static SchedOutcome
 outcome_of (SchedJobState state, int64_t took_ms, int64_t objective_ms)
 {
@@ -52,11 +33,23 @@
     }
 }
 
+static void
+count_size (Sched *sched, SchedStage *first, SchedOutcome outcome)
+{
+  Sizes *sizes = sched_sizes_of (sched, first->job);
+  gboolean is_served = outcome == SCHED_OUTCOME_IN_TIME || outcome == SCHED_OUTCOME_LATE;
+
+  if (outcome != SCHED_OUTCOME_CANCELLED)
+    sizes_add_result (sizes, first->size, is_served, first->is_favoured);
+  else if (first->is_favoured)
+    sizes_release (sizes, first->size);
+  first->is_favoured = FALSE;
+}
+
 static void
 note (Sched *sched, SchedStage *first, SchedOutcome outcome, int64_t took_ms)
 {
   const SchedJob *job = first->job;
-  SizesClass size = sizes_class (sizes_of (sched, job), first->chains.whole_work);
   int64_t due_ms = sched_due_wall_ms (job, first->occurrence);
   uint32_t n_tasks = 0;
   uint32_t n_failed = 0;
@@ -67,16 +60,17 @@
               "queue=%s occurrence=%u outcome=%s size=%s tasks=%u work_core_ms=%.0f"
               " objective_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
               " first_start_ms=%" G_GINT64_FORMAT " left_out_ms=%" G_GINT64_FORMAT
-              " preempted=%u failed_runs=%u",
+              " preempted=%u failed_runs=%u favoured=%d",
               job->queue_name, first->occurrence, sched_outcome_name (outcome),
-              sizes_class_name (size), n_tasks, first->chains.whole_work,
+              sizes_class_name (first->size), n_tasks, first->chains.whole_work,
               sched_objective_ms (job, &first->chains), took_ms,
               first->started_wall_ms != 0 ? MAX (first->started_wall_ms - due_ms, 0) : -1,
-              first->left_out_ms, first->n_preempted, n_failed);
+              first->left_out_ms, first->n_preempted, n_failed, first->is_favoured);
+  count_size (sched, first, outcome);
   if (sched->options.ended != NULL)
     {
       const SchedResult result
-          = { job->queue_name, sizes_class_name (size), sched_outcome_name (outcome) };
+          = { job->queue_name, sizes_class_name (first->size), sched_outcome_name (outcome) };
       sched->options.ended (sched->options.ctx, &result);
     }
 }
@@ -89,6 +83,8 @@
   if (first->step->is_continuous || first->has_result || sched->wall_ms == 0)
     return;
   first->chains = sched_chains_of (sched, job, first->occurrence);
+  if (!first->is_favoured)
+    first->size = sizes_class (sched_sizes_of (sched, job), first->chains.whole_work);
   int64_t objective_ms = sched_objective_ms (job, &first->chains);
   int64_t took_ms = MAX (sched->wall_ms - sched_due_wall_ms (job, first->occurrence), 0);
   note (sched, first, outcome_of (state, took_ms, objective_ms), took_ms);
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -103,10 +103,11 @@
 /** Dispatch rank of a stage, most urgent first. Under overload, jobs that have begun meet their
  * deadlines and others are not begun. If new jobs were dispatched before those that have waited,
  * all jobs would be begun and all be late. Best-effort stages have no rank for begun jobs: their
- * tasks can give way and go on later. */
+ * tasks can give way and go on later. Favoured jobs do not give way, see sched_sizes.c. */
 typedef enum
 {
-  SCHED_RANK_BEGUN, /**< can meet its deadline, has tasks that are done or running, and reserves */
+  SCHED_RANK_HELD, /**< favoured; or can meet its deadline, has tasks that are done or running, and
+                      reserves */
   SCHED_RANK_IN_TIME, /**< can meet its deadline */
   SCHED_RANK_LATE,    /**< will be late, but its result is still of use */
   SCHED_RANK_USELESS, /**< its result will be too late to be of use */
@@ -183,11 +184,13 @@
   int64_t ready_us;     /**< when it was first seen ready; 0: not yet */
   int64_t preempted_us; /**< when other tasks were last stopped for it; 0: never */
   SchedGap gap;
-  SchedChains chains;      /**< estimates of the occurrence; stored in its first stage */
-  uint64_t chains_change;  /**< n_changes of the job when chains was computed */
-  gboolean is_planned;     /**< the occurrence was in a forecast; stored in its first stage */
-  gboolean is_chosen;      /**< the forecast expects it to meet its deadline */
-  gboolean has_result;     /**< sched_note_result() has counted it; stored in its first stage */
+  SchedChains chains;     /**< estimates of the occurrence; stored in its first stage */
+  uint64_t chains_change; /**< n_changes of the job when chains was computed */
+  gboolean is_planned;    /**< the occurrence was in a forecast; stored in its first stage */
+  gboolean is_chosen;     /**< the forecast expects it to meet its deadline */
+  SizesClass size;        /**< of the occurrence; stored in its first stage, as the next four are */
+  gboolean is_favoured;   /**< it comes before others, as few jobs of its size were served */
+  gboolean has_result;    /**< sched_note_result() has counted it; stored in its first stage */
   int64_t started_wall_ms; /**< first start of a task of the occurrence in this term; 0: none */
   int64_t left_out_ms;     /**< time in which forecasts did not choose it */
   uint32_t n_preempted;    /**< tasks of the occurrence that were stopped for others */
@@ -390,12 +393,16 @@
   SCHED_OUTCOMES,
 } SchedOutcome;
 const char *sched_outcome_name (SchedOutcome outcome);
-/* Call these with the first stage of an occurrence: once its chains are known, when it ends, and in
- * each forecast. */
-void sched_add_size (Sched *sched, const SchedStage *first);
+/* Call these with the first stage of an occurrence: when it ends, and in each forecast. */
 void sched_note_result (Sched *sched, SchedStage *first, SchedJobState state);
 void sched_check_expired (Sched *sched, SchedStage *first);
 
+/* sched_sizes.c */
+/* Size classes of the jobs of the same queue. */
+Sizes *sched_sizes_of (Sched *sched, const SchedJob *job);
+/* Decides which occurrences are favoured; @p firsts are the first stages of those in a forecast. */
+void sched_favour_large (Sched *sched, const GPtrArray *firsts);
+
 /* sched_forget.c */
 /* Sets ended_us of the jobs that have ended since the last tick. */
 void sched_date_ended (Sched *sched);
--- a/tests/batch/rig.h
+++ b/tests/batch/rig.h
@@ -166,6 +166,7 @@
                          .shares_by = rig->shares_by,
                          .note = rig_note,
                          .started = NULL,
+                         .ended = NULL,
                          .ctx = rig };
 }
 
