sched: no job is favoured for its size while nearly all are served

Each new job gave its class credit before it was known whether any job goes unserved.

The outcomes of results move to the one file that uses them.

--- a/lib/batch/sched_results.c
+++ b/lib/batch/sched_results.c
@@ -1,20 +1,31 @@
 /* Results of occurrences: whether they were of use to their callers, by size. */
 #include "batch/sched_tables.h"
 
-static SchedOutcome
+/** What an occurrence was worth to its caller. */
+typedef enum
+{
+  OUTCOME_IN_TIME,
+  OUTCOME_LATE,
+  OUTCOME_EXPIRED, /**< it is too late to be of use, done or not */
+  OUTCOME_FAILED,
+  OUTCOME_CANCELLED,
+  OUTCOMES,
+} Outcome;
+
+static Outcome
 outcome_of (SchedJobState state, int64_t took_ms, int64_t objective_ms)
 {
   if (state != SCHED_COMPLETED)
-    return state == SCHED_CANCELLED ? SCHED_OUTCOME_CANCELLED : SCHED_OUTCOME_FAILED;
+    return state == SCHED_CANCELLED ? OUTCOME_CANCELLED : OUTCOME_FAILED;
   if (took_ms > objective_ms * SCHED_USEFUL_FACTOR)
-    return SCHED_OUTCOME_EXPIRED;
-  return took_ms <= objective_ms ? SCHED_OUTCOME_IN_TIME : SCHED_OUTCOME_LATE;
+    return OUTCOME_EXPIRED;
+  return took_ms <= objective_ms ? OUTCOME_IN_TIME : OUTCOME_LATE;
 }
 
-const char *
-sched_outcome_name (SchedOutcome outcome)
+static const char *
+outcome_name (Outcome outcome)
 {
-  static const char *const names[SCHED_OUTCOMES]
+  static const char *const names[OUTCOMES]
       = { "in_time", "late", "expired", "failed", "cancelled" };
 
   return names[outcome];
@@ -34,12 +45,12 @@
 }
 
 static void
-count_size (Sched *sched, SchedStage *first, SchedOutcome outcome)
+count_size (Sched *sched, SchedStage *first, Outcome outcome)
 {
   Sizes *sizes = sched_sizes_of (sched, first->job);
-  gboolean is_served = outcome == SCHED_OUTCOME_IN_TIME || outcome == SCHED_OUTCOME_LATE;
+  gboolean is_served = outcome == OUTCOME_IN_TIME || outcome == OUTCOME_LATE;
 
-  if (outcome != SCHED_OUTCOME_CANCELLED)
+  if (outcome != OUTCOME_CANCELLED)
     sizes_add_result (sizes, first->size, is_served, first->is_favoured);
   else if (first->is_favoured)
     sizes_release (sizes, first->size);
@@ -47,7 +58,7 @@
 }
 
 static void
-note (Sched *sched, SchedStage *first, SchedOutcome outcome, int64_t took_ms)
+note (Sched *sched, SchedStage *first, Outcome outcome, int64_t took_ms)
 {
   const SchedJob *job = first->job;
   int64_t due_ms = sched_due_wall_ms (job, first->occurrence);
@@ -61,7 +72,7 @@
               " objective_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
               " first_start_ms=%" G_GINT64_FORMAT " left_out_ms=%" G_GINT64_FORMAT
               " preempted=%u failed_runs=%u favoured=%d",
-              job->queue_name, first->occurrence, sched_outcome_name (outcome),
+              job->queue_name, first->occurrence, outcome_name (outcome),
               sizes_class_name (first->size), n_tasks, first->chains.whole_work,
               sched_objective_ms (job, &first->chains), took_ms,
               first->started_wall_ms != 0 ? MAX (first->started_wall_ms - due_ms, 0) : -1,
@@ -70,7 +81,7 @@
   if (sched->options.ended != NULL)
     {
       const SchedResult result
-          = { job->queue_name, sizes_class_name (first->size), sched_outcome_name (outcome) };
+          = { job->queue_name, sizes_class_name (first->size), outcome_name (outcome) };
       sched->options.ended (sched->options.ctx, &result);
     }
 }
@@ -99,5 +110,5 @@
   if (first->has_result
       || took_ms <= sched_objective_ms (job, &first->chains) * SCHED_USEFUL_FACTOR)
     return;
-  note (sched, first, SCHED_OUTCOME_EXPIRED, took_ms);
+  note (sched, first, OUTCOME_EXPIRED, took_ms);
 }
--- a/lib/batch/sched_tables.h
+++ b/lib/batch/sched_tables.h
@@ -188,9 +188,9 @@
   uint64_t chains_change; /**< n_changes of the job when chains was computed */
   gboolean is_planned;    /**< the occurrence was in a forecast; stored in its first stage */
   gboolean is_chosen;     /**< the forecast expects it to meet its deadline */
-  SizesClass size;        /**< of the occurrence; stored in its first stage, as the next four are */
+  SizesClass size;        /**< of the occurrence; stored in its first stage, as the next five are */
   gboolean is_favoured;   /**< it comes before others, as few jobs of its size were served */
-  gboolean has_result;    /**< sched_note_result() has counted it; stored in its first stage */
+  gboolean has_result;    /**< it was counted in this term */
   int64_t started_wall_ms; /**< first start of a task of the occurrence in this term; 0: none */
   int64_t left_out_ms;     /**< time in which forecasts did not choose it */
   uint32_t n_preempted;    /**< tasks of the occurrence that were stopped for others */
@@ -382,17 +382,6 @@
 /* sched_results.c */
 /** A result is of some use up to this multiple of the job's time objective. */
 #define SCHED_USEFUL_FACTOR 3
-/** What an occurrence was worth to its caller. */
-typedef enum
-{
-  SCHED_OUTCOME_IN_TIME,
-  SCHED_OUTCOME_LATE,
-  SCHED_OUTCOME_EXPIRED, /**< it is too late to be of use, done or not */
-  SCHED_OUTCOME_FAILED,
-  SCHED_OUTCOME_CANCELLED,
-  SCHED_OUTCOMES,
-} SchedOutcome;
-const char *sched_outcome_name (SchedOutcome outcome);
 /* Call these with the first stage of an occurrence: when it ends, and in each forecast. */
 void sched_note_result (Sched *sched, SchedStage *first, SchedJobState state);
 void sched_check_expired (Sched *sched, SchedStage *first);
--- a/lib/batch/sizes.c
+++ b/lib/batch/sizes.c
@@ -108,6 +108,7 @@
 sizes_favour (Sizes *sizes, SizesClass size)
 {
   if (size == SIZES_OTHER || sizes->credit[size] < 1.0
+      || served_share (sizes) * 100 >= SIZES_ENOUGH_PERCENT
       || (uint64_t) sizes->n_favoured[size] * 100
              >= (uint64_t) sizes->n_open[size] * SIZES_FAVOURED_PERCENT)
     return FALSE;
--- a/lib/batch/sizes.h
+++ b/lib/batch/sizes.h
@@ -9,7 +9,7 @@
  * Under overload, work goes to jobs that need least of it, and larger ones would hardly be served.
  * Each new job of a larger class gives its class a credit: the share of all jobs that is served
  * now, times #SIZES_FLOOR_PERCENT. A job that is served takes 1 from it. While a class has credit,
- * it may favour jobs.
+ * it may favour jobs. While nearly all jobs are served, it does not.
  */
 #pragma once
 
@@ -26,6 +26,8 @@
 /** Largest part of the open jobs of a class that is favoured at one time, in percent. With more of
  * them, each would take longer. */
 #define SIZES_FAVOURED_PERCENT 35
+/** While this percentage of the jobs is served, none is favoured: no size is short. */
+#define SIZES_ENOUGH_PERCENT 98
 /** Limits of the credit of a class, in jobs: service that lies far back does not count. */
 #define SIZES_CREDIT_MAX 20.0
 #define SIZES_CREDIT_MIN (-4.0)
