--- a/lib/batch/sched_plan.c
+++ b/lib/batch/sched_plan.c
@@ -110,7 +110,6 @@
   int64_t end_ms = sched->wall_ms + expected_rest_ms (chains);
   int64_t due_ms = sched_due_wall_ms (stage->job, stage->occurrence);
   gboolean is_in_time = first->is_planned ? first->is_chosen : end_ms <= deadline_ms;
-
   gboolean is_useful = end_ms <= due_ms + (deadline_ms - due_ms) * SCHED_USEFUL_FACTOR;
 
   if (first->is_favoured && is_useful)
