sched_results, sched_sizes, tests: one piece of code where there were copies

The time that an occurrence took is computed in one place, a candidate keeps the sizes of its queue in place of a second look-up, the bounds of the classes have no unused entry, and the two loads of served.h are played by one function.

--- a/lib/batch/sched_results.c
+++ b/lib/batch/sched_results.c
@@ -13,13 +13,13 @@
 } Outcome;
 
 static Outcome
-outcome_of (SchedJobState state, int64_t took_ms, int64_t objective_ms)
+outcome_of (SchedJobState state, int64_t after_ms, int64_t objective_ms)
 {
   if (state != SCHED_COMPLETED)
     return state == SCHED_CANCELLED ? OUTCOME_CANCELLED : OUTCOME_FAILED;
-  if (took_ms > objective_ms * SCHED_USEFUL_FACTOR)
+  if (after_ms > objective_ms * SCHED_USEFUL_FACTOR)
     return OUTCOME_EXPIRED;
-  return took_ms <= objective_ms ? OUTCOME_IN_TIME : OUTCOME_LATE;
+  return after_ms <= objective_ms ? OUTCOME_IN_TIME : OUTCOME_LATE;
 }
 
 static const char *
@@ -57,8 +57,14 @@
   first->is_favoured = FALSE;
 }
 
+static int64_t
+took_ms (const Sched *sched, const SchedStage *first)
+{
+  return MAX (sched->wall_ms - sched_due_wall_ms (first->job, first->occurrence), 0);
+}
+
 static void
-note (Sched *sched, SchedStage *first, Outcome outcome, int64_t took_ms)
+note (Sched *sched, SchedStage *first, Outcome outcome)
 {
   const SchedJob *job = first->job;
   int64_t due_ms = sched_due_wall_ms (job, first->occurrence);
@@ -74,7 +80,7 @@
               " preempted=%u failed_runs=%u favoured=%d",
               job->queue_name, first->occurrence, outcome_name (outcome),
               sizes_class_name (first->size), n_tasks, first->chains.whole_work,
-              sched_objective_ms (job, &first->chains), took_ms,
+              sched_objective_ms (job, &first->chains), took_ms (sched, first),
               first->started_wall_ms != 0 ? MAX (first->started_wall_ms - due_ms, 0) : -1,
               first->left_out_ms, first->n_preempted, n_failed, first->is_favoured);
   count_size (sched, first, outcome);
@@ -96,19 +102,15 @@
   first->chains = sched_chains_of (sched, job, first->occurrence);
   if (!first->is_favoured)
     first->size = sizes_class (sched_sizes_of (sched, job), first->chains.whole_work);
-  int64_t objective_ms = sched_objective_ms (job, &first->chains);
-  int64_t took_ms = MAX (sched->wall_ms - sched_due_wall_ms (job, first->occurrence), 0);
-  note (sched, first, outcome_of (state, took_ms, objective_ms), took_ms);
+  note (sched, first,
+        outcome_of (state, took_ms (sched, first), sched_objective_ms (job, &first->chains)));
 }
 
 void
 sched_check_expired (Sched *sched, SchedStage *first)
 {
-  const SchedJob *job = first->job;
-  int64_t took_ms = sched->wall_ms - sched_due_wall_ms (job, first->occurrence);
+  int64_t useful_ms = sched_objective_ms (first->job, &first->chains) * SCHED_USEFUL_FACTOR;
 
-  if (first->has_result
-      || took_ms <= sched_objective_ms (job, &first->chains) * SCHED_USEFUL_FACTOR)
-    return;
-  note (sched, first, OUTCOME_EXPIRED, took_ms);
+  if (!first->has_result && took_ms (sched, first) > useful_ms)
+    note (sched, first, OUTCOME_EXPIRED);
 }
--- a/lib/batch/sched_sizes.c
+++ b/lib/batch/sched_sizes.c
@@ -9,6 +9,7 @@
 typedef struct
 {
   SchedStage *first;
+  Sizes *sizes;     /**< of its queue */
   gboolean is_late; /**< it cannot meet its deadline */
   double work;      /**< work left */
 } Candidate;
@@ -38,13 +39,14 @@
 }
 
 static void
-add_candidate (const Sched *sched, GArray *candidates, SchedStage *first)
+add_candidate (const Sched *sched, GArray *candidates, SchedStage *first, Sizes *sizes)
 {
   const SchedChains *chains = &first->chains;
   int64_t due_ms = sched_due_wall_ms (first->job, first->occurrence);
   int64_t objective_ms = sched_objective_ms (first->job, chains);
   int64_t end_ms = sched->wall_ms + chains->left_ms;
   const Candidate row = { .first = first,
+                          .sizes = sizes,
                           .is_late = end_ms > due_ms + objective_ms,
                           .work = chains->work[SCHED_BEST_EFFORT] + chains->work[SCHED_RESERVED] };
 
@@ -79,12 +81,12 @@
         first->size = sizes_class (sizes, first->chains.whole_work);
       sizes_count_open (sizes, first->size, first->is_favoured);
       if (!first->is_favoured && first->size != SIZES_OTHER)
-        add_candidate (sched, candidates, first);
+        add_candidate (sched, candidates, first, sizes);
     }
   g_array_sort (candidates, compare_candidates);
   for (guint i = 0; i < candidates->len; i++)
     {
-      SchedStage *first = g_array_index (candidates, Candidate, i).first;
-      first->is_favoured = sizes_favour (sched_sizes_of (sched, first->job), first->size);
+      const Candidate *row = &g_array_index (candidates, Candidate, i);
+      row->first->is_favoured = sizes_favour (row->sizes, row->first->size);
     }
 }
--- a/lib/batch/sizes.c
+++ b/lib/batch/sizes.c
@@ -12,8 +12,7 @@
 {
   double work[SIZES_WINDOW]; /**< of the newest jobs, as a ring */
   uint32_t n_added;
-  double
-      above[SIZES_CLASSES]; /**< jobs with more work than this are of the class, or a larger one */
+  double above[SIZES_OTHER]; /**< jobs with more work than this are of the class, or a larger one */
   double credit[SIZES_CLASSES];
   uint32_t n_open[SIZES_CLASSES];
   uint32_t n_favoured[SIZES_CLASSES];
@@ -22,7 +21,7 @@
 };
 
 /** Largest part of the newest jobs that is of the class or a larger one, in percent. */
-static const uint32_t class_percent[SIZES_CLASSES] = { 10, 30, 100 };
+static const uint32_t class_percent[SIZES_OTHER] = { 10, 30 };
 
 Sizes *
 sizes_new (void)
--- a/lib/batch/sizes.h
+++ b/lib/batch/sizes.h
@@ -20,7 +20,7 @@
 
 /** Number of newest jobs that a job is compared with. */
 #define SIZES_WINDOW 128
-/** Jobs of a larger class are served at least this often, in percent of how often all are. Above
+/** Jobs of a larger class are to be served this often, in percent of how often all are. Above
  * the callers' floor of 50, as some jobs that are favoured are late or fail. */
 #define SIZES_FLOOR_PERCENT 75
 /** Largest part of the open jobs of a class that is favoured at one time, in percent. With more of
--- a/tests/batch/served.h
+++ b/tests/batch/served.h
@@ -50,32 +50,35 @@
   return count;
 }
 
+/* Plays the seeds of a load, whose options @p set sets. */
 static inline void
-served_check_crowded (FleetSize size)
+served_check (const char *load,
+              void (*set) (FleetOptions *options, uint32_t n_workers),
+              uint32_t n_workers,
+              FleetSize size)
 {
+  uint32_t first = served_setting ("SERVED_FIRST_SEED", SERVED_FIRST_SEED);
+  uint32_t n_seeds = served_setting ("SERVED_SEEDS", SERVED_SEEDS);
   uint32_t n_short = 0;
 
-  for (uint32_t i = 0; i < served_setting ("SERVED_SEEDS", SERVED_SEEDS); i++)
+  for (uint32_t i = 0; i < n_seeds; i++)
     {
       FleetOptions options;
-      fleet_options_crowded (&options, 57);
-      options.seed = served_setting ("SERVED_FIRST_SEED", SERVED_FIRST_SEED) + i;
-      n_short += served_count_short ("crowded", &options, size);
+      set (&options, n_workers);
+      options.seed = first + i;
+      n_short += served_count_short (load, &options, size);
     }
   assert_int_equal (n_short, 0);
 }
 
 static inline void
-served_check_overloaded (FleetSize size)
+served_check_crowded (FleetSize size)
 {
-  uint32_t n_short = 0;
+  served_check ("crowded", fleet_options_crowded, 57, size);
+}
 
-  for (uint32_t i = 0; i < served_setting ("SERVED_SEEDS", SERVED_SEEDS); i++)
-    {
-      FleetOptions options;
-      fleet_options_overloaded (&options, 67);
-      options.seed = served_setting ("SERVED_FIRST_SEED", SERVED_FIRST_SEED) + i;
-      n_short += served_count_short ("overloaded", &options, size);
-    }
-  assert_int_equal (n_short, 0);
+static inline void
+served_check_overloaded (FleetSize size)
+{
+  served_check ("overloaded", fleet_options_overloaded, 67, size);
 }
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -844,7 +844,7 @@
           kind->n_in_time++;
           kind->value_earned += value;
         }
-      else if (took_ms <= job->objective_ms * LATE_FACTOR)
+      else if (is_served (job))
         {
           kind->n_late++;
           kind->value_earned += LATE_VALUE * value;
